--- /dev/null
+++ b/cmd/mountstile-lab/main.go
@@ -0,0 +1,182 @@
+// Command mountstile-lab is the project's own bench: emulated engines and stand-ins for the
+// platform, the demo, experiments, and measurements.
+package main
+
+import (
+	"context"
+	"fmt"
+	"net"
+	"net/http"
+	"os"
+	"os/signal"
+	"syscall"
+	"time"
+
+	"github.com/cockroachdb/errors"
+	"github.com/jessevdk/go-flags"
+
+	"github.com/mountstile/mountstile/internal/emulator"
+	"github.com/mountstile/mountstile/internal/lab/demo"
+	"github.com/mountstile/mountstile/internal/standin/machineserver"
+	"github.com/mountstile/mountstile/internal/standin/storeserver"
+	"github.com/mountstile/mountstile/internal/standin/toolserver"
+	"github.com/mountstile/mountstile/internal/standin/weightserver"
+)
+
+const (
+	exitFailure = 1
+	exitUsage   = 2
+)
+
+type command struct {
+	name, short, long string
+	data              any
+}
+
+func main() {
+	parser := flags.NewNamedParser("mountstile-lab", flags.Default&^flags.PrintErrors)
+	parser.LongDescription = "mountstile-lab runs emulated engines and stand-ins for the platform, the demo, and the measurements. It listens on loopback only."
+	for _, item := range commands() {
+		if _, err := parser.AddCommand(item.name, item.short, item.long, item.data); err != nil {
+			fmt.Fprintln(os.Stderr, err)
+			os.Exit(exitFailure)
+		}
+	}
+	_, err := parser.Parse()
+	var usage *flags.Error
+	switch {
+	case err == nil:
+	case errors.As(err, &usage) && usage.Type == flags.ErrHelp:
+		fmt.Println(usage.Message)
+	case errors.As(err, &usage):
+		fmt.Fprintln(os.Stderr, usage.Message)
+		os.Exit(exitUsage)
+	default:
+		fmt.Fprintln(os.Stderr, err)
+		os.Exit(exitFailure)
+	}
+}
+
+func commands() []command {
+	return []command{
+		{"demo", "Run the main job", "Runs store, engines, tools and three nodes in this process, plays a short workload of both users, and prints what its callers saw.", &demoCommand{}},
+		{"engine", "Run an emulated model engine", "Serves the chat-completions API without a model. See docs/EMULATOR.md.", &engineCommand{}},
+		{"application", "Run an application engine", "Serves a plain HTTP back end that records each request.", &applicationCommand{}},
+		{"configstore", "Run the configuration store's stand-in", "Serves the used part of the etcd v3 JSON gateway in memory; faults can be switched with PUT /faults.", &storeCommand{}},
+		{"tools", "Run the tools' stand-in", "Answers tool calls after the delay that they ask for.", &toolsCommand{}},
+		{"machines", "Run the machine list's stand-in", "Serves a lagging list of live and leaving machines.", &machinesCommand{}},
+		{"weights", "Run the weight store's stand-in", "Serves model weights at a limited rate.", &weightsCommand{}},
+	}
+}
+
+// interruptible ends with SIGINT or SIGTERM.
+func interruptible() (context.Context, context.CancelFunc) {
+	return signal.NotifyContext(context.Background(), syscall.SIGINT, syscall.SIGTERM)
+}
+
+type demoCommand struct {
+	Folder   string `long:"examples" default:"examples" description:"folder of the example configurations"`
+	Programs int    `long:"programs" default:"60" description:"programs of each user"`
+	Seed     uint64 `long:"seed" default:"1" description:"seed of the workload"`
+	Stay     bool   `long:"stay" description:"keep the system up afterwards"`
+	Logs     bool   `long:"logs" description:"print the nodes' logs to standard error"`
+}
+
+// Execute implements flags.Commander.
+func (c *demoCommand) Execute([]string) error {
+	ctx, cancel := interruptible()
+	defer cancel()
+	return demo.Run(ctx, demo.Options{Folder: c.Folder, Programs: c.Programs, Seed: c.Seed, Output: os.Stdout, Stay: c.Stay, Logs: c.Logs})
+}
+
+// serving is what all stand-ins share.
+type serving struct {
+	Listen string `long:"listen" default:"127.0.0.1:0" description:"loopback address to listen on"`
+}
+
+// errNotLoopback refuses to serve beyond this machine.
+type errNotLoopback struct{ Address string }
+
+// Error implements error.
+func (e *errNotLoopback) Error() string { return e.Address + " is not a loopback address" }
+
+// serve runs a stand-in until it is interrupted.
+func (s serving) serve(name string, handler http.Handler, background func(context.Context)) error {
+	ctx, cancel := interruptible()
+	defer cancel()
+	listener, err := net.Listen("tcp", s.Listen)
+	if err != nil {
+		return errors.Wrap(err, "listening")
+	}
+	if address, ok := listener.Addr().(*net.TCPAddr); !ok || !address.IP.IsLoopback() {
+		return &errNotLoopback{Address: listener.Addr().String()}
+	}
+	fmt.Printf("%s on http://%s\n", name, listener.Addr())
+	if background != nil {
+		go background(ctx)
+	}
+	server := &http.Server{Handler: handler, ReadHeaderTimeout: 10 * time.Second}
+	go func() {
+		<-ctx.Done()
+		_ = server.Close()
+	}()
+	if err := server.Serve(listener); !errors.Is(err, http.ErrServerClosed) {
+		return errors.Wrap(err, "serving")
+	}
+	return nil
+}
+
+type engineCommand struct {
+	serving
+	CacheBlocks int           `long:"cache-blocks" default:"8192" description:"size of the prefix cache, in blocks of 16 tokens"`
+	MaxBatch    int           `long:"max-batch" default:"16" description:"sequences that run at once"`
+	StepBase    time.Duration `long:"step" default:"3ms" description:"time of a step with one sequence"`
+}
+
+// Execute implements flags.Commander.
+func (c *engineCommand) Execute([]string) error {
+	config := emulator.DefaultConfig()
+	config.CacheBlocks, config.MaxBatch, config.StepBase = c.CacheBlocks, c.MaxBatch, c.StepBase
+	server := emulator.NewServer(config)
+	return c.serve("engine", server, server.Run)
+}
+
+type applicationCommand struct{ serving }
+
+// Execute implements flags.Commander.
+func (c *applicationCommand) Execute([]string) error {
+	return c.serve("application", &emulator.Application{}, nil)
+}
+
+type storeCommand struct{ serving }
+
+// Execute implements flags.Commander.
+func (c *storeCommand) Execute([]string) error {
+	return c.serve("configuration store", storeserver.New(), nil)
+}
+
+type toolsCommand struct{ serving }
+
+// Execute implements flags.Commander.
+func (c *toolsCommand) Execute([]string) error { return c.serve("tools", toolserver.New(), nil) }
+
+type machinesCommand struct {
+	serving
+	Lag time.Duration `long:"lag" default:"10s" description:"how far the list lags"`
+}
+
+// Execute implements flags.Commander.
+func (c *machinesCommand) Execute([]string) error {
+	return c.serve("machine list", machineserver.New(c.Lag), nil)
+}
+
+type weightsCommand struct {
+	serving
+	Size int64 `long:"size" default:"1048576" description:"bytes of each model"`
+	Rate int64 `long:"rate" default:"1048576" description:"bytes a second that all readers share"`
+}
+
+// Execute implements flags.Commander.
+func (c *weightsCommand) Execute([]string) error {
+	return c.serve("weight store", weightserver.New(c.Size, c.Rate), nil)
+}
--- /dev/null
+++ b/internal/admin/admin.go
@@ -0,0 +1,273 @@
+// Package admin serves the administration API: resources, status, drain, programs, decisions and
+// history. docs/API.md and docs/openapi.yaml document it.
+package admin
+
+import (
+	"context"
+	"encoding/json"
+	"io"
+	"net/http"
+	"strconv"
+	"strings"
+	"time"
+
+	"github.com/cockroachdb/errors"
+	"github.com/google/uuid"
+	"golang.org/x/time/rate"
+
+	"github.com/mountstile/mountstile/internal/apierr"
+	"github.com/mountstile/mountstile/internal/configuration"
+	"github.com/mountstile/mountstile/internal/coordinator"
+	"github.com/mountstile/mountstile/internal/events"
+	"github.com/mountstile/mountstile/internal/membership"
+	"github.com/mountstile/mountstile/internal/partition"
+	"github.com/mountstile/mountstile/internal/replica"
+	"github.com/mountstile/mountstile/internal/resource"
+	"github.com/mountstile/mountstile/internal/transport"
+)
+
+// Prefix starts all paths of the API.
+const Prefix = "/admin/v1"
+
+const (
+	bearerPrefix      = "Bearer "
+	maxBodyBytes      = 8 << 20
+	requestsPerSecond = 50
+	requestBurst      = 100
+	defaultHistory    = 20
+	maxHistory        = 500
+	publishTimeout    = 20 * time.Second
+	// HeaderBase names the revision that a change is based on; HeaderChange identifies the change.
+	HeaderBase   = "Mountstile-Base-Revision"
+	HeaderChange = "Mountstile-Change-Id"
+)
+
+// PlatformTenant is the first part of the platform administrators' keys.
+const PlatformTenant = "platform"
+
+// Options configure a Server.
+type Options struct {
+	Config      *configuration.Manager
+	Membership  *membership.Manager
+	Partitions  *partition.Manager
+	Host        *replica.Host
+	Coordinator *coordinator.Client
+	Transport   *transport.Transport
+	// Keys are the platform's own, from the settings file.
+	Keys []resource.APIKey
+	// Self describes this node; Drain begins its planned stop.
+	Self   func() NodeStatus
+	Drain  func()
+	Logger *events.Logger
+}
+
+// Server is the administration API's http.Handler.
+type Server struct {
+	options Options
+	mux     *http.ServeMux
+	limiter *rate.Limiter
+}
+
+// Route is one operation of the API.
+type Route struct {
+	Method string
+	Path   string
+}
+
+// Routes lists the API's operations; a test holds docs/openapi.yaml to it.
+func (s *Server) Routes() []Route {
+	var routes []Route
+	for _, item := range s.table() {
+		routes = append(routes, Route{Method: item.method, Path: item.path})
+	}
+	return routes
+}
+
+type handler func(ctx context.Context, who identity, r *http.Request) (any, error)
+
+type operation struct {
+	method string
+	path   string
+	// changes tells that reading is not enough.
+	changes bool
+	// platform tells that only the platform's own keys will do.
+	platform bool
+	serve    handler
+}
+
+func (s *Server) table() []operation {
+	return []operation{
+		{http.MethodGet, "/status", false, true, s.getStatus},
+		{http.MethodGet, "/partitions", false, true, s.getPartitions},
+		{http.MethodGet, "/resources", false, false, s.listResources},
+		{http.MethodGet, "/resources/{kind}/{name}", false, false, s.getResource},
+		{http.MethodDelete, "/resources/{kind}/{name}", true, false, s.deleteResource},
+		{http.MethodPost, "/apply", true, false, s.apply},
+		{http.MethodPost, "/diff", false, false, s.diff},
+		{http.MethodGet, "/history", false, true, s.history},
+		{http.MethodPost, "/history/{revision}/restore", true, true, s.restore},
+		{http.MethodPost, "/drain/nodes/{node}", true, true, s.drainNode},
+		{http.MethodPost, "/drain/pools/{pool}/engines/{engine}", true, false, s.drainEngine},
+		{http.MethodGet, "/programs", false, false, s.listPrograms},
+		{http.MethodGet, "/programs/{tenant}/{path...}", false, false, s.getProgram},
+		{http.MethodDelete, "/programs/{tenant}/{path...}", true, false, s.endProgram},
+		{http.MethodGet, "/decisions/{call}", false, true, s.getDecision},
+	}
+}
+
+// New returns a Server and registers its messages between nodes.
+func New(options Options) *Server {
+	server := &Server{options: options, mux: http.NewServeMux(), limiter: rate.NewLimiter(requestsPerSecond, requestBurst)}
+	for _, item := range server.table() {
+		server.mux.HandleFunc(item.method+" "+Prefix+item.path, server.wrap(item))
+	}
+	server.registerMessages()
+	return server
+}
+
+// ServeHTTP implements http.Handler.
+func (s *Server) ServeHTTP(w http.ResponseWriter, r *http.Request) { s.mux.ServeHTTP(w, r) }
+
+// identity is who sent a request.
+type identity struct {
+	// name is for the audit log; tenant is empty for the platform's own keys.
+	name   string
+	tenant string
+	role   resource.Role
+}
+
+func (i identity) platform() bool { return i.tenant == "" }
+
+// wrap limits, authenticates and authorizes before it serves.
+func (s *Server) wrap(item operation) http.HandlerFunc {
+	return func(w http.ResponseWriter, r *http.Request) {
+		r.Body = http.MaxBytesReader(w, r.Body, maxBodyBytes)
+		if !s.limiter.Allow() {
+			writeFailure(w, apierr.New(apierr.LimitExceeded, apierr.NotRun, "too many administration requests").WithRetryAfter(time.Second))
+			return
+		}
+		who, err := s.authenticate(r)
+		if err == nil {
+			err = authorize(who, item)
+		}
+		if err != nil {
+			s.options.Logger.Emit(events.AdminDenied, events.F("path", r.URL.Path), events.F("error", err))
+			writeFailure(w, err)
+			return
+		}
+		answer, err := item.serve(r.Context(), who, r)
+		if err != nil {
+			writeFailure(w, err)
+			return
+		}
+		writeJSON(w, answer)
+	}
+}
+
+func (s *Server) authenticate(r *http.Request) (identity, error) {
+	text, isBearer := strings.CutPrefix(r.Header.Get("Authorization"), bearerPrefix)
+	now := time.Now()
+	refusal := apierr.New(apierr.Unauthenticated, apierr.NotRun, "the key is not valid")
+	if !isBearer {
+		return identity{}, refusal
+	}
+	parts := strings.SplitN(text, ".", 3)
+	if len(parts) == 3 && parts[0] == PlatformTenant {
+		for _, key := range s.options.Keys {
+			if key.ID == parts[1] && key.Matches(parts[2], now) {
+				return identity{name: PlatformTenant + "." + key.ID, role: key.Role}, nil
+			}
+		}
+		return identity{}, refusal
+	}
+	name, _, role, ok := s.options.Config.Current().Set.Authenticate(text, now)
+	if !ok {
+		return identity{}, refusal
+	}
+	return identity{name: name + "." + parts[1], tenant: name, role: role}, nil
+}
+
+func authorize(who identity, item operation) error {
+	switch {
+	case who.role == resource.RoleCaller:
+		return apierr.New(apierr.Forbidden, apierr.NotRun, "this key may only send calls")
+	case item.platform && !who.platform():
+		return apierr.New(apierr.Forbidden, apierr.NotRun, "only platform administrators and readers may do this")
+	case item.changes && who.role != resource.RoleOperator:
+		return apierr.New(apierr.Forbidden, apierr.NotRun, "this key may only read")
+	}
+	return nil
+}
+
+// mayTouch reports whether a tenant's operator may see or change a resource. A tenant's resources
+// carry its name, or begin with it and a '-'. Tenants and limits are the platform's.
+func (i identity) mayTouch(key resource.Key) bool {
+	if i.platform() {
+		return true
+	}
+	if key.Kind == resource.KindTenant || key.Kind == resource.KindLimit {
+		return false
+	}
+	return key.Name == i.tenant || strings.HasPrefix(key.Name, i.tenant+"-")
+}
+
+// checkContent keeps a tenant's services to itself.
+func (i identity) checkContent(item resource.Resource) error {
+	if i.platform() || item.Service == nil {
+		return nil
+	}
+	service := item.Service
+	for _, tenant := range service.Tenants {
+		if tenant != i.tenant {
+			return apierr.New(apierr.Forbidden, apierr.NotRun, "service %s may serve tenant %s only", item.Name, i.tenant)
+		}
+	}
+	references := []resource.Key{{Kind: resource.KindPool, Name: service.Pool}}
+	if service.Policy != "" {
+		references = append(references, resource.Key{Kind: resource.KindPolicy, Name: service.Policy})
+	}
+	for _, key := range references {
+		if !i.mayTouch(key) {
+			return apierr.New(apierr.Forbidden, apierr.NotRun, "service %s refers to %s %s, which is not the tenant's", item.Name, key.Kind, key.Name)
+		}
+	}
+	return nil
+}
+
+type failureBody struct {
+	Error *apierr.Error `json:"error"`
+}
+
+// typed gives a failure its code: what operators wrote wrongly is theirs to mend.
+func typed(err error) *apierr.Error {
+	var field *resource.FieldError
+	if errors.As(err, &field) {
+		return apierr.New(apierr.InvalidRequest, apierr.NotRun, "%s", field).WithField(field.Field)
+	}
+	return apierr.From(err, apierr.OutcomeUnknown)
+}
+
+func writeFailure(w http.ResponseWriter, err error) {
+	failure := typed(err)
+	w.Header().Set("Content-Type", "application/json")
+	if failure.RetryAfter > 0 {
+		w.Header().Set("Retry-After", strconv.FormatInt((failure.RetryAfter+999)/1000, 10))
+	}
+	w.WriteHeader(failure.HTTPStatus())
+	_ = json.NewEncoder(w).Encode(failureBody{Error: failure})
+}
+
+func writeJSON(w http.ResponseWriter, value any) {
+	w.Header().Set("Content-Type", "application/json")
+	_ = json.NewEncoder(w).Encode(value)
+}
+
+func readAll(r *http.Request) ([]byte, error) {
+	body, err := io.ReadAll(r.Body)
+	if err != nil {
+		return nil, apierr.New(apierr.BodyTooLarge, apierr.NotRun, "the body can't be read: %s", err)
+	}
+	return body, nil
+}
+
+func newChangeID() string { return uuid.NewString() }
--- /dev/null
+++ b/internal/admin/cluster.go
@@ -0,0 +1,199 @@
+package admin
+
+import (
+	"context"
+	"net/http"
+	"slices"
+	"strings"
+	"sync"
+	"time"
+
+	"github.com/mountstile/mountstile/internal/apierr"
+	"github.com/mountstile/mountstile/internal/coordinator"
+	"github.com/mountstile/mountstile/internal/events"
+	"github.com/mountstile/mountstile/internal/membership"
+	"github.com/mountstile/mountstile/internal/partition"
+	"github.com/mountstile/mountstile/internal/program"
+	"github.com/mountstile/mountstile/internal/transport"
+)
+
+const (
+	statusKind    = "node_status"
+	drainKind     = "node_drain"
+	statusTimeout = 3 * time.Second
+	// statusParallel bounds how many nodes are asked at once.
+	statusParallel = 32
+)
+
+// NodeStatus is what a node says of itself.
+type NodeStatus struct {
+	ID       string `json:"id"`
+	Name     string `json:"name"`
+	Zone     string `json:"zone"`
+	Region   string `json:"region"`
+	Version  string `json:"version"`
+	Revision uint64 `json:"revision"`
+	Ready    bool   `json:"ready"`
+	// Active counts callers' requests under way; Replicas and Leads count partitions.
+	Active   int64 `json:"active"`
+	Replicas int   `json:"replicas"`
+	Leads    int   `json:"leads"`
+	Programs int   `json:"programs"`
+}
+
+// MemberStatus is a member as this node sees it, with its own word if it answered.
+type MemberStatus struct {
+	Member membership.Member `json:"member"`
+	Node   *NodeStatus       `json:"node,omitempty"`
+	Error  *apierr.Error     `json:"error,omitempty"`
+}
+
+// ClusterStatus is the answer to status.
+type ClusterStatus struct {
+	// Revision is the newest revision that any node has in force.
+	Revision uint64         `json:"revision"`
+	Members  []MemberStatus `json:"members"`
+	// Lagging names the live nodes that do not have it yet, or did not answer.
+	Lagging []string `json:"lagging"`
+}
+
+type empty struct{}
+
+func (s *Server) registerMessages() {
+	transport.Handle(s.options.Transport, statusKind, func(context.Context, transport.Peer, empty) (NodeStatus, error) {
+		return s.options.Self(), nil
+	})
+	transport.Handle(s.options.Transport, drainKind, func(context.Context, transport.Peer, empty) (empty, error) {
+		s.options.Drain()
+		return empty{}, nil
+	})
+}
+
+func (s *Server) getStatus(ctx context.Context, _ identity, _ *http.Request) (any, error) {
+	members := s.options.Membership.View().All()
+	status := ClusterStatus{Members: make([]MemberStatus, len(members)), Lagging: []string{}}
+	var tasks sync.WaitGroup
+	slots := make(chan struct{}, statusParallel)
+	for index, member := range members {
+		status.Members[index].Member = member
+		if !member.Usable() {
+			continue
+		}
+		slots <- struct{}{}
+		tasks.Go(func() {
+			defer func() { <-slots }()
+			s.askStatus(ctx, &status.Members[index])
+		})
+	}
+	tasks.Wait()
+	status.summarize()
+	return status, nil
+}
+
+func (s *Server) askStatus(ctx context.Context, target *MemberStatus) {
+	ctx, cancel := context.WithTimeout(ctx, statusTimeout)
+	defer cancel()
+	node, err := transport.Call[NodeStatus](ctx, s.options.Transport, target.Member.Address, statusKind, empty{})
+	if err != nil {
+		target.Error = apierr.From(err, apierr.NotRun)
+		return
+	}
+	target.Node = &node
+}
+
+func (c *ClusterStatus) summarize() {
+	for _, member := range c.Members {
+		if member.Node != nil {
+			c.Revision = max(c.Revision, member.Node.Revision)
+		}
+	}
+	for _, member := range c.Members {
+		if member.Member.Usable() && (member.Node == nil || member.Node.Revision < c.Revision) {
+			c.Lagging = append(c.Lagging, member.Member.ID)
+		}
+	}
+}
+
+// PartitionList is the placement of program state.
+type PartitionList struct {
+	Partitions []partition.Placement `json:"partitions"`
+}
+
+func (s *Server) getPartitions(context.Context, identity, *http.Request) (any, error) {
+	return PartitionList{Partitions: s.options.Partitions.All()}, nil
+}
+
+func (s *Server) drainNode(ctx context.Context, who identity, r *http.Request) (any, error) {
+	wanted := r.PathValue("node")
+	view := s.options.Membership.View()
+	index := slices.IndexFunc(view.Usable(), func(member membership.Member) bool { return member.ID == wanted || member.Name == wanted })
+	if index < 0 {
+		return nil, apierr.New(apierr.NotFound, apierr.NotRun, "there is no live node %q", wanted)
+	}
+	member := view.Usable()[index]
+	s.options.Logger.Emit(events.DrainRequested, events.F("target", member.ID), events.F("author", who.name))
+	ctx, cancel := context.WithTimeout(ctx, statusTimeout)
+	defer cancel()
+	_, err := transport.Call[empty](ctx, s.options.Transport, member.Address, drainKind, empty{})
+	return member, err
+}
+
+// ProgramList is the programs of a tenant, or of all.
+type ProgramList struct {
+	Programs []program.Summary `json:"programs"`
+	// Silent names nodes that did not answer; what they lead is missing.
+	Silent []string `json:"silent"`
+}
+
+func (s *Server) listPrograms(ctx context.Context, who identity, r *http.Request) (any, error) {
+	tenant := r.URL.Query().Get("tenant")
+	if !who.platform() {
+		tenant = who.tenant
+	}
+	programs, silent := s.options.Coordinator.List(ctx, tenant)
+	return ProgramList{Programs: programs, Silent: silent}, nil
+}
+
+// locate finds a program's partition; others' programs look as if absent.
+func (s *Server) locate(who identity, r *http.Request) (uint32, program.Key, error) {
+	key := program.Key{Tenant: r.PathValue("tenant"), Path: r.PathValue("path")}
+	tenant, known := s.options.Config.Current().Set.Tenant(key.Tenant)
+	if !known || !who.platform() && who.tenant != key.Tenant {
+		return 0, key, apierr.New(apierr.NotFound, apierr.NotRun, "there is no program %q of tenant %q", key.Path, key.Tenant)
+	}
+	root, _, _ := strings.Cut(key.Path, "/")
+	id, err := s.options.Coordinator.Locate(tenant.HomeRegion, key.Tenant, root)
+	return id, key, err
+}
+
+func (s *Server) getProgram(ctx context.Context, who identity, r *http.Request) (any, error) {
+	id, key, err := s.locate(who, r)
+	if err != nil {
+		return nil, err
+	}
+	return s.options.Coordinator.Program(ctx, coordinator.ProgramRequest{Partition: id, Program: key})
+}
+
+func (s *Server) endProgram(ctx context.Context, who identity, r *http.Request) (any, error) {
+	id, key, err := s.locate(who, r)
+	if err != nil {
+		return nil, err
+	}
+	return empty{}, s.options.Coordinator.End(ctx, coordinator.EndRequest{Partition: id, End: program.End{Program: key, Reason: program.EndByOperator}})
+}
+
+func (s *Server) getDecision(ctx context.Context, _ identity, r *http.Request) (any, error) {
+	response, err := s.options.Coordinator.Explain(ctx, r.PathValue("call"))
+	return response.Decision, err
+}
+
+// Behind names the live nodes on which a revision is not known to be in force.
+func (c ClusterStatus) Behind(revision uint64) []string {
+	var behind []string
+	for _, member := range c.Members {
+		if member.Member.Usable() && (member.Node == nil || member.Node.Revision < revision) {
+			behind = append(behind, member.Member.ID)
+		}
+	}
+	return behind
+}
--- /dev/null
+++ b/internal/configuration/snapshot.go
@@ -0,0 +1,106 @@
+// Package configuration holds the accepted configuration: it publishes changes to the store by
+// compare-and-swap, brings every accepted revision to every node, and never goes back.
+// docs/design/configuration.md weighs the ways.
+package configuration
+
+import (
+	"encoding/json"
+	"time"
+
+	"github.com/klauspost/compress/zstd"
+
+	"github.com/cockroachdb/errors"
+
+	"github.com/mountstile/mountstile/internal/resource"
+)
+
+// Document is one accepted revision as it stands in the store and travels between nodes.
+type Document struct {
+	Revision uint64 `json:"revision"`
+	// ChangeID identifies the change; a publisher whose answer was lost looks for it.
+	ChangeID string    `json:"change_id"`
+	Author   string    `json:"author"`
+	At       time.Time `json:"at"`
+	// Upserts and Deletes are what this revision changed; they make the audit log.
+	Upserts   []resource.Key      `json:"upserts,omitempty"`
+	Deletes   []resource.Key      `json:"deletes,omitempty"`
+	Resources []resource.Resource `json:"resources"`
+}
+
+// Change is what an operator asks for.
+type Change struct {
+	ChangeID string              `json:"change_id"`
+	Author   string              `json:"author"`
+	Upserts  []resource.Resource `json:"upserts,omitempty"`
+	Deletes  []resource.Key      `json:"deletes,omitempty"`
+	// Base is the revision that the operator has seen; 0 means any.
+	Base uint64 `json:"base,omitempty"`
+}
+
+// Snapshot is a revision in force.
+type Snapshot struct {
+	Document Document
+	Set      *resource.Set
+	encoded  []byte
+}
+
+// Revision returns the snapshot's revision; 0 before any configuration.
+func (s *Snapshot) Revision() uint64 { return s.Document.Revision }
+
+// head is the value of the single key on which publishers compete.
+type head struct {
+	Revision uint64 `json:"revision"`
+	ChangeID string `json:"change_id"`
+}
+
+// Documents repeat much; zstd keeps 2,000 tenants well below the 1.5 MB that an etcd value may have.
+var (
+	encoder, _ = zstd.NewWriter(nil)
+	decoder, _ = zstd.NewReader(nil, zstd.WithDecoderMaxMemory(maxDocumentBytes))
+)
+
+const maxDocumentBytes = 64 << 20
+
+func encodeDocument(document Document) ([]byte, error) {
+	plain, err := json.Marshal(document)
+	if err != nil {
+		return nil, errors.Wrap(err, "encoding a revision")
+	}
+	return encoder.EncodeAll(plain, nil), nil
+}
+
+func decodeDocument(encoded []byte) (Document, error) {
+	var document Document
+	plain, err := decoder.DecodeAll(encoded, nil)
+	if err != nil {
+		return document, errors.Wrap(err, "decompressing a revision")
+	}
+	if err := json.Unmarshal(plain, &document); err != nil {
+		return document, errors.Wrap(err, "decoding a revision")
+	}
+	return document, nil
+}
+
+// apply returns the next revision's document.
+func apply(current Document, change Change, at time.Time) Document {
+	next := Document{Revision: current.Revision + 1, ChangeID: change.ChangeID, Author: change.Author, At: at}
+	replaced := make(map[resource.Key]bool)
+	for _, item := range change.Upserts {
+		replaced[item.Key()] = true
+		next.Upserts = append(next.Upserts, item.Key())
+	}
+	for _, key := range change.Deletes {
+		replaced[key] = true
+		next.Deletes = append(next.Deletes, key)
+	}
+	for _, item := range current.Resources {
+		if !replaced[item.Key()] {
+			next.Resources = append(next.Resources, item)
+		}
+	}
+	for _, item := range change.Upserts {
+		item.Revision = next.Revision
+		next.Resources = append(next.Resources, item)
+	}
+	return next
+}
--- /dev/null
+++ b/internal/coordinator/server.go
@@ -0,0 +1,527 @@
+package coordinator
+
+import (
+	"context"
+	"encoding/json"
+	"slices"
+	"strings"
+	"sync"
+	"time"
+
+	"github.com/cockroachdb/errors"
+
+	"github.com/mountstile/mountstile/internal/apierr"
+	"github.com/mountstile/mountstile/internal/configuration"
+	"github.com/mountstile/mountstile/internal/engine"
+	"github.com/mountstile/mountstile/internal/events"
+	"github.com/mountstile/mountstile/internal/limit"
+	"github.com/mountstile/mountstile/internal/membership"
+	"github.com/mountstile/mountstile/internal/owner"
+	"github.com/mountstile/mountstile/internal/policy"
+	"github.com/mountstile/mountstile/internal/program"
+	"github.com/mountstile/mountstile/internal/replica"
+	"github.com/mountstile/mountstile/internal/resource"
+	"github.com/mountstile/mountstile/internal/scheduler"
+	"github.com/mountstile/mountstile/internal/transport"
+)
+
+const (
+	// gapWait is how long a call waits for the one before it to arrive.
+	gapWait = 2 * time.Second
+	// proposeTimeout bounds one commit.
+	proposeTimeout = 5 * time.Second
+	// dispatchLease is how long a gateway may take from the answer to the first byte sent.
+	dispatchLease = 3 * time.Second
+	// retryRatio and retryBurst bound the retries of a pool.
+	retryRatio = 0.2
+	retryBurst = 20
+	// decisionsKept are remembered for explanation.
+	decisionsKept = 1024
+)
+
+// Policies gives the compiled policy of a service.
+type Policies interface {
+	ForService(service *resource.Service) (*policy.Policy, error)
+}
+
+// ServerOptions configure a Server.
+type ServerOptions struct {
+	Transport  *transport.Transport
+	Membership *membership.Manager
+	Config     *configuration.Manager
+	Host       *replica.Host
+	Scheduler  *scheduler.Scheduler
+	Policies   Policies
+	Engines    engine.ModelEngine
+	// Release gives a place on an engine back.
+	Release func(engine resource.Engine, request owner.ReleaseRequest)
+	Logger  *events.Logger
+}
+
+// Server serves the partitions that this node leads.
+type Server struct {
+	options ServerOptions
+
+	mutex     sync.Mutex
+	machines  map[uint32]*program.Machine
+	driving   map[string]context.CancelCauseFunc
+	orphans   map[string]time.Time
+	budgets   map[string]*limit.RetryBudget
+	decisions map[string]scheduler.Decision
+	order     []string
+	releasing map[program.HeldCache]bool
+}
+
+// errCancelled is the cause when a caller gives up.
+var errCancelled = apierr.New(apierr.Cancelled, apierr.NotRun, "the caller gave up")
+
+// NewServer returns a Server and registers its messages.
+func NewServer(options ServerOptions) *Server {
+	server := &Server{
+		options:   options,
+		machines:  make(map[uint32]*program.Machine),
+		driving:   make(map[string]context.CancelCauseFunc),
+		orphans:   make(map[string]time.Time),
+		budgets:   make(map[string]*limit.RetryBudget),
+		decisions: make(map[string]scheduler.Decision),
+		releasing: make(map[program.HeldCache]bool),
+	}
+	network := options.Transport
+	transport.Handle(network, beginKind, func(ctx context.Context, _ transport.Peer, request BeginRequest) (BeginResponse, error) {
+		return server.begin(ctx, request)
+	})
+	transport.Handle(network, retryKind, func(ctx context.Context, _ transport.Peer, request RetryRequest) (BeginResponse, error) {
+		return server.retry(ctx, request)
+	})
+	transport.Handle(network, finishKind, func(ctx context.Context, _ transport.Peer, request FinishRequest) (CallResponse, error) {
+		return server.change(ctx, request.Partition, program.Command{Complete: &request.Complete})
+	})
+	transport.Handle(network, failKind, func(ctx context.Context, _ transport.Peer, request FailRequest) (CallResponse, error) {
+		return server.change(ctx, request.Partition, program.Command{Fail: &request.Fail})
+	})
+	transport.Handle(network, endKind, func(ctx context.Context, _ transport.Peer, request EndRequest) (CallResponse, error) {
+		return server.change(ctx, request.Partition, program.Command{End: &request.End})
+	})
+	transport.HandleOneWay(network, cancelKind, func(_ transport.Peer, request CancelRequest) { server.cancel(request.CallID) })
+	transport.Handle(network, programKind, server.readProgram)
+	transport.Handle(network, listKind, server.listPrograms)
+	transport.Handle(network, explainKind, server.explain)
+	return server
+}
+
+// NewMachine makes and keeps the state machine of a partition; it is replica.Options.NewMachine.
+func (s *Server) NewMachine(group uint32) replica.StateMachine {
+	machine := program.NewMachine()
+	s.mutex.Lock()
+	s.machines[group] = machine
+	s.mutex.Unlock()
+	return machine
+}
+
+func (s *Server) machine(group uint32) *program.Machine {
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
+	return s.machines[group]
+}
+
+// propose commits a command and returns its result.
+func (s *Server) propose(ctx context.Context, group uint32, command program.Command) (program.Result, error) {
+	command.At = time.Now().UnixMilli()
+	encoded, err := json.Marshal(command)
+	if err != nil {
+		return program.Result{}, errors.Wrap(err, "encoding a command")
+	}
+	ctx, cancel := context.WithTimeout(ctx, proposeTimeout)
+	defer cancel()
+	value, err := s.options.Host.Propose(ctx, group, encoded)
+	if err != nil {
+		return program.Result{}, err
+	}
+	result, ok := value.(program.Result)
+	if !ok {
+		return program.Result{}, apierr.New(apierr.Internal, apierr.OutcomeUnknown, "the state machine gave no result")
+	}
+	return result, nil
+}
+
+// change commits a command about a call under way. It does not end with the gateway's connection.
+func (s *Server) change(ctx context.Context, group uint32, command program.Command) (CallResponse, error) {
+	result, err := s.propose(context.WithoutCancel(ctx), group, command)
+	if err != nil {
+		return CallResponse{}, err
+	}
+	if result.Call == nil {
+		if result.Error != nil {
+			return CallResponse{}, result.Error
+		}
+		return CallResponse{}, nil
+	}
+	if result.Call.State == program.Completed {
+		s.retryBudget(result.Call.Service).Success()
+	}
+	return CallResponse{State: result.Call.State, Error: result.Error}, nil
+}
+
+func (s *Server) retryBudget(service string) *limit.RetryBudget {
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
+	if s.budgets[service] == nil {
+		s.budgets[service] = limit.NewRetryBudget(retryRatio, retryBurst)
+	}
+	return s.budgets[service]
+}
+
+// begin admits a call and drives it until it has an engine, or joins the call that it repeats.
+func (s *Server) begin(ctx context.Context, request BeginRequest) (BeginResponse, error) {
+	result, err := s.admitInOrder(ctx, request)
+	if err != nil {
+		return BeginResponse{}, err
+	}
+	if result.Error != nil {
+		if result.Error.Code == apierr.HistoryConflict {
+			return BeginResponse{Conflict: &result.Mark}, nil
+		}
+		return BeginResponse{}, result.Error
+	}
+	return s.follow(ctx, request, result.Call, nil)
+}
+
+// admitInOrder lets a call that came before its predecessor wait for it, for a bounded time.
+func (s *Server) admitInOrder(ctx context.Context, request BeginRequest) (program.Result, error) {
+	machine := s.machine(request.Partition)
+	if machine == nil {
+		return program.Result{}, apierr.New(apierr.NotLeader, apierr.NotRun, "this node holds no replica of partition %d", request.Partition)
+	}
+	timer := time.NewTimer(gapWait)
+	defer timer.Stop()
+	for {
+		changed := machine.Changed(request.Admit.Program)
+		result, err := s.propose(ctx, request.Partition, program.Command{Admit: &request.Admit})
+		if err != nil || result.Error == nil || result.Error.Code != apierr.SequenceGap {
+			return result, err
+		}
+		select {
+		case <-changed:
+		case <-timer.C:
+			return result, nil
+		case <-ctx.Done():
+			return program.Result{}, errCancelled
+		}
+	}
+}
+
+// follow drives a call that has no driver on this leader, and waits for any other to end.
+func (s *Server) follow(ctx context.Context, request BeginRequest, call *program.Call, avoid []string) (BeginResponse, error) {
+	machine := s.machine(request.Partition)
+	for {
+		changed := machine.Changed(request.Admit.Program)
+		current, known := machine.Call(request.Admit.Program, call.ID)
+		if !known {
+			return BeginResponse{}, apierr.New(apierr.ExecutionUnknown, apierr.OutcomeUnknown, "the call's record has expired")
+		}
+		switch {
+		case current.State == program.Completed:
+			return BeginResponse{CallID: current.ID, Answer: current.Answer}, nil
+		case current.State == program.Failed:
+			return BeginResponse{}, current.Error
+		case current.State == program.Dispatching && current.ID == request.Admit.CallID && current.Gateway == request.Admit.Gateway:
+			// The answer that named the engine was lost on the way to this very gateway.
+			return s.engineResponse(request, current)
+		case current.State == program.Admitted:
+			if driven, done := s.startDriving(ctx, current.ID); done != nil {
+				defer done()
+				return s.drive(driven, request, current, avoid)
+			}
+		}
+		select {
+		case <-changed:
+		case <-ctx.Done():
+			return BeginResponse{}, apierr.New(apierr.Cancelled, apierr.OutcomeUnknown, "gave up waiting for the call that this one repeats")
+		}
+	}
+}
+
+// startDriving makes this request the call's only driver here; done is nil if there is one.
+func (s *Server) startDriving(ctx context.Context, callID string) (driven context.Context, done func()) {
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
+	if s.driving[callID] != nil {
+		return nil, nil
+	}
+	driven, cancel := context.WithCancelCause(ctx)
+	s.driving[callID] = cancel
+	delete(s.orphans, callID)
+	return driven, func() {
+		s.mutex.Lock()
+		delete(s.driving, callID)
+		s.mutex.Unlock()
+		cancel(nil)
+	}
+}
+
+// cancel ends the wait of a call whose caller is gone.
+func (s *Server) cancel(callID string) {
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
+	if stop := s.driving[callID]; stop != nil {
+		stop(errCancelled)
+	}
+}
+
+// drive takes an admitted call through its turn, an engine, and the commit of the dispatch.
+func (s *Server) drive(ctx context.Context, request BeginRequest, call *program.Call, avoid []string) (BeginResponse, error) {
+	if err := s.awaitTurn(ctx, request, call); err != nil {
+		return BeginResponse{}, s.giveUp(ctx, request, call, err)
+	}
+	decision, err := s.place(ctx, request, call, avoid)
+	if err != nil {
+		return BeginResponse{}, s.giveUp(ctx, request, call, err)
+	}
+	result, err := s.dispatch(ctx, request, call, decision)
+	if err == nil && result.Error == nil {
+		return s.engineResponse(request, result.Call)
+	}
+	s.options.Release(decision.Engine, owner.ReleaseRequest{Engine: decision.Engine.Name, CallID: call.ID})
+	if err != nil {
+		return BeginResponse{}, err
+	}
+	if result.Error.Code == apierr.HistoryConflict {
+		_ = s.giveUp(ctx, request, call, result.Error)
+		return BeginResponse{Conflict: &result.Mark}, nil
+	}
+	return BeginResponse{}, s.giveUp(ctx, request, call, result.Error)
+}
+
+// awaitTurn waits until the calls before this one in the chain have ended.
+func (s *Server) awaitTurn(ctx context.Context, request BeginRequest, call *program.Call) error {
+	machine := s.machine(request.Partition)
+	service, known := s.options.Config.Current().Set.Service(request.Admit.Service)
+	if !known {
+		return apierr.New(apierr.NotFound, apierr.NotRun, "service %q was removed", request.Admit.Service)
+	}
+	timer := time.NewTimer(seconds(service.CallSeconds))
+	defer timer.Stop()
+	for {
+		changed := machine.Changed(request.Admit.Program)
+		if !machine.EarlierOpen(request.Admit.Program, call.Sequence) {
+			return nil
+		}
+		select {
+		case <-changed:
+		case <-timer.C:
+			return apierr.New(apierr.SequenceGap, apierr.NotRun, "an earlier call of the program did not end in time").WithRetryAfter(time.Second)
+		case <-ctx.Done():
+			return context.Cause(ctx)
+		}
+	}
+}
+
+func seconds(value float64) time.Duration { return time.Duration(value * float64(time.Second)) }
+
+func (s *Server) place(ctx context.Context, request BeginRequest, call *program.Call, avoid []string) (scheduler.Decision, error) {
+	set := s.options.Config.Current().Set
+	service, known := set.Service(request.Admit.Service)
+	if !known {
+		return scheduler.Decision{}, apierr.New(apierr.NotFound, apierr.NotRun, "service %q was removed", request.Admit.Service)
+	}
+	pool, known := set.Pool(service.Pool)
+	if !known {
+		return scheduler.Decision{}, apierr.New(apierr.NoEngine, apierr.NotRun, "pool %q was removed", service.Pool)
+	}
+	rules, err := s.options.Policies.ForService(service)
+	if err != nil {
+		return scheduler.Decision{}, apierr.New(apierr.PolicyFailed, apierr.NotRun, "%s", err)
+	}
+	decision, err := s.options.Scheduler.Place(ctx, s.describe(request, call, set, service, avoid), pool, rules)
+	s.remember(decision)
+	return decision, err
+}
+
+// describe tells the scheduler about a call and its program.
+func (s *Server) describe(request BeginRequest, call *program.Call, set *resource.Set, service *resource.Service, avoid []string) scheduler.Call {
+	summary, _ := s.machine(request.Partition).Summary(request.Admit.Program)
+	description := scheduler.Call{
+		ID:           call.ID,
+		Program:      request.Admit.Program.Path,
+		Tenant:       request.Admit.Program.Tenant,
+		Weight:       resource.DefaultWeight,
+		Gateway:      request.Admit.Gateway,
+		Service:      request.Admit.Service,
+		Model:        request.Model,
+		Repeatable:   call.Repeatable,
+		Attempt:      call.Attempt + 1,
+		PromptTokens: request.PromptTokens,
+		MaxTokens:    request.MaxTokens,
+		LastEngine:   summary.LastEngine,
+		Depth:        strings.Count(request.Admit.Program.Path, "/"),
+		Calls:        summary.Calls,
+		UsedTokens:   summary.Used,
+		Messages:     summary.Messages,
+		AgeSeconds:   time.Since(time.UnixMilli(summary.CreatedAt)).Seconds(),
+		Avoid:        avoid,
+		Wait:         seconds(service.QueueSeconds),
+		Limit:        seconds(service.CallSeconds),
+	}
+	if tenant, known := set.Tenant(request.Admit.Program.Tenant); known {
+		description.Weight = tenant.Weight
+	}
+	return description
+}
+
+func (s *Server) dispatch(ctx context.Context, request BeginRequest, call *program.Call, decision scheduler.Decision) (program.Result, error) {
+	command := program.Dispatch{
+		CallID:  call.ID,
+		Program: request.Admit.Program,
+		Attempt: call.Attempt + 1,
+		Engine:  decision.Engine.Name,
+		Gateway: request.Admit.Gateway,
+	}
+	service, known := s.options.Config.Current().Set.Service(request.Admit.Service)
+	if known && service.Type == resource.ServiceModel {
+		command.CacheService = request.Admit.Service
+	}
+	return s.propose(ctx, request.Partition, program.Command{Dispatch: &command})
+}
+
+// engineResponse names the engine of the latest committed dispatch.
+func (s *Server) engineResponse(request BeginRequest, call *program.Call) (BeginResponse, error) {
+	response := BeginResponse{CallID: call.ID, Attempt: call.Attempt, LeaseMillis: dispatchLease.Milliseconds()}
+	set := s.options.Config.Current().Set
+	if service, known := set.Service(request.Admit.Service); known {
+		if pool, known := set.Pool(service.Pool); known {
+			index := slices.IndexFunc(pool.Engines, func(item resource.Engine) bool { return item.Name == call.Engine })
+			if index >= 0 {
+				response.Engine = &engine.Target{Name: call.Engine, URL: pool.Engines[index].URL, Pool: service.Pool}
+			}
+		}
+	}
+	if response.Engine == nil {
+		return response, apierr.New(apierr.NoEngine, apierr.OutcomeUnknown, "engine %q was removed", call.Engine)
+	}
+	if request.WantHistory {
+		response.History = s.machine(request.Partition).History(request.Admit.Program)
+	}
+	return response, nil
+}
+
+// giveUp ends a call that has no engine. Only the log's word makes the refusal NotRun.
+func (s *Server) giveUp(ctx context.Context, request BeginRequest, call *program.Call, cause error) error {
+	failure := apierr.From(cause, apierr.OutcomeUnknown)
+	if context.Cause(ctx) != nil && !apierr.Is(context.Cause(ctx), apierr.Cancelled) {
+		// The connection to the gateway broke, perhaps for a moment: the gateway may ask again.
+		return failure
+	}
+	result, err := s.propose(context.WithoutCancel(ctx), request.Partition, program.Command{Fail: &program.Fail{
+		CallID:  call.ID,
+		Program: request.Admit.Program,
+		Error:   failure,
+	}})
+	if err != nil {
+		return err
+	}
+	if result.Error != nil {
+		return result.Error
+	}
+	return failure
+}
+
+// retry records a lost attempt, and finds another engine if the call may go again.
+func (s *Server) retry(ctx context.Context, request RetryRequest) (BeginResponse, error) {
+	begin := request.Begin
+	result, err := s.propose(context.WithoutCancel(ctx), begin.Partition, program.Command{Lose: &program.LoseAttempt{
+		CallID:      begin.Admit.CallID,
+		Program:     begin.Admit.Program,
+		Attempt:     request.Attempt,
+		Undelivered: request.Undelivered,
+	}})
+	if err != nil {
+		return BeginResponse{}, err
+	}
+	if result.Error != nil {
+		return BeginResponse{}, result.Error
+	}
+	if refusal := s.refuseRetry(begin, result.Call); refusal != nil {
+		return BeginResponse{}, s.giveUp(ctx, begin, result.Call, refusal)
+	}
+	return s.follow(ctx, begin, result.Call, request.Avoid)
+}
+
+// refuseRetry applies the service's most attempts and the pool's retry budget.
+func (s *Server) refuseRetry(begin BeginRequest, call *program.Call) error {
+	if call.State != program.Admitted {
+		return nil
+	}
+	service, known := s.options.Config.Current().Set.Service(begin.Admit.Service)
+	if known && call.Attempt >= service.MaxAttempts {
+		return apierr.New(apierr.EngineFailed, apierr.NotRun, "%d engines failed in a row", call.Attempt).WithRetryAfter(time.Second)
+	}
+	if !s.retryBudget(begin.Admit.Service).Take() {
+		return apierr.New(apierr.EngineFailed, apierr.NotRun, "the retry budget of the service is used up").WithRetryAfter(time.Second)
+	}
+	return nil
+}
+
+func (s *Server) remember(decision scheduler.Decision) {
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
+	if _, known := s.decisions[decision.Call]; !known {
+		s.order = append(s.order, decision.Call)
+	}
+	s.decisions[decision.Call] = decision
+	if len(s.order) > decisionsKept {
+		delete(s.decisions, s.order[0])
+		s.order = s.order[1:]
+	}
+}
+
+func (s *Server) explain(_ context.Context, _ transport.Peer, request ExplainRequest) (ExplainResponse, error) {
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
+	decision, found := s.decisions[request.CallID]
+	return ExplainResponse{Found: found, Decision: decision}, nil
+}
+
+func (s *Server) leads(group uint32) bool {
+	status, known := s.options.Host.Status(group)
+	return known && status.IsLeader
+}
+
+func (s *Server) readProgram(_ context.Context, _ transport.Peer, request ProgramRequest) (ProgramResponse, error) {
+	if !s.leads(request.Partition) {
+		status, _ := s.options.Host.Status(request.Partition)
+		refusal := apierr.New(apierr.NotLeader, apierr.NotRun, "this node does not lead partition %d", request.Partition)
+		refusal.Leader = status.Leader
+		return ProgramResponse{}, refusal
+	}
+	machine := s.machine(request.Partition)
+	summary, known := machine.Summary(request.Program)
+	if !known {
+		return ProgramResponse{}, apierr.New(apierr.NotFound, apierr.NotRun, "there is no program %q", request.Program.Path)
+	}
+	response := ProgramResponse{Summary: summary}
+	if request.WantHistory {
+		response.History = machine.History(request.Program)
+	}
+	return response, nil
+}
+
+func (s *Server) listPrograms(_ context.Context, _ transport.Peer, request ListRequest) (ListResponse, error) {
+	var response ListResponse
+	for _, status := range s.options.Host.Statuses() {
+		if status.IsLeader {
+			response.Programs = append(response.Programs, s.machine(status.Group).Summaries(request.Tenant)...)
+		}
+	}
+	return response, nil
+}
+
+// Programs counts the programs of the partitions that this node leads.
+func (s *Server) Programs() int {
+	count := 0
+	for _, status := range s.options.Host.Statuses() {
+		if status.IsLeader {
+			count += s.machine(status.Group).Count()
+		}
+	}
+	return count
+}
--- /dev/null
+++ b/internal/emulator/application.go
@@ -0,0 +1,97 @@
+package emulator
+
+import (
+	"encoding/json"
+	"io"
+	"net/http"
+	"sync"
+
+	"github.com/mountstile/mountstile/internal/engine"
+)
+
+// ApplicationEntry is one request that reached an application engine.
+type ApplicationEntry struct {
+	Method  string `json:"method"`
+	Path    string `json:"path"`
+	Program string `json:"program"`
+	Call    string `json:"call"`
+	Attempt string `json:"attempt"`
+	Body    string `json:"body"`
+}
+
+// ApplicationFaults are the failures that an application engine shows.
+type ApplicationFaults struct {
+	// CutBeforeAnswer executes requests and cuts the connection instead of answering.
+	CutBeforeAnswer bool `json:"cut_before_answer,omitempty"`
+}
+
+// Application is a stand-in for a school's or a recipe site's service: it records each request, as
+// a gradebook or a shopping list would, and answers with its number.
+type Application struct {
+	mutex   sync.Mutex
+	entries []ApplicationEntry
+	faults  ApplicationFaults
+}
+
+// ApplicationReply is the answer to each request.
+type ApplicationReply struct {
+	Number int    `json:"number"`
+	Path   string `json:"path"`
+	Body   string `json:"body"`
+}
+
+// SetFaults switches failures.
+func (a *Application) SetFaults(faults ApplicationFaults) {
+	a.mutex.Lock()
+	defer a.mutex.Unlock()
+	a.faults = faults
+}
+
+// Ledger returns what was executed, in order.
+func (a *Application) Ledger() []ApplicationEntry {
+	a.mutex.Lock()
+	defer a.mutex.Unlock()
+	return append([]ApplicationEntry(nil), a.entries...)
+}
+
+// ServeHTTP implements http.Handler.
+func (a *Application) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	switch r.URL.Path {
+	case LedgerPath:
+		writeJSON(w, a.Ledger())
+		return
+	case FaultsPath:
+		var faults ApplicationFaults
+		if err := json.NewDecoder(http.MaxBytesReader(w, r.Body, maxBody)).Decode(&faults); err != nil {
+			http.Error(w, err.Error(), http.StatusBadRequest)
+			return
+		}
+		a.SetFaults(faults)
+		w.WriteHeader(http.StatusNoContent)
+		return
+	}
+	a.execute(w, r)
+}
+
+func (a *Application) execute(w http.ResponseWriter, r *http.Request) {
+	body, err := io.ReadAll(http.MaxBytesReader(w, r.Body, maxBody))
+	if err != nil {
+		http.Error(w, err.Error(), http.StatusBadRequest)
+		return
+	}
+	a.mutex.Lock()
+	a.entries = append(a.entries, ApplicationEntry{
+		Method:  r.Method,
+		Path:    r.URL.Path,
+		Program: r.Header.Get(engine.HeaderProgram),
+		Call:    r.Header.Get(engine.HeaderCall),
+		Attempt: r.Header.Get(engine.HeaderAttempt),
+		Body:    string(body),
+	})
+	number, cut := len(a.entries), a.faults.CutBeforeAnswer
+	a.mutex.Unlock()
+	if cut {
+		panic(http.ErrAbortHandler)
+	}
+	writeJSON(w, ApplicationReply{Number: number, Path: r.URL.Path, Body: string(body)})
+}
--- /dev/null
+++ b/internal/engine/application.go
@@ -0,0 +1,114 @@
+package engine
+
+import (
+	"bytes"
+	"context"
+	"io"
+	"net/http"
+	"net/url"
+	"strconv"
+	"strings"
+
+	"github.com/cockroachdb/errors"
+)
+
+// ApplicationRequest is one attempt of a call of an application engine.
+type ApplicationRequest struct {
+	Method string
+	// Path and Query are what follows the service's prefix.
+	Path    string
+	Query   string
+	Header  http.Header
+	Body    []byte
+	Program string
+	CallID  string
+	Attempt int
+}
+
+// ApplicationAnswer is a whole answer; it is held until its commit.
+type ApplicationAnswer struct {
+	Status  int
+	Header  http.Header
+	Trailer http.Header
+	Body    []byte
+}
+
+// ErrTooLarge means that an answer is over the limit.
+type ErrTooLarge struct{ Limit int64 }
+
+// Error implements error.
+func (e *ErrTooLarge) Error() string {
+	return "the back end's answer is over " + strconv.FormatInt(e.Limit, 10) + " bytes"
+}
+
+// MaxAnswerBytes bounds an application engine's answer, for it is stored.
+const MaxAnswerBytes = 4 << 20
+
+// Application reaches application engines.
+type Application struct {
+	transport http.RoundTripper
+}
+
+// NewApplication returns the adapter.
+func NewApplication() *Application { return &Application{transport: newHTTPTransport()} }
+
+// hopByHop are the headers that belong to one connection (RFC 9110, section 7.6.1).
+var hopByHop = []string{
+	"Connection", "Proxy-Connection", "Keep-Alive", "Proxy-Authenticate", "Proxy-Authorization",
+	"Te", "Trailer", "Transfer-Encoding", "Upgrade",
+}
+
+// StripHopByHop removes what must not be forwarded, also what Connection names.
+func StripHopByHop(header http.Header) {
+	for _, list := range header.Values("Connection") {
+		for name := range strings.SplitSeq(list, ",") {
+			header.Del(strings.TrimSpace(name))
+		}
+	}
+	for _, name := range hopByHop {
+		header.Del(name)
+	}
+}
+
+// Do sends a request once and reads the whole answer. Errors: *ErrUndelivered, *ErrBroken,
+// *ErrTooLarge.
+func (a *Application) Do(ctx context.Context, target Target, request ApplicationRequest) (*ApplicationAnswer, error) {
+	httpRequest, err := buildApplicationRequest(ctx, target, request)
+	if err != nil {
+		return nil, &ErrUndelivered{Cause: err}
+	}
+	response, err := sendOnce(ctx, a.transport, httpRequest)
+	if err != nil {
+		return nil, err
+	}
+	defer func() { _ = response.Body.Close() }()
+	body, err := io.ReadAll(io.LimitReader(response.Body, MaxAnswerBytes+1))
+	if err != nil {
+		return nil, &ErrBroken{Cause: err}
+	}
+	if len(body) > MaxAnswerBytes {
+		return nil, &ErrTooLarge{Limit: MaxAnswerBytes}
+	}
+	StripHopByHop(response.Header)
+	return &ApplicationAnswer{Status: response.StatusCode, Header: response.Header, Trailer: response.Trailer, Body: body}, nil
+}
+
+func buildApplicationRequest(ctx context.Context, target Target, request ApplicationRequest) (*http.Request, error) {
+	base, err := url.Parse(target.URL)
+	if err != nil {
+		return nil, errors.Wrap(err, "parsing the engine's URL")
+	}
+	address := base.JoinPath(request.Path)
+	address.RawQuery = request.Query
+	httpRequest, err := http.NewRequestWithContext(ctx, request.Method, address.String(), onceBody{bytes.NewReader(request.Body)})
+	if err != nil {
+		return nil, errors.Wrap(err, "building the request")
+	}
+	httpRequest.ContentLength = int64(len(request.Body))
+	httpRequest.Header = request.Header.Clone()
+	StripHopByHop(httpRequest.Header)
+	httpRequest.Header.Set(HeaderProgram, request.Program)
+	httpRequest.Header.Set(HeaderCall, request.CallID)
+	httpRequest.Header.Set(HeaderAttempt, strconv.Itoa(request.Attempt))
+	return httpRequest, nil
+}
--- /dev/null
+++ b/internal/engine/engine.go
@@ -0,0 +1,92 @@
+// Package engine is the port to back ends: model engines that speak the OpenAI chat-completions
+// API, and application engines that are plain HTTP servers. Only its adapters know a wire format.
+package engine
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+
+	"github.com/mountstile/mountstile/internal/program"
+)
+
+// Target is one engine.
+type Target struct {
+	Name string `json:"name"`
+	URL  string `json:"url"`
+	Pool string `json:"pool"`
+}
+
+// Parameters are the members of a caller's request that are passed on unread, by name.
+type Parameters map[string]json.RawMessage
+
+// ChatRequest is one attempt of a model call.
+type ChatRequest struct {
+	Model     string
+	Messages  []program.Message
+	MaxTokens int64
+	// Partial is the beginning of the answer, when an earlier attempt was cut off.
+	Partial    string
+	Parameters Parameters
+	Program    string
+	CallID     string
+	Attempt    int
+	Priority   int
+}
+
+// Delta is a piece of an answer.
+type Delta struct {
+	Content string
+	// ToolCalls is a raw piece of tool calls, in the chat-completions form.
+	ToolCalls    json.RawMessage
+	FinishReason string
+	// Usage comes with the last piece.
+	Usage *program.Usage
+	Model string
+}
+
+// Stream delivers an answer; io.EOF ends a whole one, *ErrBroken a cut-off one.
+type Stream interface {
+	Next() (Delta, error)
+	Close()
+}
+
+// ModelEngine is what the product needs of model engines.
+type ModelEngine interface {
+	// Chat sends a request. Errors: *ErrUndelivered, *ErrRefused, *ErrBroken.
+	Chat(ctx context.Context, target Target, request ChatRequest) (Stream, error)
+	// ReleaseCache makes the engine drop a program's cache; nil means that it has confirmed.
+	ReleaseCache(ctx context.Context, target Target, programID string) error
+}
+
+// ErrUndelivered means that not a byte of the request was sent.
+type ErrUndelivered struct{ Cause error }
+
+// Error implements error.
+func (e *ErrUndelivered) Error() string { return "the engine can't be reached: " + e.Cause.Error() }
+
+// Unwrap returns the cause.
+func (e *ErrUndelivered) Unwrap() error { return e.Cause }
+
+// ErrBroken means that the connection was lost after the request was, or may have been, sent.
+type ErrBroken struct{ Cause error }
+
+// Error implements error.
+func (e *ErrBroken) Error() string { return "the engine was lost: " + e.Cause.Error() }
+
+// Unwrap returns the cause.
+func (e *ErrBroken) Unwrap() error { return e.Cause }
+
+// ErrRefused means that the engine answered with a failure.
+type ErrRefused struct {
+	Status int
+	Body   string
+}
+
+// Error implements error.
+func (e *ErrRefused) Error() string {
+	return fmt.Sprintf("the engine answered with status %d: %s", e.Status, e.Body)
+}
+
+// Temporary reports whether another engine, or another time, may help.
+func (e *ErrRefused) Temporary() bool { return e.Status >= 500 || e.Status == 429 }
--- /dev/null
+++ b/internal/events/events.go
@@ -0,0 +1,173 @@
+// Package events is the catalogue of numbered log events and the logger that writes them.
+// docs/EVENTS.md is generated from it; a test holds both together.
+package events
+
+import (
+	"io"
+
+	"github.com/sirupsen/logrus"
+)
+
+// ID is the number of an event. A number is never reused.
+type ID int
+
+// The events, by concern: 1xx node, 2xx membership, 3xx configuration, 4xx program state,
+// 5xx scheduling and engines, 6xx gateway, 7xx administration, 8xx transport.
+const (
+	NodeStarting         ID = 101
+	NodeReady            ID = 102
+	NodeStopping         ID = 103
+	NodeStopped          ID = 104
+	PlainTransport       ID = 105
+	ListenerFailed       ID = 106
+	MemberAlive          ID = 201
+	MemberSuspect        ID = 202
+	MemberDead           ID = 203
+	MemberLeft           ID = 204
+	SelfRefuted          ID = 205
+	SelfPaused           ID = 206
+	ConfigInstalled      ID = 301
+	ConfigPublished      ID = 302
+	ConfigConflict       ID = 303
+	ConfigStoreFailed    ID = 304
+	ConfigStoreOlder     ID = 305
+	ConfigFetchFailed    ID = 306
+	ConfigRejected       ID = 307
+	PartitionTableMade   ID = 401
+	GroupStarted         ID = 402
+	GroupLeader          ID = 403
+	GroupMembersChanged  ID = 404
+	GroupRemoved         ID = 405
+	GroupQuorumLost      ID = 406
+	StorageFailed        ID = 407
+	AttemptLost          ID = 408
+	ProgramExpired       ID = 409
+	BudgetOverrun        ID = 410
+	CacheReleased        ID = 501
+	CacheReleaseFailed   ID = 502
+	EngineBreakerOpen    ID = 503
+	EngineBreakerClosed  ID = 504
+	PolicyEvaluationFail ID = 505
+	EngineResumed        ID = 506
+	CallFailed           ID = 601
+	CallRefused          ID = 602
+	RequestPanicked      ID = 603
+	AdminChange          ID = 701
+	AdminDenied          ID = 702
+	DrainRequested       ID = 703
+	PeerRejected         ID = 801
+	PeerLineTooLong      ID = 802
+	CertificatesReloaded ID = 803
+)
+
+// Event describes one entry of the catalogue.
+type Event struct {
+	ID    ID
+	Name  string
+	Level logrus.Level
+	Text  string
+}
+
+// Catalogue lists every event in the order of its number.
+var Catalogue = []Event{
+	{NodeStarting, "node_starting", logrus.InfoLevel, "the process has read its settings and starts"},
+	{NodeReady, "node_ready", logrus.InfoLevel, "the node holds a configuration and serves callers"},
+	{NodeStopping, "node_stopping", logrus.InfoLevel, "a planned stop began; new calls are refused and leadership moves"},
+	{NodeStopped, "node_stopped", logrus.InfoLevel, "the node has stopped"},
+	{PlainTransport, "plain_transport", logrus.WarnLevel, "traffic between nodes is neither encrypted nor authenticated"},
+	{ListenerFailed, "listener_failed", logrus.ErrorLevel, "a listener ended with an error"},
+	{MemberAlive, "member_alive", logrus.InfoLevel, "a member joined or came back"},
+	{MemberSuspect, "member_suspect", logrus.InfoLevel, "a member did not answer direct and indirect probes"},
+	{MemberDead, "member_dead", logrus.WarnLevel, "a suspected member did not refute in time and counts as dead"},
+	{MemberLeft, "member_left", logrus.InfoLevel, "a member announced that it leaves"},
+	{SelfRefuted, "self_refuted", logrus.InfoLevel, "this node was suspected and raised its incarnation"},
+	{SelfPaused, "self_paused", logrus.WarnLevel, "this process did not run for longer than its failure detector allows"},
+	{ConfigInstalled, "config_installed", logrus.InfoLevel, "a configuration revision is in force on this node"},
+	{ConfigPublished, "config_published", logrus.InfoLevel, "a change was committed in the store"},
+	{ConfigConflict, "config_conflict", logrus.InfoLevel, "a change was refused because another one came first"},
+	{ConfigStoreFailed, "config_store_failed", logrus.WarnLevel, "the configuration store did not answer or refused"},
+	{ConfigStoreOlder, "config_store_older", logrus.ErrorLevel, "the store shows a lower revision than this node has in force; it is ignored"},
+	{ConfigFetchFailed, "config_fetch_failed", logrus.WarnLevel, "a newer revision could not be fetched from a peer"},
+	{ConfigRejected, "config_rejected", logrus.ErrorLevel, "a revision in the store does not pass this node's checks and is not installed"},
+	{PartitionTableMade, "partition_table_made", logrus.InfoLevel, "the initial placement of partitions was committed in the store"},
+	{GroupStarted, "group_started", logrus.DebugLevel, "this node holds a replica of a partition"},
+	{GroupLeader, "group_leader", logrus.InfoLevel, "this node leads a partition"},
+	{GroupMembersChanged, "group_members_changed", logrus.InfoLevel, "a partition's replicas changed through its log"},
+	{GroupRemoved, "group_removed", logrus.InfoLevel, "this node's replica of a partition was removed"},
+	{GroupQuorumLost, "group_quorum_lost", logrus.ErrorLevel, "a majority of a partition's replicas is dead; its programs are unavailable"},
+	{StorageFailed, "storage_failed", logrus.ErrorLevel, "the data folder could not be read or written"},
+	{AttemptLost, "attempt_lost", logrus.WarnLevel, "the node that executed a call is gone"},
+	{ProgramExpired, "program_expired", logrus.InfoLevel, "a program reached its idle or wall-clock limit and was ended"},
+	{BudgetOverrun, "budget_overrun", logrus.ErrorLevel, "an engine reported more tokens than its call had reserved"},
+	{CacheReleased, "cache_released", logrus.DebugLevel, "an engine confirmed that it holds no cache of an ended program"},
+	{CacheReleaseFailed, "cache_release_failed", logrus.WarnLevel, "an engine did not confirm a release; it is tried again"},
+	{EngineBreakerOpen, "engine_breaker_open", logrus.WarnLevel, "an engine failed repeatedly and gets no work for a while"},
+	{EngineBreakerClosed, "engine_breaker_closed", logrus.InfoLevel, "an engine answers again"},
+	{PolicyEvaluationFail, "policy_evaluation_failed", logrus.WarnLevel, "a policy failed at run time; the candidate was left out"},
+	{EngineResumed, "engine_resumed", logrus.InfoLevel, "an answer was continued on another engine from the tokens already held"},
+	{CallFailed, "call_failed", logrus.WarnLevel, "a call ended with a failure"},
+	{CallRefused, "call_refused", logrus.DebugLevel, "a call was refused as not run"},
+	{RequestPanicked, "request_panicked", logrus.ErrorLevel, "a request handler panicked; the request was failed"},
+	{AdminChange, "admin_change", logrus.InfoLevel, "an operator changed resources"},
+	{AdminDenied, "admin_denied", logrus.WarnLevel, "an administration request had no valid key or role"},
+	{DrainRequested, "drain_requested", logrus.InfoLevel, "an operator asked to drain"},
+	{PeerRejected, "peer_rejected", logrus.WarnLevel, "a connection between nodes was refused"},
+	{PeerLineTooLong, "peer_line_too_long", logrus.WarnLevel, "a peer sent a line over the limit; its connection was closed"},
+	{CertificatesReloaded, "certificates_reloaded", logrus.InfoLevel, "node certificates were read again"},
+}
+
+var byID = func() map[ID]Event {
+	index := make(map[ID]Event, len(Catalogue))
+	for _, event := range Catalogue {
+		index[event.ID] = event
+	}
+	return index
+}()
+
+// Logger writes events of the catalogue. The zero value discards them.
+type Logger struct {
+	entry *logrus.Entry
+}
+
+// NewLogger writes JSON lines to output at the given level; every line carries the node's name.
+func NewLogger(output io.Writer, level logrus.Level, node string) *Logger {
+	logger := logrus.New()
+	logger.SetOutput(output)
+	logger.SetLevel(level)
+	logger.SetFormatter(&logrus.JSONFormatter{})
+	return &Logger{entry: logger.WithField("node", node)}
+}
+
+// Discard returns a Logger that writes nothing.
+func Discard() *Logger { return NewLogger(io.Discard, logrus.PanicLevel, "") }
+
+// Field is one named value of a log line.
+type Field struct {
+	Name  string
+	Value any
+}
+
+// F makes a Field.
+func F(name string, value any) Field { return Field{Name: name, Value: value} }
+
+// Emit writes one event with its fields.
+func (l *Logger) Emit(id ID, fields ...Field) {
+	if l == nil || l.entry == nil {
+		return
+	}
+	event := byID[id]
+	if !l.entry.Logger.IsLevelEnabled(event.Level) {
+		return
+	}
+	values := make(logrus.Fields, len(fields)+2)
+	values["event"] = int(id)
+	values["name"] = event.Name
+	for _, field := range fields {
+		if err, isError := field.Value.(error); isError && err != nil {
+			values[field.Name] = err.Error()
+			continue
+		}
+		values[field.Name] = field.Value
+	}
+	l.entry.WithFields(values).Log(event.Level, event.Text)
+}
--- /dev/null
+++ b/internal/gateway/answer.go
@@ -0,0 +1,183 @@
+package gateway
+
+import (
+	"encoding/json"
+	"net/http"
+	"time"
+
+	"github.com/mountstile/mountstile/internal/apierr"
+	"github.com/mountstile/mountstile/internal/engine"
+	"github.com/mountstile/mountstile/internal/program"
+)
+
+// answerWriter gives an answer the form that the caller asked for.
+type answerWriter interface {
+	piece(delta engine.Delta)
+	// finish ends the answer; it is called only for a committed one.
+	finish(answer *program.Answer)
+	// abort ends an answer that has begun with an error.
+	abort(failure *apierr.Error)
+	begun() bool
+}
+
+func newAnswerWriter(w http.ResponseWriter, execution *chatExecution) answerWriter {
+	head := completionHead{
+		ID:      "chatcmpl-" + execution.begin.Admit.CallID,
+		Created: time.Now().Unix(),
+		Model:   execution.request.Model,
+	}
+	if execution.request.Stream {
+		return &streamWriter{w: w, head: head, includeUsage: execution.request.IncludeUsage}
+	}
+	return &wholeWriter{w: w, head: head}
+}
+
+type completionHead struct {
+	ID      string `json:"id"`
+	Object  string `json:"object"`
+	Created int64  `json:"created"`
+	Model   string `json:"model"`
+}
+
+type completion struct {
+	completionHead
+	Choices []completionChoice `json:"choices"`
+	Usage   completionUsage    `json:"usage"`
+}
+
+type completionChoice struct {
+	Index        int             `json:"index"`
+	Message      program.Message `json:"message"`
+	FinishReason string          `json:"finish_reason"`
+	Logprobs     *struct{}       `json:"logprobs"`
+}
+
+type completionUsage struct {
+	PromptTokens     int64         `json:"prompt_tokens"`
+	CompletionTokens int64         `json:"completion_tokens"`
+	TotalTokens      int64         `json:"total_tokens"`
+	PromptDetails    promptDetails `json:"prompt_tokens_details"`
+}
+
+type promptDetails struct {
+	CachedTokens int64 `json:"cached_tokens"`
+}
+
+func newUsage(usage program.Usage) completionUsage {
+	return completionUsage{
+		PromptTokens:     usage.Prompt,
+		CompletionTokens: usage.Completion,
+		TotalTokens:      usage.Total(),
+		PromptDetails:    promptDetails{CachedTokens: usage.Cached},
+	}
+}
+
+// wholeWriter answers with one JSON object.
+type wholeWriter struct {
+	w    http.ResponseWriter
+	head completionHead
+}
+
+func (*wholeWriter) piece(engine.Delta)  {}
+func (*wholeWriter) begun() bool         { return false }
+func (*wholeWriter) abort(*apierr.Error) {}
+
+func (a *wholeWriter) finish(answer *program.Answer) {
+	a.head.Object = "chat.completion"
+	a.w.Header().Set(HeaderOutcome, string(apierr.Ran))
+	writeJSON(a.w, completion{
+		completionHead: a.head,
+		Choices:        []completionChoice{{Message: answer.Message, FinishReason: answer.FinishReason}},
+		Usage:          newUsage(answer.Usage),
+	})
+}
+
+// streamWriter answers with server-sent events.
+type streamWriter struct {
+	w            http.ResponseWriter
+	head         completionHead
+	includeUsage bool
+	started      bool
+}
+
+type streamChunk struct {
+	completionHead
+	Choices []streamChoice   `json:"choices"`
+	Usage   *completionUsage `json:"usage,omitempty"`
+}
+
+type streamChoice struct {
+	Index        int         `json:"index"`
+	Delta        streamDelta `json:"delta"`
+	FinishReason *string     `json:"finish_reason"`
+}
+
+type streamDelta struct {
+	Role      string          `json:"role,omitempty"`
+	Content   string          `json:"content,omitempty"`
+	ToolCalls json.RawMessage `json:"tool_calls,omitempty"`
+}
+
+func (a *streamWriter) begun() bool { return a.started }
+
+func (a *streamWriter) piece(delta engine.Delta) {
+	a.choice(streamChoice{Delta: streamDelta{Content: delta.Content, ToolCalls: delta.ToolCalls}})
+}
+
+// choice sends one event; the first names the role.
+func (a *streamWriter) choice(choice streamChoice) {
+	if !a.started {
+		a.started = true
+		header := a.w.Header()
+		header.Set("Content-Type", "text/event-stream")
+		header.Set("Cache-Control", "no-store")
+		a.w.WriteHeader(http.StatusOK)
+		choice.Delta.Role = assistant
+	}
+	a.event(streamChunk{completionHead: a.chunkHead(), Choices: []streamChoice{choice}})
+}
+
+func (a *streamWriter) chunkHead() completionHead {
+	head := a.head
+	head.Object = "chat.completion.chunk"
+	return head
+}
+
+func (a *streamWriter) event(value any) {
+	encoded, err := json.Marshal(value)
+	if err != nil {
+		return
+	}
+	// A caller that is gone is noticed through the request's context.
+	_, _ = a.w.Write(append(append([]byte("data: "), encoded...), "\n\n"...))
+	_ = http.NewResponseController(a.w).Flush()
+}
+
+func (a *streamWriter) finish(answer *program.Answer) {
+	if !a.started {
+		a.replay(answer)
+	}
+	reason := answer.FinishReason
+	a.choice(streamChoice{FinishReason: &reason})
+	if a.includeUsage {
+		usage := newUsage(answer.Usage)
+		a.event(streamChunk{completionHead: a.chunkHead(), Choices: []streamChoice{}, Usage: &usage})
+	}
+	_, _ = a.w.Write([]byte("data: [DONE]\n\n"))
+	_ = http.NewResponseController(a.w).Flush()
+}
+
+// replay sends a stored answer as one piece.
+func (a *streamWriter) replay(answer *program.Answer) {
+	var stored engine.AssistantMessage
+	if json.Unmarshal(answer.Message, &stored) != nil {
+		return
+	}
+	delta := engine.Delta{ToolCalls: stored.ToolCalls}
+	if stored.Content != nil {
+		delta.Content = *stored.Content
+	}
+	a.piece(delta)
+}
+
+func (a *streamWriter) abort(failure *apierr.Error) { a.event(newErrorBody(failure)) }
--- /dev/null
+++ b/internal/gateway/application.go
@@ -0,0 +1,180 @@
+package gateway
+
+import (
+	"context"
+	"net/http"
+	"slices"
+	"time"
+
+	"github.com/cockroachdb/errors"
+
+	"github.com/mountstile/mountstile/internal/apierr"
+	"github.com/mountstile/mountstile/internal/coordinator"
+	"github.com/mountstile/mountstile/internal/engine"
+	"github.com/mountstile/mountstile/internal/program"
+	"github.com/mountstile/mountstile/internal/resource"
+)
+
+// repeatableMethods are idempotent by their definition (RFC 9110, section 9.2.2).
+var repeatableMethods = []string{http.MethodGet, http.MethodHead, http.MethodOptions, http.MethodPut, http.MethodDelete}
+
+// ownHeaders are this product's; back ends do not get them. Neither do they get the caller's key.
+var ownHeaders = []string{
+	HeaderProgram, HeaderParent, HeaderSequence, HeaderRepeatable, HeaderHistory, HeaderTokenBudget, "Authorization",
+}
+
+// applicationExecution takes one call of an application engine through its life. It shares the
+// booking and the settling of model calls.
+type applicationExecution struct {
+	chatExecution
+	forwarded engine.ApplicationRequest
+}
+
+func (g *Gateway) handleApplication(w http.ResponseWriter, r *http.Request) {
+	execution, err := g.prepareApplication(w, r)
+	if err != nil {
+		g.fail(w, err)
+		return
+	}
+	limit := time.Duration((execution.settings.CallSeconds + execution.settings.QueueSeconds) * float64(time.Second))
+	ctx, cancel := executionContext(r, execution.identity.idempotencyKey, limit)
+	defer cancel()
+	answer, err := execution.execute(ctx, w)
+	g.options.Metrics.duration.WithLabelValues(execution.service).Observe(time.Since(execution.started).Seconds())
+	if err != nil {
+		w.Header().Set(HeaderCall, execution.begin.Admit.CallID)
+		g.fail(w, err)
+		return
+	}
+	g.options.Metrics.calls.WithLabelValues(execution.service).Inc()
+	writeApplicationAnswer(w, answer)
+}
+
+func (g *Gateway) prepareApplication(w http.ResponseWriter, r *http.Request) (*applicationExecution, error) {
+	who, err := g.authenticate(r)
+	if err != nil {
+		return nil, err
+	}
+	name := r.PathValue("service")
+	service, known := who.set.Service(name)
+	if !known || service.Type != resource.ServiceApplication || !who.allowed(service) {
+		return nil, apierr.New(apierr.NotFound, apierr.NotRun, "there is no application service %q", name)
+	}
+	body, err := g.readBody(w, r)
+	if err != nil {
+		return nil, err
+	}
+	place, err := readIdentity(r, who.name)
+	if err != nil {
+		return nil, err
+	}
+	partitionID, err := g.options.Coordinator.Locate(who.tenant.HomeRegion, who.name, place.root)
+	if err != nil {
+		return nil, err
+	}
+	header := r.Header.Clone()
+	for _, own := range ownHeaders {
+		header.Del(own)
+	}
+	execution := &applicationExecution{
+		chatExecution: chatExecution{gateway: g, identity: place, service: name, settings: service, started: time.Now()},
+		forwarded: engine.ApplicationRequest{
+			Method: r.Method, Path: r.PathValue("path"), Query: r.URL.RawQuery, Header: header, Body: body,
+			Program: coordinator.CacheID(place.key),
+		},
+	}
+	repeatable := slices.Contains(repeatableMethods, r.Method)
+	if place.repeatable != nil {
+		repeatable = *place.repeatable
+	}
+	execution.begin = coordinator.BeginRequest{
+		Partition: partitionID,
+		Admit: program.Admit{
+			CallID:         newCallID(),
+			Program:        place.key,
+			Service:        name,
+			Gateway:        g.options.NodeID,
+			Sequence:       place.sequence,
+			IdempotencyKey: place.idempotencyKey,
+			BodyHash:       bodyHash([]byte(r.Method), []byte(r.URL.RequestURI()), body),
+			Repeatable:     repeatable,
+			Limits:         place.limits(who.tenant),
+			OwnTokens:      place.ownTokens,
+		},
+	}
+	return execution, nil
+}
+
+func writeApplicationAnswer(w http.ResponseWriter, answer *program.Answer) {
+	header := w.Header()
+	for name, values := range answer.Header {
+		if name != "Content-Length" {
+			header[name] = values
+		}
+	}
+	header.Set(HeaderOutcome, string(apierr.Ran))
+	for name := range answer.Trailer {
+		header.Add("Trailer", name)
+	}
+	w.WriteHeader(answer.Status)
+	_, _ = w.Write(answer.Body)
+	for name, values := range answer.Trailer {
+		header[name] = values
+	}
+}
+
+// execute returns the committed answer.
+func (e *applicationExecution) execute(ctx context.Context, w http.ResponseWriter) (*program.Answer, error) {
+	asked := time.Now()
+	response, err := e.book(ctx)
+	for {
+		if err != nil {
+			return nil, err
+		}
+		if response.Answer != nil {
+			e.gateway.options.Metrics.joinedCalls.Inc()
+			return response.Answer, nil
+		}
+		e.begin.Admit.CallID = response.CallID
+		w.Header().Set(HeaderCall, response.CallID)
+		answer, retry, failure := e.send(ctx, w, response, asked)
+		if retry == nil {
+			return answer, failure
+		}
+		asked = time.Now()
+		response, err = e.gateway.options.Coordinator.Retry(ctx, *retry)
+	}
+}
+
+// send makes one attempt; a lost one goes back to the coordinator, which alone decides whether the
+// call may go again.
+func (e *applicationExecution) send(ctx context.Context, w http.ResponseWriter, response coordinator.BeginResponse, asked time.Time) (*program.Answer, *coordinator.RetryRequest, error) {
+	target := *response.Engine
+	failed := true
+	defer func() { e.release(target, response.CallID, failed) }()
+	if e.gateway.options.Pauses.PausedSince(asked) {
+		failed = false
+		return nil, e.retry(response, true), nil
+	}
+	w.Header().Set(HeaderEngine, target.Name)
+	request := e.forwarded
+	request.CallID, request.Attempt = response.CallID, response.Attempt
+	received, err := e.gateway.options.Applications.Do(ctx, target, request)
+	if err == nil {
+		failed = false
+		answer := program.Answer{Status: received.Status, Header: received.Header, Body: received.Body, Trailer: received.Trailer}
+		return e.store(ctx, response, answer)
+	}
+	if ctx.Err() != nil {
+		failed = false
+		return nil, nil, e.abandon(response.CallID, response.Attempt)
+	}
+	var tooLarge *engine.ErrTooLarge
+	if errors.As(err, &tooLarge) {
+		return nil, nil, e.settleFailure(ctx, response, apierr.New(apierr.EngineFailed, apierr.Ran, "%s", err), &program.Usage{})
+	}
+	var undelivered *engine.ErrUndelivered
+	e.avoid = append(e.avoid, target.Name)
+	e.gateway.options.Metrics.retries.WithLabelValues(e.service).Inc()
+	return nil, e.retry(response, errors.As(err, &undelivered)), nil
+}
--- /dev/null
+++ b/internal/lab/runner/client.go
@@ -0,0 +1,243 @@
+// Package runner plays generated programs against a running cluster as their callers would, over
+// the public interface, and measures what the callers see.
+package runner
+
+import (
+	"bufio"
+	"bytes"
+	"context"
+	"encoding/json"
+	"fmt"
+	"io"
+	"net/http"
+	"strconv"
+	"strings"
+	"time"
+
+	"github.com/cockroachdb/errors"
+
+	"github.com/mountstile/mountstile/internal/gateway"
+	"github.com/mountstile/mountstile/internal/standin/toolserver"
+)
+
+// Message is one chat message.
+type Message struct {
+	Role    string `json:"role"`
+	Content string `json:"content"`
+}
+
+// chatBody is a request for an answer of an exact length.
+type chatBody struct {
+	Model     string    `json:"model"`
+	Messages  []Message `json:"messages"`
+	MaxTokens int       `json:"max_tokens"`
+	MinTokens int       `json:"min_tokens"`
+	Stream    bool      `json:"stream"`
+}
+
+// Failure is an answer that is no success.
+type Failure struct {
+	Status     int
+	Code       string
+	Outcome    string
+	Message    string
+	RetryAfter time.Duration
+}
+
+// Error implements error.
+func (f *Failure) Error() string {
+	return fmt.Sprintf("status %d: %s (%s): %s", f.Status, f.Code, f.Outcome, f.Message)
+}
+
+type failureBody struct {
+	Error struct {
+		Code    string `json:"code"`
+		Outcome string `json:"outcome"`
+		Message string `json:"message"`
+	} `json:"error"`
+}
+
+// Call is one model call.
+type Call struct {
+	Program        string
+	Sequence       int
+	IdempotencyKey string
+	Repeatable     *bool
+	DeltaHistory   bool
+	Model          string
+	Messages       []Message
+	Tokens         int
+}
+
+// Reply is what came back.
+type Reply struct {
+	Content    string
+	CallID     string
+	Engine     string
+	FirstToken time.Duration
+	Took       time.Duration
+}
+
+// Client sends calls with one tenant's key.
+type Client struct {
+	Key    string
+	client *http.Client
+}
+
+const (
+	idleConnections = 256
+	maxEventBytes   = 4 << 20
+	maxErrorBytes   = 8 << 10
+)
+
+// NewClient returns a Client.
+func NewClient(key string) *Client {
+	return &Client{Key: key, client: &http.Client{Transport: &http.Transport{MaxIdleConnsPerHost: idleConnections}}}
+}
+
+// Close ends idle connections.
+func (c *Client) Close() { c.client.CloseIdleConnections() }
+
+// Chat makes a streamed call to a node. Errors: *Failure, or what net/http says.
+func (c *Client) Chat(ctx context.Context, node string, call Call) (Reply, error) {
+	body, err := json.Marshal(chatBody{Model: call.Model, Messages: call.Messages, MaxTokens: call.Tokens, MinTokens: call.Tokens, Stream: true})
+	if err != nil {
+		return Reply{}, errors.Wrap(err, "encoding the call")
+	}
+	request, err := http.NewRequestWithContext(ctx, http.MethodPost, node+"/v1/chat/completions", bytes.NewReader(body))
+	if err != nil {
+		return Reply{}, errors.Wrap(err, "building the call")
+	}
+	request.GetBody = nil
+	c.setHeaders(request, call)
+	started := time.Now()
+	response, err := c.client.Do(request)
+	if err != nil {
+		return Reply{}, err
+	}
+	defer func() { _ = response.Body.Close() }()
+	if response.StatusCode != http.StatusOK {
+		return Reply{}, readFailure(response)
+	}
+	reply := Reply{CallID: response.Header.Get(gateway.HeaderCall), Engine: response.Header.Get(gateway.HeaderEngine)}
+	err = readStream(response.Body, started, &reply)
+	reply.Took = time.Since(started)
+	return reply, err
+}
+
+func (c *Client) setHeaders(request *http.Request, call Call) {
+	header := request.Header
+	header.Set("Content-Type", "application/json")
+	header.Set("Authorization", "Bearer "+c.Key)
+	if call.Program != "" {
+		header.Set(gateway.HeaderProgram, call.Program)
+	}
+	if call.Sequence > 0 {
+		header.Set(gateway.HeaderSequence, strconv.Itoa(call.Sequence))
+	}
+	if call.IdempotencyKey != "" {
+		header.Set(gateway.HeaderIdempotency, call.IdempotencyKey)
+	}
+	if call.Repeatable != nil {
+		header.Set(gateway.HeaderRepeatable, strconv.FormatBool(*call.Repeatable))
+	}
+	if call.DeltaHistory {
+		header.Set(gateway.HeaderHistory, "delta")
+	}
+}
+
+func readFailure(response *http.Response) error {
+	content, _ := io.ReadAll(io.LimitReader(response.Body, maxErrorBytes))
+	failure := &Failure{Status: response.StatusCode, Message: string(content)}
+	var body failureBody
+	if json.Unmarshal(content, &body) == nil && body.Error.Code != "" {
+		failure.Code, failure.Outcome, failure.Message = body.Error.Code, body.Error.Outcome, body.Error.Message
+	}
+	if millis, err := strconv.ParseInt(response.Header.Get("Retry-After-Ms"), 10, 64); err == nil {
+		failure.RetryAfter = time.Duration(millis) * time.Millisecond
+	}
+	return failure
+}
+
+type streamEvent struct {
+	Choices []struct {
+		Delta struct {
+			Content string `json:"content"`
+		} `json:"delta"`
+	} `json:"choices"`
+	Error *struct {
+		Code    string `json:"code"`
+		Outcome string `json:"outcome"`
+		Message string `json:"message"`
+	} `json:"error"`
+}
+
+func readStream(body io.Reader, started time.Time, reply *Reply) error {
+	scanner := bufio.NewScanner(body)
+	scanner.Buffer(nil, maxEventBytes)
+	var content strings.Builder
+	defer func() { reply.Content = content.String() }()
+	for scanner.Scan() {
+		payload, isEvent := strings.CutPrefix(scanner.Text(), "data: ")
+		if !isEvent {
+			continue
+		}
+		if payload == "[DONE]" {
+			return nil
+		}
+		var event streamEvent
+		if err := json.Unmarshal([]byte(payload), &event); err != nil {
+			return errors.Wrap(err, "decoding an event")
+		}
+		if event.Error != nil {
+			return &Failure{Status: http.StatusOK, Code: event.Error.Code, Outcome: event.Error.Outcome, Message: event.Error.Message}
+		}
+		if len(event.Choices) > 0 && event.Choices[0].Delta.Content != "" {
+			if content.Len() == 0 {
+				reply.FirstToken = time.Since(started)
+			}
+			content.WriteString(event.Choices[0].Delta.Content)
+		}
+	}
+	if err := scanner.Err(); err != nil {
+		return err
+	}
+	return io.ErrUnexpectedEOF
+}
+
+// End ends a program.
+func (c *Client) End(ctx context.Context, node, program string) error {
+	request, err := http.NewRequestWithContext(ctx, http.MethodDelete, node+"/v1/programs/"+program, nil)
+	if err != nil {
+		return errors.Wrap(err, "building the request")
+	}
+	request.Header.Set("Authorization", "Bearer "+c.Key)
+	response, err := c.client.Do(request)
+	if err != nil {
+		return err
+	}
+	defer func() { _ = response.Body.Close() }()
+	if response.StatusCode != http.StatusNoContent {
+		return readFailure(response)
+	}
+	return nil
+}
+
+// Tool calls a tool that takes so long.
+func (c *Client) Tool(ctx context.Context, tools string, delay time.Duration) error {
+	body, err := json.Marshal(toolserver.Request{Tool: "check", DelayMillis: delay.Milliseconds()})
+	if err != nil {
+		return errors.Wrap(err, "encoding the tool call")
+	}
+	request, err := http.NewRequestWithContext(ctx, http.MethodPost, tools+toolserver.CallPath, bytes.NewReader(body))
+	if err != nil {
+		return errors.Wrap(err, "building the tool call")
+	}
+	response, err := c.client.Do(request)
+	if err != nil {
+		return err
+	}
+	defer func() { _ = response.Body.Close() }()
+	_, err = io.Copy(io.Discard, response.Body)
+	return err
+}
--- /dev/null
+++ b/internal/membership/view.go
@@ -0,0 +1,120 @@
+package membership
+
+import (
+	"cmp"
+	"slices"
+
+	"github.com/cespare/xxhash/v2"
+)
+
+// View is an immutable picture of the members at one moment.
+type View struct {
+	Self    Member
+	members []Member
+	byID    map[string]Member
+	// byReplica holds the newest usable run of each replica storage.
+	byReplica map[string]Member
+}
+
+func newView(self Member, members []Member) *View {
+	view := &View{
+		Self:      self,
+		members:   members,
+		byID:      make(map[string]Member, len(members)),
+		byReplica: make(map[string]Member, len(members)),
+	}
+	slices.SortFunc(view.members, func(a, b Member) int { return cmp.Compare(a.ID, b.ID) })
+	for _, member := range members {
+		view.byID[member.ID] = member
+		known, exists := view.byReplica[member.ReplicaID]
+		if !exists || !known.Usable() && member.Usable() {
+			view.byReplica[member.ReplicaID] = member
+		}
+	}
+	return view
+}
+
+// All returns every known member, also the dead, by ID. The slice must not be changed.
+func (v *View) All() []Member { return v.members }
+
+// Get returns a member by ID.
+func (v *View) Get(id string) (Member, bool) {
+	found, ok := v.byID[id]
+	return found, ok
+}
+
+// Replica returns the present run of a replica storage.
+func (v *View) Replica(replicaID string) (Member, bool) {
+	found, ok := v.byReplica[replicaID]
+	return found, ok
+}
+
+// Usable returns the members that are neither dead nor gone.
+func (v *View) Usable() []Member { return v.filter(Member.Usable) }
+
+// Working returns the members that may be given new roles.
+func (v *View) Working() []Member { return v.filter(Member.Working) }
+
+func (v *View) filter(keep func(Member) bool) []Member {
+	result := make([]Member, 0, len(v.members))
+	for _, member := range v.members {
+		if keep(member) {
+			result = append(result, member)
+		}
+	}
+	return result
+}
+
+// Owner returns the working member that owns key by rendezvous hashing, from the zone and region
+// nearest to the given ones that has any.
+func (v *View) Owner(key, zone, region string) (Member, bool) {
+	ranked := Rank(nearest(v.Working(), zone, region), key)
+	if len(ranked) == 0 {
+		return Member{}, false
+	}
+	return ranked[0], true
+}
+
+func nearest(members []Member, zone, region string) []Member {
+	var inZone, inRegion []Member
+	for _, member := range members {
+		if region != "" && member.Region != region {
+			continue
+		}
+		inRegion = append(inRegion, member)
+		if member.Zone == zone {
+			inZone = append(inZone, member)
+		}
+	}
+	switch {
+	case len(inZone) > 0:
+		return inZone
+	case len(inRegion) > 0:
+		return inRegion
+	default:
+		return members
+	}
+}
+
+// Rank orders members by rendezvous hashing for key: removing one moves only what it owned.
+func Rank(members []Member, key string) []Member {
+	type weighted struct {
+		member Member
+		weight uint64
+	}
+	list := make([]weighted, 0, len(members))
+	for _, member := range members {
+		list = append(list, weighted{member, xxhash.Sum64String(key + "@" + member.ID)})
+	}
+	slices.SortFunc(list, func(a, b weighted) int {
+		if order := cmp.Compare(b.weight, a.weight); order != 0 {
+			return order
+		}
+		return cmp.Compare(a.member.ID, b.member.ID)
+	})
+	result := make([]Member, 0, len(list))
+	for _, item := range list {
+		result = append(result, item.member)
+	}
+	return result
+}
--- /dev/null
+++ b/internal/node/node.go
@@ -0,0 +1,383 @@
+// Package node assembles one node of the system from its settings, and stops it in order.
+package node
+
+import (
+	"context"
+	"crypto/rand"
+	"encoding/hex"
+	"net"
+	"net/http"
+	"os"
+	"path/filepath"
+	"strings"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/cockroachdb/errors"
+	"github.com/prometheus/client_golang/prometheus"
+	"github.com/prometheus/client_golang/prometheus/collectors"
+	"github.com/prometheus/client_golang/prometheus/promhttp"
+
+	"github.com/mountstile/mountstile/internal/admin"
+	"github.com/mountstile/mountstile/internal/configstore/etcdgateway"
+	"github.com/mountstile/mountstile/internal/configuration"
+	"github.com/mountstile/mountstile/internal/control"
+	"github.com/mountstile/mountstile/internal/coordinator"
+	"github.com/mountstile/mountstile/internal/engine"
+	"github.com/mountstile/mountstile/internal/events"
+	"github.com/mountstile/mountstile/internal/gateway"
+	"github.com/mountstile/mountstile/internal/keys"
+	"github.com/mountstile/mountstile/internal/membership"
+	"github.com/mountstile/mountstile/internal/policy"
+	"github.com/mountstile/mountstile/internal/replica"
+	"github.com/mountstile/mountstile/internal/scheduler"
+	"github.com/mountstile/mountstile/internal/settings"
+)
+
+// Version is the product's.
+const Version = "0.1.0"
+
+const (
+	identityFile      = "replica-id"
+	identityBytes     = 6
+	folderMode        = 0o700
+	fileMode          = 0o600
+	readHeaderTimeout = 10 * time.Second
+	drainPoll         = 20 * time.Millisecond
+	leadershipTimeout = 5 * time.Second
+	farewell          = 300 * time.Millisecond
+)
+
+// Node is one running node.
+type Node struct {
+	settings settings.Settings
+	logger   *events.Logger
+	plane    *control.Plane
+	server   *coordinator.Server
+	gateway  *gateway.Gateway
+	pauses   *gateway.PauseDetector
+	admin    *admin.Server
+	registry *prometheus.Registry
+
+	apiServer   *http.Server
+	adminServer *http.Server
+	listeners   listeners
+	draining    atomic.Bool
+	drain       chan struct{}
+	tasks       sync.WaitGroup
+	cancel      context.CancelFunc
+}
+
+type listeners struct {
+	peer, api, admin net.Listener
+}
+
+// Listen opens a node's listeners; port 0 picks free ports, and the settings then name them.
+func (l *listeners) open(config *settings.Settings) error {
+	targets := []struct {
+		listener *net.Listener
+		setting  *settings.Listener
+	}{{&l.peer, &config.Peer}, {&l.api, &config.API}, {&l.admin, &config.Admin}}
+	for _, target := range targets {
+		opened, err := net.Listen("tcp", target.setting.Listen)
+		if err != nil {
+			l.close()
+			return errors.Wrap(err, "listening")
+		}
+		*target.listener = opened
+		target.setting.Listen = opened.Addr().String()
+	}
+	return nil
+}
+
+func (l *listeners) close() {
+	for _, opened := range []net.Listener{l.peer, l.api, l.admin} {
+		if opened != nil {
+			_ = opened.Close()
+		}
+	}
+}
+
+// New opens listeners and storage and assembles a node.
+func New(config settings.Settings, logger *events.Logger) (*Node, error) {
+	node := &Node{settings: config, logger: logger, registry: prometheus.NewRegistry(), pauses: gateway.NewPauseDetector(), drain: make(chan struct{})}
+	if err := node.listeners.open(&node.settings); err != nil {
+		return nil, err
+	}
+	if err := node.assemble(); err != nil {
+		node.listeners.close()
+		return nil, err
+	}
+	return node, nil
+}
+
+func (n *Node) assemble() error {
+	policies, err := policy.NewCache()
+	if err != nil {
+		return err
+	}
+	options, err := n.controlOptions()
+	if err != nil {
+		return err
+	}
+	// Replicas ask for their machines only after Start, when server is set.
+	options.NewMachine = func(group uint32) replica.StateMachine { return n.server.NewMachine(group) }
+	n.plane, err = control.New(options)
+	if err != nil {
+		return err
+	}
+	n.plane.Config.Subscribe(func(snapshot *configuration.Snapshot) { policies.Install(snapshot.Set) })
+	policies.Install(n.plane.Config.Current().Set)
+	models := engine.NewOpenAI()
+	n.server = coordinator.NewServer(coordinator.ServerOptions{
+		Transport:  n.plane.Transport,
+		Membership: n.plane.Membership,
+		Config:     n.plane.Config,
+		Host:       n.plane.Host,
+		Scheduler:  scheduler.New(n.settings.Zone, n.plane, n.logger),
+		Policies:   policies,
+		Engines:    models,
+		Release:    n.plane.Release,
+		Logger:     n.logger,
+	})
+	client := coordinator.NewClient(n.plane.Transport, n.plane.Membership, n.plane.Partitions)
+	n.registry.MustRegister(collectors.NewGoCollector(), collectors.NewProcessCollector(collectors.ProcessCollectorOpts{}), newCollector(n.plane))
+	n.gateway = gateway.New(gateway.Options{
+		NodeID:       options.Self.ID,
+		Config:       n.plane.Config,
+		Coordinator:  client,
+		Models:       models,
+		Applications: engine.NewApplication(),
+		Release:      n.plane.Release,
+		Pauses:       n.pauses,
+		Metrics:      gateway.NewMetrics(n.registry),
+		Logger:       n.logger,
+		MaxBodyBytes: n.settings.MaxBodyBytes,
+	})
+	n.admin = admin.New(admin.Options{
+		Config:      n.plane.Config,
+		Membership:  n.plane.Membership,
+		Partitions:  n.plane.Partitions,
+		Host:        n.plane.Host,
+		Coordinator: client,
+		Transport:   n.plane.Transport,
+		Keys:        n.settings.AdminKeys,
+		Self:        n.Status,
+		Drain:       n.requestDrain,
+		Logger:      n.logger,
+	})
+	n.apiServer = &http.Server{Handler: n.gateway, ReadHeaderTimeout: readHeaderTimeout}
+	n.adminServer = &http.Server{Handler: n.adminMux(), ReadHeaderTimeout: readHeaderTimeout}
+	return nil
+}
+
+func (n *Node) controlOptions() (control.Options, error) {
+	config := n.settings
+	options := control.Options{
+		Cluster:      config.Cluster,
+		Seeds:        config.Seeds,
+		Listener:     n.listeners.peer,
+		Store:        etcdgateway.New(config.Store.Endpoint, seconds(config.Store.TimeoutSeconds)),
+		Storage:      replica.Memory{},
+		DataFolder:   config.DataFolder,
+		Check:        policy.Check,
+		InitialNodes: config.InitialNodes,
+		Partitions:   config.Partitions,
+		RepairDelay:  seconds(config.RepairSeconds),
+		Membership:   membership.DefaultOptions(),
+		Logger:       n.logger,
+	}
+	id, err := newIdentity(config.Name)
+	if err != nil {
+		return options, err
+	}
+	replicaID := id
+	if config.DataFolder != "" {
+		if replicaID, err = storedIdentity(config.DataFolder, id); err != nil {
+			return options, err
+		}
+		if options.Storage, err = replica.OpenDisk(config.DataFolder); err != nil {
+			return options, err
+		}
+	}
+	if err := n.secure(&options); err != nil {
+		return options, err
+	}
+	options.Self = membership.Member{
+		ID:        id,
+		Name:      config.Name,
+		ReplicaID: replicaID,
+		Address:   config.Peer.Address(),
+		API:       config.API.Address(),
+		Admin:     config.Admin.Address(),
+		Zone:      config.Zone,
+		Region:    config.Region,
+	}
+	return options, nil
+}
+
+func (n *Node) secure(options *control.Options) error {
+	files := n.settings.TLS
+	if files.Insecure {
+		n.logger.Emit(events.PlainTransport)
+		return nil
+	}
+	source, err := keys.NewSource(keys.Files{Authority: files.Authority, Certificate: files.Certificate, Key: files.Key}, n.settings.Cluster)
+	if err != nil {
+		return err
+	}
+	options.ServerTLS, options.ClientTLS = source.ServerConfig(), source.ClientConfig()
+	return nil
+}
+
+func seconds(value float64) time.Duration { return time.Duration(value * float64(time.Second)) }
+
+// newIdentity names one run of the process.
+func newIdentity(name string) (string, error) {
+	random := make([]byte, identityBytes)
+	if _, err := rand.Read(random); err != nil {
+		return "", errors.Wrap(err, "drawing an identity")
+	}
+	return name + "-" + hex.EncodeToString(random), nil
+}
+
+// storedIdentity returns the replica identity that belongs to a data folder, and makes it for a
+// new one.
+func storedIdentity(folder, fresh string) (string, error) {
+	if err := os.MkdirAll(folder, folderMode); err != nil {
+		return "", errors.Wrap(err, "making the data folder")
+	}
+	path := filepath.Join(folder, identityFile)
+	content, err := os.ReadFile(path)
+	if err == nil {
+		return strings.TrimSpace(string(content)), nil
+	}
+	if !errors.Is(err, os.ErrNotExist) {
+		return "", errors.Wrap(err, "reading the replica identity")
+	}
+	return fresh, errors.Wrap(os.WriteFile(path, []byte(fresh+"\n"), fileMode), "writing the replica identity")
+}
+
+// Settings returns the settings in use, with the addresses that the listeners got.
+func (n *Node) Settings() settings.Settings { return n.settings }
+
+// Plane returns the node's control part.
+func (n *Node) Plane() *control.Plane { return n.plane }
+
+// Status describes the node for operators.
+func (n *Node) Status() admin.NodeStatus {
+	self := n.plane.Membership.View().Self
+	status := admin.NodeStatus{
+		ID:       self.ID,
+		Name:     self.Name,
+		Zone:     self.Zone,
+		Region:   self.Region,
+		Version:  Version,
+		Revision: n.plane.Config.Current().Revision(),
+		Ready:    n.Ready(),
+		Active:   n.gateway.Active(),
+	}
+	for _, group := range n.plane.Host.Statuses() {
+		status.Replicas++
+		if group.IsLeader {
+			status.Leads++
+		}
+	}
+	status.Programs = n.server.Programs()
+	return status
+}
+
+// Ready reports whether the node serves callers.
+func (n *Node) Ready() bool { return !n.draining.Load() && n.plane.Ready() }
+
+func (n *Node) adminMux() http.Handler {
+	mux := http.NewServeMux()
+	mux.Handle(admin.Prefix+"/", n.admin)
+	mux.Handle("GET /metrics", promhttp.HandlerFor(n.registry, promhttp.HandlerOpts{}))
+	mux.HandleFunc("GET /healthz", func(w http.ResponseWriter, _ *http.Request) { w.WriteHeader(http.StatusOK) })
+	mux.HandleFunc("GET /readyz", func(w http.ResponseWriter, _ *http.Request) {
+		if !n.Ready() {
+			w.WriteHeader(http.StatusServiceUnavailable)
+		}
+	})
+	return mux
+}
+
+// Start runs the node until Stop.
+func (n *Node) Start() {
+	ctx, cancel := context.WithCancel(context.Background())
+	n.cancel = cancel
+	n.logger.Emit(events.NodeStarting, events.F("version", Version), events.F("peer", n.settings.Peer.Address()),
+		events.F("api", n.settings.API.Address()), events.F("admin", n.settings.Admin.Address()))
+	n.plane.Start()
+	n.tasks.Go(func() { n.server.Run(ctx) })
+	n.tasks.Go(func() { n.pauses.Run(ctx) })
+	n.tasks.Go(func() { n.serve(n.apiServer, n.listeners.api) })
+	n.tasks.Go(func() { n.serve(n.adminServer, n.listeners.admin) })
+	n.tasks.Go(func() { n.reportReady(ctx) })
+}
+
+func (n *Node) serve(server *http.Server, listener net.Listener) {
+	if err := server.Serve(listener); err != nil && !errors.Is(err, http.ErrServerClosed) {
+		n.logger.Emit(events.ListenerFailed, events.F("error", err))
+	}
+}
+
+func (n *Node) reportReady(ctx context.Context) {
+	ticker := time.NewTicker(drainPoll)
+	defer ticker.Stop()
+	for !n.Ready() {
+		select {
+		case <-ctx.Done():
+			return
+		case <-ticker.C:
+		}
+	}
+	n.logger.Emit(events.NodeReady, events.F("revision", n.plane.Config.Current().Revision()))
+}
+
+// DrainRequested is closed when an operator asks for a planned stop.
+func (n *Node) DrainRequested() <-chan struct{} { return n.drain }
+
+func (n *Node) requestDrain() {
+	if n.draining.CompareAndSwap(false, true) {
+		close(n.drain)
+	}
+}
+
+// Drain prepares a planned stop: the members hear of it, leadership moves, new requests are
+// refused, and those under way end. It returns early when the context ends.
+func (n *Node) Drain(ctx context.Context) {
+	n.draining.Store(true)
+	n.logger.Emit(events.NodeStopping)
+	n.plane.Membership.Announce(membership.Leaving)
+	leadership, cancel := context.WithTimeout(ctx, leadershipTimeout)
+	defer cancel()
+	n.plane.Partitions.MoveLeadership(leadership)
+	n.gateway.Stop()
+	ticker := time.NewTicker(drainPoll)
+	defer ticker.Stop()
+	for n.gateway.Active() > 0 {
+		select {
+		case <-ctx.Done():
+			return
+		case <-ticker.C:
+		}
+	}
+}
+
+// Stop ends the node at once; after Drain it cuts off nothing.
+func (n *Node) Stop() error {
+	n.plane.Membership.Announce(membership.Left)
+	// The announcement goes out with the next tick of the protocol.
+	timer := time.NewTimer(farewell)
+	<-timer.C
+	_ = n.apiServer.Close()
+	_ = n.adminServer.Close()
+	n.cancel()
+	err := n.plane.Stop()
+	n.tasks.Wait()
+	n.logger.Emit(events.NodeStopped)
+	return err
+}
--- /dev/null
+++ b/internal/partition/manager.go
@@ -0,0 +1,288 @@
+package partition
+
+import (
+	"context"
+	"encoding/json"
+	"slices"
+	"strconv"
+	"strings"
+	"sync"
+	"time"
+
+	"github.com/cockroachdb/errors"
+
+	"github.com/mountstile/mountstile/internal/apierr"
+	"github.com/mountstile/mountstile/internal/configstore"
+	"github.com/mountstile/mountstile/internal/consensus"
+	"github.com/mountstile/mountstile/internal/events"
+	"github.com/mountstile/mountstile/internal/membership"
+	"github.com/mountstile/mountstile/internal/replica"
+)
+
+const (
+	storePrefix   = "/mountstile/partitions/"
+	tablePrefix   = "partitions/"
+	membersPrefix = "partition/"
+
+	checkInterval = time.Second
+	// tableProposers members try to commit the first table; the others wait for gossip.
+	tableProposers = 2
+	storeTimeout   = 5 * time.Second
+)
+
+// Options configure a Manager.
+type Options struct {
+	Store      configstore.Store
+	Membership *membership.Manager
+	Host       *replica.Host
+	Logger     *events.Logger
+	// InitialNodes is how many nodes of a region must be there before its partitions are placed.
+	InitialNodes int
+	// Partitions is how many a new region gets.
+	Partitions int
+	// RepairDelay is how long a replica's node must be gone before the replica is replaced.
+	RepairDelay time.Duration
+}
+
+// Manager keeps the placement on this node, starts its replicas, and repairs the groups it leads.
+type Manager struct {
+	options Options
+
+	mutex   sync.Mutex
+	tables  map[string]*Table
+	members map[uint32]membersRecord
+	gone    map[string]time.Time
+	lost    map[uint32]bool
+}
+
+// membersRecord is the present group of a partition, spread as a membership record whose version
+// is the log index of the change.
+type membersRecord struct {
+	version uint64
+	Members consensus.Members `json:"members"`
+}
+
+// NewManager returns a Manager. Call it before membership runs.
+func NewManager(options Options) *Manager {
+	manager := &Manager{
+		options: options,
+		tables:  make(map[string]*Table),
+		members: make(map[uint32]membersRecord),
+		gone:    make(map[string]time.Time),
+		lost:    make(map[uint32]bool),
+	}
+	options.Membership.Subscribe(manager.heard)
+	return manager
+}
+
+func (m *Manager) heard(change membership.Change) {
+	if change.Record == nil {
+		return
+	}
+	if region, ok := strings.CutPrefix(change.Record.Key, tablePrefix); ok {
+		var table Table
+		if json.Unmarshal(change.Record.Value, &table) == nil && len(table.Partitions) > 0 {
+			m.adopt(region, &table)
+		}
+		return
+	}
+	if number, ok := strings.CutPrefix(change.Record.Key, membersPrefix); ok {
+		id, err := strconv.ParseUint(number, 10, 32)
+		record := membersRecord{version: change.Record.Version}
+		if err == nil && json.Unmarshal(change.Record.Value, &record) == nil {
+			m.mutex.Lock()
+			m.members[uint32(id)] = record
+			m.mutex.Unlock()
+		}
+	}
+}
+
+func (m *Manager) adopt(region string, table *Table) {
+	m.mutex.Lock()
+	defer m.mutex.Unlock()
+	if known := m.tables[region]; known == nil || known.Generation < table.Generation {
+		m.tables[region] = table
+	}
+}
+
+// Ready reports whether this node's region has its partitions.
+func (m *Manager) Ready() bool { return m.table(m.options.Membership.View().Self.Region) != nil }
+
+func (m *Manager) table(region string) *Table {
+	m.mutex.Lock()
+	defer m.mutex.Unlock()
+	return m.tables[region]
+}
+
+// Locate returns the partition of a program and its present members. An empty region means the
+// cluster's first.
+func (m *Manager) Locate(region, tenant, root string) (uint32, []string, error) {
+	m.mutex.Lock()
+	defer m.mutex.Unlock()
+	table := m.tables[region]
+	if region == "" {
+		table = m.firstTable()
+	}
+	if table == nil {
+		return 0, nil, apierr.New(apierr.PartitionUnavailable, apierr.NotRun, "region %q has no partitions yet", region).WithRetryAfter(time.Second)
+	}
+	placement := table.ForKey(tenant, root)
+	return placement.ID, m.currentMembers(placement), nil
+}
+
+func (m *Manager) firstTable() *Table {
+	var first *Table
+	for _, table := range m.tables {
+		if first == nil || table.Region < first.Region {
+			first = table
+		}
+	}
+	return first
+}
+
+func (m *Manager) currentMembers(placement Placement) []string {
+	if record, changed := m.members[placement.ID]; changed {
+		return record.Members.Voters
+	}
+	return placement.Members
+}
+
+// All lists every known partition with its present members.
+func (m *Manager) All() []Placement {
+	m.mutex.Lock()
+	defer m.mutex.Unlock()
+	var result []Placement
+	for _, table := range m.tables {
+		for _, placement := range table.Partitions {
+			result = append(result, Placement{ID: placement.ID, Members: m.currentMembers(placement)})
+		}
+	}
+	slices.SortFunc(result, func(a, b Placement) int { return int(a.ID) - int(b.ID) })
+	return result
+}
+
+// Changed hears from the host about a group; it is registered as replica.Options.Changed.
+func (m *Manager) Changed(status replica.Status) {
+	if !status.IsLeader || status.MembersIndex <= 1 {
+		return
+	}
+	value, err := json.Marshal(membersRecord{Members: status.Members})
+	if err != nil {
+		return
+	}
+	m.options.Logger.Emit(events.GroupMembersChanged, events.F("partition", status.Group), events.F("voters", status.Members.Voters))
+	record := membership.Record{Key: membersPrefix + strconv.FormatUint(uint64(status.Group), 10), Version: status.MembersIndex, Value: value}
+	// The group's own goroutine calls this; membership may call back into it.
+	go m.options.Membership.SetRecord(record)
+}
+
+// Run keeps this node's part of the placement until the context ends.
+func (m *Manager) Run(ctx context.Context) {
+	ticker := time.NewTicker(checkInterval)
+	defer ticker.Stop()
+	for {
+		m.ensureTable(ctx)
+		m.startReplicas()
+		m.noteGone()
+		m.repairGroups(ctx)
+		select {
+		case <-ctx.Done():
+			return
+		case <-ticker.C:
+		}
+	}
+}
+
+// ensureTable commits the region's first table once enough nodes are there.
+func (m *Manager) ensureTable(ctx context.Context) {
+	view := m.options.Membership.View()
+	region := view.Self.Region
+	if m.table(region) != nil {
+		return
+	}
+	inRegion := slices.DeleteFunc(view.Working(), func(member membership.Member) bool { return member.Region != region })
+	if len(inRegion) < m.options.InitialNodes || !isAmongFirst(inRegion, view.Self.ID) {
+		return
+	}
+	ctx, cancel := context.WithTimeout(ctx, storeTimeout)
+	defer cancel()
+	table, err := m.commitTable(ctx, region, inRegion)
+	if err != nil {
+		m.options.Logger.Emit(events.ConfigStoreFailed, events.F("error", err))
+		return
+	}
+	m.publishTable(table)
+}
+
+func isAmongFirst(members []membership.Member, id string) bool {
+	ranked := membership.Rank(members, "partition-table")
+	for _, member := range ranked[:min(tableProposers, len(ranked))] {
+		if member.ID == id {
+			return true
+		}
+	}
+	return false
+}
+
+// commitTable writes a table unless the store has one; the store's always wins.
+func (m *Manager) commitTable(ctx context.Context, region string, members []membership.Member) (*Table, error) {
+	key := storePrefix + region
+	entry, err := m.options.Store.Get(ctx, key)
+	if err != nil {
+		return nil, err
+	}
+	if entry.Revision > 0 {
+		return decodeTable(entry.Value)
+	}
+	table := Build(region, m.options.Partitions, members)
+	encoded, err := json.Marshal(table)
+	if err != nil {
+		return nil, errors.Wrap(err, "encoding the partition table")
+	}
+	err = m.options.Store.CompareAndSwap(ctx, key, 0, []configstore.Write{{Key: key, Value: encoded}})
+	var conflict *configstore.ErrConflict
+	if errors.As(err, &conflict) {
+		return decodeTable(conflict.Actual.Value)
+	}
+	if err != nil {
+		return nil, err
+	}
+	m.options.Logger.Emit(events.PartitionTableMade, events.F("region", region), events.F("partitions", len(table.Partitions)))
+	return &table, nil
+}
+
+func decodeTable(encoded []byte) (*Table, error) {
+	var table Table
+	if err := json.Unmarshal(encoded, &table); err != nil {
+		return nil, errors.Wrap(err, "decoding the partition table")
+	}
+	return &table, nil
+}
+
+func (m *Manager) publishTable(table *Table) {
+	encoded, err := json.Marshal(table)
+	if err != nil {
+		return
+	}
+	m.options.Membership.SetRecord(membership.Record{Key: tablePrefix + table.Region, Version: table.Generation, Value: encoded})
+}
+
+// startReplicas starts the replicas that the first table gives to this node.
+func (m *Manager) startReplicas() {
+	view := m.options.Membership.View()
+	table := m.table(view.Self.Region)
+	if table == nil {
+		return
+	}
+	for _, placement := range table.Partitions {
+		m.mutex.Lock()
+		_, changed := m.members[placement.ID]
+		m.mutex.Unlock()
+		if changed || !slices.Contains(placement.Members, view.Self.ReplicaID) {
+			continue
+		}
+		if err := m.options.Host.Start(placement.ID, &consensus.Members{Voters: placement.Members}); err != nil {
+			m.options.Logger.Emit(events.StorageFailed, events.F("partition", placement.ID), events.F("error", err))
+		}
+	}
+}
--- /dev/null
+++ b/internal/program/history.go
@@ -0,0 +1,107 @@
+package program
+
+import (
+	"bytes"
+	"crypto/sha256"
+	"encoding/hex"
+	"encoding/json"
+	"strings"
+)
+
+// HistoryMark identifies a prefix of a history: how many messages, and the hash chain over them.
+type HistoryMark struct {
+	Count int    `json:"count"`
+	Hash  string `json:"hash,omitempty"`
+}
+
+const markBytes = 16
+
+// Extend returns the mark after further messages.
+func (m HistoryMark) Extend(messages []Message) HistoryMark {
+	for _, message := range messages {
+		digest := sha256.New()
+		digest.Write([]byte(m.Hash))
+		digest.Write([]byte{0})
+		digest.Write(canonical(message))
+		m = HistoryMark{Count: m.Count + 1, Hash: hex.EncodeToString(digest.Sum(nil)[:markBytes])}
+	}
+	return m
+}
+
+// messageFields are the parts of a chat message that make it the same message. Clients add and
+// drop empty fields when they send an answer back.
+type messageFields struct {
+	Role       string          `json:"role"`
+	Content    json.RawMessage `json:"content,omitempty"`
+	ToolCalls  json.RawMessage `json:"tool_calls,omitempty"`
+	ToolCallID string          `json:"tool_call_id,omitempty"`
+	Name       string          `json:"name,omitempty"`
+}
+
+type textPart struct {
+	Type string `json:"type"`
+	Text string `json:"text"`
+}
+
+// canonical is a form that is equal for messages of equal meaning.
+func canonical(message Message) []byte {
+	var fields messageFields
+	if json.Unmarshal(message, &fields) != nil {
+		return message
+	}
+	fields.Content = canonicalContent(fields.Content)
+	fields.ToolCalls = compact(fields.ToolCalls)
+	encoded, err := json.Marshal(fields)
+	if err != nil {
+		return message
+	}
+	return encoded
+}
+
+// canonicalContent turns a list of text parts into one string.
+func canonicalContent(content json.RawMessage) json.RawMessage {
+	content = compact(content)
+	var parts []textPart
+	if len(content) == 0 || content[0] != '[' || json.Unmarshal(content, &parts) != nil {
+		return content
+	}
+	var text strings.Builder
+	for _, part := range parts {
+		if part.Type != "text" {
+			return content
+		}
+		text.WriteString(part.Text)
+	}
+	encoded, err := json.Marshal(text.String())
+	if err != nil {
+		return content
+	}
+	return encoded
+}
+
+func compact(raw json.RawMessage) json.RawMessage {
+	trimmed := bytes.TrimSpace(raw)
+	if len(trimmed) == 0 || bytes.Equal(trimmed, []byte("null")) || bytes.Equal(trimmed, []byte("[]")) {
+		return nil
+	}
+	var buffer bytes.Buffer
+	if json.Compact(&buffer, trimmed) != nil {
+		return raw
+	}
+	return buffer.Bytes()
+}
+
+const (
+	// tokensPerMessage covers what a chat template puts around each message.
+	tokensPerMessage = 8
+)
+
+// MostTokens is an upper bound of the tokens of messages: byte-level tokenizers make at most one
+// token of each byte.
+func MostTokens(messages []Message) int64 {
+	var total int64
+	for _, message := range messages {
+		total += int64(len(message)) + tokensPerMessage
+	}
+	return total
+}
--- /dev/null
+++ b/internal/replica/storage.go
@@ -0,0 +1,241 @@
+package replica
+
+import (
+	"encoding/binary"
+	"encoding/json"
+	"hash/crc32"
+	"path/filepath"
+	"time"
+
+	"github.com/cockroachdb/errors"
+	"go.etcd.io/bbolt"
+
+	"github.com/mountstile/mountstile/internal/consensus"
+)
+
+// Stored is what storage holds of one group.
+type Stored struct {
+	State    consensus.HardState
+	Snapshot consensus.Snapshot
+	Entries  []consensus.Entry
+}
+
+// Storage keeps the logs of a node's groups. Save returns only when the data is as durable as the
+// storage makes it.
+type Storage interface {
+	// Groups lists the groups that storage holds.
+	Groups() ([]uint32, error)
+	Load(group uint32) (Stored, error)
+	// Save writes what is set. Entries replace the stored log from their first index on; a
+	// snapshot drops the entries up to its index.
+	Save(group uint32, state *consensus.HardState, snapshot *consensus.Snapshot, entries []consensus.Entry) error
+	Remove(group uint32) error
+	Close() error
+}
+
+// Memory is the storage of nodes without a disk: nothing outlives the process. Such a node gets a
+// new replica identity at each start, so that a forgotten vote can't be cast twice.
+type Memory struct{}
+
+// Groups implements Storage.
+func (Memory) Groups() ([]uint32, error) { return nil, nil }
+
+// Load implements Storage.
+func (Memory) Load(uint32) (Stored, error) { return Stored{}, nil }
+
+// Save implements Storage.
+func (Memory) Save(uint32, *consensus.HardState, *consensus.Snapshot, []consensus.Entry) error {
+	return nil
+}
+
+// Remove implements Storage.
+func (Memory) Remove(uint32) error { return nil }
+
+// Close implements Storage.
+func (Memory) Close() error { return nil }
+
+// ErrCorrupt means that stored data does not match its checksum.
+type ErrCorrupt struct {
+	Group uint32
+	What  string
+}
+
+// Error implements error.
+func (e *ErrCorrupt) Error() string { return "stored " + e.What + " does not match its checksum" }
+
+const (
+	diskFileName    = "replicas.db"
+	diskOpenTimeout = 2 * time.Second
+	diskFileMode    = 0o600
+)
+
+var (
+	stateKey    = []byte("state")
+	snapshotKey = []byte("snapshot")
+	logBucket   = []byte("log")
+	castagnoli  = crc32.MakeTable(crc32.Castagnoli)
+)
+
+// Disk is the storage of nodes with a data folder: one bbolt file, a bucket a group. bbolt's
+// copy-on-write pages make a torn write invisible; each value carries its own checksum besides,
+// against silent corruption.
+type Disk struct {
+	database *bbolt.DB
+}
+
+// OpenDisk opens or creates the file in folder. The file is locked, so that two processes can't
+// share a replica identity.
+func OpenDisk(folder string) (*Disk, error) {
+	path := filepath.Join(folder, diskFileName)
+	database, err := bbolt.Open(path, diskFileMode, &bbolt.Options{Timeout: diskOpenTimeout, NoFreelistSync: true})
+	if err != nil {
+		return nil, errors.Wrapf(err, "opening %s (is another process using the data folder?)", path)
+	}
+	return &Disk{database: database}, nil
+}
+
+func groupKey(group uint32) []byte { return binary.BigEndian.AppendUint32(nil, group) }
+
+func indexKey(index uint64) []byte { return binary.BigEndian.AppendUint64(nil, index) }
+
+// seal prefixes a JSON value with its checksum.
+func seal(value any) ([]byte, error) {
+	encoded, err := json.Marshal(value)
+	if err != nil {
+		return nil, errors.Wrap(err, "encoding for storage")
+	}
+	return append(binary.BigEndian.AppendUint32(nil, crc32.Checksum(encoded, castagnoli)), encoded...), nil
+}
+
+func unseal(group uint32, what string, sealed []byte, value any) error {
+	if sealed == nil {
+		return nil
+	}
+	if len(sealed) < crc32.Size || binary.BigEndian.Uint32(sealed) != crc32.Checksum(sealed[crc32.Size:], castagnoli) {
+		return &ErrCorrupt{Group: group, What: what}
+	}
+	if err := json.Unmarshal(sealed[crc32.Size:], value); err != nil {
+		return &ErrCorrupt{Group: group, What: what}
+	}
+	return nil
+}
+
+// Groups implements Storage.
+func (d *Disk) Groups() ([]uint32, error) {
+	var groups []uint32
+	err := d.database.View(func(transaction *bbolt.Tx) error {
+		return transaction.ForEach(func(name []byte, _ *bbolt.Bucket) error {
+			groups = append(groups, binary.BigEndian.Uint32(name))
+			return nil
+		})
+	})
+	return groups, errors.Wrap(err, "listing groups")
+}
+
+// Load implements Storage.
+func (d *Disk) Load(group uint32) (Stored, error) {
+	var stored Stored
+	err := d.database.View(func(transaction *bbolt.Tx) error {
+		bucket := transaction.Bucket(groupKey(group))
+		if bucket == nil {
+			return nil
+		}
+		if err := unseal(group, "state", bucket.Get(stateKey), &stored.State); err != nil {
+			return err
+		}
+		if err := unseal(group, "snapshot", bucket.Get(snapshotKey), &stored.Snapshot); err != nil {
+			return err
+		}
+		return bucket.Bucket(logBucket).ForEach(func(_, sealed []byte) error {
+			var entry consensus.Entry
+			if err := unseal(group, "entry", sealed, &entry); err != nil {
+				return err
+			}
+			if entry.Index > stored.Snapshot.Index {
+				stored.Entries = append(stored.Entries, entry)
+			}
+			return nil
+		})
+	})
+	return stored, errors.Wrapf(err, "loading group %d", group)
+}
+
+// Save implements Storage.
+func (d *Disk) Save(group uint32, state *consensus.HardState, snapshot *consensus.Snapshot, entries []consensus.Entry) error {
+	err := d.database.Update(func(transaction *bbolt.Tx) error {
+		bucket, err := transaction.CreateBucketIfNotExists(groupKey(group))
+		if err != nil {
+			return err
+		}
+		entryBucket, err := bucket.CreateBucketIfNotExists(logBucket)
+		if err != nil {
+			return err
+		}
+		if state != nil {
+			if err := put(bucket, stateKey, state); err != nil {
+				return err
+			}
+		}
+		if snapshot != nil {
+			if err := put(bucket, snapshotKey, snapshot); err != nil {
+				return err
+			}
+			if err := removeThrough(entryBucket, snapshot.Index); err != nil {
+				return err
+			}
+		}
+		return replaceFrom(entryBucket, entries)
+	})
+	return errors.Wrapf(err, "saving group %d", group)
+}
+
+func put(bucket *bbolt.Bucket, key []byte, value any) error {
+	sealed, err := seal(value)
+	if err != nil {
+		return err
+	}
+	return bucket.Put(key, sealed)
+}
+
+func removeThrough(bucket *bbolt.Bucket, last uint64) error {
+	cursor := bucket.Cursor()
+	for key, _ := cursor.First(); key != nil && binary.BigEndian.Uint64(key) <= last; key, _ = cursor.Next() {
+		if err := cursor.Delete(); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+// replaceFrom drops the log from the first entry's index on, and appends the entries.
+func replaceFrom(bucket *bbolt.Bucket, entries []consensus.Entry) error {
+	if len(entries) == 0 {
+		return nil
+	}
+	cursor := bucket.Cursor()
+	for key, _ := cursor.Seek(indexKey(entries[0].Index)); key != nil; key, _ = cursor.Next() {
+		if err := cursor.Delete(); err != nil {
+			return err
+		}
+	}
+	for _, entry := range entries {
+		if err := put(bucket, indexKey(entry.Index), entry); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+// Remove implements Storage.
+func (d *Disk) Remove(group uint32) error {
+	err := d.database.Update(func(transaction *bbolt.Tx) error {
+		if transaction.Bucket(groupKey(group)) == nil {
+			return nil
+		}
+		return transaction.DeleteBucket(groupKey(group))
+	})
+	return errors.Wrapf(err, "removing group %d", group)
+}
+
+// Close implements Storage.
+func (d *Disk) Close() error { return errors.Wrap(d.database.Close(), "closing the data file") }
--- /dev/null
+++ b/internal/resource/resource.go
@@ -0,0 +1,216 @@
+// Package resource defines what operators publish: tenants, services, pools, policies and limits,
+// with their checks and their YAML form.
+package resource
+
+import (
+	"crypto/rand"
+	"crypto/sha256"
+	"crypto/subtle"
+	"encoding/hex"
+	"time"
+)
+
+// Kind names a type of resource.
+type Kind string
+
+// The kinds of resource.
+const (
+	KindTenant  Kind = "Tenant"
+	KindService Kind = "Service"
+	KindPool    Kind = "Pool"
+	KindPolicy  Kind = "Policy"
+	KindLimit   Kind = "Limit"
+)
+
+// Kinds lists every kind in the order in which references between them resolve.
+var Kinds = []Kind{KindTenant, KindPolicy, KindPool, KindService, KindLimit}
+
+// Role is what an API key may do on the administration API.
+type Role string
+
+const (
+	// RoleCaller may only send calls.
+	RoleCaller Role = "caller"
+	// RoleReader may also read its tenant's resources and programs.
+	RoleReader Role = "reader"
+	// RoleOperator may also change its tenant's services, pools, policies and limits.
+	RoleOperator Role = "operator"
+)
+
+// APIKey is a salted hash of a secret; the secret itself is never stored.
+type APIKey struct {
+	ID   string `json:"id" yaml:"id"`
+	Salt string `json:"salt" yaml:"salt"`
+	// Hash is the hexadecimal SHA-256 of salt and secret. Secrets are 128 random bits or more, so a
+	// slow password hash would add cost and no strength.
+	Hash     string    `json:"hash" yaml:"hash"`
+	Role     Role      `json:"role,omitempty" yaml:"role"`
+	NotAfter time.Time `json:"not_after,omitzero" yaml:"notAfter"`
+}
+
+const saltBytes = 16
+
+// NewAPIKey hashes secret with a fresh salt.
+func NewAPIKey(id, secret string, role Role) APIKey {
+	salt := make([]byte, saltBytes)
+	_, _ = rand.Read(salt) // crypto/rand never fails: it aborts the program instead.
+	encoded := hex.EncodeToString(salt)
+	return APIKey{ID: id, Salt: encoded, Hash: hashSecret(encoded, secret), Role: role}
+}
+
+func hashSecret(salt, secret string) string {
+	sum := sha256.Sum256([]byte(salt + ":" + secret))
+	return hex.EncodeToString(sum[:])
+}
+
+// Matches reports whether secret belongs to the key and the key is valid at now.
+func (k APIKey) Matches(secret string, now time.Time) bool {
+	if !k.NotAfter.IsZero() && now.After(k.NotAfter) {
+		return false
+	}
+	return subtle.ConstantTimeCompare([]byte(k.Hash), []byte(hashSecret(k.Salt, secret))) == 1
+}
+
+// Tenant is a team that shares the platform.
+type Tenant struct {
+	Keys []APIKey `json:"keys" yaml:"keys"`
+	// HomeRegion holds the tenant's programs; empty means the first region of the cluster.
+	HomeRegion string `json:"home_region,omitempty" yaml:"homeRegion"`
+	// Weight is the tenant's share under overload, relative to other tenants.
+	Weight float64 `json:"weight,omitempty" yaml:"weight"`
+	// ProgramTokenBudget bounds prompt and generated tokens of one program with its sub-agents.
+	ProgramTokenBudget int64 `json:"program_token_budget,omitempty" yaml:"programTokenBudget"`
+	// ProgramCallBudget bounds the calls of one program with its sub-agents.
+	ProgramCallBudget int64 `json:"program_call_budget,omitempty" yaml:"programCallBudget"`
+	// ProgramIdleSeconds ends a program that makes no call for so long.
+	ProgramIdleSeconds int64 `json:"program_idle_seconds,omitempty" yaml:"programIdleSeconds"`
+	// ProgramMaxSeconds ends a program at this age.
+	ProgramMaxSeconds int64 `json:"program_max_seconds,omitempty" yaml:"programMaxSeconds"`
+}
+
+// ServiceType tells which protocol a service's back ends speak.
+type ServiceType string
+
+const (
+	// ServiceModel back ends speak the OpenAI chat-completions API.
+	ServiceModel ServiceType = "model"
+	// ServiceApplication back ends are plain HTTP servers.
+	ServiceApplication ServiceType = "application"
+)
+
+// Service is what callers address: models by name, or an application by its prefix.
+type Service struct {
+	Type    ServiceType `json:"type" yaml:"type"`
+	Pool    string      `json:"pool" yaml:"pool"`
+	Policy  string      `json:"policy,omitempty" yaml:"policy"`
+	Models  []string    `json:"models,omitempty" yaml:"models"`
+	Tenants []string    `json:"tenants" yaml:"tenants"`
+	// MaxTokens bounds the generated tokens of one call, and is its default.
+	MaxTokens int64 `json:"max_tokens,omitempty" yaml:"maxTokens"`
+	// QueueSeconds is how long a call may wait for an engine.
+	QueueSeconds float64 `json:"queue_seconds,omitempty" yaml:"queueSeconds"`
+	// CallSeconds is how long one call may take in all.
+	CallSeconds float64 `json:"call_seconds,omitempty" yaml:"callSeconds"`
+	// MaxAttempts bounds how often a repeatable call is sent to an engine.
+	MaxAttempts int `json:"max_attempts,omitempty" yaml:"maxAttempts"`
+}
+
+// Engine is one back end of a pool.
+type Engine struct {
+	Name   string `json:"name" yaml:"name"`
+	URL    string `json:"url" yaml:"url"`
+	Zone   string `json:"zone,omitempty" yaml:"zone"`
+	Region string `json:"region,omitempty" yaml:"region"`
+	// Slots is how many calls the engine runs at once.
+	Slots int `json:"slots,omitempty" yaml:"slots"`
+	// Draining engines get no new work.
+	Draining bool `json:"draining,omitempty" yaml:"draining"`
+}
+
+// Pool is a set of interchangeable engines.
+type Pool struct {
+	Engines []Engine `json:"engines" yaml:"engines"`
+}
+
+// Policy is a set of short CEL programs; an empty one means the built-in default.
+type Policy struct {
+	Filter string `json:"filter,omitempty" yaml:"filter"`
+	Score  string `json:"score,omitempty" yaml:"score"`
+	Rank   string `json:"rank,omitempty" yaml:"rank"`
+	Admit  string `json:"admit,omitempty" yaml:"admit"`
+}
+
+// Limit bounds one tenant's use of one service over all nodes.
+type Limit struct {
+	Tenant            string  `json:"tenant" yaml:"tenant"`
+	Service           string  `json:"service" yaml:"service"`
+	RequestsPerSecond float64 `json:"requests_per_second,omitempty" yaml:"requestsPerSecond"`
+	Concurrent        int     `json:"concurrent,omitempty" yaml:"concurrent"`
+}
+
+// Resource is one published object. Exactly one of the pointers is set, the one that Kind names.
+type Resource struct {
+	Kind Kind   `json:"kind"`
+	Name string `json:"name"`
+	// Revision is the configuration revision that last changed the resource.
+	Revision uint64   `json:"revision,omitempty"`
+	Tenant   *Tenant  `json:"tenant,omitempty"`
+	Service  *Service `json:"service,omitempty"`
+	Pool     *Pool    `json:"pool,omitempty"`
+	Policy   *Policy  `json:"policy,omitempty"`
+	Limit    *Limit   `json:"limit,omitempty"`
+}
+
+// Key identifies a resource.
+type Key struct {
+	Kind Kind   `json:"kind"`
+	Name string `json:"name"`
+}
+
+// Key returns the resource's identity.
+func (r Resource) Key() Key { return Key{Kind: r.Kind, Name: r.Name} }
+
+// Defaults of unset fields, in one place.
+const (
+	DefaultWeight             = 1.0
+	DefaultProgramTokenBudget = 4_000_000
+	DefaultProgramCallBudget  = 600
+	DefaultProgramIdleSeconds = 1800
+	DefaultProgramMaxSeconds  = 86_400
+	DefaultMaxTokens          = 512
+	DefaultQueueSeconds       = 10
+	DefaultCallSeconds        = 120
+	DefaultMaxAttempts        = 3
+	DefaultSlots              = 16
+)
+
+// applyDefaults fills unset fields.
+func (r *Resource) applyDefaults() {
+	switch {
+	case r.Tenant != nil:
+		setDefault(&r.Tenant.Weight, DefaultWeight)
+		setDefault(&r.Tenant.ProgramTokenBudget, DefaultProgramTokenBudget)
+		setDefault(&r.Tenant.ProgramCallBudget, DefaultProgramCallBudget)
+		setDefault(&r.Tenant.ProgramIdleSeconds, DefaultProgramIdleSeconds)
+		setDefault(&r.Tenant.ProgramMaxSeconds, DefaultProgramMaxSeconds)
+		for index := range r.Tenant.Keys {
+			setDefault(&r.Tenant.Keys[index].Role, RoleCaller)
+		}
+	case r.Service != nil:
+		setDefault(&r.Service.MaxTokens, DefaultMaxTokens)
+		setDefault(&r.Service.QueueSeconds, DefaultQueueSeconds)
+		setDefault(&r.Service.CallSeconds, DefaultCallSeconds)
+		setDefault(&r.Service.MaxAttempts, DefaultMaxAttempts)
+	case r.Pool != nil:
+		for index := range r.Pool.Engines {
+			setDefault(&r.Pool.Engines[index].Slots, DefaultSlots)
+		}
+	}
+}
+
+func setDefault[T comparable](field *T, value T) {
+	var zero T
+	if *field == zero {
+		*field = value
+	}
+}
--- /dev/null
+++ b/internal/resource/set.go
@@ -0,0 +1,151 @@
+package resource
+
+import (
+	"maps"
+	"slices"
+	"strings"
+	"time"
+)
+
+// Set is an immutable collection of resources that refer to each other correctly.
+type Set struct {
+	resources map[Key]Resource
+	models    map[string]string
+}
+
+// NewSet checks references between resources. The error is a *FieldError.
+func NewSet(resources []Resource) (*Set, error) {
+	set := &Set{resources: make(map[Key]Resource, len(resources)), models: make(map[string]string)}
+	for _, item := range resources {
+		if err := item.Check(); err != nil {
+			return nil, err
+		}
+		set.resources[item.Key()] = item
+	}
+	for _, item := range set.List() {
+		if err := set.checkReferences(item); err != nil {
+			return nil, err
+		}
+	}
+	return set, nil
+}
+
+func (s *Set) checkReferences(item Resource) *FieldError {
+	switch item.Kind {
+	case KindService:
+		return s.checkServiceReferences(item)
+	case KindLimit:
+		if _, ok := s.Tenant(item.Limit.Tenant); !ok {
+			return item.fieldError("tenant", "there is no tenant %q", item.Limit.Tenant)
+		}
+		if _, ok := s.Service(item.Limit.Service); !ok {
+			return item.fieldError("service", "there is no service %q", item.Limit.Service)
+		}
+	}
+	return nil
+}
+
+func (s *Set) checkServiceReferences(item Resource) *FieldError {
+	service := item.Service
+	if _, ok := s.Pool(service.Pool); !ok {
+		return item.fieldError("pool", "there is no pool %q", service.Pool)
+	}
+	if _, ok := s.Policy(service.Policy); !ok && service.Policy != "" {
+		return item.fieldError("policy", "there is no policy %q", service.Policy)
+	}
+	for _, tenant := range service.Tenants {
+		if _, ok := s.Tenant(tenant); !ok {
+			return item.fieldError("tenants", "there is no tenant %q", tenant)
+		}
+	}
+	for _, model := range service.Models {
+		if other, taken := s.models[model]; taken {
+			return item.fieldError("models", "model %q is already served by service %q", model, other)
+		}
+		s.models[model] = item.Name
+	}
+	return nil
+}
+
+// List returns all resources by kind and name.
+func (s *Set) List() []Resource {
+	list := slices.Collect(maps.Values(s.resources))
+	slices.SortFunc(list, func(a, b Resource) int {
+		if order := slices.Index(Kinds, a.Kind) - slices.Index(Kinds, b.Kind); order != 0 {
+			return order
+		}
+		return strings.Compare(a.Name, b.Name)
+	})
+	return list
+}
+
+// Get returns one resource.
+func (s *Set) Get(key Key) (Resource, bool) {
+	found, ok := s.resources[key]
+	return found, ok
+}
+
+// Tenant returns a tenant by name.
+func (s *Set) Tenant(name string) (*Tenant, bool) {
+	found, ok := s.resources[Key{KindTenant, name}]
+	return found.Tenant, ok
+}
+
+// Service returns a service by name.
+func (s *Set) Service(name string) (*Service, bool) {
+	found, ok := s.resources[Key{KindService, name}]
+	return found.Service, ok
+}
+
+// Pool returns a pool by name.
+func (s *Set) Pool(name string) (*Pool, bool) {
+	found, ok := s.resources[Key{KindPool, name}]
+	return found.Pool, ok
+}
+
+// Policy returns a policy by name.
+func (s *Set) Policy(name string) (*Policy, bool) {
+	found, ok := s.resources[Key{KindPolicy, name}]
+	return found.Policy, ok
+}
+
+// ServiceOfModel returns the service that serves a model.
+func (s *Set) ServiceOfModel(model string) (string, *Service, bool) {
+	name, ok := s.models[model]
+	if !ok {
+		return "", nil, false
+	}
+	service, ok := s.Service(name)
+	return name, service, ok
+}
+
+// LimitFor returns the limit of a tenant on a service.
+func (s *Set) LimitFor(tenant, service string) (Limit, bool) {
+	for _, item := range s.resources {
+		if item.Kind == KindLimit && item.Limit.Tenant == tenant && item.Limit.Service == service {
+			return *item.Limit, true
+		}
+	}
+	return Limit{}, false
+}
+
+// apiKeyParts are the parts of an API key: TENANT.KEYID.SECRET.
+const apiKeyParts = 3
+
+// Authenticate finds the tenant and role of an API key.
+func (s *Set) Authenticate(apiKey string, now time.Time) (name string, tenant *Tenant, role Role, ok bool) {
+	parts := strings.SplitN(apiKey, ".", apiKeyParts)
+	if len(parts) != apiKeyParts {
+		return "", nil, "", false
+	}
+	tenant, known := s.Tenant(parts[0])
+	if !known {
+		return "", nil, "", false
+	}
+	for _, key := range tenant.Keys {
+		if key.ID == parts[1] && key.Matches(parts[2], now) {
+			return parts[0], tenant, key.Role, true
+		}
+	}
+	return "", nil, "", false
+}
--- /dev/null
+++ b/internal/scheduler/scheduler.go
@@ -0,0 +1,342 @@
+// Package scheduler decides which engine serves a call, in a cycle of named steps: candidates,
+// filter, score, reserve. Binding, the commit of the decision, is the coordinator's.
+// docs/design/scheduling.md weighs the ways.
+package scheduler
+
+import (
+	"cmp"
+	"context"
+	"math/rand/v2"
+	"slices"
+	"sync"
+	"time"
+
+	"github.com/mountstile/mountstile/internal/apierr"
+	"github.com/mountstile/mountstile/internal/events"
+	"github.com/mountstile/mountstile/internal/owner"
+	"github.com/mountstile/mountstile/internal/policy"
+	"github.com/mountstile/mountstile/internal/resource"
+)
+
+const (
+	// shortlist bounds the candidates that are scored for one call.
+	shortlist = 16
+	// immediateTries is how many candidates are asked for a free place before the call waits.
+	immediateTries = 3
+	// loadTTL is how long a load that an owner told is trusted.
+	loadTTL          = 5 * time.Second
+	minimumRetryWait = 200 * time.Millisecond
+)
+
+// Call is what the scheduler knows of a call.
+type Call struct {
+	ID         string
+	Program    string
+	Tenant     string
+	Weight     float64
+	Gateway    string
+	Service    string
+	Model      string
+	Repeatable bool
+	Attempt    int
+	// PromptTokens and MaxTokens are estimates for the policy.
+	PromptTokens int64
+	MaxTokens    int64
+	// LastEngine served the program's latest call.
+	LastEngine string
+	Depth      int
+	Calls      int64
+	UsedTokens int64
+	Messages   int
+	AgeSeconds float64
+	// Avoid lists engines on which this call has failed.
+	Avoid []string
+	// Wait is how long the call may stand in line; Limit is how long it may run.
+	Wait  time.Duration
+	Limit time.Duration
+}
+
+// Candidate is an engine under consideration.
+type Candidate struct {
+	Engine resource.Engine
+	Load   owner.Load
+	Score  float64
+	// Reason tells why a candidate was left out; empty for one that was scored.
+	Reason string
+}
+
+// Decision is the outcome of one cycle, kept for explanation.
+type Decision struct {
+	Call       string
+	At         time.Time
+	Engine     resource.Engine
+	OwnerID    string
+	Candidates []Candidate
+	// Queued tells that the call stood in line.
+	Queued bool
+	Took   time.Duration
+}
+
+// Reserver asks the owner of an engine for a place.
+type Reserver interface {
+	Reserve(ctx context.Context, engine resource.Engine, request owner.ReserveRequest) (owner.ReserveResponse, error)
+}
+
+// Scheduler runs the cycle. It is safe for concurrent use.
+type Scheduler struct {
+	zone     string
+	reserver Reserver
+	logger   *events.Logger
+
+	mutex sync.Mutex
+	loads map[string]knownLoad
+}
+
+type knownLoad struct {
+	load owner.Load
+	at   time.Time
+}
+
+// New returns a Scheduler for a node in zone.
+func New(zone string, reserver Reserver, logger *events.Logger) *Scheduler {
+	return &Scheduler{zone: zone, reserver: reserver, logger: logger, loads: make(map[string]knownLoad)}
+}
+
+// Place finds an engine and holds a place on it. Errors: *apierr.Error with NoEngine, Overloaded,
+// PolicyFailed or Cancelled; the call was not sent anywhere.
+func (s *Scheduler) Place(ctx context.Context, call Call, pool *resource.Pool, rules *policy.Policy) (Decision, error) {
+	started := time.Now()
+	decision := Decision{Call: call.ID, At: started}
+	deadline := started.Add(call.Wait)
+	if err := s.checkAdmission(call, rules); err != nil {
+		return decision, err
+	}
+	for {
+		ranked, rejected := s.rank(call, pool, rules, time.Since(started))
+		decision.Candidates = append(slices.Clone(ranked), rejected...)
+		if len(ranked) == 0 {
+			return decision, noCandidate(rejected)
+		}
+		bound, refusal := s.reserve(ctx, call, ranked, rules, deadline, time.Since(started), &decision)
+		decision.Took = time.Since(started)
+		if bound {
+			return decision, nil
+		}
+		if ctx.Err() != nil {
+			return decision, apierr.New(apierr.Cancelled, apierr.NotRun, "the caller gave up")
+		}
+		if refusal != nil {
+			return decision, refusal
+		}
+	}
+}
+
+func (s *Scheduler) checkAdmission(call Call, rules *policy.Policy) error {
+	input := call.input(0)
+	allowed, err := rules.Admit(&input)
+	if err != nil {
+		return apierr.New(apierr.PolicyFailed, apierr.NotRun, "%s", err)
+	}
+	if !allowed {
+		return apierr.New(apierr.LimitExceeded, apierr.NotRun, "the service's policy does not admit the call").WithRetryAfter(time.Second)
+	}
+	return nil
+}
+
+func noCandidate(rejected []Candidate) error {
+	for _, candidate := range rejected {
+		if candidate.Reason == reasonOpen || candidate.Reason == reasonAvoided {
+			return apierr.New(apierr.NoEngine, apierr.NotRun, "no engine of the pool works at present").WithRetryAfter(time.Second)
+		}
+	}
+	return apierr.New(apierr.NoEngine, apierr.NotRun, "no engine of the pool may serve the call").WithRetryAfter(time.Second)
+}
+
+// rank runs candidates, filter and score; the best comes first.
+func (s *Scheduler) rank(call Call, pool *resource.Pool, rules *policy.Policy, waited time.Duration) (ranked, rejected []Candidate) {
+	input := call.input(waited)
+	for _, candidate := range s.candidates(call, pool) {
+		if candidate.Reason == "" {
+			describe(&input, candidate, call, s.zone)
+			candidate.Reason = s.filterAndScore(&candidate, &input, rules)
+		}
+		if candidate.Reason == "" {
+			ranked = append(ranked, candidate)
+		} else {
+			rejected = append(rejected, candidate)
+		}
+	}
+	// Equal candidates are tried in random order, so that schedulers do not herd.
+	rand.Shuffle(len(ranked), func(i, j int) { ranked[i], ranked[j] = ranked[j], ranked[i] })
+	slices.SortStableFunc(ranked, func(a, b Candidate) int { return cmp.Compare(b.Score, a.Score) })
+	return ranked, rejected
+}
+
+const (
+	reasonDraining = "draining"
+	reasonOpen     = "circuit breaker open"
+	reasonAvoided  = "the call has failed there"
+	reasonFiltered = "filtered by policy"
+)
+
+func (s *Scheduler) filterAndScore(candidate *Candidate, input *policy.Input, rules *policy.Policy) string {
+	allowed, err := rules.Filter(input)
+	if err == nil && !allowed {
+		return reasonFiltered
+	}
+	if err == nil {
+		candidate.Score, err = rules.Score(input)
+	}
+	if err != nil {
+		s.logger.Emit(events.PolicyEvaluationFail, events.F("engine", candidate.Engine.Name), events.F("error", err))
+		return err.Error()
+	}
+	return ""
+}
+
+// candidates is the short list: the program's engine, then others drawn at random, so that the cost
+// of a decision does not grow with the pool.
+func (s *Scheduler) candidates(call Call, pool *resource.Pool) []Candidate {
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
+	now := time.Now()
+	result := make([]Candidate, 0, min(shortlist, len(pool.Engines)))
+	for _, index := range chooseIndexes(call.LastEngine, pool.Engines) {
+		candidate := Candidate{Engine: pool.Engines[index], Load: s.loadOf(pool.Engines[index], now)}
+		candidate.Reason = unusable(candidate, call)
+		result = append(result, candidate)
+	}
+	return result
+}
+
+func chooseIndexes(lastEngine string, engines []resource.Engine) []int {
+	if len(engines) <= shortlist {
+		all := make([]int, len(engines))
+		for index := range engines {
+			all[index] = index
+		}
+		return all
+	}
+	chosen := make([]int, 0, shortlist)
+	if last := slices.IndexFunc(engines, func(engine resource.Engine) bool { return engine.Name == lastEngine }); last >= 0 {
+		chosen = append(chosen, last)
+	}
+	for len(chosen) < shortlist {
+		if index := rand.IntN(len(engines)); !slices.Contains(chosen, index) {
+			chosen = append(chosen, index)
+		}
+	}
+	return chosen
+}
+
+func (s *Scheduler) loadOf(engine resource.Engine, now time.Time) owner.Load {
+	known, exists := s.loads[engine.Name]
+	if !exists || now.Sub(known.at) > loadTTL {
+		return owner.Load{Engine: engine.Name, Slots: engine.Slots}
+	}
+	return known.load
+}
+
+func unusable(candidate Candidate, call Call) string {
+	switch {
+	case candidate.Engine.Draining || candidate.Load.Draining:
+		return reasonDraining
+	case slices.Contains(call.Avoid, candidate.Engine.Name):
+		return reasonAvoided
+	case candidate.Load.Open:
+		return reasonOpen
+	default:
+		return ""
+	}
+}
+
+// reserve asks the best candidates for a free place, and then lets the call wait at the best one
+// that keeps a line.
+func (s *Scheduler) reserve(ctx context.Context, call Call, ranked []Candidate, rules *policy.Policy, deadline time.Time, waited time.Duration, decision *Decision) (bool, error) {
+	request := owner.ReserveRequest{
+		CallID:     call.ID,
+		Tenant:     call.Tenant,
+		Weight:     call.Weight,
+		Gateway:    call.Gateway,
+		CallMillis: call.Limit.Milliseconds(),
+	}
+	for _, candidate := range ranked[:min(immediateTries, len(ranked))] {
+		response, err := s.ask(ctx, candidate.Engine, request)
+		if err == nil && response.Granted {
+			decision.Engine = candidate.Engine
+			return true, nil
+		}
+	}
+	input := call.input(waited)
+	rank, err := rules.Rank(&input)
+	if err != nil {
+		return false, apierr.New(apierr.PolicyFailed, apierr.NotRun, "%s", err)
+	}
+	request.Rank = rank
+	request.WaitMillis = time.Until(deadline).Milliseconds()
+	if request.WaitMillis <= 0 {
+		return false, apierr.New(apierr.Overloaded, apierr.NotRun, "no engine became free in time").WithRetryAfter(minimumRetryWait)
+	}
+	return s.wait(ctx, call, s.leastLoaded(ranked), request, decision)
+}
+
+// leastLoaded orders the candidates anew by the loads just heard, keeping the score's order where
+// the lines are equally long.
+func (s *Scheduler) leastLoaded(ranked []Candidate) []Candidate {
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
+	now := time.Now()
+	result := slices.Clone(ranked)
+	for index := range result {
+		result[index].Load = s.loadOf(result[index].Engine, now)
+	}
+	slices.SortStableFunc(result, func(a, b Candidate) int {
+		return cmp.Compare(waitingPerSlot(a), waitingPerSlot(b))
+	})
+	return result
+}
+
+func waitingPerSlot(candidate Candidate) float64 {
+	if candidate.Load.Open || candidate.Load.Draining {
+		return float64(1 << 20)
+	}
+	return float64(candidate.Load.Running+candidate.Load.Waiting) / float64(max(1, candidate.Load.Slots))
+}
+
+func (s *Scheduler) wait(ctx context.Context, call Call, ranked []Candidate, request owner.ReserveRequest, decision *Decision) (bool, error) {
+	decision.Queued = true
+	var refusal *apierr.Error
+	for _, candidate := range ranked[:min(immediateTries, len(ranked))] {
+		response, err := s.ask(ctx, candidate.Engine, request)
+		if err != nil {
+			refusal = apierr.New(apierr.NoEngine, apierr.NotRun, "the engine's owner can't be reached: %s", err).WithRetryAfter(time.Second)
+			continue
+		}
+		if response.Granted {
+			decision.Engine = candidate.Engine
+			return true, nil
+		}
+		retryAfter := max(time.Duration(response.RetryAfter)*time.Millisecond, minimumRetryWait)
+		refusal = apierr.New(apierr.Overloaded, apierr.NotRun, "all engines are busy; the line is longer than the call may wait").WithRetryAfter(retryAfter)
+		if ctx.Err() != nil {
+			break
+		}
+	}
+	return false, refusal
+}
+
+// ask reserves and remembers the loads that the owner tells.
+func (s *Scheduler) ask(ctx context.Context, engine resource.Engine, request owner.ReserveRequest) (owner.ReserveResponse, error) {
+	request.Engine = engine.Name
+	response, err := s.reserver.Reserve(ctx, engine, request)
+	if err != nil {
+		return response, err
+	}
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
+	now := time.Now()
+	for _, load := range response.Loads {
+		s.loads[load.Engine] = knownLoad{load: load, at: now}
+	}
+	return response, nil
+}
