--- a/internal/consensus/replication.go
+++ b/internal/consensus/replication.go
@@ -149,6 +149,12 @@
 		c.send(Message{Kind: AppendResponse, To: message.From, Index: c.log.committed})
 		return
 	}
+	if term, ok := c.log.term(snapshot.Index); ok && term == snapshot.Term {
+		// The log goes on beyond the snapshot; its acknowledged entries must not be dropped.
+		c.log.committed = snapshot.Index
+		c.send(Message{Kind: AppendResponse, To: message.From, Index: snapshot.Index})
+		return
+	}
 	c.log.restore(*snapshot)
 	c.received = snapshot
 	c.refreshMembers()
@@ -183,8 +189,14 @@
 	c.sendAppend(message.From)
 }
 
+// handleRejection goes back to where the logs may agree. A rejection that answers another message
+// than the latest probe is stale; acting on it would let duplicates multiply without end.
 func (c *Core) handleRejection(peer *progress, message Message) {
-	if message.Index < peer.match || message.Index >= peer.next && !peer.probing {
+	stale := message.Index <= peer.match || message.Index >= peer.next
+	if peer.probing {
+		stale = message.Index != peer.next-1 || max(message.Hint, peer.match)+1 == peer.next
+	}
+	if stale {
 		return
 	}
 	peer.snapshot = 0
--- a/internal/lab/runner/runner.go
+++ b/internal/lab/runner/runner.go
@@ -236,12 +236,6 @@
 			return reply, err
 		}
 		p.result.note(func() { p.result.Refused++ })
-		// A call that was refused has lost its place: it is a new call with a new key.
-		var failure *Failure
-		if errors.As(err, &failure) && failure.Outcome == "not_run" {
-			request.Sequence = 0
-			request.IdempotencyKey = fmt.Sprintf("%s-%d-%d", program.Name, sequence, try)
-		}
 		if err := pause(ctx, wait); err != nil {
 			return reply, err
 		}
--- a/internal/program/calls.go
+++ b/internal/program/calls.go
@@ -33,9 +33,14 @@
 		program.ActiveAt = m.now
 	}
 	own := chain[0]
+	sequence := own.NextSequence
+	if request.Sequence != 0 {
+		sequence = request.Sequence
+	}
+	own.NextSequence = max(own.NextSequence, sequence+1)
 	call := &Call{
 		ID:             request.CallID,
-		Sequence:       own.NextSequence,
+		Sequence:       sequence,
 		Service:        request.Service,
 		IdempotencyKey: request.IdempotencyKey,
 		BodyHash:       request.BodyHash,
@@ -48,7 +53,6 @@
 		Messages:       request.Messages,
 		AdmittedAt:     m.now,
 	}
-	own.NextSequence++
 	own.Open[call.ID] = call
 	m.changed(own.Key)
 	return Result{Call: call.public()}
@@ -63,7 +67,7 @@
 		return Result{}, false
 	}
 	for _, call := range p.Open {
-		if call.IdempotencyKey != request.IdempotencyKey {
+		if call.IdempotencyKey != request.IdempotencyKey || call.neverRun() {
 			continue
 		}
 		if call.BodyHash != request.BodyHash {
@@ -74,6 +78,26 @@
 	return Result{}, false
 }
 
+// neverRun reports that a call was refused for good before anything was sent: its caller may ask
+// again with the same key.
+func (c *Call) neverRun() bool {
+	return c.State == Failed && c.Error != nil && c.Error.Outcome == apierr.NotRun
+}
+
+// reopenable reports whether a place in the order can be taken again: its call was never sent, and
+// neither was any after it.
+func (p *Program) reopenable(sequence uint64) bool {
+	if sequence <= p.Reached {
+		return false
+	}
+	for _, call := range p.Open {
+		if call.Sequence == sequence && !call.Ended() {
+			return false
+		}
+	}
+	return true
+}
+
 func (m *Machine) checkAdmission(known *Program, request Admit) *Result {
 	for _, program := range m.ancestors(request.Program) {
 		if program.Ended() {
@@ -92,7 +116,7 @@
 	case request.Sequence > next:
 		refusal := refuse(apierr.SequenceGap, "call %d came before call %d", request.Sequence, next)
 		return &refusal
-	case request.Sequence != 0 && request.Sequence < next:
+	case request.Sequence != 0 && request.Sequence < next && !known.reopenable(request.Sequence):
 		refusal := refuse(apierr.SequencePassed, "call %d was admitted before; the next is %d", request.Sequence, next)
 		return &refusal
 	case request.CheckBase && idle && request.Base != mark:
@@ -198,6 +222,7 @@
 		result.Mark = program.Mark
 		return result
 	}
+	program.Reached = max(program.Reached, call.Sequence)
 	call.State = Dispatching
 	call.Attempt = request.Attempt
 	call.Engine = request.Engine
--- a/internal/program/machine.go
+++ b/internal/program/machine.go
@@ -167,6 +167,13 @@
 	m.now = state.Now
 	m.programs = make(map[Key]*Program, len(state.Programs))
 	for _, program := range state.Programs {
+		// An empty map is left out of a snapshot and comes back as none.
+		if program.Open == nil {
+			program.Open = make(map[string]*Call)
+		}
+		if program.Caches == nil {
+			program.Caches = make(map[string]string)
+		}
 		m.programs[program.Key] = program
 	}
 	for key := range m.watches {
--- /dev/null
+++ b/internal/program/machine_test.go
@@ -0,0 +1,210 @@
+package program_test
+
+import (
+	"encoding/json"
+	"fmt"
+	"testing"
+
+	"gotest.tools/v3/assert"
+	"pgregory.net/rapid"
+
+	"github.com/mountstile/mountstile/internal/apierr"
+	"github.com/mountstile/mountstile/internal/program"
+)
+
+var key = program.Key{Tenant: "t", Path: "p"}
+
+func user(text string) program.Message {
+	return program.Message(fmt.Sprintf(`{"role":"user","content":%q}`, text))
+}
+
+func answerOf(text string) program.Message {
+	return program.Message(fmt.Sprintf(`{"role":"assistant","content":%q}`, text))
+}
+
+func admit(machine *program.Machine, request program.Admit) program.Result {
+	if request.Program == (program.Key{}) {
+		request.Program = key
+	}
+	if request.Limits == (program.Limits{}) {
+		request.Limits = program.Limits{TokenBudget: 1000, CallBudget: 10, IdleMillis: 1000, MaxMillis: 5000}
+	}
+	request.BodyHash += "body"
+	return machine.Execute(program.Command{At: 1, Admit: &request})
+}
+
+func dispatch(machine *program.Machine, callID string, attempt int) program.Result {
+	return machine.Execute(program.Command{At: 1, Dispatch: &program.Dispatch{CallID: callID, Program: key, Attempt: attempt, Engine: "e", Gateway: "g", CacheService: "s"}})
+}
+
+func complete(machine *program.Machine, callID string, attempt int, text string) program.Result {
+	return machine.Execute(program.Command{At: 1, Complete: &program.Complete{CallID: callID, Program: key, Attempt: attempt,
+		Answer: program.Answer{Message: answerOf(text), Usage: program.Usage{Prompt: 10, Completion: 5}}}})
+}
+
+func TestOrderWithinAChain(t *testing.T) {
+	machine := program.NewMachine()
+	assert.Equal(t, admit(machine, program.Admit{CallID: "b", Sequence: 2}).Error.Code, apierr.SequenceGap)
+	assert.Assert(t, admit(machine, program.Admit{CallID: "a", Sequence: 1}).Error == nil)
+	assert.Assert(t, admit(machine, program.Admit{CallID: "b", Sequence: 2}).Error == nil)
+	assert.Equal(t, dispatch(machine, "b", 1).Error.Code, apierr.SequenceGap)
+	assert.Assert(t, dispatch(machine, "a", 1).Error == nil)
+	assert.Equal(t, dispatch(machine, "b", 1).Error.Code, apierr.SequenceGap)
+	complete(machine, "a", 1, "x")
+	assert.Assert(t, dispatch(machine, "b", 1).Error == nil)
+	assert.Equal(t, admit(machine, program.Admit{CallID: "c", Sequence: 1}).Error.Code, apierr.SequencePassed)
+}
+
+func TestBudgetIsReservedOnAllAncestors(t *testing.T) {
+	machine := program.NewMachine()
+	child := program.Key{Tenant: "t", Path: "p/child"}
+	assert.Assert(t, admit(machine, program.Admit{CallID: "a", Reserve: 600}).Error == nil)
+	assert.Equal(t, admit(machine, program.Admit{CallID: "b", Program: child, Reserve: 600}).Error.Code, apierr.BudgetExceeded)
+	assert.Assert(t, admit(machine, program.Admit{CallID: "b", Program: child, Reserve: 400, OwnTokens: 450}).Error == nil)
+	assert.Equal(t, admit(machine, program.Admit{CallID: "c", Program: child, Reserve: 100}).Error.Code, apierr.BudgetExceeded)
+	dispatch(machine, "a", 1)
+	complete(machine, "a", 1, "x")
+	parent, _ := machine.Summary(key)
+	assert.Equal(t, parent.Used, int64(15))
+	assert.Equal(t, parent.Reserved, int64(400))
+}
+
+func TestRefusedCallLeavesNoProgram(t *testing.T) {
+	machine := program.NewMachine()
+	assert.Equal(t, admit(machine, program.Admit{CallID: "a", Reserve: 5000}).Error.Code, apierr.BudgetExceeded)
+	assert.Equal(t, machine.Count(), 0)
+}
+
+func TestNonRepeatableHasOneAttempt(t *testing.T) {
+	machine := program.NewMachine()
+	admit(machine, program.Admit{CallID: "a", Reserve: 100})
+	dispatch(machine, "a", 1)
+	lost := machine.Execute(program.Command{At: 1, Lose: &program.LoseAttempt{CallID: "a", Program: key, Attempt: 1}})
+	assert.Equal(t, lost.Error.Outcome, apierr.OutcomeUnknown)
+	assert.Equal(t, dispatch(machine, "a", 2).Error.Outcome, apierr.OutcomeUnknown)
+	summary, _ := machine.Summary(key)
+	assert.Equal(t, summary.Used, int64(100), "an unknown outcome is settled at the reservation")
+}
+
+func TestUndeliveredMayGoAgain(t *testing.T) {
+	machine := program.NewMachine()
+	admit(machine, program.Admit{CallID: "a"})
+	dispatch(machine, "a", 1)
+	machine.Execute(program.Command{At: 1, Lose: &program.LoseAttempt{CallID: "a", Program: key, Attempt: 1, Undelivered: true}})
+	assert.Assert(t, dispatch(machine, "a", 2).Error == nil)
+}
+
+func TestNotRunForbidsDispatch(t *testing.T) {
+	machine := program.NewMachine()
+	admit(machine, program.Admit{CallID: "a", IdempotencyKey: "k"})
+	failure := apierr.New(apierr.Overloaded, apierr.NotRun, "busy")
+	result := machine.Execute(program.Command{At: 1, Fail: &program.Fail{CallID: "a", Program: key, Error: failure}})
+	assert.Equal(t, result.Error.Outcome, apierr.NotRun)
+	assert.Equal(t, dispatch(machine, "a", 1).Error.Outcome, apierr.NotRun)
+	// Its place and key may be used again, for nothing was sent.
+	assert.Assert(t, admit(machine, program.Admit{CallID: "b", IdempotencyKey: "k", Sequence: 1}).Error == nil)
+}
+
+func TestIdempotencyKey(t *testing.T) {
+	machine := program.NewMachine()
+	admit(machine, program.Admit{CallID: "a", IdempotencyKey: "k"})
+	dispatch(machine, "a", 1)
+	complete(machine, "a", 1, "whole")
+	again := admit(machine, program.Admit{CallID: "b", IdempotencyKey: "k"})
+	assert.Assert(t, again.Existing)
+	assert.Equal(t, string(again.Call.Answer.Message), string(answerOf("whole")))
+	assert.Equal(t, admit(machine, program.Admit{CallID: "c", IdempotencyKey: "k", BodyHash: "other"}).Error.Code, apierr.IdempotencyConflict)
+}
+
+func TestHistoryMustContinue(t *testing.T) {
+	machine := program.NewMachine()
+	admit(machine, program.Admit{CallID: "a", Messages: []program.Message{user("1")}, CheckBase: true})
+	dispatch(machine, "a", 1)
+	complete(machine, "a", 1, "one")
+	// An answer that a client sends back with empty members added is the same message.
+	returned := program.Message(`{"role":"assistant","content":[{"type":"text","text":"one"}],"tool_calls":[],"refusal":null}`)
+	mark := program.HistoryMark{}.Extend([]program.Message{user("1"), returned})
+	assert.Assert(t, admit(machine, program.Admit{CallID: "b", Base: mark, CheckBase: true}).Error == nil)
+	other := program.HistoryMark{}.Extend([]program.Message{user("1"), answerOf("two")})
+	machine.Execute(program.Command{At: 1, Fail: &program.Fail{CallID: "b", Program: key, Error: apierr.New(apierr.Cancelled, apierr.NotRun, "")}})
+	result := admit(machine, program.Admit{CallID: "c", Base: other, CheckBase: true})
+	assert.Equal(t, result.Error.Code, apierr.HistoryConflict)
+	assert.Equal(t, result.Mark, mark)
+}
+
+func TestEndReachesSubAgentsAndKeepsCachesUntilReleased(t *testing.T) {
+	machine := program.NewMachine()
+	child := program.Key{Tenant: "t", Path: "p/c"}
+	admit(machine, program.Admit{CallID: "a"})
+	dispatch(machine, "a", 1)
+	complete(machine, "a", 1, "x")
+	admit(machine, program.Admit{CallID: "b", Program: child})
+	machine.Execute(program.Command{At: 2, End: &program.End{Program: key, Reason: program.EndByCaller}})
+	assert.Equal(t, admit(machine, program.Admit{CallID: "c", Program: child}).Error.Code, apierr.ProgramEnded)
+	call, _ := machine.Call(child, "b")
+	assert.Equal(t, call.Error.Outcome, apierr.NotRun)
+	assert.DeepEqual(t, machine.HeldCaches(), []program.HeldCache{{Program: key, Engine: "e", Service: "s"}})
+	later := int64(3 * program.ProgramRetention)
+	machine.Execute(program.Command{At: later, Expire: &program.Expire{}})
+	_, kept := machine.Summary(key)
+	assert.Assert(t, kept, "a program is kept until each engine has confirmed")
+	machine.Execute(program.Command{At: later, Release: &program.ReleaseCache{Program: key, Engine: "e"}})
+	machine.Execute(program.Command{At: later, Expire: &program.Expire{}})
+	assert.Equal(t, machine.Count(), 0)
+}
+
+func TestLimitsEndPrograms(t *testing.T) {
+	machine := program.NewMachine()
+	admit(machine, program.Admit{CallID: "a"})
+	assert.Assert(t, !machine.ExpiryDue(2000), "a call is under way")
+	dispatch(machine, "a", 1)
+	complete(machine, "a", 1, "x")
+	assert.Assert(t, machine.ExpiryDue(2000))
+	machine.Execute(program.Command{At: 2000, Expire: &program.Expire{}})
+	summary, _ := machine.Summary(key)
+	assert.Equal(t, summary.EndReason, program.EndIdle)
+}
+
+// TestSnapshotRestoresEverything plays random commands and compares a machine with its own copy
+// after each. A program without open calls came back without a map for them (simulation seed 4).
+func TestSnapshotRestoresEverything(t *testing.T) {
+	rapid.Check(t, func(r *rapid.T) {
+		machine, replica := program.NewMachine(), program.NewMachine()
+		for step := range rapid.IntRange(1, 40).Draw(r, "steps") {
+			command := drawCommand(r, step)
+			encoded, err := json.Marshal(command)
+			assert.NilError(r, err)
+			machine.Apply(uint64(step), encoded)
+			replica.Apply(uint64(step), encoded)
+			snapshot, err := replica.Snapshot()
+			assert.NilError(r, err)
+			replica = program.NewMachine()
+			assert.NilError(r, replica.Restore(snapshot))
+			original, err := machine.Snapshot()
+			assert.NilError(r, err)
+			assert.DeepEqual(r, snapshot, original)
+			for _, summary := range machine.Summaries("") {
+				assert.Assert(r, summary.Used+summary.Reserved <= 1000)
+			}
+		}
+	})
+}
+
+func drawCommand(r *rapid.T, step int) program.Command {
+	callID := fmt.Sprintf("c%d", rapid.IntRange(0, 5).Draw(r, "call"))
+	at := int64(step) * rapid.Int64Range(0, 400).Draw(r, "at")
+	switch rapid.IntRange(0, 5).Draw(r, "kind") {
+	case 0, 1:
+		return program.Command{At: at, Admit: &program.Admit{CallID: callID, Program: key, Reserve: rapid.Int64Range(0, 400).Draw(r, "reserve"),
+			Repeatable: rapid.Bool().Draw(r, "repeatable"), Messages: []program.Message{user(callID)},
+			Limits: program.Limits{TokenBudget: 1000, CallBudget: 10, IdleMillis: 1000, MaxMillis: 5000}}}
+	case 2:
+		return program.Command{At: at, Dispatch: &program.Dispatch{CallID: callID, Program: key, Attempt: rapid.IntRange(1, 3).Draw(r, "attempt"), Engine: "e", Gateway: "g", CacheService: "s"}}
+	case 3:
+		return program.Command{At: at, Complete: &program.Complete{CallID: callID, Program: key, Attempt: 1, Answer: program.Answer{Message: answerOf("a"), Usage: program.Usage{Prompt: 50}}}}
+	case 4:
+		return program.Command{At: at, Lose: &program.LoseAttempt{CallID: callID, Program: key, Attempt: 1}}
+	default:
+		return program.Command{At: at, Expire: &program.Expire{}}
+	}
+}
--- a/internal/program/types.go
+++ b/internal/program/types.go
@@ -100,8 +100,10 @@
 	Used     int64 `json:"used"`
 	Reserved int64 `json:"reserved"`
 	Calls    int64 `json:"calls"`
-	// NextSequence is the place of the next call; the first is 1.
+	// NextSequence is the place of the next call; the first is 1. Reached is the highest place of
+	// a call that may have reached an engine.
 	NextSequence uint64           `json:"next_sequence"`
+	Reached      uint64           `json:"reached,omitempty"`
 	History      []Message        `json:"history,omitempty"`
 	Mark         HistoryMark      `json:"mark"`
 	Open         map[string]*Call `json:"open,omitempty"`
