--- a/internal/membership/core.go
+++ b/internal/membership/core.go
@@ -25,6 +25,8 @@
 	SyncInterval time.Duration
 	// ForgetAfter is how long the dead are remembered, so that they can come back.
 	ForgetAfter time.Duration
+	// WatchAll makes each node probe all others: the baseline of the capacity measurement.
+	WatchAll bool
 	// PauseThreshold is the gap between ticks that counts as a pause of this process.
 	PauseThreshold time.Duration
 }
@@ -261,7 +263,11 @@
 		return
 	}
 	c.stale = false
-	c.targets = successors(c.self, c.members)
+	if c.options.WatchAll {
+		c.targets = everyone(c.self, c.members)
+	} else {
+		c.targets = successors(c.self, c.members)
+	}
 	for id := range c.probes {
 		if !slices.Contains(c.targets, id) {
 			delete(c.probes, id)
--- a/internal/membership/merge.go
+++ b/internal/membership/merge.go
@@ -163,6 +163,7 @@
 	}
 	if known.member.Usable() != member.Usable() || known.member.ID == "" {
 		c.stale = true
+		c.syncSoon(now)
 	}
 	known.member = member
 	known.changedAt = now
@@ -171,6 +172,14 @@
 	return known
 }
 
+// syncSoon brings the next exchange forward: while members come and go, rumours miss some nodes.
+func (c *Core) syncSoon(now time.Time) {
+	soon := now.Add(c.options.ProbeInterval + time.Duration(c.random.Int64N(int64(c.options.ProbeInterval))))
+	if soon.Before(c.nextSync) {
+		c.nextSync = soon
+	}
+}
+
 func (c *Core) mergeRecord(incoming Record, source string) {
 	known, exists := c.records[incoming.Key]
 	if exists && known.Version >= incoming.Version {
--- a/internal/membership/rings.go
+++ b/internal/membership/rings.go
@@ -66,3 +66,14 @@
 	}
 	return best
 }
+
+// everyone lists all other usable members.
+func everyone(self Member, members map[string]*entry) []string {
+	var result []string
+	for id, candidate := range members {
+		if id != self.ID && candidate.member.Usable() {
+			result = append(result, id)
+		}
+	}
+	return result
+}
--- a/internal/transport/transport.go
+++ b/internal/transport/transport.go
@@ -383,3 +383,10 @@
 	}
 	t.tasks.Wait()
 }
+
+// Connections returns how many connections are open.
+func (t *Transport) Connections() int {
+	t.mutex.Lock()
+	defer t.mutex.Unlock()
+	return len(t.open)
+}
