--- a/internal/control/control.go
+++ b/internal/control/control.go
@@ -32,6 +32,8 @@
 	Listener  net.Listener
 	ServerTLS *tls.Config
 	ClientTLS *tls.Config
+	// Routes replace addresses before they are dialled.
+	Routes map[string]string
 
 	Store      configstore.Store
 	Storage    replica.Storage
@@ -73,6 +75,7 @@
 		ServerTLS: options.ServerTLS,
 		ClientTLS: options.ClientTLS,
 		Logger:    options.Logger,
+		Dial:      options.dial,
 	})
 	plane.Membership = membership.NewManager(options.Self, options.Seeds, options.Membership, plane.Transport, options.Logger)
 	var err error
@@ -111,6 +114,14 @@
 	return plane, nil
 }
 
+// dial follows the node's routes.
+func (o Options) dial(ctx context.Context, address string) (net.Conn, error) {
+	if route, replaced := o.Routes[address]; replaced {
+		address = route
+	}
+	return (&net.Dialer{}).DialContext(ctx, "tcp", address)
+}
+
 func (p *Plane) replicaAddress(replicaID string) (string, bool) {
 	member, known := p.Membership.View().Replica(replicaID)
 	return member.Address, known && member.Usable()
--- a/internal/coordinator/client.go
+++ b/internal/coordinator/client.go
@@ -20,6 +20,9 @@
 	// probeTimeout bounds how long one replica may keep a request that has no wait of its own.
 	probeTimeout    = 6 * time.Second
 	unavailableWait = 2 * time.Second
+	// detourTime is how long a replica is reached through others after the direct way failed.
+	detourTime  = 10 * time.Second
+	relaysTried = 2
 )
 
 // Client reaches the coordinator of any program from this node.
@@ -30,11 +33,13 @@
 
 	mutex   sync.Mutex
 	leaders map[uint32]string
+	// detours are the replicas that can't be reached directly, and until when not to try.
+	detours map[string]time.Time
 }
 
 // NewClient returns a Client.
 func NewClient(network *transport.Transport, members *membership.Manager, partitions *partition.Manager) *Client {
-	return &Client{transport: network, membership: members, partitions: partitions, leaders: make(map[uint32]string)}
+	return &Client{transport: network, membership: members, partitions: partitions, leaders: make(map[uint32]string), detours: make(map[string]time.Time)}
 }
 
 // Locate returns the partition of a program.
@@ -190,7 +195,56 @@
 		ctx, cancel = context.WithTimeout(ctx, timeout)
 		defer cancel()
 	}
-	return transport.Call[Response](ctx, c.transport, address, kind, request)
+	if !c.onDetour(replicaID) {
+		response, err := transport.Call[Response](ctx, c.transport, address, kind, request)
+		if !apierr.Is(err, apierr.PeerUnreachable) || ctx.Err() != nil {
+			return response, err
+		}
+		c.startDetour(replicaID)
+	}
+	return callAround[Response](ctx, c, address, kind, request)
+}
+
+// callAround goes through another node. The members hold the replica for alive, so that the fault
+// is more likely in the way there than in the replica.
+func callAround[Response any](ctx context.Context, c *Client, address, kind string, request any) (Response, error) {
+	var none Response
+	var last error = apierr.New(apierr.PeerUnreachable, apierr.OutcomeUnknown, "there is no other node to go through")
+	view := c.membership.View()
+	tried := 0
+	for _, relay := range membership.Rank(view.Working(), view.Self.ID+address) {
+		if relay.ID == view.Self.ID || relay.Address == address {
+			continue
+		}
+		response, err := transport.CallVia[Response](ctx, c.transport, relay.Address, address, kind, request)
+		if !apierr.Is(err, apierr.PeerUnreachable) || ctx.Err() != nil {
+			return response, err
+		}
+		last = err
+		tried++
+		if tried == relaysTried {
+			break
+		}
+	}
+	return none, last
+}
+
+func (c *Client) onDetour(replicaID string) bool {
+	c.mutex.Lock()
+	defer c.mutex.Unlock()
+	return time.Now().Before(c.detours[replicaID])
+}
+
+func (c *Client) startDetour(replicaID string) {
+	c.mutex.Lock()
+	defer c.mutex.Unlock()
+	now := time.Now()
+	for id, until := range c.detours {
+		if now.After(until) {
+			delete(c.detours, id)
+		}
+	}
+	c.detours[replicaID] = now.Add(detourTime)
 }
 
 // tryNext reports whether another replica may do better, and learns the leader from a refusal.
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -177,6 +177,7 @@
 	options := control.Options{
 		Cluster:      config.Cluster,
 		Seeds:        config.Seeds,
+		Routes:       config.Routes,
 		Listener:     n.listeners.peer,
 		Store:        etcdgateway.New(config.Store.Endpoint, seconds(config.Store.TimeoutSeconds)),
 		Storage:      replica.Memory{},
--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -58,8 +58,11 @@
 	Admin   Listener `yaml:"admin"`
 	// Seeds are peer addresses through which the node joins.
 	Seeds []string `yaml:"seeds"`
-	Store Store    `yaml:"store"`
-	TLS   TLS      `yaml:"tls"`
+	// Routes replace addresses of other nodes before they are dialled, where this node reaches
+	// them by another way than they advertise.
+	Routes map[string]string `yaml:"routes"`
+	Store  Store             `yaml:"store"`
+	TLS    TLS               `yaml:"tls"`
 	// DataFolder keeps program state and configuration over restarts; empty means memory only.
 	DataFolder string `yaml:"dataFolder"`
 	// AdminKeys are the platform administrators' and readers'.
--- a/internal/transport/connection.go
+++ b/internal/transport/connection.go
@@ -40,6 +40,8 @@
 
 	mutex   sync.Mutex
 	waiting map[uint64]chan frame
+	// askedAt is when the oldest unanswered liveness question was sent; zero if there is none.
+	askedAt time.Time
 }
 
 func newConnection(t *Transport, raw net.Conn, peer Peer) *connection {
@@ -196,6 +198,8 @@
 
 func (c *connection) dispatch(incoming frame) {
 	switch {
+	case incoming.Kind == aliveKind:
+		c.handleAlive(incoming)
 	case incoming.Reply:
 		c.deliver(incoming)
 	case incoming.ID == 0:
@@ -257,3 +261,32 @@
 	}
 	return reply
 }
+
+// checkAlive finds out whether a connection with unanswered requests still works in both
+// directions. A path that is broken one way would otherwise keep them waiting for ever, while
+// messages the other way make the connection look well.
+func (c *connection) checkAlive(now time.Time) {
+	c.mutex.Lock()
+	pending := len(c.waiting) > 0
+	askedAt := c.askedAt
+	if pending && askedAt.IsZero() {
+		c.askedAt = now
+	}
+	c.mutex.Unlock()
+	switch {
+	case pending && askedAt.IsZero():
+		c.tryEnqueue(frame{Kind: aliveKind})
+	case !askedAt.IsZero() && now.Sub(askedAt) > aliveTimeout:
+		c.close()
+	}
+}
+
+func (c *connection) handleAlive(incoming frame) {
+	if !incoming.Reply {
+		c.tryEnqueue(frame{Kind: aliveKind, Reply: true})
+		return
+	}
+	c.mutex.Lock()
+	c.askedAt = time.Time{}
+	c.mutex.Unlock()
+}
--- /dev/null
+++ b/internal/transport/relay.go
@@ -0,0 +1,37 @@
+package transport
+
+import (
+	"context"
+	"encoding/json"
+
+	"github.com/cockroachdb/errors"
+
+	"github.com/mountstile/mountstile/internal/apierr"
+)
+
+const relayKind = "relay"
+
+// relayRequest asks a node to pass a request on, where the direct way is broken.
+type relayRequest struct {
+	Address string          `json:"address"`
+	Kind    string          `json:"kind"`
+	Payload json.RawMessage `json:"payload"`
+}
+
+// CallVia sends a request through another node. A relay passes on one hop only.
+func CallVia[Response any](ctx context.Context, t *Transport, relay, address, kind string, request any) (Response, error) {
+	var response Response
+	payload, err := json.Marshal(request)
+	if err != nil {
+		return response, errors.Wrapf(err, "encoding %s", kind)
+	}
+	return Call[Response](ctx, t, relay, relayKind, relayRequest{Address: address, Kind: kind, Payload: payload})
+}
+
+// serveRelay passes a request on.
+func (t *Transport) serveRelay(ctx context.Context, _ Peer, request relayRequest) (json.RawMessage, error) {
+	if request.Kind == relayKind {
+		return nil, apierr.New(apierr.InvalidRequest, apierr.NotRun, "a relayed request can't be relayed again")
+	}
+	return t.call(ctx, request.Address, request.Kind, request.Payload)
+}
--- a/internal/transport/transport.go
+++ b/internal/transport/transport.go
@@ -47,7 +47,12 @@
 	helloTimeout = 5 * time.Second
 	writeTimeout = 10 * time.Second
 	// idleTimeout closes a connection on which nothing arrived for so long.
-	idleTimeout   = 2 * time.Minute
+	idleTimeout = 2 * time.Minute
+	// aliveInterval is how often connections with unanswered requests are asked for a sign of life;
+	// aliveTimeout is how long it may take.
+	aliveInterval = time.Second
+	aliveTimeout  = 3 * time.Second
+	aliveKind     = "alive"
 	queueFrames   = 1024
 	maxConcurrent = 512
 )
@@ -65,6 +70,7 @@
 	dialling map[string]*dialAttempt
 	listener net.Listener
 	closed   bool
+	stopped  chan struct{}
 	// disconnected hears of each connection that ended.
 	disconnected func(Peer)
 	tasks        sync.WaitGroup
@@ -79,7 +85,7 @@
 
 // New returns a Transport. Register handlers before Serve.
 func New(options Options) *Transport {
-	return &Transport{
+	created := &Transport{
 		options:  options,
 		traffic:  newTraffic(),
 		handlers: make(map[string]Handler),
@@ -87,7 +93,36 @@
 		peers:    make(map[string]*connection),
 		open:     make(map[*connection]struct{}),
 		dialling: make(map[string]*dialAttempt),
+		stopped:  make(chan struct{}),
 	}
+	Handle(created, relayKind, created.serveRelay)
+	return created
+}
+
+// watchConnections asks connections with unanswered requests for signs of life.
+func (t *Transport) watchConnections() {
+	ticker := time.NewTicker(aliveInterval)
+	defer ticker.Stop()
+	for {
+		select {
+		case <-t.stopped:
+			return
+		case now := <-ticker.C:
+			for _, conn := range t.openConnections() {
+				conn.checkAlive(now)
+			}
+		}
+	}
+}
+
+func (t *Transport) openConnections() []*connection {
+	t.mutex.Lock()
+	defer t.mutex.Unlock()
+	open := make([]*connection, 0, len(t.open))
+	for conn := range t.open {
+		open = append(open, conn)
+	}
+	return open
 }
 
 // Traffic returns the byte counters.
@@ -328,6 +363,7 @@
 	if closed {
 		return listener.Close()
 	}
+	t.spawn(t.watchConnections)
 	for {
 		raw, err := listener.Accept()
 		if err != nil {
@@ -368,17 +404,18 @@
 // Close ends all connections and waits for their tasks.
 func (t *Transport) Close() {
 	t.mutex.Lock()
+	if t.closed {
+		t.mutex.Unlock()
+		return
+	}
 	t.closed = true
+	close(t.stopped)
 	listener := t.listener
-	open := make([]*connection, 0, len(t.open))
-	for conn := range t.open {
-		open = append(open, conn)
-	}
 	t.mutex.Unlock()
 	if listener != nil {
 		_ = listener.Close()
 	}
-	for _, conn := range open {
+	for _, conn := range t.openConnections() {
 		conn.close()
 	}
 	t.tasks.Wait()
