--- /dev/null
+++ b/internal/lab/experiment/experiment.go
@@ -0,0 +1,230 @@
+// Package experiment compares placement policies on the whole real path, over loopback: the same
+// programs, from the same seeds, for each policy. docs/design/scheduling.md reads its results.
+package experiment
+
+import (
+	"bytes"
+	"context"
+	"fmt"
+	"io"
+	"os"
+	"sync/atomic"
+	"time"
+
+	"github.com/cockroachdb/errors"
+	"github.com/goccy/go-yaml"
+	"github.com/sirupsen/logrus"
+
+	"github.com/mountstile/mountstile/internal/emulator"
+	"github.com/mountstile/mountstile/internal/lab/cluster"
+	"github.com/mountstile/mountstile/internal/lab/runner"
+	"github.com/mountstile/mountstile/internal/resource"
+	"github.com/mountstile/mountstile/internal/workload"
+)
+
+// PolicyEntry is one policy under test.
+type PolicyEntry struct {
+	Name   string `yaml:"name"`
+	Filter string `yaml:"filter"`
+	Score  string `yaml:"score"`
+	Rank   string `yaml:"rank"`
+	// Slots of each engine; a large number leaves the waiting to the engines, as placement off the
+	// shelf does.
+	Slots int `yaml:"slots"`
+}
+
+// File is an experiment.
+type File struct {
+	Name     string `yaml:"name"`
+	Workload string `yaml:"workload"`
+	Seed     uint64 `yaml:"seed"`
+	Repeats  int    `yaml:"repeats"`
+	Nodes    int    `yaml:"nodes"`
+	Engines  int    `yaml:"engines"`
+	Zones    int    `yaml:"zones"`
+	// Seconds is the span in which programs start.
+	Seconds   float64 `yaml:"seconds"`
+	TimeScale float64 `yaml:"timeScale"`
+	// Loads are offered load as shares of the engines' capacity; Capacity explains the measure.
+	Loads    []float64       `yaml:"loads"`
+	Engine   emulator.Config `yaml:"engine"`
+	Policies []PolicyEntry   `yaml:"policies"`
+}
+
+// ErrFile means that an experiment file can't be used.
+type ErrFile struct {
+	Path   string
+	Reason string
+}
+
+// Error implements error.
+func (e *ErrFile) Error() string { return e.Path + ": " + e.Reason }
+
+// Load reads an experiment file; unknown fields are refused.
+func Load(path string) (File, error) {
+	content, err := os.ReadFile(path)
+	if err != nil {
+		return File{}, errors.Wrap(err, "reading the experiment")
+	}
+	file := File{Engine: emulator.DefaultConfig(), Seed: 1, Repeats: 2, Nodes: 3, Zones: 3, Engines: 10, Seconds: 10, TimeScale: 0.1, Loads: []float64{0.7}}
+	if err := yaml.NewDecoder(bytes.NewReader(content), yaml.DisallowUnknownField()).Decode(&file); err != nil {
+		return file, &ErrFile{Path: path, Reason: err.Error()}
+	}
+	switch {
+	case file.Workload != "brindleway" && file.Workload != "mapishi":
+		return file, &ErrFile{Path: path, Reason: "workload is brindleway or mapishi"}
+	case len(file.Policies) == 0:
+		return file, &ErrFile{Path: path, Reason: "no policies"}
+	}
+	return file, nil
+}
+
+// Sample is what one policy did in one repeat.
+type Sample struct {
+	Policy string
+	Load   float64
+	Repeat int
+	Result *runner.Result
+	Cache  emulator.CacheStats
+	// Seconds is how long the run took, from the first program's start to the last's end.
+	Seconds float64
+	// Demand is the work of the run, in seconds of one saturated engine.
+	Demand float64
+}
+
+const (
+	startTimeout = 60 * time.Second
+	runTimeout   = 4 * time.Minute
+	apiKeyID     = "lab"
+	engineSlots  = 16
+)
+
+// Run plays all policies, loads and repeats, in turn, and reports progress.
+func Run(ctx context.Context, file File, progress io.Writer) ([]Sample, error) {
+	var samples []Sample
+	total := len(file.Policies) * len(file.Loads) * file.Repeats
+	for _, load := range file.Loads {
+		for repeat := range file.Repeats {
+			for _, policy := range file.Policies {
+				sample, err := runOne(ctx, file, policy, load, repeat)
+				if err != nil {
+					return samples, errors.Wrapf(err, "%s at load %.2f", policy.Name, load)
+				}
+				samples = append(samples, sample)
+				fmt.Fprintf(progress, "%s  %d of %d: %s, load %.2f, repeat %d: p95 %d ms, wasted %.3f, %d done, %d failed\n", time.Now().Format("15:04:05"), len(samples), total,
+					policy.Name, load, repeat+1, sample.Result.ProgramLatency.ValueAtQuantile(95)/1000, sample.Cache.WastedFraction(), sample.Result.Completed, sample.Result.Failed)
+				if ctx.Err() != nil {
+					return samples, ctx.Err()
+				}
+			}
+		}
+	}
+	return samples, nil
+}
+
+// programsFor draws as many programs as make the load: their demand over the span in which they
+// start is the given share of what the engines can do.
+func programsFor(file File, load float64, repeat int) (programs []workload.Program, demand float64) {
+	span := time.Duration(file.Seconds * float64(time.Second))
+	available := load * float64(file.Engines) * file.Seconds
+	generate := workload.Brindleway
+	if file.Workload == "mapishi" {
+		generate = workload.Mapishi
+	}
+	const most = 20000
+	pool := generate(workload.Options{Seed: file.Seed + uint64(repeat)*1000, Programs: estimateCount(file, available, most), Duration: span, TimeScale: file.TimeScale, Flat: true})
+	for _, program := range pool {
+		need := Demand(program, file.Engine)
+		if demand+need > available {
+			break
+		}
+		demand += need
+		programs = append(programs, program)
+	}
+	return programs, demand
+}
+
+// estimateCount is more programs than will be needed: the smallest has one call of a few tokens.
+func estimateCount(file File, available float64, most int) int {
+	perToken := stepSeconds(file.Engine) / float64(file.Engine.MaxBatch)
+	return min(most, int(available/(perToken*20))+10)
+}
+
+// stepSeconds is the time of a step with a full batch and no prefill.
+func stepSeconds(config emulator.Config) float64 {
+	return (config.StepBase + time.Duration(config.MaxBatch-1)*config.StepPerSequence).Seconds()
+}
+
+const charactersPerToken = 4
+
+// Demand is the time that a saturated engine spends on a program if it finds every prefix in its
+// cache: each generated token is a share of a full batch's step, and each new token of a prompt is
+// computed once.
+func Demand(program workload.Program, config emulator.Config) float64 {
+	perToken := stepSeconds(config) / float64(config.MaxBatch)
+	demand := float64(len(program.System)/charactersPerToken) * config.PrefillPerToken.Seconds()
+	for _, turn := range program.Turns {
+		for _, step := range turn.Steps {
+			demand += float64(step.OutputTokens) * (perToken + config.PrefillPerToken.Seconds())
+			demand += float64(len(step.UserText)/charactersPerToken) * config.PrefillPerToken.Seconds()
+			for _, child := range step.SubAgents {
+				demand += Demand(child, config)
+			}
+		}
+	}
+	return demand
+}
+
+// resources are a tenant, a pool, the policy and a service.
+func resources(file File, policy PolicyEntry) []resource.Resource {
+	slots := policy.Slots
+	if slots == 0 {
+		slots = engineSlots
+	}
+	pool := &resource.Pool{}
+	for number := range file.Engines {
+		pool.Engines = append(pool.Engines, resource.Engine{
+			Name: fmt.Sprintf("engine-%d", number+1), URL: "http://replaced", Zone: fmt.Sprintf("zone-%d", number%file.Zones+1), Region: "region-1", Slots: slots,
+		})
+	}
+	model := map[string]string{"brindleway": "tutor-small", "mapishi": "recipes-small"}[file.Workload]
+	return []resource.Resource{
+		{Kind: resource.KindTenant, Name: file.Workload, Tenant: &resource.Tenant{Keys: []resource.APIKey{resource.NewAPIKey(apiKeyID, cluster.DemoSecret, resource.RoleCaller)}}},
+		{Kind: resource.KindPool, Name: "pool", Pool: pool},
+		{Kind: resource.KindPolicy, Name: policy.Name, Policy: &resource.Policy{Filter: policy.Filter, Score: policy.Score, Rank: policy.Rank}},
+		{Kind: resource.KindService, Name: "service", Service: &resource.Service{
+			Type: resource.ServiceModel, Pool: "pool", Policy: policy.Name, Models: []string{model}, Tenants: []string{file.Workload},
+			MaxTokens: 512, QueueSeconds: 60, CallSeconds: 120,
+		}},
+	}
+}
+
+func runOne(ctx context.Context, file File, policy PolicyEntry, load float64, repeat int) (Sample, error) {
+	programs, demand := programsFor(file, load, repeat)
+	var zones []string
+	for number := range file.Zones {
+		zones = append(zones, fmt.Sprintf("zone-%d", number+1))
+	}
+	startContext, cancel := context.WithTimeout(ctx, startTimeout)
+	defer cancel()
+	system, err := cluster.Start(startContext, cluster.Options{
+		Nodes: file.Nodes, Zones: zones, Region: "region-1", Resources: resources(file, policy),
+		Engine: file.Engine, Partitions: 4 * file.Nodes, LogLevel: logrus.ErrorLevel,
+	})
+	defer system.Stop()
+	if err != nil {
+		return Sample{}, err
+	}
+	var done atomic.Int64
+	runContext, stop := context.WithTimeout(ctx, runTimeout)
+	defer stop()
+	started := time.Now()
+	results := runner.Run(runContext, runner.Options{
+		Nodes: system.APIs(), ToolsURL: system.ToolsURL, Seed: file.Seed, Progress: &done,
+		Keys: map[string]string{file.Workload: file.Workload + "." + apiKeyID + "." + cluster.DemoSecret},
+	}, programs)
+	return Sample{
+		Policy: policy.Name, Load: load, Repeat: repeat, Result: results[file.Workload],
+		Cache: system.CacheStats(""), Seconds: time.Since(started).Seconds(), Demand: demand,
+	}, nil
+}
--- a/internal/policy/input.go
+++ b/internal/policy/input.go
@@ -34,8 +34,11 @@
 	EngineWaiting      float64
 	EngineLoad         float64
 	EngineCachedTokens float64
-	EngineWarm         bool
-	EngineLocal        bool
+	// EngineUnusedSeconds and EngineAffinity make round-robin and consistent hashing expressible.
+	EngineUnusedSeconds float64
+	EngineAffinity      float64
+	EngineWarm          bool
+	EngineLocal         bool
 }
 
 // variable declares one input.
@@ -72,6 +75,8 @@
 	{"engine.waiting", cel.DoubleType, "calls", "calls waiting for the candidate, as last heard", true},
 	{"engine.load", cel.DoubleType, "", "(running + waiting) / slots", true},
 	{"engine.cached_tokens", cel.DoubleType, "tokens", "estimate of the prompt's tokens that the candidate has cached", true},
+	{"engine.unused_seconds", cel.DoubleType, "s", "time since this node's scheduler last chose the candidate", true},
+	{"engine.affinity", cel.DoubleType, "", "from 0 to 1, by a hash of the program's root and the candidate", true},
 	{"engine.warm", cel.BoolType, "", "whether the candidate served the program's latest call", true},
 	{"engine.local", cel.BoolType, "", "whether the candidate is in this node's zone", true},
 }
@@ -116,6 +121,10 @@
 		return i.EngineSlots, true
 	case "engine.cached_tokens":
 		return i.EngineCachedTokens, true
+	case "engine.unused_seconds":
+		return i.EngineUnusedSeconds, true
+	case "engine.affinity":
+		return i.EngineAffinity, true
 	case "call.prompt_tokens":
 		return i.CallPromptTokens, true
 	case "call.max_tokens":
@@ -175,30 +184,32 @@
 // fields maps each documented name to its place; tests and test cases fill inputs through it.
 func (i *Input) fields() map[string]any {
 	return map[string]any{
-		"engine.load":          &i.EngineLoad,
-		"engine.running":       &i.EngineRunning,
-		"engine.waiting":       &i.EngineWaiting,
-		"engine.slots":         &i.EngineSlots,
-		"engine.cached_tokens": &i.EngineCachedTokens,
-		"call.prompt_tokens":   &i.CallPromptTokens,
-		"call.max_tokens":      &i.CallMaxTokens,
-		"call.attempt":         &i.CallAttempt,
-		"call.waited_seconds":  &i.CallWaitedSeconds,
-		"program.calls":        &i.ProgramCalls,
-		"program.used_tokens":  &i.ProgramUsedTokens,
-		"program.age_seconds":  &i.ProgramAgeSeconds,
-		"program.messages":     &i.ProgramMessages,
-		"program.depth":        &i.ProgramDepth,
-		"tenant.weight":        &i.TenantWeight,
-		"engine.warm":          &i.EngineWarm,
-		"engine.local":         &i.EngineLocal,
-		"call.repeatable":      &i.CallRepeatable,
-		"call.service":         &i.CallService,
-		"call.model":           &i.CallModel,
-		"program.engine":       &i.ProgramEngine,
-		"tenant.name":          &i.TenantName,
-		"engine.name":          &i.EngineName,
-		"engine.zone":          &i.EngineZone,
-		"engine.region":        &i.EngineRegion,
+		"engine.load":           &i.EngineLoad,
+		"engine.running":        &i.EngineRunning,
+		"engine.waiting":        &i.EngineWaiting,
+		"engine.slots":          &i.EngineSlots,
+		"engine.cached_tokens":  &i.EngineCachedTokens,
+		"engine.unused_seconds": &i.EngineUnusedSeconds,
+		"engine.affinity":       &i.EngineAffinity,
+		"call.prompt_tokens":    &i.CallPromptTokens,
+		"call.max_tokens":       &i.CallMaxTokens,
+		"call.attempt":          &i.CallAttempt,
+		"call.waited_seconds":   &i.CallWaitedSeconds,
+		"program.calls":         &i.ProgramCalls,
+		"program.used_tokens":   &i.ProgramUsedTokens,
+		"program.age_seconds":   &i.ProgramAgeSeconds,
+		"program.messages":      &i.ProgramMessages,
+		"program.depth":         &i.ProgramDepth,
+		"tenant.weight":         &i.TenantWeight,
+		"engine.warm":           &i.EngineWarm,
+		"engine.local":          &i.EngineLocal,
+		"call.repeatable":       &i.CallRepeatable,
+		"call.service":          &i.CallService,
+		"call.model":            &i.CallModel,
+		"program.engine":        &i.ProgramEngine,
+		"tenant.name":           &i.TenantName,
+		"engine.name":           &i.EngineName,
+		"engine.zone":           &i.EngineZone,
+		"engine.region":         &i.EngineRegion,
 	}
 }
--- a/internal/scheduler/input.go
+++ b/internal/scheduler/input.go
@@ -1,8 +1,11 @@
 package scheduler
 
 import (
+	"strings"
 	"time"
 
+	"github.com/cespare/xxhash/v2"
+
 	"github.com/mountstile/mountstile/internal/policy"
 )
 
@@ -37,9 +40,20 @@
 	i.EngineWaiting = float64(candidate.Load.Waiting)
 	i.EngineLoad = (i.EngineRunning + i.EngineWaiting) / max(1, i.EngineSlots)
 	i.EngineWarm = call.LastEngine == candidate.Engine.Name
+	i.EngineUnusedSeconds = candidate.Unused.Seconds()
+	i.EngineAffinity = affinity(call, candidate.Engine.Name)
 	i.EngineLocal = candidate.Engine.Zone == zone
 	i.EngineCachedTokens = 0
 	if i.EngineWarm {
 		i.EngineCachedTokens = float64(call.PromptTokens)
 	}
 }
+
+// affinity is a number from 0 to 1 that is the same on every node for a program and an engine.
+func affinity(call Call, engineName string) float64 {
+	root, _, _ := strings.Cut(call.Program, "/")
+	digest := xxhash.New()
+	// A digest never fails to take bytes.
+	_, _ = digest.WriteString(call.Tenant + "\x00" + root + "\x00" + engineName)
+	return float64(digest.Sum64()>>11) / (1 << 53)
+}
--- a/internal/scheduler/scheduler.go
+++ b/internal/scheduler/scheduler.go
@@ -61,6 +61,8 @@
 	Engine resource.Engine
 	Load   owner.Load
 	Score  float64
+	// Unused is how long ago this scheduler last chose the engine.
+	Unused time.Duration
 	// Reason tells why a candidate was left out; empty for one that was scored.
 	Reason string
 }
@@ -90,6 +92,8 @@
 
 	mutex sync.Mutex
 	loads map[string]knownLoad
+	// chosen is when each engine was last chosen here.
+	chosen map[string]time.Time
 }
 
 type knownLoad struct {
@@ -99,7 +103,7 @@
 
 // New returns a Scheduler for a node in zone.
 func New(zone string, reserver Reserver, logger *events.Logger) *Scheduler {
-	return &Scheduler{zone: zone, reserver: reserver, logger: logger, loads: make(map[string]knownLoad)}
+	return &Scheduler{zone: zone, reserver: reserver, logger: logger, loads: make(map[string]knownLoad), chosen: make(map[string]time.Time)}
 }
 
 // Place finds an engine and holds a place on it. Errors: *apierr.Error with NoEngine, Overloaded,
@@ -202,7 +206,7 @@
 	now := time.Now()
 	result := make([]Candidate, 0, min(shortlist, len(pool.Engines)))
 	for _, index := range chooseIndexes(call.LastEngine, pool.Engines) {
-		candidate := Candidate{Engine: pool.Engines[index], Load: s.loadOf(pool.Engines[index], now)}
+		candidate := Candidate{Engine: pool.Engines[index], Load: s.loadOf(pool.Engines[index], now), Unused: s.unused(pool.Engines[index].Name, now)}
 		candidate.Reason = unusable(candidate, call)
 		result = append(result, candidate)
 	}
@@ -237,6 +241,16 @@
 	return known.load
 }
 
+// neverChosen stands for an engine that was not chosen yet.
+const neverChosen = time.Hour
+
+func (s *Scheduler) unused(name string, now time.Time) time.Duration {
+	if at, known := s.chosen[name]; known {
+		return now.Sub(at)
+	}
+	return neverChosen
+}
+
 func unusable(candidate Candidate, call Call) string {
 	switch {
 	case candidate.Engine.Draining || candidate.Load.Draining:
@@ -335,6 +349,9 @@
 	s.mutex.Lock()
 	defer s.mutex.Unlock()
 	now := time.Now()
+	if response.Granted {
+		s.chosen[engine.Name] = now
+	}
 	for _, load := range response.Loads {
 		s.loads[load.Engine] = knownLoad{load: load, at: now}
 	}
--- a/internal/workload/workload.go
+++ b/internal/workload/workload.go
@@ -65,6 +65,8 @@
 	Duration time.Duration
 	// TimeScale shortens pauses, so that a short run has the shape of a long one.
 	TimeScale float64
+	// Flat spreads the starts evenly instead of in the day's peaks.
+	Flat bool
 }
 
 // charactersPerToken matches the emulator's tokenizer.
@@ -114,7 +116,7 @@
 // start draws a moment; two peaks make the after-school and the bedtime rush.
 func (g *generator) start(peaked bool) time.Duration {
 	position := g.random.Float64()
-	if peaked && g.random.Float64() < 0.7 {
+	if peaked && !g.options.Flat && g.random.Float64() < 0.7 {
 		centre := 0.3
 		if g.random.Float64() < 0.5 {
 			centre = 0.7
