--- a/internal/configuration/manager.go
+++ b/internal/configuration/manager.go
@@ -269,12 +269,12 @@
 
 // readStore installs what the store holds, unless it is older than what is in force.
 func (m *Manager) readStore(ctx context.Context) {
+	current := m.Current().Revision()
 	_, stored, err := m.readHead(ctx)
 	if err != nil {
 		m.options.Logger.Emit(events.ConfigStoreFailed, events.F("error", err))
 		return
 	}
-	current := m.Current().Revision()
 	if stored.Revision < current {
 		m.options.Logger.Emit(events.ConfigStoreOlder, events.F("store", stored.Revision), events.F("in_force", current))
 		return
--- a/internal/coordinator/server.go
+++ b/internal/coordinator/server.go
@@ -53,6 +53,7 @@
 	Scheduler  *scheduler.Scheduler
 	Policies   Policies
 	Engines    engine.ModelEngine
+	Limits     *limit.Keeper
 	// Release gives a place on an engine back.
 	Release func(engine resource.Engine, request owner.ReleaseRequest)
 	Logger  *events.Logger
@@ -156,6 +157,9 @@
 		}
 		return CallResponse{}, nil
 	}
+	if result.Call.Ended() {
+		s.options.Limits.Release(s.permit(command.Program(), result.Call))
+	}
 	if result.Call.State == program.Completed {
 		s.retryBudget(result.Call.Service).Success()
 	}
@@ -273,8 +277,13 @@
 	if err := s.awaitTurn(ctx, request, call); err != nil {
 		return BeginResponse{}, s.giveUp(ctx, request, call, err)
 	}
+	permit := s.permit(request.Admit.Program, call)
+	if err := s.options.Limits.Acquire(ctx, permit); err != nil {
+		return BeginResponse{}, s.giveUp(ctx, request, call, err)
+	}
 	decision, err := s.place(ctx, request, call, avoid)
 	if err != nil {
+		s.options.Limits.Release(permit)
 		return BeginResponse{}, s.giveUp(ctx, request, call, err)
 	}
 	result, err := s.dispatch(ctx, request, call, decision)
@@ -292,6 +301,15 @@
 	return BeginResponse{}, s.giveUp(ctx, request, call, result.Error)
 }
 
+// permit names a call's permit at the tenant's limit on the service.
+func (s *Server) permit(key program.Key, call *program.Call) limit.Request {
+	request := limit.Request{Tenant: key.Tenant, Service: call.Service, CallID: call.ID}
+	if service, known := s.options.Config.Current().Set.Service(call.Service); known {
+		request.HoldMillis = seconds(service.CallSeconds).Milliseconds()
+	}
+	return request
+}
+
 // awaitTurn waits until the calls before this one in the chain have ended.
 func (s *Server) awaitTurn(ctx context.Context, request BeginRequest, call *program.Call) error {
 	machine := s.machine(request.Partition)
--- a/internal/engine/application.go
+++ b/internal/engine/application.go
@@ -105,7 +105,9 @@
 		return nil, errors.Wrap(err, "building the request")
 	}
 	httpRequest.ContentLength = int64(len(request.Body))
-	httpRequest.Header = request.Header.Clone()
+	if request.Header != nil {
+		httpRequest.Header = request.Header.Clone()
+	}
 	StripHopByHop(httpRequest.Header)
 	httpRequest.Header.Set(HeaderProgram, request.Program)
 	httpRequest.Header.Set(HeaderCall, request.CallID)
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -28,6 +28,7 @@
 	"github.com/mountstile/mountstile/internal/events"
 	"github.com/mountstile/mountstile/internal/gateway"
 	"github.com/mountstile/mountstile/internal/keys"
+	"github.com/mountstile/mountstile/internal/limit"
 	"github.com/mountstile/mountstile/internal/membership"
 	"github.com/mountstile/mountstile/internal/policy"
 	"github.com/mountstile/mountstile/internal/replica"
@@ -138,6 +139,7 @@
 		Scheduler:  scheduler.New(n.settings.Zone, n.plane, n.logger),
 		Policies:   policies,
 		Engines:    models,
+		Limits:     limit.NewKeeper(n.plane.Transport, n.plane.Membership, n.plane.Config),
 		Release:    n.plane.Release,
 		Logger:     n.logger,
 	})
--- a/internal/program/types.go
+++ b/internal/program/types.go
@@ -220,3 +220,20 @@
 	Mark  HistoryMark
 	Error *apierr.Error
 }
+
+// Program returns the program that a command about a call names.
+func (c Command) Program() Key {
+	switch {
+	case c.Admit != nil:
+		return c.Admit.Program
+	case c.Dispatch != nil:
+		return c.Dispatch.Program
+	case c.Lose != nil:
+		return c.Lose.Program
+	case c.Complete != nil:
+		return c.Complete.Program
+	case c.Fail != nil:
+		return c.Fail.Program
+	}
+	return Key{}
+}
--- a/internal/resource/set.go
+++ b/internal/resource/set.go
@@ -11,11 +11,14 @@
 type Set struct {
 	resources map[Key]Resource
 	models    map[string]string
+	limits    map[limitKey]Limit
 }
 
+type limitKey struct{ tenant, service string }
+
 // NewSet checks references between resources. The error is a *FieldError.
 func NewSet(resources []Resource) (*Set, error) {
-	set := &Set{resources: make(map[Key]Resource, len(resources)), models: make(map[string]string)}
+	set := &Set{resources: make(map[Key]Resource, len(resources)), models: make(map[string]string), limits: make(map[limitKey]Limit)}
 	for _, item := range resources {
 		if err := item.Check(); err != nil {
 			return nil, err
@@ -41,6 +44,11 @@
 		if _, ok := s.Service(item.Limit.Service); !ok {
 			return item.fieldError("service", "there is no service %q", item.Limit.Service)
 		}
+		key := limitKey{item.Limit.Tenant, item.Limit.Service}
+		if _, taken := s.limits[key]; taken {
+			return item.fieldError("tenant", "tenant %s has another limit on service %s", key.tenant, key.service)
+		}
+		s.limits[key] = *item.Limit
 	}
 	return nil
 }
@@ -121,12 +129,8 @@
 
 // LimitFor returns the limit of a tenant on a service.
 func (s *Set) LimitFor(tenant, service string) (Limit, bool) {
-	for _, item := range s.resources {
-		if item.Kind == KindLimit && item.Limit.Tenant == tenant && item.Limit.Service == service {
-			return *item.Limit, true
-		}
-	}
-	return Limit{}, false
+	found, ok := s.limits[limitKey{tenant, service}]
+	return found, ok
 }
 
 // apiKeyParts are the parts of an API key: TENANT.KEYID.SECRET.
--- a/test/path/path_test.go
+++ b/test/path/path_test.go
@@ -455,3 +455,55 @@
 	tasks.Wait()
 	assert.Equal(t, len(system.Engines["m1"].Ledger()), 4)
 }
+
+// TestLimitsHoldOverAllNodes lets calls of one tenant race through all nodes.
+func TestLimitsHoldOverAllNodes(t *testing.T) {
+	system := start(t, 2)
+	yaml, err := resource.Encode([]resource.Resource{{Kind: resource.KindLimit, Name: "few", Limit: &resource.Limit{Tenant: "school", Service: "tutor", Concurrent: 3}}})
+	assert.NilError(t, err)
+	ctx, cancel := context.WithTimeout(t.Context(), patience)
+	defer cancel()
+	result, err := system.Admin.Apply(ctx, yaml, adminclient.Change{})
+	assert.NilError(t, err)
+	assert.NilError(t, system.Admin.WaitInForce(ctx, result.Revision))
+	for _, engine := range system.Engines {
+		engine.SetFaults(emulator.Faults{Hang: true})
+	}
+	client := runner.NewClient(apiKey)
+	defer client.Close()
+	hanging, release := context.WithCancel(t.Context())
+	var mutex sync.Mutex
+	refused := 0
+	var tasks sync.WaitGroup
+	for number := range 12 {
+		tasks.Go(func() {
+			_, err := client.Chat(hanging, system.APIs()[number%3], call("", 0, user(fmt.Sprint(number))))
+			var failure *runner.Failure
+			if errors.As(err, &failure) && failure.Code == string(apierr.LimitExceeded) && failure.Outcome == string(apierr.NotRun) && failure.RetryAfter > 0 {
+				mutex.Lock()
+				refused++
+				mutex.Unlock()
+			}
+		})
+	}
+	poll.WaitOn(t, func(poll.LogT) poll.Result {
+		mutex.Lock()
+		defer mutex.Unlock()
+		if refused == 9 {
+			return poll.Success()
+		}
+		return poll.Continue("%d refused", refused)
+	}, poll.WithTimeout(patience))
+	assert.Assert(t, len(system.Engines["m1"].Ledger())+len(system.Engines["m2"].Ledger()) <= 3)
+	release()
+	tasks.Wait()
+	for _, engine := range system.Engines {
+		engine.SetFaults(emulator.Faults{})
+	}
+	poll.WaitOn(t, func(poll.LogT) poll.Result {
+		if _, err := client.Chat(t.Context(), system.APIs()[0], call("", 0, user("after"))); err != nil {
+			return poll.Continue("%v", err)
+		}
+		return poll.Success()
+	}, poll.WithTimeout(patience))
+}
