--- /dev/null
+++ b/internal/owner/engine_test.go
@@ -0,0 +1,101 @@
+package owner
+
+import (
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+)
+
+var start = time.Unix(1000, 0)
+
+func newEngine(slots int) *engineState {
+	state := newEngineState("e")
+	state.slots = slots
+	return state
+}
+
+func (e *engineState) enqueue(callID, tenant string, weight, rank float64, since time.Time) {
+	e.line = append(e.line, &waiting{request: ReserveRequest{CallID: callID, Tenant: tenant, Weight: weight, Rank: rank}, since: since, granted: make(chan struct{})})
+}
+
+func TestLineGoesByRankAndAge(t *testing.T) {
+	state := newEngine(1)
+	state.enqueue("low", "t", 1, 0, start)
+	state.enqueue("high", "t", 1, 5, start)
+	assert.Equal(t, state.next(start).request.CallID, "high")
+	state.enqueue("late", "t", 1, 5, start.Add(10*time.Second))
+	assert.Equal(t, state.next(start.Add(10*time.Second)).request.CallID, "low", "age has overtaken rank")
+}
+
+// TestLineSharesByWeight fills an engine from an endless line of two tenants: places go 2 to 1.
+func TestLineSharesByWeight(t *testing.T) {
+	state := newEngine(9)
+	for range 20 {
+		state.enqueue("greedy", "greedy", 1, 100, start)
+		state.enqueue("heavy", "heavy", 2, 0, start)
+	}
+	counts := make(map[string]int)
+	for number := range 9 {
+		chosen := state.next(start)
+		chosen.request.CallID = string(rune('a' + number))
+		counts[chosen.request.Tenant]++
+		state.grant(chosen.request, start)
+	}
+	assert.DeepEqual(t, counts, map[string]int{"greedy": 3, "heavy": 6})
+}
+
+// TestIdleShareIsBorrowed: a tenant alone gets everything.
+func TestIdleShareIsBorrowed(t *testing.T) {
+	state := newEngine(4)
+	for range 6 {
+		state.enqueue("x", "light", 0.1, 0, start)
+	}
+	for number := range 4 {
+		chosen := state.next(start)
+		chosen.request.CallID = string(rune('a' + number))
+		state.grant(chosen.request, start)
+	}
+	assert.Equal(t, len(state.running), 4)
+}
+
+func TestBreakerOpensTriesAndStartsSlowly(t *testing.T) {
+	state := newEngine(8)
+	now := start
+	fail := func() {
+		state.grant(ReserveRequest{CallID: "c", CallMillis: 1000}, now)
+		state.finish("c", true, now)
+	}
+	for range breakerFailures {
+		assert.Equal(t, state.capacity(now), 8)
+		fail()
+	}
+	assert.Equal(t, state.capacity(now), 0)
+	now = now.Add(breakerMinOpen)
+	assert.Equal(t, state.capacity(now), 1, "one call finds out")
+	fail()
+	assert.Equal(t, state.capacity(now.Add(breakerMinOpen)), 0, "the second pause is longer")
+	now = now.Add(2 * breakerMinOpen)
+	state.grant(ReserveRequest{CallID: "c", CallMillis: 1000}, now)
+	state.finish("c", false, now)
+	assert.Equal(t, state.capacity(now), 8/slowStartFraction+1)
+	for range 8 {
+		state.grant(ReserveRequest{CallID: "c", CallMillis: 1000}, now)
+		state.finish("c", false, now)
+	}
+	assert.Equal(t, state.capacity(now), 8)
+}
+
+func TestDrainingEngineTakesNothing(t *testing.T) {
+	state := newEngine(4)
+	state.draining = true
+	assert.Equal(t, state.capacity(start), 0)
+}
+
+func TestExpectedWaitGrowsWithTheLine(t *testing.T) {
+	state := newEngine(2)
+	state.recordSuccess(10 * time.Second)
+	assert.Equal(t, state.expectedWait(), 5*time.Second)
+	state.enqueue("a", "t", 1, 0, start)
+	assert.Equal(t, state.expectedWait(), 10*time.Second)
+}
--- a/internal/policy/policy.go
+++ b/internal/policy/policy.go
@@ -29,6 +29,8 @@
 	maxStaticCost = 500
 	// maxRuntimeCost stops an evaluation that costs more all the same.
 	maxRuntimeCost = 1000
+	// cheapCost is a static bound so low that counting at run time would cost more than the program.
+	cheapCost = 50
 	// maxTextBytes bounds string inputs for the static estimate.
 	maxTextBytes = 256
 )
@@ -59,6 +61,8 @@
 	score  cel.Program
 	rank   cel.Program
 	admit  cel.Program
+	// openFilter tells that the filter lets everything pass, so that it need not run.
+	openFilter bool
 }
 
 type hook struct {
@@ -71,7 +75,7 @@
 
 // Compile checks types and bounds the cost of each hook.
 func Compile(source resource.Policy) (*Policy, error) {
-	policy := &Policy{}
+	policy := &Policy{openFilter: source.Filter == "" || source.Filter == DefaultFilter}
 	hooks := []struct {
 		hook
 		target *cel.Program
@@ -114,7 +118,11 @@
 	if estimate.Max > maxStaticCost {
 		return nil, &ErrInvalid{Hook: item.name, Reason: fmt.Sprintf("may cost %d units; the most is %d", estimate.Max, maxStaticCost)}
 	}
-	program, err := environment.Program(compiled, cel.EvalOptions(cel.OptOptimize), cel.CostLimit(maxRuntimeCost))
+	options := []cel.ProgramOption{cel.EvalOptions(cel.OptOptimize)}
+	if estimate.Max > cheapCost {
+		options = append(options, cel.CostLimit(maxRuntimeCost))
+	}
+	program, err := environment.Program(compiled, options...)
 	if err != nil {
 		return nil, &ErrInvalid{Hook: item.name, Reason: err.Error()}
 	}
@@ -135,7 +143,12 @@
 }
 
 // Filter reports whether the engine may serve the call. A failing policy is never open.
-func (p *Policy) Filter(input *Input) (bool, error) { return evaluateBool("filter", p.filter, input) }
+func (p *Policy) Filter(input *Input) (bool, error) {
+	if p.openFilter {
+		return true, nil
+	}
+	return evaluateBool("filter", p.filter, input)
+}
 
 // Admit reports whether the call may be served at all.
 func (p *Policy) Admit(input *Input) (bool, error) { return evaluateBool("admit", p.admit, input) }
