--- /dev/null
+++ b/internal/gateway/parse_test.go
@@ -0,0 +1,87 @@
+package gateway
+
+import (
+	"encoding/json"
+	"net/http/httptest"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"github.com/mountstile/mountstile/internal/apierr"
+	"github.com/mountstile/mountstile/internal/program"
+)
+
+// FuzzParseChat: any body gives a checked request or a typed refusal that was not run.
+func FuzzParseChat(f *testing.F) {
+	f.Add([]byte(`{"model":"m","messages":[{"role":"user","content":"x"}],"max_tokens":5}`))
+	f.Add([]byte(`{"model":"m","messages":[{"role":"user"}],"n":1e99}`))
+	f.Add([]byte(`[]`))
+	f.Fuzz(func(t *testing.T, body []byte) {
+		request, err := parseChat(body)
+		if err != nil {
+			if !apierr.Is(err, apierr.InvalidRequest) || apierr.From(err, apierr.Ran).Outcome != apierr.NotRun {
+				t.Fatalf("%v", err)
+			}
+			return
+		}
+		if request.Model == "" || len(request.Messages) == 0 || request.MaxTokens < 0 {
+			t.Fatalf("unchecked: %+v", request)
+		}
+		split := splitHistory(request.Messages)
+		whole := program.HistoryMark{}.Extend(request.Messages)
+		if program.HistoryMark.Extend(program.HistoryMark{}.Extend(request.Messages[:split]), request.Messages[split:]) != whole {
+			t.Fatal("the chain depends on where it is cut")
+		}
+	})
+}
+
+func TestIdentityFromHeaders(t *testing.T) {
+	read := func(headers map[string]string) (identity, error) {
+		request := httptest.NewRequest("POST", "/", nil)
+		for name, value := range headers {
+			request.Header.Set(name, value)
+		}
+		return readIdentity(request, "t")
+	}
+	child, err := read(map[string]string{HeaderProgram: "agent", HeaderParent: "meal-7"})
+	assert.NilError(t, err)
+	assert.Equal(t, child.key, program.Key{Tenant: "t", Path: "meal-7/agent"})
+	assert.Equal(t, child.root, "meal-7")
+	first, err := read(map[string]string{HeaderIdempotency: "k"})
+	assert.NilError(t, err)
+	second, err := read(map[string]string{HeaderIdempotency: "k"})
+	assert.NilError(t, err)
+	assert.Equal(t, first.key, second.key, "repeats without a program meet by their key")
+	for name, headers := range map[string]map[string]string{
+		"parent alone": {HeaderParent: "p"}, "bad name": {HeaderProgram: "a b"}, "ephemeral name": {HeaderProgram: "~x"},
+		"dots out": {HeaderProgram: "a//b"}, "too deep": {HeaderProgram: "1/2/3/4/5/6/7/8/9"},
+		"bad sequence": {HeaderProgram: "p", HeaderSequence: "0"}, "bad flag": {HeaderRepeatable: "perhaps"},
+	} {
+		t.Run(name, func(t *testing.T) {
+			_, err := read(headers)
+			assert.Assert(t, apierr.Is(err, apierr.InvalidRequest), "%v", err)
+		})
+	}
+}
+
+// TestToolCallsAreMerged from pieces, and bounded.
+func TestToolCallsAreMerged(t *testing.T) {
+	var merger toolCallMerger
+	merger.add(json.RawMessage(`[{"index":0,"id":"c1","function":{"name":"check","arguments":"{\"a\""}}]`))
+	merger.add(json.RawMessage(`[{"index":0,"function":{"arguments":":1}"}}]`))
+	merger.add(json.RawMessage(`[{"index":100000000,"function":{"arguments":"x"}},{"index":-1}]`))
+	merger.add(json.RawMessage(`{`))
+	assert.Equal(t, string(merger.encoded()), `[{"id":"c1","type":"function","function":{"name":"check","arguments":"{\"a\":1}"}}]`)
+}
+
+// TestPauseIsNoticed whether or not the beat has run since.
+func TestPauseIsNoticed(t *testing.T) {
+	detector := NewPauseDetector()
+	asked := time.Now()
+	detector.beat()
+	assert.Assert(t, !detector.PausedSince(asked))
+	detector.last.Store(int64(time.Since(detector.start) - 2*pauseLimit))
+	assert.Assert(t, detector.PausedSince(asked))
+	assert.Assert(t, !detector.PausedSince(time.Now()))
+}
