--- a/internal/policy/policy.go
+++ b/internal/policy/policy.go
@@ -7,7 +7,7 @@
 	"math"
 
 	"cel.dev/cel-go/cel"
-	"cel.dev/cel-go/checker"
+	"cel.dev/cel-go/common/cost"
 	"cel.dev/cel-go/common/types"
 	"cel.dev/cel-go/interpreter"
 
@@ -132,13 +132,13 @@
 // sizes bounds the string inputs for the static cost estimate.
 type sizes struct{}
 
-// EstimateSize implements checker.CostEstimator.
-func (sizes) EstimateSize(checker.AstNode) *checker.SizeEstimate {
-	return &checker.SizeEstimate{Min: 0, Max: maxTextBytes}
+// EstimateSize implements cost.Estimator.
+func (sizes) EstimateSize(cost.AstNode) *cost.SizeEstimate {
+	return &cost.SizeEstimate{Min: 0, Max: maxTextBytes}
 }
 
-// EstimateCallCost implements checker.CostEstimator.
-func (sizes) EstimateCallCost(string, string, *checker.AstNode, []checker.AstNode) *checker.CallEstimate {
+// EstimateCallCost implements cost.Estimator.
+func (sizes) EstimateCallCost(string, string, *cost.AstNode, []cost.AstNode) *cost.CallEstimate {
 	return nil
 }
 
