--- a/internal/consensus/core.go
+++ b/internal/consensus/core.go
@@ -246,7 +246,8 @@
 	}
 	for _, id := range c.members.All() {
 		if c.progress[id] == nil {
-			c.progress[id] = &progress{next: c.log.lastIndex() + 1, active: true}
+			// Probing sends a message at once: it is what makes a new replica start.
+			c.progress[id] = &progress{next: c.log.lastIndex() + 1, probing: id != c.config.ID, active: true}
 		}
 	}
 	for id := range c.progress {
--- a/internal/consensus/replication_test.go
+++ b/internal/consensus/replication_test.go
@@ -42,6 +42,8 @@
 // a new rejection, so that duplicated messages grew without end.
 func TestDuplicateRejectionsDoNotMultiply(t *testing.T) {
 	leader := leaderOf(t)
+	// An acknowledgement ends the probing with which a leader begins.
+	leader.Step(Message{Kind: AppendResponse, From: "b", To: "a", Term: 3, Index: 2})
 	for range 20 {
 		_, _, err := leader.Propose([]byte("x"))
 		assert.NilError(t, err)
--- a/internal/coordinator/messages.go
+++ b/internal/coordinator/messages.go
@@ -32,6 +32,8 @@
 	MaxTokens    int64 `json:"max_tokens,omitempty"`
 	// WantHistory asks for the stored messages, for a caller that sends only what is new.
 	WantHistory bool `json:"want_history,omitempty"`
+	// WaitForEnd asks to wait for the end of a running call that this one repeats.
+	WaitForEnd bool `json:"wait_for_end,omitempty"`
 }
 
 // BeginResponse is an engine to send to, an answer that exists already, or a history that the
@@ -42,6 +44,8 @@
 	Engine  *engine.Target    `json:"engine,omitempty"`
 	History []program.Message `json:"history,omitempty"`
 	Answer  *program.Answer   `json:"answer,omitempty"`
+	// RunningAt is the gateway that executes the call which this one repeats.
+	RunningAt string `json:"running_at,omitempty"`
 	// Conflict is the end of the stored history.
 	Conflict *program.HistoryMark `json:"conflict,omitempty"`
 	// LeaseMillis is how long the gateway may wait before it sends.
--- a/internal/coordinator/server.go
+++ b/internal/coordinator/server.go
@@ -231,6 +231,8 @@
 		case current.State == program.Dispatching && current.ID == request.Admit.CallID && current.Gateway == request.Admit.Gateway:
 			// The answer that named the engine was lost on the way to this very gateway.
 			return s.engineResponse(request, current)
+		case current.State == program.Dispatching && !request.WaitForEnd:
+			return BeginResponse{CallID: current.ID, RunningAt: current.Gateway}, nil
 		case current.State == program.Admitted:
 			if driven, done := s.startDriving(ctx, current.ID); done != nil {
 				defer done()
@@ -478,68 +480,3 @@
 	}
 	return nil
 }
-
-func (s *Server) remember(decision scheduler.Decision) {
-	s.mutex.Lock()
-	defer s.mutex.Unlock()
-	if _, known := s.decisions[decision.Call]; !known {
-		s.order = append(s.order, decision.Call)
-	}
-	s.decisions[decision.Call] = decision
-	if len(s.order) > decisionsKept {
-		delete(s.decisions, s.order[0])
-		s.order = s.order[1:]
-	}
-}
-
-func (s *Server) explain(_ context.Context, _ transport.Peer, request ExplainRequest) (ExplainResponse, error) {
-	s.mutex.Lock()
-	defer s.mutex.Unlock()
-	decision, found := s.decisions[request.CallID]
-	return ExplainResponse{Found: found, Decision: decision}, nil
-}
-
-func (s *Server) leads(group uint32) bool {
-	status, known := s.options.Host.Status(group)
-	return known && status.IsLeader
-}
-
-func (s *Server) readProgram(_ context.Context, _ transport.Peer, request ProgramRequest) (ProgramResponse, error) {
-	if !s.leads(request.Partition) {
-		status, _ := s.options.Host.Status(request.Partition)
-		refusal := apierr.New(apierr.NotLeader, apierr.NotRun, "this node does not lead partition %d", request.Partition)
-		refusal.Leader = status.Leader
-		return ProgramResponse{}, refusal
-	}
-	machine := s.machine(request.Partition)
-	summary, known := machine.Summary(request.Program)
-	if !known {
-		return ProgramResponse{}, apierr.New(apierr.NotFound, apierr.NotRun, "there is no program %q", request.Program.Path)
-	}
-	response := ProgramResponse{Summary: summary}
-	if request.WantHistory {
-		response.History = machine.History(request.Program)
-	}
-	return response, nil
-}
-
-func (s *Server) listPrograms(_ context.Context, _ transport.Peer, request ListRequest) (ListResponse, error) {
-	var response ListResponse
-	for _, status := range s.options.Host.Statuses() {
-		if status.IsLeader {
-			response.Programs = append(response.Programs, s.machine(status.Group).Summaries(request.Tenant)...)
-		}
-	}
-	return response, nil
-}
-
-// Programs counts the programs of the partitions that this node leads.
-func (s *Server) Programs() int {
-	count := 0
-	for _, status := range s.options.Host.Statuses() {
-		if status.IsLeader {
-			count += s.machine(status.Group).Count()
-		}
-	}
-	return count
-}
--- a/internal/gateway/application.go
+++ b/internal/gateway/application.go
@@ -23,30 +23,28 @@
 	HeaderProgram, HeaderParent, HeaderSequence, HeaderRepeatable, HeaderHistory, HeaderTokenBudget, "Authorization",
 }
 
-// applicationExecution takes one call of an application engine through its life. It shares the
-// booking and the settling of model calls.
+// applicationExecution takes one call of an application engine through its life.
 type applicationExecution struct {
-	chatExecution
+	execution
 	forwarded engine.ApplicationRequest
 }
 
 func (g *Gateway) handleApplication(w http.ResponseWriter, r *http.Request) {
-	execution, err := g.prepareApplication(w, r)
+	call, err := g.prepareApplication(w, r)
 	if err != nil {
 		g.fail(w, err)
 		return
 	}
-	limit := time.Duration((execution.settings.CallSeconds + execution.settings.QueueSeconds) * float64(time.Second))
-	ctx, cancel := executionContext(r, execution.identity.idempotencyKey, limit)
+	ctx, cancel := executionContext(r, call.identity.idempotencyKey, call.limit())
 	defer cancel()
-	answer, err := execution.execute(ctx, w)
-	g.options.Metrics.duration.WithLabelValues(execution.service).Observe(time.Since(execution.started).Seconds())
+	answer, err := call.drive(ctx, w, call.book, call.send)
+	g.options.Metrics.duration.WithLabelValues(call.service).Observe(time.Since(call.started).Seconds())
 	if err != nil {
-		w.Header().Set(HeaderCall, execution.begin.Admit.CallID)
+		w.Header().Set(HeaderCall, call.begin.Admit.CallID)
 		g.fail(w, err)
 		return
 	}
-	g.options.Metrics.calls.WithLabelValues(execution.service).Inc()
+	g.options.Metrics.calls.WithLabelValues(call.service).Inc()
 	writeApplicationAnswer(w, answer)
 }
 
@@ -76,8 +74,8 @@
 	for _, own := range ownHeaders {
 		header.Del(own)
 	}
-	execution := &applicationExecution{
-		chatExecution: chatExecution{gateway: g, identity: place, service: name, settings: service, started: time.Now()},
+	call := &applicationExecution{
+		execution: execution{gateway: g, identity: place, service: name, settings: service, started: time.Now()},
 		forwarded: engine.ApplicationRequest{
 			Method: r.Method, Path: r.PathValue("path"), Query: r.URL.RawQuery, Header: header, Body: body,
 			Program: coordinator.CacheID(place.key),
@@ -87,7 +85,7 @@
 	if place.repeatable != nil {
 		repeatable = *place.repeatable
 	}
-	execution.begin = coordinator.BeginRequest{
+	call.begin = coordinator.BeginRequest{
 		Partition: partitionID,
 		Admit: program.Admit{
 			CallID:         newCallID(),
@@ -102,7 +100,7 @@
 			OwnTokens:      place.ownTokens,
 		},
 	}
-	return execution, nil
+	return call, nil
 }
 
 func writeApplicationAnswer(w http.ResponseWriter, answer *program.Answer) {
@@ -123,29 +121,6 @@
 	}
 }
 
-// execute returns the committed answer.
-func (e *applicationExecution) execute(ctx context.Context, w http.ResponseWriter) (*program.Answer, error) {
-	asked := time.Now()
-	response, err := e.book(ctx)
-	for {
-		if err != nil {
-			return nil, err
-		}
-		if response.Answer != nil {
-			e.gateway.options.Metrics.joinedCalls.Inc()
-			return response.Answer, nil
-		}
-		e.begin.Admit.CallID = response.CallID
-		w.Header().Set(HeaderCall, response.CallID)
-		answer, retry, failure := e.send(ctx, w, response, asked)
-		if retry == nil {
-			return answer, failure
-		}
-		asked = time.Now()
-		response, err = e.gateway.options.Coordinator.Retry(ctx, *retry)
-	}
-}
-
 // send makes one attempt; a lost one goes back to the coordinator, which alone decides whether the
 // call may go again.
 func (e *applicationExecution) send(ctx context.Context, w http.ResponseWriter, response coordinator.BeginResponse, asked time.Time) (*program.Answer, *coordinator.RetryRequest, error) {
--- a/internal/gateway/chat.go
+++ b/internal/gateway/chat.go
@@ -136,12 +136,8 @@
 		return nil, err
 	}
 	execution := &chatExecution{
-		gateway:  g,
-		request:  request,
-		identity: place,
-		service:  name,
-		settings: service,
-		started:  started,
+		execution: execution{gateway: g, identity: place, service: name, settings: service, started: started},
+		request:   request,
 	}
 	execution.begin = execution.beginRequest(partitionID, who.tenant, bodyHash(body))
 	return execution, nil
--- /dev/null
+++ b/internal/gateway/chat_execution.go
@@ -0,0 +1,260 @@
+package gateway
+
+import (
+	"context"
+	"encoding/json"
+	"io"
+	"net/http"
+	"strings"
+	"time"
+
+	"github.com/cockroachdb/errors"
+
+	"github.com/mountstile/mountstile/internal/apierr"
+	"github.com/mountstile/mountstile/internal/coordinator"
+	"github.com/mountstile/mountstile/internal/engine"
+	"github.com/mountstile/mountstile/internal/events"
+	"github.com/mountstile/mountstile/internal/program"
+)
+
+// finishLength is the reason of an answer that its token limit has ended.
+const finishLength = "length"
+
+// chatExecution takes one model call from its booking to the last byte.
+type chatExecution struct {
+	execution
+	request chatRequest
+	writer  answerWriter
+
+	// content and toolCalls are the answer so far, over all attempts.
+	content   strings.Builder
+	toolCalls toolCallMerger
+	usage     program.Usage
+	finish    string
+}
+
+func (e *chatExecution) run(w http.ResponseWriter, r *http.Request) {
+	ctx, cancel := executionContext(r, e.identity.idempotencyKey, e.limit())
+	defer cancel()
+	if e.request.Stream {
+		e.follow = e.followLive
+	}
+	answer, err := e.drive(ctx, w, e.bookHistory, e.attempt)
+	e.gateway.options.Live.end(e.begin.Admit.CallID)
+	e.gateway.options.Metrics.duration.WithLabelValues(e.service).Observe(time.Since(e.started).Seconds())
+	if err != nil {
+		e.writeFailure(w, err)
+		return
+	}
+	e.count(answer)
+	if err := e.passRest(w, answer); err != nil {
+		e.writeFailure(w, err)
+		return
+	}
+	e.ensureWriter(w).finish(answer)
+}
+
+func (e *chatExecution) count(answer *program.Answer) {
+	metrics := e.gateway.options.Metrics
+	metrics.calls.WithLabelValues(e.service).Inc()
+	metrics.tokens.WithLabelValues(e.service, "prompt").Add(float64(answer.Usage.Prompt))
+	metrics.tokens.WithLabelValues(e.service, "cached").Add(float64(answer.Usage.Cached))
+	metrics.tokens.WithLabelValues(e.service, "completion").Add(float64(answer.Usage.Completion))
+}
+
+// writeFailure answers with an error, or ends a stream that has begun with an error event.
+func (e *chatExecution) writeFailure(w http.ResponseWriter, err error) {
+	if e.writer == nil || !e.writer.begun() {
+		w.Header().Set(HeaderCall, e.begin.Admit.CallID)
+		e.gateway.fail(w, err)
+		return
+	}
+	failure := apierr.From(err, apierr.OutcomeUnknown)
+	e.gateway.logFailure(failure)
+	e.writer.abort(failure)
+}
+
+// ensureWriter makes the answer's form when the first piece, or the whole, is there.
+func (e *chatExecution) ensureWriter(w http.ResponseWriter) answerWriter {
+	if e.writer == nil {
+		e.writer = newAnswerWriter(w, e)
+	}
+	return e.writer
+}
+
+// followLive streams what another gateway has of the running answer. If that gateway is lost, this
+// one may take the call over, and then continues from the text that it holds.
+func (e *chatExecution) followLive(ctx context.Context, w http.ResponseWriter, response coordinator.BeginResponse) {
+	e.gateway.options.Live.follow(ctx, response.RunningAt, response.CallID, func(content string, pieces int64) {
+		e.content.WriteString(content)
+		e.usage.Completion = pieces
+		e.ensureWriter(w).piece(engine.Delta{Content: content})
+	})
+}
+
+// passRest sends what a followed answer has beyond the text that was streamed already.
+func (e *chatExecution) passRest(w http.ResponseWriter, answer *program.Answer) error {
+	if e.follow == nil || e.content.Len() == 0 {
+		return nil
+	}
+	var stored engine.AssistantMessage
+	if err := json.Unmarshal(answer.Message, &stored); err != nil || stored.Content == nil {
+		return nil
+	}
+	rest, continues := strings.CutPrefix(*stored.Content, e.content.String())
+	if !continues {
+		return apierr.New(apierr.EngineFailed, apierr.Ran, "the call was executed anew and its answer differs from what was streamed; repeat with the same key to get it")
+	}
+	if rest != "" {
+		e.ensureWriter(w).piece(engine.Delta{Content: rest})
+	}
+	return nil
+}
+
+// bookHistory admits the call. If the guess about where the new messages begin was wrong, it is
+// made again from what is stored.
+func (e *chatExecution) bookHistory(ctx context.Context) (coordinator.BeginResponse, error) {
+	response, err := e.book(ctx)
+	if err != nil || response.Conflict == nil {
+		return response, err
+	}
+	stored := *response.Conflict
+	messages := e.request.Messages
+	if stored.Count >= len(messages) || (program.HistoryMark{}).Extend(messages[:stored.Count]) != stored {
+		return response, historyConflict(stored)
+	}
+	e.begin.Admit.CallID = newCallID()
+	e.begin.Admit.Base = stored
+	e.begin.Admit.Messages = messages[stored.Count:]
+	response, err = e.book(ctx)
+	if err == nil && response.Conflict != nil {
+		return response, historyConflict(*response.Conflict)
+	}
+	return response, err
+}
+
+func historyConflict(stored program.HistoryMark) error {
+	return apierr.New(apierr.HistoryConflict, apierr.NotRun,
+		"the messages do not continue the program's history, which has %d messages; send all of them unchanged, or only new ones with %s: %s",
+		stored.Count, HeaderHistory, historyDelta)
+}
+
+// attempt sends the call to one engine. It returns the answer, or how to go on, or a failure.
+func (e *chatExecution) attempt(ctx context.Context, w http.ResponseWriter, response coordinator.BeginResponse, asked time.Time) (*program.Answer, *coordinator.RetryRequest, error) {
+	target := *response.Engine
+	failed := true
+	defer func() { e.release(target, response.CallID, failed) }()
+	if e.gateway.options.Pauses.PausedSince(asked) {
+		failed = false
+		return nil, e.retry(response, true), nil
+	}
+	w.Header().Set(HeaderEngine, target.Name)
+	err := e.stream(ctx, w, target, response)
+	if err == nil {
+		failed = false
+		return e.commit(ctx, response)
+	}
+	if ctx.Err() != nil {
+		failed = false
+		return nil, nil, e.abandon(response.CallID, response.Attempt)
+	}
+	return e.afterFailure(ctx, response, err, &failed)
+}
+
+// afterFailure decides what a failed attempt means.
+func (e *chatExecution) afterFailure(ctx context.Context, response coordinator.BeginResponse, cause error, failed *bool) (*program.Answer, *coordinator.RetryRequest, error) {
+	e.gateway.options.Metrics.retries.WithLabelValues(e.service).Inc()
+	e.avoid = append(e.avoid, response.Engine.Name)
+	var undelivered *engine.ErrUndelivered
+	var refused *engine.ErrRefused
+	switch {
+	case errors.As(cause, &undelivered):
+		return nil, e.retry(response, true), nil
+	case errors.As(cause, &refused) && !refused.Temporary():
+		*failed = false
+		failure := apierr.New(apierr.InvalidRequest, apierr.Ran, "%s", refused)
+		return nil, nil, e.settleFailure(ctx, response, failure, &program.Usage{})
+	case e.toolCalls.begun():
+		// A cut-off tool call can't be continued on another engine from the pieces already sent.
+		failure := apierr.New(apierr.EngineFailed, apierr.Ran, "%s", cause)
+		return nil, nil, e.settleFailure(ctx, response, failure, nil)
+	}
+	return nil, e.retry(response, false), nil
+}
+
+// stream passes an engine's answer on, all but its end.
+func (e *chatExecution) stream(ctx context.Context, w http.ResponseWriter, target engine.Target, response coordinator.BeginResponse) error {
+	resumed := e.content.Len() > 0
+	if resumed && e.usage.Completion >= e.request.MaxTokens {
+		// Only the end of the answer was lost.
+		e.finish = finishLength
+		return nil
+	}
+	chat := engine.ChatRequest{
+		Model:      e.request.Model,
+		Messages:   append(response.History, e.request.Messages...),
+		MaxTokens:  e.request.MaxTokens - e.usage.Completion,
+		Partial:    e.content.String(),
+		Parameters: e.request.Parameters,
+		Program:    coordinator.CacheID(e.identity.key),
+		CallID:     response.CallID,
+		Attempt:    response.Attempt,
+	}
+	pieces, err := e.gateway.options.Models.Chat(ctx, target, chat)
+	if err != nil {
+		return err
+	}
+	defer pieces.Close()
+	if resumed {
+		e.gateway.options.Logger.Emit(events.EngineResumed, events.F("call", response.CallID), events.F("engine", target.Name))
+	}
+	received := int64(0)
+	for {
+		delta, err := pieces.Next()
+		if errors.Is(err, io.EOF) {
+			return nil
+		}
+		if err != nil {
+			// Each piece of a cut-off attempt counts for one token at least.
+			e.usage.Completion += received
+			return err
+		}
+		if delta.Content != "" || len(delta.ToolCalls) > 0 {
+			received++
+			if e.writer == nil {
+				e.gateway.options.Metrics.firstToken.WithLabelValues(e.service).Observe(time.Since(e.started).Seconds())
+			}
+		}
+		e.take(w, delta)
+	}
+}
+
+// take adds a piece to the answer and passes it on.
+func (e *chatExecution) take(w http.ResponseWriter, delta engine.Delta) {
+	e.content.WriteString(delta.Content)
+	if delta.Content != "" && e.identity.idempotencyKey != "" {
+		e.gateway.options.Live.add(e.begin.Admit.CallID, delta.Content)
+	}
+	e.toolCalls.add(delta.ToolCalls)
+	if delta.FinishReason != "" {
+		e.finish = delta.FinishReason
+	}
+	if delta.Usage != nil {
+		e.usage.Prompt = delta.Usage.Prompt
+		e.usage.Cached = delta.Usage.Cached
+		e.usage.Completion += delta.Usage.Completion
+	}
+	if delta.Content != "" || len(delta.ToolCalls) > 0 {
+		e.ensureWriter(w).piece(delta)
+	}
+}
+
+// commit assembles and stores the answer; only then does the caller get its end.
+func (e *chatExecution) commit(ctx context.Context, response coordinator.BeginResponse) (*program.Answer, *coordinator.RetryRequest, error) {
+	message, err := engine.NewAssistantMessage(e.content.String(), e.toolCalls.encoded())
+	if err != nil {
+		return nil, nil, err
+	}
+	answer := program.Answer{Message: message, FinishReason: e.finish, Model: e.request.Model, Usage: e.usage}
+	return e.store(ctx, response, answer)
+}
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -60,6 +60,7 @@
 	Applications *engine.Application
 	Release      Releaser
 	Pauses       *PauseDetector
+	Live         *Live
 	Metrics      *Metrics
 	Logger       *events.Logger
 	// MaxBodyBytes bounds a request's body.
--- /dev/null
+++ b/internal/lab/hollow/measure.go
@@ -0,0 +1,266 @@
+package hollow
+
+import (
+	"context"
+	"os"
+	"runtime"
+	"sort"
+	"strconv"
+	"strings"
+	"sync"
+	"syscall"
+	"time"
+
+	"github.com/mountstile/mountstile/internal/membership"
+	"github.com/mountstile/mountstile/internal/resource"
+)
+
+// sample is the sum of the nodes' counters at one moment.
+type sample struct {
+	at       time.Time
+	cpu      time.Duration
+	sent     int64
+	received int64
+	kinds    map[string]int64
+	requests int64
+}
+
+func (r *run) sample() sample {
+	result := sample{at: time.Now(), cpu: processorTime(), kinds: make(map[string]int64)}
+	for _, item := range r.alive() {
+		for kind, traffic := range item.plane.Transport.Traffic().ByKind() {
+			result.sent += traffic.SentBytes
+			result.received += traffic.ReceivedBytes
+			result.kinds[kind] += traffic.SentBytes
+		}
+	}
+	counts := r.store.Counts()
+	result.requests = counts.Ranges + counts.Transactions + counts.Watches
+	return result
+}
+
+func processorTime() time.Duration {
+	var usage syscall.Rusage
+	if syscall.Getrusage(syscall.RUSAGE_SELF, &usage) != nil {
+		return 0
+	}
+	return time.Duration(usage.Utime.Nano() + usage.Stime.Nano())
+}
+
+// steady measures the quiet cluster.
+func (r *run) steady(ctx context.Context) error {
+	before := r.sample()
+	pauseFor(ctx, r.options.Steady)
+	after := r.sample()
+	seconds := after.at.Sub(before.at).Seconds()
+	nodes := float64(len(r.alive()))
+	r.report.SteadySeconds = seconds
+	r.report.BytesPerSecond = Bytes{
+		Sent:     float64(after.sent-before.sent) / seconds / nodes,
+		Received: float64(after.received-before.received) / seconds / nodes,
+		ByKind:   make(map[string]float64),
+	}
+	for kind, bytes := range after.kinds {
+		r.report.BytesPerSecond.ByKind[kind] = float64(bytes-before.kinds[kind]) / seconds / nodes
+	}
+	used := (after.cpu - before.cpu).Seconds() / seconds
+	r.report.CoreShare = used / nodes
+	r.report.ProcessorLimited = used > limitedAt*float64(runtime.NumCPU())
+	r.report.MemoryBytes = float64(residentBytes()) / nodes
+	r.report.StoreRequestsPerSecond = float64(after.requests-before.requests) / seconds
+	for _, item := range r.alive() {
+		item.mutex.Lock()
+		r.report.FalseDeaths += len(item.dead)
+		item.mutex.Unlock()
+		r.report.Dropped += item.plane.Transport.Traffic().Dropped()
+		r.report.Connections += float64(item.plane.Transport.Connections()) / nodes
+	}
+	r.progress("steady: %.0f B/s sent a node, %.3f %% of a core, %.1f MB, false deaths %d", r.report.BytesPerSecond.Sent, 100*r.report.CoreShare, r.report.MemoryBytes/1e6, r.report.FalseDeaths)
+	return nil
+}
+
+// residentBytes reads the process's resident memory.
+func residentBytes() int64 {
+	content, err := os.ReadFile("/proc/self/statm")
+	if err != nil {
+		return 0
+	}
+	fields := strings.Fields(string(content))
+	if len(fields) < 2 {
+		return 0
+	}
+	pages, err := strconv.ParseInt(fields[1], 10, 64)
+	if err != nil {
+		return 0
+	}
+	return pages * int64(os.Getpagesize())
+}
+
+// changes times configuration changes from publishing to force on each node.
+func (r *run) changes(ctx context.Context) error {
+	times, err := r.timeChanges(ctx, r.alive())
+	r.report.ConfigInForce = times
+	r.progress("change in force everywhere: p50 %.0f ms, p99 %.0f ms, max %.0f ms", times.P50, times.P99, times.Max)
+	return err
+}
+
+func (r *run) timeChanges(ctx context.Context, observers []*hollowNode) (Times, error) {
+	var samples []float64
+	for number := range r.options.Changes {
+		weight := 1 + float64(number)
+		started := time.Now()
+		revision, err := r.publish(ctx, []resource.Resource{{Kind: resource.KindTenant, Name: "tenant-0", Tenant: &resource.Tenant{Weight: weight}}})
+		if err != nil {
+			return Times{}, err
+		}
+		err = wait(ctx, "a change", eventTimeout, func() bool {
+			for _, item := range observers {
+				if item.plane.Config.Current().Revision() < revision {
+					return false
+				}
+			}
+			return true
+		})
+		if err != nil {
+			return Times{}, err
+		}
+		for _, item := range observers {
+			item.mutex.Lock()
+			// A node that installed a later revision in one step has this one in force with it.
+			at, direct := item.installed[revision]
+			item.mutex.Unlock()
+			if direct {
+				samples = append(samples, milliseconds(at.Sub(started)))
+			}
+		}
+	}
+	return summarize(samples), nil
+}
+
+func milliseconds(duration time.Duration) float64 { return max(0, duration.Seconds()*1000) }
+
+func summarize(samples []float64) Times {
+	if len(samples) == 0 {
+		return Times{}
+	}
+	sort.Float64s(samples)
+	at := func(share float64) float64 { return samples[min(len(samples)-1, int(share*float64(len(samples))))] }
+	return Times{P50: at(0.5), P99: at(0.99), Max: samples[len(samples)-1], Count: len(samples)}
+}
+
+// restarting times changes while a third of the nodes is replaced one after the other.
+func (r *run) restarting(ctx context.Context) error {
+	if !r.options.RestartThird {
+		return nil
+	}
+	count := r.options.Nodes / 3
+	stable := r.alive()[count:]
+	stable = append([]*hollowNode(nil), stable...)
+	var failure error
+	done := make(chan struct{})
+	go func() {
+		defer close(done)
+		for index := range count {
+			pauseFor(ctx, replaceInterval)
+			if failure = r.replace(index); failure != nil {
+				return
+			}
+		}
+	}()
+	times, err := r.timeChanges(ctx, stable)
+	<-done
+	if err == nil {
+		err = failure
+	}
+	r.report.ConfigRestarting = &times
+	r.progress("with a third restarting: p50 %.0f ms, p99 %.0f ms", times.P50, times.P99)
+	return err
+}
+
+// replace stops a node in order and starts another one in its place.
+func (r *run) replace(index int) error {
+	old := r.nodes[index]
+	old.plane.Membership.Announce(membership.Left)
+	if err := old.plane.Stop(); err != nil {
+		return err
+	}
+	old.stopped = true
+	created, err := r.newNode(index)
+	if err != nil {
+		return err
+	}
+	created.plane.Start()
+	r.nodes[index] = created
+	return nil
+}
+
+// kills times how long it takes until all know of a node's death.
+func (r *run) kills(ctx context.Context) error {
+	var samples []float64
+	for number := range r.options.Kills {
+		victim := r.alive()[(number*7+1)%len(r.alive())]
+		times, err := r.timeDeaths(ctx, []*hollowNode{victim})
+		if err != nil {
+			return err
+		}
+		samples = append(samples, times...)
+	}
+	r.report.Detect = summarize(samples)
+	r.progress("a dead node known: p50 %.0f ms, p99 %.0f ms, max %.0f ms", r.report.Detect.P50, r.report.Detect.P99, r.report.Detect.Max)
+	return nil
+}
+
+// timeDeaths kills nodes at one moment and returns, for each survivor and victim, how long it took.
+func (r *run) timeDeaths(ctx context.Context, victims []*hollowNode) ([]float64, error) {
+	started := time.Now()
+	var stops sync.WaitGroup
+	for _, victim := range victims {
+		victim.stopped = true
+		stops.Go(func() { _ = victim.plane.Stop() })
+	}
+	stops.Wait()
+	survivors := r.alive()
+	deathOf := func(observer, victim *hollowNode) (time.Time, bool) {
+		observer.mutex.Lock()
+		defer observer.mutex.Unlock()
+		at, known := observer.dead[victim.self.ID]
+		return at, known
+	}
+	err := wait(ctx, "detecting a death", eventTimeout, func() bool {
+		for _, observer := range survivors {
+			for _, victim := range victims {
+				if _, known := deathOf(observer, victim); !known {
+					return false
+				}
+			}
+		}
+		return true
+	})
+	var samples []float64
+	for _, observer := range survivors {
+		for _, victim := range victims {
+			if at, known := deathOf(observer, victim); known {
+				samples = append(samples, milliseconds(at.Sub(started)))
+			}
+		}
+	}
+	return samples, err
+}
+
+func (r *run) killZone(ctx context.Context) error {
+	if !r.options.KillZone {
+		return nil
+	}
+	zone := r.alive()[len(r.alive())-1].self.Zone
+	var victims []*hollowNode
+	for _, item := range r.alive() {
+		if item.self.Zone == zone {
+			victims = append(victims, item)
+		}
+	}
+	samples, err := r.timeDeaths(ctx, victims)
+	times := summarize(samples)
+	r.report.DetectZone = &times
+	r.progress("a zone of %d nodes: p50 %.0f ms, p99 %.0f ms, max %.0f ms", len(victims), times.P50, times.P99, times.Max)
+	return err
+}
--- a/internal/lab/statebench/statebench.go
+++ b/internal/lab/statebench/statebench.go
@@ -6,6 +6,7 @@
 	"context"
 	"encoding/json"
 	"fmt"
+	"math/rand/v2"
 	"net"
 	"runtime"
 	"sort"
@@ -407,10 +408,30 @@
 	return stats.HeapAlloc
 }
 
+// userMessage is a message of random words from a vocabulary of 4096, so that it compresses about
+// as text does and not as a repeated letter would.
 func userMessage(bytes int, number int) program.Message {
-	return program.Message(fmt.Sprintf(`{"role":"user","content":"%d%s"}`, number, strings.Repeat("w", bytes)))
+	random := rand.New(rand.NewPCG(uint64(number), 7))
+	var text strings.Builder
+	for text.Len() < bytes {
+		fmt.Fprintf(&text, "%s ", vocabulary[random.IntN(len(vocabulary))])
+	}
+	return program.Message(fmt.Sprintf(`{"role":"user","content":%q}`, text.String()[:bytes]))
 }
 
+var vocabulary = func() []string {
+	random := rand.New(rand.NewPCG(1, 1))
+	words := make([]string, 4096)
+	for index := range words {
+		letters := make([]byte, 2+random.IntN(8))
+		for position := range letters {
+			letters[position] = byte('a' + random.IntN(26))
+		}
+		words[index] = string(letters)
+	}
+	return words
+}()
+
 func measureMemory(report *Report) {
 	const short, long = 20000, 20
 	before := heap()
@@ -427,13 +448,16 @@
 	runtime.KeepAlive(machine)
 }
 
-// fillOne makes one program of 160,000 tokens.
+// fillOne makes one program of 160,000 tokens in 100 turns.
 func fillOne(machine *program.Machine, number int) {
-	const bytes = 160000 * 4
+	const turns, bytes = 100, 160000 * 4
 	key := program.Key{Tenant: "t", Path: fmt.Sprintf("long-%d", number)}
-	machine.Execute(program.Command{At: 1, Admit: &program.Admit{CallID: "c", Program: key, Service: "s", Gateway: "g", Messages: []program.Message{userMessage(bytes, number)}, Limits: program.Limits{TokenBudget: 1 << 50, CallBudget: 100}}})
-	machine.Execute(program.Command{At: 1, Dispatch: &program.Dispatch{CallID: "c", Program: key, Attempt: 1, Engine: "e", Gateway: "g"}})
-	machine.Execute(program.Command{At: 1, Complete: &program.Complete{CallID: "c", Program: key, Attempt: 1, Answer: program.Answer{Message: program.Message(`{"role":"assistant","content":"a"}`)}}})
+	for turn := range turns {
+		callID := fmt.Sprint(turn)
+		machine.Execute(program.Command{At: 1, Admit: &program.Admit{CallID: callID, Program: key, Service: "s", Gateway: "g", Messages: []program.Message{userMessage(bytes/turns, number*turns+turn)}, Limits: program.Limits{TokenBudget: 1 << 50, CallBudget: 1000}}})
+		machine.Execute(program.Command{At: 1, Dispatch: &program.Dispatch{CallID: callID, Program: key, Attempt: 1, Engine: "e", Gateway: "g"}})
+		machine.Execute(program.Command{At: 1, Complete: &program.Complete{CallID: callID, Program: key, Attempt: 1, Answer: program.Answer{Message: program.Message(`{"role":"assistant","content":"a"}`)}}})
+	}
 }
 
 func measureRecovery(options Options, report *Report) error {
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -153,6 +153,7 @@
 		Applications: engine.NewApplication(),
 		Release:      n.plane.Release,
 		Pauses:       n.pauses,
+		Live:         gateway.NewLive(n.plane.Transport, n.plane.Membership),
 		Metrics:      gateway.NewMetrics(n.registry),
 		Logger:       n.logger,
 		MaxBodyBytes: n.settings.MaxBodyBytes,
--- a/internal/program/calls.go
+++ b/internal/program/calls.go
@@ -277,7 +277,7 @@
 	m.settle(program, call, request.Answer.Usage.Total())
 	if len(request.Answer.Message) > 0 {
 		added := append(call.Messages, request.Answer.Message)
-		program.History = append(program.History, added...)
+		program.History.append(added)
 		program.Mark = program.Mark.Extend(added)
 	}
 	answer := request.Answer
--- a/internal/program/lifecycle.go
+++ b/internal/program/lifecycle.go
@@ -33,7 +33,7 @@
 	}
 	program.EndedAt = max(m.now, 1)
 	program.EndReason = reason
-	program.History = nil
+	program.History = History{}
 	for _, call := range program.Open {
 		if call.State == Admitted {
 			m.settle(program, call, 0)
@@ -233,7 +233,7 @@
 	m.mutex.RLock()
 	defer m.mutex.RUnlock()
 	if program := m.programs[key]; program != nil {
-		return program.History[:len(program.History):len(program.History)]
+		return program.History.messages()
 	}
 	return nil
 }
--- a/internal/program/machine_test.go
+++ b/internal/program/machine_test.go
@@ -3,6 +3,7 @@
 import (
 	"encoding/json"
 	"fmt"
+	"strings"
 	"testing"
 
 	"gotest.tools/v3/assert"
@@ -208,3 +209,23 @@
 		return program.Command{At: at, Expire: &program.Expire{}}
 	}
 }
+
+// TestLongHistoryComesBackWhole crosses the size at which messages are compressed.
+func TestLongHistoryComesBackWhole(t *testing.T) {
+	machine := program.NewMachine()
+	var expected []program.Message
+	for number := range 40 {
+		callID := fmt.Sprint(number)
+		question := user(fmt.Sprintf("%d %s", number, strings.Repeat("tomato ", 200)))
+		admit(machine, program.Admit{CallID: callID, Messages: []program.Message{question}, Limits: program.Limits{TokenBudget: 1 << 40, CallBudget: 100}})
+		dispatch(machine, callID, 1)
+		complete(machine, callID, 1, callID)
+		expected = append(expected, question, answerOf(callID))
+	}
+	assert.DeepEqual(t, machine.History(key), expected)
+	snapshot, err := machine.Snapshot()
+	assert.NilError(t, err)
+	restored := program.NewMachine()
+	assert.NilError(t, restored.Restore(snapshot))
+	assert.DeepEqual(t, restored.History(key), expected)
+}
--- a/internal/program/types.go
+++ b/internal/program/types.go
@@ -104,7 +104,7 @@
 	// a call that may have reached an engine.
 	NextSequence uint64           `json:"next_sequence"`
 	Reached      uint64           `json:"reached,omitempty"`
-	History      []Message        `json:"history,omitempty"`
+	History      History          `json:"history,omitzero"`
 	Mark         HistoryMark      `json:"mark"`
 	Open         map[string]*Call `json:"open,omitempty"`
 	CreatedAt    int64            `json:"created_at"`
--- a/internal/replica/host.go
+++ b/internal/replica/host.go
@@ -45,6 +45,7 @@
 
 	beatMutex sync.Mutex
 	beats     map[string][]beat
+	assembler *assembler
 }
 
 // groupMessage is a consensus message and the group that it is for.
@@ -70,11 +71,16 @@
 
 // NewHost returns a Host with the groups that storage holds, not running yet.
 func NewHost(options Options) *Host {
-	host := &Host{options: options, groups: make(map[uint32]*group), beats: make(map[string][]beat)}
+	host := &Host{options: options, groups: make(map[uint32]*group), beats: make(map[string][]beat), assembler: newAssembler()}
 	transport.HandleOneWay(options.Transport, messageKind, func(_ transport.Peer, message groupMessage) {
 		host.receive(message.Group, message.Message)
 	})
 	transport.HandleOneWay(options.Transport, beatKind, host.receiveBeats)
+	transport.HandleOneWay(options.Transport, partKind, func(_ transport.Peer, piece snapshotPart) {
+		if message, whole := host.assembler.add(piece); whole {
+			host.receive(piece.Group, message)
+		}
+	})
 	return host
 }
 
@@ -264,7 +270,7 @@
 
 // startsReplica reports whether a message shows that a leader counts on this node.
 func startsReplica(kind consensus.MessageKind) bool {
-	return kind == consensus.Append || kind == consensus.InstallSnapshot
+	return kind == consensus.Append || kind == consensus.InstallSnapshot || kind == consensus.Heartbeat
 }
 
 func (h *Host) send(id uint32, message consensus.Message) {
@@ -272,9 +278,17 @@
 		h.queueBeat(id, message)
 		return
 	}
-	if address, known := h.options.Address(message.To); known {
-		h.options.Transport.Send(address, messageKind, groupMessage{Group: id, Message: message})
+	address, known := h.options.Address(message.To)
+	if !known {
+		return
+	}
+	if message.Kind == consensus.InstallSnapshot {
+		for _, piece := range splitSnapshot(id, message) {
+			h.options.Transport.Send(address, partKind, piece)
+		}
+		return
 	}
+	h.options.Transport.Send(address, messageKind, groupMessage{Group: id, Message: message})
 }
 
 func (h *Host) queueBeat(id uint32, message consensus.Message) {
