Isolated gateways answer in bounded time; a racing first publication mended

Cause: with all tests at once, TestOneWayPartition failed: a gateway that could send to nobody tried three replicas, each directly and through two others, for about 36 s, before it looked at its limit of 10 s. And TestRacingPublishersAllCount failed once in some rounds: a publisher that had read an empty store asked for revision 0 after another one had published the first.

Change: the limit is looked at after each replica; a relay that can't be reached itself is left out for a while, which needs a code of its own for failures beyond the relay; a sign of life may take 2 s. An empty head is an empty document.

--- a/internal/apierr/apierr.go
+++ b/internal/apierr/apierr.go
@@ -51,6 +51,7 @@
 	PolicyFailed         Code = "policy_failed"
 	Cancelled            Code = "cancelled"
 	PeerUnreachable      Code = "peer_unreachable"
+	RelayFailed          Code = "relay_failed"
 	Internal             Code = "internal"
 )
 
@@ -79,6 +80,7 @@
 	PolicyFailed:         http.StatusUnprocessableEntity,
 	Cancelled:            statusClientClosedRequest,
 	PeerUnreachable:      http.StatusServiceUnavailable,
+	RelayFailed:          http.StatusServiceUnavailable,
 	Internal:             http.StatusInternalServerError,
 }
 
--- a/internal/configuration/publish.go
+++ b/internal/configuration/publish.go
@@ -81,8 +81,12 @@
 		return Document{}, apierr.New(apierr.StoreUnavailable, apierr.NotRun,
 			"the store holds revision %d, but revision %d is in force: the store was rolled back", stored.Revision, floor)
 	}
-	if stored.Revision == current.Revision {
+	switch stored.Revision {
+	case current.Revision:
 		return current, nil
+	case 0:
+		// Another publisher has made the first revision since; the comparison will fail.
+		return Document{}, nil
 	}
 	document, err := m.readRevision(ctx, stored.Revision)
 	if err != nil {
--- a/internal/coordinator/client.go
+++ b/internal/coordinator/client.go
@@ -169,7 +169,8 @@
 			}
 			last = err
 			sent = sent || apierr.From(err, apierr.OutcomeUnknown).Outcome != apierr.NotRun
-			if apierr.Is(err, apierr.NotLeader) && c.leader(id) != "" && c.leader(id) != replicaID {
+			knowsLeader := apierr.Is(err, apierr.NotLeader) && c.leader(id) != "" && c.leader(id) != replicaID
+			if knowsLeader || time.Now().After(deadline) {
 				break
 			}
 		}
@@ -213,13 +214,17 @@
 	view := c.membership.View()
 	tried := 0
 	for _, relay := range membership.Rank(view.Working(), view.Self.ID+address) {
-		if relay.ID == view.Self.ID || relay.Address == address {
+		if relay.ID == view.Self.ID || relay.Address == address || c.onDetour(relay.ReplicaID) {
 			continue
 		}
 		response, err := transport.CallVia[Response](ctx, c.transport, relay.Address, address, kind, request)
-		if !apierr.Is(err, apierr.PeerUnreachable) || ctx.Err() != nil {
+		if ctx.Err() != nil || !apierr.Is(err, apierr.PeerUnreachable) && !apierr.Is(err, apierr.RelayFailed) {
 			return response, err
 		}
+		if apierr.Is(err, apierr.PeerUnreachable) {
+			// The relay itself is out of reach: it serves no other request for a while, either.
+			c.startDetour(relay.ReplicaID)
+		}
 		last = err
 		tried++
 		if tried == relaysTried {
@@ -253,7 +258,7 @@
 	case apierr.Is(err, apierr.NotLeader):
 		c.setLeader(id, apierr.From(err, apierr.NotRun).Leader)
 		return true
-	case apierr.Is(err, apierr.PeerUnreachable), apierr.Is(err, apierr.PartitionUnavailable):
+	case apierr.Is(err, apierr.PeerUnreachable), apierr.Is(err, apierr.RelayFailed), apierr.Is(err, apierr.PartitionUnavailable):
 		c.setLeader(id, "")
 		return true
 	default:
--- a/internal/transport/relay.go
+++ b/internal/transport/relay.go
@@ -33,5 +33,12 @@
 	if request.Kind == relayKind {
 		return nil, apierr.New(apierr.InvalidRequest, apierr.NotRun, "a relayed request can't be relayed again")
 	}
-	return t.call(ctx, request.Address, request.Kind, request.Payload)
+	answer, err := t.call(ctx, request.Address, request.Kind, request.Payload)
+	if apierr.Is(err, apierr.PeerUnreachable) {
+		// The asking node must not take this for a fault of its way to the relay.
+		failure := *apierr.From(err, apierr.OutcomeUnknown)
+		failure.Code = apierr.RelayFailed
+		return nil, &failure
+	}
+	return answer, err
 }
--- a/internal/transport/transport.go
+++ b/internal/transport/transport.go
@@ -51,7 +51,7 @@
 	// aliveInterval is how often connections with unanswered requests are asked for a sign of life;
 	// aliveTimeout is how long it may take.
 	aliveInterval = time.Second
-	aliveTimeout  = 3 * time.Second
+	aliveTimeout  = 2 * time.Second
 	aliveKind     = "alive"
 	queueFrames   = 1024
 	maxConcurrent = 512
