--- a/internal/events/events.go
+++ b/internal/events/events.go
@@ -20,6 +20,8 @@
 	NodeStopped          ID = 104
 	PlainTransport       ID = 105
 	ListenerFailed       ID = 106
+	MachineLeaving       ID = 107
+	MachineListFailed    ID = 108
 	MemberAlive          ID = 201
 	MemberSuspect        ID = 202
 	MemberDead           ID = 203
@@ -76,6 +78,8 @@
 	{NodeStopped, "node_stopped", logrus.InfoLevel, "the node has stopped"},
 	{PlainTransport, "plain_transport", logrus.WarnLevel, "traffic between nodes is neither encrypted nor authenticated"},
 	{ListenerFailed, "listener_failed", logrus.ErrorLevel, "a listener ended with an error"},
+	{MachineLeaving, "machine_leaving", logrus.InfoLevel, "the platform's list says that this machine leaves; a planned stop begins"},
+	{MachineListFailed, "machine_list_failed", logrus.DebugLevel, "the platform's machine list could not be read; it is a hint only"},
 	{MemberAlive, "member_alive", logrus.InfoLevel, "a member joined or came back"},
 	{MemberSuspect, "member_suspect", logrus.InfoLevel, "a member did not answer direct and indirect probes"},
 	{MemberDead, "member_dead", logrus.WarnLevel, "a suspected member did not refute in time and counts as dead"},
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -29,6 +29,7 @@
 	"github.com/mountstile/mountstile/internal/gateway"
 	"github.com/mountstile/mountstile/internal/keys"
 	"github.com/mountstile/mountstile/internal/limit"
+	"github.com/mountstile/mountstile/internal/machinelist"
 	"github.com/mountstile/mountstile/internal/membership"
 	"github.com/mountstile/mountstile/internal/policy"
 	"github.com/mountstile/mountstile/internal/replica"
@@ -320,6 +321,19 @@
 	n.tasks.Go(func() { n.serve(n.apiServer, n.listeners.api) })
 	n.tasks.Go(func() { n.serve(n.adminServer, n.listeners.admin) })
 	n.tasks.Go(func() { n.reportReady(ctx) })
+	if n.settings.Machines.Endpoint != "" {
+		n.tasks.Go(func() { n.watchMachines(ctx) })
+	}
+}
+
+// watchMachines begins a planned stop when the platform says that this machine leaves.
+func (n *Node) watchMachines(ctx context.Context) {
+	leaving := func() {
+		n.logger.Emit(events.MachineLeaving)
+		n.requestDrain()
+	}
+	failed := func(err error) { n.logger.Emit(events.MachineListFailed, events.F("error", err)) }
+	machinelist.Watch(ctx, machinelist.NewHTTP(n.settings.Machines.Endpoint), n.settings.Machines.Machine, leaving, failed)
 }
 
 func (n *Node) serve(server *http.Server, listener net.Listener) {
--- /dev/null
+++ b/internal/scheduler/scheduler_test.go
@@ -0,0 +1,148 @@
+package scheduler
+
+import (
+	"context"
+	"fmt"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"github.com/mountstile/mountstile/internal/apierr"
+	"github.com/mountstile/mountstile/internal/events"
+	"github.com/mountstile/mountstile/internal/owner"
+	"github.com/mountstile/mountstile/internal/policy"
+	"github.com/mountstile/mountstile/internal/resource"
+)
+
+// owners answers reservations from a table and records who was asked.
+type owners struct {
+	free map[string]bool
+	// waits are the engines that grant a place after a wait.
+	waits   map[string]bool
+	loads   []owner.Load
+	missing map[string]bool
+	asked   []string
+}
+
+func (o *owners) Reserve(_ context.Context, engine resource.Engine, request owner.ReserveRequest) (owner.ReserveResponse, error) {
+	o.asked = append(o.asked, engine.Name)
+	if o.missing[engine.Name] {
+		return owner.ReserveResponse{}, apierr.New(apierr.PeerUnreachable, apierr.NotRun, "gone")
+	}
+	granted := o.free[engine.Name] || request.WaitMillis > 0 && o.waits[engine.Name]
+	return owner.ReserveResponse{Granted: granted, Loads: o.loads, RetryAfter: 700}, nil
+}
+
+func poolOf(count int) *resource.Pool {
+	pool := &resource.Pool{}
+	for number := range count {
+		pool.Engines = append(pool.Engines, resource.Engine{Name: fmt.Sprintf("e%d", number+1), Slots: 4})
+	}
+	return pool
+}
+
+func compile(t *testing.T, source resource.Policy) *policy.Policy {
+	t.Helper()
+	rules, err := policy.Compile(source)
+	assert.NilError(t, err)
+	return rules
+}
+
+func TestPlace(t *testing.T) {
+	cases := map[string]struct {
+		owners owners
+		source resource.Policy
+		call   Call
+		pool   *resource.Pool
+		engine string
+		code   apierr.Code
+	}{
+		"the program's engine if it has room": {
+			owners: owners{free: map[string]bool{"e1": true, "e2": true, "e3": true}}, call: Call{LastEngine: "e2"}, engine: "e2"},
+		"another one if it is full": {
+			owners: owners{free: map[string]bool{"e3": true}}, call: Call{LastEngine: "e2"}, engine: "e3"},
+		"in line if all are full": {
+			owners: owners{waits: map[string]bool{"e1": true, "e2": true, "e3": true}}, call: Call{Wait: time.Second}, engine: "any"},
+		"overloaded if the lines are too long": {
+			owners: owners{}, call: Call{Wait: time.Second}, code: apierr.Overloaded},
+		"overloaded at once without a wait": {
+			owners: owners{waits: map[string]bool{"e1": true}}, code: apierr.Overloaded},
+		"not where the call has failed": {
+			owners: owners{free: map[string]bool{"e1": true, "e2": true}}, call: Call{Avoid: []string{"e1"}, LastEngine: "e1"}, pool: poolOf(2), engine: "e2"},
+		"not on a draining engine": {
+			owners: owners{free: map[string]bool{"e1": true}}, pool: &resource.Pool{Engines: []resource.Engine{{Name: "e1", Slots: 1, Draining: true}}}, code: apierr.NoEngine},
+		"no engine passes the filter": {
+			owners: owners{free: map[string]bool{"e1": true}}, source: resource.Policy{Filter: `engine.name == "x"`}, code: apierr.NoEngine},
+		"a failing score leaves all out": {
+			owners: owners{free: map[string]bool{"e1": true}}, source: resource.Policy{Score: "1.0 / engine.load"}, code: apierr.NoEngine},
+		"not admitted": {
+			owners: owners{free: map[string]bool{"e1": true}}, source: resource.Policy{Admit: "false"}, code: apierr.LimitExceeded},
+		"the owner can't be reached": {
+			owners: owners{missing: map[string]bool{"e1": true}}, call: Call{Wait: time.Second}, pool: poolOf(1), code: apierr.NoEngine},
+	}
+	for name, item := range cases {
+		t.Run(name, func(t *testing.T) {
+			if item.pool == nil {
+				item.pool = poolOf(3)
+			}
+			decision, err := New("z", &item.owners, events.Discard()).Place(t.Context(), item.call, item.pool, compile(t, item.source))
+			if item.code != "" {
+				assert.Assert(t, apierr.Is(err, item.code), "%v", err)
+				failure := apierr.From(err, apierr.Ran)
+				assert.Equal(t, failure.Outcome, apierr.NotRun)
+				assert.Assert(t, failure.RetryAfter > 0, "the caller is told when to come back")
+				return
+			}
+			assert.NilError(t, err)
+			assert.Assert(t, item.engine == "any" || decision.Engine.Name == item.engine, decision.Engine.Name)
+		})
+	}
+}
+
+// TestLoadsTravelWithAnswers: what an owner told decides the next call without asking.
+func TestLoadsTravelWithAnswers(t *testing.T) {
+	reserver := &owners{free: map[string]bool{"e1": true, "e2": true}, loads: []owner.Load{{Engine: "e1", Running: 4, Slots: 4}, {Engine: "e2", Slots: 4}}}
+	scheduler := New("z", reserver, events.Discard())
+	rules := compile(t, resource.Policy{})
+	_, err := scheduler.Place(t.Context(), Call{}, poolOf(2), rules)
+	assert.NilError(t, err)
+	for range 5 {
+		reserver.asked = nil
+		decision, err := scheduler.Place(t.Context(), Call{}, poolOf(2), rules)
+		assert.NilError(t, err)
+		assert.Equal(t, decision.Engine.Name, "e2")
+		assert.DeepEqual(t, reserver.asked, []string{"e2"})
+	}
+	reserver.loads = []owner.Load{{Engine: "e2", Open: true}}
+	_, err = scheduler.Place(t.Context(), Call{}, poolOf(2), rules)
+	assert.NilError(t, err)
+	decision, err := scheduler.Place(t.Context(), Call{}, poolOf(2), rules)
+	assert.NilError(t, err)
+	assert.Equal(t, decision.Engine.Name, "e1", "an open breaker keeps the engine out")
+}
+
+// TestShortListDoesNotGrowWithThePool and keeps the program's engine in it.
+func TestShortListDoesNotGrowWithThePool(t *testing.T) {
+	pool := poolOf(700)
+	scheduler := New("z", &owners{}, events.Discard())
+	for range 20 {
+		candidates := scheduler.candidates(Call{LastEngine: "e412"}, pool)
+		assert.Equal(t, len(candidates), shortlist)
+		assert.Equal(t, candidates[0].Engine.Name, "e412")
+	}
+}
+
+// TestRoundRobinIsAPolicy: least recently chosen first visits all in turn.
+func TestRoundRobinIsAPolicy(t *testing.T) {
+	reserver := &owners{free: map[string]bool{"e1": true, "e2": true, "e3": true}}
+	scheduler := New("z", reserver, events.Discard())
+	rules := compile(t, resource.Policy{Score: "engine.unused_seconds"})
+	counts := make(map[string]int)
+	for range 30 {
+		decision, err := scheduler.Place(t.Context(), Call{}, poolOf(3), rules)
+		assert.NilError(t, err)
+		counts[decision.Engine.Name]++
+	}
+	assert.DeepEqual(t, counts, map[string]int{"e1": 10, "e2": 10, "e3": 10})
+}
--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -47,6 +47,13 @@
 	TimeoutSeconds float64 `yaml:"timeoutSeconds"`
 }
 
+// Machines is the platform's list of live and leaving machines; without an endpoint it is not read.
+type Machines struct {
+	Endpoint string `yaml:"endpoint"`
+	// Machine is this node's machine in the list.
+	Machine string `yaml:"machine"`
+}
+
 // Settings are one node's.
 type Settings struct {
 	Name    string   `yaml:"name"`
@@ -62,7 +69,9 @@
 	// them by another way than they advertise.
 	Routes map[string]string `yaml:"routes"`
 	Store  Store             `yaml:"store"`
-	TLS    TLS               `yaml:"tls"`
+	// Machines may make the node begin its own planned stop.
+	Machines Machines `yaml:"machines"`
+	TLS      TLS      `yaml:"tls"`
 	// DataFolder keeps program state and configuration over restarts; empty means memory only.
 	DataFolder string `yaml:"dataFolder"`
 	// AdminKeys are the platform administrators' and readers'.
@@ -197,6 +206,9 @@
 	if endpoint, err := url.Parse(s.Store.Endpoint); err != nil || endpoint.Host == "" {
 		return problem("store.endpoint", "%q is not a URL", s.Store.Endpoint)
 	}
+	if (s.Machines.Endpoint == "") != (s.Machines.Machine == "") {
+		return problem("machines", "endpoint and machine belong together")
+	}
 	if _, err := logrus.ParseLevel(s.LogLevel); err != nil {
 		return problem("logLevel", "%s", err)
 	}
