--- a/internal/control/control.go
+++ b/internal/control/control.go
@@ -140,7 +140,7 @@
 	ctx, cancel := context.WithCancel(context.Background())
 	p.stop = cancel
 	p.Transport.OnDisconnect(func(peer transport.Peer) {
-		if member, known := p.Membership.View().Get(peer.NodeID); known {
+		if member, known := p.Membership.View().At(peer.Address); known {
 			p.Host.PeerGone(member.ReplicaID)
 		}
 	})
--- a/internal/engine/engine_test.go
+++ b/internal/engine/engine_test.go
@@ -211,3 +211,20 @@
 	stream.Close()
 	<-left
 }
+
+// TestTrailersArrive passes a back end's trailers on.
+func TestTrailersArrive(t *testing.T) {
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	assert.NilError(t, err)
+	server := &http.Server{Handler: http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
+		w.Header().Set("Trailer", "X-Checksum")
+		_, _ = io.WriteString(w, "body")
+		w.Header().Set("X-Checksum", "abc")
+	})}
+	go func() { _ = server.Serve(listener) }()
+	t.Cleanup(func() { _ = server.Close() })
+	answer, err := NewApplication().Do(t.Context(), Target{URL: "http://" + listener.Addr().String()}, ApplicationRequest{Method: http.MethodGet})
+	assert.NilError(t, err)
+	assert.Equal(t, answer.Trailer.Get("X-Checksum"), "abc")
+	assert.Equal(t, string(answer.Body), "body")
+}
--- a/internal/gateway/identity.go
+++ b/internal/gateway/identity.go
@@ -26,12 +26,8 @@
 	repeatable *bool
 }
 
-var (
-	programPattern = regexp.MustCompile(`^[A-Za-z0-9._:-]+(/[A-Za-z0-9._:-]+)*$`)
-	// ephemeralPrefix starts the names of programs that callers did not name. It does not match
-	// programPattern, so that nobody else can name them.
-	ephemeralPrefix = "~"
-)
+// programPattern does not match program.EphemeralPrefix.
+var programPattern = regexp.MustCompile(`^[A-Za-z0-9._:-]+(/[A-Za-z0-9._:-]+)*$`)
 
 func readIdentity(r *http.Request, tenant string) (identity, error) {
 	var result identity
@@ -87,10 +83,10 @@
 // ephemeralPath names the program of a single call; repeats with the same key meet in it.
 func ephemeralPath(idempotencyKey string) string {
 	if idempotencyKey == "" {
-		return ephemeralPrefix + newCallID()
+		return program.EphemeralPrefix + newCallID()
 	}
 	sum := sha256.Sum256([]byte(idempotencyKey))
-	return ephemeralPrefix + hex.EncodeToString(sum[:16])
+	return program.EphemeralPrefix + hex.EncodeToString(sum[:16])
 }
 
 func readNumber(r *http.Request, name string) (uint64, error) {
--- a/internal/membership/member.go
+++ b/internal/membership/member.go
@@ -42,7 +42,7 @@
 	// Incarnation is raised by the member alone, to refute a suspicion or to announce a change.
 	Incarnation uint64 `json:"i"`
 	Status      Status `json:"s"`
-	// Leaver remembers that a suspect or dead member had announced that it leaves.
+	// Accuser is who suspects the member; two of them count for more than one.
 	Accuser string `json:"by,omitempty"`
 }
 
--- a/internal/membership/view.go
+++ b/internal/membership/view.go
@@ -43,6 +43,16 @@
 	return found, ok
 }
 
+// At returns the usable member that others reach at an address.
+func (v *View) At(address string) (Member, bool) {
+	for _, member := range v.members {
+		if member.Address == address && member.Usable() {
+			return member, true
+		}
+	}
+	return Member{}, false
+}
+
 // Replica returns the present run of a replica storage.
 func (v *View) Replica(replicaID string) (Member, bool) {
 	found, ok := v.byReplica[replicaID]
--- a/internal/program/calls.go
+++ b/internal/program/calls.go
@@ -13,6 +13,9 @@
 // admit books a call. Either everything is reserved, on the program and all its ancestors, or
 // nothing changes.
 func (m *Machine) admit(request Admit) Result {
+	if request.CallID == "" || request.Program.Path == "" || request.Reserve < 0 {
+		return refuse(apierr.InvalidRequest, "an admission needs a call, a program, and a reservation of 0 or more")
+	}
 	known := m.programs[request.Program]
 	if known != nil {
 		if result, found := known.findExisting(request); found {
@@ -295,6 +298,8 @@
 	switch {
 	case call.Ended():
 		return Result{Call: call.public(), Existing: true, Error: call.Error}
+	case request.Error == nil:
+		return refuse(apierr.InvalidRequest, "a failure needs an error")
 	case call.State == Admitted && request.Attempt == 0:
 		m.settle(program, call, 0)
 		failure := *request.Error
@@ -324,7 +329,7 @@
 // settle replaces a call's reservation by its cost, on the program and its ancestors. More than
 // the reservation is never charged: the engine was told the most that it may generate.
 func (m *Machine) settle(program *Program, call *Call, cost int64) {
-	cost = min(cost, call.Reserved)
+	cost = min(max(0, cost), call.Reserved)
 	for _, ancestor := range m.ancestors(program.Key) {
 		ancestor.Reserved -= call.Reserved
 		ancestor.Used += cost
--- a/internal/program/lifecycle.go
+++ b/internal/program/lifecycle.go
@@ -1,6 +1,8 @@
 package program
 
 import (
+	"strings"
+
 	"github.com/mountstile/mountstile/internal/apierr"
 )
 
@@ -97,7 +99,16 @@
 
 // forgettable reports that a program has ended, holds no cache anywhere, and is past its retention.
 func (m *Machine) forgettable(program *Program) bool {
-	return program.Ended() && len(program.Caches) == 0 && !program.busy() && m.now-program.EndedAt > ProgramRetention
+	return program.Ended() && len(program.Caches) == 0 && !program.busy() && m.now-program.EndedAt > program.retention()
+}
+
+// retention is how long an ended program is remembered. Nobody else can name the program of a
+// single call: it goes as soon as the call's answer has.
+func (p *Program) retention() int64 {
+	if strings.HasPrefix(p.Key.Path, EphemeralPrefix) && len(p.Open) == 0 {
+		return 0
+	}
+	return ProgramRetention
 }
 
 // ExpiryDue reports whether an Expire command at the given time would change anything.
--- a/internal/program/machine_test.go
+++ b/internal/program/machine_test.go
@@ -229,3 +229,41 @@
 	assert.NilError(t, restored.Restore(snapshot))
 	assert.DeepEqual(t, restored.History(key), expected)
 }
+
+// FuzzApply: whatever a log entry holds, no replica panics, and no budget goes below zero.
+func FuzzApply(f *testing.F) {
+	f.Add([]byte(`{"at":1,"admit":{"call":"a","program":{"tenant":"t","path":"p"},"reserve":5,"limits":{"tokens":10,"calls":2}}}`), []byte(`{"fail":{"call":"a","program":{"tenant":"t","path":"p"}}}`))
+	f.Add([]byte(`{"admit":{"call":"a","program":{"tenant":"t","path":"p"},"reserve":-5}}`), []byte(`{"dispatch":{"call":"a","program":{"tenant":"t","path":"p"},"attempt":1}}`))
+	f.Add([]byte(`{"end":{}}`), []byte(`[]`))
+	f.Fuzz(func(t *testing.T, first, second []byte) {
+		machine := program.NewMachine()
+		for index, command := range [][]byte{first, second, first, second} {
+			machine.Apply(uint64(index), command)
+		}
+		for _, summary := range machine.Summaries("") {
+			if summary.Reserved < 0 || summary.Used < 0 {
+				t.Fatalf("%+v", summary)
+			}
+		}
+		snapshot, err := machine.Snapshot()
+		if err != nil || program.NewMachine().Restore(snapshot) != nil {
+			t.Fatal("the state can't be restored")
+		}
+	})
+}
+
+// TestSingleCallsAreForgottenSoon: the programs that gateways make for single calls do not pile up
+// for as long as named ones are remembered.
+func TestSingleCallsAreForgottenSoon(t *testing.T) {
+	machine := program.NewMachine()
+	single := program.Key{Tenant: "t", Path: program.EphemeralPrefix + "x"}
+	admit(machine, program.Admit{CallID: "a", Program: single})
+	machine.Execute(program.Command{At: 1, Dispatch: &program.Dispatch{CallID: "a", Program: single, Attempt: 1, Engine: "e", Gateway: "g"}})
+	machine.Execute(program.Command{At: 1, Complete: &program.Complete{CallID: "a", Program: single, Attempt: 1}})
+	later := int64(2 * 60 * 1000)
+	for range 2 {
+		later += 1000
+		machine.Execute(program.Command{At: later, Expire: &program.Expire{}})
+	}
+	assert.Equal(t, machine.Count(), 0)
+}
--- a/internal/program/types.go
+++ b/internal/program/types.go
@@ -18,6 +18,9 @@
 	Path   string `json:"path"`
 }
 
+// EphemeralPrefix starts the paths of programs that their callers did not name. Callers can't use it.
+const EphemeralPrefix = "~"
+
 // Message is one element of a chat history, as the caller or an engine wrote it.
 type Message = json.RawMessage
 
--- a/internal/transport/transport.go
+++ b/internal/transport/transport.go
@@ -337,17 +337,27 @@
 		delete(t.peers, conn.peer.Address)
 	}
 	disconnected := t.disconnected
-	if t.closed {
+	if t.closed || t.reaches(conn.peer.Address) {
 		disconnected = nil
 	}
 	t.mutex.Unlock()
-	if disconnected != nil && conn.peer.NodeID != "" {
+	if disconnected != nil && conn.peer.Address != "" {
 		disconnected(conn.peer)
 	}
 }
 
-// OnDisconnect registers a function that hears of each ended connection whose other end has named
-// itself. It must not block.
+// reaches reports whether a connection to the address is open. The mutex is held.
+func (t *Transport) reaches(address string) bool {
+	for conn := range t.open {
+		if conn.peer.Address == address {
+			return true
+		}
+	}
+	return false
+}
+
+// OnDisconnect registers a function that hears when the last connection to a peer has ended. The
+// peer's NodeID is known only if it had dialled. The function must not block.
 func (t *Transport) OnDisconnect(hear func(Peer)) {
 	t.mutex.Lock()
 	defer t.mutex.Unlock()
--- a/test/process/faults_test.go
+++ b/test/process/faults_test.go
@@ -20,6 +20,7 @@
 	"github.com/mountstile/mountstile/internal/lab/runner"
 	"github.com/mountstile/mountstile/internal/resource"
 	"github.com/mountstile/mountstile/internal/settings"
+	"github.com/mountstile/mountstile/internal/standin/machineserver"
 	"github.com/mountstile/mountstile/internal/standin/storeserver"
 )
 
@@ -346,3 +347,46 @@
 	assert.NilError(t, err)
 	running.checkConversations([]*conversation{pupil})
 }
+
+// TestMachineListBeginsThePlannedStop: a node whose machine is to leave goes in order by itself.
+func TestMachineListBeginsThePlannedStop(t *testing.T) {
+	list := startStandIn(t, "machines", "--lag", "0s")
+	running := startSystem(t, 3, 1, func(config *settings.Settings) {
+		config.Machines = settings.Machines{Endpoint: list + machineserver.MachinesPath, Machine: config.Name}
+	})
+	client := runner.NewClient(apiKey)
+	defer client.Close()
+	pupil := running.converse(client, "pupil")
+	_, err := pupil.say(t.Context(), 1, 60)
+	assert.NilError(t, err)
+	running.put(list+machineserver.MachinesPath, machineserver.Machine{Address: "n2", State: machineserver.Leaving})
+	<-running.nodes[1].exited
+	assert.Equal(t, running.nodes[1].command.ProcessState.ExitCode(), 0)
+	_, err = pupil.say(t.Context(), 0, 60)
+	assert.NilError(t, err)
+	running.checkConversations([]*conversation{pupil})
+}
+
+// TestCachesAreReleasedThoughTheCoordinatorDied ends a program, while its engine refuses to release,
+// and kills each node in turn: whoever leads then goes on asking.
+func TestCachesAreReleasedThoughTheCoordinatorDied(t *testing.T) {
+	running := startSystem(t, 3, 1)
+	client := runner.NewClient(apiKey)
+	defer client.Close()
+	engine := running.engines["m1"]
+	running.put(engine+emulator.FaultsPath, emulator.Faults{RefuseReleases: true})
+	long := runner.Call{Program: "meal", Model: "tutor", Tokens: 60, Messages: []runner.Message{{Role: "user", Content: strings.Repeat("tomatoes ", 300)}}}
+	_, err := client.Chat(t.Context(), running.nodes[0].api(), long)
+	assert.NilError(t, err)
+	held := func() int { return fetch[int](t, engine+emulator.HeldPath+"?program=school:meal") }
+	assert.Assert(t, held() > 0)
+	assert.NilError(t, client.End(t.Context(), running.nodes[0].api(), "meal"))
+	for victim := 1; victim < 3; victim++ {
+		running.nodes[victim].kill()
+		running.restart(victim)
+		running.waitRepaired()
+	}
+	assert.Assert(t, held() > 0, "the engine has refused so far")
+	running.put(engine+emulator.FaultsPath, emulator.Faults{})
+	running.waitFor("the cache to be released", func() bool { return held() == 0 })
+}
--- a/test/process/harness_test.go
+++ b/test/process/harness_test.go
@@ -151,10 +151,15 @@
 }
 
 // standIn starts a stand-in and returns its address.
-func (s *system) standIn(kind string) string {
-	address := freeAddress(s.t)
-	startDaemon(s.t, "mountstile-lab", kind, "--listen", address)
-	s.waitFor(kind, func() bool {
+func (s *system) standIn(kind string, arguments ...string) string {
+	return startStandIn(s.t, kind, arguments...)
+}
+
+func startStandIn(t *testing.T, kind string, arguments ...string) string {
+	t.Helper()
+	address := freeAddress(t)
+	startDaemon(t, "mountstile-lab", append([]string{kind, "--listen", address}, arguments...)...)
+	waitFor(t, kind, func() bool {
 		connection, err := net.Dial("tcp", address)
 		if err != nil {
 			return false
@@ -241,7 +246,12 @@
 // waitFor polls a condition.
 func (s *system) waitFor(what string, done func() bool) {
 	s.t.Helper()
-	poll.WaitOn(s.t, func(poll.LogT) poll.Result {
+	waitFor(s.t, what, done)
+}
+
+func waitFor(t *testing.T, what string, done func() bool) {
+	t.Helper()
+	poll.WaitOn(t, func(poll.LogT) poll.Result {
 		if done() {
 			return poll.Success()
 		}
@@ -255,6 +265,25 @@
 	s.waitReady(index)
 }
 
+// waitRepaired waits until every partition has three replicas on live nodes and a leader.
+func (s *system) waitRepaired() {
+	s.t.Helper()
+	s.waitFor("the partitions to be repaired", func() bool {
+		status, err := s.admin.Status(context.Background())
+		if err != nil {
+			return false
+		}
+		replicas, leads := 0, 0
+		for _, member := range status.Members {
+			if member.Node != nil {
+				replicas += member.Node.Replicas
+				leads += member.Node.Leads
+			}
+		}
+		return replicas == 3*s.nodes[0].config.Partitions && leads == s.nodes[0].config.Partitions
+	})
+}
+
 // cut blocks the traffic from one node to another; the other direction goes on.
 func (s *system) cut(from, to int) {
 	s.blackHole(s.links[[2]int{from, to}], "upstream")
