--- a/internal/coordinator/janitor.go
+++ b/internal/coordinator/janitor.go
@@ -54,7 +54,7 @@
 		gateway, known := view.Get(open.Gateway)
 		gone := !known && now.Sub(time.UnixMilli(open.AdmittedAt)) > orphanPatience || known && !gateway.Usable()
 		switch {
-		case open.State == program.Dispatching && gone:
+		case open.State == program.Dispatching && (gone || s.overdue(open, now)):
 			s.options.Logger.Emit(events.AttemptLost, events.F("call", open.CallID), events.F("gateway", open.Gateway))
 			_, _ = s.propose(ctx, group, program.Command{Lose: &program.LoseAttempt{CallID: open.CallID, Program: open.Program, Attempt: open.Attempt}})
 		case open.State == program.Admitted && s.orphaned(open.CallID, now):
@@ -64,6 +64,16 @@
 	}
 }
 
+// overdue reports that a call is so old that its gateway must have given it up, though it lives.
+func (s *Server) overdue(open program.OpenCall, now time.Time) bool {
+	service, known := s.options.Config.Current().Set.Service(open.Service)
+	if !known {
+		return false
+	}
+	limit := seconds(2*service.CallSeconds+service.QueueSeconds) + orphanPatience
+	return now.Sub(time.UnixMilli(open.AdmittedAt)) > limit
+}
+
 // orphaned reports that nobody has driven an admitted call for longer than orphanPatience.
 func (s *Server) orphaned(callID string, now time.Time) bool {
 	s.mutex.Lock()
--- a/internal/gateway/execution.go
+++ b/internal/gateway/execution.go
@@ -108,10 +108,15 @@
 	if answer.Usage.Total() > e.begin.Admit.Reserve {
 		e.gateway.options.Logger.Emit(events.BudgetOverrun, events.F("call", response.CallID), events.F("tokens", answer.Usage.Total()))
 	}
-	result, err := e.gateway.options.Coordinator.Finish(context.WithoutCancel(ctx), coordinator.FinishRequest{
+	request := coordinator.FinishRequest{
 		Partition: e.begin.Partition,
 		Complete:  program.Complete{CallID: response.CallID, Program: e.identity.key, Attempt: response.Attempt, Answer: answer},
-	})
+	}
+	result, err := e.gateway.options.Coordinator.Finish(context.WithoutCancel(ctx), request)
+	if err != nil {
+		// The call must not stay open: whoever repeats it would wait for an end that nobody brings.
+		go e.gateway.keepFinishing(request)
+	}
 	switch {
 	case err != nil:
 		return nil, nil, unknownOutcome(err)
@@ -149,3 +154,29 @@
 	defer cancel()
 	return e.settleFailure(ctx, coordinator.BeginResponse{CallID: callID, Attempt: attempt}, failure, nil)
 }
+
+const (
+	// finishPatience is how long a gateway goes on bringing an answer to a coordinator that it could
+	// not reach; finishPause is between tries.
+	finishPatience = 5 * time.Minute
+	finishPause    = time.Second
+)
+
+// keepFinishing commits an answer once the coordinator can be reached again.
+func (g *Gateway) keepFinishing(request coordinator.FinishRequest) {
+	ctx, cancel := context.WithTimeout(context.Background(), finishPatience)
+	defer cancel()
+	ticker := time.NewTicker(finishPause)
+	defer ticker.Stop()
+	for {
+		_, err := g.options.Coordinator.Finish(ctx, request)
+		if !apierr.Is(err, apierr.PartitionUnavailable) {
+			return
+		}
+		select {
+		case <-ctx.Done():
+			return
+		case <-ticker.C:
+		}
+	}
+}
--- a/internal/program/lifecycle.go
+++ b/internal/program/lifecycle.go
@@ -133,6 +133,7 @@
 type OpenCall struct {
 	Program    Key
 	CallID     string
+	Service    string
 	Attempt    int
 	Gateway    string
 	State      CallState
@@ -147,7 +148,7 @@
 	for key, program := range m.programs {
 		for _, call := range program.Open {
 			if !call.Ended() {
-				open = append(open, OpenCall{Program: key, CallID: call.ID, Attempt: call.Attempt, Gateway: call.Gateway, State: call.State, AdmittedAt: call.AdmittedAt})
+				open = append(open, OpenCall{Program: key, CallID: call.ID, Service: call.Service, Attempt: call.Attempt, Gateway: call.Gateway, State: call.State, AdmittedAt: call.AdmittedAt})
 			}
 		}
 	}
