Following a running answer is switched off

Cause: TestIdempotencyKeyNeverRunsTwice failed on a clean clone: a follower held other text than the stored answer. The cause is not found. Change: repeats wait for the stored answer again; TestRepeatFollowsTheRunningAnswer is known red.

--- a/internal/gateway/chat_execution.go
+++ b/internal/gateway/chat_execution.go
@@ -20,6 +20,10 @@
 // finishLength is the reason of an answer that its token limit has ended.
 const finishLength = "length"
 
+// followRepeats lets a repeat stream the running answer. It is off: a follower sometimes held other
+// text than the stored answer (KNOWN-RED.txt). Repeats wait for the end instead.
+const followRepeats = false
+
 // chatExecution takes one model call from its booking to the last byte.
 type chatExecution struct {
 	execution
@@ -36,7 +40,7 @@
 func (e *chatExecution) run(w http.ResponseWriter, r *http.Request) {
 	ctx, cancel := executionContext(r, e.identity.idempotencyKey, e.limit())
 	defer cancel()
-	if e.request.Stream {
+	if e.request.Stream && followRepeats {
 		e.follow = e.followLive
 	}
 	answer, err := e.drive(ctx, w, e.bookHistory, e.attempt)
