Repeats at one gateway never share an attempt; following a running answer is back on

Cause: a coordinator took a repeat for the request that it had already given an engine to, if both had the same call and came through the same gateway ("the answer that named the engine was lost"). Two requests with one idempotency key at one node could so both be told to send the same attempt: a non-repeatable call ran twice, and both put their text into the running answer that followers read, which is why a follower held other text than the stored answer.

Change: each request of a caller has an execution identifier, which the dispatch entry records; only that request sends. The running answer belongs to the request that executes: it starts with the text of lost attempts, and nobody else can end it. A request that lost its engine claims the call before the loss is committed, so that it goes on rather than a waiting repeat. A follower checks what it holds against what it reads, and gets the tool calls of the stored answer, with their index.

--- a/internal/coordinator/server.go
+++ b/internal/coordinator/server.go
@@ -228,8 +228,8 @@
 			return BeginResponse{CallID: current.ID, Answer: current.Answer}, nil
 		case current.State == program.Failed:
 			return BeginResponse{}, current.Error
-		case current.State == program.Dispatching && current.ID == request.Admit.CallID && current.Gateway == request.Admit.Gateway:
-			// The answer that named the engine was lost on the way to this very gateway.
+		case current.State == program.Dispatching && current.Execution == request.Execution:
+			// The answer that named the engine was lost on the way to this very request.
 			return s.engineResponse(request, current)
 		case current.State == program.Dispatching && !request.WaitForEnd:
 			return BeginResponse{CallID: current.ID, RunningAt: current.Gateway}, nil
@@ -257,12 +257,12 @@
 	driven, cancel := context.WithCancelCause(ctx)
 	s.driving[callID] = cancel
 	delete(s.orphans, callID)
-	return driven, func() {
+	return driven, sync.OnceFunc(func() {
 		s.mutex.Lock()
 		delete(s.driving, callID)
 		s.mutex.Unlock()
 		cancel(nil)
-	}
+	})
 }
 
 // cancel ends the wait of a call whose caller is gone.
@@ -390,11 +390,12 @@
 
 func (s *Server) dispatch(ctx context.Context, request BeginRequest, call *program.Call, decision scheduler.Decision) (program.Result, error) {
 	command := program.Dispatch{
-		CallID:  call.ID,
-		Program: request.Admit.Program,
-		Attempt: call.Attempt + 1,
-		Engine:  decision.Engine.Name,
-		Gateway: request.Admit.Gateway,
+		CallID:    call.ID,
+		Program:   request.Admit.Program,
+		Attempt:   call.Attempt + 1,
+		Engine:    decision.Engine.Name,
+		Gateway:   request.Admit.Gateway,
+		Execution: request.Execution,
 	}
 	service, known := s.options.Config.Current().Set.Service(request.Admit.Service)
 	if known && service.Type == resource.ServiceModel {
@@ -448,6 +449,12 @@
 // retry records a lost attempt, and finds another engine if the call may go again.
 func (s *Server) retry(ctx context.Context, request RetryRequest) (BeginResponse, error) {
 	begin := request.Begin
+	// Claimed before the loss is committed: the request that holds the answer so far goes on with
+	// it, rather than a repeat that waits for the end.
+	driven, done := s.startDriving(ctx, begin.Admit.CallID)
+	if done != nil {
+		defer done()
+	}
 	result, err := s.propose(context.WithoutCancel(ctx), begin.Partition, program.Command{Lose: &program.LoseAttempt{
 		CallID:      begin.Admit.CallID,
 		Program:     begin.Admit.Program,
@@ -463,6 +470,12 @@
 	if refusal := s.refuseRetry(begin, result.Call); refusal != nil {
 		return BeginResponse{}, s.giveUp(ctx, begin, result.Call, refusal)
 	}
+	if done != nil && result.Call.State == program.Admitted {
+		return s.drive(driven, begin, result.Call, request.Avoid)
+	}
+	if done != nil {
+		done()
+	}
 	return s.follow(ctx, begin, result.Call, request.Avoid)
 }
 
--- a/internal/gateway/answer.go
+++ b/internal/gateway/answer.go
@@ -155,7 +155,10 @@
 
 func (a *streamWriter) finish(answer *program.Answer) {
 	if !a.started {
-		a.replay(answer)
+		// A stored answer goes out as one piece.
+		if delta, err := storedDelta(answer); err == nil {
+			a.piece(delta)
+		}
 	}
 	reason := answer.FinishReason
 	a.choice(streamChoice{FinishReason: &reason})
@@ -167,17 +170,17 @@
 	_ = http.NewResponseController(a.w).Flush()
 }
 
-// replay sends a stored answer as one piece.
-func (a *streamWriter) replay(answer *program.Answer) {
+// storedDelta gives a stored answer the form of one piece of a stream.
+func storedDelta(answer *program.Answer) (engine.Delta, error) {
 	var stored engine.AssistantMessage
-	if json.Unmarshal(answer.Message, &stored) != nil {
-		return
+	if err := json.Unmarshal(answer.Message, &stored); err != nil {
+		return engine.Delta{}, apierr.New(apierr.Internal, apierr.Ran, "the stored answer can't be read: %s", err)
 	}
-	delta := engine.Delta{ToolCalls: stored.ToolCalls}
+	delta := engine.Delta{ToolCalls: indexedToolCalls(stored.ToolCalls)}
 	if stored.Content != nil {
 		delta.Content = *stored.Content
 	}
-	a.piece(delta)
+	return delta, nil
 }
 
 func (a *streamWriter) abort(failure *apierr.Error) { a.event(newErrorBody(failure)) }
--- a/internal/gateway/application.go
+++ b/internal/gateway/application.go
@@ -98,6 +98,7 @@
 	}
 	return coordinator.BeginRequest{
 		Partition: partitionID,
+		Execution: newCallID(),
 		Admit: program.Admit{
 			CallID:         newCallID(),
 			Program:        place.key,
--- a/internal/gateway/chat.go
+++ b/internal/gateway/chat.go
@@ -169,6 +169,7 @@
 	return coordinator.BeginRequest{
 		Partition:    partitionID,
 		Admit:        admit,
+		Execution:    newCallID(),
 		Model:        e.request.Model,
 		PromptTokens: promptBytes(messages) / bytesPerToken,
 		MaxTokens:    e.request.MaxTokens,
--- a/internal/gateway/chat_execution.go
+++ b/internal/gateway/chat_execution.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"encoding/json"
 	"io"
 	"net/http"
 	"strings"
@@ -20,15 +19,13 @@
 // finishLength is the reason of an answer that its token limit has ended.
 const finishLength = "length"
 
-// followRepeats lets a repeat stream the running answer. It is off: a follower sometimes held other
-// text than the stored answer (KNOWN-RED.txt). Repeats wait for the end instead.
-const followRepeats = false
-
 // chatExecution takes one model call from its booking to the last byte.
 type chatExecution struct {
 	execution
 	request chatRequest
 	writer  answerWriter
+	// live lets repeats of the call follow its answer while this request executes it.
+	live *livePublisher
 
 	// content and toolCalls are the answer so far, over all attempts.
 	content   strings.Builder
@@ -40,11 +37,11 @@
 func (e *chatExecution) run(w http.ResponseWriter, r *http.Request) {
 	ctx, cancel := executionContext(r, e.identity.idempotencyKey, e.limit())
 	defer cancel()
-	if e.request.Stream && followRepeats {
+	if e.request.Stream {
 		e.follow = e.followLive
 	}
 	answer, err := e.drive(ctx, w, e.bookHistory, e.attempt)
-	e.gateway.options.Live.end(e.begin.Admit.CallID)
+	e.live.close()
 	e.gateway.options.Metrics.duration.WithLabelValues(e.service).Observe(time.Since(e.started).Seconds())
 	if err != nil {
 		e.writeFailure(w, err)
@@ -89,28 +86,41 @@
 // followLive streams what another gateway has of the running answer. If that gateway is lost, this
 // one may take the call over, and then continues from the text that it holds.
 func (e *chatExecution) followLive(ctx context.Context, w http.ResponseWriter, response coordinator.BeginResponse) {
-	e.gateway.options.Live.follow(ctx, response.RunningAt, response.CallID, func(content string, pieces int64) {
-		e.content.WriteString(content)
-		e.usage.Completion = pieces
-		e.ensureWriter(w).piece(engine.Delta{Content: content})
+	e.live.close()
+	e.live = nil
+	read := 0
+	e.gateway.options.Live.follow(ctx, response.RunningAt, response.CallID, func(content string, pieces int64) bool {
+		held := e.content.String()[min(read, e.content.Len()):]
+		read += len(content)
+		overlap := min(len(held), len(content))
+		if held[:overlap] != content[:overlap] {
+			// The call was executed anew, with another answer; passRest tells the caller.
+			return false
+		}
+		if added := content[overlap:]; added != "" {
+			e.content.WriteString(added)
+			e.usage.Completion = pieces
+			e.ensureWriter(w).piece(engine.Delta{Content: added})
+		}
+		return true
 	})
 }
 
 // passRest sends what a followed answer has beyond the text that was streamed already.
 func (e *chatExecution) passRest(w http.ResponseWriter, answer *program.Answer) error {
-	if e.follow == nil || e.content.Len() == 0 {
+	if !e.joined || e.writer == nil || !e.writer.begun() {
 		return nil
 	}
-	var stored engine.AssistantMessage
-	if err := json.Unmarshal(answer.Message, &stored); err != nil || stored.Content == nil {
-		return nil
+	stored, err := storedDelta(answer)
+	if err != nil {
+		return err
 	}
-	rest, continues := strings.CutPrefix(*stored.Content, e.content.String())
-	if !continues {
+	rest, continues := strings.CutPrefix(stored.Content, e.content.String())
+	if !continues || e.toolCalls.begun() {
 		return apierr.New(apierr.EngineFailed, apierr.Ran, "the call was executed anew and its answer differs from what was streamed; repeat with the same key to get it")
 	}
-	if rest != "" {
-		e.ensureWriter(w).piece(engine.Delta{Content: rest})
+	if rest != "" || len(stored.ToolCalls) > 0 {
+		e.writer.piece(engine.Delta{Content: rest, ToolCalls: stored.ToolCalls})
 	}
 	return nil
 }
@@ -188,6 +198,9 @@
 
 // stream passes an engine's answer on, all but its end.
 func (e *chatExecution) stream(ctx context.Context, w http.ResponseWriter, target engine.Target, response coordinator.BeginResponse) error {
+	if e.live == nil && e.identity.idempotencyKey != "" {
+		e.live = e.gateway.options.Live.publish(response.CallID, e.content.String(), e.usage.Completion)
+	}
 	resumed := e.content.Len() > 0
 	if resumed && e.usage.Completion >= e.request.MaxTokens {
 		// Only the end of the answer was lost.
@@ -236,8 +249,8 @@
 // take adds a piece to the answer and passes it on.
 func (e *chatExecution) take(w http.ResponseWriter, delta engine.Delta) {
 	e.content.WriteString(delta.Content)
-	if delta.Content != "" && e.identity.idempotencyKey != "" {
-		e.gateway.options.Live.add(e.begin.Admit.CallID, delta.Content)
+	if delta.Content != "" {
+		e.live.add(delta.Content)
 	}
 	e.toolCalls.add(delta.ToolCalls)
 	if delta.FinishReason != "" {
--- a/internal/gateway/execution.go
+++ b/internal/gateway/execution.go
@@ -25,6 +25,8 @@
 	begin    coordinator.BeginRequest
 	// follow, if set, passes on the running answer of the call which this one repeats.
 	follow func(ctx context.Context, w http.ResponseWriter, response coordinator.BeginResponse)
+	// joined is set if the answer is that of the call which this one repeats.
+	joined bool
 	// avoid are the engines on which the call has failed.
 	avoid []string
 }
@@ -56,6 +58,7 @@
 			continue
 		}
 		if response.Answer != nil {
+			e.joined = true
 			e.gateway.options.Metrics.joinedCalls.Inc()
 			return response.Answer, nil
 		}
--- a/internal/gateway/live.go
+++ b/internal/gateway/live.go
@@ -56,32 +56,62 @@
 	return live
 }
 
-// add appends a piece of a call's answer.
-func (l *Live) add(callID, content string) {
+// livePublisher is where the one request that executes a call puts its answer. A nil publisher
+// takes everything and publishes nothing.
+type livePublisher struct {
+	live   *Live
+	callID string
+	answer *liveAnswer
+}
+
+// publish starts a call's answer with what is there already, from an attempt that was lost. An
+// answer that an earlier execution left under the same call ends.
+func (l *Live) publish(callID, content string, pieces int64) *livePublisher {
 	l.mutex.Lock()
 	defer l.mutex.Unlock()
-	answer := l.answers[callID]
-	if answer == nil {
-		answer = &liveAnswer{changed: make(chan struct{})}
-		l.answers[callID] = answer
+	if earlier := l.answers[callID]; earlier != nil {
+		earlier.end()
 	}
-	answer.content = append(answer.content, content...)
-	answer.pieces++
-	close(answer.changed)
-	answer.changed = make(chan struct{})
+	answer := &liveAnswer{content: []byte(content), pieces: pieces, changed: make(chan struct{})}
+	l.answers[callID] = answer
+	return &livePublisher{live: l, callID: callID, answer: answer}
 }
 
-// end forgets a call's answer; its readers turn to the coordinator.
-func (l *Live) end(callID string) {
-	l.mutex.Lock()
-	defer l.mutex.Unlock()
-	answer := l.answers[callID]
-	if answer == nil {
+// end wakes the readers for the last time; Live's mutex is held.
+func (a *liveAnswer) end() {
+	if !a.ended {
+		a.ended = true
+		close(a.changed)
+	}
+}
+
+// add appends a piece.
+func (p *livePublisher) add(content string) {
+	if p == nil {
 		return
 	}
-	answer.ended = true
-	close(answer.changed)
-	delete(l.answers, callID)
+	p.live.mutex.Lock()
+	defer p.live.mutex.Unlock()
+	if p.answer.ended {
+		return
+	}
+	p.answer.content = append(p.answer.content, content...)
+	p.answer.pieces++
+	close(p.answer.changed)
+	p.answer.changed = make(chan struct{})
+}
+
+// close ends the answer; its readers turn to the coordinator.
+func (p *livePublisher) close() {
+	if p == nil {
+		return
+	}
+	p.live.mutex.Lock()
+	defer p.live.mutex.Unlock()
+	p.answer.end()
+	if p.live.answers[p.callID] == p.answer {
+		delete(p.live.answers, p.callID)
+	}
 }
 
 // read waits for more than the reader has.
@@ -115,19 +145,19 @@
 	}
 }
 
-// follow passes on what the gateway that executes a call has of its answer, until there is no more
-// to be had from there.
-func (l *Live) follow(ctx context.Context, gatewayID, callID string, pass func(content string, pieces int64)) {
+// follow passes on what the gateway that executes a call has of its answer, from the start, until
+// there is no more to be had from there or pass returns false.
+func (l *Live) follow(ctx context.Context, gatewayID, callID string, pass func(content string, pieces int64) bool) {
 	request := liveRequest{CallID: callID}
 	for ctx.Err() == nil {
 		response, err := l.ask(ctx, gatewayID, request)
 		if err != nil || !response.Found {
 			return
 		}
-		if response.Content != "" {
-			pass(response.Content, response.Pieces)
-			request.Offset += len(response.Content)
+		if response.Content != "" && !pass(response.Content, response.Pieces) {
+			return
 		}
+		request.Offset += len(response.Content)
 		if response.Ended {
 			return
 		}
--- a/internal/gateway/parse_test.go
+++ b/internal/gateway/parse_test.go
@@ -75,6 +75,18 @@
 	assert.Equal(t, string(merger.encoded()), `[{"id":"c1","type":"function","function":{"name":"check","arguments":"{\"a\":1}"}}]`)
 }
 
+// TestStoredToolCallsStreamWithTheirIndex: readers of a stream tell tool calls apart by it.
+func TestStoredToolCallsStreamWithTheirIndex(t *testing.T) {
+	answer := &program.Answer{Message: json.RawMessage(`{"role":"assistant","content":null,"tool_calls":[{"id":"a","type":"function","function":{"name":"x","arguments":""}},{"id":"b","type":"function","function":{"name":"y","arguments":""}}]}`)}
+	delta, err := storedDelta(answer)
+	assert.NilError(t, err)
+	var calls []toolCall
+	assert.NilError(t, json.Unmarshal(delta.ToolCalls, &calls))
+	assert.Equal(t, len(calls), 2)
+	assert.Equal(t, *calls[1].Index, 1)
+	assert.Equal(t, calls[1].ID, "b")
+}
+
 // TestPauseIsNoticed whether or not the beat has run since.
 func TestPauseIsNoticed(t *testing.T) {
 	detector := NewPauseDetector()
--- a/internal/gateway/tool_calls.go
+++ b/internal/gateway/tool_calls.go
@@ -57,3 +57,19 @@
 	}
 	return encoded
 }
+
+// indexedToolCalls numbers the tool calls of a message, as a stream's reader needs them.
+func indexedToolCalls(raw json.RawMessage) json.RawMessage {
+	var calls []toolCall
+	if len(raw) == 0 || json.Unmarshal(raw, &calls) != nil {
+		return nil
+	}
+	for index := range calls {
+		calls[index].Index = &index
+	}
+	encoded, err := json.Marshal(calls)
+	if err != nil {
+		return nil
+	}
+	return encoded
+}
--- a/internal/lab/runner/client.go
+++ b/internal/lab/runner/client.go
@@ -172,6 +172,14 @@
 	} `json:"error"`
 }
 
+// ReadStream reads a streamed answer to its end and returns its text. Errors: *Failure if the
+// stream ends with one; io.ErrUnexpectedEOF if it is cut off.
+func ReadStream(body io.Reader) (string, error) {
+	var reply Reply
+	err := readStream(body, time.Now(), &reply)
+	return reply.Content, err
+}
+
 func readStream(body io.Reader, started time.Time, reply *Reply) error {
 	scanner := bufio.NewScanner(body)
 	scanner.Buffer(nil, maxEventBytes)
--- a/internal/program/calls.go
+++ b/internal/program/calls.go
@@ -207,7 +207,7 @@
 	if refusal != nil {
 		return *refusal
 	}
-	if call.State == Dispatching && call.Attempt == request.Attempt && call.Gateway == request.Gateway && call.Engine == request.Engine {
+	if call.State == Dispatching && call.Attempt == request.Attempt && call.Execution == request.Execution && call.Gateway == request.Gateway && call.Engine == request.Engine {
 		return Result{Call: call.public(), Existing: true, Mark: program.Mark}
 	}
 	if call.Ended() {
@@ -230,6 +230,7 @@
 	call.Attempt = request.Attempt
 	call.Engine = request.Engine
 	call.Gateway = request.Gateway
+	call.Execution = request.Execution
 	program.LastEngine = request.Engine
 	if request.CacheService != "" {
 		program.Caches[request.Engine] = request.CacheService
--- a/internal/program/types.go
+++ b/internal/program/types.go
@@ -82,6 +82,7 @@
 	Attempt        int           `json:"attempt,omitempty"`
 	Engine         string        `json:"engine,omitempty"`
 	Gateway        string        `json:"gateway,omitempty"`
+	Execution      string        `json:"execution,omitempty"`
 	Reserved       int64         `json:"reserved,omitempty"`
 	Base           HistoryMark   `json:"base"`
 	CheckBase      bool          `json:"check_base,omitempty"`
@@ -152,6 +153,9 @@
 	Attempt int    `json:"attempt"`
 	Engine  string `json:"engine"`
 	Gateway string `json:"gateway"`
+	// Execution is the caller's request that may send the attempt. Several requests with one
+	// idempotency key may wait at the same gateway; only this one sends.
+	Execution string `json:"execution,omitempty"`
 	// CacheService is set if the engine will hold the program's cache.
 	CacheService string `json:"cache_service,omitempty"`
 }
