--- a/internal/program/machine.go
+++ b/internal/program/machine.go
@@ -134,6 +134,29 @@
 	Programs []*Program `json:"programs"`
 }
 
+// ErrSnapshot means that a snapshot can't be the state of any replica.
+type ErrSnapshot struct{ Reason string }
+
+// Error implements error.
+func (e *ErrSnapshot) Error() string { return "snapshot of programs: " + e.Reason }
+
+func (s machineState) check() error {
+	for _, program := range s.Programs {
+		if program == nil {
+			return &ErrSnapshot{Reason: "a program is missing"}
+		}
+		if !program.History.readable() {
+			return &ErrSnapshot{Reason: "the history of program " + program.Key.Path + " can't be read"}
+		}
+		for id, call := range program.Open {
+			if call == nil || call.ID != id {
+				return &ErrSnapshot{Reason: "call " + id + " of program " + program.Key.Path + " is missing"}
+			}
+		}
+	}
+	return nil
+}
+
 var (
 	snapshotEncoder, _ = zstd.NewWriter(nil)
 	snapshotDecoder, _ = zstd.NewReader(nil)
@@ -162,6 +185,9 @@
 			return errors.Wrap(err, "decoding the programs")
 		}
 	}
+	if err := state.check(); err != nil {
+		return err
+	}
 	m.mutex.Lock()
 	defer m.mutex.Unlock()
 	m.now = state.Now
--- a/internal/program/machine_test.go
+++ b/internal/program/machine_test.go
@@ -6,6 +6,7 @@
 	"strings"
 	"testing"
 
+	"github.com/klauspost/compress/zstd"
 	"gotest.tools/v3/assert"
 	"pgregory.net/rapid"
 
@@ -252,6 +253,28 @@
 	})
 }
 
+// FuzzRestore: a snapshot that was damaged or made by somebody else is refused or is usable.
+func FuzzRestore(f *testing.F) {
+	f.Add([]byte(`{"now":5,"programs":[{"key":{"tenant":"t","path":"p"},"limits":{"tokens":9,"calls":9},"next_sequence":1}]}`))
+	f.Add([]byte(`{"programs":[null]}`))
+	f.Add([]byte(`{"programs":[{"open":{"a":null}}]}`))
+	f.Add([]byte(`{"programs":[{"history":{"chunks":["AAAA"]}}]}`))
+	encoder, err := zstd.NewWriter(nil)
+	assert.NilError(f, err)
+	f.Fuzz(func(t *testing.T, plain []byte) {
+		machine := program.NewMachine()
+		if machine.Restore(encoder.EncodeAll(plain, nil)) != nil {
+			return
+		}
+		for _, summary := range machine.Summaries("") {
+			machine.History(program.Key{Tenant: summary.Key.Tenant, Path: summary.Key.Path})
+		}
+		machine.OpenCalls()
+		machine.HeldCaches()
+		machine.Execute(program.Command{At: 1, Expire: &program.Expire{}})
+	})
+}
+
 // TestSingleCallsAreForgottenSoon: the programs that gateways make for single calls do not pile up
 // for as long as named ones are remembered.
 func TestSingleCallsAreForgottenSoon(t *testing.T) {
--- a/internal/program/store.go
+++ b/internal/program/store.go
@@ -36,6 +36,19 @@
 	h.Tail = nil
 }
 
+// readable reports whether messages can be called. A history that came from elsewhere is checked
+// once, when it comes.
+func (h *History) readable() bool {
+	for _, chunk := range h.Chunks {
+		encoded, err := snapshotDecoder.DecodeAll(chunk, nil)
+		var part []Message
+		if err != nil || json.Unmarshal(encoded, &part) != nil {
+			return false
+		}
+	}
+	return true
+}
+
 // messages returns all messages, oldest first.
 func (h *History) messages() []Message {
 	var all []Message
@@ -43,7 +56,8 @@
 		var part []Message
 		encoded, err := snapshotDecoder.DecodeAll(chunk, nil)
 		if err != nil || json.Unmarshal(encoded, &part) != nil {
-			// A chunk was made by append; a damaged one must not pass for a shorter history.
+			// A chunk was made by append, or checked by Restore; a damaged one must not pass for a
+			// shorter history.
 			panic("program: a chunk of history can't be read")
 		}
 		all = append(all, part...)
