--- a/cmd/mountstile-lab/experiment.go
+++ b/cmd/mountstile-lab/experiment.go
@@ -9,6 +9,7 @@
 
 type experimentCommand struct {
 	Out     string `long:"out" required:"yes" description:"folder for summary.json, report.md and plots"`
+	Virtual bool   `long:"virtual" description:"run the same decisions in virtual time, at the file's virtual size"`
 	Repeats int    `long:"repeats" description:"replace the file's number of repeats"`
 	Args    struct {
 		File string `positional-arg-name:"FILE"`
@@ -21,12 +22,16 @@
 	if err != nil {
 		return err
 	}
+	run := experiment.Run
+	if c.Virtual {
+		file, run = file.InVirtualTime(), experiment.RunVirtual
+	}
 	if c.Repeats > 0 {
 		file.Repeats = c.Repeats
 	}
 	ctx, cancel := interruptible()
 	defer cancel()
-	samples, err := experiment.Run(ctx, file, os.Stderr)
+	samples, err := run(ctx, file, os.Stderr)
 	if err != nil {
 		return err
 	}
--- /dev/null
+++ b/internal/clock/virtual.go
@@ -0,0 +1,177 @@
+package clock
+
+import (
+	"container/heap"
+	"context"
+	"time"
+)
+
+// Virtual runs tasks one at a time, in a fixed order, and moves its time forward only when all of
+// them wait. A run with the same seeds is the same each time. Tasks may block only through Sleep,
+// signals and Parallel.
+type Virtual struct {
+	now     time.Time
+	ready   []*task
+	timers  timerHeap
+	counter uint64
+	current *task
+	yielded chan struct{}
+}
+
+type task struct {
+	resume chan struct{}
+	// wakeup is the timer that the task waits for; nil if it waits for none.
+	wakeup *timer
+}
+
+type timer struct {
+	at time.Time
+	// order keeps timers of the same moment in the order in which they were set.
+	order     uint64
+	task      *task
+	cancelled bool
+}
+
+type timerHeap []*timer
+
+func (h timerHeap) Len() int { return len(h) }
+func (h timerHeap) Less(i, j int) bool {
+	if !h[i].at.Equal(h[j].at) {
+		return h[i].at.Before(h[j].at)
+	}
+	return h[i].order < h[j].order
+}
+func (h timerHeap) Swap(i, j int) { h[i], h[j] = h[j], h[i] }
+func (h *timerHeap) Push(item any) {
+	*h = append(*h, item.(*timer))
+}
+func (h *timerHeap) Pop() any {
+	last := len(*h) - 1
+	item := (*h)[last]
+	*h = (*h)[:last]
+	return item
+}
+
+// NewVirtual returns a clock that stands at start.
+func NewVirtual(start time.Time) *Virtual {
+	return &Virtual{now: start, yielded: make(chan struct{})}
+}
+
+// Run starts first as a task and returns when no task can go on any more: all have ended, or wait
+// for a signal that nobody is left to fire.
+func (v *Virtual) Run(first func()) {
+	v.Go(first)
+	for v.next() {
+		v.current.resume <- struct{}{}
+		<-v.yielded
+	}
+}
+
+// next picks the task that runs next, and moves the time if none is ready.
+func (v *Virtual) next() bool {
+	for len(v.ready) == 0 {
+		if len(v.timers) == 0 {
+			return false
+		}
+		earliest := heap.Pop(&v.timers).(*timer)
+		if earliest.cancelled {
+			continue
+		}
+		v.now = earliest.at
+		earliest.task.wakeup = nil
+		v.ready = append(v.ready, earliest.task)
+	}
+	v.current = v.ready[0]
+	v.ready = v.ready[1:]
+	return true
+}
+
+// Go starts a task.
+func (v *Virtual) Go(run func()) {
+	started := &task{resume: make(chan struct{})}
+	v.ready = append(v.ready, started)
+	go func() {
+		<-started.resume
+		run()
+		v.yielded <- struct{}{}
+	}()
+}
+
+// Now implements Clock.
+func (v *Virtual) Now() time.Time { return v.now }
+
+// Sleep lets the calling task wait.
+func (v *Virtual) Sleep(duration time.Duration) {
+	v.setTimer(v.current, duration)
+	v.yield(v.current)
+}
+
+func (v *Virtual) setTimer(waiting *task, duration time.Duration) {
+	v.counter++
+	waiting.wakeup = &timer{at: v.now.Add(max(0, duration)), order: v.counter, task: waiting}
+	heap.Push(&v.timers, waiting.wakeup)
+}
+
+func (v *Virtual) yield(waiting *task) {
+	v.yielded <- struct{}{}
+	<-waiting.resume
+}
+
+// NewSignal implements Clock.
+func (v *Virtual) NewSignal() Signal { return &virtualSignal{clock: v} }
+
+type virtualSignal struct {
+	clock  *Virtual
+	fired  bool
+	waiter *task
+}
+
+func (s *virtualSignal) Fire() {
+	if s.fired {
+		return
+	}
+	s.fired = true
+	if s.waiter == nil {
+		return
+	}
+	if s.waiter.wakeup != nil {
+		s.waiter.wakeup.cancelled = true
+		s.waiter.wakeup = nil
+	}
+	s.clock.ready = append(s.clock.ready, s.waiter)
+	s.waiter = nil
+}
+
+// Wait ignores the context: whoever ends a virtual run ends all of it.
+func (s *virtualSignal) Wait(_ context.Context, limit time.Duration) bool {
+	if s.fired {
+		return true
+	}
+	s.waiter = s.clock.current
+	s.clock.setTimer(s.waiter, limit)
+	s.clock.yield(s.waiter)
+	s.waiter = nil
+	return s.fired
+}
+
+// Forever is longer than any run.
+const Forever = 1000 * time.Hour
+
+// Parallel runs tasks beside each other and waits for all.
+func (v *Virtual) Parallel(runs ...func()) {
+	if len(runs) == 0 {
+		return
+	}
+	left := len(runs)
+	done := v.NewSignal()
+	for _, run := range runs {
+		v.Go(func() {
+			run()
+			left--
+			if left == 0 {
+				done.Fire()
+			}
+		})
+	}
+	done.Wait(context.Background(), Forever)
+}
--- a/internal/coordinator/server.go
+++ b/internal/coordinator/server.go
@@ -357,10 +357,9 @@
 	return decision, err
 }
 
-// describe tells the scheduler about a call and its program.
-func (s *Server) describe(request BeginRequest, call *program.Call, set *resource.Set, service *resource.Service, avoid []string) scheduler.Call {
-	summary, _ := s.machine(request.Partition).Summary(request.Admit.Program)
-	description := scheduler.Call{
+// DescribeCall tells the scheduler about a call and its program.
+func DescribeCall(request BeginRequest, call *program.Call, summary program.Summary, service *resource.Service, now time.Time) scheduler.Call {
+	return scheduler.Call{
 		ID:           call.ID,
 		Program:      request.Admit.Program.Path,
 		Tenant:       request.Admit.Program.Tenant,
@@ -377,11 +376,17 @@
 		Calls:        summary.Calls,
 		UsedTokens:   summary.Used,
 		Messages:     summary.Messages,
-		AgeSeconds:   time.Since(time.UnixMilli(summary.CreatedAt)).Seconds(),
-		Avoid:        avoid,
+		AgeSeconds:   now.Sub(time.UnixMilli(summary.CreatedAt)).Seconds(),
 		Wait:         seconds(service.QueueSeconds),
 		Limit:        seconds(service.CallSeconds),
 	}
+}
+
+// describe adds what only this node knows: the tenant's weight, and engines that have failed.
+func (s *Server) describe(request BeginRequest, call *program.Call, set *resource.Set, service *resource.Service, avoid []string) scheduler.Call {
+	summary, _ := s.machine(request.Partition).Summary(request.Admit.Program)
+	description := DescribeCall(request, call, summary, service, time.Now())
+	description.Avoid = avoid
 	if tenant, known := set.Tenant(request.Admit.Program.Tenant); known {
 		description.Weight = tenant.Weight
 	}
--- a/internal/emulator/text.go
+++ b/internal/emulator/text.go
@@ -25,7 +25,7 @@
 		if json.Unmarshal(message.Content, &content) != nil {
 			content = string(message.Content)
 		}
-		text.WriteString("<" + message.Role + ">" + content)
+		text.WriteString(Flatten(message.Role, content))
 	}
 	return text.String()
 }
@@ -53,12 +53,7 @@
 
 // ExpectedAnswer is the whole answer to a prompt of this many tokens.
 func ExpectedAnswer(messages []json.RawMessage, tokens int) string {
-	prompt := xxhash.Sum64String(flatten(decodeMessages(messages)))
-	var text strings.Builder
-	for index := 1; index <= tokens; index++ {
-		text.WriteString(tokenText(prompt, index))
-	}
-	return text.String()
+	return AnswerText(flatten(decodeMessages(messages)), tokens)
 }
 
 func decodeMessages(messages []json.RawMessage) []promptMessage {
@@ -72,3 +67,21 @@
 
 // countTokens counts the tokens of an answer that this emulator has generated.
 func countTokens(answer string) int { return strings.Count(answer, ":") }
+
+// Prompt cuts a flattened text into the cache blocks that a request names, and counts its tokens.
+func Prompt(text string, blockTokens int) (blocks []uint64, tokens int) {
+	return chainBlocks(text, blockTokens), tokensOf(text)
+}
+
+// Flatten makes one text of a message, as a chat template would.
+func Flatten(role, content string) string { return "<" + role + ">" + content }
+
+// AnswerText is an answer of so many tokens to a flattened prompt.
+func AnswerText(prompt string, tokens int) string {
+	hash := xxhash.Sum64String(prompt)
+	var text strings.Builder
+	for index := 1; index <= tokens; index++ {
+		text.WriteString(tokenText(hash, index))
+	}
+	return text.String()
+}
--- /dev/null
+++ b/internal/lab/experiment/engine.go
@@ -0,0 +1,102 @@
+package experiment
+
+import (
+	"context"
+
+	"github.com/mountstile/mountstile/internal/clock"
+	"github.com/mountstile/mountstile/internal/emulator"
+)
+
+// simulatedEngine runs the emulator's model in virtual time.
+type simulatedEngine struct {
+	clock  *clock.Virtual
+	config emulator.Config
+	model  *emulator.Model
+	jobs   map[string]*simulatedJob
+	wake   clock.Signal
+	down   bool
+	// retired is the accounting of caches that were lost with the engine.
+	retired emulator.CacheStats
+}
+
+// simulatedJob is one request at an engine.
+type simulatedJob struct {
+	first     clock.Signal
+	done      clock.Signal
+	generated int
+	cached    int
+	lost      bool
+}
+
+func newSimulatedEngine(virtual *clock.Virtual, config emulator.Config) *simulatedEngine {
+	return &simulatedEngine{clock: virtual, config: config, model: emulator.NewModel(config), jobs: make(map[string]*simulatedJob), wake: virtual.NewSignal()}
+}
+
+// run steps the model until nothing is left to do for good.
+func (e *simulatedEngine) run() {
+	for {
+		if e.down || !e.model.Busy() {
+			e.wake = e.clock.NewSignal()
+			if !e.wake.Wait(context.Background(), clock.Forever) {
+				return
+			}
+			continue
+		}
+		model := e.model
+		took, progress := model.Step()
+		e.clock.Sleep(took)
+		if model != e.model {
+			// The engine died during the step.
+			continue
+		}
+		for _, item := range progress {
+			e.deliver(item)
+		}
+	}
+}
+
+func (e *simulatedEngine) deliver(item emulator.Progress) {
+	job := e.jobs[item.ID]
+	if job == nil {
+		return
+	}
+	job.generated, job.cached = item.Token, item.Cached
+	job.first.Fire()
+	if item.Done {
+		delete(e.jobs, item.ID)
+		job.done.Fire()
+	}
+}
+
+// submit starts a request; false means that the engine can't be reached.
+func (e *simulatedEngine) submit(request emulator.Request) (*simulatedJob, bool) {
+	if e.down {
+		return nil, false
+	}
+	job := &simulatedJob{first: e.clock.NewSignal(), done: e.clock.NewSignal()}
+	e.jobs[request.ID] = job
+	e.model.Submit(request)
+	e.wake.Fire()
+	return job, true
+}
+
+// fail loses the engine with its cache and all that runs on it.
+func (e *simulatedEngine) fail() {
+	e.down = true
+	e.retired = e.retired.Add(e.model.Cache())
+	e.model = emulator.NewModel(e.config)
+	for _, job := range e.jobs {
+		job.lost = true
+		job.first.Fire()
+		job.done.Fire()
+	}
+	e.jobs = make(map[string]*simulatedJob)
+}
+
+func (e *simulatedEngine) recover() {
+	e.down = false
+	e.wake.Fire()
+}
+
+// cache is the accounting over the engine's whole life.
+func (e *simulatedEngine) cache() emulator.CacheStats { return e.retired.Add(e.model.Cache()) }
--- a/internal/lab/experiment/experiment.go
+++ b/internal/lab/experiment/experiment.go
@@ -45,12 +45,46 @@
 	// Seconds is the span in which programs start.
 	Seconds   float64 `yaml:"seconds"`
 	TimeScale float64 `yaml:"timeScale"`
+	// KillEverySeconds, if set, loses one engine after the other, each for KilledSeconds; only in
+	// virtual time.
+	KillEverySeconds float64 `yaml:"killEverySeconds"`
+	KilledSeconds    float64 `yaml:"killedSeconds"`
+	// Virtual is what a run in virtual time does differently.
+	Virtual *VirtualScale `yaml:"virtual"`
 	// Loads are offered load as shares of the engines' capacity; Capacity explains the measure.
 	Loads    []float64       `yaml:"loads"`
 	Engine   emulator.Config `yaml:"engine"`
 	Policies []PolicyEntry   `yaml:"policies"`
 }
 
+// VirtualScale is the size of a run in virtual time, which costs no waiting; 0 keeps the file's.
+type VirtualScale struct {
+	Repeats   int       `yaml:"repeats"`
+	Seconds   float64   `yaml:"seconds"`
+	TimeScale float64   `yaml:"timeScale"`
+	Loads     []float64 `yaml:"loads"`
+}
+
+// InVirtualTime returns the experiment at its size for virtual time.
+func (f File) InVirtualTime() File {
+	if f.Virtual == nil {
+		return f
+	}
+	if f.Virtual.Repeats > 0 {
+		f.Repeats = f.Virtual.Repeats
+	}
+	if f.Virtual.Seconds > 0 {
+		f.Seconds = f.Virtual.Seconds
+	}
+	if f.Virtual.TimeScale > 0 {
+		f.TimeScale = f.Virtual.TimeScale
+	}
+	if len(f.Virtual.Loads) > 0 {
+		f.Loads = f.Virtual.Loads
+	}
+	return f
+}
+
 // ErrFile means that an experiment file can't be used.
 type ErrFile struct {
 	Path   string
@@ -99,14 +133,26 @@
 	engineSlots  = 16
 )
 
-// Run plays all policies, loads and repeats, in turn, and reports progress.
+// Run plays all policies, loads and repeats on the real path, in turn, and reports progress.
 func Run(ctx context.Context, file File, progress io.Writer) ([]Sample, error) {
+	return runAll(ctx, file, progress, runOne)
+}
+
+// RunVirtual does the same in virtual time: the product's decisions, without processes, network and
+// waiting.
+func RunVirtual(ctx context.Context, file File, progress io.Writer) ([]Sample, error) {
+	return runAll(ctx, file, progress, runVirtual)
+}
+
+type runSample func(ctx context.Context, file File, policy PolicyEntry, load float64, repeat int) (Sample, error)
+
+func runAll(ctx context.Context, file File, progress io.Writer, run runSample) ([]Sample, error) {
 	var samples []Sample
 	total := len(file.Policies) * len(file.Loads) * file.Repeats
 	for _, load := range file.Loads {
 		for repeat := range file.Repeats {
 			for _, policy := range file.Policies {
-				sample, err := runOne(ctx, file, policy, load, repeat)
+				sample, err := run(ctx, file, policy, load, repeat)
 				if err != nil {
 					return samples, errors.Wrapf(err, "%s at load %.2f", policy.Name, load)
 				}
@@ -190,10 +236,10 @@
 	model := map[string]string{"brindleway": "tutor-small", "mapishi": "recipes-small"}[file.Workload]
 	return []resource.Resource{
 		{Kind: resource.KindTenant, Name: file.Workload, Tenant: &resource.Tenant{Keys: []resource.APIKey{resource.NewAPIKey(apiKeyID, cluster.DemoSecret, resource.RoleCaller)}}},
-		{Kind: resource.KindPool, Name: "pool", Pool: pool},
+		{Kind: resource.KindPool, Name: poolName, Pool: pool},
 		{Kind: resource.KindPolicy, Name: policy.Name, Policy: &resource.Policy{Filter: policy.Filter, Score: policy.Score, Rank: policy.Rank}},
-		{Kind: resource.KindService, Name: "service", Service: &resource.Service{
-			Type: resource.ServiceModel, Pool: "pool", Policy: policy.Name, Models: []string{model}, Tenants: []string{file.Workload},
+		{Kind: resource.KindService, Name: serviceName, Service: &resource.Service{
+			Type: resource.ServiceModel, Pool: poolName, Policy: policy.Name, Models: []string{model}, Tenants: []string{file.Workload},
 			MaxTokens: 512, QueueSeconds: 60, CallSeconds: 120,
 		}},
 	}
--- a/internal/lab/runner/runner.go
+++ b/internal/lab/runner/runner.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"fmt"
-	"math/rand/v2"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -57,6 +56,20 @@
 	change()
 }
 
+// World is where programs are played: a cluster over its public interface, or a simulation.
+type World interface {
+	Now() time.Time
+	Pause(ctx context.Context, duration time.Duration) error
+	// Parallel runs tasks beside each other and returns when all have ended.
+	Parallel(tasks ...func())
+	// Chat makes one call for a tenant. Errors: *Failure, or what the way there says.
+	Chat(ctx context.Context, tenant string, call Call) (Reply, error)
+	// Tool calls a tool that takes so long.
+	Tool(ctx context.Context, takes time.Duration) error
+	// End ends a program.
+	End(ctx context.Context, tenant, program string) error
+}
+
 // Options say where and how to play.
 type Options struct {
 	// Nodes are the callers' addresses of the nodes; each call enters through any of them.
@@ -69,69 +82,48 @@
 	Progress *atomic.Int64
 }
 
-// player plays one program.
-type player struct {
-	options Options
-	client  *Client
-	result  *Result
-	random  *rand.Rand
+// Run plays all programs at their times against a cluster and returns what each tenant saw.
+func Run(ctx context.Context, options Options, programs []workload.Program) map[string]*Result {
+	world := newCluster(options)
+	defer world.close()
+	return Play(ctx, world, options.Progress, programs)
 }
 
-// Run plays all programs at their times and returns what each tenant saw.
-func Run(ctx context.Context, options Options, programs []workload.Program) map[string]*Result {
+// Play plays all programs at their times and returns what each tenant saw. Progress, if set, counts
+// programs done.
+func Play(ctx context.Context, world World, progress *atomic.Int64, programs []workload.Program) map[string]*Result {
 	results := make(map[string]*Result)
-	clients := make(map[string]*Client)
+	tasks := make([]func(), 0, len(programs))
 	for _, program := range programs {
 		if results[program.Tenant] == nil {
 			results[program.Tenant] = newResult()
-			clients[program.Tenant] = NewClient(options.Keys[program.Tenant])
-		}
-	}
-	var tasks sync.WaitGroup
-	for index, program := range programs {
-		play := &player{
-			options: options,
-			client:  clients[program.Tenant],
-			result:  results[program.Tenant],
-			random:  rand.New(rand.NewPCG(options.Seed, uint64(index))),
 		}
-		tasks.Go(func() {
-			if pause(ctx, program.Start) == nil {
+		play := &player{world: world, result: results[program.Tenant]}
+		tasks = append(tasks, func() {
+			if world.Pause(ctx, program.Start) == nil {
 				play.program(ctx, program)
 			}
-			if options.Progress != nil {
-				options.Progress.Add(1)
+			if progress != nil {
+				progress.Add(1)
 			}
 		})
 	}
-	tasks.Wait()
-	for _, client := range clients {
-		client.Close()
-	}
+	world.Parallel(tasks...)
 	return results
 }
 
-func pause(ctx context.Context, duration time.Duration) error {
-	timer := time.NewTimer(duration)
-	defer timer.Stop()
-	select {
-	case <-ctx.Done():
-		return ctx.Err()
-	case <-timer.C:
-		return nil
-	}
-}
-
-func (p *player) node(random *rand.Rand) string {
-	return p.options.Nodes[random.IntN(len(p.options.Nodes))]
+// player plays one program.
+type player struct {
+	world  World
+	result *Result
 }
 
 // program plays a top-level program and records its latency.
 func (p *player) program(ctx context.Context, program workload.Program) {
 	p.result.note(func() { p.result.Programs++ })
-	latency, err := p.play(ctx, program, p.random, true)
+	latency, err := p.play(ctx, program, true)
 	if err == nil && !program.Dies {
-		err = p.client.End(ctx, p.node(p.random), program.Name)
+		err = p.world.End(ctx, program.Tenant, program.Name)
 	}
 	p.result.note(func() {
 		if err != nil {
@@ -153,12 +145,12 @@
 }
 
 // play runs a program's turns one after the other; it returns the time without thinking.
-func (p *player) play(ctx context.Context, program workload.Program, random *rand.Rand, top bool) (time.Duration, error) {
+func (p *player) play(ctx context.Context, program workload.Program, top bool) (time.Duration, error) {
 	conversation := []Message{{Role: "system", Content: program.System}}
 	sequence := 0
 	var total time.Duration
 	for _, turn := range program.Turns {
-		started := time.Now()
+		started := p.world.Now()
 		for _, step := range turn.Steps {
 			sequence++
 			content := step.UserText
@@ -166,21 +158,21 @@
 				content = fmt.Sprintf("tool result %d", sequence)
 			}
 			conversation = append(conversation, Message{Role: "user", Content: content})
-			reply, err := p.call(ctx, program, sequence, conversation, step.OutputTokens, random)
+			reply, err := p.call(ctx, program, sequence, conversation, step.OutputTokens)
 			if err != nil {
 				return total, err
 			}
 			conversation = append(conversation, Message{Role: "assistant", Content: reply.Content})
-			if err := p.afterCall(ctx, step, random); err != nil {
+			if err := p.afterCall(ctx, step); err != nil {
 				return total, err
 			}
 		}
-		took := time.Since(started)
+		took := p.world.Now().Sub(started)
 		total += took
 		if top {
 			p.result.note(func() { p.result.record(p.result.TurnLatency, took) })
 		}
-		if err := pause(ctx, turn.ThinkTime); err != nil {
+		if err := p.world.Pause(ctx, turn.ThinkTime); err != nil {
 			return total, err
 		}
 	}
@@ -188,19 +180,18 @@
 }
 
 // afterCall calls the tool and runs the sub-agents beside each other.
-func (p *player) afterCall(ctx context.Context, step workload.Step, random *rand.Rand) error {
+func (p *player) afterCall(ctx context.Context, step workload.Step) error {
 	if step.ToolPause > 0 {
-		if err := p.client.Tool(ctx, p.options.ToolsURL, step.ToolPause); err != nil {
+		if err := p.world.Tool(ctx, step.ToolPause); err != nil {
 			return err
 		}
 	}
 	failures := make([]error, len(step.SubAgents))
-	var tasks sync.WaitGroup
+	tasks := make([]func(), 0, len(step.SubAgents))
 	for index, child := range step.SubAgents {
-		childRandom := rand.New(rand.NewPCG(random.Uint64(), uint64(index)))
-		tasks.Go(func() { _, failures[index] = p.play(ctx, child, childRandom, false) })
+		tasks = append(tasks, func() { _, failures[index] = p.play(ctx, child, false) })
 	}
-	tasks.Wait()
+	p.world.Parallel(tasks...)
 	for _, failure := range failures {
 		if failure != nil {
 			return failure
@@ -210,7 +201,7 @@
 }
 
 // call makes one call, and repeats it with the same key when that is safe.
-func (p *player) call(ctx context.Context, program workload.Program, sequence int, conversation []Message, tokens int, random *rand.Rand) (Reply, error) {
+func (p *player) call(ctx context.Context, program workload.Program, sequence int, conversation []Message, tokens int) (Reply, error) {
 	request := Call{
 		Program:        program.Name,
 		Sequence:       sequence,
@@ -219,11 +210,11 @@
 		Messages:       conversation,
 		Tokens:         tokens,
 	}
-	started := time.Now()
+	started := p.world.Now()
 	for try := 1; ; try++ {
-		reply, err := p.client.Chat(ctx, p.node(random), request)
+		reply, err := p.world.Chat(ctx, program.Tenant, request)
 		if err == nil {
-			reply.FirstToken += time.Since(started) - reply.Took
+			reply.FirstToken += p.world.Now().Sub(started) - reply.Took
 			p.result.note(func() {
 				p.result.Calls++
 				p.result.Tokens += int64(tokens)
@@ -236,7 +227,7 @@
 			return reply, err
 		}
 		p.result.note(func() { p.result.Refused++ })
-		if err := pause(ctx, wait); err != nil {
+		if err := p.world.Pause(ctx, wait); err != nil {
 			return reply, err
 		}
 	}
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -20,6 +20,7 @@
 	"github.com/prometheus/client_golang/prometheus/promhttp"
 
 	"github.com/mountstile/mountstile/internal/admin"
+	"github.com/mountstile/mountstile/internal/clock"
 	"github.com/mountstile/mountstile/internal/configstore/etcdgateway"
 	"github.com/mountstile/mountstile/internal/configuration"
 	"github.com/mountstile/mountstile/internal/control"
@@ -137,7 +138,7 @@
 		Membership: n.plane.Membership,
 		Config:     n.plane.Config,
 		Host:       n.plane.Host,
-		Scheduler:  scheduler.New(n.settings.Zone, n.plane, n.logger),
+		Scheduler:  scheduler.New(scheduler.Options{Zone: n.settings.Zone, Reserver: n.plane, Clock: clock.Real{}, Logger: n.logger}),
 		Policies:   policies,
 		Engines:    models,
 		Limits:     limit.NewKeeper(n.plane.Transport, n.plane.Membership, n.plane.Config),
--- a/internal/owner/engine.go
+++ b/internal/owner/engine.go
@@ -5,6 +5,8 @@
 
 import (
 	"time"
+
+	"github.com/mountstile/mountstile/internal/clock"
 )
 
 // Load is an engine's state as its owner knows it; it travels with every answer.
@@ -36,7 +38,7 @@
 type waiting struct {
 	request  ReserveRequest
 	since    time.Time
-	granted  chan struct{}
+	granted  clock.Signal
 	finished bool
 }
 
--- a/internal/owner/engine_test.go
+++ b/internal/owner/engine_test.go
@@ -5,6 +5,8 @@
 	"time"
 
 	"gotest.tools/v3/assert"
+
+	"github.com/mountstile/mountstile/internal/clock"
 )
 
 var start = time.Unix(1000, 0)
@@ -16,7 +18,7 @@
 }
 
 func (e *engineState) enqueue(callID, tenant string, weight, rank float64, since time.Time) {
-	e.line = append(e.line, &waiting{request: ReserveRequest{CallID: callID, Tenant: tenant, Weight: weight, Rank: rank}, since: since, granted: make(chan struct{})})
+	e.line = append(e.line, &waiting{request: ReserveRequest{CallID: callID, Tenant: tenant, Weight: weight, Rank: rank}, since: since, granted: clock.Real{}.NewSignal()})
 }
 
 func TestLineGoesByRankAndAge(t *testing.T) {
--- a/internal/scheduler/scheduler.go
+++ b/internal/scheduler/scheduler.go
@@ -12,6 +12,7 @@
 	"time"
 
 	"github.com/mountstile/mountstile/internal/apierr"
+	"github.com/mountstile/mountstile/internal/clock"
 	"github.com/mountstile/mountstile/internal/events"
 	"github.com/mountstile/mountstile/internal/owner"
 	"github.com/mountstile/mountstile/internal/policy"
@@ -84,11 +85,20 @@
 	Reserve(ctx context.Context, engine resource.Engine, request owner.ReserveRequest) (owner.ReserveResponse, error)
 }
 
-// Scheduler runs the cycle. It is safe for concurrent use.
+// Options configure a Scheduler.
+type Options struct {
+	// Zone is the node's.
+	Zone     string
+	Reserver Reserver
+	Clock    clock.Clock
+	// Random, if set, makes the draws of an experiment repeatable.
+	Random *rand.Rand
+	Logger *events.Logger
+}
+
+// Scheduler runs the cycle. It is safe for concurrent use, but for one with Random.
 type Scheduler struct {
-	zone     string
-	reserver Reserver
-	logger   *events.Logger
+	options Options
 
 	mutex sync.Mutex
 	loads map[string]knownLoad
@@ -101,28 +111,48 @@
 	at   time.Time
 }
 
-// New returns a Scheduler for a node in zone.
-func New(zone string, reserver Reserver, logger *events.Logger) *Scheduler {
-	return &Scheduler{zone: zone, reserver: reserver, logger: logger, loads: make(map[string]knownLoad), chosen: make(map[string]time.Time)}
+// New returns a Scheduler.
+func New(options Options) *Scheduler {
+	return &Scheduler{options: options, loads: make(map[string]knownLoad), chosen: make(map[string]time.Time)}
+}
+
+func (s *Scheduler) now() time.Time { return s.options.Clock.Now() }
+
+func (s *Scheduler) since(moment time.Time) time.Duration { return s.now().Sub(moment) }
+
+// draw returns a number from 0 to below bound.
+func (s *Scheduler) draw(bound int) int {
+	if s.options.Random != nil {
+		return s.options.Random.IntN(bound)
+	}
+	return rand.IntN(bound)
+}
+
+// shuffle puts candidates into random order.
+func (s *Scheduler) shuffle(candidates []Candidate) {
+	for last := len(candidates) - 1; last > 0; last-- {
+		other := s.draw(last + 1)
+		candidates[last], candidates[other] = candidates[other], candidates[last]
+	}
 }
 
 // Place finds an engine and holds a place on it. Errors: *apierr.Error with NoEngine, Overloaded,
 // PolicyFailed or Cancelled; the call was not sent anywhere.
 func (s *Scheduler) Place(ctx context.Context, call Call, pool *resource.Pool, rules *policy.Policy) (Decision, error) {
-	started := time.Now()
+	started := s.now()
 	decision := Decision{Call: call.ID, At: started}
 	deadline := started.Add(call.Wait)
 	if err := s.checkAdmission(call, rules); err != nil {
 		return decision, err
 	}
 	for {
-		ranked, rejected := s.rank(call, pool, rules, time.Since(started))
+		ranked, rejected := s.rank(call, pool, rules, s.since(started))
 		decision.Candidates = append(slices.Clone(ranked), rejected...)
 		if len(ranked) == 0 {
 			return decision, noCandidate(rejected)
 		}
-		bound, refusal := s.reserve(ctx, call, ranked, rules, deadline, time.Since(started), &decision)
-		decision.Took = time.Since(started)
+		bound, refusal := s.reserve(ctx, call, ranked, rules, deadline, s.since(started), &decision)
+		decision.Took = s.since(started)
 		if bound {
 			return decision, nil
 		}
@@ -161,7 +191,7 @@
 	input := call.input(waited)
 	for _, candidate := range s.candidates(call, pool) {
 		if candidate.Reason == "" {
-			describe(&input, candidate, call, s.zone)
+			describe(&input, candidate, call, s.options.Zone)
 			candidate.Reason = s.filterAndScore(&candidate, &input, rules)
 		}
 		if candidate.Reason == "" {
@@ -171,7 +201,7 @@
 		}
 	}
 	// Equal candidates are tried in random order, so that schedulers do not herd.
-	rand.Shuffle(len(ranked), func(i, j int) { ranked[i], ranked[j] = ranked[j], ranked[i] })
+	s.shuffle(ranked)
 	slices.SortStableFunc(ranked, func(a, b Candidate) int { return cmp.Compare(b.Score, a.Score) })
 	return ranked, rejected
 }
@@ -192,7 +222,7 @@
 		candidate.Score, err = rules.Score(input)
 	}
 	if err != nil {
-		s.logger.Emit(events.PolicyEvaluationFail, events.F("engine", candidate.Engine.Name), events.F("error", err))
+		s.options.Logger.Emit(events.PolicyEvaluationFail, events.F("engine", candidate.Engine.Name), events.F("error", err))
 		return err.Error()
 	}
 	return ""
@@ -203,9 +233,9 @@
 func (s *Scheduler) candidates(call Call, pool *resource.Pool) []Candidate {
 	s.mutex.Lock()
 	defer s.mutex.Unlock()
-	now := time.Now()
+	now := s.now()
 	result := make([]Candidate, 0, min(shortlist, len(pool.Engines)))
-	for _, index := range chooseIndexes(call.LastEngine, pool.Engines) {
+	for _, index := range s.chooseIndexes(call.LastEngine, pool.Engines) {
 		candidate := Candidate{Engine: pool.Engines[index], Load: s.loadOf(pool.Engines[index], now), Unused: s.unused(pool.Engines[index].Name, now)}
 		candidate.Reason = unusable(candidate, call)
 		result = append(result, candidate)
@@ -213,7 +243,7 @@
 	return result
 }
 
-func chooseIndexes(lastEngine string, engines []resource.Engine) []int {
+func (s *Scheduler) chooseIndexes(lastEngine string, engines []resource.Engine) []int {
 	if len(engines) <= shortlist {
 		all := make([]int, len(engines))
 		for index := range engines {
@@ -226,7 +256,7 @@
 		chosen = append(chosen, last)
 	}
 	for len(chosen) < shortlist {
-		if index := rand.IntN(len(engines)); !slices.Contains(chosen, index) {
+		if index := s.draw(len(engines)); !slices.Contains(chosen, index) {
 			chosen = append(chosen, index)
 		}
 	}
@@ -287,7 +317,7 @@
 		return false, apierr.New(apierr.PolicyFailed, apierr.NotRun, "%s", err)
 	}
 	request.Rank = rank
-	request.WaitMillis = time.Until(deadline).Milliseconds()
+	request.WaitMillis = deadline.Sub(s.now()).Milliseconds()
 	if request.WaitMillis <= 0 {
 		return false, apierr.New(apierr.Overloaded, apierr.NotRun, "no engine became free in time").WithRetryAfter(minimumRetryWait)
 	}
@@ -299,7 +329,7 @@
 func (s *Scheduler) leastLoaded(ranked []Candidate) []Candidate {
 	s.mutex.Lock()
 	defer s.mutex.Unlock()
-	now := time.Now()
+	now := s.now()
 	result := slices.Clone(ranked)
 	for index := range result {
 		result[index].Load = s.loadOf(result[index].Engine, now)
@@ -342,13 +372,13 @@
 // ask reserves and remembers the loads that the owner tells.
 func (s *Scheduler) ask(ctx context.Context, engine resource.Engine, request owner.ReserveRequest) (owner.ReserveResponse, error) {
 	request.Engine = engine.Name
-	response, err := s.reserver.Reserve(ctx, engine, request)
+	response, err := s.options.Reserver.Reserve(ctx, engine, request)
 	if err != nil {
 		return response, err
 	}
 	s.mutex.Lock()
 	defer s.mutex.Unlock()
-	now := time.Now()
+	now := s.now()
 	if response.Granted {
 		s.chosen[engine.Name] = now
 	}
--- a/internal/scheduler/scheduler_test.go
+++ b/internal/scheduler/scheduler_test.go
@@ -9,6 +9,7 @@
 	"gotest.tools/v3/assert"
 
 	"github.com/mountstile/mountstile/internal/apierr"
+	"github.com/mountstile/mountstile/internal/clock"
 	"github.com/mountstile/mountstile/internal/events"
 	"github.com/mountstile/mountstile/internal/owner"
 	"github.com/mountstile/mountstile/internal/policy"
@@ -34,6 +35,10 @@
 	return owner.ReserveResponse{Granted: granted, Loads: o.loads, RetryAfter: 700}, nil
 }
 
+func newScheduler(reserver Reserver) *Scheduler {
+	return New(Options{Zone: "z", Reserver: reserver, Clock: clock.Real{}, Logger: events.Discard()})
+}
+
 func poolOf(count int) *resource.Pool {
 	pool := &resource.Pool{}
 	for number := range count {
@@ -86,7 +91,7 @@
 			if item.pool == nil {
 				item.pool = poolOf(3)
 			}
-			decision, err := New("z", &item.owners, events.Discard()).Place(t.Context(), item.call, item.pool, compile(t, item.source))
+			decision, err := newScheduler(&item.owners).Place(t.Context(), item.call, item.pool, compile(t, item.source))
 			if item.code != "" {
 				assert.Assert(t, apierr.Is(err, item.code), "%v", err)
 				failure := apierr.From(err, apierr.Ran)
@@ -103,7 +108,7 @@
 // TestLoadsTravelWithAnswers: what an owner told decides the next call without asking.
 func TestLoadsTravelWithAnswers(t *testing.T) {
 	reserver := &owners{free: map[string]bool{"e1": true, "e2": true}, loads: []owner.Load{{Engine: "e1", Running: 4, Slots: 4}, {Engine: "e2", Slots: 4}}}
-	scheduler := New("z", reserver, events.Discard())
+	scheduler := newScheduler(reserver)
 	rules := compile(t, resource.Policy{})
 	_, err := scheduler.Place(t.Context(), Call{}, poolOf(2), rules)
 	assert.NilError(t, err)
@@ -125,7 +130,7 @@
 // TestShortListDoesNotGrowWithThePool and keeps the program's engine in it.
 func TestShortListDoesNotGrowWithThePool(t *testing.T) {
 	pool := poolOf(700)
-	scheduler := New("z", &owners{}, events.Discard())
+	scheduler := newScheduler(&owners{})
 	for range 20 {
 		candidates := scheduler.candidates(Call{LastEngine: "e412"}, pool)
 		assert.Equal(t, len(candidates), shortlist)
@@ -136,7 +141,7 @@
 // TestRoundRobinIsAPolicy: least recently chosen first visits all in turn.
 func TestRoundRobinIsAPolicy(t *testing.T) {
 	reserver := &owners{free: map[string]bool{"e1": true, "e2": true, "e3": true}}
-	scheduler := New("z", reserver, events.Discard())
+	scheduler := newScheduler(reserver)
 	rules := compile(t, resource.Policy{Score: "engine.unused_seconds"})
 	counts := make(map[string]int)
 	for range 30 {
