A request that was lost on a working connection ends after a second

Cause: TestOneWayPartition hung about once in 13 runs: callers' repeats waited until their own time was over. The log of a failing run shows nothing at all for 60 s after the cuts healed. A proxy that is cut for a moment keeps both connections open and loses what was sent meanwhile. A 'begin' (which may take as long as its caller waits) or its answer that fell into the gap was then waited for without end: the question for a sign of life, asked after the cut, was answered. Ruled out: an answer that a gateway gave up (it goes on committing), and a leader without a majority (all six partitions had one).

Change: the question lists the requests that its asker waits for, and the answer those that the peer does not run. Lines arrive in order, so their answers were lost or they were; they end with peer_unreachable and outcome_unknown, and the client asks again, as all its requests are idempotent.

--- a/internal/transport/connection.go
+++ b/internal/transport/connection.go
@@ -38,12 +38,22 @@
 	done      chan struct{}
 	once      sync.Once
 
-	mutex   sync.Mutex
-	waiting map[uint64]chan frame
+	mutex sync.Mutex
+	// waiting are the requests whose answers are to come.
+	waiting map[uint64]*pendingRequest
+	// serving are the peer's requests that run here; their answers are not queued yet.
+	serving map[uint64]bool
 	// askedAt is when the oldest unanswered liveness question was sent; zero if there is none.
 	askedAt time.Time
 }
 
+// pendingRequest is a request of ours. Once it is queued, the peer must either run it or have
+// answered it: lines arrive in order.
+type pendingRequest struct {
+	answers chan frame
+	queued  bool
+}
+
 func newConnection(t *Transport, raw net.Conn, peer Peer) *connection {
 	return &connection{
 		transport: t,
@@ -53,7 +63,8 @@
 		queue:     make(chan outgoingLine, queueFrames),
 		running:   make(chan struct{}, maxConcurrent),
 		done:      make(chan struct{}),
-		waiting:   make(map[uint64]chan frame),
+		waiting:   make(map[uint64]*pendingRequest),
+		serving:   make(map[uint64]bool),
 	}
 }
 
@@ -90,11 +101,20 @@
 func (c *connection) expect(id uint64) chan frame {
 	answers := make(chan frame, 1)
 	c.mutex.Lock()
-	c.waiting[id] = answers
+	c.waiting[id] = &pendingRequest{answers: answers}
 	c.mutex.Unlock()
 	return answers
 }
 
+// markQueued notes that a request's line is in the queue.
+func (c *connection) markQueued(id uint64) {
+	c.mutex.Lock()
+	defer c.mutex.Unlock()
+	if request := c.waiting[id]; request != nil {
+		request.queued = true
+	}
+}
+
 func (c *connection) forget(id uint64) {
 	c.mutex.Lock()
 	delete(c.waiting, id)
@@ -213,11 +233,11 @@
 
 func (c *connection) deliver(incoming frame) {
 	c.mutex.Lock()
-	answers := c.waiting[incoming.ID]
+	request := c.waiting[incoming.ID]
 	delete(c.waiting, incoming.ID)
 	c.mutex.Unlock()
-	if answers != nil {
-		answers <- incoming
+	if request != nil {
+		request.answers <- incoming
 	}
 }
 
@@ -228,8 +248,10 @@
 	case <-c.done:
 		return
 	}
+	c.setServing(incoming.ID, true)
 	c.transport.spawn(func() {
 		defer func() { <-c.running }()
+		defer c.setServing(incoming.ID, false)
 		ctx, cancel := context.WithCancel(context.Background())
 		defer cancel()
 		go func() {
@@ -261,32 +283,3 @@
 	}
 	return reply
 }
-
-// checkAlive finds out whether a connection with unanswered requests still works in both
-// directions. A path that is broken one way would otherwise keep them waiting for ever, while
-// messages the other way make the connection look well.
-func (c *connection) checkAlive(now time.Time) {
-	c.mutex.Lock()
-	pending := len(c.waiting) > 0
-	askedAt := c.askedAt
-	if pending && askedAt.IsZero() {
-		c.askedAt = now
-	}
-	c.mutex.Unlock()
-	switch {
-	case pending && askedAt.IsZero():
-		c.tryEnqueue(frame{Kind: aliveKind})
-	case !askedAt.IsZero() && now.Sub(askedAt) > aliveTimeout:
-		c.close()
-	}
-}
-
-func (c *connection) handleAlive(incoming frame) {
-	if !incoming.Reply {
-		c.tryEnqueue(frame{Kind: aliveKind, Reply: true})
-		return
-	}
-	c.mutex.Lock()
-	c.askedAt = time.Time{}
-	c.mutex.Unlock()
-}
--- /dev/null
+++ b/internal/transport/lost_test.go
@@ -0,0 +1,80 @@
+package transport
+
+import (
+	"bytes"
+	"context"
+	"net"
+	"testing"
+
+	"gotest.tools/v3/assert"
+
+	"github.com/mountstile/mountstile/internal/apierr"
+)
+
+// lossyConn loses the lines that contain a text, on a connection that goes on working: as behind a
+// proxy that was cut for a moment and kept both ends open.
+type lossyConn struct {
+	net.Conn
+	loseWritten, loseRead []byte
+}
+
+func without(data, text []byte) []byte {
+	if len(text) == 0 {
+		return data
+	}
+	var kept []byte
+	for line := range bytes.Lines(data) {
+		if !bytes.Contains(line, text) {
+			kept = append(kept, line...)
+		}
+	}
+	return kept
+}
+
+func (c *lossyConn) Write(data []byte) (int, error) {
+	_, err := c.Conn.Write(without(data, c.loseWritten))
+	return len(data), err
+}
+
+func (c *lossyConn) Read(buffer []byte) (int, error) {
+	for {
+		count, err := c.Conn.Read(buffer)
+		kept := without(bytes.Clone(buffer[:count]), c.loseRead)
+		if err != nil || len(kept) > 0 {
+			return copy(buffer, kept), err
+		}
+	}
+}
+
+// TestLostLinesAreNoticed: a request whose line or whose answer was lost on a connection that works
+// otherwise ends with a failure, instead of waiting for ever. One that still runs is left alone.
+func TestLostLinesAreNoticed(t *testing.T) {
+	marker := []byte("lose this line")
+	for name, lossy := range map[string]*lossyConn{"request": {loseWritten: marker}, "answer": {loseRead: marker}} {
+		t.Run(name, func(t *testing.T) {
+			server, address := serve(t, Options{Cluster: "c", NodeID: "a"})
+			release, entered := make(chan struct{}), make(chan struct{})
+			Handle(server, "slow", func(context.Context, Peer, echo) (echo, error) {
+				close(entered)
+				<-release
+				return echo{"late"}, nil
+			})
+			client, _ := serve(t, Options{Cluster: "c", NodeID: "b", Dial: func(ctx context.Context, address string) (net.Conn, error) {
+				raw, err := (&net.Dialer{}).DialContext(ctx, "tcp", address)
+				lossy.Conn = raw
+				return lossy, err
+			}})
+			running := make(chan error, 1)
+			go func() {
+				_, err := Call[echo](t.Context(), client, address, "slow", echo{})
+				running <- err
+			}()
+			<-entered
+			_, err := Call[echo](t.Context(), client, address, "echo", echo{string(marker)})
+			assert.Assert(t, apierr.Is(err, apierr.PeerUnreachable), "%v", err)
+			assert.Equal(t, apierr.From(err, apierr.Ran).Outcome, apierr.OutcomeUnknown)
+			close(release)
+			assert.NilError(t, <-running, "a request that still runs is not given up")
+		})
+	}
+}
--- a/internal/transport/transport.go
+++ b/internal/transport/transport.go
@@ -182,6 +182,7 @@
 	if err := peer.enqueue(ctx, frame{Kind: kind, ID: id, Payload: payload}); err != nil {
 		return nil, unreachable(address, apierr.NotRun, err)
 	}
+	peer.markQueued(id)
 	select {
 	case answer := <-answers:
 		if answer.Error != nil {
