Calls wait at their warm engine; sub-agents find their parent's prompt; aims hold in virtual time

Two causes, found by ablation: a call left a full warm engine at once, and its prompt was computed again elsewhere, which made every engine fuller; and a sub-agent, new as a program, did not know that its parent's engine holds the prompt that both share.

Change: a policy hook 'patience' (seconds that a call rather waits at a candidate than goes on), inputs engine.wait_seconds and engine.other_wait_seconds from the owners' lines; programs record the hash of their first message, and a new sub-agent is warm where an ancestor with the same one is; engine.cached_tokens estimates the shared part. New defaults and examples. Virtual runs no longer depend on map order; the report shows programs/s.

--- a/internal/coordinator/server.go
+++ b/internal/coordinator/server.go
@@ -372,6 +372,8 @@
 		PromptTokens: request.PromptTokens,
 		MaxTokens:    request.MaxTokens,
 		LastEngine:   summary.LastEngine,
+		WarmEngine:   summary.WarmEngine,
+		CachedTokens: summary.WarmTokens,
 		Depth:        strings.Count(request.Admit.Program.Path, "/"),
 		Calls:        summary.Calls,
 		UsedTokens:   summary.Used,
--- a/internal/gateway/chat.go
+++ b/internal/gateway/chat.go
@@ -12,9 +12,6 @@
 	"github.com/mountstile/mountstile/internal/resource"
 )
 
-// bytesPerToken estimates prompt lengths for placement; budgets use a strict bound instead.
-const bytesPerToken = 4
-
 // chatRequest is a checked chat-completions request.
 type chatRequest struct {
 	Model        string
@@ -171,7 +168,7 @@
 		Admit:        admit,
 		Execution:    newCallID(),
 		Model:        e.request.Model,
-		PromptTokens: promptBytes(messages) / bytesPerToken,
+		PromptTokens: promptBytes(messages) / program.BytesPerToken,
 		MaxTokens:    e.request.MaxTokens,
 		WantHistory:  e.identity.deltaHistory,
 	}
--- a/internal/lab/experiment/engine.go
+++ b/internal/lab/experiment/engine.go
@@ -2,6 +2,8 @@
 
 import (
 	"context"
+	"maps"
+	"slices"
 
 	"github.com/mountstile/mountstile/internal/clock"
 	"github.com/mountstile/mountstile/internal/emulator"
@@ -85,7 +87,9 @@
 	e.down = true
 	e.retired = e.retired.Add(e.model.Cache())
 	e.model = emulator.NewModel(e.config)
-	for _, job := range e.jobs {
+	// In the order of their names, so that a run is the same each time.
+	for _, id := range slices.Sorted(maps.Keys(e.jobs)) {
+		job := e.jobs[id]
 		job.lost = true
 		job.first.Fire()
 		job.done.Fire()
--- a/internal/lab/experiment/experiment.go
+++ b/internal/lab/experiment/experiment.go
@@ -28,6 +28,8 @@
 	Filter string `yaml:"filter"`
 	Score  string `yaml:"score"`
 	Rank   string `yaml:"rank"`
+	// Patience is in seconds.
+	Patience string `yaml:"patience"`
 	// Slots of each engine; a large number leaves the waiting to the engines, as placement off the
 	// shelf does.
 	Slots int `yaml:"slots"`
@@ -171,30 +173,43 @@
 // programsFor draws as many programs as make the load: their demand over the span in which they
 // start is the given share of what the engines can do.
 func programsFor(file File, load float64, repeat int) (programs []workload.Program, demand float64) {
-	span := time.Duration(file.Seconds * float64(time.Second))
 	available := load * float64(file.Engines) * file.Seconds
+	// A longer list begins with the same programs.
+	for count := 64; ; count *= 2 {
+		drawn := drawPrograms(file, repeat, count)
+		var enough bool
+		if programs, demand, enough = takeDemand(drawn, file.Engine, available); enough || count >= mostPrograms {
+			return programs, demand
+		}
+	}
+}
+
+const mostPrograms = 1 << 17
+
+func drawPrograms(file File, repeat, count int) []workload.Program {
 	generate := workload.Brindleway
 	if file.Workload == "mapishi" {
 		generate = workload.Mapishi
 	}
-	const most = 20000
-	pool := generate(workload.Options{Seed: file.Seed + uint64(repeat)*1000, Programs: estimateCount(file, available, most), Duration: span, TimeScale: file.TimeScale, Flat: true})
-	for _, program := range pool {
-		need := Demand(program, file.Engine)
+	return generate(workload.Options{
+		Seed: file.Seed + uint64(repeat)*1000, Programs: count, Duration: seconds(file.Seconds), TimeScale: file.TimeScale, Flat: true,
+	})
+}
+
+// takeDemand takes programs until the next would exceed the demand; enough tells that there was one.
+func takeDemand(drawn []workload.Program, engine emulator.Config, available float64) (programs []workload.Program, demand float64, enough bool) {
+	for _, program := range drawn {
+		need := Demand(program, engine)
 		if demand+need > available {
-			break
+			return programs, demand, true
 		}
 		demand += need
 		programs = append(programs, program)
 	}
-	return programs, demand
+	return programs, demand, false
 }
 
-// estimateCount is more programs than will be needed: the smallest has one call of a few tokens.
-func estimateCount(file File, available float64, most int) int {
-	perToken := stepSeconds(file.Engine) / float64(file.Engine.MaxBatch)
-	return min(most, int(available/(perToken*20))+10)
-}
+func seconds(value float64) time.Duration { return time.Duration(value * float64(time.Second)) }
 
 // stepSeconds is the time of a step with a full batch and no prefill.
 func stepSeconds(config emulator.Config) float64 {
@@ -237,7 +252,7 @@
 	return []resource.Resource{
 		{Kind: resource.KindTenant, Name: file.Workload, Tenant: &resource.Tenant{Keys: []resource.APIKey{resource.NewAPIKey(apiKeyID, cluster.DemoSecret, resource.RoleCaller)}}},
 		{Kind: resource.KindPool, Name: poolName, Pool: pool},
-		{Kind: resource.KindPolicy, Name: policy.Name, Policy: &resource.Policy{Filter: policy.Filter, Score: policy.Score, Rank: policy.Rank}},
+		{Kind: resource.KindPolicy, Name: policy.Name, Policy: &resource.Policy{Filter: policy.Filter, Score: policy.Score, Rank: policy.Rank, Patience: policy.Patience}},
 		{Kind: resource.KindService, Name: serviceName, Service: &resource.Service{
 			Type: resource.ServiceModel, Pool: poolName, Policy: policy.Name, Models: []string{model}, Tenants: []string{file.Workload},
 			MaxTokens: 512, QueueSeconds: 60, CallSeconds: 120,
--- a/internal/lab/experiment/summary.go
+++ b/internal/lab/experiment/summary.go
@@ -159,19 +159,19 @@
 		summary.Name, file.Nodes, file.Engines, summary.Repeats, file.Seconds)
 	for _, load := range summary.Loads {
 		fmt.Fprintf(&text, "\n## Load %.2f\n\n", load.Load)
-		text.WriteString("| policy | program p50 | program p95 | of round-robin | of least-loaded | first token p95 | wasted cache | of round-robin | of least-loaded | done | failed | refused |\n")
-		text.WriteString("|---|---|---|---|---|---|---|---|---|---|---|---|\n")
+		text.WriteString("| policy | program p50 | program p95 | of round-robin | of least-loaded | first token p95 | wasted cache | of round-robin | of least-loaded | programs/s | done | failed | refused |\n")
+		text.WriteString("|---|---|---|---|---|---|---|---|---|---|---|---|---|\n")
 		for _, policy := range file.Policies {
 			row, known := load.Policies[policy.Name]
 			if !known {
 				continue
 			}
-			fmt.Fprintf(&text, "| %s | %.0f | %.0f (%.0f to %.0f) | %s | %s | %.0f | %.3f (%.3f to %.3f) | %s | %s | %d | %d | %d |\n",
+			fmt.Fprintf(&text, "| %s | %.0f | %.0f (%.0f to %.0f) | %s | %s | %.0f | %.3f (%.3f to %.3f) | %s | %s | %.2f | %d | %d | %d |\n",
 				policy.Name, row.ProgramLatency.P50, row.ProgramLatency.P95, row.ProgramLatency.P95Low, row.ProgramLatency.P95High,
 				ratio(row.ProgramLatency.P95, load.Policies["round-robin"].ProgramLatency.P95), ratio(row.ProgramLatency.P95, load.Policies["least-loaded"].ProgramLatency.P95),
 				row.FirstToken.P95, row.WastedCacheFraction, row.WastedLow, row.WastedHigh,
 				ratio(row.WastedCacheFraction, load.Policies["round-robin"].WastedCacheFraction), ratio(row.WastedCacheFraction, load.Policies["least-loaded"].WastedCacheFraction),
-				row.Completed, row.Failed, row.Refused)
+				row.GoodputPerSecond, row.Completed, row.Failed, row.Refused)
 		}
 	}
 	return text.String()
--- a/internal/lab/experiment/virtual.go
+++ b/internal/lab/experiment/virtual.go
@@ -100,7 +100,7 @@
 	}
 	world.pool, _ = set.Pool(poolName)
 	world.service, _ = set.Service(serviceName)
-	source := resource.Policy{Filter: entry.Filter, Score: entry.Score, Rank: entry.Rank}
+	source := resource.Policy{Filter: entry.Filter, Score: entry.Score, Rank: entry.Rank, Patience: entry.Patience}
 	if world.rules, err = policy.Compile(source); err != nil {
 		return nil, err
 	}
@@ -164,8 +164,6 @@
 	}
 }
 
-func seconds(value float64) time.Duration { return time.Duration(value * float64(time.Second)) }
-
 // nodeFor is the node that owns an engine, or leads a program.
 func (s *simulation) nodeFor(name string) *simulatedNode {
 	return s.nodes[xxhash.Sum64String(name)%uint64(len(s.nodes))]
@@ -230,13 +228,32 @@
 	}
 }
 
-// admit books a call at the program state; only its last message is new.
+// newMessages are those after the last answer; the program state has the others.
+func newMessages(messages []runner.Message) ([]program.Message, error) {
+	first := 0
+	for index, message := range messages {
+		if message.Role == "assistant" {
+			first = index + 1
+		}
+	}
+	var added []program.Message
+	for _, message := range messages[first:] {
+		encoded, err := json.Marshal(message)
+		if err != nil {
+			return nil, err
+		}
+		added = append(added, encoded)
+	}
+	return added, nil
+}
+
+// admit books a call at the program state.
 func (s *simulation) admit(tenant string, call runner.Call) (*simulatedTurn, *apierr.Error) {
 	var text strings.Builder
 	for _, message := range call.Messages {
 		text.WriteString(emulator.Flatten(message.Role, message.Content))
 	}
-	added, err := json.Marshal(call.Messages[len(call.Messages)-1])
+	added, err := newMessages(call.Messages)
 	if err != nil {
 		return nil, apierr.New(apierr.InvalidRequest, apierr.NotRun, "%s", err)
 	}
@@ -244,7 +261,7 @@
 	request := coordinator.BeginRequest{
 		Admit: program.Admit{
 			CallID: fmt.Sprintf("call-%d", s.calls), Program: program.Key{Tenant: tenant, Path: call.Program}, Service: serviceName,
-			Sequence: uint64(call.Sequence), IdempotencyKey: call.IdempotencyKey, Repeatable: true, Messages: []program.Message{added},
+			Sequence: uint64(call.Sequence), IdempotencyKey: call.IdempotencyKey, Repeatable: true, Messages: added,
 			Limits: program.Limits{TokenBudget: plenty, CallBudget: plenty, IdleMillis: plenty, MaxMillis: plenty},
 		},
 		Model: call.Model, PromptTokens: int64(text.Len() / charactersPerToken), MaxTokens: int64(call.Tokens),
--- /dev/null
+++ b/internal/lab/experiment/virtual_test.go
@@ -0,0 +1,94 @@
+package experiment
+
+import (
+	"context"
+	"io"
+	"os"
+	"path/filepath"
+	"testing"
+
+	"gotest.tools/v3/assert"
+
+	"github.com/mountstile/mountstile/internal/resource"
+)
+
+// play runs a committed experiment in virtual time, with one repeat and programs that start within
+// span seconds. It gives the same figures on every machine and run.
+func play(t *testing.T, name string, load, span float64, policies ...string) map[string]PolicySummary {
+	t.Helper()
+	file, err := Load(filepath.Join("../../../experiments", name))
+	assert.NilError(t, err)
+	file = file.InVirtualTime()
+	file.Repeats, file.Seconds, file.Loads = 1, span, []float64{load}
+	var kept []PolicyEntry
+	for _, entry := range file.Policies {
+		for _, wanted := range policies {
+			if entry.Name == wanted {
+				kept = append(kept, entry)
+			}
+		}
+	}
+	file.Policies = kept
+	samples, err := RunVirtual(context.Background(), file, io.Discard)
+	assert.NilError(t, err)
+	return Summarize(file, samples).Policies
+}
+
+// TestAimsAreMet holds the policies to what the users asked for, at nearly full load.
+func TestAimsAreMet(t *testing.T) {
+	t.Run("brindleway", func(t *testing.T) {
+		t.Parallel()
+		rows := play(t, "brindleway.yaml", 0.95, 60, "round-robin", "least-loaded", "prefix-affinity", "brindleway-latency")
+		own := rows["brindleway-latency"].ProgramLatency.P95
+		assert.Assert(t, own <= 0.6*rows["round-robin"].ProgramLatency.P95, "%+v", rows)
+		assert.Assert(t, own <= 0.8*rows["least-loaded"].ProgramLatency.P95, "%+v", rows)
+		assert.Assert(t, own <= rows["prefix-affinity"].ProgramLatency.P95, "%+v", rows)
+	})
+	t.Run("mapishi", func(t *testing.T) {
+		t.Parallel()
+		rows := play(t, "mapishi.yaml", 0.95, 60, "round-robin", "least-loaded", "prefix-affinity", "mapishi-cache")
+		own := rows["mapishi-cache"]
+		assert.Assert(t, own.WastedCacheFraction <= 0.4*rows["round-robin"].WastedCacheFraction, "%+v", rows)
+		assert.Assert(t, own.WastedCacheFraction <= 0.6*rows["least-loaded"].WastedCacheFraction, "%+v", rows)
+		assert.Assert(t, own.ProgramLatency.P95 <= rows["least-loaded"].ProgramLatency.P95, "%+v", rows)
+		assert.Assert(t, own.ProgramLatency.P95 <= rows["prefix-affinity"].ProgramLatency.P95, "%+v", rows)
+	})
+}
+
+// TestLostEnginesLoseNoProgram loses one engine of ten every 30 s.
+func TestLostEnginesLoseNoProgram(t *testing.T) {
+	t.Parallel()
+	row := play(t, "failures.yaml", 0.95, 50, "brindleway-latency")["brindleway-latency"]
+	assert.Assert(t, row.Programs > 100)
+	assert.Equal(t, row.Completed, row.Programs)
+}
+
+// TestVirtualTimeIsRepeatable also with engines lost: the same seed gives the same figures.
+func TestVirtualTimeIsRepeatable(t *testing.T) {
+	t.Parallel()
+	first := play(t, "failures.yaml", 0.95, 25, "brindleway-latency")
+	assert.DeepEqual(t, play(t, "failures.yaml", 0.95, 25, "brindleway-latency"), first)
+}
+
+// TestExperimentsPlayTheExamples: what is measured is what operators are shown.
+func TestExperimentsPlayTheExamples(t *testing.T) {
+	for name, file := range map[string]string{"brindleway-latency": "brindleway.yaml", "mapishi-cache": "mapishi.yaml"} {
+		experiment, err := Load(filepath.Join("../../../experiments", file))
+		assert.NilError(t, err)
+		content, err := os.Open(filepath.Join("../../../examples", file))
+		assert.NilError(t, err)
+		resources, err := resource.Decode(file, content)
+		assert.NilError(t, err)
+		assert.NilError(t, content.Close())
+		found := false
+		for _, entry := range experiment.Policies {
+			for _, item := range resources {
+				if entry.Name == name && item.Policy != nil && item.Name == name {
+					found = true
+					assert.DeepEqual(t, resource.Policy{Score: entry.Score, Rank: entry.Rank, Patience: entry.Patience}, *item.Policy)
+				}
+			}
+		}
+		assert.Assert(t, found, name)
+	}
+}
--- a/internal/owner/engine.go
+++ b/internal/owner/engine.go
@@ -15,6 +15,8 @@
 	Running int    `json:"r"`
 	Waiting int    `json:"w"`
 	Slots   int    `json:"s"`
+	// WaitMillis is how long a call that comes now would stand in line.
+	WaitMillis int64 `json:"t,omitempty"`
 	// Open tells that the circuit breaker keeps work away.
 	Open bool `json:"o,omitempty"`
 	// Draining engines get no new work.
@@ -50,12 +52,11 @@
 
 // engineState is one engine's line. Owner's mutex guards it.
 type engineState struct {
-	name     string
-	slots    int
-	draining bool
-	running  map[string]reservation
-	line     []*waiting
-
+	name        string
+	slots       int
+	draining    bool
+	running     map[string]reservation
+	line        []*waiting
 	failures    int
 	openUntil   time.Time
 	openFor     time.Duration
@@ -68,7 +69,7 @@
 }
 
 func (e *engineState) load(now time.Time) Load {
-	return Load{
+	load := Load{
 		Engine:   e.name,
 		Running:  len(e.running),
 		Waiting:  len(e.line),
@@ -76,6 +77,10 @@
 		Open:     now.Before(e.openUntil),
 		Draining: e.draining,
 	}
+	if len(e.line) > 0 || len(e.running) >= e.capacity(now) {
+		load.WaitMillis = e.expectedWait().Milliseconds()
+	}
+	return load
 }
 
 // capacity is how many calls may run now.
--- a/internal/owner/lines.go
+++ b/internal/owner/lines.go
@@ -2,6 +2,8 @@
 
 import (
 	"context"
+	"maps"
+	"slices"
 	"sync"
 	"time"
 
@@ -177,7 +179,9 @@
 	l.mutex.Lock()
 	defer l.mutex.Unlock()
 	now := l.options.Clock.Now()
-	for name, state := range l.engines {
+	// In the order of their names, so that an experiment is the same each time.
+	for _, name := range slices.Sorted(maps.Keys(l.engines)) {
+		state := l.engines[name]
 		for callID, held := range state.running {
 			if now.After(held.expires) || l.options.Gone(held.request.Gateway) {
 				delete(state.running, callID)
--- a/internal/policy/cases.go
+++ b/internal/policy/cases.go
@@ -115,8 +115,10 @@
 		return p.Rank(input)
 	case "admit":
 		return p.Admit(input)
+	case "patience":
+		return p.Patience(input)
 	}
-	return nil, &ErrCase{Name: name, Reason: "the hook is not one of filter, score, rank, admit"}
+	return nil, &ErrCase{Name: name, Reason: "the hook is not one of filter, score, rank, admit, patience"}
 }
 
 func toNumber(value any) (float64, bool) {
--- a/internal/policy/input.go
+++ b/internal/policy/input.go
@@ -26,14 +26,16 @@
 	TenantName   string
 	TenantWeight float64
 
-	EngineName         string
-	EngineZone         string
-	EngineRegion       string
-	EngineSlots        float64
-	EngineRunning      float64
-	EngineWaiting      float64
-	EngineLoad         float64
-	EngineCachedTokens float64
+	EngineName             string
+	EngineZone             string
+	EngineRegion           string
+	EngineSlots            float64
+	EngineRunning          float64
+	EngineWaiting          float64
+	EngineLoad             float64
+	EngineCachedTokens     float64
+	EngineWaitSeconds      float64
+	EngineOtherWaitSeconds float64
 	// EngineUnusedSeconds and EngineAffinity make round-robin and consistent hashing expressible.
 	EngineUnusedSeconds float64
 	EngineAffinity      float64
@@ -75,9 +77,11 @@
 	{"engine.waiting", cel.DoubleType, "calls", "calls waiting for the candidate, as last heard", true},
 	{"engine.load", cel.DoubleType, "", "(running + waiting) / slots", true},
 	{"engine.cached_tokens", cel.DoubleType, "tokens", "estimate of the prompt's tokens that the candidate has cached", true},
+	{"engine.wait_seconds", cel.DoubleType, "s", "how long a call would stand in the candidate's line, as last heard; 0 if it has room", true},
+	{"engine.other_wait_seconds", cel.DoubleType, "s", "the shortest such wait among the other candidates", true},
 	{"engine.unused_seconds", cel.DoubleType, "s", "time since this node's scheduler last chose the candidate", true},
 	{"engine.affinity", cel.DoubleType, "", "from 0 to 1, by a hash of the program's root and the candidate", true},
-	{"engine.warm", cel.BoolType, "", "whether the candidate served the program's latest call", true},
+	{"engine.warm", cel.BoolType, "", "whether the candidate served the latest call of the program or, for a program that has made none, of an ancestor with the same first message", true},
 	{"engine.local", cel.BoolType, "", "whether the candidate is in this node's zone", true},
 }
 
@@ -121,6 +125,10 @@
 		return i.EngineSlots, true
 	case "engine.cached_tokens":
 		return i.EngineCachedTokens, true
+	case "engine.wait_seconds":
+		return i.EngineWaitSeconds, true
+	case "engine.other_wait_seconds":
+		return i.EngineOtherWaitSeconds, true
 	case "engine.unused_seconds":
 		return i.EngineUnusedSeconds, true
 	case "engine.affinity":
@@ -184,32 +192,34 @@
 // fields maps each documented name to its place; tests and test cases fill inputs through it.
 func (i *Input) fields() map[string]any {
 	return map[string]any{
-		"engine.load":           &i.EngineLoad,
-		"engine.running":        &i.EngineRunning,
-		"engine.waiting":        &i.EngineWaiting,
-		"engine.slots":          &i.EngineSlots,
-		"engine.cached_tokens":  &i.EngineCachedTokens,
-		"engine.unused_seconds": &i.EngineUnusedSeconds,
-		"engine.affinity":       &i.EngineAffinity,
-		"call.prompt_tokens":    &i.CallPromptTokens,
-		"call.max_tokens":       &i.CallMaxTokens,
-		"call.attempt":          &i.CallAttempt,
-		"call.waited_seconds":   &i.CallWaitedSeconds,
-		"program.calls":         &i.ProgramCalls,
-		"program.used_tokens":   &i.ProgramUsedTokens,
-		"program.age_seconds":   &i.ProgramAgeSeconds,
-		"program.messages":      &i.ProgramMessages,
-		"program.depth":         &i.ProgramDepth,
-		"tenant.weight":         &i.TenantWeight,
-		"engine.warm":           &i.EngineWarm,
-		"engine.local":          &i.EngineLocal,
-		"call.repeatable":       &i.CallRepeatable,
-		"call.service":          &i.CallService,
-		"call.model":            &i.CallModel,
-		"program.engine":        &i.ProgramEngine,
-		"tenant.name":           &i.TenantName,
-		"engine.name":           &i.EngineName,
-		"engine.zone":           &i.EngineZone,
-		"engine.region":         &i.EngineRegion,
+		"engine.load":               &i.EngineLoad,
+		"engine.running":            &i.EngineRunning,
+		"engine.waiting":            &i.EngineWaiting,
+		"engine.slots":              &i.EngineSlots,
+		"engine.cached_tokens":      &i.EngineCachedTokens,
+		"engine.wait_seconds":       &i.EngineWaitSeconds,
+		"engine.other_wait_seconds": &i.EngineOtherWaitSeconds,
+		"engine.unused_seconds":     &i.EngineUnusedSeconds,
+		"engine.affinity":           &i.EngineAffinity,
+		"call.prompt_tokens":        &i.CallPromptTokens,
+		"call.max_tokens":           &i.CallMaxTokens,
+		"call.attempt":              &i.CallAttempt,
+		"call.waited_seconds":       &i.CallWaitedSeconds,
+		"program.calls":             &i.ProgramCalls,
+		"program.used_tokens":       &i.ProgramUsedTokens,
+		"program.age_seconds":       &i.ProgramAgeSeconds,
+		"program.messages":          &i.ProgramMessages,
+		"program.depth":             &i.ProgramDepth,
+		"tenant.weight":             &i.TenantWeight,
+		"engine.warm":               &i.EngineWarm,
+		"engine.local":              &i.EngineLocal,
+		"call.repeatable":           &i.CallRepeatable,
+		"call.service":              &i.CallService,
+		"call.model":                &i.CallModel,
+		"program.engine":            &i.ProgramEngine,
+		"tenant.name":               &i.TenantName,
+		"engine.name":               &i.EngineName,
+		"engine.zone":               &i.EngineZone,
+		"engine.region":             &i.EngineRegion,
 	}
 }
--- a/internal/policy/policy.go
+++ b/internal/policy/policy.go
@@ -1,4 +1,4 @@
-// Package policy compiles and evaluates the operators' CEL programs: filter, score, rank and admit.
+// Package policy compiles and evaluates the operators' CEL programs: filter, score, patience, rank and admit.
 // docs/POLICIES.md documents the inputs.
 package policy
 
@@ -19,9 +19,11 @@
 // The built-in programs; an empty hook of a Policy means these.
 const (
 	DefaultFilter = `true`
-	DefaultScore  = `(engine.warm ? 0.6 : 0.0) + (engine.local ? 0.05 : 0.0) - engine.load`
+	DefaultScore  = `(engine.warm ? 2.0 : 0.0) + (engine.local ? 0.05 : 0.0) - engine.load`
 	DefaultRank   = `call.waited_seconds`
 	DefaultAdmit  = `true`
+	// DefaultPatience keeps a call at its warm engine unless another line is shorter by 3 s.
+	DefaultPatience = `engine.warm ? 3.0 + engine.other_wait_seconds : 0.0`
 )
 
 const (
@@ -57,10 +59,11 @@
 
 // Policy is a compiled resource.Policy. It is safe for concurrent use.
 type Policy struct {
-	filter cel.Program
-	score  cel.Program
-	rank   cel.Program
-	admit  cel.Program
+	filter   cel.Program
+	score    cel.Program
+	rank     cel.Program
+	admit    cel.Program
+	patience cel.Program
 	// openFilter tells that the filter lets everything pass, so that it need not run.
 	openFilter bool
 }
@@ -84,6 +87,7 @@
 		{hook{"score", source.Score, DefaultScore, cel.DoubleType, true}, &policy.score},
 		{hook{"rank", source.Rank, DefaultRank, cel.DoubleType, false}, &policy.rank},
 		{hook{"admit", source.Admit, DefaultAdmit, cel.BoolType, false}, &policy.admit},
+		{hook{"patience", source.Patience, DefaultPatience, cel.DoubleType, true}, &policy.patience},
 	}
 	for _, item := range hooks {
 		compiled, err := compileHook(item.hook)
@@ -159,6 +163,13 @@
 // Rank orders the calls that wait for an engine; higher goes first.
 func (p *Policy) Rank(input *Input) (float64, error) { return evaluateDouble("rank", p.rank, input) }
 
+// Patience is how many seconds a call rather waits for an engine than goes to the next; never
+// below 0.
+func (p *Policy) Patience(input *Input) (float64, error) {
+	seconds, err := evaluateDouble("patience", p.patience, input)
+	return max(0, seconds), err
+}
+
 func evaluate(name string, program cel.Program, input *Input) (any, error) {
 	value, _, err := program.Eval(input)
 	if err != nil {
--- a/internal/policy/policy_test.go
+++ b/internal/policy/policy_test.go
@@ -25,7 +25,7 @@
 		assert.Assert(t, settable, item.name)
 		where := "all"
 		if item.perEngine {
-			where = "filter, score"
+			where = "filter, score, patience"
 		}
 		unit := item.unit
 		if unit != "" {
@@ -34,7 +34,7 @@
 		row := fmt.Sprintf("| `%s` | %s | %s| %s | %s |", item.name, item.kind, unit, item.meaning, where)
 		assert.Assert(t, strings.Contains(string(page), row), "docs/POLICIES.md lacks: %s", row)
 	}
-	for _, text := range []string{DefaultAdmit, DefaultFilter, DefaultScore, DefaultRank} {
+	for _, text := range []string{DefaultAdmit, DefaultFilter, DefaultScore, DefaultRank, DefaultPatience} {
 		assert.Assert(t, strings.Contains(string(page), "`"+text+"`"), text)
 	}
 }
@@ -99,7 +99,7 @@
 	}
 	results, err := RunCases(policies, cases)
 	assert.NilError(t, err)
-	assert.Equal(t, len(results), 4)
+	assert.Equal(t, len(results), 5)
 	for _, result := range results {
 		assert.Assert(t, result.Passed(), result.String())
 	}
--- a/internal/program/calls.go
+++ b/internal/program/calls.go
@@ -36,6 +36,9 @@
 		program.ActiveAt = m.now
 	}
 	own := chain[0]
+	if own.Opening.Hash == "" && own.Mark.Count == 0 && len(request.Messages) > 0 {
+		own.Opening = openingOf(request.Messages[0])
+	}
 	sequence := own.NextSequence
 	if request.Sequence != 0 {
 		sequence = request.Sequence
@@ -285,6 +288,7 @@
 		program.Mark = program.Mark.Extend(added)
 	}
 	answer := request.Answer
+	program.LastTokens = answer.Usage.Total()
 	m.finish(program, call, Completed, &answer, nil)
 	return Result{Call: call.public(), Mark: program.Mark}
 }
--- a/internal/program/history.go
+++ b/internal/program/history.go
@@ -91,6 +91,13 @@
 	return buffer.Bytes()
 }
 
+// BytesPerToken estimates lengths for placement; budgets use the strict bound of MostTokens.
+const BytesPerToken = 4
+
+func openingOf(message Message) Opening {
+	return Opening{Hash: HistoryMark{}.Extend([]Message{message}).Hash, Tokens: int64(len(message)) / BytesPerToken}
+}
+
 const (
 	// tokensPerMessage covers what a chat template puts around each message.
 	tokensPerMessage = 8
--- a/internal/program/lifecycle.go
+++ b/internal/program/lifecycle.go
@@ -191,7 +191,11 @@
 	EndedAt      int64  `json:"ended_at_ms,omitempty"`
 	EndReason    string `json:"end_reason,omitempty"`
 	LastEngine   string `json:"last_engine,omitempty"`
-	Open         []Call `json:"open_calls,omitempty"`
+	// WarmEngine probably holds the first WarmTokens of the next prompt: of the program's latest
+	// call, or of the ancestor that a new program shares its first message with.
+	WarmEngine string `json:"warm_engine,omitempty"`
+	WarmTokens int64  `json:"warm_tokens,omitempty"`
+	Open       []Call `json:"open_calls,omitempty"`
 }
 
 // Summaries lists the programs of a tenant, or of all tenants if it is empty.
@@ -215,7 +219,22 @@
 	if program == nil {
 		return Summary{}, false
 	}
-	return program.summary(), true
+	summary := program.summary()
+	summary.WarmEngine, summary.WarmTokens = m.warmth(program)
+	return summary, true
+}
+
+// warmth finds where the program's prefix is cached, and how much of it.
+func (m *Machine) warmth(program *Program) (engine string, tokens int64) {
+	if program.LastEngine != "" {
+		return program.LastEngine, program.LastTokens
+	}
+	for _, ancestor := range m.ancestors(program.Key) {
+		if ancestor.LastEngine != "" && ancestor.Opening == program.Opening {
+			return ancestor.LastEngine, program.Opening.Tokens
+		}
+	}
+	return "", 0
 }
 
 func (p *Program) summary() Summary {
--- a/internal/program/machine_test.go
+++ b/internal/program/machine_test.go
@@ -290,3 +290,25 @@
 	}
 	assert.Equal(t, machine.Count(), 0)
 }
+
+// TestSubAgentsAreWarmWhereTheirPromptIs: a new sub-agent that shares its parent's first message is
+// warm on the parent's engine; one with another prompt is not, and a call of its own counts more.
+func TestSubAgentsAreWarmWhereTheirPromptIs(t *testing.T) {
+	machine := program.NewMachine()
+	key := func(path string) program.Key { return program.Key{Tenant: "t", Path: path} }
+	system, other := json.RawMessage(`{"role":"system","content":"`+strings.Repeat("x", 400)+`"}`), json.RawMessage(`{"role":"system","content":"other"}`)
+	admit(machine, program.Admit{CallID: "1", Program: key("p"), Messages: []program.Message{system}})
+	machine.Execute(program.Command{At: 1, Dispatch: &program.Dispatch{CallID: "1", Program: key("p"), Attempt: 1, Engine: "e1"}})
+	admit(machine, program.Admit{CallID: "2", Program: key("p/same"), Messages: []program.Message{system}})
+	admit(machine, program.Admit{CallID: "3", Program: key("p/other"), Messages: []program.Message{other}})
+	same, _ := machine.Summary(key("p/same"))
+	assert.Equal(t, same.WarmEngine, "e1")
+	assert.Assert(t, same.WarmTokens > 90 && same.WarmTokens < 120, same.WarmTokens)
+	different, _ := machine.Summary(key("p/other"))
+	assert.Equal(t, different.WarmEngine, "")
+	machine.Execute(program.Command{At: 1, Dispatch: &program.Dispatch{CallID: "2", Program: key("p/same"), Attempt: 1, Engine: "e2"}})
+	machine.Execute(program.Command{At: 1, Complete: &program.Complete{CallID: "2", Program: key("p/same"), Attempt: 1, Answer: program.Answer{Usage: program.Usage{Prompt: 100, Completion: 20}}}})
+	same, _ = machine.Summary(key("p/same"))
+	assert.Equal(t, same.WarmEngine, "e2")
+	assert.Equal(t, same.WarmTokens, int64(120))
+}
--- a/internal/program/types.go
+++ b/internal/program/types.go
@@ -118,8 +118,17 @@
 	EndReason string `json:"end_reason,omitempty"`
 	// Caches are the engines that may hold the program's cache, with the service that used them.
 	Caches map[string]string `json:"caches,omitempty"`
-	// LastEngine served the latest call.
+	// LastEngine served the latest call; LastTokens is how long its prompt and answer were.
 	LastEngine string `json:"last_engine,omitempty"`
+	LastTokens int64  `json:"last_tokens,omitempty"`
+	// Opening is the first message. Programs that share it share a prefix of their prompts.
+	Opening Opening `json:"opening,omitzero"`
+}
+
+// Opening identifies the first message of a program.
+type Opening struct {
+	Hash   string `json:"hash"`
+	Tokens int64  `json:"tokens"`
 }
 
 // Ended reports whether the program takes no more calls.
--- a/internal/resource/resource.go
+++ b/internal/resource/resource.go
@@ -138,6 +138,8 @@
 	Score  string `json:"score,omitempty" yaml:"score"`
 	Rank   string `json:"rank,omitempty" yaml:"rank"`
 	Admit  string `json:"admit,omitempty" yaml:"admit"`
+	// Patience is how many seconds a call rather waits for a candidate than goes to the next.
+	Patience string `json:"patience,omitempty" yaml:"patience"`
 }
 
 // Limit bounds one tenant's use of one service over all nodes.
--- a/internal/scheduler/input.go
+++ b/internal/scheduler/input.go
@@ -39,13 +39,15 @@
 	i.EngineRunning = float64(candidate.Load.Running)
 	i.EngineWaiting = float64(candidate.Load.Waiting)
 	i.EngineLoad = (i.EngineRunning + i.EngineWaiting) / max(1, i.EngineSlots)
-	i.EngineWarm = call.LastEngine == candidate.Engine.Name
+	i.EngineWaitSeconds = candidate.wait().Seconds()
+	i.EngineOtherWaitSeconds = candidate.OtherWait.Seconds()
+	i.EngineWarm = call.WarmEngine == candidate.Engine.Name
 	i.EngineUnusedSeconds = candidate.Unused.Seconds()
 	i.EngineAffinity = affinity(call, candidate.Engine.Name)
 	i.EngineLocal = candidate.Engine.Zone == zone
 	i.EngineCachedTokens = 0
 	if i.EngineWarm {
-		i.EngineCachedTokens = float64(call.PromptTokens)
+		i.EngineCachedTokens = float64(min(call.CachedTokens, call.PromptTokens))
 	}
 }
 
--- a/internal/scheduler/scheduler.go
+++ b/internal/scheduler/scheduler.go
@@ -45,11 +45,15 @@
 	MaxTokens    int64
 	// LastEngine served the program's latest call.
 	LastEngine string
-	Depth      int
-	Calls      int64
-	UsedTokens int64
-	Messages   int
-	AgeSeconds float64
+	// WarmEngine holds CachedTokens of the prompt, as far as the program's calls tell: LastEngine, or
+	// that of the ancestor whose first message a new program shares.
+	WarmEngine   string
+	CachedTokens int64
+	Depth        int
+	Calls        int64
+	UsedTokens   int64
+	Messages     int
+	AgeSeconds   float64
 	// Avoid lists engines on which this call has failed.
 	Avoid []string
 	// Wait is how long the call may stand in line; Limit is how long it may run.
@@ -62,12 +66,16 @@
 	Engine resource.Engine
 	Load   owner.Load
 	Score  float64
+	// OtherWait is the shortest wait at any other candidate that may serve the call.
+	OtherWait time.Duration
 	// Unused is how long ago this scheduler last chose the engine.
 	Unused time.Duration
 	// Reason tells why a candidate was left out; empty for one that was scored.
 	Reason string
 }
 
+func (c Candidate) wait() time.Duration { return time.Duration(c.Load.WaitMillis) * time.Millisecond }
+
 // Decision is the outcome of one cycle, kept for explanation.
 type Decision struct {
 	Call       string
@@ -235,15 +243,39 @@
 	defer s.mutex.Unlock()
 	now := s.now()
 	result := make([]Candidate, 0, min(shortlist, len(pool.Engines)))
-	for _, index := range s.chooseIndexes(call.LastEngine, pool.Engines) {
+	for _, index := range s.chooseIndexes(call.WarmEngine, pool.Engines) {
 		candidate := Candidate{Engine: pool.Engines[index], Load: s.loadOf(pool.Engines[index], now), Unused: s.unused(pool.Engines[index].Name, now)}
 		candidate.Reason = unusable(candidate, call)
 		result = append(result, candidate)
 	}
+	compareWaits(result)
 	return result
 }
 
-func (s *Scheduler) chooseIndexes(lastEngine string, engines []resource.Engine) []int {
+// compareWaits tells each candidate the shortest wait among the others.
+func compareWaits(candidates []Candidate) {
+	shortest, second := -1, -1
+	for index, candidate := range candidates {
+		switch {
+		case candidate.Reason != "":
+		case shortest < 0 || candidate.wait() < candidates[shortest].wait():
+			shortest, second = index, shortest
+		case second < 0 || candidate.wait() < candidates[second].wait():
+			second = index
+		}
+	}
+	for index := range candidates {
+		other := shortest
+		if index == shortest {
+			other = second
+		}
+		if other >= 0 {
+			candidates[index].OtherWait = candidates[other].wait()
+		}
+	}
+}
+
+func (s *Scheduler) chooseIndexes(warmEngine string, engines []resource.Engine) []int {
 	if len(engines) <= shortlist {
 		all := make([]int, len(engines))
 		for index := range engines {
@@ -252,7 +284,7 @@
 		return all
 	}
 	chosen := make([]int, 0, shortlist)
-	if last := slices.IndexFunc(engines, func(engine resource.Engine) bool { return engine.Name == lastEngine }); last >= 0 {
+	if last := slices.IndexFunc(engines, func(engine resource.Engine) bool { return engine.Name == warmEngine }); last >= 0 {
 		chosen = append(chosen, last)
 	}
 	for len(chosen) < shortlist {
@@ -304,19 +336,24 @@
 		Gateway:    call.Gateway,
 		CallMillis: call.Limit.Milliseconds(),
 	}
+	input := call.input(waited)
+	rank, err := rules.Rank(&input)
+	if err != nil {
+		return false, apierr.New(apierr.PolicyFailed, apierr.NotRun, "%s", err)
+	}
+	request.Rank = rank
 	for _, candidate := range ranked[:min(immediateTries, len(ranked))] {
+		describe(&input, candidate, call, s.options.Zone)
+		request.WaitMillis = s.patience(&input, rules, deadline).Milliseconds()
 		response, err := s.ask(ctx, candidate.Engine, request)
 		if err == nil && response.Granted {
 			decision.Engine = candidate.Engine
 			return true, nil
 		}
+		if ctx.Err() != nil {
+			return false, nil
+		}
 	}
-	input := call.input(waited)
-	rank, err := rules.Rank(&input)
-	if err != nil {
-		return false, apierr.New(apierr.PolicyFailed, apierr.NotRun, "%s", err)
-	}
-	request.Rank = rank
 	request.WaitMillis = deadline.Sub(s.now()).Milliseconds()
 	if request.WaitMillis <= 0 {
 		return false, apierr.New(apierr.Overloaded, apierr.NotRun, "no engine became free in time").WithRetryAfter(minimumRetryWait)
@@ -324,6 +361,18 @@
 	return s.wait(ctx, call, s.leastLoaded(ranked), request, decision)
 }
 
+// patience is how long the call rather waits for a candidate than goes to the next. A policy that
+// fails here costs the call its warm engine, and nothing else.
+func (s *Scheduler) patience(input *policy.Input, rules *policy.Policy, deadline time.Time) time.Duration {
+	seconds, err := rules.Patience(input)
+	if err != nil {
+		s.options.Logger.Emit(events.PolicyEvaluationFail, events.F("engine", input.EngineName), events.F("error", err))
+		return 0
+	}
+	wait := min(seconds, deadline.Sub(s.now()).Seconds())
+	return time.Duration(max(0, wait) * float64(time.Second))
+}
+
 // leastLoaded orders the candidates anew by the loads just heard, keeping the score's order where
 // the lines are equally long.
 func (s *Scheduler) leastLoaded(ranked []Candidate) []Candidate {
--- a/internal/scheduler/scheduler_test.go
+++ b/internal/scheduler/scheduler_test.go
@@ -64,9 +64,15 @@
 		code   apierr.Code
 	}{
 		"the program's engine if it has room": {
-			owners: owners{free: map[string]bool{"e1": true, "e2": true, "e3": true}}, call: Call{LastEngine: "e2"}, engine: "e2"},
+			owners: owners{free: map[string]bool{"e1": true, "e2": true, "e3": true}}, call: Call{WarmEngine: "e2", Wait: time.Minute}, engine: "e2"},
 		"another one if it is full": {
-			owners: owners{free: map[string]bool{"e3": true}}, call: Call{LastEngine: "e2"}, engine: "e3"},
+			owners: owners{free: map[string]bool{"e3": true}}, call: Call{WarmEngine: "e2", Wait: time.Minute}, engine: "e3"},
+		"in the program's engine's line though others have room": {
+			owners: owners{free: map[string]bool{"e1": true, "e3": true}, waits: map[string]bool{"e2": true}}, call: Call{WarmEngine: "e2", Wait: time.Minute}, engine: "e2"},
+		"not in that line without patience": {
+			owners: owners{free: map[string]bool{"e1": true}, waits: map[string]bool{"e2": true}}, source: resource.Policy{Patience: "0.0"}, call: Call{WarmEngine: "e2", Wait: time.Minute}, engine: "e1"},
+		"a failing patience costs the line and nothing else": {
+			owners: owners{free: map[string]bool{"e1": true}, waits: map[string]bool{"e2": true}}, source: resource.Policy{Patience: "1.0 / engine.load"}, call: Call{WarmEngine: "e2", Wait: time.Minute}, engine: "e1"},
 		"in line if all are full": {
 			owners: owners{waits: map[string]bool{"e1": true, "e2": true, "e3": true}}, call: Call{Wait: time.Second}, engine: "any"},
 		"overloaded if the lines are too long": {
@@ -74,7 +80,7 @@
 		"overloaded at once without a wait": {
 			owners: owners{waits: map[string]bool{"e1": true}}, code: apierr.Overloaded},
 		"not where the call has failed": {
-			owners: owners{free: map[string]bool{"e1": true, "e2": true}}, call: Call{Avoid: []string{"e1"}, LastEngine: "e1"}, pool: poolOf(2), engine: "e2"},
+			owners: owners{free: map[string]bool{"e1": true, "e2": true}}, call: Call{Avoid: []string{"e1"}, WarmEngine: "e1"}, pool: poolOf(2), engine: "e2"},
 		"not on a draining engine": {
 			owners: owners{free: map[string]bool{"e1": true}}, pool: &resource.Pool{Engines: []resource.Engine{{Name: "e1", Slots: 1, Draining: true}}}, code: apierr.NoEngine},
 		"no engine passes the filter": {
@@ -132,12 +138,28 @@
 	pool := poolOf(700)
 	scheduler := newScheduler(&owners{})
 	for range 20 {
-		candidates := scheduler.candidates(Call{LastEngine: "e412"}, pool)
+		candidates := scheduler.candidates(Call{WarmEngine: "e412"}, pool)
 		assert.Equal(t, len(candidates), shortlist)
 		assert.Equal(t, candidates[0].Engine.Name, "e412")
 	}
 }
 
+// TestWaitsAreCompared: each candidate knows the shortest wait among the others that may serve.
+func TestWaitsAreCompared(t *testing.T) {
+	candidates := []Candidate{
+		{Load: owner.Load{WaitMillis: 300}}, {Load: owner.Load{WaitMillis: 100}},
+		{Load: owner.Load{WaitMillis: 200}}, {Load: owner.Load{WaitMillis: 0}, Reason: reasonOpen},
+	}
+	compareWaits(candidates)
+	for index, expected := range []int{100, 200, 100} {
+		assert.Equal(t, candidates[index].OtherWait, time.Duration(expected)*time.Millisecond)
+	}
+	alone := candidates[:1]
+	alone[0].OtherWait = 0
+	compareWaits(alone)
+	assert.Equal(t, alone[0].OtherWait, time.Duration(0))
+}
+
 // TestRoundRobinIsAPolicy: least recently chosen first visits all in turn.
 func TestRoundRobinIsAPolicy(t *testing.T) {
 	reserver := &owners{free: map[string]bool{"e1": true, "e2": true, "e3": true}}
