An engine that hangs loses its calls to others instead of keeping them to the end

Cause: nothing noticed an engine that keeps its connections and sends nothing: its calls waited until callSeconds (120 s), and the breaker, which counts failures, never opened.

Change: Service.firstTokenSeconds (30) and stallSeconds (5); a watchdog ends the attempt, which then goes on elsewhere from the text held, as after a cut; event 507. Gateways learn the time between tokens (first quartile of an answer's gaps, so that other calls' prompts don't count), owners average it for 10 s, and policies see it as engine.slowness, relative to the candidates' median.

--- /dev/null
+++ b/internal/engine/pace.go
@@ -0,0 +1,37 @@
+package engine
+
+import (
+	"slices"
+	"time"
+)
+
+const (
+	// leastGaps is how many gaps between pieces tell an engine's speed.
+	leastGaps = 8
+	mostGaps  = 128
+	// paceQuantile of the gaps is taken: steps that also compute another call's prompt take longer.
+	paceQuantile = 0.25
+)
+
+// Pace learns how long an engine's steps take from the times of an answer's pieces.
+type Pace struct {
+	last time.Time
+	gaps []time.Duration
+}
+
+// Note records a piece.
+func (p *Pace) Note(now time.Time) {
+	if !p.last.IsZero() && len(p.gaps) < mostGaps {
+		p.gaps = append(p.gaps, now.Sub(p.last))
+	}
+	p.last = now
+}
+
+// Step is the time of an undisturbed step; 0 if the answer was too short to tell.
+func (p *Pace) Step() time.Duration {
+	if len(p.gaps) < leastGaps {
+		return 0
+	}
+	sorted := slices.Sorted(slices.Values(p.gaps))
+	return sorted[int(paceQuantile*float64(len(sorted)))]
+}
--- a/internal/events/events.go
+++ b/internal/events/events.go
@@ -51,6 +51,7 @@
 	EngineBreakerClosed  ID = 504
 	PolicyEvaluationFail ID = 505
 	EngineResumed        ID = 506
+	EngineStalled        ID = 507
 	CallFailed           ID = 601
 	CallRefused          ID = 602
 	RequestPanicked      ID = 603
@@ -109,6 +110,7 @@
 	{EngineBreakerClosed, "engine_breaker_closed", logrus.InfoLevel, "an engine answers again"},
 	{PolicyEvaluationFail, "policy_evaluation_failed", logrus.WarnLevel, "a policy failed at run time; the candidate was left out"},
 	{EngineResumed, "engine_resumed", logrus.InfoLevel, "an answer was continued on another engine from the tokens already held"},
+	{EngineStalled, "engine_stalled", logrus.WarnLevel, "an engine sent nothing for too long; the attempt counts as lost"},
 	{CallFailed, "call_failed", logrus.WarnLevel, "a call ended with a failure"},
 	{CallRefused, "call_refused", logrus.DebugLevel, "a call was refused as not run"},
 	{RequestPanicked, "request_panicked", logrus.ErrorLevel, "a request handler panicked; the request was failed"},
--- a/internal/gateway/application.go
+++ b/internal/gateway/application.go
@@ -137,7 +137,7 @@
 func (e *applicationExecution) send(ctx context.Context, w http.ResponseWriter, response coordinator.BeginResponse, asked time.Time) (*program.Answer, *coordinator.RetryRequest, error) {
 	target := *response.Engine
 	failed := true
-	defer func() { e.release(target, response.CallID, failed) }()
+	defer func() { e.release(target, response.CallID, failed, 0) }()
 	if e.gateway.options.Pauses.PausedSince(asked) {
 		failed = false
 		return nil, e.retry(response, true), nil
--- a/internal/gateway/chat_execution.go
+++ b/internal/gateway/chat_execution.go
@@ -30,6 +30,7 @@
 	// content and toolCalls are the answer so far, over all attempts.
 	content   strings.Builder
 	toolCalls toolCallMerger
+	pace      engine.Pace
 	usage     program.Usage
 	finish    string
 }
@@ -157,7 +158,8 @@
 func (e *chatExecution) attempt(ctx context.Context, w http.ResponseWriter, response coordinator.BeginResponse, asked time.Time) (*program.Answer, *coordinator.RetryRequest, error) {
 	target := *response.Engine
 	failed := true
-	defer func() { e.release(target, response.CallID, failed) }()
+	e.pace = engine.Pace{}
+	defer func() { e.release(target, response.CallID, failed, e.pace.Step()) }()
 	if e.gateway.options.Pauses.PausedSince(asked) {
 		failed = false
 		return nil, e.retry(response, true), nil
@@ -217,9 +219,11 @@
 		CallID:     response.CallID,
 		Attempt:    response.Attempt,
 	}
-	pieces, err := e.gateway.options.Models.Chat(ctx, target, chat)
+	watched, dog := watch(ctx, e.settings)
+	defer dog.stop()
+	pieces, err := e.gateway.options.Models.Chat(watched, target, chat)
 	if err != nil {
-		return err
+		return e.attemptFailure(watched, response, err)
 	}
 	defer pieces.Close()
 	if resumed {
@@ -234,10 +238,12 @@
 		if err != nil {
 			// Each piece of a cut-off attempt counts for one token at least.
 			e.usage.Completion += received
-			return err
+			return e.attemptFailure(watched, response, err)
 		}
+		dog.heard()
 		if delta.Content != "" || len(delta.ToolCalls) > 0 {
 			received++
+			e.pace.Note(time.Now())
 			if e.writer == nil {
 				e.gateway.options.Metrics.firstToken.WithLabelValues(e.service).Observe(time.Since(e.started).Seconds())
 			}
@@ -246,6 +252,16 @@
 	}
 }
 
+// attemptFailure tells a stalled engine from one that has failed by itself.
+func (e *chatExecution) attemptFailure(watched context.Context, response coordinator.BeginResponse, err error) error {
+	var stalled *errStalled
+	if !errors.As(context.Cause(watched), &stalled) {
+		return err
+	}
+	e.gateway.options.Logger.Emit(events.EngineStalled, events.F("call", response.CallID), events.F("engine", response.Engine.Name), events.F("seconds", stalled.Limit.Seconds()))
+	return &engine.ErrBroken{Cause: stalled}
+}
+
 // take adds a piece to the answer and passes it on.
 func (e *chatExecution) take(w http.ResponseWriter, delta engine.Delta) {
 	e.content.WriteString(delta.Content)
--- a/internal/gateway/execution.go
+++ b/internal/gateway/execution.go
@@ -85,9 +85,10 @@
 	return client.Begin(ctx, e.begin)
 }
 
-// release gives the place on the engine back and tells its owner whether it worked.
-func (e *execution) release(target engine.Target, callID string, failed bool) {
-	e.gateway.options.Release(e.engineResource(target), owner.ReleaseRequest{Engine: target.Name, CallID: callID, Failed: failed})
+// release gives the place on the engine back and tells its owner whether it worked, and how long its
+// steps took, if that is known.
+func (e *execution) release(target engine.Target, callID string, failed bool, step time.Duration) {
+	e.gateway.options.Release(e.engineResource(target), owner.ReleaseRequest{Engine: target.Name, CallID: callID, Failed: failed, StepMicros: step.Microseconds()})
 }
 
 func (e *execution) engineResource(target engine.Target) resource.Engine {
--- a/internal/owner/engine.go
+++ b/internal/owner/engine.go
@@ -17,6 +17,8 @@
 	Slots   int    `json:"s"`
 	// WaitMillis is how long a call that comes now would stand in line.
 	WaitMillis int64 `json:"t,omitempty"`
+	// StepMicros is how long the engine takes from one token to the next; 0 if not known lately.
+	StepMicros int64 `json:"p,omitempty"`
 	// Open tells that the circuit breaker keeps work away.
 	Open bool `json:"o,omitempty"`
 	// Draining engines get no new work.
@@ -32,6 +34,11 @@
 	slowStartFraction = 4
 	// serviceTimeWeight is the share of the newest sample in the average service time.
 	serviceTimeWeight = 0.1
+	// stepTime is how long a step time is believed: an engine that is avoided for being slow gets
+	// calls again after it.
+	stepTime = 10 * time.Second
+	// stepWeight is the share of the newest step time in the average.
+	stepWeight = 0.3
 	// ageingPerSecond raises the rank of a waiting call, so that none starves.
 	ageingPerSecond = 1.0
 )
@@ -62,6 +69,9 @@
 	openFor     time.Duration
 	startLimit  int
 	serviceTime time.Duration
+	// stepMicros averages the calls' step times; stepAt is when the latest came.
+	stepMicros float64
+	stepAt     time.Time
 }
 
 func newEngineState(name string) *engineState {
@@ -77,6 +87,9 @@
 		Open:     now.Before(e.openUntil),
 		Draining: e.draining,
 	}
+	if now.Sub(e.stepAt) < stepTime {
+		load.StepMicros = int64(e.stepMicros)
+	}
 	if len(e.line) > 0 || len(e.running) >= e.capacity(now) {
 		load.WaitMillis = e.expectedWait().Milliseconds()
 	}
@@ -103,19 +116,32 @@
 }
 
 // finish ends a reservation and learns from it.
-func (e *engineState) finish(callID string, failed bool, now time.Time) (changed, known bool) {
-	held, known := e.running[callID]
+func (e *engineState) finish(request ReleaseRequest, now time.Time) (changed, known bool) {
+	held, known := e.running[request.CallID]
 	if !known {
 		return false, false
 	}
-	delete(e.running, callID)
-	if failed {
+	delete(e.running, request.CallID)
+	e.recordStep(request.StepMicros, now)
+	if request.Failed {
 		return e.recordFailure(now), true
 	}
 	e.recordSuccess(now.Sub(held.since))
 	return false, true
 }
 
+// recordStep learns how fast the engine generates.
+func (e *engineState) recordStep(micros int64, now time.Time) {
+	if micros <= 0 {
+		return
+	}
+	if now.Sub(e.stepAt) >= stepTime {
+		e.stepMicros = float64(micros)
+	}
+	e.stepMicros += stepWeight * (float64(micros) - e.stepMicros)
+	e.stepAt = now
+}
+
 // recordFailure reports whether the breaker has just opened.
 func (e *engineState) recordFailure(now time.Time) bool {
 	e.failures++
--- a/internal/owner/engine_test.go
+++ b/internal/owner/engine_test.go
@@ -66,7 +66,7 @@
 	now := start
 	fail := func() {
 		state.grant(ReserveRequest{CallID: "c", CallMillis: 1000}, now)
-		state.finish("c", true, now)
+		state.finish(ReleaseRequest{CallID: "c", Failed: true}, now)
 	}
 	for range breakerFailures {
 		assert.Equal(t, state.capacity(now), 8)
@@ -79,11 +79,11 @@
 	assert.Equal(t, state.capacity(now.Add(breakerMinOpen)), 0, "the second pause is longer")
 	now = now.Add(2 * breakerMinOpen)
 	state.grant(ReserveRequest{CallID: "c", CallMillis: 1000}, now)
-	state.finish("c", false, now)
+	state.finish(ReleaseRequest{CallID: "c"}, now)
 	assert.Equal(t, state.capacity(now), 8/slowStartFraction+1)
 	for range 8 {
 		state.grant(ReserveRequest{CallID: "c", CallMillis: 1000}, now)
-		state.finish("c", false, now)
+		state.finish(ReleaseRequest{CallID: "c"}, now)
 	}
 	assert.Equal(t, state.capacity(now), 8)
 }
@@ -101,3 +101,19 @@
 	state.enqueue("a", "t", 1, 0, start)
 	assert.Equal(t, state.expectedWait(), 10*time.Second)
 }
+
+// TestStepTimesAreAveragedAndForgotten: an engine that nobody calls any more is not slow for ever.
+func TestStepTimesAreAveragedAndForgotten(t *testing.T) {
+	state := newEngine(1)
+	finish := func(micros int64, now time.Time) {
+		state.grant(ReserveRequest{CallID: "c"}, now)
+		state.finish(ReleaseRequest{CallID: "c", StepMicros: micros}, now)
+	}
+	finish(10000, start)
+	finish(20000, start)
+	finish(0, start.Add(time.Second))
+	assert.Equal(t, state.load(start.Add(time.Second)).StepMicros, int64(13000))
+	assert.Equal(t, state.load(start.Add(stepTime)).StepMicros, int64(0))
+	finish(40000, start.Add(2*stepTime))
+	assert.Equal(t, state.load(start.Add(2*stepTime)).StepMicros, int64(40000))
+}
--- a/internal/owner/lines.go
+++ b/internal/owner/lines.go
@@ -149,7 +149,7 @@
 	}
 	now := l.options.Clock.Now()
 	wasFailing := state.failures >= breakerFailures
-	opened, known := state.finish(request.CallID, request.Failed, now)
+	opened, known := state.finish(request, now)
 	if !known {
 		return
 	}
--- a/internal/owner/owner.go
+++ b/internal/owner/owner.go
@@ -55,6 +55,8 @@
 	CallID string `json:"call"`
 	// Failed tells that the engine did not do its work.
 	Failed bool `json:"failed,omitempty"`
+	// StepMicros is how long the engine took from one token to the next; 0 if unknown.
+	StepMicros int64 `json:"step_us,omitempty"`
 }
 
 // Owner answers other nodes about the engines that this node owns.
--- a/internal/policy/input.go
+++ b/internal/policy/input.go
@@ -35,6 +35,7 @@
 	EngineLoad             float64
 	EngineCachedTokens     float64
 	EngineWaitSeconds      float64
+	EngineSlowness         float64
 	EngineOtherWaitSeconds float64
 	// EngineUnusedSeconds and EngineAffinity make round-robin and consistent hashing expressible.
 	EngineUnusedSeconds float64
@@ -79,6 +80,7 @@
 	{"engine.cached_tokens", cel.DoubleType, "tokens", "estimate of the prompt's tokens that the candidate has cached", true},
 	{"engine.wait_seconds", cel.DoubleType, "s", "how long a call would stand in the candidate's line, as last heard; 0 if it has room", true},
 	{"engine.other_wait_seconds", cel.DoubleType, "s", "the shortest such wait among the other candidates", true},
+	{"engine.slowness", cel.DoubleType, "", "time between the candidate's tokens, as a multiple of the median over the candidates; 1 if not known lately", true},
 	{"engine.unused_seconds", cel.DoubleType, "s", "time since this node's scheduler last chose the candidate", true},
 	{"engine.affinity", cel.DoubleType, "", "from 0 to 1, by a hash of the program's root and the candidate", true},
 	{"engine.warm", cel.BoolType, "", "whether the candidate served the latest call of the program or, for a program that has made none, of an ancestor with the same first message", true},
@@ -129,6 +131,8 @@
 		return i.EngineWaitSeconds, true
 	case "engine.other_wait_seconds":
 		return i.EngineOtherWaitSeconds, true
+	case "engine.slowness":
+		return i.EngineSlowness, true
 	case "engine.unused_seconds":
 		return i.EngineUnusedSeconds, true
 	case "engine.affinity":
@@ -199,6 +203,7 @@
 		"engine.cached_tokens":      &i.EngineCachedTokens,
 		"engine.wait_seconds":       &i.EngineWaitSeconds,
 		"engine.other_wait_seconds": &i.EngineOtherWaitSeconds,
+		"engine.slowness":           &i.EngineSlowness,
 		"engine.unused_seconds":     &i.EngineUnusedSeconds,
 		"engine.affinity":           &i.EngineAffinity,
 		"call.prompt_tokens":        &i.CallPromptTokens,
--- a/internal/resource/check.go
+++ b/internal/resource/check.go
@@ -69,7 +69,7 @@
 	if service.Type == ServiceModel && len(service.Models) == 0 {
 		return r.fieldError("models", "a model service needs at least one model name")
 	}
-	if service.MaxTokens < 0 || service.QueueSeconds < 0 || service.CallSeconds < 0 || service.MaxAttempts < 0 {
+	if service.MaxTokens < 0 || service.QueueSeconds < 0 || service.CallSeconds < 0 || service.FirstTokenSeconds < 0 || service.StallSeconds < 0 || service.MaxAttempts < 0 {
 		return r.fieldError("maxTokens", "maxTokens, queueSeconds, callSeconds and maxAttempts must be above 0")
 	}
 	return nil
--- a/internal/resource/resource.go
+++ b/internal/resource/resource.go
@@ -111,6 +111,10 @@
 	QueueSeconds float64 `json:"queue_seconds,omitempty" yaml:"queueSeconds"`
 	// CallSeconds is how long one call may take in all.
 	CallSeconds float64 `json:"call_seconds,omitempty" yaml:"callSeconds"`
+	// FirstTokenSeconds is how long a model engine may take to its first token, and StallSeconds from
+	// one to the next, before the attempt counts as lost.
+	FirstTokenSeconds float64 `json:"first_token_seconds,omitempty" yaml:"firstTokenSeconds"`
+	StallSeconds      float64 `json:"stall_seconds,omitempty" yaml:"stallSeconds"`
 	// MaxAttempts bounds how often a repeatable call is sent to an engine.
 	MaxAttempts int `json:"max_attempts,omitempty" yaml:"maxAttempts"`
 }
@@ -182,6 +186,8 @@
 	DefaultMaxTokens          = 512
 	DefaultQueueSeconds       = 10
 	DefaultCallSeconds        = 120
+	DefaultFirstTokenSeconds  = 30
+	DefaultStallSeconds       = 5
 	DefaultMaxAttempts        = 3
 	DefaultSlots              = 16
 )
@@ -202,6 +208,8 @@
 		setDefault(&r.Service.MaxTokens, DefaultMaxTokens)
 		setDefault(&r.Service.QueueSeconds, DefaultQueueSeconds)
 		setDefault(&r.Service.CallSeconds, DefaultCallSeconds)
+		setDefault(&r.Service.FirstTokenSeconds, DefaultFirstTokenSeconds)
+		setDefault(&r.Service.StallSeconds, DefaultStallSeconds)
 		setDefault(&r.Service.MaxAttempts, DefaultMaxAttempts)
 	case r.Pool != nil:
 		for index := range r.Pool.Engines {
--- a/internal/scheduler/input.go
+++ b/internal/scheduler/input.go
@@ -40,6 +40,7 @@
 	i.EngineWaiting = float64(candidate.Load.Waiting)
 	i.EngineLoad = (i.EngineRunning + i.EngineWaiting) / max(1, i.EngineSlots)
 	i.EngineWaitSeconds = candidate.wait().Seconds()
+	i.EngineSlowness = candidate.Slowness
 	i.EngineOtherWaitSeconds = candidate.OtherWait.Seconds()
 	i.EngineWarm = call.WarmEngine == candidate.Engine.Name
 	i.EngineUnusedSeconds = candidate.Unused.Seconds()
--- a/internal/scheduler/scheduler.go
+++ b/internal/scheduler/scheduler.go
@@ -68,6 +68,8 @@
 	Score  float64
 	// OtherWait is the shortest wait at any other candidate that may serve the call.
 	OtherWait time.Duration
+	// Slowness is the time between its tokens as a multiple of the candidates' median; 1 if unknown.
+	Slowness float64
 	// Unused is how long ago this scheduler last chose the engine.
 	Unused time.Duration
 	// Reason tells why a candidate was left out; empty for one that was scored.
@@ -249,9 +251,34 @@
 		result = append(result, candidate)
 	}
 	compareWaits(result)
+	compareSteps(result)
 	return result
 }
 
+// leastSteps is how many engines' step times make a median that one can be slower than.
+const leastSteps = 3
+
+// compareSteps tells each candidate how much slower it is than most.
+func compareSteps(candidates []Candidate) {
+	var steps []int64
+	for index := range candidates {
+		candidates[index].Slowness = 1
+		if step := candidates[index].Load.StepMicros; step > 0 {
+			steps = append(steps, step)
+		}
+	}
+	if len(steps) < leastSteps {
+		return
+	}
+	slices.Sort(steps)
+	median := float64(steps[len(steps)/2])
+	for index, candidate := range candidates {
+		if candidate.Load.StepMicros > 0 {
+			candidates[index].Slowness = float64(candidate.Load.StepMicros) / median
+		}
+	}
+}
+
 // compareWaits tells each candidate the shortest wait among the others.
 func compareWaits(candidates []Candidate) {
 	shortest, second := -1, -1
--- a/internal/scheduler/scheduler_test.go
+++ b/internal/scheduler/scheduler_test.go
@@ -160,6 +160,16 @@
 	assert.Equal(t, alone[0].OtherWait, time.Duration(0))
 }
 
+// TestSlownessIsRelative to the median, and unknown without enough to compare with.
+func TestSlownessIsRelative(t *testing.T) {
+	candidates := []Candidate{{Load: owner.Load{StepMicros: 10000}}, {Load: owner.Load{StepMicros: 12000}}, {Load: owner.Load{StepMicros: 48000}}, {}}
+	compareSteps(candidates)
+	assert.Equal(t, candidates[2].Slowness, 4.0)
+	assert.Equal(t, candidates[3].Slowness, 1.0)
+	compareSteps(candidates[1:])
+	assert.Equal(t, candidates[2].Slowness, 1.0)
+}
+
 // TestRoundRobinIsAPolicy: least recently chosen first visits all in turn.
 func TestRoundRobinIsAPolicy(t *testing.T) {
 	reserver := &owners{free: map[string]bool{"e1": true, "e2": true, "e3": true}}
--- a/test/path/path_test.go
+++ b/test/path/path_test.go
@@ -45,7 +45,7 @@
 		{Kind: resource.KindTenant, Name: "other", Tenant: &resource.Tenant{Keys: []resource.APIKey{resource.NewAPIKey("k", secret, resource.RoleCaller)}}},
 		{Kind: resource.KindPool, Name: "models", Pool: pool},
 		{Kind: resource.KindPool, Name: "books", Pool: &resource.Pool{Engines: []resource.Engine{{Name: "b1", URL: "http://replaced", Slots: 4}, {Name: "b2", URL: "http://replaced", Slots: 4}}}},
-		{Kind: resource.KindService, Name: "tutor", Service: &resource.Service{Type: resource.ServiceModel, Pool: "models", Models: []string{"tutor"}, Tenants: []string{"school"}, MaxTokens: 400}},
+		{Kind: resource.KindService, Name: "tutor", Service: &resource.Service{Type: resource.ServiceModel, Pool: "models", Models: []string{"tutor"}, Tenants: []string{"school"}, MaxTokens: 400, StallSeconds: patience.Seconds()}},
 		{Kind: resource.KindService, Name: "book", Service: &resource.Service{Type: resource.ServiceApplication, Pool: "books", Tenants: []string{"school"}}},
 	}
 }
--- /dev/null
+++ b/test/path/stall_test.go
@@ -0,0 +1,70 @@
+package path_test
+
+import (
+	"encoding/json"
+	"fmt"
+	"testing"
+
+	"gotest.tools/v3/assert"
+	"gotest.tools/v3/poll"
+
+	"github.com/mountstile/mountstile/internal/adminclient"
+	"github.com/mountstile/mountstile/internal/emulator"
+	"github.com/mountstile/mountstile/internal/lab/runner"
+	"github.com/mountstile/mountstile/internal/resource"
+)
+
+// TestStalledEngineLosesItsCalls stops an engine without closing anything, before the first token of
+// some answers and in the middle of others: callers get whole answers through another engine, long
+// before their calls' time is over.
+func TestStalledEngineLosesItsCalls(t *testing.T) {
+	system := start(t, 2)
+	service := resource.Resource{Kind: resource.KindService, Name: "tutor", Service: &resource.Service{
+		Type: resource.ServiceModel, Pool: "models", Models: []string{"tutor"}, Tenants: []string{"school"}, MaxTokens: 400,
+		FirstTokenSeconds: 1, StallSeconds: 0.5, CallSeconds: 3600, MaxAttempts: 10,
+	}}
+	content, err := resource.Encode([]resource.Resource{service})
+	assert.NilError(t, err)
+	result, err := system.Admin.Apply(t.Context(), content, adminclient.Change{})
+	assert.NilError(t, err)
+	assert.NilError(t, system.Admin.WaitInForce(t.Context(), result.Revision))
+	client := runner.NewClient(apiKey)
+	defer client.Close()
+	const calls = 8
+	type outcome struct {
+		reply runner.Reply
+		err   error
+	}
+	outcomes := make(chan outcome, calls)
+	send := func(number int) {
+		request := call("", 0, user(fmt.Sprintf("question %d", number)))
+		request.Tokens = 100
+		go func() {
+			reply, err := client.Chat(t.Context(), system.APIs()[number%3], request)
+			outcomes <- outcome{reply, err}
+		}()
+	}
+	for number := range calls / 2 {
+		send(number)
+	}
+	poll.WaitOn(t, func(poll.LogT) poll.Result {
+		if system.Engines["m1"].Stats().Tokens > 0 {
+			return poll.Success()
+		}
+		return poll.Continue("m1 has not begun yet")
+	}, poll.WithTimeout(patience))
+	system.Engines["m1"].SetFaults(emulator.Faults{Hang: true})
+	for number := calls / 2; number < calls; number++ {
+		send(number)
+	}
+	answers := make(map[string]bool)
+	for range calls {
+		item := <-outcomes
+		assert.NilError(t, item.err)
+		answers[item.reply.Content] = true
+	}
+	for number := range calls {
+		prompt := json.RawMessage(fmt.Sprintf(`{"role":"user","content":"question %d"}`, number))
+		assert.Assert(t, answers[emulator.ExpectedAnswer([]json.RawMessage{prompt}, 100)], "question %d", number)
+	}
+}
--- a/test/process/harness_test.go
+++ b/test/process/harness_test.go
@@ -211,7 +211,7 @@
 		{Kind: resource.KindTenant, Name: "school", Tenant: &resource.Tenant{Keys: []resource.APIKey{resource.NewAPIKey("k", secret, resource.RoleOperator)}}},
 		{Kind: resource.KindPool, Name: "models", Pool: pool},
 		{Kind: resource.KindPool, Name: "books", Pool: &resource.Pool{Engines: []resource.Engine{{Name: "book", URL: s.engines["book"], Slots: 8}}}},
-		{Kind: resource.KindService, Name: "tutor", Service: &resource.Service{Type: resource.ServiceModel, Pool: "models", Models: []string{"tutor"}, Tenants: []string{"school"}, MaxTokens: 1000}},
+		{Kind: resource.KindService, Name: "tutor", Service: &resource.Service{Type: resource.ServiceModel, Pool: "models", Models: []string{"tutor"}, Tenants: []string{"school"}, MaxTokens: 1000, StallSeconds: patience.Seconds()}},
 		{Kind: resource.KindService, Name: "book", Service: &resource.Service{Type: resource.ServiceApplication, Pool: "books", Tenants: []string{"school"}}},
 	}
 	s.apply(resources)
