Slow engines are left; experiments can make engines slow, hang or die

Cause: an engine that becomes slow kept its programs, as the warm engine's bonus outweighs any load.

Experiments have a 'disturbance' (kill, hang, slow) in place of killEverySeconds; the simulated engines stall and are given up as real ones.

TestSlowEnginesAreLeft and TestHungEnginesLoseNoProgram hold it.

--- a/internal/lab/experiment/engine.go
+++ b/internal/lab/experiment/engine.go
@@ -4,9 +4,11 @@
 	"context"
 	"maps"
 	"slices"
+	"time"
 
 	"github.com/mountstile/mountstile/internal/clock"
 	"github.com/mountstile/mountstile/internal/emulator"
+	"github.com/mountstile/mountstile/internal/engine"
 )
 
 // simulatedEngine runs the emulator's model in virtual time.
@@ -17,6 +19,9 @@
 	jobs   map[string]*simulatedJob
 	wake   clock.Signal
 	down   bool
+	hung   bool
+	// factor multiplies the time of a step.
+	factor float64
 	// retired is the accounting of caches that were lost with the engine.
 	retired emulator.CacheStats
 }
@@ -28,16 +33,17 @@
 	generated int
 	cached    int
 	lost      bool
+	pace      engine.Pace
 }
 
 func newSimulatedEngine(virtual *clock.Virtual, config emulator.Config) *simulatedEngine {
-	return &simulatedEngine{clock: virtual, config: config, model: emulator.NewModel(config), jobs: make(map[string]*simulatedJob), wake: virtual.NewSignal()}
+	return &simulatedEngine{clock: virtual, config: config, model: emulator.NewModel(config), jobs: make(map[string]*simulatedJob), wake: virtual.NewSignal(), factor: 1}
 }
 
 // run steps the model until nothing is left to do for good.
 func (e *simulatedEngine) run() {
 	for {
-		if e.down || !e.model.Busy() {
+		if e.down || e.hung || !e.model.Busy() {
 			e.wake = e.clock.NewSignal()
 			if !e.wake.Wait(context.Background(), clock.Forever) {
 				return
@@ -46,7 +52,7 @@
 		}
 		model := e.model
 		took, progress := model.Step()
-		e.clock.Sleep(took)
+		e.clock.Sleep(time.Duration(float64(took) * e.factor))
 		if model != e.model {
 			// The engine died during the step.
 			continue
@@ -63,6 +69,7 @@
 		return
 	}
 	job.generated, job.cached = item.Token, item.Cached
+	job.pace.Note(e.clock.Now())
 	job.first.Fire()
 	if item.Done {
 		delete(e.jobs, item.ID)
@@ -82,6 +89,23 @@
 	return job, true
 }
 
+// abandon cancels a request whose caller has given the engine up.
+func (e *simulatedEngine) abandon(id string) {
+	delete(e.jobs, id)
+	e.model.Cancel(id)
+}
+
+func (e *simulatedEngine) strike(disturbance Disturbance) {
+	switch disturbance.Kind {
+	case Kill:
+		e.fail()
+	case Hang:
+		e.hung = true
+	case Slow:
+		e.factor = disturbance.Factor
+	}
+}
+
 // fail loses the engine with its cache and all that runs on it.
 func (e *simulatedEngine) fail() {
 	e.down = true
@@ -98,7 +122,7 @@
 }
 
 func (e *simulatedEngine) recover() {
-	e.down = false
+	e.down, e.hung, e.factor = false, false, 1
 	e.wake.Fire()
 }
 
--- a/internal/lab/experiment/experiment.go
+++ b/internal/lab/experiment/experiment.go
@@ -47,10 +47,8 @@
 	// Seconds is the span in which programs start.
 	Seconds   float64 `yaml:"seconds"`
 	TimeScale float64 `yaml:"timeScale"`
-	// KillEverySeconds, if set, loses one engine after the other, each for KilledSeconds; only in
-	// virtual time.
-	KillEverySeconds float64 `yaml:"killEverySeconds"`
-	KilledSeconds    float64 `yaml:"killedSeconds"`
+	// Disturbance, if set, strikes one engine after the other; only in virtual time.
+	Disturbance *Disturbance `yaml:"disturbance"`
 	// Virtual is what a run in virtual time does differently.
 	Virtual *VirtualScale `yaml:"virtual"`
 	// Loads are offered load as shares of the engines' capacity; Capacity explains the measure.
@@ -59,6 +57,38 @@
 	Policies []PolicyEntry   `yaml:"policies"`
 }
 
+// DisturbanceKind is what happens to an engine.
+type DisturbanceKind string
+
+const (
+	// Kill loses the engine with its cache and all that runs on it.
+	Kill DisturbanceKind = "kill"
+	// Hang stops the engine; its connections stay open.
+	Hang DisturbanceKind = "hang"
+	// Slow multiplies the time of its steps by Factor.
+	Slow DisturbanceKind = "slow"
+)
+
+// Disturbance strikes an engine every EverySeconds, the next one each time, for LastsSeconds.
+type Disturbance struct {
+	Kind         DisturbanceKind `yaml:"kind"`
+	EverySeconds float64         `yaml:"everySeconds"`
+	LastsSeconds float64         `yaml:"lastsSeconds"`
+	Factor       float64         `yaml:"factor"`
+}
+
+func (d Disturbance) check() string {
+	switch {
+	case d.Kind != Kill && d.Kind != Hang && d.Kind != Slow:
+		return "disturbance.kind is kill, hang or slow"
+	case d.EverySeconds <= 0 || d.LastsSeconds <= 0:
+		return "disturbance.everySeconds and lastsSeconds must be above 0"
+	case d.Kind == Slow && d.Factor < 1:
+		return "disturbance.factor must be 1 or more"
+	}
+	return ""
+}
+
 // VirtualScale is the size of a run in virtual time, which costs no waiting; 0 keeps the file's.
 type VirtualScale struct {
 	Repeats   int       `yaml:"repeats"`
@@ -112,6 +142,11 @@
 	case len(file.Policies) == 0:
 		return file, &ErrFile{Path: path, Reason: "no policies"}
 	}
+	if file.Disturbance != nil {
+		if reason := file.Disturbance.check(); reason != "" {
+			return file, &ErrFile{Path: path, Reason: reason}
+		}
+	}
 	return file, nil
 }
 
--- a/internal/lab/experiment/turn.go
+++ b/internal/lab/experiment/turn.go
@@ -6,7 +6,6 @@
 	"time"
 
 	"github.com/mountstile/mountstile/internal/apierr"
-	"github.com/mountstile/mountstile/internal/clock"
 	"github.com/mountstile/mountstile/internal/coordinator"
 	"github.com/mountstile/mountstile/internal/emulator"
 	"github.com/mountstile/mountstile/internal/engine"
@@ -84,15 +83,20 @@
 		text = t.prompt
 	}
 	blocks, tokens := emulator.Prompt(text, t.world.file.Engine.BlockTokens)
+	id := fmt.Sprintf("%s/%d", t.call.ID, t.call.Attempt)
 	job, reached := t.world.engines[t.engine].submit(emulator.Request{
-		ID: fmt.Sprintf("%s/%d", t.call.ID, t.call.Attempt), Program: coordinator.CacheID(t.request.Admit.Program), Blocks: blocks,
+		ID: id, Program: coordinator.CacheID(t.request.Admit.Program), Blocks: blocks,
 		PromptTokens: tokens, OutputTokens: t.tokens - t.generated,
 	})
-	lost := !reached
+	lost, step := !reached, time.Duration(0)
 	if reached {
 		lost = t.await(ctx, job)
+		step = job.pace.Step()
 	}
-	t.world.nodeFor(t.engine).lines.Release(owner.ReleaseRequest{Engine: t.engine, CallID: t.call.ID, Failed: lost})
+	if reached && lost {
+		t.world.engines[t.engine].abandon(id)
+	}
+	t.world.nodeFor(t.engine).lines.Release(owner.ReleaseRequest{Engine: t.engine, CallID: t.call.ID, Failed: lost, StepMicros: step.Microseconds()})
 	if lost {
 		t.avoid = append(t.avoid, t.engine)
 		t.call = t.world.execute(program.Command{Lose: &program.LoseAttempt{
@@ -101,14 +105,19 @@
 	}
 }
 
-// await takes the answer's tokens; it reports whether the engine was lost before the last.
+// await takes the answer's tokens; it reports whether the engine was lost, or stalled, before the last.
 func (t *simulatedTurn) await(ctx context.Context, job *simulatedJob) bool {
-	job.first.Wait(ctx, clock.Forever)
+	stalled := !job.first.Wait(ctx, seconds(t.world.service.FirstTokenSeconds))
 	if t.firstToken.IsZero() && job.generated > 0 {
 		t.firstToken = t.world.clock.Now()
 	}
-	job.done.Wait(ctx, clock.Forever)
+	done := false
+	for !stalled && !done {
+		before := job.generated
+		done = job.done.Wait(ctx, seconds(t.world.service.StallSeconds))
+		stalled = !done && job.generated == before
+	}
 	t.generated += job.generated
 	t.cached = max(t.cached, job.cached)
-	return job.lost
+	return stalled || job.lost
 }
--- a/internal/lab/experiment/virtual.go
+++ b/internal/lab/experiment/virtual.go
@@ -146,19 +146,19 @@
 			}
 		}
 	})
-	if s.file.KillEverySeconds > 0 {
-		s.clock.Go(s.killEngines)
+	if s.file.Disturbance != nil {
+		s.clock.Go(func() { s.disturb(*s.file.Disturbance) })
 	}
 }
 
-// killEngines loses one engine after the other, each for a while.
-func (s *simulation) killEngines() {
+// disturb strikes one engine after the other, each for a while.
+func (s *simulation) disturb(disturbance Disturbance) {
 	for number := 0; !s.ended; number++ {
-		s.clock.Sleep(seconds(s.file.KillEverySeconds))
+		s.clock.Sleep(seconds(disturbance.EverySeconds))
 		victim := s.engines[s.order[number%len(s.order)]]
-		victim.fail()
+		victim.strike(disturbance)
 		s.clock.Go(func() {
-			s.clock.Sleep(seconds(s.file.KilledSeconds))
+			s.clock.Sleep(seconds(disturbance.LastsSeconds))
 			victim.recover()
 		})
 	}
--- a/internal/lab/experiment/virtual_test.go
+++ b/internal/lab/experiment/virtual_test.go
@@ -63,6 +63,21 @@
 	assert.Equal(t, row.Completed, row.Programs)
 }
 
+// TestSlowEnginesAreLeft while one of ten after the other is five times slower.
+func TestSlowEnginesAreLeft(t *testing.T) {
+	t.Parallel()
+	rows := play(t, "slow.yaml", 0.7, 60, "brindleway-latency", "without-slowness")
+	assert.Assert(t, rows["brindleway-latency"].ProgramLatency.P95 <= 0.9*rows["without-slowness"].ProgramLatency.P95, "%+v", rows)
+}
+
+// TestHungEnginesLoseNoProgram: what hangs is continued elsewhere.
+func TestHungEnginesLoseNoProgram(t *testing.T) {
+	t.Parallel()
+	row := play(t, "hang.yaml", 0.7, 30, "brindleway-latency")["brindleway-latency"]
+	assert.Assert(t, row.Programs > 100)
+	assert.Equal(t, row.Completed, row.Programs)
+}
+
 // TestVirtualTimeIsRepeatable also with engines lost: the same seed gives the same figures.
 func TestVirtualTimeIsRepeatable(t *testing.T) {
 	t.Parallel()
--- a/internal/policy/policy.go
+++ b/internal/policy/policy.go
@@ -19,11 +19,12 @@
 // The built-in programs; an empty hook of a Policy means these.
 const (
 	DefaultFilter = `true`
-	DefaultScore  = `(engine.warm ? 2.0 : 0.0) + (engine.local ? 0.05 : 0.0) - engine.load`
+	DefaultScore  = `(engine.warm ? 2.0 : 0.0) + (engine.local ? 0.05 : 0.0) - engine.load - (engine.slowness > 2.0 ? 4.0 : 0.0)`
 	DefaultRank   = `call.waited_seconds`
 	DefaultAdmit  = `true`
-	// DefaultPatience keeps a call at its warm engine unless another line is shorter by 3 s.
-	DefaultPatience = `engine.warm ? 3.0 + engine.other_wait_seconds : 0.0`
+	// DefaultPatience keeps a call at its warm engine unless that one is slow, or another line is
+	// shorter by 3 s.
+	DefaultPatience = `engine.warm && engine.slowness < 2.0 ? 3.0 + engine.other_wait_seconds : 0.0`
 )
 
 const (
--- a/internal/policy/policy_test.go
+++ b/internal/policy/policy_test.go
@@ -99,7 +99,7 @@
 	}
 	results, err := RunCases(policies, cases)
 	assert.NilError(t, err)
-	assert.Equal(t, len(results), 5)
+	assert.Equal(t, len(results), 6)
 	for _, result := range results {
 		assert.Assert(t, result.Passed(), result.String())
 	}
