Placement, candidates and the experiment's file format get files of their own

Change: moved without change: coordinator/placement.go (from an admitted call to a committed dispatch), scheduler/candidates.go and reserve.go (steps of the cycle), experiment/file.go.

--- a/internal/coordinator/server.go
+++ b/internal/coordinator/server.go
@@ -3,8 +3,6 @@
 import (
 	"context"
 	"encoding/json"
-	"slices"
-	"strings"
 	"sync"
 	"time"
 
@@ -336,102 +334,6 @@
 	}
 }
 
-func seconds(value float64) time.Duration { return time.Duration(value * float64(time.Second)) }
-
-func (s *Server) place(ctx context.Context, request BeginRequest, call *program.Call, avoid []string) (scheduler.Decision, error) {
-	set := s.options.Config.Current().Set
-	service, known := set.Service(request.Admit.Service)
-	if !known {
-		return scheduler.Decision{}, apierr.New(apierr.NotFound, apierr.NotRun, "service %q was removed", request.Admit.Service)
-	}
-	pool, known := set.Pool(service.Pool)
-	if !known {
-		return scheduler.Decision{}, apierr.New(apierr.NoEngine, apierr.NotRun, "pool %q was removed", service.Pool)
-	}
-	rules, err := s.options.Policies.ForService(service)
-	if err != nil {
-		return scheduler.Decision{}, apierr.New(apierr.PolicyFailed, apierr.NotRun, "%s", err)
-	}
-	decision, err := s.options.Scheduler.Place(ctx, s.describe(request, call, set, service, avoid), pool, rules)
-	s.remember(decision)
-	return decision, err
-}
-
-// DescribeCall tells the scheduler about a call and its program.
-func DescribeCall(request BeginRequest, call *program.Call, summary program.Summary, service *resource.Service, now time.Time) scheduler.Call {
-	return scheduler.Call{
-		ID:           call.ID,
-		Program:      request.Admit.Program.Path,
-		Tenant:       request.Admit.Program.Tenant,
-		Weight:       resource.DefaultWeight,
-		Gateway:      request.Admit.Gateway,
-		Service:      request.Admit.Service,
-		Model:        request.Model,
-		Repeatable:   call.Repeatable,
-		Attempt:      call.Attempt + 1,
-		PromptTokens: request.PromptTokens,
-		MaxTokens:    request.MaxTokens,
-		LastEngine:   summary.LastEngine,
-		WarmEngine:   summary.WarmEngine,
-		CachedTokens: summary.WarmTokens,
-		Depth:        strings.Count(request.Admit.Program.Path, "/"),
-		Calls:        summary.Calls,
-		UsedTokens:   summary.Used,
-		Messages:     summary.Messages,
-		AgeSeconds:   now.Sub(time.UnixMilli(summary.CreatedAt)).Seconds(),
-		Wait:         seconds(service.QueueSeconds),
-		Limit:        seconds(service.CallSeconds),
-	}
-}
-
-// describe adds what only this node knows: the tenant's weight, and engines that have failed.
-func (s *Server) describe(request BeginRequest, call *program.Call, set *resource.Set, service *resource.Service, avoid []string) scheduler.Call {
-	summary, _ := s.machine(request.Partition).Summary(request.Admit.Program)
-	description := DescribeCall(request, call, summary, service, time.Now())
-	description.Avoid = avoid
-	if tenant, known := set.Tenant(request.Admit.Program.Tenant); known {
-		description.Weight = tenant.Weight
-	}
-	return description
-}
-
-func (s *Server) dispatch(ctx context.Context, request BeginRequest, call *program.Call, decision scheduler.Decision) (program.Result, error) {
-	command := program.Dispatch{
-		CallID:    call.ID,
-		Program:   request.Admit.Program,
-		Attempt:   call.Attempt + 1,
-		Engine:    decision.Engine.Name,
-		Gateway:   request.Admit.Gateway,
-		Execution: request.Execution,
-	}
-	service, known := s.options.Config.Current().Set.Service(request.Admit.Service)
-	if known && service.Type == resource.ServiceModel {
-		command.CacheService = request.Admit.Service
-	}
-	return s.propose(ctx, request.Partition, program.Command{Dispatch: &command})
-}
-
-// engineResponse names the engine of the latest committed dispatch.
-func (s *Server) engineResponse(request BeginRequest, call *program.Call) (BeginResponse, error) {
-	response := BeginResponse{CallID: call.ID, Attempt: call.Attempt, LeaseMillis: dispatchLease.Milliseconds()}
-	set := s.options.Config.Current().Set
-	if service, known := set.Service(request.Admit.Service); known {
-		if pool, known := set.Pool(service.Pool); known {
-			index := slices.IndexFunc(pool.Engines, func(item resource.Engine) bool { return item.Name == call.Engine })
-			if index >= 0 {
-				response.Engine = &engine.Target{Name: call.Engine, URL: pool.Engines[index].URL, Pool: service.Pool}
-			}
-		}
-	}
-	if response.Engine == nil {
-		return response, apierr.New(apierr.NoEngine, apierr.OutcomeUnknown, "engine %q was removed", call.Engine)
-	}
-	if request.WantHistory {
-		response.History = s.machine(request.Partition).History(request.Admit.Program)
-	}
-	return response, nil
-}
-
 // giveUp ends a call that has no engine. Only the log's word makes the refusal NotRun.
 func (s *Server) giveUp(ctx context.Context, request BeginRequest, call *program.Call, cause error) error {
 	failure := apierr.From(cause, apierr.OutcomeUnknown)
