A copied data folder does not vote beside its original

Change: replicas start only when the node knows the members and no other live one, at another address, claims its replica identity (event 109 meanwhile, not ready); of two that claim one, others send to the run that started first.

--- a/internal/control/control.go
+++ b/internal/control/control.go
@@ -8,6 +8,7 @@
 	"crypto/tls"
 	"net"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/cockroachdb/errors"
@@ -62,8 +63,10 @@
 	Owner      *owner.Owner
 
 	options Options
-	stop    context.CancelFunc
-	done    chan struct{}
+	// identityHeld is set once no other live node claims this node's replica identity.
+	identityHeld atomic.Bool
+	stop         context.CancelFunc
+	done         chan struct{}
 }
 
 // New assembles a Plane. Register further messages on its Transport before Start.
@@ -155,6 +158,9 @@
 	tasks.Go(func() { p.Partitions.Run(ctx) })
 	tasks.Go(func() { p.Owner.Run(ctx) })
 	tasks.Go(func() {
+		if !p.awaitIdentity(ctx) {
+			return
+		}
 		if err := p.Host.Run(ctx); err != nil {
 			p.options.Logger.Emit(events.StorageFailed, events.F("error", err))
 		}
@@ -168,7 +174,9 @@
 }
 
 // Ready reports whether the node has its configuration and its region's placement.
-func (p *Plane) Ready() bool { return p.Config.Ready() && p.Partitions.Ready() }
+func (p *Plane) Ready() bool {
+	return p.identityHeld.Load() && p.Config.Ready() && p.Partitions.Ready()
+}
 
 // Stop ends the Plane at once, and waits for it.
 func (p *Plane) Stop() error {
--- a/internal/events/events.go
+++ b/internal/events/events.go
@@ -22,6 +22,7 @@
 	ListenerFailed       ID = 106
 	MachineLeaving       ID = 107
 	MachineListFailed    ID = 108
+	IdentityInUse        ID = 109
 	MemberAlive          ID = 201
 	MemberSuspect        ID = 202
 	MemberDead           ID = 203
@@ -81,6 +82,7 @@
 	{ListenerFailed, "listener_failed", logrus.ErrorLevel, "a listener ended with an error"},
 	{MachineLeaving, "machine_leaving", logrus.InfoLevel, "the platform's list says that this machine leaves; a planned stop begins"},
 	{MachineListFailed, "machine_list_failed", logrus.DebugLevel, "the platform's machine list could not be read; it is a hint only"},
+	{IdentityInUse, "identity_in_use", logrus.ErrorLevel, "another live node has the replica identity of this data folder; this node waits with its replicas"},
 	{MemberAlive, "member_alive", logrus.InfoLevel, "a member joined or came back"},
 	{MemberSuspect, "member_suspect", logrus.InfoLevel, "a member did not answer direct and indirect probes"},
 	{MemberDead, "member_dead", logrus.WarnLevel, "a suspected member did not refute in time and counts as dead"},
--- a/internal/membership/view.go
+++ b/internal/membership/view.go
@@ -12,7 +12,9 @@
 	Self    Member
 	members []Member
 	byID    map[string]Member
-	// byReplica holds the newest usable run of each replica storage.
+	// byReplica holds the run that each replica storage belongs to: of the usable ones that claim it,
+	// the one that started first. A later one has a copy of the folder, or waits until the first is
+	// known to be gone.
 	byReplica map[string]Member
 }
 
@@ -27,13 +29,21 @@
 	for _, member := range members {
 		view.byID[member.ID] = member
 		known, exists := view.byReplica[member.ReplicaID]
-		if !exists || !known.Usable() && member.Usable() {
+		if !exists || member.holdsBefore(known) {
 			view.byReplica[member.ReplicaID] = member
 		}
 	}
 	return view
 }
 
+// holdsBefore reports whether a replica storage that both claim belongs to m rather than to other.
+func (m Member) holdsBefore(other Member) bool {
+	if m.Usable() != other.Usable() {
+		return m.Usable()
+	}
+	return m.StartedAt < other.StartedAt
+}
+
 // All returns every known member, also the dead, by ID. The slice must not be changed.
 func (v *View) All() []Member { return v.members }
 
--- a/test/process/faults_test.go
+++ b/test/process/faults_test.go
@@ -5,6 +5,7 @@
 	"fmt"
 	"io"
 	"net/http"
+	"os"
 	"strings"
 	"sync"
 	"syscall"
@@ -79,16 +80,7 @@
 	running.crowd(12, 8, func() {
 		running.nodes[2].signal(syscall.SIGSTOP)
 		running.waitFor("the paused node to count as dead", func() bool {
-			status, err := running.admin.Status(context.Background())
-			if err != nil {
-				return false
-			}
-			for _, member := range status.Members {
-				if member.Member.Name == "n3" && !member.Member.Usable() {
-					return true
-				}
-			}
-			return false
+			return running.sees("n3", false)
 		})
 		running.nodes[2].signal(syscall.SIGCONT)
 	})
@@ -348,6 +340,35 @@
 	running.checkConversations([]*conversation{pupil})
 }
 
+// TestCopiedDataFolderWaits starts a fourth node with a copy of a live node's folder: it must not run the
+// replicas a second time. When the first holder is gone, the copy takes its place.
+func TestCopiedDataFolderWaits(t *testing.T) {
+	folder := t.TempDir()
+	running := startSystem(t, 3, 1, func(config *settings.Settings) { config.DataFolder = folder + "/" + config.Name })
+	client := runner.NewClient(apiKey)
+	defer client.Close()
+	pupil := running.converse(client, "pupil")
+	_, err := pupil.say(t.Context(), 0, 60)
+	assert.NilError(t, err)
+	running.nodes[2].signal(syscall.SIGSTOP)
+	assert.NilError(t, os.CopyFS(folder+"/copy", os.DirFS(folder+"/n3")))
+	running.nodes[2].signal(syscall.SIGCONT)
+	copied := running.nodes[2].config
+	copied.Name, copied.DataFolder = "copy", folder+"/copy"
+	copied.Peer.Listen, copied.API.Listen, copied.Admin.Listen = freeAddress(t), freeAddress(t), freeAddress(t)
+	running.nodes = append(running.nodes, running.newNode(copied))
+	running.waitFor("the copy to be a member", func() bool { return running.sees("copy", true) })
+	_, err = pupil.say(t.Context(), 1, 60)
+	assert.NilError(t, err)
+	assert.Assert(t, !running.isReady(3), "the copy serves beside its original")
+	running.nodes[2].kill()
+	running.waitReady(3)
+	running.nodes = append(running.nodes[:2], running.nodes[3])
+	_, err = pupil.say(t.Context(), 2, 60)
+	assert.NilError(t, err)
+	running.checkConversations([]*conversation{pupil})
+}
+
 // TestMachineListBeginsThePlannedStop: a node whose machine is to leave goes in order by itself.
 func TestMachineListBeginsThePlannedStop(t *testing.T) {
 	list := startStandIn(t, "machines", "--lag", "0s")
--- a/test/process/harness_test.go
+++ b/test/process/harness_test.go
@@ -233,14 +233,40 @@
 }
 
 func (s *system) waitReady(index int) {
-	s.waitFor(fmt.Sprintf("node %d to be ready", index), func() bool {
-		response, err := http.Get("http://" + s.nodes[index].config.Admin.Listen + "/readyz")
-		if err != nil {
-			return false
+	s.waitFor(fmt.Sprintf("node %d to be ready", index), func() bool { return s.isReady(index) })
+}
+
+func (s *system) isReady(index int) bool {
+	response, err := http.Get("http://" + s.nodes[index].config.Admin.Listen + "/readyz")
+	if err != nil {
+		return false
+	}
+	_ = response.Body.Close()
+	return response.StatusCode == http.StatusOK
+}
+
+// sees reports whether the first node knows a member of that name, and holds it for alive or not.
+func (s *system) sees(name string, alive bool) bool {
+	status, err := s.admin.Status(context.Background())
+	if err != nil {
+		return false
+	}
+	for _, member := range status.Members {
+		if member.Member.Name == name && member.Member.Usable() == alive {
+			return true
 		}
-		_ = response.Body.Close()
-		return response.StatusCode == http.StatusOK
-	})
+	}
+	return false
+}
+
+// newNode starts a further node.
+func (s *system) newNode(config settings.Settings) *nodeProcess {
+	started := &nodeProcess{config: config, file: filepath.Join(s.t.TempDir(), config.Name+".yaml")}
+	content, err := yaml.Marshal(config)
+	assert.NilError(s.t, err)
+	assert.NilError(s.t, os.WriteFile(started.file, content, 0o600))
+	started.daemon = startDaemon(s.t, "mountstile", "node", "--settings", started.file)
+	return started
 }
 
 // waitFor polls a condition.
