--- a/internal/lab/capacity/capacity.go
+++ b/internal/lab/capacity/capacity.go
@@ -25,6 +25,8 @@
 	Baselines       []hollow.Report   `json:"baselines"`
 	RestartCommand  string            `json:"restart_command"`
 	Restarts        []hollow.Report   `json:"restarts"`
+	DayCommand      string            `json:"day_command"`
+	Days            []hollow.Report   `json:"days"`
 	StateCommand    string            `json:"state_command"`
 	State           statebench.Report `json:"state"`
 	PathCommand     string            `json:"path_command"`
@@ -122,11 +124,25 @@
 	}
 	fit := FitBytes(s.Runs)
 	fmt.Fprintf(text, "\nFit of bytes sent: %.0f + %.1f · log2(nodes) B/s; over the size itself %.3f B/s for each further node.\n\n", fit.AtOne, fit.PerLog, fit.PerNode)
+	s.days(text)
 	for _, run := range s.Restarts {
 		fmt.Fprintf(text, "`%s`: while a third of the nodes is replaced, a change is in force on the others p50 %.0f, p99 %.0f, max %.0f ms.\n\n", s.RestartCommand, run.ConfigRestarting.P50, run.ConfigRestarting.P99, run.ConfigRestarting.Max)
 	}
 }
 
+// days tells what the events of ordinary days cost.
+func (s Slopes) days(text *strings.Builder) {
+	for _, run := range s.Days {
+		day := run.Day
+		if day == nil {
+			continue
+		}
+		fmt.Fprintf(text, "`%s`: %.0f s in which the events of ordinary days come %.0f times as often (%d changes, %d nodes replaced, %d killed): %.0f B/s sent a node, %.2f %% of a core, %.1f MB; a change in force everywhere p50 %.0f, p99 %.0f, max %.0f ms; a death known p50 %.0f, max %.0f ms; %d false deaths.\n\n",
+			s.DayCommand, day.Seconds, day.Rate, day.Changes, day.Replaced, day.Killed, day.BytesPerSecond.Sent, 100*day.CoreShare, day.MemoryBytes/1e6,
+			day.ConfigInForce.P50, day.ConfigInForce.P99, day.ConfigInForce.Max, day.Detect.P50, day.Detect.Max, day.FalseDeaths)
+	}
+}
+
 func (s Slopes) baselines(text *strings.Builder) {
 	fmt.Fprintf(text, "### The slopes that were avoided, measured\n\nAll-to-all heartbeats, and every node watching the store: `%s`\n\n", s.BaselineCommand)
 	text.WriteString("| nodes | sent B/s | core | memory MB | connections | store requests/s |\n|---|---|---|---|---|---|\n")
--- a/internal/owner/engine.go
+++ b/internal/owner/engine.go
@@ -91,7 +91,7 @@
 		load.StepMicros = int64(e.stepMicros)
 	}
 	if len(e.line) > 0 || len(e.running) >= e.capacity(now) {
-		load.WaitMillis = e.expectedWait().Milliseconds()
+		load.WaitMillis = e.expectedWait(now).Milliseconds()
 	}
 	return load
 }
@@ -169,12 +169,14 @@
 	e.serviceTime += time.Duration(serviceTimeWeight * float64(took-e.serviceTime))
 }
 
-// expectedWait estimates how long a call at the end of the line would wait.
-func (e *engineState) expectedWait() time.Duration {
+// expectedWait estimates how long a call at the end of the line would wait: until the breaker lets
+// calls through, and then for those before it.
+func (e *engineState) expectedWait(now time.Time) time.Duration {
 	if e.slots == 0 {
 		return 0
 	}
-	return e.serviceTime * time.Duration(len(e.line)+1) / time.Duration(e.slots)
+	closed := max(0, e.openUntil.Sub(now))
+	return closed + e.serviceTime*time.Duration(len(e.line)+1)/time.Duration(e.slots)
 }
 
 // next takes the waiting call that goes first: of the tenant that has least of the engine for its
--- a/internal/owner/engine_test.go
+++ b/internal/owner/engine_test.go
@@ -7,6 +7,8 @@
 	"gotest.tools/v3/assert"
 
 	"github.com/mountstile/mountstile/internal/clock"
+	"github.com/mountstile/mountstile/internal/events"
+	"github.com/mountstile/mountstile/internal/resource"
 )
 
 var start = time.Unix(1000, 0)
@@ -97,9 +99,9 @@
 func TestExpectedWaitGrowsWithTheLine(t *testing.T) {
 	state := newEngine(2)
 	state.recordSuccess(10 * time.Second)
-	assert.Equal(t, state.expectedWait(), 5*time.Second)
+	assert.Equal(t, state.expectedWait(start), 5*time.Second)
 	state.enqueue("a", "t", 1, 0, start)
-	assert.Equal(t, state.expectedWait(), 10*time.Second)
+	assert.Equal(t, state.expectedWait(start), 10*time.Second)
 }
 
 // TestStepTimesAreAveragedAndForgotten: an engine that nobody calls any more is not slow for ever.
@@ -117,3 +119,28 @@
 	finish(40000, start.Add(2*stepTime))
 	assert.Equal(t, state.load(start.Add(2*stepTime)).StepMicros, int64(40000))
 }
+
+// TestNobodyWaitsLongerForAnOpenBreaker: a call that may wait for a second is refused at once while the
+// breaker stays open for longer, and one that may wait for long stays in line.
+func TestNobodyWaitsLongerForAnOpenBreaker(t *testing.T) {
+	now := start
+	lines := NewLines(LinesOptions{
+		Clock:  clock.NewVirtual(now),
+		Find:   func(name string) (resource.Engine, bool) { return resource.Engine{Name: name, Slots: 1}, true },
+		Gone:   func(string) bool { return false },
+		Logger: events.Discard(),
+	})
+	for _, id := range []string{"a", "b", "c"} {
+		_, response, err := lines.enter(ReserveRequest{Engine: "e", CallID: id})
+		assert.NilError(t, err)
+		assert.Assert(t, response.Granted)
+		lines.Release(ReleaseRequest{Engine: "e", CallID: id, Failed: true})
+	}
+	item, response, err := lines.enter(ReserveRequest{Engine: "e", CallID: "hasty", WaitMillis: 500})
+	assert.NilError(t, err)
+	assert.Assert(t, item == nil && !response.Granted)
+	assert.Assert(t, response.Loads[0].Open && response.Loads[0].WaitMillis == breakerMinOpen.Milliseconds())
+	item, _, err = lines.enter(ReserveRequest{Engine: "e", CallID: "patient", WaitMillis: 5000})
+	assert.NilError(t, err)
+	assert.Assert(t, item != nil)
+}
--- a/internal/owner/lines.go
+++ b/internal/owner/lines.go
@@ -87,7 +87,7 @@
 		return nil, l.response(true), nil
 	}
 	wait := time.Duration(request.WaitMillis) * time.Millisecond
-	expected := state.expectedWait()
+	expected := state.expectedWait(now)
 	if wait == 0 || state.draining || expected > wait {
 		refusal := l.response(false)
 		refusal.Overloaded = expected > wait && wait > 0
@@ -108,7 +108,7 @@
 	if !granted {
 		state.remove(item)
 		refusal := l.response(false)
-		refusal.RetryAfter = max(state.expectedWait(), minRetryAfter).Milliseconds()
+		refusal.RetryAfter = max(state.expectedWait(l.options.Clock.Now()), minRetryAfter).Milliseconds()
 		refusal.Overloaded = true
 		return refusal
 	}
