Operators see an engine's step time and wait; a decision tells truly whether the call stood in line

Cause: with patience a call may stand in its warm engine's line, which 'policy explain' called not queued; slowness and waits decide now, and nothing showed them.

Change: owners say whether a call stood in line; explain has columns for wait and slowness; metrics mountstile_engine_step_seconds and mountstile_engine_wait_seconds.

Measured: 'go test ./internal/scheduler ./internal/owner' pass.

--- a/cmd/mountstile/policy.go
+++ b/cmd/mountstile/policy.go
@@ -5,6 +5,7 @@
 	"fmt"
 	"os"
 	"text/tabwriter"
+	"time"
 
 	"github.com/cockroachdb/errors"
 
@@ -78,10 +79,11 @@
 	fmt.Printf("call %s went to engine %s at %s; it stood in line: %t; deciding took %s\n",
 		decision.Call, decision.Engine.Name, decision.At.Format("15:04:05.000"), decision.Queued, decision.Took)
 	table := tabwriter.NewWriter(os.Stdout, 0, 0, 2, ' ', 0)
-	fmt.Fprintln(table, "ENGINE\tSCORE\tRUNNING\tWAITING\tSLOTS\tLEFT OUT BECAUSE")
+	fmt.Fprintln(table, "ENGINE\tSCORE\tRUNNING\tWAITING\tSLOTS\tWAIT\tSLOWNESS\tLEFT OUT BECAUSE")
 	for _, candidate := range decision.Candidates {
-		fmt.Fprintf(table, "%s\t%.3f\t%d\t%d\t%d\t%s\n", candidate.Engine.Name, candidate.Score,
-			candidate.Load.Running, candidate.Load.Waiting, candidate.Load.Slots, candidate.Reason)
+		fmt.Fprintf(table, "%s\t%.3f\t%d\t%d\t%d\t%s\t%.1f\t%s\n", candidate.Engine.Name, candidate.Score,
+			candidate.Load.Running, candidate.Load.Waiting, candidate.Load.Slots,
+			time.Duration(candidate.Load.WaitMillis)*time.Millisecond, candidate.Slowness, candidate.Reason)
 	}
 	return errors.Wrap(table.Flush(), "printing")
 }
--- a/internal/node/collector.go
+++ b/internal/node/collector.go
@@ -12,6 +12,13 @@
 	revisionDescrip    = prometheus.NewDesc("mountstile_config_revision", "Configuration revision in force.", nil, nil)
 	groupsDescription  = prometheus.NewDesc("mountstile_partitions", "Partitions that this node holds, by role.", []string{"role"}, nil)
 	lineDescription    = prometheus.NewDesc("mountstile_engine_calls", "Calls at owned engines, by engine and state.", []string{"engine", "state"}, nil)
+	stepDescription    = prometheus.NewDesc("mountstile_engine_step_seconds", "Time between an owned engine's tokens, where it was measured lately.", []string{"engine"}, nil)
+	waitDescription    = prometheus.NewDesc("mountstile_engine_wait_seconds", "How long a call that came now would stand in an owned engine's line.", []string{"engine"}, nil)
+)
+
+const (
+	millisPerSecond = 1e3
+	microsPerSecond = 1e6
 )
 
 // collector reads the control part's state when metrics are scraped.
@@ -28,6 +35,8 @@
 	descriptions <- revisionDescrip
 	descriptions <- groupsDescription
 	descriptions <- lineDescription
+	descriptions <- stepDescription
+	descriptions <- waitDescription
 }
 
 // Collect implements prometheus.Collector.
@@ -54,5 +63,9 @@
 	for _, load := range c.plane.Owner.Loads() {
 		metrics <- prometheus.MustNewConstMetric(lineDescription, prometheus.GaugeValue, float64(load.Running), load.Engine, "running")
 		metrics <- prometheus.MustNewConstMetric(lineDescription, prometheus.GaugeValue, float64(load.Waiting), load.Engine, "waiting")
+		metrics <- prometheus.MustNewConstMetric(waitDescription, prometheus.GaugeValue, float64(load.WaitMillis)/millisPerSecond, load.Engine)
+		if load.StepMicros > 0 {
+			metrics <- prometheus.MustNewConstMetric(stepDescription, prometheus.GaugeValue, float64(load.StepMicros)/microsPerSecond, load.Engine)
+		}
 	}
 }
--- a/internal/owner/lines.go
+++ b/internal/owner/lines.go
@@ -70,7 +70,9 @@
 		return response, err
 	}
 	item.granted.Wait(ctx, time.Duration(request.WaitMillis)*time.Millisecond)
-	return l.leave(item, ctx.Err() != nil), nil
+	response = l.leave(item, ctx.Err() != nil)
+	response.Queued = true
+	return response, nil
 }
 
 // enter grants at once, refuses, or returns the place in line.
--- a/internal/owner/owner.go
+++ b/internal/owner/owner.go
@@ -43,6 +43,8 @@
 // ReserveResponse tells whether the place was granted, and the load of all engines of the owner.
 type ReserveResponse struct {
 	Granted bool `json:"granted"`
+	// Queued tells that the call stood in line.
+	Queued bool `json:"queued,omitempty"`
 	// Overloaded means that the line is so long that waiting would be in vain.
 	Overloaded bool   `json:"overloaded,omitempty"`
 	RetryAfter int64  `json:"retry_after_ms,omitempty"`
--- a/internal/scheduler/reserve.go
+++ b/internal/scheduler/reserve.go
@@ -32,7 +32,7 @@
 	for _, candidate := range ranked[:min(immediateTries, len(ranked))] {
 		describe(&input, candidate, call, s.options.Zone)
 		request.WaitMillis = s.patience(&input, rules, deadline).Milliseconds()
-		response, err := s.ask(ctx, candidate.Engine, request)
+		response, err := s.ask(ctx, candidate.Engine, request, decision)
 		if err == nil && response.Granted {
 			decision.Engine = candidate.Engine
 			return true, nil
@@ -84,10 +84,9 @@
 }
 
 func (s *Scheduler) wait(ctx context.Context, call Call, ranked []Candidate, request owner.ReserveRequest, decision *Decision) (bool, error) {
-	decision.Queued = true
 	var refusal *apierr.Error
 	for _, candidate := range ranked[:min(immediateTries, len(ranked))] {
-		response, err := s.ask(ctx, candidate.Engine, request)
+		response, err := s.ask(ctx, candidate.Engine, request, decision)
 		if err != nil {
 			refusal = apierr.New(apierr.NoEngine, apierr.NotRun, "the engine's owner can't be reached: %s", err).WithRetryAfter(time.Second)
 			continue
@@ -106,12 +105,13 @@
 }
 
 // ask reserves and remembers the loads that the owner tells.
-func (s *Scheduler) ask(ctx context.Context, engine resource.Engine, request owner.ReserveRequest) (owner.ReserveResponse, error) {
+func (s *Scheduler) ask(ctx context.Context, engine resource.Engine, request owner.ReserveRequest, decision *Decision) (owner.ReserveResponse, error) {
 	request.Engine = engine.Name
 	response, err := s.options.Reserver.Reserve(ctx, engine, request)
 	if err != nil {
 		return response, err
 	}
+	decision.Queued = decision.Queued || response.Queued
 	s.mutex.Lock()
 	defer s.mutex.Unlock()
 	now := s.now()
