After a call was admitted, only the log says that it was not run

Cause: found by reading. A begin whose call was admitted, and whose leader then could not commit its dispatch, came back as not_leader with outcome not_run. If no leader was found for 10 s the caller was told not_run, though the call stood in the log, and a repeat with its key could have had it driven by the next leader. And what waits at a leader for a change (a repeat, a call behind another) waited on after the node was deposed, where no change is heard of any more if it is cut off.

Change: routing failures after the admission carry outcome_unknown; waits look every second whether the node still leads, and send the gateway on.

--- a/internal/coordinator/server.go
+++ b/internal/coordinator/server.go
@@ -26,6 +26,8 @@
 const (
 	// gapWait is how long a call waits for the one before it to arrive.
 	gapWait = 2 * time.Second
+	// leadershipCheck is how often what waits for a change looks whether this node still leads.
+	leadershipCheck = time.Second
 	// proposeTimeout bounds one commit.
 	proposeTimeout = 5 * time.Second
 	// dispatchLease is how long a gateway may take from the answer to the first byte sent.
@@ -185,7 +187,8 @@
 		}
 		return BeginResponse{}, result.Error
 	}
-	return s.follow(ctx, request, result.Call, nil)
+	response, err := s.follow(ctx, request, result.Call, nil)
+	return response, onceAdmitted(err)
 }
 
 // admitInOrder lets a call that came before its predecessor wait for it, for a bounded time.
@@ -212,9 +215,34 @@
 	}
 }
 
+// onceAdmitted keeps a refusal to lead from passing for "not run": the call stands in the log, and
+// whoever repeats it may yet have it driven by the next leader. Only the log's word is NotRun.
+func onceAdmitted(err error) error {
+	if err == nil || !apierr.Is(err, apierr.NotLeader) && !apierr.Is(err, apierr.PartitionUnavailable) {
+		return err
+	}
+	failure := *apierr.From(err, apierr.OutcomeUnknown)
+	failure.Outcome = apierr.OutcomeUnknown
+	return &failure
+}
+
+// deposed tells that this node has ceased to lead a partition; nil if it leads. What waits for a
+// change here would wait in vain once the replica is cut off from the others.
+func (s *Server) deposed(group uint32) error {
+	status, known := s.options.Host.Status(group)
+	if known && status.IsLeader {
+		return nil
+	}
+	refusal := apierr.New(apierr.NotLeader, apierr.OutcomeUnknown, "this node does not lead partition %d any more", group)
+	refusal.Leader = status.Leader
+	return refusal
+}
+
 // follow drives a call that has no driver on this leader, and waits for any other to end.
 func (s *Server) follow(ctx context.Context, request BeginRequest, call *program.Call, avoid []string) (BeginResponse, error) {
 	machine := s.machine(request.Partition)
+	ticker := time.NewTicker(leadershipCheck)
+	defer ticker.Stop()
 	for {
 		changed := machine.Changed(request.Admit.Program)
 		current, known := machine.Call(request.Admit.Program, call.ID)
@@ -239,6 +267,11 @@
 		}
 		select {
 		case <-changed:
+		case <-ticker.C:
+			// The driver may have gone without a change, too.
+			if err := s.deposed(request.Partition); err != nil {
+				return BeginResponse{}, err
+			}
 		case <-ctx.Done():
 			return BeginResponse{}, apierr.New(apierr.Cancelled, apierr.OutcomeUnknown, "gave up waiting for the call that this one repeats")
 		}
@@ -275,6 +308,9 @@
 // drive takes an admitted call through its turn, an engine, and the commit of the dispatch.
 func (s *Server) drive(ctx context.Context, request BeginRequest, call *program.Call, avoid []string) (BeginResponse, error) {
 	if err := s.awaitTurn(ctx, request, call); err != nil {
+		if apierr.Is(err, apierr.NotLeader) {
+			return BeginResponse{}, err
+		}
 		return BeginResponse{}, s.giveUp(ctx, request, call, err)
 	}
 	permit := s.permit(request.Admit.Program, call)
@@ -319,6 +355,8 @@
 	}
 	timer := time.NewTimer(seconds(service.CallSeconds))
 	defer timer.Stop()
+	ticker := time.NewTicker(leadershipCheck)
+	defer ticker.Stop()
 	for {
 		changed := machine.Changed(request.Admit.Program)
 		if !machine.EarlierOpen(request.Admit.Program, call.Sequence) {
@@ -326,6 +364,10 @@
 		}
 		select {
 		case <-changed:
+		case <-ticker.C:
+			if err := s.deposed(request.Partition); err != nil {
+				return err
+			}
 		case <-timer.C:
 			return apierr.New(apierr.SequenceGap, apierr.NotRun, "an earlier call of the program did not end in time").WithRetryAfter(time.Second)
 		case <-ctx.Done():
@@ -380,12 +422,14 @@
 		return BeginResponse{}, s.giveUp(ctx, begin, result.Call, refusal)
 	}
 	if done != nil && result.Call.State == program.Admitted {
-		return s.drive(driven, begin, result.Call, request.Avoid)
+		response, err := s.drive(driven, begin, result.Call, request.Avoid)
+		return response, onceAdmitted(err)
 	}
 	if done != nil {
 		done()
 	}
-	return s.follow(ctx, begin, result.Call, request.Avoid)
+	response, err := s.follow(ctx, begin, result.Call, request.Avoid)
+	return response, onceAdmitted(err)
 }
 
 // refuseRetry applies the service's most attempts and the pool's retry budget.
--- a/test/process/repeat_test.go
+++ b/test/process/repeat_test.go
@@ -17,17 +17,16 @@
 	"github.com/mountstile/mountstile/internal/lab/runner"
 )
 
-// openRepeat sends a streamed call with an idempotency key and returns its answer as it comes.
-func openRepeat(t *testing.T, running *system, node int, key, content string, tokens int) *http.Response {
+// sendKeyed sends a call with an idempotency key and returns its answer: as it comes if it is streamed,
+// else at its end.
+func sendKeyed(t *testing.T, running *system, node int, key, content string, tokens int, stream bool) (*http.Response, error) {
 	t.Helper()
-	body := fmt.Sprintf(`{"model":"tutor","messages":[{"role":"user","content":%q}],"max_tokens":%d,"min_tokens":%d,"stream":true}`, content, tokens, tokens)
+	body := fmt.Sprintf(`{"model":"tutor","messages":[{"role":"user","content":%q}],"max_tokens":%d,"min_tokens":%d,"stream":%t}`, content, tokens, tokens, stream)
 	request, err := http.NewRequestWithContext(t.Context(), http.MethodPost, running.nodes[node].api()+"/v1/chat/completions", strings.NewReader(body))
 	assert.NilError(t, err)
 	request.Header.Set("Authorization", "Bearer "+apiKey)
 	request.Header.Set(gateway.HeaderIdempotency, key)
-	response, err := http.DefaultClient.Do(request)
-	assert.NilError(t, err)
-	return response
+	return http.DefaultClient.Do(request)
 }
 
 // TestFollowerTakesOverWhenItsGatewayDied: two repeats follow a running answer through other nodes
@@ -47,10 +46,11 @@
 	running.put(running.engines["m1"]+emulator.FaultsPath, emulator.Faults{Hang: true})
 	var readers []*bufio.Reader
 	for node := 1; node < 3; node++ {
-		response := openRepeat(t, running, node, "story", "a long story", tokens)
+		response, err := sendKeyed(t, running, node, "story", "a long story", tokens, true)
+		assert.NilError(t, err)
 		defer func() { _ = response.Body.Close() }()
 		reader := bufio.NewReader(response.Body)
-		_, err := reader.Peek(1)
+		_, err = reader.Peek(1)
 		assert.NilError(t, err)
 		readers = append(readers, reader)
 	}
