--- a/internal/lab/experiment/virtual_test.go
+++ b/internal/lab/experiment/virtual_test.go
@@ -55,12 +55,20 @@
 	})
 }
 
-// TestLostEnginesLoseNoProgram loses one engine of ten every 30 s.
-func TestLostEnginesLoseNoProgram(t *testing.T) {
-	t.Parallel()
-	row := play(t, "failures.yaml", 0.95, 50, "brindleway-latency")["brindleway-latency"]
-	assert.Assert(t, row.Programs > 100)
-	assert.Equal(t, row.Completed, row.Programs)
+// TestDisturbedEnginesLoseNoProgram while one of ten after the other is lost, or hangs.
+func TestDisturbedEnginesLoseNoProgram(t *testing.T) {
+	cases := map[string]struct{ load, span float64 }{
+		"failures.yaml": {0.95, 50},
+		"hang.yaml":     {0.7, 30},
+	}
+	for name, item := range cases {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			row := play(t, name, item.load, item.span, "brindleway-latency")["brindleway-latency"]
+			assert.Assert(t, row.Programs > 100)
+			assert.Equal(t, row.Completed, row.Programs)
+		})
+	}
 }
 
 // TestSlowEnginesAreLeft while one of ten after the other is five times slower.
@@ -70,14 +78,6 @@
 	assert.Assert(t, rows["brindleway-latency"].ProgramLatency.P95 <= 0.9*rows["without-slowness"].ProgramLatency.P95, "%+v", rows)
 }
 
-// TestHungEnginesLoseNoProgram: what hangs is continued elsewhere.
-func TestHungEnginesLoseNoProgram(t *testing.T) {
-	t.Parallel()
-	row := play(t, "hang.yaml", 0.7, 30, "brindleway-latency")["brindleway-latency"]
-	assert.Assert(t, row.Programs > 100)
-	assert.Equal(t, row.Completed, row.Programs)
-}
-
 // TestVirtualTimeIsRepeatable also with engines lost: the same seed gives the same figures.
 func TestVirtualTimeIsRepeatable(t *testing.T) {
 	t.Parallel()
--- /dev/null
+++ b/internal/machinelist/fuzz_test.go
@@ -0,0 +1,27 @@
+package machinelist
+
+import (
+	"net/http"
+	"net/http/httptest"
+	"testing"
+)
+
+// FuzzList: whatever the platform's list answers, it is a list or a failure; no status but 200 counts.
+func FuzzList(f *testing.F) {
+	f.Add(http.StatusOK, []byte(`[{"address":"m1","state":"leaving"}]`))
+	f.Add(http.StatusOK, []byte(`{"address":1}`))
+	f.Add(http.StatusServiceUnavailable, []byte(`[]`))
+	f.Fuzz(func(t *testing.T, status int, body []byte) {
+		if status < 200 || status > 599 {
+			return
+		}
+		server := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
+			w.WriteHeader(status)
+			_, _ = w.Write(body)
+		}))
+		defer server.Close()
+		if _, err := NewHTTP(server.URL).List(t.Context()); err == nil && status != http.StatusOK {
+			t.Fatalf("status %d counted as a list", status)
+		}
+	})
+}
