A call that was dispatched to nobody is taken back

Cause: when the answer to a begin, retry or fail is lost for longer than the gateway looks for it (10 s), the call stands dispatched at a gateway that does not execute it. The gateway lives, so nothing settled the call until it was overdue (2 x callSeconds + queueSeconds + 30 s); every repeat, and the next call of the chain, waited for an end that nobody brought.

Change: gateways hold executions in coordinator.Executions, also while they bring an answer to a coordinator that is away; leaders ask about dispatched calls that something waits for, or that are old, and commit the loss of those not held (event 411). EarlierOpen became OpenBefore, which names the calls.

Ruled out: a lost answer to a retry that is asked again (the execution is the same, so the engine is named again); a lease on each dispatch (a message for every running call, in good times too).

--- a/internal/coordinator/janitor.go
+++ b/internal/coordinator/janitor.go
@@ -26,8 +26,8 @@
 func (s *Server) Run(ctx context.Context) {
 	ticker := time.NewTicker(janitorInterval)
 	defer ticker.Stop()
-	var releases sync.WaitGroup
-	defer releases.Wait()
+	var tasks sync.WaitGroup
+	defer tasks.Wait()
 	slots := make(chan struct{}, releaseParallel)
 	for {
 		select {
@@ -39,29 +39,33 @@
 			if !status.IsLeader {
 				continue
 			}
-			s.settleLost(ctx, status.Group)
+			s.settleLost(ctx, status.Group, &tasks)
 			s.expire(ctx, status.Group)
-			s.releaseCaches(ctx, status.Group, &releases, slots)
+			s.releaseCaches(ctx, status.Group, &tasks, slots)
 		}
+		s.checks.forget(time.Now())
 	}
 }
 
 // settleLost takes back the attempts of gateways that are gone, and ends calls that nobody drives.
-func (s *Server) settleLost(ctx context.Context, group uint32) {
+func (s *Server) settleLost(ctx context.Context, group uint32, tasks *sync.WaitGroup) {
 	view := s.options.Membership.View()
 	now := time.Now()
+	var doubtful []program.OpenCall
 	for _, open := range s.machine(group).OpenCalls() {
 		gateway, known := view.Get(open.Gateway)
 		gone := !known && now.Sub(time.UnixMilli(open.AdmittedAt)) > orphanPatience || known && !gateway.Usable()
 		switch {
 		case open.State == program.Dispatching && (gone || s.overdue(open, now)):
-			s.options.Logger.Emit(events.AttemptLost, events.F("call", open.CallID), events.F("gateway", open.Gateway))
-			_, _ = s.propose(ctx, group, program.Command{Lose: &program.LoseAttempt{CallID: open.CallID, Program: open.Program, Attempt: open.Attempt}})
+			s.loseAttempt(ctx, group, open, events.AttemptLost)
+		case open.State == program.Dispatching && s.checks.due(open, now):
+			doubtful = append(doubtful, open)
 		case open.State == program.Admitted && s.orphaned(open.CallID, now):
 			failure := apierr.New(apierr.Cancelled, apierr.NotRun, "the caller was lost and did not come back")
 			_, _ = s.propose(ctx, group, program.Command{Fail: &program.Fail{CallID: open.CallID, Program: open.Program, Error: failure}})
 		}
 	}
+	s.askGateways(ctx, group, doubtful, tasks)
 }
 
 // overdue reports that a call is so old that its gateway must have given it up, though it lives.
--- a/internal/coordinator/server.go
+++ b/internal/coordinator/server.go
@@ -71,6 +71,7 @@
 	decisions map[string]scheduler.Decision
 	order     []string
 	releasing map[program.HeldCache]bool
+	checks    *executionChecks
 }
 
 // errCancelled is the cause when a caller gives up.
@@ -86,6 +87,7 @@
 		budgets:   make(map[string]*limit.RetryBudget),
 		decisions: make(map[string]scheduler.Decision),
 		releasing: make(map[program.HeldCache]bool),
+		checks:    newExecutionChecks(),
 	}
 	network := options.Transport
 	transport.Handle(network, beginKind, func(ctx context.Context, _ transport.Peer, request BeginRequest) (BeginResponse, error) {
@@ -272,6 +274,7 @@
 			if err := s.deposed(request.Partition); err != nil {
 				return BeginResponse{}, err
 			}
+			s.checks.request(call.ID)
 		case <-ctx.Done():
 			return BeginResponse{}, apierr.New(apierr.Cancelled, apierr.OutcomeUnknown, "gave up waiting for the call that this one repeats")
 		}
@@ -359,7 +362,8 @@
 	defer ticker.Stop()
 	for {
 		changed := machine.Changed(request.Admit.Program)
-		if !machine.EarlierOpen(request.Admit.Program, call.Sequence) {
+		earlier := machine.OpenBefore(request.Admit.Program, call.Sequence)
+		if len(earlier) == 0 {
 			return nil
 		}
 		select {
@@ -368,6 +372,7 @@
 			if err := s.deposed(request.Partition); err != nil {
 				return err
 			}
+			s.checks.request(earlier...)
 		case <-timer.C:
 			return apierr.New(apierr.SequenceGap, apierr.NotRun, "an earlier call of the program did not end in time").WithRetryAfter(time.Second)
 		case <-ctx.Done():
--- a/internal/events/events.go
+++ b/internal/events/events.go
@@ -46,6 +46,7 @@
 	AttemptLost          ID = 408
 	ProgramExpired       ID = 409
 	BudgetOverrun        ID = 410
+	AttemptUnheld        ID = 411
 	CacheReleased        ID = 501
 	CacheReleaseFailed   ID = 502
 	EngineBreakerOpen    ID = 503
@@ -106,6 +107,7 @@
 	{AttemptLost, "attempt_lost", logrus.WarnLevel, "the node that executed a call is gone"},
 	{ProgramExpired, "program_expired", logrus.InfoLevel, "a program reached its idle or wall-clock limit and was ended"},
 	{BudgetOverrun, "budget_overrun", logrus.ErrorLevel, "an engine reported more tokens than its call had reserved"},
+	{AttemptUnheld, "attempt_unheld", logrus.WarnLevel, "a node does not execute a call that was dispatched to it; the attempt counts as lost"},
 	{CacheReleased, "cache_released", logrus.DebugLevel, "an engine confirmed that it holds no cache of an ended program"},
 	{CacheReleaseFailed, "cache_release_failed", logrus.WarnLevel, "an engine did not confirm a release; it is tried again"},
 	{EngineBreakerOpen, "engine_breaker_open", logrus.WarnLevel, "an engine failed repeatedly and gets no work for a while"},
--- a/internal/gateway/execution.go
+++ b/internal/gateway/execution.go
@@ -42,6 +42,7 @@
 
 // drive books a call and makes attempts until one is committed or the coordinator refuses another.
 func (e *execution) drive(ctx context.Context, w http.ResponseWriter, book func(context.Context) (coordinator.BeginResponse, error), try attempt) (*program.Answer, error) {
+	defer e.hold()()
 	asked := time.Now()
 	response, err := book(ctx)
 	for {
@@ -77,6 +78,11 @@
 	}
 }
 
+// hold makes this node answer for the execution until release is called.
+func (e *execution) hold() (release func()) {
+	return e.gateway.options.Executions.Hold(e.begin.Execution)
+}
+
 // book admits the call; a caller that leaves while it waits is reported to the coordinator.
 func (e *execution) book(ctx context.Context) (coordinator.BeginResponse, error) {
 	client := e.gateway.options.Coordinator
@@ -119,7 +125,11 @@
 	result, err := e.gateway.options.Coordinator.Finish(context.WithoutCancel(ctx), request)
 	if err != nil {
 		// The call must not stay open: whoever repeats it would wait for an end that nobody brings.
-		go e.gateway.keepFinishing(request)
+		release := e.hold()
+		go func() {
+			defer release()
+			e.gateway.keepFinishing(request)
+		}()
 	}
 	switch {
 	case err != nil:
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -61,6 +61,7 @@
 	Release      Releaser
 	Pauses       *PauseDetector
 	Live         *Live
+	Executions   *coordinator.Executions
 	Metrics      *Metrics
 	Logger       *events.Logger
 	// MaxBodyBytes bounds a request's body.
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -162,6 +162,7 @@
 		Release:      n.plane.Release,
 		Pauses:       n.pauses,
 		Live:         gateway.NewLive(n.plane.Transport, n.plane.Membership),
+		Executions:   coordinator.NewExecutions(n.plane.Transport),
 		Metrics:      gateway.NewMetrics(n.registry),
 		Logger:       n.logger,
 		MaxBodyBytes: n.settings.MaxBodyBytes,
--- a/internal/program/lifecycle.go
+++ b/internal/program/lifecycle.go
@@ -136,6 +136,7 @@
 	Service    string
 	Attempt    int
 	Gateway    string
+	Execution  string
 	State      CallState
 	AdmittedAt int64
 }
@@ -148,7 +149,7 @@
 	for key, program := range m.programs {
 		for _, call := range program.Open {
 			if !call.Ended() {
-				open = append(open, OpenCall{Program: key, CallID: call.ID, Service: call.Service, Attempt: call.Attempt, Gateway: call.Gateway, State: call.State, AdmittedAt: call.AdmittedAt})
+				open = append(open, OpenCall{Program: key, CallID: call.ID, Service: call.Service, Attempt: call.Attempt, Gateway: call.Gateway, Execution: call.Execution, State: call.State, AdmittedAt: call.AdmittedAt})
 			}
 		}
 	}
@@ -269,12 +270,21 @@
 	return nil
 }
 
-// EarlierOpen reports whether a call before sequence is under way.
-func (m *Machine) EarlierOpen(key Key, sequence uint64) bool {
+// OpenBefore lists the calls before sequence that are under way.
+func (m *Machine) OpenBefore(key Key, sequence uint64) []string {
 	m.mutex.RLock()
 	defer m.mutex.RUnlock()
 	program := m.programs[key]
-	return program != nil && program.earlierOpen(sequence)
+	if program == nil {
+		return nil
+	}
+	var open []string
+	for _, call := range program.Open {
+		if call.Sequence < sequence && !call.Ended() {
+			open = append(open, call.ID)
+		}
+	}
+	return open
 }
 
 // Call returns a copy of a call.
--- /dev/null
+++ b/test/path/unheld_test.go
@@ -0,0 +1,50 @@
+package path_test
+
+import (
+	"context"
+	"testing"
+
+	"gotest.tools/v3/assert"
+
+	"github.com/mountstile/mountstile/internal/apierr"
+	"github.com/mountstile/mountstile/internal/coordinator"
+	"github.com/mountstile/mountstile/internal/program"
+)
+
+// TestDispatchThatNoGatewayHolds loses the answer that names the engine: the call is dispatched to a
+// gateway that does not execute it. A repeat must not wait for an end that nobody brings. A call that
+// may run again gets another attempt; of one that may not, the caller learns that the outcome is unknown.
+func TestDispatchThatNoGatewayHolds(t *testing.T) {
+	for name, repeatable := range map[string]bool{"repeatable": true, "not repeatable": false} {
+		t.Run(name, func(t *testing.T) {
+			system := start(t, 2)
+			node := system.Nodes[0]
+			plane := node.Plane()
+			client := coordinator.NewClient(plane.Transport, plane.Membership, plane.Partitions)
+			partition, err := client.Locate("r", "school", "pupil")
+			assert.NilError(t, err)
+			request := coordinator.BeginRequest{
+				Partition: partition, Execution: "given-up", Model: "tutor", MaxTokens: 10,
+				Admit: program.Admit{
+					CallID: "call-1", Program: program.Key{Tenant: "school", Path: "pupil"}, Service: "tutor", Gateway: node.Status().ID,
+					Repeatable: repeatable, Reserve: 10, Limits: program.Limits{TokenBudget: 1000, CallBudget: 10},
+				},
+			}
+			ctx, cancel := context.WithTimeout(t.Context(), patience)
+			defer cancel()
+			first, err := client.Begin(ctx, request)
+			assert.NilError(t, err)
+			assert.Equal(t, first.Attempt, 1)
+			request.Execution, request.WaitForEnd = "repeat", true
+			second, err := client.Begin(ctx, request)
+			if repeatable {
+				assert.NilError(t, err)
+				assert.Equal(t, second.Attempt, 2)
+				return
+			}
+			failure := apierr.From(err, apierr.Ran)
+			assert.Equal(t, failure.Code, apierr.ExecutionUnknown)
+			assert.Equal(t, failure.Outcome, apierr.OutcomeUnknown)
+		})
+	}
+}
