A caller that leaves the line takes its place with it

Cause: found while measuring model loading. When a caller left while its call stood in line, (1) the gateway told the coordinator only if it already knew the partition's leader, which it learns from the first answer; (2) the coordinator's own question to an engine's owner on another node ended on its side only: the owner kept the call in line, granted it a place, and held that until callSeconds + 5 s were over.

Change: before the leader is known all replicas hear of the leaving; whoever asked an owner and stops waiting withdraws the request (ReleaseRequest.Unused), which ends the wait in line or frees the place, and teaches the owner nothing about the engine's speed.

--- a/internal/control/control.go
+++ b/internal/control/control.go
@@ -205,20 +205,33 @@
 		} else {
 			response, failure = owner.Ask(ctx, p.Transport, member.Address, request)
 		}
-		if !apierr.Is(failure, apierr.PeerUnreachable) || ctx.Err() != nil {
+		if ctx.Err() != nil {
+			// The owner may have granted the place meanwhile, or grant it later.
+			p.withdraw(member, engine, request)
+			return response, failure
+		}
+		if !apierr.Is(failure, apierr.PeerUnreachable) {
 			return response, failure
 		}
 	}
 	return owner.ReserveResponse{}, failure
 }
 
+func (p *Plane) withdraw(member membership.Member, engine resource.Engine, request owner.ReserveRequest) {
+	p.release(member, owner.ReleaseRequest{Engine: engine.Name, CallID: request.CallID, Unused: true})
+}
+
 // Release gives a place back to whoever may have granted it; others ignore it.
 func (p *Plane) Release(engine resource.Engine, request owner.ReleaseRequest) {
 	for _, member := range p.EngineOwners(engine) {
-		if member.ID == p.options.Self.ID {
-			p.Owner.Release(request)
-		} else {
-			owner.Tell(p.Transport, member.Address, request)
-		}
+		p.release(member, request)
+	}
+}
+
+func (p *Plane) release(member membership.Member, request owner.ReleaseRequest) {
+	if member.ID == p.options.Self.ID {
+		p.Owner.Release(request)
+		return
 	}
+	owner.Tell(p.Transport, member.Address, request)
 }
--- a/internal/coordinator/client.go
+++ b/internal/coordinator/client.go
@@ -107,11 +107,17 @@
 	return ExplainResponse{}, apierr.New(apierr.NotFound, apierr.Ran, "no node remembers a decision about call %q", callID)
 }
 
-// Cancel tells the leader that the caller of a waiting call is gone.
+// Cancel tells the leader that the caller of a waiting call is gone. Before the first answer from a
+// partition its leader is not known here; then all replicas hear it.
 func (c *Client) Cancel(partitionID uint32, callID string) {
-	address, known := c.address(c.leader(partitionID))
-	if known {
-		c.transport.Send(address, cancelKind, CancelRequest{Partition: partitionID, CallID: callID})
+	receivers := c.candidates(partitionID)
+	if leader := c.leader(partitionID); leader != "" {
+		receivers = []string{leader}
+	}
+	for _, replicaID := range receivers {
+		if address, known := c.address(replicaID); known {
+			c.transport.Send(address, cancelKind, CancelRequest{Partition: partitionID, CallID: callID})
+		}
 	}
 }
 
--- a/internal/owner/engine.go
+++ b/internal/owner/engine.go
@@ -122,6 +122,9 @@
 		return false, false
 	}
 	delete(e.running, request.CallID)
+	if request.Unused {
+		return false, true
+	}
 	e.recordStep(request.StepMicros, now)
 	if request.Failed {
 		return e.recordFailure(now), true
@@ -217,6 +220,17 @@
 	return w.request.Rank + ageingPerSecond*now.Sub(w.since).Seconds()
 }
 
+// withdraw ends the wait of a call that is gone.
+func (e *engineState) withdraw(callID string) {
+	for _, item := range e.line {
+		if item.request.CallID == callID {
+			e.remove(item)
+			item.granted.Fire()
+			return
+		}
+	}
+}
+
 func (e *engineState) remove(target *waiting) {
 	for position, item := range e.line {
 		if item == target {
--- a/internal/owner/lines.go
+++ b/internal/owner/lines.go
@@ -150,6 +150,9 @@
 		return
 	}
 	now := l.options.Clock.Now()
+	if request.Unused {
+		state.withdraw(request.CallID)
+	}
 	wasFailing := state.failures >= breakerFailures
 	opened, known := state.finish(request, now)
 	if !known {
--- a/internal/owner/owner.go
+++ b/internal/owner/owner.go
@@ -55,6 +55,8 @@
 type ReleaseRequest struct {
 	Engine string `json:"engine"`
 	CallID string `json:"call"`
+	// Unused tells that the call never went to the engine. It may still stand in line.
+	Unused bool `json:"unused,omitempty"`
 	// Failed tells that the engine did not do its work.
 	Failed bool `json:"failed,omitempty"`
 	// StepMicros is how long the engine took from one token to the next; 0 if unknown.
