--- a/cmd/mountstile-lab/main.go
+++ b/cmd/mountstile-lab/main.go
@@ -68,6 +68,7 @@
 		{"capacity", "Compute the tables of docs/CAPACITY.md", "Works out what each role costs at 420 nodes, from a file of measured slopes.", &capacityCommand{}},
 		{"torture", "Let everything fail at random", "Runs a cluster with callers in this process, lets nodes, engines and the store fail at random from a seed, and counts broken promises.", &tortureCommand{}},
 		{"path", "Measure what the path adds", "Calls an engine directly and through three nodes, in turn, and measures latency, calls a second and processor time.", &pathCommand{}},
+		{"models", "Measure the loading of models", "Sends calls of two models, whose shares swap half-way, to engines that are divided between them and to engines that load what is called for.", &modelsCommand{}},
 		{"engine", "Run an emulated model engine", "Serves the chat-completions API without a model. See docs/EMULATOR.md.", &engineCommand{}},
 		{"application", "Run an application engine", "Serves a plain HTTP back end that records each request.", &applicationCommand{}},
 		{"configstore", "Run the configuration store's stand-in", "Serves the used part of the etcd v3 JSON gateway in memory; faults can be switched with PUT /faults.", &storeCommand{}},
--- a/cmd/mountstile/admin.go
+++ b/cmd/mountstile/admin.go
@@ -222,6 +222,28 @@
 	return nil
 }
 
+type modelsCommand struct {
+	connection
+	JSON bool `long:"json" description:"print JSON"`
+}
+
+// Execute implements flags.Commander.
+func (c *modelsCommand) Execute([]string) error {
+	list, err := c.client().Models(context.Background())
+	if err != nil {
+		return err
+	}
+	if c.JSON {
+		return printJSON(list)
+	}
+	table := tabwriter.NewWriter(os.Stdout, 0, 0, 2, ' ', 0)
+	fmt.Fprintln(table, "POOL\tENGINE\tMODEL")
+	for _, item := range list.Engines {
+		fmt.Fprintf(table, "%s\t%s\t%s\n", item.Pool, item.Engine, item.Model)
+	}
+	return errors.Wrap(table.Flush(), "printing")
+}
+
 type drainCommand struct {
 	connection
 	Node   string `long:"node" description:"name or ID of a node to stop in order"`
--- a/cmd/mountstile/main.go
+++ b/cmd/mountstile/main.go
@@ -54,6 +54,7 @@
 		{"delete", "Delete a resource", "Deletes one resource.", &deleteCommand{}},
 		{"history", "Show the audit log", "Shows who changed what, newest first.", &historyCommand{}},
 		{"restore", "Go back to an earlier content", "Publishes the content of an earlier revision as a new revision.", &restoreCommand{}},
+		{"models", "Show which engine has which model", "Shows the engines of pools that load models, with the model that each has; none while it loads.", &modelsCommand{}},
 		{"status", "Show the cluster", "Shows members, the revision that each has in force, and who lags.", &statusCommand{}},
 		{"drain", "Drain a node or an engine", "Asks a node for a planned stop, or keeps new work away from an engine.", &drainCommand{}},
 		{"programs", "List programs", "Lists the programs under way.", &programsCommand{}},
--- a/internal/admin/admin.go
+++ b/internal/admin/admin.go
@@ -20,6 +20,7 @@
 	"github.com/mountstile/mountstile/internal/coordinator"
 	"github.com/mountstile/mountstile/internal/events"
 	"github.com/mountstile/mountstile/internal/membership"
+	"github.com/mountstile/mountstile/internal/modelload"
 	"github.com/mountstile/mountstile/internal/partition"
 	"github.com/mountstile/mountstile/internal/replica"
 	"github.com/mountstile/mountstile/internal/resource"
@@ -53,6 +54,8 @@
 	Host        *replica.Host
 	Coordinator *coordinator.Client
 	Transport   *transport.Transport
+	// Models tells which engine has which model.
+	Models *modelload.View
 	// Keys are the platform's own, from the settings file.
 	Keys []resource.APIKey
 	// Self describes this node; Drain begins its planned stop.
@@ -99,6 +102,7 @@
 	return []operation{
 		{http.MethodGet, "/status", false, true, s.getStatus},
 		{http.MethodGet, "/partitions", false, true, s.getPartitions},
+		{http.MethodGet, "/models", false, true, s.getModels},
 		{http.MethodGet, "/resources", false, false, s.listResources},
 		{http.MethodGet, "/resources/{kind}/{name}", false, false, s.getResource},
 		{http.MethodDelete, "/resources/{kind}/{name}", true, false, s.deleteResource},
--- a/internal/adminclient/adminclient.go
+++ b/internal/adminclient/adminclient.go
@@ -93,6 +93,11 @@
 	return call[admin.ClusterStatus](ctx, c, http.MethodGet, "/status", nil, nil)
 }
 
+// Models returns which engine has which model.
+func (c *Client) Models(ctx context.Context) (admin.ModelList, error) {
+	return call[admin.ModelList](ctx, c, http.MethodGet, "/models", nil, nil)
+}
+
 // Partitions returns the placement of program state.
 func (c *Client) Partitions(ctx context.Context) (admin.PartitionList, error) {
 	return call[admin.PartitionList](ctx, c, http.MethodGet, "/partitions", nil, nil)
--- a/internal/control/control.go
+++ b/internal/control/control.go
@@ -6,6 +6,7 @@
 import (
 	"context"
 	"crypto/tls"
+	"math/rand/v2"
 	"net"
 	"sync"
 	"sync/atomic"
@@ -197,6 +198,7 @@
 // Reserve implements scheduler.Reserver. Until the death of an owner is known, the next in rank
 // stands in: it does not know the engine's exact load, which may overload it for a moment.
 func (p *Plane) Reserve(ctx context.Context, engine resource.Engine, request owner.ReserveRequest) (owner.ReserveResponse, error) {
+	request.Ticket = rand.Uint64()
 	var failure error = apierr.New(apierr.PeerUnreachable, apierr.NotRun, "engine %s has no owner", engine.Name)
 	for _, member := range p.EngineOwners(engine) {
 		var response owner.ReserveResponse
@@ -205,9 +207,9 @@
 		} else {
 			response, failure = owner.Ask(ctx, p.Transport, member.Address, request)
 		}
-		if ctx.Err() != nil {
+		if ctx.Err() != nil && !response.Granted {
 			// The owner may have granted the place meanwhile, or grant it later.
-			p.withdraw(member, engine, request)
+			p.release(member, owner.ReleaseRequest{Engine: engine.Name, CallID: request.CallID, Ticket: request.Ticket})
 			return response, failure
 		}
 		if !apierr.Is(failure, apierr.PeerUnreachable) {
@@ -217,10 +219,6 @@
 	return owner.ReserveResponse{}, failure
 }
 
-func (p *Plane) withdraw(member membership.Member, engine resource.Engine, request owner.ReserveRequest) {
-	p.release(member, owner.ReleaseRequest{Engine: engine.Name, CallID: request.CallID, Unused: true})
-}
-
 // Release gives a place back to whoever may have granted it; others ignore it.
 func (p *Plane) Release(engine resource.Engine, request owner.ReleaseRequest) {
 	for _, member := range p.EngineOwners(engine) {
--- a/internal/coordinator/executions.go
+++ b/internal/coordinator/executions.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"github.com/mountstile/mountstile/internal/events"
+	"github.com/mountstile/mountstile/internal/owner"
 	"github.com/mountstile/mountstile/internal/program"
 	"github.com/mountstile/mountstile/internal/transport"
 )
@@ -154,10 +155,18 @@
 	for _, id := range response.Ended {
 		if call, asked := byExecution[id]; asked {
 			s.loseAttempt(ctx, group, call, events.AttemptUnheld)
+			s.freePlace(call)
 		}
 	}
 }
 
+// freePlace gives back the place on the engine of an attempt that nobody executes.
+func (s *Server) freePlace(open program.OpenCall) {
+	if found, _, exists := findEngine(s.options.Config.Current().Set, open.Service, open.Engine); exists {
+		s.options.Release(found, owner.ReleaseRequest{Engine: found.Name, CallID: open.CallID, Unused: true})
+	}
+}
+
 func (s *Server) loseAttempt(ctx context.Context, group uint32, open program.OpenCall, reason events.ID) {
 	s.options.Logger.Emit(reason, events.F("call", open.CallID), events.F("gateway", open.Gateway))
 	_, _ = s.propose(ctx, group, program.Command{Lose: &program.LoseAttempt{CallID: open.CallID, Program: open.Program, Attempt: open.Attempt}})
--- a/internal/coordinator/janitor.go
+++ b/internal/coordinator/janitor.go
@@ -141,8 +141,9 @@
 }
 
 func (s *Server) releaseOne(ctx context.Context, group uint32, held program.HeldCache) {
-	target, exists := findEngine(s.options.Config.Current().Set, held)
+	found, pool, exists := findEngine(s.options.Config.Current().Set, held.Service, held.Engine)
 	if exists {
+		target := engine.Target{Name: found.Name, URL: found.URL, Pool: pool}
 		ctx, cancel := context.WithTimeout(ctx, releaseTimeout)
 		defer cancel()
 		if err := s.options.Engines.ReleaseCache(ctx, target, CacheID(held.Program)); err != nil {
@@ -160,19 +161,20 @@
 // CacheID is the program identifier that engines are told.
 func CacheID(key program.Key) string { return key.Tenant + ":" + key.Path }
 
-func findEngine(set *resource.Set, held program.HeldCache) (engine.Target, bool) {
-	service, known := set.Service(held.Service)
+// findEngine looks an engine up in a service's pool.
+func findEngine(set *resource.Set, serviceName, name string) (found resource.Engine, poolName string, exists bool) {
+	service, known := set.Service(serviceName)
 	if !known {
-		return engine.Target{}, false
+		return found, "", false
 	}
 	pool, known := set.Pool(service.Pool)
 	if !known {
-		return engine.Target{}, false
+		return found, "", false
 	}
 	for _, item := range pool.Engines {
-		if item.Name == held.Engine {
-			return engine.Target{Name: item.Name, URL: item.URL, Pool: service.Pool}, true
+		if item.Name == name {
+			return item, service.Pool, true
 		}
 	}
-	return engine.Target{}, false
+	return found, "", false
 }
--- a/internal/coordinator/messages.go
+++ b/internal/coordinator/messages.go
@@ -29,7 +29,6 @@
 	// Execution identifies the caller's request at its gateway. It stays the same when the gateway
 	// asks again, and differs for every repeat by the caller.
 	Execution string `json:"execution"`
-	Model     string `json:"model,omitempty"`
 	// PromptTokens estimates the whole prompt.
 	PromptTokens int64 `json:"prompt_tokens,omitempty"`
 	MaxTokens    int64 `json:"max_tokens,omitempty"`
--- a/internal/coordinator/placement.go
+++ b/internal/coordinator/placement.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"slices"
 	"strings"
 	"time"
 
@@ -29,7 +28,11 @@
 	if err != nil {
 		return scheduler.Decision{}, apierr.New(apierr.PolicyFailed, apierr.NotRun, "%s", err)
 	}
-	decision, err := s.options.Scheduler.Place(ctx, s.describe(request, call, set, service, avoid), pool, rules)
+	description := s.describe(request, call, set, service, avoid)
+	if pool.Loading != nil {
+		return s.placeOnLoaded(ctx, request, service, pool, description, rules)
+	}
+	decision, err := s.options.Scheduler.Place(ctx, description, pool, rules)
 	s.remember(decision)
 	return decision, err
 }
@@ -43,7 +46,7 @@
 		Weight:       resource.DefaultWeight,
 		Gateway:      request.Admit.Gateway,
 		Service:      request.Admit.Service,
-		Model:        request.Model,
+		Model:        request.Admit.Model,
 		Repeatable:   call.Repeatable,
 		Attempt:      call.Attempt + 1,
 		PromptTokens: request.PromptTokens,
@@ -91,18 +94,11 @@
 // engineResponse names the engine of the latest committed dispatch.
 func (s *Server) engineResponse(request BeginRequest, call *program.Call) (BeginResponse, error) {
 	response := BeginResponse{CallID: call.ID, Attempt: call.Attempt, LeaseMillis: dispatchLease.Milliseconds()}
-	set := s.options.Config.Current().Set
-	if service, known := set.Service(request.Admit.Service); known {
-		if pool, known := set.Pool(service.Pool); known {
-			index := slices.IndexFunc(pool.Engines, func(item resource.Engine) bool { return item.Name == call.Engine })
-			if index >= 0 {
-				response.Engine = &engine.Target{Name: call.Engine, URL: pool.Engines[index].URL, Pool: service.Pool}
-			}
-		}
-	}
-	if response.Engine == nil {
+	found, pool, exists := findEngine(s.options.Config.Current().Set, request.Admit.Service, call.Engine)
+	if !exists {
 		return response, apierr.New(apierr.NoEngine, apierr.OutcomeUnknown, "engine %q was removed", call.Engine)
 	}
+	response.Engine = &engine.Target{Name: found.Name, URL: found.URL, Pool: pool}
 	if request.WantHistory {
 		response.History = s.machine(request.Partition).History(request.Admit.Program)
 	}
--- a/internal/coordinator/server.go
+++ b/internal/coordinator/server.go
@@ -53,6 +53,7 @@
 	Scheduler  *scheduler.Scheduler
 	Policies   Policies
 	Engines    engine.ModelEngine
+	Models     Models
 	Limits     *limit.Keeper
 	// Release gives a place on an engine back.
 	Release func(engine resource.Engine, request owner.ReleaseRequest)
@@ -323,6 +324,9 @@
 	decision, err := s.place(ctx, request, call, avoid)
 	if err != nil {
 		s.options.Limits.Release(permit)
+		if apierr.Is(err, apierr.NotLeader) {
+			return BeginResponse{}, err
+		}
 		return BeginResponse{}, s.giveUp(ctx, request, call, err)
 	}
 	result, err := s.dispatch(ctx, request, call, decision)
--- a/internal/emulator/cache.go
+++ b/internal/emulator/cache.go
@@ -182,6 +182,13 @@
 	return released
 }
 
+// clearIdle drops all blocks that no running sequence uses.
+func (c *cache) clearIdle() {
+	for c.idle.Len() > 0 {
+		c.evict()
+	}
+}
+
 // heldBy counts the blocks that only the program uses.
 func (c *cache) heldBy(program string) int {
 	held := 0
--- a/internal/emulator/server.go
+++ b/internal/emulator/server.go
@@ -55,6 +55,9 @@
 	Waiting int        `json:"waiting"`
 	Cache   CacheStats `json:"cache"`
 	Tokens  int64      `json:"tokens"`
+	// Loads counts models that the engine began to load, RefusedOrders orders with a token too low.
+	Loads         int64 `json:"loads"`
+	RefusedOrders int64 `json:"refused_orders"`
 }
 
 // Server is an emulated engine as an http.Handler; Run must be running.
@@ -70,6 +73,9 @@
 	faults  Faults
 	tokens  int64
 	next    int64
+	slot    modelSlot
+	// loads and refusedOrders count orders that were followed and fenced off.
+	loads, refusedOrders int64
 }
 
 // NewServer returns an idle engine.
@@ -83,6 +89,8 @@
 	}
 	server.mux.HandleFunc("POST "+engine.ChatPath, server.handleChat)
 	server.mux.HandleFunc("POST "+engine.ReleasePath, server.handleRelease)
+	server.mux.HandleFunc("POST "+engine.OrdersPath, server.handleOrder)
+	server.mux.HandleFunc("GET "+engine.OrdersPath, server.handleOrderState)
 	server.mux.HandleFunc("GET "+LedgerPath, func(w http.ResponseWriter, _ *http.Request) { writeJSON(w, server.Ledger()) })
 	server.mux.HandleFunc("GET "+StatsPath, func(w http.ResponseWriter, _ *http.Request) { writeJSON(w, server.Stats()) })
 	server.mux.HandleFunc("GET "+HeldPath, server.handleHeld)
@@ -172,7 +180,7 @@
 	s.mutex.Lock()
 	defer s.mutex.Unlock()
 	running, waiting := s.model.Load()
-	return Stats{Running: running, Waiting: waiting, Cache: s.model.Cache(), Tokens: s.tokens}
+	return Stats{Running: running, Waiting: waiting, Cache: s.model.Cache(), Tokens: s.tokens, Loads: s.loads, RefusedOrders: s.refusedOrders}
 }
 
 // Held counts the cached blocks that only one program uses.
@@ -281,6 +289,9 @@
 	if s.faults.RefuseStatus != 0 {
 		return nil, s.faults.RefuseStatus
 	}
+	if !s.slot.serves(body.Model) {
+		return nil, http.StatusNotFound
+	}
 	s.next++
 	entry := &LedgerEntry{
 		Program:  r.Header.Get(engine.HeaderProgram),
--- a/internal/engine/engine.go
+++ b/internal/engine/engine.go
@@ -59,6 +59,46 @@
 	ReleaseCache(ctx context.Context, target Target, programID string) error
 }
 
+// Order tells an engine which model to load. An engine refuses an order whose token is not above the
+// highest that it has seen, so that a sender which was deposed unawares changes nothing.
+type Order struct {
+	Token uint64 `json:"token"`
+	Model string `json:"model"`
+	// WeightStore is the base URL to pull the weights from.
+	WeightStore string `json:"weight_store"`
+}
+
+// ModelState is what an engine says of its model. Model is empty for an engine that got no order
+// yet, and serves whatever it is asked for, and while it loads its first one.
+type ModelState struct {
+	// Token is the highest that the engine has seen.
+	Token   uint64 `json:"token"`
+	Model   string `json:"model,omitempty"`
+	Loading string `json:"loading,omitempty"`
+}
+
+// Loader gives engines orders.
+type Loader interface {
+	// Order sends an order. Errors: *ErrFenced, *ErrRefused, *ErrBroken; after the last it may hold.
+	Order(ctx context.Context, target Target, order Order) error
+	// ModelState asks what an engine has loaded. Errors: *ErrRefused, *ErrBroken.
+	ModelState(ctx context.Context, target Target) (ModelState, error)
+}
+
+// ErrFenced means that the engine has seen an order with a token as high or higher.
+type ErrFenced struct{ State ModelState }
+
+// Error implements error.
+func (e *ErrFenced) Error() string {
+	return fmt.Sprintf("the order is fenced off: the engine has seen token %d", e.State.Token)
+}
+
+// ErrNoModel means that the engine has not loaded the request's model; it did not run the request.
+type ErrNoModel struct{ Model string }
+
+// Error implements error.
+func (e *ErrNoModel) Error() string { return "the engine has not loaded model " + e.Model }
+
 // ErrUndelivered means that not a byte of the request was sent.
 type ErrUndelivered struct{ Cause error }
 
--- a/internal/engine/openai.go
+++ b/internal/engine/openai.go
@@ -20,6 +20,7 @@
 const (
 	ChatPath    = "/v1/chat/completions"
 	ReleasePath = "/v1/cache/release"
+	OrdersPath  = "/v1/orders"
 )
 
 const (
@@ -121,6 +122,9 @@
 	}
 	if response.StatusCode != http.StatusOK {
 		defer drain(response.Body)
+		if response.StatusCode == http.StatusNotFound {
+			return nil, &ErrNoModel{Model: request.Model}
+		}
 		text, _ := io.ReadAll(io.LimitReader(response.Body, maxErrorBytes))
 		return nil, &ErrRefused{Status: response.StatusCode, Body: string(bytes.TrimSpace(text))}
 	}
--- /dev/null
+++ b/internal/engine/orders.go
@@ -0,0 +1,49 @@
+package engine
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"net/http"
+
+	"github.com/cockroachdb/errors"
+)
+
+// Order implements Loader.
+func (o *OpenAI) Order(ctx context.Context, target Target, order Order) error {
+	body, err := json.Marshal(order)
+	if err != nil {
+		return errors.Wrap(err, "encoding an order")
+	}
+	_, err = o.exchangeOrder(ctx, http.MethodPost, target, body)
+	return err
+}
+
+// ModelState implements Loader.
+func (o *OpenAI) ModelState(ctx context.Context, target Target) (ModelState, error) {
+	return o.exchangeOrder(ctx, http.MethodGet, target, nil)
+}
+
+func (o *OpenAI) exchangeOrder(ctx context.Context, method string, target Target, body []byte) (ModelState, error) {
+	request, err := http.NewRequestWithContext(ctx, method, target.URL+OrdersPath, bytes.NewReader(body))
+	if err != nil {
+		return ModelState{}, errors.Wrap(err, "building an order")
+	}
+	request.Header.Set("Content-Type", jsonMediaType)
+	response, err := o.transport.RoundTrip(request)
+	if err != nil {
+		return ModelState{}, &ErrBroken{Cause: err}
+	}
+	defer drain(response.Body)
+	if response.StatusCode >= http.StatusMultipleChoices && response.StatusCode != http.StatusConflict {
+		return ModelState{}, &ErrRefused{Status: response.StatusCode}
+	}
+	var state ModelState
+	if err := json.NewDecoder(http.MaxBytesReader(nil, response.Body, maxErrorBytes)).Decode(&state); err != nil {
+		return ModelState{}, &ErrBroken{Cause: err}
+	}
+	if response.StatusCode == http.StatusConflict {
+		return state, &ErrFenced{State: state}
+	}
+	return state, nil
+}
--- a/internal/events/events.go
+++ b/internal/events/events.go
@@ -54,6 +54,10 @@
 	PolicyEvaluationFail ID = 505
 	EngineResumed        ID = 506
 	EngineStalled        ID = 507
+	ModelOrdered         ID = 508
+	ModelLoaded          ID = 509
+	OrderFenced          ID = 510
+	OrderFailed          ID = 511
 	CallFailed           ID = 601
 	CallRefused          ID = 602
 	RequestPanicked      ID = 603
@@ -115,6 +119,10 @@
 	{PolicyEvaluationFail, "policy_evaluation_failed", logrus.WarnLevel, "a policy failed at run time; the candidate was left out"},
 	{EngineResumed, "engine_resumed", logrus.InfoLevel, "an answer was continued on another engine from the tokens already held"},
 	{EngineStalled, "engine_stalled", logrus.WarnLevel, "an engine sent nothing for too long; the attempt counts as lost"},
+	{ModelOrdered, "model_ordered", logrus.InfoLevel, "an engine was ordered to load another model"},
+	{ModelLoaded, "model_loaded", logrus.InfoLevel, "an engine has loaded a model"},
+	{OrderFenced, "order_fenced", logrus.WarnLevel, "an engine refused an order, for it has seen a higher token"},
+	{OrderFailed, "order_failed", logrus.WarnLevel, "an order did not reach an engine, or its answer was lost"},
 	{CallFailed, "call_failed", logrus.WarnLevel, "a call ended with a failure"},
 	{CallRefused, "call_refused", logrus.DebugLevel, "a call was refused as not run"},
 	{RequestPanicked, "request_panicked", logrus.ErrorLevel, "a request handler panicked; the request was failed"},
--- a/internal/gateway/chat_execution.go
+++ b/internal/gateway/chat_execution.go
@@ -183,7 +183,12 @@
 	e.avoid = append(e.avoid, response.Engine.Name)
 	var undelivered *engine.ErrUndelivered
 	var refused *engine.ErrRefused
+	var noModel *engine.ErrNoModel
 	switch {
+	case errors.As(cause, &noModel):
+		// The engine works, and did not run the call: it has loaded another model meanwhile.
+		*failed = false
+		return nil, e.retry(response, true), nil
 	case errors.As(cause, &undelivered):
 		return nil, e.retry(response, true), nil
 	case errors.As(cause, &refused) && !refused.Temporary():
--- a/internal/lab/cluster/cluster.go
+++ b/internal/lab/cluster/cluster.go
@@ -249,6 +249,21 @@
 	}
 }
 
+// EngineURL returns the address of a model engine.
+func (c *Cluster) EngineURL(name string) string {
+	for _, item := range c.resources {
+		if item.Pool == nil {
+			continue
+		}
+		for _, engine := range item.Pool.Engines {
+			if engine.Name == name {
+				return engine.URL
+			}
+		}
+	}
+	return ""
+}
+
 // APIs returns the callers' addresses of all nodes.
 func (c *Cluster) APIs() []string {
 	var addresses []string
--- a/internal/lab/experiment/virtual.go
+++ b/internal/lab/experiment/virtual.go
@@ -260,11 +260,11 @@
 	s.calls++
 	request := coordinator.BeginRequest{
 		Admit: program.Admit{
-			CallID: fmt.Sprintf("call-%d", s.calls), Program: program.Key{Tenant: tenant, Path: call.Program}, Service: serviceName,
+			CallID: fmt.Sprintf("call-%d", s.calls), Program: program.Key{Tenant: tenant, Path: call.Program}, Service: serviceName, Model: call.Model,
 			Sequence: uint64(call.Sequence), IdempotencyKey: call.IdempotencyKey, Repeatable: true, Messages: added,
 			Limits: program.Limits{TokenBudget: plenty, CallBudget: plenty, IdleMillis: plenty, MaxMillis: plenty},
 		},
-		Model: call.Model, PromptTokens: int64(text.Len() / charactersPerToken), MaxTokens: int64(call.Tokens),
+		PromptTokens: int64(text.Len() / charactersPerToken), MaxTokens: int64(call.Tokens),
 	}
 	result := s.execute(program.Command{Admit: &request.Admit})
 	if result.Error != nil {
--- /dev/null
+++ b/internal/lab/modelbench/modelbench.go
@@ -0,0 +1,233 @@
+// Package modelbench measures what it brings that engines load the models that are called for: calls
+// of two models, whose shares swap half-way, arrive at the same moments at engines that are divided
+// between the models for good, and at engines that the system orders to load. It runs the whole path.
+package modelbench
+
+import (
+	"context"
+	"fmt"
+	"math/rand/v2"
+	"net"
+	"net/http"
+	"sync"
+	"time"
+
+	"github.com/HdrHistogram/hdrhistogram-go"
+	"github.com/cockroachdb/errors"
+
+	"github.com/mountstile/mountstile/internal/emulator"
+	"github.com/mountstile/mountstile/internal/lab/cluster"
+	"github.com/mountstile/mountstile/internal/lab/runner"
+	"github.com/mountstile/mountstile/internal/resource"
+	"github.com/mountstile/mountstile/internal/standin/weightserver"
+)
+
+// Options shape a run.
+type Options struct {
+	// Engines have Slots places each.
+	Engines int
+	Slots   int
+	// CallsPerSecond arrive at random; the favoured model gets FavouredShare of them.
+	CallsPerSecond float64
+	FavouredShare  float64
+	Tokens         int
+	// Half is how long each model is the favoured one.
+	Half time.Duration
+	// LoadSeconds is how long one engine alone takes to pull a model's weights.
+	LoadSeconds float64
+	AtOnce      int
+	HoldSeconds float64
+	Seed        uint64
+	Progress    func(format string, args ...any)
+}
+
+// Side is what callers saw of one way.
+type Side struct {
+	Calls   int     `json:"calls"`
+	Refused int     `json:"refused"`
+	P50     float64 `json:"call_ms_p50"`
+	P95     float64 `json:"call_ms_p95"`
+	P99     float64 `json:"call_ms_p99"`
+	// Loads is how often an engine began to load a model.
+	Loads int64 `json:"loads"`
+}
+
+// Report is the result.
+type Report struct {
+	Divided Side `json:"divided"`
+	Loading Side `json:"loading"`
+}
+
+const (
+	startTimeout  = 60 * time.Second
+	weightBytes   = 1 << 20
+	queueSeconds  = 10
+	apiKey        = "bench.k." + cluster.DemoSecret
+	firstModel    = "first"
+	secondModel   = "second"
+	highestMillis = int64(time.Hour / time.Millisecond)
+	digits        = 3
+	loopbackAny   = "127.0.0.1:0"
+)
+
+// Run measures both ways, one after the other.
+func Run(ctx context.Context, options Options) (Report, error) {
+	var report Report
+	var err error
+	if report.Divided, err = measure(ctx, options, false); err != nil {
+		return report, err
+	}
+	report.Loading, err = measure(ctx, options, true)
+	return report, err
+}
+
+func measure(ctx context.Context, options Options, loading bool) (Side, error) {
+	weights, err := serveWeights(options)
+	if err != nil {
+		return Side{}, err
+	}
+	defer func() { _ = weights.Close() }()
+	startContext, cancel := context.WithTimeout(ctx, startTimeout)
+	defer cancel()
+	system, err := cluster.Start(startContext, cluster.Options{
+		Nodes: 3, Zones: []string{"a", "b", "c"}, Region: "r", Partitions: 6, Engine: emulator.DefaultConfig(),
+		Resources: options.resources("http://"+weights.Addr, loading),
+	})
+	defer system.Stop()
+	if err != nil {
+		return Side{}, err
+	}
+	if loading {
+		if err := awaitModels(startContext, system); err != nil {
+			return Side{}, err
+		}
+	}
+	options.Progress("loading %v: %d engines ready", loading, options.Engines)
+	before := countLoads(system)
+	side := play(ctx, options, system)
+	side.Loads = countLoads(system) - before
+	return side, ctx.Err()
+}
+
+func serveWeights(options Options) (*http.Server, error) {
+	listener, err := net.Listen("tcp", loopbackAny)
+	if err != nil {
+		return nil, errors.Wrap(err, "listening")
+	}
+	handler := weightserver.New(weightBytes, int64(weightBytes/options.LoadSeconds))
+	server := &http.Server{Addr: listener.Addr().String(), Handler: handler, ReadHeaderTimeout: startTimeout}
+	go func() { _ = server.Serve(listener) }()
+	return server, nil
+}
+
+// resources makes one pool for both models, or one of half the engines for each.
+func (o Options) resources(weightStore string, loading bool) []resource.Resource {
+	engines := make([]resource.Engine, o.Engines)
+	for number := range engines {
+		engines[number] = resource.Engine{Name: fmt.Sprintf("m%d", number+1), URL: "http://replaced", Slots: o.Slots}
+	}
+	items := []resource.Resource{
+		{Kind: resource.KindTenant, Name: "bench", Tenant: &resource.Tenant{Keys: []resource.APIKey{resource.NewAPIKey("k", cluster.DemoSecret, resource.RoleCaller)}}},
+	}
+	service := func(name, pool string, models ...string) resource.Resource {
+		return resource.Resource{Kind: resource.KindService, Name: name, Service: &resource.Service{
+			Type: resource.ServiceModel, Pool: pool, Models: models, Tenants: []string{"bench"}, MaxTokens: 512, QueueSeconds: queueSeconds,
+		}}
+	}
+	if loading {
+		pool := &resource.Pool{Engines: engines, Loading: &resource.Loading{WeightStore: weightStore, AtOnce: o.AtOnce, HoldSeconds: o.HoldSeconds}}
+		return append(items, resource.Resource{Kind: resource.KindPool, Name: "both", Pool: pool}, service("both", "both", firstModel, secondModel))
+	}
+	half := o.Engines / 2
+	return append(items,
+		resource.Resource{Kind: resource.KindPool, Name: firstModel, Pool: &resource.Pool{Engines: engines[:half]}}, service(firstModel, firstModel, firstModel),
+		resource.Resource{Kind: resource.KindPool, Name: secondModel, Pool: &resource.Pool{Engines: engines[half:]}}, service(secondModel, secondModel, secondModel),
+	)
+}
+
+// awaitModels waits until each engine has its first model.
+func awaitModels(ctx context.Context, system *cluster.Cluster) error {
+	ticker := time.NewTicker(100 * time.Millisecond)
+	defer ticker.Stop()
+	for {
+		ready := 0
+		for _, engine := range system.Engines {
+			if engine.ModelState().Model != "" {
+				ready++
+			}
+		}
+		if ready == len(system.Engines) {
+			return nil
+		}
+		select {
+		case <-ctx.Done():
+			return ctx.Err()
+		case <-ticker.C:
+		}
+	}
+}
+
+func countLoads(system *cluster.Cluster) int64 {
+	var loads int64
+	for _, engine := range system.Engines {
+		loads += engine.Stats().Loads
+	}
+	return loads
+}
+
+// play sends the calls of both halves, each at its moment whether earlier ones have ended or not.
+func play(ctx context.Context, options Options, system *cluster.Cluster) Side {
+	random := rand.New(rand.NewPCG(options.Seed, 1))
+	client := runner.NewClient(apiKey)
+	defer client.Close()
+	histogram := hdrhistogram.New(1, highestMillis, digits)
+	var side Side
+	var mutex sync.Mutex
+	var calls sync.WaitGroup
+	addresses := system.APIs()
+	started := time.Now()
+	at := time.Duration(0)
+	for number := 0; at < 2*options.Half && ctx.Err() == nil; number++ {
+		pauseUntil(ctx, started.Add(at))
+		call := options.call(random, at, number)
+		calls.Go(func() {
+			reply, err := client.Chat(ctx, addresses[number%len(addresses)], call)
+			mutex.Lock()
+			defer mutex.Unlock()
+			side.Calls++
+			if err != nil {
+				side.Refused++
+				options.Progress("%s: %s", call.Model, err)
+				return
+			}
+			_ = histogram.RecordValue(reply.Took.Milliseconds())
+		})
+		at += time.Duration(random.ExpFloat64() / options.CallsPerSecond * float64(time.Second))
+	}
+	calls.Wait()
+	side.P50 = float64(histogram.ValueAtQuantile(50))
+	side.P95 = float64(histogram.ValueAtQuantile(95))
+	side.P99 = float64(histogram.ValueAtQuantile(99))
+	return side
+}
+
+func (o Options) call(random *rand.Rand, at time.Duration, number int) runner.Call {
+	favoured, other := firstModel, secondModel
+	if at >= o.Half {
+		favoured, other = other, favoured
+	}
+	model := other
+	if random.Float64() < o.FavouredShare {
+		model = favoured
+	}
+	return runner.Call{Model: model, Tokens: o.Tokens, Messages: []runner.Message{{Role: "user", Content: fmt.Sprintf("question %d", number)}}}
+}
+
+func pauseUntil(ctx context.Context, moment time.Time) {
+	timer := time.NewTimer(time.Until(moment))
+	defer timer.Stop()
+	select {
+	case <-ctx.Done():
+	case <-timer.C:
+	}
+}
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -32,6 +32,7 @@
 	"github.com/mountstile/mountstile/internal/limit"
 	"github.com/mountstile/mountstile/internal/machinelist"
 	"github.com/mountstile/mountstile/internal/membership"
+	"github.com/mountstile/mountstile/internal/modelload"
 	"github.com/mountstile/mountstile/internal/policy"
 	"github.com/mountstile/mountstile/internal/replica"
 	"github.com/mountstile/mountstile/internal/scheduler"
@@ -59,6 +60,7 @@
 	plane    *control.Plane
 	server   *coordinator.Server
 	gateway  *gateway.Gateway
+	models   *modelload.Manager
 	pauses   *gateway.PauseDetector
 	admin    *admin.Server
 	registry *prometheus.Registry
@@ -132,7 +134,18 @@
 	}
 	n.plane.Config.Subscribe(func(snapshot *configuration.Snapshot) { policies.Install(snapshot.Set) })
 	policies.Install(n.plane.Config.Current().Set)
-	models := engine.NewOpenAI()
+	engines := engine.NewOpenAI()
+	n.models = modelload.NewManager(modelload.Options{
+		Transport:         n.plane.Transport,
+		Membership:        n.plane.Membership,
+		Config:            n.plane.Config,
+		Partitions:        n.plane.Partitions,
+		Host:              n.plane.Host,
+		Loader:            engines,
+		Demand:            func() []modelload.PoolDemand { return n.server.ModelDemand() },
+		ConfirmLeadership: func(ctx context.Context, id uint32) error { return n.server.ConfirmLeadership(ctx, id) },
+		Logger:            n.logger,
+	})
 	n.server = coordinator.NewServer(coordinator.ServerOptions{
 		Transport:  n.plane.Transport,
 		Membership: n.plane.Membership,
@@ -140,12 +153,13 @@
 		Host:       n.plane.Host,
 		Scheduler:  scheduler.New(scheduler.Options{Zone: n.settings.Zone, Reserver: n.plane, Clock: clock.Real{}, Logger: n.logger}),
 		Policies:   policies,
-		Engines:    models,
+		Engines:    engines,
+		Models:     n.models,
 		Limits:     limit.NewKeeper(n.plane.Transport, n.plane.Membership, n.plane.Config),
 		Release:    n.plane.Release,
 		Logger:     n.logger,
 	})
-	n.assembleServers(options.Self.ID, models)
+	n.assembleServers(options.Self.ID, engines)
 	return nil
 }
 
@@ -174,6 +188,7 @@
 		Host:        n.plane.Host,
 		Coordinator: client,
 		Transport:   n.plane.Transport,
+		Models:      n.models.View,
 		Keys:        n.settings.AdminKeys,
 		Self:        n.Status,
 		Drain:       n.requestDrain,
@@ -329,6 +344,7 @@
 	n.plane.Start()
 	n.tasks.Go(func() { n.server.Run(ctx) })
 	n.tasks.Go(func() { n.pauses.Run(ctx) })
+	n.tasks.Go(func() { n.models.Run(ctx) })
 	n.tasks.Go(func() { n.serve(n.apiServer, n.listeners.api) })
 	n.tasks.Go(func() { n.serve(n.adminServer, n.listeners.admin) })
 	n.tasks.Go(func() { n.reportReady(ctx) })
--- a/internal/owner/engine.go
+++ b/internal/owner/engine.go
@@ -4,6 +4,7 @@
 package owner
 
 import (
+	"maps"
 	"time"
 
 	"github.com/mountstile/mountstile/internal/clock"
@@ -41,6 +42,8 @@
 	stepWeight = 0.3
 	// ageingPerSecond raises the rank of a waiting call, so that none starves.
 	ageingPerSecond = 1.0
+	// withdrawalKept is for how long a withdrawal waits for its request.
+	withdrawalKept = 30 * time.Second
 )
 
 // waiting is a call in the line.
@@ -72,10 +75,12 @@
 	// stepMicros averages the calls' step times; stepAt is when the latest came.
 	stepMicros float64
 	stepAt     time.Time
+	// withdrawn is when requests were withdrawn that are not here.
+	withdrawn map[uint64]time.Time
 }
 
 func newEngineState(name string) *engineState {
-	return &engineState{name: name, running: make(map[string]reservation)}
+	return &engineState{name: name, running: make(map[string]reservation), withdrawn: make(map[uint64]time.Time)}
 }
 
 func (e *engineState) load(now time.Time) Load {
@@ -220,15 +225,35 @@
 	return w.request.Rank + ageingPerSecond*now.Sub(w.since).Seconds()
 }
 
-// withdraw ends the wait of a call that is gone.
-func (e *engineState) withdraw(callID string) {
+// withdraw takes back a request for a place. One that did not come yet is refused when it does: a
+// withdrawal may overtake it.
+func (e *engineState) withdraw(ticket uint64, now time.Time) {
 	for _, item := range e.line {
-		if item.request.CallID == callID {
+		if item.request.Ticket == ticket {
 			e.remove(item)
 			item.granted.Fire()
 			return
 		}
 	}
+	for callID, held := range e.running {
+		if held.request.Ticket == ticket {
+			delete(e.running, callID)
+			return
+		}
+	}
+	e.withdrawn[ticket] = now
+}
+
+// arrives reports whether a request still stands, or was withdrawn before it came.
+func (e *engineState) arrives(ticket uint64) bool {
+	_, gone := e.withdrawn[ticket]
+	delete(e.withdrawn, ticket)
+	return !gone
+}
+
+// forget drops withdrawals whose requests came and went before them.
+func (e *engineState) forget(now time.Time) {
+	maps.DeleteFunc(e.withdrawn, func(_ uint64, at time.Time) bool { return now.Sub(at) > withdrawalKept })
 }
 
 func (e *engineState) remove(target *waiting) {
--- a/internal/owner/engine_test.go
+++ b/internal/owner/engine_test.go
@@ -49,6 +49,44 @@
 	assert.DeepEqual(t, counts, map[string]int{"greedy": 3, "heavy": 6})
 }
 
+// TestWithdrawalWorksInAnyOrder: a request that is withdrawn in line, after its grant, or before it came,
+// holds no place; another request of the same call keeps its own.
+func TestWithdrawalWorksInAnyOrder(t *testing.T) {
+	lines := NewLines(LinesOptions{
+		Clock:  clock.Real{},
+		Find:   func(name string) (resource.Engine, bool) { return resource.Engine{Name: name, Slots: 1}, true },
+		Gone:   func(string) bool { return false },
+		Logger: events.Discard(),
+	})
+	reserve := func(call string, ticket uint64, wait time.Duration) chan bool {
+		granted := make(chan bool, 1)
+		item, response, err := lines.enter(ReserveRequest{Engine: "e", CallID: call, Ticket: ticket, WaitMillis: wait.Milliseconds(), CallMillis: 1000})
+		assert.NilError(t, err)
+		if item == nil {
+			granted <- response.Granted
+			return granted
+		}
+		go func() {
+			item.granted.Wait(t.Context(), wait)
+			granted <- lines.leave(item, false).Granted
+		}()
+		return granted
+	}
+	withdraw := func(ticket uint64) { lines.Release(ReleaseRequest{Engine: "e", Ticket: ticket}) }
+	assert.Assert(t, <-reserve("first", 1, 0))
+	inLine := reserve("second", 2, time.Hour)
+	withdraw(2)
+	assert.Assert(t, !<-inLine)
+	withdraw(3)
+	assert.Assert(t, !<-reserve("third", 3, time.Hour), "the withdrawal has overtaken its request")
+	next := reserve("fourth", 4, time.Hour)
+	withdraw(1)
+	assert.Assert(t, <-next, "the place of a withdrawn request goes to the next")
+	withdraw(5)
+	assert.Assert(t, !<-reserve("fourth", 5, 0))
+	assert.Equal(t, lines.Loads()[0].Running, 1, "the call's other request keeps its place")
+}
+
 // TestIdleShareIsBorrowed: a tenant alone gets everything.
 func TestIdleShareIsBorrowed(t *testing.T) {
 	state := newEngine(4)
--- a/internal/owner/lines.go
+++ b/internal/owner/lines.go
@@ -84,6 +84,9 @@
 		return nil, ReserveResponse{}, err
 	}
 	now := l.options.Clock.Now()
+	if !state.arrives(request.Ticket) {
+		return nil, l.response(false), nil
+	}
 	if len(state.line) == 0 && len(state.running) < state.capacity(now) {
 		state.grant(request, now)
 		return nil, l.response(true), nil
@@ -150,8 +153,10 @@
 		return
 	}
 	now := l.options.Clock.Now()
-	if request.Unused {
-		state.withdraw(request.CallID)
+	if request.Ticket != 0 {
+		state.withdraw(request.Ticket, now)
+		l.serve(state, now)
+		return
 	}
 	wasFailing := state.failures >= breakerFailures
 	opened, known := state.finish(request, now)
@@ -193,6 +198,7 @@
 			}
 		}
 		l.serve(state, now)
+		state.forget(now)
 		if len(state.running) == 0 && len(state.line) == 0 && state.failures == 0 && state.draining {
 			delete(l.engines, name)
 		}
--- a/internal/owner/owner.go
+++ b/internal/owner/owner.go
@@ -24,6 +24,8 @@
 
 // ReserveRequest asks for a place on an engine.
 type ReserveRequest struct {
+	// Ticket identifies the request, so that it can be withdrawn; 0 means that it never is.
+	Ticket  uint64  `json:"ticket,omitempty"`
 	Engine  string  `json:"engine"`
 	CallID  string  `json:"call"`
 	Tenant  string  `json:"tenant"`
@@ -55,7 +57,10 @@
 type ReleaseRequest struct {
 	Engine string `json:"engine"`
 	CallID string `json:"call"`
-	// Unused tells that the call never went to the engine. It may still stand in line.
+	// Ticket withdraws one request for a place, wherever it is: on its way, in line or granted. Other
+	// requests of the same call stand.
+	Ticket uint64 `json:"ticket,omitempty"`
+	// Unused tells that the call never went to the engine.
 	Unused bool `json:"unused,omitempty"`
 	// Failed tells that the engine did not do its work.
 	Failed bool `json:"failed,omitempty"`
--- a/internal/program/calls.go
+++ b/internal/program/calls.go
@@ -48,6 +48,7 @@
 		ID:             request.CallID,
 		Sequence:       sequence,
 		Service:        request.Service,
+		Model:          request.Model,
 		IdempotencyKey: request.IdempotencyKey,
 		BodyHash:       request.BodyHash,
 		Repeatable:     request.Repeatable,
@@ -228,7 +229,10 @@
 		result.Mark = program.Mark
 		return result
 	}
-	program.Reached = max(program.Reached, call.Sequence)
+	if program.Reached < call.Sequence {
+		call.ReachedBefore = program.Reached
+		program.Reached = call.Sequence
+	}
 	call.State = Dispatching
 	call.Attempt = request.Attempt
 	call.Engine = request.Engine
@@ -263,6 +267,11 @@
 	}
 	if call.Repeatable || request.Undelivered {
 		call.State = Admitted
+		call.MayHaveRun = call.MayHaveRun || !request.Undelivered
+		if !call.MayHaveRun {
+			// No call after this one was dispatched while it was open.
+			program.Reached = call.ReachedBefore
+		}
 		m.changed(program.Key)
 		return Result{Call: call.public()}
 	}
@@ -323,9 +332,9 @@
 	return Result{Call: call.public(), Error: call.Error}
 }
 
-// admittedOutcome is NotRun unless an earlier attempt of a repeatable call may have been executed.
+// admittedOutcome is NotRun unless an earlier attempt may have been executed.
 func admittedOutcome(call *Call) apierr.Outcome {
-	if call.Attempt > 0 && call.Repeatable {
+	if call.MayHaveRun {
 		return apierr.OutcomeUnknown
 	}
 	return apierr.NotRun
--- a/internal/program/lifecycle.go
+++ b/internal/program/lifecycle.go
@@ -134,7 +134,9 @@
 	Program    Key
 	CallID     string
 	Service    string
+	Model      string
 	Attempt    int
+	Engine     string
 	Gateway    string
 	Execution  string
 	State      CallState
@@ -149,7 +151,7 @@
 	for key, program := range m.programs {
 		for _, call := range program.Open {
 			if !call.Ended() {
-				open = append(open, OpenCall{Program: key, CallID: call.ID, Service: call.Service, Attempt: call.Attempt, Gateway: call.Gateway, Execution: call.Execution, State: call.State, AdmittedAt: call.AdmittedAt})
+				open = append(open, OpenCall{Program: key, CallID: call.ID, Service: call.Service, Model: call.Model, Attempt: call.Attempt, Engine: call.Engine, Gateway: call.Gateway, Execution: call.Execution, State: call.State, AdmittedAt: call.AdmittedAt})
 			}
 		}
 	}
--- a/internal/program/machine_test.go
+++ b/internal/program/machine_test.go
@@ -88,6 +88,32 @@
 	assert.Equal(t, summary.Used, int64(100), "an unknown outcome is settled at the reservation")
 }
 
+// TestUndeliveredIsNotRun: a call whose attempts all were not sent, and which then finds no engine, was not
+// run, and its caller may send it again in its place. One lost attempt that may have been sent ends that.
+func TestUndeliveredIsNotRun(t *testing.T) {
+	for name, sent := range map[string]bool{"never sent": false, "one attempt may have been sent": true} {
+		t.Run(name, func(t *testing.T) {
+			machine := program.NewMachine()
+			admit(machine, program.Admit{CallID: "a", Sequence: 1, IdempotencyKey: "k", Repeatable: true})
+			for attempt := 1; attempt <= 2; attempt++ {
+				assert.Assert(t, dispatch(machine, "a", attempt).Error == nil)
+				lose := program.LoseAttempt{CallID: "a", Program: key, Attempt: attempt, Undelivered: !sent || attempt == 2}
+				assert.Assert(t, machine.Execute(program.Command{At: 1, Lose: &lose}).Error == nil)
+			}
+			result := machine.Execute(program.Command{At: 1, Fail: &program.Fail{CallID: "a", Program: key, Error: apierr.New(apierr.NoEngine, apierr.NotRun, "no engine")}})
+			again := admit(machine, program.Admit{CallID: "b", Sequence: 1, IdempotencyKey: "k", Repeatable: true})
+			if sent {
+				assert.Equal(t, result.Error.Outcome, apierr.OutcomeUnknown)
+				assert.Equal(t, again.Call.ID, "a")
+				return
+			}
+			assert.Equal(t, result.Error.Outcome, apierr.NotRun)
+			assert.Assert(t, again.Error == nil, "%v", again.Error)
+			assert.Equal(t, again.Call.ID, "b")
+		})
+	}
+}
+
 func TestUndeliveredMayGoAgain(t *testing.T) {
 	machine := program.NewMachine()
 	admit(machine, program.Admit{CallID: "a"})
--- a/internal/program/types.go
+++ b/internal/program/types.go
@@ -72,25 +72,30 @@
 
 // Call is one request of a program.
 type Call struct {
-	ID             string        `json:"id"`
-	Sequence       uint64        `json:"sequence"`
-	Service        string        `json:"service"`
-	IdempotencyKey string        `json:"idempotency_key,omitempty"`
-	BodyHash       string        `json:"body_hash"`
-	Repeatable     bool          `json:"repeatable"`
-	State          CallState     `json:"state"`
-	Attempt        int           `json:"attempt,omitempty"`
-	Engine         string        `json:"engine,omitempty"`
-	Gateway        string        `json:"gateway,omitempty"`
-	Execution      string        `json:"execution,omitempty"`
-	Reserved       int64         `json:"reserved,omitempty"`
-	Base           HistoryMark   `json:"base"`
-	CheckBase      bool          `json:"check_base,omitempty"`
-	Messages       []Message     `json:"messages,omitempty"`
-	Answer         *Answer       `json:"answer,omitempty"`
-	Error          *apierr.Error `json:"error,omitempty"`
-	AdmittedAt     int64         `json:"admitted_at"`
-	EndedAt        int64         `json:"ended_at,omitempty"`
+	ID             string    `json:"id"`
+	Sequence       uint64    `json:"sequence"`
+	Service        string    `json:"service"`
+	Model          string    `json:"model,omitempty"`
+	IdempotencyKey string    `json:"idempotency_key,omitempty"`
+	BodyHash       string    `json:"body_hash"`
+	Repeatable     bool      `json:"repeatable"`
+	State          CallState `json:"state"`
+	Attempt        int       `json:"attempt,omitempty"`
+	Engine         string    `json:"engine,omitempty"`
+	Gateway        string    `json:"gateway,omitempty"`
+	Execution      string    `json:"execution,omitempty"`
+	// ReachedBefore is the program's Reached before the call's first dispatch.
+	ReachedBefore uint64 `json:"reached_before,omitempty"`
+	// MayHaveRun is set if an attempt was lost that its gateway may have sent.
+	MayHaveRun bool          `json:"may_have_run,omitempty"`
+	Reserved   int64         `json:"reserved,omitempty"`
+	Base       HistoryMark   `json:"base"`
+	CheckBase  bool          `json:"check_base,omitempty"`
+	Messages   []Message     `json:"messages,omitempty"`
+	Answer     *Answer       `json:"answer,omitempty"`
+	Error      *apierr.Error `json:"error,omitempty"`
+	AdmittedAt int64         `json:"admitted_at"`
+	EndedAt    int64         `json:"ended_at,omitempty"`
 }
 
 // Ended reports whether the call is completed or failed.
@@ -139,6 +144,7 @@
 	CallID         string `json:"call"`
 	Program        Key    `json:"program"`
 	Service        string `json:"service"`
+	Model          string `json:"model,omitempty"`
 	Gateway        string `json:"gateway"`
 	Sequence       uint64 `json:"sequence,omitempty"`
 	IdempotencyKey string `json:"idempotency_key,omitempty"`
--- a/internal/resource/check.go
+++ b/internal/resource/check.go
@@ -86,17 +86,36 @@
 			return r.fieldError(field+".name", "%q appears twice", engine.Name)
 		}
 		names[engine.Name] = true
-		parsed, err := url.Parse(engine.URL)
-		if err != nil || parsed.Scheme != "http" && parsed.Scheme != "https" || parsed.Host == "" {
+		if !isWebAddress(engine.URL) {
 			return r.fieldError(field+".url", "%q is not an http or https URL", engine.URL)
 		}
 		if engine.Slots < 1 {
 			return r.fieldError(field+".slots", "must be 1 or more")
 		}
 	}
+	return r.checkLoading()
+}
+
+func (r Resource) checkLoading() *FieldError {
+	loading := r.Pool.Loading
+	switch {
+	case loading == nil:
+		return nil
+	case !isWebAddress(loading.WeightStore):
+		return r.fieldError("loading.weightStore", "%q is not an http or https URL", loading.WeightStore)
+	case loading.AtOnce < 1:
+		return r.fieldError("loading.atOnce", "must be 1 or more")
+	case loading.HoldSeconds < 0:
+		return r.fieldError("loading.holdSeconds", "must be 0 or more")
+	}
 	return nil
 }
 
+func isWebAddress(address string) bool {
+	parsed, err := url.Parse(address)
+	return err == nil && (parsed.Scheme == "http" || parsed.Scheme == "https") && parsed.Host != ""
+}
+
 func (r Resource) checkLimit() *FieldError {
 	if r.Limit.Tenant == "" || r.Limit.Service == "" {
 		return r.fieldError("tenant", "tenant and service are required")
--- a/internal/resource/resource.go
+++ b/internal/resource/resource.go
@@ -134,6 +134,19 @@
 // Pool is a set of interchangeable engines.
 type Pool struct {
 	Engines []Engine `json:"engines" yaml:"engines"`
+	// Loading, if set, lets the system decide which model each engine has loaded. Without it each
+	// engine serves all models of the pool's services.
+	Loading *Loading `json:"loading,omitempty" yaml:"loading"`
+}
+
+// Loading describes how the engines of a pool load models.
+type Loading struct {
+	// WeightStore is the base URL that engines pull weights from.
+	WeightStore string `json:"weight_store" yaml:"weightStore"`
+	// AtOnce bounds how many engines load at one time, for they share the store's rate.
+	AtOnce int `json:"at_once,omitempty" yaml:"atOnce"`
+	// HoldSeconds is how long an engine keeps a model at least.
+	HoldSeconds float64 `json:"hold_seconds,omitempty" yaml:"holdSeconds"`
 }
 
 // Policy is a set of short CEL programs; an empty one means the built-in default.
@@ -190,6 +203,8 @@
 	DefaultStallSeconds       = 5
 	DefaultMaxAttempts        = 3
 	DefaultSlots              = 16
+	DefaultLoadsAtOnce        = 1
+	DefaultHoldSeconds        = 60
 )
 
 // applyDefaults fills unset fields.
@@ -215,6 +230,10 @@
 		for index := range r.Pool.Engines {
 			setDefault(&r.Pool.Engines[index].Slots, DefaultSlots)
 		}
+		if r.Pool.Loading != nil {
+			setDefault(&r.Pool.Loading.AtOnce, DefaultLoadsAtOnce)
+			setDefault(&r.Pool.Loading.HoldSeconds, DefaultHoldSeconds)
+		}
 	}
 }
 
--- /dev/null
+++ b/test/path/models_test.go
@@ -0,0 +1,213 @@
+package path_test
+
+import (
+	"context"
+	"fmt"
+	"net"
+	"net/http/httptest"
+	"sync"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"github.com/cockroachdb/errors"
+	"gotest.tools/v3/assert"
+	"gotest.tools/v3/poll"
+
+	"github.com/mountstile/mountstile/internal/apierr"
+	"github.com/mountstile/mountstile/internal/emulator"
+	"github.com/mountstile/mountstile/internal/engine"
+	"github.com/mountstile/mountstile/internal/lab/cluster"
+	"github.com/mountstile/mountstile/internal/lab/runner"
+	"github.com/mountstile/mountstile/internal/resource"
+	"github.com/mountstile/mountstile/internal/standin/weightserver"
+)
+
+const modelEngines = 4
+
+// serveWeights runs a weight store; address "" picks a free port.
+func serveWeights(t *testing.T, address string) *httptest.Server {
+	t.Helper()
+	weights := httptest.NewUnstartedServer(weightserver.New(32<<10, 1<<20))
+	if address != "" {
+		_ = weights.Listener.Close()
+		listener, err := net.Listen("tcp", address)
+		assert.NilError(t, err)
+		weights.Listener = listener
+	}
+	weights.Start()
+	t.Cleanup(weights.Close)
+	return weights
+}
+
+// startLoading brings up a cluster whose engines load models small and large from a weight store.
+func startLoading(t *testing.T, weightStore string, queue time.Duration) *cluster.Cluster {
+	t.Helper()
+	items := resources(modelEngines)
+	for index := range items {
+		switch item := &items[index]; {
+		case item.Kind == resource.KindPool && item.Name == "models":
+			item.Pool.Loading = &resource.Loading{WeightStore: weightStore, AtOnce: 2, HoldSeconds: 0.5}
+		case item.Kind == resource.KindService && item.Name == "tutor":
+			item.Service.Models = []string{"small", "large"}
+			item.Service.QueueSeconds = queue.Seconds()
+		}
+	}
+	ctx, cancel := context.WithTimeout(context.Background(), 2*patience)
+	defer cancel()
+	system, err := cluster.Start(ctx, cluster.Options{
+		Nodes: 4, Zones: []string{"a", "b", "c"}, Region: "r", Resources: items, Engine: emulator.DefaultConfig(), Partitions: 6,
+	})
+	t.Cleanup(system.Stop)
+	assert.NilError(t, err)
+	return system
+}
+
+// modelsAtEngines counts the engines by what they say that they have loaded.
+func modelsAtEngines(t *testing.T, system *cluster.Cluster) map[string]int {
+	t.Helper()
+	counts := make(map[string]int)
+	for _, server := range system.Engines {
+		counts[server.ModelState().Model]++
+	}
+	return counts
+}
+
+// demand keeps calls of one model going until it is stopped, and counts those that failed.
+type demand struct {
+	stopped  atomic.Bool
+	tasks    sync.WaitGroup
+	mutex    sync.Mutex
+	failures []error
+	calls    atomic.Int64
+}
+
+func callFor(t *testing.T, system *cluster.Cluster, client *runner.Client, model string, callers int) *demand {
+	running := &demand{}
+	for number := range callers {
+		running.tasks.Go(func() {
+			for count := 0; !running.stopped.Load(); count++ {
+				addresses := system.APIs()
+				request := call("", 0, user(fmt.Sprintf("%s %d %d", model, number, count)))
+				request.Model, request.Tokens = model, 60
+				if _, err := client.Chat(t.Context(), addresses[(number+count)%len(addresses)], request); err != nil {
+					running.mutex.Lock()
+					running.failures = append(running.failures, err)
+					running.mutex.Unlock()
+				}
+				running.calls.Add(1)
+			}
+		})
+	}
+	return running
+}
+
+func (d *demand) stop() {
+	d.stopped.Store(true)
+	d.tasks.Wait()
+}
+
+func waitForModel(t *testing.T, system *cluster.Cluster, model string, engines int) {
+	t.Helper()
+	poll.WaitOn(t, func(poll.LogT) poll.Result {
+		if counts := modelsAtEngines(t, system); counts[model] < engines {
+			return poll.Continue("engines have %v", counts)
+		}
+		return poll.Success()
+	}, poll.WithTimeout(2*patience))
+}
+
+// TestModelsFollowDemand: engines load the models that are called for; when demand moves to the other
+// model, and the node that decides dies, its successor moves the engines after it. No call fails.
+func TestModelsFollowDemand(t *testing.T) {
+	t.Parallel()
+	system := startLoading(t, serveWeights(t, "").URL, patience)
+	client := runner.NewClient(apiKey)
+	defer client.Close()
+	small := callFor(t, system, client, "small", 14)
+	waitForModel(t, system, "small", modelEngines-1)
+	small.stop()
+	assert.Equal(t, len(small.failures), 0, "%v", small.failures)
+
+	shown := 0
+	list, err := system.Admin.Models(t.Context())
+	assert.NilError(t, err)
+	for _, item := range list.Engines {
+		if item.Model == "small" {
+			shown++
+		}
+	}
+	assert.Assert(t, len(list.Engines) == modelEngines && shown > 0, "%v", list)
+	before := highestToken(system)
+	killDecider(t, system)
+	large := callFor(t, system, client, "large", 14)
+	waitForModel(t, system, "large", modelEngines-1)
+	large.stop()
+	assert.Equal(t, len(large.failures), 0, "%v", large.failures)
+	assert.Assert(t, highestToken(system)>>32 >= before>>32, "a successor's tokens are higher")
+
+	// An order of before the change of leaders comes late: it changes nothing.
+	for name, server := range system.Engines {
+		state := server.ModelState()
+		target := engine.Target{Name: name, URL: system.EngineURL(name)}
+		err := engine.NewOpenAI().Order(t.Context(), target, engine.Order{Token: before, Model: "small"})
+		var fenced *engine.ErrFenced
+		assert.Assert(t, state.Token <= before || errors.As(err, &fenced), "%v", err)
+		assert.Equal(t, server.ModelState().Model, state.Model)
+	}
+}
+
+func highestToken(system *cluster.Cluster) uint64 {
+	var highest uint64
+	for _, server := range system.Engines {
+		highest = max(highest, server.ModelState().Token)
+	}
+	return highest
+}
+
+// killDecider ends the node that leads the partition of the pool.
+func killDecider(t *testing.T, system *cluster.Cluster) {
+	t.Helper()
+	poll.WaitOn(t, func(poll.LogT) poll.Result {
+		for index, running := range system.Nodes {
+			id, _, err := running.Plane().Partitions.Locate("r", "", "model/models")
+			assert.NilError(t, err)
+			if status, known := running.Plane().Host.Status(id); known && status.IsLeader {
+				assert.NilError(t, system.Kill(index))
+				return poll.Success()
+			}
+		}
+		return poll.Continue("nobody leads")
+	}, poll.WithTimeout(patience))
+}
+
+// TestModelThatCannotBeLoaded: while the weight store is away, a call of a model that no engine has is
+// refused as not run when it may not wait longer; when the store is back, the model is loaded and the same
+// call, with its key, runs.
+func TestModelThatCannotBeLoaded(t *testing.T) {
+	t.Parallel()
+	weights := serveWeights(t, "")
+	weights.Close()
+	system := startLoading(t, weights.URL, time.Second)
+	client := runner.NewClient(apiKey)
+	defer client.Close()
+	request := call("pupil", 1, user("which model?"))
+	request.Model, request.IdempotencyKey = "small", "key"
+	_, err := client.Chat(t.Context(), system.APIs()[0], request)
+	failure := failureOf(t, err)
+	assert.Equal(t, failure.Code, string(apierr.NoEngine))
+	assert.Equal(t, failure.Outcome, string(apierr.NotRun))
+	assert.Assert(t, failure.RetryAfter > 0)
+	serveWeights(t, weights.Listener.Addr().String())
+	poll.WaitOn(t, func(poll.LogT) poll.Result {
+		if _, err := client.Chat(t.Context(), system.APIs()[0], request); err != nil {
+			return poll.Continue("%v", err)
+		}
+		return poll.Success()
+	}, poll.WithTimeout(2*patience))
+	calls := 0
+	for _, server := range system.Engines {
+		calls += len(server.Ledger())
+	}
+	assert.Equal(t, calls, 1)
+}
--- a/test/path/unheld_test.go
+++ b/test/path/unheld_test.go
@@ -5,6 +5,7 @@
 	"testing"
 
 	"gotest.tools/v3/assert"
+	"gotest.tools/v3/poll"
 
 	"github.com/mountstile/mountstile/internal/apierr"
 	"github.com/mountstile/mountstile/internal/coordinator"
@@ -24,9 +25,9 @@
 			partition, err := client.Locate("r", "school", "pupil")
 			assert.NilError(t, err)
 			request := coordinator.BeginRequest{
-				Partition: partition, Execution: "given-up", Model: "tutor", MaxTokens: 10,
+				Partition: partition, Execution: "given-up", MaxTokens: 10,
 				Admit: program.Admit{
-					CallID: "call-1", Program: program.Key{Tenant: "school", Path: "pupil"}, Service: "tutor", Gateway: node.Status().ID,
+					CallID: "call-1", Program: program.Key{Tenant: "school", Path: "pupil"}, Service: "tutor", Model: "tutor", Gateway: node.Status().ID,
 					Repeatable: repeatable, Reserve: 10, Limits: program.Limits{TokenBudget: 1000, CallBudget: 10},
 				},
 			}
@@ -37,6 +38,16 @@
 			assert.Equal(t, first.Attempt, 1)
 			request.Execution, request.WaitForEnd = "repeat", true
 			second, err := client.Begin(ctx, request)
+			poll.WaitOn(t, func(poll.LogT) poll.Result {
+				load := loadOf(system, first.Engine.Name)
+				if second.Engine != nil && second.Engine.Name == first.Engine.Name {
+					load.Running--
+				}
+				if load.Running > 0 {
+					return poll.Continue("the lost attempt still holds its place")
+				}
+				return poll.Success()
+			}, poll.WithTimeout(patience))
 			if repeatable {
 				assert.NilError(t, err)
 				assert.Equal(t, second.Attempt, 2)
