--- a/internal/lab/capacity/capacity.go
+++ b/internal/lab/capacity/capacity.go
@@ -31,6 +31,9 @@
 	State           statebench.Report `json:"state"`
 	PathCommand     string            `json:"path_command"`
 	Path            pathbench.Report  `json:"path"`
+	// LongPath is of answers as long as 1 M tokens a second make them.
+	LongPathCommand string           `json:"long_path_command"`
+	LongPath        pathbench.Report `json:"long_path"`
 }
 
 // The target size, and assumptions that are marked as such on the page.
@@ -38,6 +41,8 @@
 	nodes             = 420
 	engines           = 700
 	requestsPerSecond = 4800
+	tokensPerSecond   = 1_000_000
+	secondsPerToken   = 0.033
 	programs          = 42000
 	tenants           = 2000
 	changesPerDay     = 430
@@ -196,8 +201,12 @@
 		programsPerNode, programsPerNode/replicas, commits, callsPerNode*s.turnBytes()/1000, 100*commits*s.commitMicros()/1e6,
 		programsPerNode*perToken*assumedTokens/1e6, assumedTokens, programsPerNode*perToken*longestTokens/1e6, longestTokens, s.commitMicros(), s.turnBytes(), perToken)
 	fmt.Fprintf(text, "| engine owner | %.1f engines | %.1f reservations/s | in the coordinator's bytes | | computed |\n", float64(engines)/nodes, callsPerNode)
-	fmt.Fprintf(text, "| gateway, coordinator and replicas for calls | %.1f calls/s, %.0f tokens/s | callers' and engines' traffic | %.1f %% of a core at %d tokens a call | not measured yet | computed: %.0f us of a core a call more than direct, measured; longer answers cost more |\n\n",
-		callsPerNode, 1e6/nodes, 100*callsPerNode*s.Path.AddedCoreMicros/1e6, s.Path.Tokens, s.Path.AddedCoreMicros)
+	long := s.LongPath
+	streams := float64(tokensPerSecond) / nodes * secondsPerToken
+	perPiece := (long.AddedCoreMicros - s.Path.AddedCoreMicros) / float64(max(1, long.Tokens-s.Path.Tokens))
+	fmt.Fprintf(text, "| gateway, coordinator and replicas for calls | %.0f streams at once | %.1f calls/s, %.0f tokens/s | %.1f %% of a core at %d tokens a call | %.1f MB | computed: %.0f us of a core a call of %d tokens and %.0f us for each further token more than direct, %.0f kB a stream more than direct, all measured |\n\n",
+		streams, callsPerNode, float64(tokensPerSecond)/nodes, 100*callsPerNode*long.AddedCoreMicros/1e6, long.Tokens, streams*long.AddedStreamBytes/1e6,
+		s.Path.AddedCoreMicros, s.Path.Tokens, perPiece, long.AddedStreamBytes/1e3)
 	fmt.Fprintf(text, "`%s`: first token p50 %.2f ms directly and %.2f ms through nodes, p99 %.1f and %.1f ms; %.0f calls/s with %d-token answers on this machine, callers and engine included.\n\n",
 		s.PathCommand, s.Path.Direct.FirstToken.P50, s.Path.Nodes.FirstToken.P50, s.Path.Direct.FirstToken.P99, s.Path.Nodes.FirstToken.P99, s.Path.Nodes.CallsPerSecond, s.Path.Tokens)
 	fmt.Fprintf(text, "Slopes of program state: `%s`. Failover: p50 %.0f ms, max %.0f ms of %d. %d programs of one turn: snapshot %.2f s, restore %.2f s.\n",
--- a/internal/lab/pathbench/pathbench.go
+++ b/internal/lab/pathbench/pathbench.go
@@ -5,6 +5,7 @@
 import (
 	"context"
 	"fmt"
+	"runtime"
 	"sync"
 	"sync/atomic"
 	"syscall"
@@ -32,6 +33,8 @@
 	// process's, engine and callers included.
 	CallsPerSecond float64 `json:"calls_per_second"`
 	CoreMicros     float64 `json:"core_us_per_call"`
+	// StreamBytes is the live memory of one answer under way, engine and caller included.
+	StreamBytes float64 `json:"bytes_per_stream"`
 }
 
 // Report is the result.
@@ -43,6 +46,8 @@
 	AddedFirstToken Latency `json:"added_first_token_ms"`
 	AddedCall       Latency `json:"added_call_ms"`
 	AddedCoreMicros float64 `json:"added_core_us_per_call"`
+	// AddedStreamBytes is the memory that the nodes hold for one answer under way.
+	AddedStreamBytes float64 `json:"added_bytes_per_stream"`
 }
 
 // Options say how much to measure.
@@ -61,6 +66,10 @@
 	highestMicros = int64(time.Hour / time.Microsecond)
 	digits        = 3
 	apiKey        = "bench.k." + cluster.DemoSecret
+	// heldStreams run at once, slowed down, while memory is read.
+	heldStreams  = 200
+	heldSlowdown = 2000
+	heldPoll     = 20 * time.Millisecond
 )
 
 // side is one way under measurement.
@@ -111,6 +120,9 @@
 		if err := way.saturate(ctx, client, options); err != nil {
 			return Report{}, err
 		}
+		if err := way.hold(ctx, client, options, system); err != nil {
+			return Report{}, err
+		}
 	}
 	return report(options, direct, nodes), nil
 }
@@ -185,6 +197,41 @@
 	return nil
 }
 
+// liveBytes is the memory in use after a collection.
+func liveBytes() float64 {
+	runtime.GC()
+	var memory runtime.MemStats
+	runtime.ReadMemStats(&memory)
+	return float64(memory.HeapAlloc + memory.StackInuse)
+}
+
+// hold opens many streams, looks at the memory while all are under way, and ends them.
+func (s *side) hold(ctx context.Context, client *runner.Client, options Options, system *cluster.Cluster) error {
+	ctx, cancel := context.WithTimeout(ctx, startTimeout)
+	defer cancel()
+	engine := system.Engines["m1"]
+	idle := liveBytes()
+	engine.SetFaults(emulator.Faults{Slowdown: heldSlowdown})
+	var streams sync.WaitGroup
+	defer streams.Wait()
+	defer engine.SetFaults(emulator.Faults{})
+	for number := range heldStreams {
+		address, request := s.request(options, int64(number))
+		streams.Go(func() { _, _ = client.Chat(ctx, address, request) })
+	}
+	ticker := time.NewTicker(heldPoll)
+	defer ticker.Stop()
+	for engine.Stats().Running < heldStreams {
+		select {
+		case <-ctx.Done():
+			return ctx.Err()
+		case <-ticker.C:
+		}
+	}
+	s.result.StreamBytes = (liveBytes() - idle) / heldStreams
+	return nil
+}
+
 func report(options Options, direct, nodes *side) Report {
 	return Report{
 		Tokens:          options.Tokens,
@@ -193,5 +240,7 @@
 		AddedFirstToken: nodes.result.FirstToken.minus(direct.result.FirstToken),
 		AddedCall:       nodes.result.Call.minus(direct.result.Call),
 		AddedCoreMicros: nodes.result.CoreMicros - direct.result.CoreMicros,
+
+		AddedStreamBytes: nodes.result.StreamBytes - direct.result.StreamBytes,
 	}
 }
