Engines that have seen higher tokens obey again; a bad answer can't use up the tokens

Cause: on re-reading, a leader learned only from a refused order that its tokens are too low, and one engine that reports a token near the highest number would have made those of the whole pool wrap. The test for the first also showed that an engine with a model that the pool does not serve any more was never given another one.

Change: the leader looks at the engines' tokens before it acts, and goes above them after a commit of its own; answers with a token above 2^62 count as broken; engines with a model that is not served count as without one.

Measured: TestEnginesOfAnEarlierCluster: before, 3 of 4 engines keep the forgotten model for 60 s; after, it passes within the 14 s that it and the other tests of loading take side by side. FuzzModelState 5 s without failure. go test ./test/path ./internal/modelload ./internal/engine pass.

--- a/internal/engine/engine.go
+++ b/internal/engine/engine.go
@@ -68,6 +68,10 @@
 	WeightStore string `json:"weight_store"`
 }
 
+// MaxToken is the highest token of an order. An engine that tells a higher one is not believed: whoever
+// goes above it would run out of numbers.
+const MaxToken = 1 << 62
+
 // ModelState is what an engine says of its model. Model is empty for an engine that got no order
 // yet, and serves whatever it is asked for, and while it loads its first one.
 type ModelState struct {
--- a/internal/engine/engine_test.go
+++ b/internal/engine/engine_test.go
@@ -183,6 +183,17 @@
 	})
 }
 
+func FuzzModelState(f *testing.F) {
+	f.Add(`{"token":7,"model":"a","loading":"b"}`)
+	f.Add(`{"token":18446744073709551615}`)
+	f.Add(`{"token":-1}`)
+	f.Fuzz(func(t *testing.T, input string) {
+		if state, err := decodeModelState(strings.NewReader(input)); err == nil {
+			assert.Assert(t, state.Token <= MaxToken)
+		}
+	})
+}
+
 func TestHopByHopHeadersStayBehind(t *testing.T) {
 	header := http.Header{"Connection": {"X-One, X-Two"}, "X-One": {"1"}, "X-Two": {"2"}, "Keep-Alive": {"x"}, "Te": {"trailers"}, "X-Kept": {"3"}}
 	StripHopByHop(header)
--- a/internal/engine/orders.go
+++ b/internal/engine/orders.go
@@ -4,7 +4,9 @@
 	"bytes"
 	"context"
 	"encoding/json"
+	"io"
 	"net/http"
+	"strconv"
 
 	"github.com/cockroachdb/errors"
 )
@@ -24,6 +26,17 @@
 	return o.exchangeOrder(ctx, http.MethodGet, target, nil)
 }
 
+func decodeModelState(body io.Reader) (ModelState, error) {
+	var state ModelState
+	if err := json.NewDecoder(io.LimitReader(body, maxErrorBytes)).Decode(&state); err != nil {
+		return ModelState{}, err
+	}
+	if state.Token > MaxToken {
+		return ModelState{}, &errGarbled{Event: "token " + strconv.FormatUint(state.Token, 10)}
+	}
+	return state, nil
+}
+
 func (o *OpenAI) exchangeOrder(ctx context.Context, method string, target Target, body []byte) (ModelState, error) {
 	request, err := http.NewRequestWithContext(ctx, method, target.URL+OrdersPath, bytes.NewReader(body))
 	if err != nil {
@@ -38,8 +51,8 @@
 	if response.StatusCode >= http.StatusMultipleChoices && response.StatusCode != http.StatusConflict {
 		return ModelState{}, &ErrRefused{Status: response.StatusCode}
 	}
-	var state ModelState
-	if err := json.NewDecoder(http.MaxBytesReader(nil, response.Body, maxErrorBytes)).Decode(&state); err != nil {
+	state, err := decodeModelState(response.Body)
+	if err != nil {
 		return ModelState{}, &ErrBroken{Cause: err}
 	}
 	if response.StatusCode == http.StatusConflict {
--- a/internal/modelload/controller.go
+++ b/internal/modelload/controller.go
@@ -55,7 +55,18 @@
 // token returns the next fencing token. Tokens of a later term are higher.
 func (c *controller) token() uint64 {
 	c.sequence++
-	return c.floor + c.term<<sequenceBits + c.sequence
+	return c.latestToken()
+}
+
+func (c *controller) latestToken() uint64 { return c.floor + c.term<<sequenceBits + c.sequence }
+
+// highestSeen is the highest token that any engine has seen.
+func (c *controller) highestSeen() uint64 {
+	var highest uint64
+	for _, known := range c.engines {
+		highest = max(highest, known.state.Token)
+	}
+	return highest
 }
 
 // step asks engines, tells the members what changed, and gives orders.
@@ -63,6 +74,9 @@
 	now := time.Now()
 	c.smooth(demand, now)
 	c.ask(ctx, targets, now)
+	if highest := c.highestSeen(); highest > c.latestToken() && !c.raiseFloor(ctx, highest) {
+		return
+	}
 	for _, target := range targets {
 		c.record(target.Name)
 	}
@@ -195,14 +209,16 @@
 }
 
 // raiseFloor goes above a token that an engine has seen, but only after a commit in this term: then
-// the token is not a successor's, whose voters would not have let the commit pass, but of an earlier
-// life of the partition, whose terms were lost with all its replicas.
-func (c *controller) raiseFloor(ctx context.Context, seen uint64) {
+// the token is not a successor's, whose voters would not have let the commit pass, but of a cluster that
+// is gone, or of a partition whose terms were lost with all its replicas. It returns false if the commit
+// fails: this node may have been deposed.
+func (c *controller) raiseFloor(ctx context.Context, seen uint64) bool {
 	if c.manager.options.ConfirmLeadership(ctx, c.partition) != nil {
-		return
+		return false
 	}
 	c.floor = max(c.floor, seen)
 	for _, known := range c.engines {
 		known.recorded = nil
 	}
+	return true
 }
--- a/internal/modelload/plan.go
+++ b/internal/modelload/plan.go
@@ -83,7 +83,12 @@
 	input.Engines = slices.Clone(input.Engines)
 	slices.SortFunc(input.Engines, func(a, b EngineState) int { return cmp.Compare(a.Name, b.Name) })
 	state := &plan{PlanInput: input, have: make(map[string]int)}
-	for _, engine := range input.Engines {
+	for index := range input.Engines {
+		engine := &input.Engines[index]
+		if _, served := input.Demand[engine.Model]; !served && !engine.Loading {
+			// A model that the pool does not serve any more is as good as none.
+			engine.Model = ""
+		}
 		state.slots += float64(engine.Slots) / float64(len(input.Engines))
 		if engine.Model != "" {
 			state.have[engine.Model]++
--- a/internal/modelload/plan_test.go
+++ b/internal/modelload/plan_test.go
@@ -33,6 +33,7 @@
 		expected []Assignment
 	}{
 		"engines without a model are spread":            {fleet("", "", ""), map[string]float64{"a": 0, "b": 0}, 5, []Assignment{{"e00", "a"}, {"e01", "b"}, {"e02", "a"}}},
+		"a model that is not served counts as none":     {fleet("gone", "a"), map[string]float64{"a": 1, "b": 0}, 5, []Assignment{{"e00", "b"}}},
 		"few load at once":                              {fleet("", "", "+a"), map[string]float64{"a": 0, "b": 0}, 2, []Assignment{{"e00", "b"}}},
 		"nothing changes without need":                  {fleet("a", "a", "b"), map[string]float64{"a": 12, "b": 5}, 5, nil},
 		"demand pulls an idle model's engine":           {fleet("a", "b", "b"), map[string]float64{"a": 14, "b": 2}, 5, []Assignment{{"e01", "a"}}},
--- a/test/path/models_test.go
+++ b/test/path/models_test.go
@@ -181,6 +181,27 @@
 	}, poll.WithTimeout(patience))
 }
 
+// TestEnginesOfAnEarlierCluster: engines have seen tokens of a cluster that is gone, whose terms were higher.
+// The present leader goes above them, and gives orders again.
+func TestEnginesOfAnEarlierCluster(t *testing.T) {
+	t.Parallel()
+	weights := serveWeights(t, "")
+	system := startLoading(t, weights.URL, patience)
+	for name := range system.Engines {
+		order := engine.Order{Token: 1 << 50, Model: "forgotten", WeightStore: weights.URL}
+		assert.NilError(t, engine.NewOpenAI().Order(t.Context(), engine.Target{Name: name, URL: system.EngineURL(name)}, order))
+	}
+	client := runner.NewClient(apiKey)
+	defer client.Close()
+	request := call("", 0, user("is anybody there?"))
+	request.Model = "large"
+	chat(t, client, system.APIs()[0], request)
+	for _, model := range []string{"small", "large"} {
+		waitForModel(t, system, model, 1)
+	}
+	assert.Assert(t, highestToken(system) > 1<<50)
+}
+
 // TestModelThatCannotBeLoaded: while the weight store is away, a call of a model that no engine has is
 // refused as not run when it may not wait longer; when the store is back, the model is loaded and the same
 // call, with its key, runs.
