Pools that load are known from the configuration, not sorted out each second; one look-up of an engine

Change: Set.LoadingPools, ModelsOfPool and Engine, made once for each configuration; demand is counted only if a pool loads; coordinator and gateway use Set.Engine.

--- a/internal/admin/models.go
+++ b/internal/admin/models.go
@@ -20,10 +20,7 @@
 
 func (s *Server) getModels(context.Context, identity, *http.Request) (any, error) {
 	list := ModelList{Engines: []EngineModel{}}
-	for _, item := range s.options.Config.Current().Set.List() {
-		if item.Pool == nil || item.Pool.Loading == nil {
-			continue
-		}
+	for _, item := range s.options.Config.Current().Set.LoadingPools() {
 		for _, engine := range item.Pool.Engines {
 			list.Engines = append(list.Engines, EngineModel{Pool: item.Name, Engine: engine.Name, Model: s.options.Models.Model(item.Name, engine.Name)})
 		}
--- a/internal/coordinator/janitor.go
+++ b/internal/coordinator/janitor.go
@@ -167,14 +167,6 @@
 	if !known {
 		return found, "", false
 	}
-	pool, known := set.Pool(service.Pool)
-	if !known {
-		return found, "", false
-	}
-	for _, item := range pool.Engines {
-		if item.Name == name {
-			return item, service.Pool, true
-		}
-	}
-	return found, "", false
+	found, exists = set.Engine(service.Pool, name)
+	return found, service.Pool, exists
 }
--- a/internal/gateway/execution.go
+++ b/internal/gateway/execution.go
@@ -98,13 +98,8 @@
 }
 
 func (e *execution) engineResource(target engine.Target) resource.Engine {
-	pool, known := e.gateway.options.Config.Current().Set.Pool(target.Pool)
-	if known {
-		for _, item := range pool.Engines {
-			if item.Name == target.Name {
-				return item
-			}
-		}
+	if found, known := e.gateway.options.Config.Current().Set.Engine(target.Pool, target.Name); known {
+		return found
 	}
 	return resource.Engine{Name: target.Name, URL: target.URL}
 }
--- a/internal/modelload/manager.go
+++ b/internal/modelload/manager.go
@@ -107,6 +107,9 @@
 func (m *Manager) report(interval time.Duration) {
 	view := m.options.Membership.View()
 	set := m.options.Config.Current().Set
+	if len(set.LoadingPools()) == 0 {
+		return
+	}
 	for _, demand := range m.options.Demand() {
 		if pool, known := set.Pool(demand.Pool); !known || pool.Loading == nil {
 			continue
@@ -133,16 +136,13 @@
 func (m *Manager) control(ctx context.Context) {
 	set := m.options.Config.Current().Set
 	led := make(map[string]bool)
-	for _, item := range set.List() {
-		if item.Pool == nil || item.Pool.Loading == nil {
-			continue
-		}
+	for _, item := range set.LoadingPools() {
 		current := m.controllerOf(item.Name)
 		if current == nil {
 			continue
 		}
 		led[item.Name] = true
-		current.step(ctx, item.Pool, m.ownEngines(item), modelsOf(set, item.Name), m.reports.sum(item.Name, time.Now()))
+		current.step(ctx, item.Pool, m.ownEngines(item), set.ModelsOfPool(item.Name), m.reports.sum(item.Name, time.Now()))
 	}
 	for name := range m.controllers {
 		if !led[name] {
@@ -181,14 +181,3 @@
 		return item.Region != region && !(item.Region == "" && inFirst)
 	})
 }
-
-// modelsOf lists the models of the services that use a pool.
-func modelsOf(set *resource.Set, pool string) []string {
-	var models []string
-	for _, item := range set.List() {
-		if item.Service != nil && item.Service.Pool == pool {
-			models = append(models, item.Service.Models...)
-		}
-	}
-	return models
-}
--- a/internal/resource/set.go
+++ b/internal/resource/set.go
@@ -12,13 +12,17 @@
 	resources map[Key]Resource
 	models    map[string]string
 	limits    map[limitKey]Limit
+	// loading are the pools whose engines load models; served is which models the services of each
+	// pool have.
+	loading []Resource
+	served  map[string][]string
 }
 
 type limitKey struct{ tenant, service string }
 
 // NewSet checks references between resources. The error is a *FieldError.
 func NewSet(resources []Resource) (*Set, error) {
-	set := &Set{resources: make(map[Key]Resource, len(resources)), models: make(map[string]string), limits: make(map[limitKey]Limit)}
+	set := &Set{resources: make(map[Key]Resource, len(resources)), models: make(map[string]string), limits: make(map[limitKey]Limit), served: make(map[string][]string)}
 	for _, item := range resources {
 		if err := item.Check(); err != nil {
 			return nil, err
@@ -29,6 +33,9 @@
 		if err := set.checkReferences(item); err != nil {
 			return nil, err
 		}
+		if item.Pool != nil && item.Pool.Loading != nil {
+			set.loading = append(set.loading, item)
+		}
 	}
 	return set, nil
 }
@@ -72,6 +79,7 @@
 		}
 		s.models[model] = item.Name
 	}
+	s.served[service.Pool] = append(s.served[service.Pool], service.Models...)
 	return nil
 }
 
@@ -87,6 +95,25 @@
 	return list
 }
 
+// LoadingPools returns the pools whose engines load models, by name. The slice must not be changed.
+func (s *Set) LoadingPools() []Resource { return s.loading }
+
+// ModelsOfPool returns the models of the services that use a pool. The slice must not be changed.
+func (s *Set) ModelsOfPool(pool string) []string { return s.served[pool] }
+
+// Engine returns one engine of a pool.
+func (s *Set) Engine(pool, name string) (Engine, bool) {
+	found, known := s.Pool(pool)
+	if !known {
+		return Engine{}, false
+	}
+	index := slices.IndexFunc(found.Engines, func(item Engine) bool { return item.Name == name })
+	if index < 0 {
+		return Engine{}, false
+	}
+	return found.Engines[index], true
+}
+
 // Get returns one resource.
 func (s *Set) Get(key Key) (Resource, bool) {
 	found, ok := s.resources[key]
