--- a/test/path/models_test.go
+++ b/test/path/models_test.go
@@ -144,17 +144,24 @@
 	waitForModel(t, system, "large", modelEngines-1)
 	large.stop()
 	assert.Equal(t, len(large.failures), 0, "%v", large.failures)
-	assert.Assert(t, highestToken(system)>>32 >= before>>32, "a successor's tokens are higher")
+	assert.Assert(t, highestToken(system) > before, "a successor's tokens are higher")
 
-	// An order of before the change of leaders comes late: it changes nothing.
+	// An order of before the change of leaders comes late: it changes nothing at engines that the successor
+	// has given one.
+	late := 0
 	for name, server := range system.Engines {
 		state := server.ModelState()
+		if state.Token <= before {
+			continue
+		}
+		late++
 		target := engine.Target{Name: name, URL: system.EngineURL(name)}
 		err := engine.NewOpenAI().Order(t.Context(), target, engine.Order{Token: before, Model: "small"})
 		var fenced *engine.ErrFenced
-		assert.Assert(t, state.Token <= before || errors.As(err, &fenced), "%v", err)
-		assert.Equal(t, server.ModelState().Model, state.Model)
+		assert.Assert(t, errors.As(err, &fenced), "%v", err)
+		assert.Assert(t, server.ModelState().Loading != "small")
 	}
+	assert.Assert(t, late > 0)
 }
 
 func highestToken(system *cluster.Cluster) uint64 {
