--- a/internal/apierr/apierr.go
+++ b/internal/apierr/apierr.go
@@ -52,6 +52,10 @@
 	Cancelled            Code = "cancelled"
 	PeerUnreachable      Code = "peer_unreachable"
 	RelayFailed          Code = "relay_failed"
+	DeadlineExceeded     Code = "deadline_exceeded"
+	NoSuchTurn           Code = "no_such_turn"
+	HeaderTooLarge       Code = "header_too_large"
+	TurnsUnavailable     Code = "turns_unavailable"
 	Internal             Code = "internal"
 )
 
@@ -81,6 +85,10 @@
 	Cancelled:            statusClientClosedRequest,
 	PeerUnreachable:      http.StatusServiceUnavailable,
 	RelayFailed:          http.StatusServiceUnavailable,
+	DeadlineExceeded:     http.StatusGatewayTimeout,
+	NoSuchTurn:           http.StatusNotFound,
+	HeaderTooLarge:       http.StatusRequestHeaderFieldsTooLarge,
+	TurnsUnavailable:     http.StatusServiceUnavailable,
 	Internal:             http.StatusInternalServerError,
 }
 
--- /dev/null
+++ b/internal/catalog/catalog.go
@@ -0,0 +1,135 @@
+// Package catalog holds what all nodes must know: the configuration, the engines, the replica set,
+// and machines to be emptied, as entries with a key and a revision. An entry is only ever replaced
+// by one of a higher revision, so that it doesn't matter in which order, from whom, or how often it
+// is heard. Removals stay as entries without a value for a while, so that an old entry does not
+// come back.
+//
+// State is the pure part. Manager feeds it from a Source (the store) or from peers, and tells
+// subscribers of changes.
+//
+// Usage:
+//
+//	manager := catalog.NewManager(catalog.Options{...}, network, logger)
+//	go manager.Run(ctx)
+//	for entry := range manager.Subscribe(ctx) { ... }
+package catalog
+
+import (
+	"encoding/json"
+	"strings"
+	"time"
+)
+
+// The kinds of entries; a key is a kind, a slash, and a name.
+const (
+	ConfigurationKind = "configuration"
+	EngineKind        = "engine"
+	ReplicaSetKind    = "replicas"
+	RetirementKind    = "retirement"
+)
+
+// removedFor is how long the removal of an entry is remembered.
+const removedFor = 10 * time.Minute
+
+// Key returns the key of an entry.
+func Key(kind, name string) string { return kind + "/" + name }
+
+// SplitKey returns the kind and the name in a key.
+func SplitKey(key string) (kind, name string) {
+	kind, name, _ = strings.Cut(key, "/")
+	return kind, name
+}
+
+// Entry is one version of one item.
+type Entry struct {
+	Key string `json:"k"`
+	// Revision orders the versions of an entry; it is the store's.
+	Revision int64 `json:"r"`
+	// Value is JSON; it is empty once the entry was removed.
+	Value json.RawMessage `json:"v,omitempty"`
+}
+
+// Removed tells whether the entry says that the item is gone.
+func (e Entry) Removed() bool { return len(e.Value) == 0 }
+
+type versioned struct {
+	entry     Entry
+	sequence  uint64
+	removedAt time.Time
+}
+
+// State merges entries. It is not safe for concurrent use.
+type State struct {
+	entries  map[string]*versioned
+	sequence uint64
+}
+
+// NewState returns an empty State.
+func NewState() *State { return &State{entries: make(map[string]*versioned)} }
+
+// Merge takes an entry and reports whether it was news.
+func (s *State) Merge(now time.Time, entry Entry) bool {
+	known := s.entries[entry.Key]
+	if known != nil && known.entry.Revision >= entry.Revision {
+		return false
+	}
+	if known == nil {
+		known = &versioned{}
+		s.entries[entry.Key] = known
+	}
+	s.sequence++
+	known.entry = entry
+	known.sequence = s.sequence
+	known.removedAt = time.Time{}
+	if entry.Removed() {
+		known.removedAt = now
+	}
+	return true
+}
+
+// RemoveMissing removes the entries of kind that a whole listing at revision did not show.
+func (s *State) RemoveMissing(now time.Time, kind string, listed map[string]bool, revision int64) []Entry {
+	var removed []Entry
+	for key, known := range s.entries {
+		if entryKind, _ := SplitKey(key); entryKind != kind || listed[key] || known.entry.Removed() {
+			continue
+		}
+		entry := Entry{Key: key, Revision: revision}
+		if s.Merge(now, entry) {
+			removed = append(removed, entry)
+		}
+	}
+	return removed
+}
+
+// Forget drops removals that are old.
+func (s *State) Forget(now time.Time) {
+	for key, known := range s.entries {
+		if !known.removedAt.IsZero() && now.Sub(known.removedAt) > removedFor {
+			delete(s.entries, key)
+		}
+	}
+}
+
+// Sequence rises with each change of this State; it means nothing to other nodes' States.
+func (s *State) Sequence() uint64 { return s.sequence }
+
+// Since returns the entries that changed after a sequence.
+func (s *State) Since(sequence uint64) []Entry {
+	var changed []Entry
+	for _, known := range s.entries {
+		if known.sequence > sequence {
+			changed = append(changed, known.entry)
+		}
+	}
+	return changed
+}
+
+// Get returns an entry that is not removed.
+func (s *State) Get(key string) (Entry, bool) {
+	known := s.entries[key]
+	if known == nil || known.entry.Removed() {
+		return Entry{}, false
+	}
+	return known.entry, true
+}
--- /dev/null
+++ b/internal/dispatch/dispatch.go
@@ -0,0 +1,249 @@
+// Package dispatch brings a call to an engine: it chooses one, sends the call, and decides after a
+// failure whether it may be sent again. A call that may run only once is sent again only after
+// proof that it was not run.
+//
+// Usage:
+//
+//	dispatcher := dispatch.New(registry, protocol, logger)
+//	err := dispatcher.Run(ctx, &dispatch.Call{...}, func(attempt *dispatch.Attempt) error {
+//		... read attempt.Response() and pass it on ...
+//		return nil
+//	})
+package dispatch
+
+import (
+	"context"
+	"net/http"
+	"time"
+
+	"github.com/cockroachdb/errors"
+
+	"github.com/mountstile/mountstile/internal/apierr"
+	"github.com/mountstile/mountstile/internal/events"
+	"github.com/mountstile/mountstile/internal/routing"
+	"github.com/mountstile/mountstile/internal/upstream"
+)
+
+const (
+	// maximalSends bounds how often a call is offered to engines, refusals included.
+	maximalSends = 6
+	// engineWait is how long a call waits for an engine that may take it.
+	engineWait = 60 * time.Millisecond
+	// engineWaitStep is how often it looks.
+	engineWaitStep = 10 * time.Millisecond
+	// retryAfterNoEngine tells callers when to come back if no engine could take their call.
+	retryAfterNoEngine = 250 * time.Millisecond
+)
+
+// Verdict is what the head of an answer means.
+type Verdict int
+
+// The verdicts.
+const (
+	// Answered means that the answer is the engine's and is to be passed on.
+	Answered Verdict = iota
+	// Refused means that the engine is full and did not run the call.
+	Refused
+	// Misdirected means that another engine has the address; it did not run the call.
+	Misdirected
+	// Spoiled means that the answer does not belong to the call or is damaged.
+	Spoiled
+)
+
+// Protocol is what varies between the engines of different platforms.
+type Protocol interface {
+	// Prepare sets the headers of an attempt. The header is a copy made for it.
+	Prepare(header http.Header, offer Offer)
+	// Judge tells what the head of an answer to the call with this ID means.
+	Judge(response *http.Response, callID string, repeatable bool) Verdict
+}
+
+// Offer describes one attempt.
+type Offer struct {
+	Engine string
+	// Left is the time that the engine may take.
+	Left     time.Duration
+	Priority int
+}
+
+// Call is one request of a caller.
+type Call struct {
+	ID       string
+	Route    *routing.Route
+	Want     Want
+	Request  upstream.Request
+	Priority int
+}
+
+// Attempt is a call at an engine that has begun to answer.
+type Attempt struct {
+	exchange *upstream.Exchange
+	engine   *Engine
+	sentAt   time.Time
+}
+
+// Response is the answer; its body is to be read.
+func (a *Attempt) Response() *http.Response { return a.exchange.Response() }
+
+// Engine is where the call runs.
+func (a *Attempt) Engine() *Engine { return a.engine }
+
+// SentAt is when the call was sent.
+func (a *Attempt) SentAt() time.Time { return a.sentAt }
+
+// ErrBroken is returned by a consumer if the answer ended early or was damaged. Delivered tells
+// whether the caller has got a part of it, so that no other answer may follow.
+type ErrBroken struct {
+	Delivered bool
+	cause     error
+}
+
+// Broken makes an ErrBroken.
+func Broken(delivered bool, cause error) error {
+	return errors.WithStack(&ErrBroken{Delivered: delivered, cause: cause})
+}
+
+// Error implements error.
+func (e *ErrBroken) Error() string { return "the answer broke off: " + e.cause.Error() }
+
+// Unwrap returns the cause.
+func (e *ErrBroken) Unwrap() error { return e.cause }
+
+// Dispatcher sends calls to engines. All methods may be called concurrently.
+type Dispatcher struct {
+	registry *Registry
+	protocol Protocol
+	logger   *events.Logger
+	retries  *retryBudget
+}
+
+// New returns a Dispatcher.
+func New(registry *Registry, protocol Protocol, logger *events.Logger) *Dispatcher {
+	return &Dispatcher{registry: registry, protocol: protocol, logger: logger, retries: newRetryBudget()}
+}
+
+// Run brings a call to an engine and gives its answer to consume. The error is an apierr.Error that
+// tells whether the call was run, or an ErrBroken that is Delivered.
+func (d *Dispatcher) Run(ctx context.Context, call *Call, consume func(*Attempt) error) error {
+	d.retries.earn()
+	progress := &progress{call: call}
+	call.Want.Excluded = make(map[string]bool)
+	for {
+		engine, err := d.waitForEngine(ctx, call, progress)
+		if err != nil {
+			return err
+		}
+		outcome, err := d.attempt(ctx, call, engine, consume)
+		d.registry.release(engine)
+		if outcome == succeeded {
+			return nil
+		}
+		if !progress.mayGoOn(ctx, outcome, engine, d.retries) {
+			return progress.final(ctx, outcome, err)
+		}
+		d.logger.Emit(events.AttemptRetried, events.F("request", call.ID), events.F("engine", engine.ID()),
+			events.F("outcome", outcome.String()), events.F("error", err), events.F("sends", progress.sends))
+	}
+}
+
+func (d *Dispatcher) waitForEngine(ctx context.Context, call *Call, progress *progress) (*Engine, error) {
+	waitUntil := time.Now().Add(engineWait)
+	for {
+		now := time.Now()
+		if engine := d.registry.choose(now, call.Want); engine != nil {
+			return engine, nil
+		}
+		if ctx.Err() != nil || now.After(waitUntil) {
+			return nil, progress.noEngine(ctx)
+		}
+		select {
+		case <-ctx.Done():
+		case <-time.After(engineWaitStep):
+		}
+	}
+}
+
+// attempt sends a call once.
+func (d *Dispatcher) attempt(ctx context.Context, call *Call, engine *Engine, consume func(*Attempt) error) (attemptOutcome, error) {
+	request := call.Request
+	request.Header = call.Request.Header.Clone()
+	sentAt := time.Now()
+	left := time.Duration(0)
+	if deadline, ok := ctx.Deadline(); ok {
+		left = deadline.Sub(sentAt)
+	}
+	d.protocol.Prepare(request.Header, Offer{Engine: engine.ID(), Left: left, Priority: call.Priority})
+	exchange, err := engine.pool.Send(ctx, &request)
+	if err != nil {
+		return d.sendFailed(ctx, engine, err)
+	}
+	defer exchange.Abandon()
+	switch d.protocol.Judge(exchange.Response(), call.ID, call.Route.Repeatable()) {
+	case Refused:
+		d.registry.markFull(engine)
+		d.drainRefusal(exchange)
+		return refused, errRefused
+	case Misdirected:
+		d.registry.markGone(engine)
+		return misdirected, errMisdirected
+	case Spoiled:
+		d.registry.failed(engine, false, errSpoiled)
+		return unknown, errSpoiled
+	}
+	if err := consume(&Attempt{exchange: exchange, engine: engine, sentAt: sentAt}); err != nil {
+		return d.consumeFailed(ctx, engine, err)
+	}
+	exchange.Finish()
+	if exchange.Response().StatusCode >= http.StatusInternalServerError {
+		d.registry.failed(engine, false, errServerError)
+	} else {
+		d.registry.succeeded(engine)
+	}
+	return succeeded, nil
+}
+
+func (d *Dispatcher) sendFailed(ctx context.Context, engine *Engine, err error) (attemptOutcome, error) {
+	var failed *upstream.ErrExchange
+	sent := errors.As(err, &failed) && failed.Sent
+	var limit *upstream.ErrConnectionLimit
+	switch {
+	case errors.As(err, &limit):
+		d.registry.markFull(engine)
+		return refused, err
+	case ctx.Err() != nil:
+		if sent {
+			return unknown, err
+		}
+		return notSent, err
+	case !sent:
+		d.registry.failed(engine, true, err)
+		return notSent, err
+	}
+	d.registry.failed(engine, false, err)
+	return unknown, err
+}
+
+func (d *Dispatcher) consumeFailed(ctx context.Context, engine *Engine, err error) (attemptOutcome, error) {
+	if ctx.Err() == nil {
+		d.registry.failed(engine, false, err)
+	}
+	var broken *ErrBroken
+	if errors.As(err, &broken) && !broken.Delivered {
+		return unknown, err
+	}
+	return delivered, err
+}
+
+// drainRefusal reads the rest of a refusal, so that the connection can serve again.
+func (d *Dispatcher) drainRefusal(exchange *upstream.Exchange) {
+	if response := exchange.Response(); response.ContentLength >= 0 && response.ContentLength <= maximalRefusalBytes {
+		if discardBody(response) == nil {
+			exchange.Finish()
+		}
+	}
+}
+
+// retryAfter adds when to come back to a failure of a call that was not run.
+func retryAfter(failure *apierr.Error) *apierr.Error {
+	return failure.WithRetryAfter(retryAfterNoEngine)
+}
--- /dev/null
+++ b/internal/dispatch/progress.go
@@ -0,0 +1,104 @@
+package dispatch
+
+import (
+	"context"
+	"io"
+	"net/http"
+
+	"github.com/cockroachdb/errors"
+
+	"github.com/mountstile/mountstile/internal/apierr"
+)
+
+// maximalRefusalBytes bounds the body of a refusal that is read to keep its connection.
+const maximalRefusalBytes = 4 << 10
+
+// attemptOutcome is what is known of one attempt.
+type attemptOutcome int
+
+const (
+	succeeded attemptOutcome = iota
+	// notSent, refused and misdirected prove that the call was not run.
+	notSent
+	refused
+	misdirected
+	// unknown means that it may have run, and that the caller has got nothing yet.
+	unknown
+	// delivered means that the caller has got a part of an answer that then broke off.
+	delivered
+)
+
+// String implements fmt.Stringer.
+func (o attemptOutcome) String() string {
+	return [...]string{"succeeded", "not_sent", "refused", "misdirected", "unknown", "delivered"}[o]
+}
+
+type attemptError string
+
+// Error implements error.
+func (e attemptError) Error() string { return string(e) }
+
+const (
+	errRefused     = attemptError("the engine is full")
+	errMisdirected = attemptError("another engine has the address")
+	errSpoiled     = attemptError("the answer is damaged or belongs to another call")
+	errServerError = attemptError("the engine answered with a failure of its own")
+)
+
+// progress is what was tried for a call.
+type progress struct {
+	call  *Call
+	sends int
+	// runs is how many engines may have run the call.
+	runs int
+}
+
+// mayGoOn counts an attempt that failed and tells whether another one is allowed.
+func (p *progress) mayGoOn(ctx context.Context, outcome attemptOutcome, engine *Engine, retries *retryBudget) bool {
+	p.sends++
+	p.call.Want.Excluded[engine.ID()] = true
+	if outcome == unknown || outcome == delivered {
+		p.runs++
+	}
+	if ctx.Err() != nil || p.sends >= maximalSends || outcome == delivered {
+		return false
+	}
+	if outcome == unknown && (!p.call.Route.Repeatable() || p.runs >= p.call.Route.Attempts()) {
+		return false
+	}
+	return retries.spend()
+}
+
+// final is the failure that the caller gets.
+func (p *progress) final(ctx context.Context, outcome attemptOutcome, cause error) error {
+	if outcome == delivered {
+		return cause
+	}
+	if p.runs > 0 {
+		if errors.Is(ctx.Err(), context.DeadlineExceeded) {
+			return apierr.New(apierr.DeadlineExceeded, apierr.OutcomeUnknown, "no answer in time: %s", cause)
+		}
+		return apierr.New(apierr.ExecutionUnknown, apierr.OutcomeUnknown, "%s", cause)
+	}
+	return p.notRun(ctx, cause.Error())
+}
+
+// noEngine is the failure of a call for which there is no engine (any more).
+func (p *progress) noEngine(ctx context.Context) error {
+	if p.runs > 0 {
+		return apierr.New(apierr.ExecutionUnknown, apierr.OutcomeUnknown, "no other engine may take the call")
+	}
+	return p.notRun(ctx, "no engine may take the call")
+}
+
+func (p *progress) notRun(ctx context.Context, reason string) error {
+	if errors.Is(ctx.Err(), context.DeadlineExceeded) {
+		return apierr.New(apierr.DeadlineExceeded, apierr.NotRun, "%s", reason)
+	}
+	return retryAfter(apierr.New(apierr.NoEngine, apierr.NotRun, "%s", reason))
+}
+
+func discardBody(response *http.Response) error {
+	_, err := io.Copy(io.Discard, io.LimitReader(response.Body, maximalRefusalBytes))
+	return err
+}
--- /dev/null
+++ b/internal/dispatch/registry.go
@@ -0,0 +1,209 @@
+package dispatch
+
+import (
+	"context"
+	"encoding/json"
+	"net"
+	"sync"
+	"time"
+
+	"github.com/mountstile/mountstile/internal/catalog"
+	"github.com/mountstile/mountstile/internal/events"
+	"github.com/mountstile/mountstile/internal/upstream"
+)
+
+const (
+	// removedGrace is how long an engine without a record may be used when there is no other.
+	removedGrace = 1200 * time.Millisecond
+	// forgottenAfter is when an engine without a record is dropped.
+	forgottenAfter = 30 * time.Second
+	// fullFor is how long an engine that said it is full gets no more work from here.
+	fullFor = 150 * time.Millisecond
+	// defaultConnections is the limit for services that name none.
+	defaultConnections = 16
+)
+
+// Registry knows the engines of all services, from their records in the catalog and from the
+// traffic that they serve. All methods may be called concurrently.
+type Registry struct {
+	zone   string
+	dial   func(ctx context.Context, address string) (net.Conn, error)
+	logger *events.Logger
+
+	mutex        sync.Mutex
+	services     map[string]map[string]*Engine
+	byID         map[string]*Engine
+	limits       map[string]int
+	expectations map[string]*expectation
+}
+
+// NewRegistry returns a Registry for a node in zone.
+func NewRegistry(zone string, dial func(ctx context.Context, address string) (net.Conn, error), logger *events.Logger) *Registry {
+	return &Registry{
+		zone:         zone,
+		dial:         dial,
+		logger:       logger,
+		services:     make(map[string]map[string]*Engine),
+		byID:         make(map[string]*Engine),
+		limits:       make(map[string]int),
+		expectations: make(map[string]*expectation),
+	}
+}
+
+// Apply takes a changed engine entry of the catalog.
+func (r *Registry) Apply(entry catalog.Entry) {
+	_, id := catalog.SplitKey(entry.Key)
+	now := time.Now()
+	r.mutex.Lock()
+	defer r.mutex.Unlock()
+	r.forget(now)
+	if entry.Removed() {
+		r.remove(now, id, entry.Revision)
+		return
+	}
+	var specification EngineSpecification
+	if json.Unmarshal(entry.Value, &specification) != nil || specification.ID != id {
+		return
+	}
+	known := r.byID[id]
+	if known != nil && known.specification.Address == specification.Address && known.specification.Service == specification.Service {
+		known.specification = specification
+		known.removedAt = time.Time{}
+	} else {
+		r.add(specification)
+	}
+	r.logger.Emit(events.EngineChanged, events.F("engine", id), events.F("service", specification.Service),
+		events.F("address", specification.Address), events.F("draining", specification.Draining),
+		events.F("revision", entry.Revision))
+}
+
+func (r *Registry) add(specification EngineSpecification) {
+	limit := r.limits[specification.Service]
+	if limit == 0 {
+		limit = defaultConnections
+	}
+	created := &Engine{specification: specification, pool: upstream.NewPool(specification.Address, limit, r.dial)}
+	r.byID[specification.ID] = created
+	members := r.services[specification.Service]
+	if members == nil {
+		members = make(map[string]*Engine)
+		r.services[specification.Service] = members
+	}
+	members[specification.ID] = created
+}
+
+func (r *Registry) remove(now time.Time, id string, revision int64) {
+	known := r.byID[id]
+	if known == nil || !known.removedAt.IsZero() {
+		return
+	}
+	known.removedAt = now
+	r.logger.Emit(events.EngineGone, events.F("engine", id), events.F("revision", revision))
+}
+
+func (r *Registry) forget(now time.Time) {
+	for id, known := range r.byID {
+		if known.removedAt.IsZero() || known.inFlight > 0 || now.Sub(known.removedAt) < forgottenAfter {
+			continue
+		}
+		known.pool.Close()
+		delete(r.byID, id)
+		delete(r.services[known.specification.Service], id)
+	}
+}
+
+// SetConnectionLimit bounds the connections of this node to each engine of a service.
+func (r *Registry) SetConnectionLimit(service string, limit int) {
+	r.mutex.Lock()
+	defer r.mutex.Unlock()
+	if r.limits[service] == limit {
+		return
+	}
+	r.limits[service] = limit
+	for _, known := range r.services[service] {
+		known.pool.SetLimit(limit)
+	}
+}
+
+// Count returns how many engines of a service have a record and do not drain.
+func (r *Registry) Count(service string) int {
+	r.mutex.Lock()
+	defer r.mutex.Unlock()
+	count := 0
+	for _, known := range r.services[service] {
+		if known.removedAt.IsZero() && !known.specification.Draining {
+			count++
+		}
+	}
+	return count
+}
+
+// release ends a use of an engine.
+func (r *Registry) release(engine *Engine) {
+	r.mutex.Lock()
+	defer r.mutex.Unlock()
+	engine.inFlight--
+}
+
+func (r *Registry) markFull(engine *Engine) {
+	r.mutex.Lock()
+	defer r.mutex.Unlock()
+	engine.fullUntil = time.Now().Add(fullFor)
+}
+
+// markGone keeps work from an engine that said it is another one, or that leaves.
+func (r *Registry) markGone(engine *Engine) {
+	r.mutex.Lock()
+	defer r.mutex.Unlock()
+	engine.breaker.failed(time.Now(), true)
+}
+
+func (r *Registry) succeeded(engine *Engine) {
+	r.mutex.Lock()
+	closed := engine.breaker.succeeded(time.Now())
+	r.mutex.Unlock()
+	if closed {
+		r.logger.Emit(events.EngineBreakerClosed, events.F("engine", engine.ID()))
+	}
+}
+
+func (r *Registry) failed(engine *Engine, severe bool, cause error) {
+	r.mutex.Lock()
+	opened := engine.breaker.failed(time.Now(), severe)
+	openFor := engine.breaker.openFor
+	r.mutex.Unlock()
+	if opened {
+		r.logger.Emit(events.EngineBreakerOpen, events.F("engine", engine.ID()), events.F("error", cause),
+			events.F("for_millis", openFor.Milliseconds()))
+	}
+}
+
+// Observe takes the time of a step (an answer of a route, a pause between events) at an engine.
+func (r *Registry) Observe(engine *Engine, step string, duration time.Duration) {
+	r.mutex.Lock()
+	defer r.mutex.Unlock()
+	usual := r.expectations[step]
+	if usual == nil {
+		usual = &expectation{}
+		r.expectations[step] = usual
+	}
+	engine.pace.add(time.Now(), usual.ratio(duration))
+}
+
+// ConnectionsOpened returns how many connections to engines were opened so far.
+func (r *Registry) ConnectionsOpened() int64 {
+	r.mutex.Lock()
+	defer r.mutex.Unlock()
+	var opened int64
+	for _, known := range r.byID {
+		opened += known.pool.Opened()
+	}
+	return opened
+}
+
+// Any tells whether any engine is known.
+func (r *Registry) Any() bool {
+	r.mutex.Lock()
+	defer r.mutex.Unlock()
+	return len(r.byID) > 0
+}
--- a/internal/events/events.go
+++ b/internal/events/events.go
@@ -36,6 +36,14 @@
 	ConfigStoreOlder     ID = 305
 	ConfigFetchFailed    ID = 306
 	ConfigRejected       ID = 307
+	CatalogSourceStarted ID = 308
+	CatalogSourceStopped ID = 309
+	CatalogPeerReached   ID = 310
+	CatalogPeerLost      ID = 311
+	StoreReached         ID = 312
+	StoreLost            ID = 313
+	RoutesInstalled      ID = 314
+	SettingsReloaded     ID = 315
 	PartitionTableMade   ID = 401
 	GroupStarted         ID = 402
 	GroupLeader          ID = 403
@@ -47,6 +55,14 @@
 	ProgramExpired       ID = 409
 	BudgetOverrun        ID = 410
 	AttemptUnheld        ID = 411
+	ReplicaOpened        ID = 412
+	ReplicaComplete      ID = 413
+	ReplicaSetChanged    ID = 414
+	ReplicaSetStep       ID = 415
+	ReplicaLogFailed     ID = 416
+	TurnRefused          ID = 417
+	TurnNotKept          ID = 418
+	ReplicaRetiring      ID = 419
 	CacheReleased        ID = 501
 	CacheReleaseFailed   ID = 502
 	EngineBreakerOpen    ID = 503
@@ -58,9 +74,14 @@
 	ModelLoaded          ID = 509
 	OrderFenced          ID = 510
 	OrderFailed          ID = 511
+	EngineChanged        ID = 512
+	EngineGone           ID = 513
+	AttemptRetried       ID = 514
 	CallFailed           ID = 601
 	CallRefused          ID = 602
 	RequestPanicked      ID = 603
+	RequestEnded         ID = 604
+	RequestFailed        ID = 605
 	AdminChange          ID = 701
 	AdminDenied          ID = 702
 	DrainRequested       ID = 703
@@ -101,6 +122,14 @@
 	{ConfigStoreOlder, "config_store_older", logrus.ErrorLevel, "the store shows a lower revision than this node has in force; it is ignored"},
 	{ConfigFetchFailed, "config_fetch_failed", logrus.WarnLevel, "a newer revision could not be fetched from a peer"},
 	{ConfigRejected, "config_rejected", logrus.ErrorLevel, "a revision in the store does not pass this node's checks and is not installed"},
+	{CatalogSourceStarted, "catalog_source_started", logrus.InfoLevel, "the node reads the store itself"},
+	{CatalogSourceStopped, "catalog_source_stopped", logrus.InfoLevel, "the node no longer reads the store itself; a peer's catalog is fresh"},
+	{CatalogPeerReached, "catalog_peer_reached", logrus.InfoLevel, "a peer's catalog is followed"},
+	{CatalogPeerLost, "catalog_peer_lost", logrus.WarnLevel, "a peer's catalog can't be followed; it is tried again"},
+	{StoreReached, "store_reached", logrus.InfoLevel, "the store answers"},
+	{StoreLost, "store_lost", logrus.WarnLevel, "the store does not answer, or refuses this node"},
+	{RoutesInstalled, "routes_installed", logrus.InfoLevel, "a configuration of routes is in force on this node"},
+	{SettingsReloaded, "settings_reloaded", logrus.InfoLevel, "the settings file was read again"},
 	{PartitionTableMade, "partition_table_made", logrus.InfoLevel, "the initial placement of partitions was committed in the store"},
 	{GroupStarted, "group_started", logrus.DebugLevel, "this node holds a replica of a partition"},
 	{GroupLeader, "group_leader", logrus.InfoLevel, "this node leads a partition"},
@@ -112,6 +141,14 @@
 	{ProgramExpired, "program_expired", logrus.InfoLevel, "a program reached its idle or wall-clock limit and was ended"},
 	{BudgetOverrun, "budget_overrun", logrus.ErrorLevel, "an engine reported more tokens than its call had reserved"},
 	{AttemptUnheld, "attempt_unheld", logrus.WarnLevel, "a node does not execute a call that was dispatched to it; the attempt counts as lost"},
+	{ReplicaOpened, "replica_opened", logrus.InfoLevel, "the turn log was read; the replica serves"},
+	{ReplicaComplete, "replica_complete", logrus.InfoLevel, "the replica has everything that its peers have; what it doesn't know does not exist"},
+	{ReplicaSetChanged, "replica_set_changed", logrus.InfoLevel, "a newer replica set is in force"},
+	{ReplicaSetStep, "replica_set_step", logrus.InfoLevel, "this replica changes the replica set"},
+	{ReplicaLogFailed, "replica_log_failed", logrus.ErrorLevel, "the turn log could not be written"},
+	{TurnRefused, "turn_refused", logrus.InfoLevel, "a turn was refused: budget spent, unknown previous turn, or too few replicas"},
+	{TurnNotKept, "turn_not_kept", logrus.WarnLevel, "a turn's record did not reach enough replicas; its answer was broken off"},
+	{ReplicaRetiring, "replica_retiring", logrus.InfoLevel, "this replica hands over what it holds, to be taken away"},
 	{CacheReleased, "cache_released", logrus.DebugLevel, "an engine confirmed that it holds no cache of an ended program"},
 	{CacheReleaseFailed, "cache_release_failed", logrus.WarnLevel, "an engine did not confirm a release; it is tried again"},
 	{EngineBreakerOpen, "engine_breaker_open", logrus.WarnLevel, "an engine failed repeatedly and gets no work for a while"},
@@ -123,9 +160,14 @@
 	{ModelLoaded, "model_loaded", logrus.InfoLevel, "an engine has loaded a model"},
 	{OrderFenced, "order_fenced", logrus.WarnLevel, "an engine refused an order, for it has seen a higher token"},
 	{OrderFailed, "order_failed", logrus.WarnLevel, "an order did not reach an engine, or its answer was lost"},
+	{EngineChanged, "engine_changed", logrus.InfoLevel, "an engine's record appeared or changed"},
+	{EngineGone, "engine_gone", logrus.InfoLevel, "an engine's record went"},
+	{AttemptRetried, "attempt_retried", logrus.InfoLevel, "an attempt failed and the call goes to another engine"},
 	{CallFailed, "call_failed", logrus.WarnLevel, "a call ended with a failure"},
 	{CallRefused, "call_refused", logrus.DebugLevel, "a call was refused as not run"},
 	{RequestPanicked, "request_panicked", logrus.ErrorLevel, "a request handler panicked; the request was failed"},
+	{RequestEnded, "request_ended", logrus.InfoLevel, "a routed request was answered"},
+	{RequestFailed, "request_failed", logrus.WarnLevel, "a routed request was refused or failed"},
 	{AdminChange, "admin_change", logrus.InfoLevel, "an operator changed resources"},
 	{AdminDenied, "admin_denied", logrus.WarnLevel, "an administration request had no valid key or role"},
 	{DrainRequested, "drain_requested", logrus.InfoLevel, "an operator asked to drain"},
--- /dev/null
+++ b/internal/turnstore/client.go
@@ -0,0 +1,279 @@
+package turnstore
+
+import (
+	"context"
+	"sync"
+	"time"
+
+	"github.com/mountstile/mountstile/internal/apierr"
+	"github.com/mountstile/mountstile/internal/conversation"
+	"github.com/mountstile/mountstile/internal/events"
+	"github.com/mountstile/mountstile/internal/transport"
+)
+
+const (
+	// openTimeout bounds the wait for enough replicas before a turn is sent.
+	openTimeout = 900 * time.Millisecond
+	// textHedge is how long the nearest replica may take to give the text before others are asked.
+	textHedge = 25 * time.Millisecond
+	// retryAfterUnavailable tells callers when to come back if too few replicas answer.
+	retryAfterUnavailable = 250 * time.Millisecond
+	// putInterval is the pause before a record is offered again to replicas that did not take it.
+	putInterval = 150 * time.Millisecond
+	// putAttempt bounds one offer.
+	putAttempt = 1500 * time.Millisecond
+	// settleTimeout is how long a charge that nobody waits for is offered.
+	settleTimeout = 20 * time.Second
+	// maximalSettling bounds the charges that are under way; others stay at their most.
+	maximalSettling = 512
+	// answersQueued is room for the answers of all replicas, so that late ones never block.
+	answersQueued = 64
+)
+
+// ClientOptions configure a Client.
+type ClientOptions struct {
+	// Zone is where the client runs; its replica is asked for texts first.
+	Zone string
+	// CacheBytes bounds the turns that are kept in memory.
+	CacheBytes int64
+}
+
+// Opening is what must be known before a turn is sent to an engine.
+type Opening struct {
+	Turn     string
+	Program  string
+	Previous string
+	// Budget is what all turns of the program may generate together, in tokens; negative for none.
+	Budget int64
+	// Most is the most that this turn may generate.
+	Most int64
+}
+
+// Opened is a turn that may be sent.
+type Opened struct {
+	// Prefix is the text of all turns before this one.
+	Prefix []byte
+	// Engine generated the turn before this one; empty if there is none.
+	Engine string
+	// Reserved tells that a charge is to be settled.
+	Reserved bool
+}
+
+// Client reads and writes turns on behalf of callers. All methods may be called concurrently.
+type Client struct {
+	options ClientOptions
+	network *transport.Transport
+	logger  *events.Logger
+	cache   *cache
+
+	mutex    sync.Mutex
+	set      Set
+	settling int
+}
+
+// NewClient returns a Client that knows no replica set yet.
+func NewClient(options ClientOptions, network *transport.Transport, logger *events.Logger) *Client {
+	return &Client{options: options, network: network, logger: logger, cache: newCache(options.CacheBytes)}
+}
+
+// ApplySet takes a set from the catalog or a replica; older ones are ignored.
+func (c *Client) ApplySet(set Set) {
+	c.mutex.Lock()
+	newer := set.Epoch > c.set.Epoch
+	if newer {
+		c.set = set
+	}
+	c.mutex.Unlock()
+	if newer {
+		c.logger.Emit(events.ReplicaSetChanged, events.F("epoch", set.Epoch), events.F("members", set.Members), events.F("next", set.Next))
+	}
+}
+
+// Set returns the newest replica set that is known.
+func (c *Client) Set() Set {
+	c.mutex.Lock()
+	defer c.mutex.Unlock()
+	return c.set
+}
+
+// Ready asks the replicas whether enough of them answer.
+func (c *Client) Ready(ctx context.Context) bool {
+	set := c.Set()
+	if set.Epoch == 0 {
+		return false
+	}
+	gathering := newGathering(set)
+	for answer := range c.askAll(ctx, set, openRequest{Epoch: set.Epoch}) {
+		gathering.add(answer)
+		if gathering.readable() {
+			return true
+		}
+	}
+	return false
+}
+
+func unavailable(format string, args ...any) *apierr.Error {
+	return apierr.New(apierr.TurnsUnavailable, apierr.NotRun, format, args...).WithRetryAfter(retryAfterUnavailable)
+}
+
+// Open reserves the turn's tokens and finds the text before it. The error is an apierr.Error with
+// the outcome NotRun: BudgetExceeded, NoSuchTurn or TurnsUnavailable.
+func (c *Client) Open(ctx context.Context, opening Opening) (*Opened, error) {
+	openContext, cancel := context.WithTimeout(ctx, openTimeout)
+	defer cancel()
+	opened := &Opened{Reserved: opening.Budget >= 0 && opening.Program != ""}
+	chain, cached := c.cache.chain(opening.Previous)
+	if cached {
+		opened.use(chain)
+	}
+	err := c.openAtReplicas(openContext, opening, opened, opening.Previous != "" && !cached)
+	if err != nil && opened.Reserved {
+		c.Settle(opening.Program, opening.Turn, 0)
+	}
+	if err != nil {
+		return nil, err
+	}
+	return opened, nil
+}
+
+func (o *Opened) use(chain []conversation.Turn) {
+	size := 0
+	for _, turn := range chain {
+		size += len(turn.Text)
+	}
+	o.Prefix = make([]byte, 0, size)
+	for _, turn := range chain {
+		o.Prefix = append(o.Prefix, turn.Text...)
+		o.Engine = turn.Engine
+	}
+}
+
+// openAtReplicas tries again with the newer set when a replica knows one.
+func (c *Client) openAtReplicas(ctx context.Context, opening Opening, opened *Opened, wantText bool) error {
+	for {
+		set := c.Set()
+		if set.Epoch == 0 {
+			return unavailable("no replica set is known yet")
+		}
+		if !opened.Reserved && !wantText {
+			return nil
+		}
+		newer, err := c.openOnce(ctx, set, opening, opened, wantText)
+		if newer == nil {
+			return err
+		}
+		c.ApplySet(*newer)
+	}
+}
+
+func (c *Client) openOnce(ctx context.Context, set Set, opening Opening, opened *Opened, wantText bool) (*Set, error) {
+	request := openRequest{Epoch: set.Epoch}
+	if wantText {
+		request.Previous = opening.Previous
+	}
+	if opened.Reserved {
+		request.Reserve = &conversation.Charge{Program: opening.Program, Turn: opening.Turn, Tokens: opening.Most}
+	}
+	askContext, stop := context.WithCancel(ctx)
+	defer stop()
+	gathering := newGathering(set)
+	answers := c.askForText(askContext, set, request)
+	hedge := time.NewTimer(textHedge)
+	defer hedge.Stop()
+	hedged := false
+	for {
+		if gathering.newer != nil {
+			return gathering.newer, nil
+		}
+		if done, err := gathering.decide(opening, opened, wantText); done {
+			if err == nil && wantText {
+				c.cache.addChain(gathering.chain(opening.Previous))
+			}
+			return nil, err
+		}
+		if !hedged && wantText && gathering.needsText(opening.Previous) {
+			hedged = true
+			c.askOthersForText(askContext, set, opening.Previous, answers)
+		}
+		select {
+		case answer := <-answers:
+			gathering.add(answer)
+		case <-hedge.C:
+			if !hedged && wantText {
+				hedged = true
+				c.askOthersForText(askContext, set, opening.Previous, answers)
+			}
+		case <-ctx.Done():
+			return nil, unavailable("too few replicas answered: %d of %d, %d complete", len(gathering.answered), len(set.All()), len(gathering.complete))
+		}
+	}
+}
+
+// replicaAnswer is what one replica said.
+type replicaAnswer struct {
+	member Member
+	answer openAnswer
+	err    error
+}
+
+// askForText asks all replicas, but only the nearest one for the text.
+func (c *Client) askForText(ctx context.Context, set Set, request openRequest) chan replicaAnswer {
+	answers := make(chan replicaAnswer, answersQueued)
+	withText := request
+	withText.WithText = request.Previous != ""
+	nearest := c.nearest(set)
+	for _, member := range set.All() {
+		mine := request
+		if member.Name == nearest {
+			mine = withText
+		}
+		go c.ask(ctx, member, mine, answers)
+	}
+	return answers
+}
+
+func (c *Client) askOthersForText(ctx context.Context, set Set, previous string, answers chan replicaAnswer) {
+	request := openRequest{Epoch: set.Epoch, Previous: previous, WithText: true}
+	nearest := c.nearest(set)
+	for _, member := range set.All() {
+		if member.Name != nearest {
+			go c.ask(ctx, member, request, answers)
+		}
+	}
+}
+
+func (c *Client) nearest(set Set) string {
+	all := set.All()
+	for _, member := range all {
+		if member.Zone == c.options.Zone {
+			return member.Name
+		}
+	}
+	return all[0].Name
+}
+
+func (c *Client) ask(ctx context.Context, member Member, request openRequest, answers chan<- replicaAnswer) {
+	answer, err := transport.Call[openAnswer](ctx, c.network, member.Address, openKind, request)
+	answers <- replicaAnswer{member: member, answer: answer, err: err}
+}
+
+// askAll yields the answers of all replicas until the context ends.
+func (c *Client) askAll(ctx context.Context, set Set, request openRequest) func(yield func(replicaAnswer) bool) {
+	answers := make(chan replicaAnswer, answersQueued)
+	members := set.All()
+	for _, member := range members {
+		go c.ask(ctx, member, request, answers)
+	}
+	return func(yield func(replicaAnswer) bool) {
+		for range members {
+			select {
+			case answer := <-answers:
+				if !yield(answer) {
+					return
+				}
+			case <-ctx.Done():
+				return
+			}
+		}
+	}
+}
--- /dev/null
+++ b/internal/turnstore/membership.go
@@ -0,0 +1,363 @@
+package turnstore
+
+import (
+	"context"
+	"encoding/json"
+	"time"
+
+	"github.com/cockroachdb/errors"
+
+	"github.com/mountstile/mountstile/internal/configstore"
+	"github.com/mountstile/mountstile/internal/conversation"
+	"github.com/mountstile/mountstile/internal/events"
+	"github.com/mountstile/mountstile/internal/transport"
+)
+
+const (
+	// membershipInterval is how often a replica looks whether the set must change.
+	membershipInterval = 200 * time.Millisecond
+	// silentAfter is how long a member must be silent before a newcomer takes its place, or its
+	// unfinished change is taken back.
+	silentAfter = 2500 * time.Millisecond
+	// storeTimeout bounds one call of the store.
+	storeTimeout = time.Second
+	// candidatesSettle is how long the list of candidates must rest before the first set is made.
+	candidatesSettle = 800 * time.Millisecond
+	// candidatesPatience is how long a list that is too short is waited for.
+	candidatesPatience = 4 * time.Second
+	fenceTimeout       = time.Second
+	// pushKeys bounds one message that hands over records.
+	pushKeys = 32
+)
+
+// candidates are the replicas that have started before there was a set.
+type candidates struct {
+	Members []Member `json:"members"`
+}
+
+// bootstrapState is what a replica has seen of the candidates.
+type bootstrapState struct {
+	startedAt time.Time
+	changedAt time.Time
+	count     int
+}
+
+// membershipLoop changes the replica set when this replica must join, leave or take back a change.
+func (r *Replica) membershipLoop(ctx context.Context) {
+	now := time.Now()
+	start := &bootstrapState{startedAt: now, changedAt: now}
+	ticker := time.NewTicker(membershipInterval)
+	defer ticker.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-ticker.C:
+		}
+		if err := r.membershipStep(ctx, start); err != nil {
+			r.logger.Emit(events.ReplicaSetStep, events.F("error", err), events.F("epoch", r.Set().Epoch))
+		}
+	}
+}
+
+func (r *Replica) membershipStep(ctx context.Context, start *bootstrapState) error {
+	set := r.Set()
+	self := r.options.Self.Name
+	switch {
+	case set.Epoch == 0:
+		if !r.options.FirstStart {
+			return nil
+		}
+		return r.bootstrap(ctx, start)
+	case r.options.Retiring():
+		return r.retire(ctx, set)
+	case set.Changing() && set.ChangedBy == self:
+		return r.finishJoin(ctx, set)
+	case set.Changing():
+		return r.takeBack(ctx, set)
+	case !set.Has(self):
+		return r.join(ctx, set, start.startedAt)
+	case r.addressChanged(set):
+		return r.updateAddress(ctx, set)
+	}
+	return nil
+}
+
+// bootstrap makes the first set from all replicas that have started with the system.
+func (r *Replica) bootstrap(ctx context.Context, start *bootstrapState) error {
+	entry, err := r.get(ctx, r.options.CandidatesKey)
+	if err != nil {
+		return err
+	}
+	var listed candidates
+	if entry.Revision != 0 {
+		if err := json.Unmarshal(entry.Value, &listed); err != nil {
+			return errors.Wrap(err, "candidates")
+		}
+	}
+	if !contains(listed.Members, r.options.Self.Name) {
+		listed.Members = append(listed.Members, r.options.Self)
+		return r.swap(ctx, r.options.CandidatesKey, entry.Revision, listed)
+	}
+	now := time.Now()
+	if len(listed.Members) != start.count {
+		start.count = len(listed.Members)
+		start.changedAt = now
+	}
+	if !r.mayBootstrap(now, start, listed.Members) {
+		return nil
+	}
+	return r.swap(ctx, r.options.SetKey, 0, Set{
+		Epoch: 1, Members: listed.Members, Copies: r.options.Copies, Size: len(listed.Members),
+	})
+}
+
+// mayBootstrap leaves the first set to the first candidate, as long as that one may be alive.
+func (r *Replica) mayBootstrap(now time.Time, start *bootstrapState, members []Member) bool {
+	rested := now.Sub(start.changedAt)
+	if len(members) < r.options.Copies || rested < candidatesSettle {
+		return false
+	}
+	if len(members) == r.options.Copies && now.Sub(start.startedAt) < candidatesPatience {
+		return false
+	}
+	return members[0].Name == r.options.Self.Name || rested > candidatesPatience
+}
+
+// join makes this replica a member once it has everything: in the place of a silent member, or
+// to fill the set.
+func (r *Replica) join(ctx context.Context, set Set, startedAt time.Time) error {
+	r.mutex.Lock()
+	ready := r.pulledEnough(startedAt)
+	r.mutex.Unlock()
+	if !ready {
+		return nil
+	}
+	next := set.Members
+	if silent := r.silentMember(set.Members); silent != "" {
+		next = without(next, silent)
+	} else if len(set.Members) >= set.Size {
+		return nil
+	}
+	next = append(append([]Member(nil), next...), r.options.Self)
+	joint := set
+	joint.Epoch++
+	joint.Next = next
+	joint.ChangedBy = r.options.Self.Name
+	if err := r.replaceSet(ctx, set, joint); err != nil {
+		return err
+	}
+	return r.finishJoin(ctx, joint)
+}
+
+// finishJoin brings a change of ours to its end: no replica takes part in the old epoch any more,
+// then what was written in it is pulled, then the new set stands alone.
+func (r *Replica) finishJoin(ctx context.Context, joint Set) error {
+	if !r.fence(ctx, joint) {
+		return nil
+	}
+	fencedAt := time.Now()
+	r.pullAll(ctx)
+	r.mutex.Lock()
+	ready := r.pulledEnough(fencedAt)
+	r.mutex.Unlock()
+	if !ready {
+		return nil
+	}
+	if err := r.folder.saveComplete(); err != nil {
+		return err
+	}
+	return r.replaceSet(ctx, joint, finished(joint))
+}
+
+func finished(joint Set) Set {
+	final := joint
+	final.Epoch++
+	final.Members = joint.Next
+	final.Next = nil
+	final.ChangedBy = ""
+	return final
+}
+
+// fence makes so many members know the set that no write of an older epoch can succeed.
+func (r *Replica) fence(ctx context.Context, set Set) bool {
+	fenced := map[string]bool{}
+	if r.folder.saveSet(set) == nil {
+		fenced[r.options.Self.Name] = true
+	}
+	for _, member := range without(set.All(), r.options.Self.Name) {
+		callContext, cancel := context.WithTimeout(ctx, fenceTimeout)
+		answer, err := transport.Call[fenceAnswer](callContext, r.network, member.Address, fenceKind, fenceRequest{Set: set})
+		cancel()
+		if err == nil && answer.Epoch >= set.Epoch {
+			fenced[member.Name] = true
+		}
+	}
+	return set.Read(fenced)
+}
+
+// retire hands over all that this replica holds and leaves the set.
+func (r *Replica) retire(ctx context.Context, set Set) error {
+	self := r.options.Self.Name
+	if !set.Has(self) {
+		return r.options.Retired(ctx, true)
+	}
+	if set.Changing() && set.ChangedBy != self {
+		return r.takeBack(ctx, set)
+	}
+	if !set.Changing() {
+		r.logger.Emit(events.ReplicaRetiring, events.F("epoch", set.Epoch))
+		if err := r.options.Retired(ctx, false); err != nil {
+			return err
+		}
+		joint := set
+		joint.Epoch++
+		joint.Next = without(set.Members, self)
+		joint.ChangedBy = self
+		if err := r.replaceSet(ctx, set, joint); err != nil {
+			return err
+		}
+		set = joint
+	}
+	if !r.fence(ctx, set) {
+		return nil
+	}
+	r.mutex.Lock()
+	r.refusing = true
+	r.mutex.Unlock()
+	if !r.handOver(ctx, set) {
+		return nil
+	}
+	if err := r.replaceSet(ctx, set, finished(set)); err != nil {
+		return err
+	}
+	return r.options.Retired(ctx, true)
+}
+
+// handOver sends everything to the remaining members, and reports whether enough have it.
+func (r *Replica) handOver(ctx context.Context, set Set) bool {
+	r.mutex.Lock()
+	records := r.state.Records()
+	r.mutex.Unlock()
+	whole := make(map[string]bool)
+	for _, member := range set.Next {
+		if r.push(ctx, set.Epoch, member, records) {
+			whole[member.Name] = true
+		}
+	}
+	return len(whole) == len(set.Next) || (len(whole) >= set.Copies && Set{Members: set.Next, Copies: set.Copies}.Read(whole))
+}
+
+func (r *Replica) push(ctx context.Context, epoch int64, member Member, records []conversation.Record) bool {
+	for len(records) > 0 {
+		batch := records[:min(len(records), pushKeys)]
+		records = records[len(batch):]
+		callContext, cancel := context.WithTimeout(ctx, pullTimeout)
+		answer, err := transport.Call[putAnswer](callContext, r.network, member.Address, putKind, putRequest{Epoch: epoch, Records: batch})
+		cancel()
+		if err != nil || answer.Newer != nil {
+			return false
+		}
+	}
+	return true
+}
+
+// takeBack ends a change whose replica has gone silent; what was written meanwhile counts in the
+// old set, too.
+func (r *Replica) takeBack(ctx context.Context, set Set) error {
+	r.mutex.Lock()
+	silent := r.silent(set.ChangedBy)
+	r.mutex.Unlock()
+	if !silent {
+		return nil
+	}
+	old := set
+	old.Epoch++
+	old.Next = nil
+	old.ChangedBy = ""
+	return r.replaceSet(ctx, set, old)
+}
+
+func (r *Replica) addressChanged(set Set) bool {
+	for _, member := range set.Members {
+		if member.Name == r.options.Self.Name {
+			return member.Address != r.options.Self.Address
+		}
+	}
+	return false
+}
+
+func (r *Replica) updateAddress(ctx context.Context, set Set) error {
+	next := set
+	next.Epoch++
+	next.Members = append(without(set.Members, r.options.Self.Name), r.options.Self)
+	return r.replaceSet(ctx, set, next)
+}
+
+// silentMember returns a member that has not been heard for long.
+func (r *Replica) silentMember(members []Member) string {
+	r.mutex.Lock()
+	defer r.mutex.Unlock()
+	for _, member := range members {
+		if member.Name != r.options.Self.Name && r.silent(member.Name) {
+			return member.Name
+		}
+	}
+	return ""
+}
+
+// silent needs the mutex.
+func (r *Replica) silent(name string) bool {
+	progress := r.peers[name]
+	if progress == nil {
+		return false
+	}
+	last := progress.heardAt
+	if progress.firstAskedAt.After(last) {
+		last = progress.firstAskedAt
+	}
+	return time.Since(last) > silentAfter
+}
+
+// replaceSet writes a set if the store still has the one that it follows.
+func (r *Replica) replaceSet(ctx context.Context, old, next Set) error {
+	entry, err := r.get(ctx, r.options.SetKey)
+	if err != nil {
+		return err
+	}
+	var stored Set
+	if err := json.Unmarshal(entry.Value, &stored); err != nil {
+		return errors.Wrap(err, "replica set")
+	}
+	if stored.Epoch != old.Epoch {
+		r.ApplySet(stored)
+		return errors.WithStack(&ErrSetChanged{Epoch: stored.Epoch})
+	}
+	if err := r.swap(ctx, r.options.SetKey, entry.Revision, next); err != nil {
+		return err
+	}
+	r.ApplySet(next)
+	return nil
+}
+
+// ErrSetChanged means that the replica set in the store is not the one that was to be replaced.
+type ErrSetChanged struct{ Epoch int64 }
+
+// Error implements error.
+func (*ErrSetChanged) Error() string { return "the replica set has changed" }
+
+func (r *Replica) get(ctx context.Context, key string) (configstore.Entry, error) {
+	callContext, cancel := context.WithTimeout(ctx, storeTimeout)
+	defer cancel()
+	return r.options.Store.Get(callContext, key)
+}
+
+func (r *Replica) swap(ctx context.Context, key string, revision int64, value any) error {
+	encoded, err := json.Marshal(value)
+	if err != nil {
+		return errors.Wrap(err, key)
+	}
+	callContext, cancel := context.WithTimeout(ctx, storeTimeout)
+	defer cancel()
+	return r.options.Store.CompareAndSwap(callContext, key, revision, []configstore.Write{{Key: key, Value: encoded}})
+}
--- /dev/null
+++ b/internal/turnstore/messages.go
@@ -0,0 +1,74 @@
+package turnstore
+
+import "github.com/mountstile/mountstile/internal/conversation"
+
+// The kinds of messages.
+const (
+	openKind   = "turns.open"
+	putKind    = "turns.put"
+	digestKind = "turns.digest"
+	fetchKind  = "turns.fetch"
+	fenceKind  = "turns.fence"
+)
+
+// openRequest reserves a turn's tokens and asks what a replica knows of the turn before it.
+type openRequest struct {
+	Epoch int64 `json:"e"`
+	// Reserve is nil if the program has no budget.
+	Reserve  *conversation.Charge `json:"r,omitempty"`
+	Previous string               `json:"p,omitempty"`
+	// WithText asks for the turns of the chain, not only whether the turn is known.
+	WithText bool `json:"t,omitempty"`
+}
+
+type openAnswer struct {
+	// Newer is set instead of all else if the request's epoch is old.
+	Newer *Set `json:"n,omitempty"`
+	// Complete tells whether what the replica doesn't know may be counted.
+	Complete bool                  `json:"c,omitempty"`
+	Charges  []conversation.Charge `json:"q,omitempty"`
+	Known    bool                  `json:"k,omitempty"`
+	Chain    []conversation.Turn   `json:"h,omitempty"`
+	Missing  string                `json:"m,omitempty"`
+}
+
+type putRequest struct {
+	Epoch   int64                 `json:"e"`
+	Records []conversation.Record `json:"r"`
+}
+
+type putAnswer struct {
+	Newer *Set `json:"n,omitempty"`
+}
+
+type digestRequest struct {
+	Epoch    int64  `json:"e"`
+	Identity string `json:"i"`
+	After    uint64 `json:"a"`
+}
+
+type digestAnswer struct {
+	Identity string             `json:"i"`
+	Sequence uint64             `json:"s"`
+	Keys     []conversation.Key `json:"k,omitempty"`
+	Complete bool               `json:"c,omitempty"`
+	// Set is the newest set that the replica knows.
+	Set *Set `json:"n,omitempty"`
+}
+
+type fetchRequest struct {
+	Keys []conversation.Key `json:"k"`
+}
+
+type fetchAnswer struct {
+	Records []conversation.Record `json:"r"`
+}
+
+type fenceRequest struct {
+	Set Set `json:"s"`
+}
+
+type fenceAnswer struct {
+	Epoch    int64 `json:"e"`
+	Complete bool  `json:"c"`
+}
--- /dev/null
+++ b/internal/turnstore/node.go
@@ -0,0 +1,78 @@
+package turnstore
+
+import (
+	"context"
+	"encoding/json"
+	"time"
+
+	"github.com/mountstile/mountstile/internal/catalog"
+	"github.com/mountstile/mountstile/internal/events"
+	"github.com/mountstile/mountstile/internal/transport"
+)
+
+// NodeOptions configure a Node.
+type NodeOptions struct {
+	Replica ReplicaOptions
+	Source  catalog.Source
+	// FreshFor is the age up to which contact with the store counts as fresh.
+	FreshFor time.Duration
+	// Seeds returns the addresses of replicas to begin with.
+	Seeds   func() []string
+	Network *transport.Transport
+	Logger  *events.Logger
+}
+
+// Node is a replica that also serves the catalog to gateways.
+type Node struct {
+	options NodeOptions
+	catalog *catalog.Manager
+	replica *Replica
+}
+
+// NewNode reads the replica's folder.
+func NewNode(options NodeOptions) (*Node, error) {
+	node := &Node{options: options}
+	retirementKey := catalog.Key(catalog.RetirementKind, options.Replica.Self.Name)
+	options.Replica.Retiring = func() bool {
+		_, found := node.catalog.Get(retirementKey)
+		return found
+	}
+	var err error
+	node.replica, err = NewReplica(options.Replica, options.Network, options.Logger)
+	if err != nil {
+		return nil, err
+	}
+	node.catalog = catalog.NewManager(catalog.Options{
+		Peers: node.peers, FollowAll: true, Source: options.Source, FreshFor: options.FreshFor, OnChange: node.apply,
+	}, options.Network, options.Logger)
+	return node, nil
+}
+
+func (n *Node) peers() []string {
+	var addresses []string
+	for _, member := range n.replica.others() {
+		addresses = append(addresses, member.Address)
+	}
+	for _, seed := range n.options.Seeds() {
+		if seed != n.options.Replica.Self.Address {
+			addresses = append(addresses, seed)
+		}
+	}
+	return addresses
+}
+
+func (n *Node) apply(entry catalog.Entry) {
+	if kind, _ := catalog.SplitKey(entry.Key); kind != catalog.ReplicaSetKind {
+		return
+	}
+	var set Set
+	if json.Unmarshal(entry.Value, &set) == nil {
+		n.replica.ApplySet(set)
+	}
+}
+
+// Run serves until the context ends.
+func (n *Node) Run(ctx context.Context) {
+	go n.catalog.Run(ctx)
+	n.replica.Run(ctx)
+}
--- /dev/null
+++ b/internal/turnstore/pull.go
@@ -0,0 +1,188 @@
+package turnstore
+
+import (
+	"context"
+	"sync"
+	"time"
+
+	"github.com/mountstile/mountstile/internal/conversation"
+	"github.com/mountstile/mountstile/internal/events"
+	"github.com/mountstile/mountstile/internal/transport"
+)
+
+const (
+	// pullInterval is how often a replica asks each other one what it has missed.
+	pullInterval = time.Second
+	// hastyPullInterval is the same for a replica that is not complete or not a member.
+	hastyPullInterval = 100 * time.Millisecond
+	pullTimeout       = 1500 * time.Millisecond
+)
+
+// peerProgress is how far this replica has pulled from another one.
+type peerProgress struct {
+	identity string
+	sequence uint64
+	// wholeAt is when everything that the peer had was here; zero if never.
+	wholeAt time.Time
+	// complete is what the peer said of itself then.
+	complete bool
+	// heardAt is when the peer last answered; firstAskedAt when it was first asked.
+	heardAt      time.Time
+	firstAskedAt time.Time
+}
+
+// pullLoop pulls from all other members, all at once, again and again.
+func (r *Replica) pullLoop(ctx context.Context) {
+	for ctx.Err() == nil {
+		r.pullAll(ctx)
+		if r.completeNow() {
+			r.finishCatchUp()
+		}
+		interval := pullInterval
+		if !r.folder.record().Complete || !r.Set().Has(r.options.Self.Name) {
+			interval = hastyPullInterval
+		}
+		select {
+		case <-ctx.Done():
+		case <-r.setNews:
+		case <-time.After(interval):
+		}
+	}
+}
+
+func (r *Replica) others() []Member { return without(r.Set().All(), r.options.Self.Name) }
+
+func (r *Replica) pullAll(ctx context.Context) {
+	var tasks sync.WaitGroup
+	for _, member := range r.others() {
+		tasks.Add(1)
+		go func() {
+			defer tasks.Done()
+			r.pullFrom(ctx, member)
+		}()
+	}
+	tasks.Wait()
+}
+
+// pullFrom fetches what the peer has and this replica has not.
+func (r *Replica) pullFrom(ctx context.Context, member Member) {
+	progress := r.progressOf(member)
+	for ctx.Err() == nil {
+		asked := time.Now()
+		answer, err := r.askDigest(ctx, member, progress)
+		if err != nil {
+			return
+		}
+		if answer.Set != nil {
+			r.ApplySet(*answer.Set)
+		}
+		if !r.fetch(ctx, member, r.missing(answer.Keys)) {
+			return
+		}
+		reachedEnd := len(answer.Keys) < digestKeys
+		r.mutex.Lock()
+		progress.heardAt = time.Now()
+		progress.identity = answer.Identity
+		progress.sequence = answer.Sequence
+		if reachedEnd {
+			progress.wholeAt = asked
+			progress.complete = answer.Complete
+		}
+		r.mutex.Unlock()
+		if reachedEnd {
+			return
+		}
+	}
+}
+
+func (r *Replica) progressOf(member Member) *peerProgress {
+	r.mutex.Lock()
+	defer r.mutex.Unlock()
+	known := r.peers[member.Name]
+	if known == nil {
+		known = &peerProgress{firstAskedAt: time.Now()}
+		r.peers[member.Name] = known
+	}
+	return known
+}
+
+func (r *Replica) askDigest(ctx context.Context, member Member, progress *peerProgress) (digestAnswer, error) {
+	r.mutex.Lock()
+	request := digestRequest{Epoch: r.set.Epoch, Identity: progress.identity, After: progress.sequence}
+	r.mutex.Unlock()
+	callContext, cancel := context.WithTimeout(ctx, pullTimeout)
+	defer cancel()
+	return transport.Call[digestAnswer](callContext, r.network, member.Address, digestKind, request)
+}
+
+func (r *Replica) missing(keys []conversation.Key) []conversation.Key {
+	r.mutex.Lock()
+	defer r.mutex.Unlock()
+	var missing []conversation.Key
+	for _, key := range keys {
+		if !r.state.Knows(key) {
+			missing = append(missing, key)
+		}
+	}
+	return missing
+}
+
+// fetch reports whether all that was asked for is here and synced.
+func (r *Replica) fetch(ctx context.Context, member Member, keys []conversation.Key) bool {
+	for len(keys) > 0 {
+		batch := keys[:min(len(keys), fetchKeys)]
+		keys = keys[len(batch):]
+		callContext, cancel := context.WithTimeout(ctx, pullTimeout)
+		answer, err := transport.Call[fetchAnswer](callContext, r.network, member.Address, fetchKind, fetchRequest{Keys: batch})
+		cancel()
+		if err != nil || r.append(ctx, answer.Records) != nil {
+			return false
+		}
+	}
+	return true
+}
+
+// completeNow tells whether an incomplete replica has all that was ever written: all that so many
+// complete members hold that each record is with one of them, or all that anybody holds.
+func (r *Replica) completeNow() bool {
+	if r.folder.record().Complete {
+		return false
+	}
+	r.mutex.Lock()
+	defer r.mutex.Unlock()
+	if r.set.Epoch == 0 {
+		return false
+	}
+	return r.pulledEnough(time.Time{})
+}
+
+// pulledEnough is the same for what was pulled after a point in time. The caller holds the mutex.
+func (r *Replica) pulledEnough(after time.Time) bool {
+	whole := make(map[string]bool)
+	anybody := make(map[string]bool)
+	for name, progress := range r.peers {
+		if progress.wholeAt.IsZero() || !progress.wholeAt.After(after) {
+			continue
+		}
+		anybody[name] = true
+		if progress.complete {
+			whole[name] = true
+		}
+	}
+	if r.set.Read(whole) {
+		return true
+	}
+	others := without(r.set.All(), r.options.Self.Name)
+	return len(others) > 0 && count(others, anybody) == len(others)
+}
+
+func (r *Replica) finishCatchUp() {
+	if err := r.folder.saveComplete(); err != nil {
+		r.logger.Emit(events.ReplicaLogFailed, events.F("error", err))
+		return
+	}
+	r.mutex.Lock()
+	turns, programs, bytes := r.state.Size()
+	r.mutex.Unlock()
+	r.logger.Emit(events.ReplicaComplete, events.F("turns", turns), events.F("programs", programs), events.F("bytes", bytes))
+}
--- /dev/null
+++ b/internal/turnstore/replica.go
@@ -0,0 +1,301 @@
+// Package turnstore keeps turns and budgets on several replicas, without a leader. A record is
+// written once enough replicas have synced it, and read from so many that one of them has it
+// (docs/design/platform.md). Replica is the side with a disk; Client is the side of the gateways.
+//
+// Usage:
+//
+//	replica, err := turnstore.NewReplica(options, network, logger)
+//	go replica.Run(ctx)
+//
+//	client := turnstore.NewClient(options, network, logger)
+//	opened, err := client.Open(ctx, turnstore.Opening{...})
+//	err = client.Put(ctx, records)
+package turnstore
+
+import (
+	"context"
+	"encoding/json"
+	"sync"
+	"time"
+
+	"github.com/google/uuid"
+
+	"github.com/mountstile/mountstile/internal/apierr"
+	"github.com/mountstile/mountstile/internal/configstore"
+	"github.com/mountstile/mountstile/internal/conversation"
+	"github.com/mountstile/mountstile/internal/events"
+	"github.com/mountstile/mountstile/internal/transport"
+	"github.com/mountstile/mountstile/internal/turnlog"
+)
+
+const (
+	// expireInterval is how often records that are no longer kept are dropped.
+	expireInterval = 5 * time.Second
+	// digestKeys and fetchKeys bound one answer.
+	digestKeys = 2000
+	fetchKeys  = 64
+)
+
+// ReplicaOptions configure a Replica.
+type ReplicaOptions struct {
+	Self   Member
+	Folder string
+	// FirstStart is true only at the very first start of the whole system.
+	FirstStart bool
+	// Copies is the number of disks that may be lost at once, and one.
+	Copies int
+	// Store holds the replica set; SetKey and CandidatesKey are its keys.
+	Store         configstore.Store
+	SetKey        string
+	CandidatesKey string
+	// Retiring tells whether the operator wants this replica emptied; Retired tells the operator.
+	Retiring func() bool
+	Retired  func(ctx context.Context, done bool) error
+}
+
+// Replica holds turns and budgets on disk. All methods may be called concurrently.
+type Replica struct {
+	options ReplicaOptions
+	network *transport.Transport
+	logger  *events.Logger
+	log     *turnlog.Log
+	folder  *folder
+	// incarnation names this process to peers: after a restart, changes are numbered anew.
+	incarnation string
+
+	mutex sync.Mutex
+	state *conversation.State
+	set   Set
+	// refusing is true while the replica hands over what it holds.
+	refusing bool
+	peers    map[string]*peerProgress
+	setNews  chan struct{}
+}
+
+// NewReplica reads the folder and registers the message handlers.
+func NewReplica(options ReplicaOptions, network *transport.Transport, logger *events.Logger) (*Replica, error) {
+	replica := &Replica{
+		options: options,
+		network: network,
+		logger:  logger,
+		state:   conversation.New(),
+		peers:   make(map[string]*peerProgress),
+		setNews: make(chan struct{}, 1),
+
+		incarnation: uuid.NewString(),
+	}
+	opened, err := openFolder(options.Folder, options.FirstStart)
+	if err != nil {
+		return nil, err
+	}
+	replica.folder = opened
+	replica.set = opened.record().Set
+	now := time.Now()
+	replica.log, err = turnlog.Open(options.Folder, func(payload []byte) {
+		var record conversation.Record
+		if json.Unmarshal(payload, &record) == nil && (record.Turn != nil || record.Charge != nil) {
+			replica.state.Apply(now, record)
+		}
+	}, replica.encodeAll)
+	if err != nil {
+		return nil, err
+	}
+	turns, programs, bytes := replica.state.Size()
+	logger.Emit(events.ReplicaOpened, events.F("identity", opened.record().Identity), events.F("complete", opened.record().Complete),
+		events.F("epoch", replica.set.Epoch), events.F("turns", turns), events.F("programs", programs), events.F("bytes", bytes))
+	transport.Handle(network, openKind, replica.serveOpen)
+	transport.Handle(network, putKind, replica.servePut)
+	transport.Handle(network, digestKind, replica.serveDigest)
+	transport.Handle(network, fetchKind, replica.serveFetch)
+	transport.Handle(network, fenceKind, replica.serveFence)
+	return replica, nil
+}
+
+func (r *Replica) encodeAll() [][]byte {
+	r.mutex.Lock()
+	records := r.state.Records()
+	r.mutex.Unlock()
+	return encodeRecords(records)
+}
+
+func encodeRecords(records []conversation.Record) [][]byte {
+	payloads := make([][]byte, 0, len(records))
+	for _, record := range records {
+		if payload, err := json.Marshal(record); err == nil {
+			payloads = append(payloads, payload)
+		}
+	}
+	return payloads
+}
+
+// Run writes the log, pulls from peers and keeps the replica set until the context ends.
+func (r *Replica) Run(ctx context.Context) {
+	var tasks sync.WaitGroup
+	start := func(task func(context.Context)) {
+		tasks.Add(1)
+		go func() {
+			defer tasks.Done()
+			task(ctx)
+		}()
+	}
+	start(r.log.Run)
+	start(r.expireLoop)
+	start(r.pullLoop)
+	start(r.membershipLoop)
+	tasks.Wait()
+}
+
+func (r *Replica) expireLoop(ctx context.Context) {
+	ticker := time.NewTicker(expireInterval)
+	defer ticker.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case now := <-ticker.C:
+			r.mutex.Lock()
+			r.state.Expire(now)
+			r.mutex.Unlock()
+		}
+	}
+}
+
+// Set returns the newest replica set that is known here.
+func (r *Replica) Set() Set {
+	r.mutex.Lock()
+	defer r.mutex.Unlock()
+	return r.set
+}
+
+// ApplySet takes a set from the catalog or a peer; older ones are ignored.
+func (r *Replica) ApplySet(set Set) {
+	r.mutex.Lock()
+	newer := set.Epoch > r.set.Epoch
+	if newer {
+		r.set = set
+	}
+	r.mutex.Unlock()
+	if !newer {
+		return
+	}
+	r.logger.Emit(events.ReplicaSetChanged, events.F("epoch", set.Epoch), events.F("members", set.Members), events.F("next", set.Next))
+	select {
+	case r.setNews <- struct{}{}:
+	default:
+	}
+}
+
+// newerThan returns the known set if a request's epoch is older.
+func (r *Replica) newerThan(epoch int64) *Set {
+	r.mutex.Lock()
+	defer r.mutex.Unlock()
+	if epoch >= r.set.Epoch {
+		return nil
+	}
+	set := r.set
+	return &set
+}
+
+// append makes records durable that are not known yet, then applies them.
+func (r *Replica) append(ctx context.Context, records []conversation.Record) error {
+	var news []conversation.Record
+	r.mutex.Lock()
+	for _, record := range records {
+		if (record.Turn != nil || record.Charge != nil) && !r.state.Knows(record.Key()) {
+			news = append(news, record)
+		}
+	}
+	r.mutex.Unlock()
+	if len(news) == 0 {
+		return nil
+	}
+	if err := r.log.Append(ctx, encodeRecords(news)); err != nil {
+		r.logger.Emit(events.ReplicaLogFailed, events.F("error", err), events.F("records", len(news)))
+		return err
+	}
+	now := time.Now()
+	r.mutex.Lock()
+	defer r.mutex.Unlock()
+	for _, record := range news {
+		r.state.Apply(now, record)
+	}
+	return nil
+}
+
+var errHandingOver = apierr.New(apierr.TurnsUnavailable, apierr.NotRun, "the replica hands over what it holds")
+
+func (r *Replica) serveOpen(ctx context.Context, _ transport.Peer, request openRequest) (openAnswer, error) {
+	if newer := r.newerThan(request.Epoch); newer != nil {
+		return openAnswer{Newer: newer}, nil
+	}
+	if request.Reserve != nil {
+		if err := r.append(ctx, []conversation.Record{{Charge: request.Reserve}}); err != nil {
+			return openAnswer{}, err
+		}
+	}
+	r.mutex.Lock()
+	defer r.mutex.Unlock()
+	answer := openAnswer{Complete: r.folder.record().Complete}
+	if request.Reserve != nil {
+		answer.Charges = r.state.Charges(request.Reserve.Program)
+	}
+	if request.Previous == "" {
+		return answer, nil
+	}
+	answer.Known = r.state.HasTurn(request.Previous)
+	if request.WithText {
+		answer.Chain, answer.Missing = r.state.Chain(request.Previous)
+	}
+	return answer, nil
+}
+
+func (r *Replica) servePut(ctx context.Context, _ transport.Peer, request putRequest) (putAnswer, error) {
+	if newer := r.newerThan(request.Epoch); newer != nil {
+		return putAnswer{Newer: newer}, nil
+	}
+	r.mutex.Lock()
+	refusing := r.refusing
+	r.mutex.Unlock()
+	if refusing {
+		return putAnswer{}, errHandingOver
+	}
+	return putAnswer{}, r.append(ctx, request.Records)
+}
+
+func (r *Replica) serveDigest(_ context.Context, _ transport.Peer, request digestRequest) (digestAnswer, error) {
+	r.mutex.Lock()
+	defer r.mutex.Unlock()
+	after := request.After
+	if request.Identity != r.incarnation {
+		after = 0
+	}
+	answer := digestAnswer{Identity: r.incarnation, Complete: r.folder.record().Complete}
+	answer.Keys, answer.Sequence = r.state.KeysSince(after, digestKeys)
+	if r.set.Epoch > request.Epoch {
+		set := r.set
+		answer.Set = &set
+	}
+	return answer, nil
+}
+
+func (r *Replica) serveFetch(_ context.Context, _ transport.Peer, request fetchRequest) (fetchAnswer, error) {
+	r.mutex.Lock()
+	defer r.mutex.Unlock()
+	var answer fetchAnswer
+	for _, key := range request.Keys[:min(len(request.Keys), fetchKeys)] {
+		if record, found := r.state.Record(key); found {
+			answer.Records = append(answer.Records, record)
+		}
+	}
+	return answer, nil
+}
+
+// serveFence makes the replica refuse older epochs from now on, also after a restart.
+func (r *Replica) serveFence(_ context.Context, _ transport.Peer, request fenceRequest) (fenceAnswer, error) {
+	r.ApplySet(request.Set)
+	set := r.Set()
+	if err := r.folder.saveSet(set); err != nil {
+		return fenceAnswer{}, err
+	}
+	return fenceAnswer{Epoch: set.Epoch, Complete: r.folder.record().Complete}, nil
+}
--- /dev/null
+++ b/internal/upstream/send.go
@@ -0,0 +1,90 @@
+package upstream
+
+import (
+	"bytes"
+	"context"
+	"net/http"
+	"strconv"
+
+	"github.com/cockroachdb/errors"
+)
+
+// Request is what is sent to an engine, byte for byte.
+type Request struct {
+	Method string
+	// Target is the path and query as the caller sent them.
+	Target string
+	Host   string
+	Header http.Header
+	Body   []byte
+}
+
+// hopHeaders concern one connection only (RFC 9110, 7.6.1) and are never passed on.
+var hopHeaders = []string{
+	"Connection", "Keep-Alive", "Proxy-Connection", "Te", "Trailer", "Transfer-Encoding", "Upgrade", "Expect",
+	"Proxy-Authenticate", "Proxy-Authorization",
+}
+
+// PassedOn returns a copy of header without what concerns one connection only.
+func PassedOn(header http.Header) http.Header {
+	copied := header.Clone()
+	for _, line := range header.Values("Connection") {
+		for _, name := range bytes.Split([]byte(line), []byte(",")) {
+			copied.Del(string(bytes.TrimSpace(name)))
+		}
+	}
+	for _, name := range hopHeaders {
+		copied.Del(name)
+	}
+	copied.Del("Content-Length")
+	return copied
+}
+
+func (r *Request) encode() []byte {
+	var buffer bytes.Buffer
+	buffer.Grow(len(r.Body) + 1024)
+	buffer.WriteString(r.Method + " " + r.Target + " HTTP/1.1\r\nHost: " + r.Host + "\r\n")
+	_ = r.Header.Write(&buffer)
+	if len(r.Body) > 0 || (r.Method != http.MethodGet && r.Method != http.MethodHead) {
+		buffer.WriteString("Content-Length: " + strconv.Itoa(len(r.Body)) + "\r\n")
+	}
+	buffer.WriteString("\r\n")
+	buffer.Write(r.Body)
+	return buffer.Bytes()
+}
+
+// Send writes a request and reads the head of its answer. When the context ends, the connection is
+// closed. The error is an ErrExchange.
+func (p *Pool) Send(ctx context.Context, request *Request) (*Exchange, error) {
+	connection, err := p.get(ctx)
+	if err != nil {
+		return nil, errors.WithStack(&ErrExchange{cause: err})
+	}
+	exchange := &Exchange{pool: p, connection: connection, written: make(chan error, 1)}
+	exchange.stopWatch = watch(ctx, connection)
+	connection.sentBytes.Store(0)
+	encoded := request.encode()
+	go func() {
+		_, writeErr := connection.Write(encoded)
+		exchange.written <- writeErr
+	}()
+	exchange.response, err = readHead(connection, request.Method)
+	if err != nil {
+		exchange.Abandon()
+		return nil, errors.WithStack(&ErrExchange{Sent: connection.sentBytes.Load() > 0, cause: err})
+	}
+	return exchange, nil
+}
+
+// readHead reads the head of the final answer and passes over informational ones.
+func readHead(connection *Connection, method string) (*http.Response, error) {
+	for {
+		response, err := http.ReadResponse(connection.reader, &http.Request{Method: method})
+		if err != nil {
+			return nil, err
+		}
+		if response.StatusCode >= http.StatusOK || response.StatusCode == http.StatusSwitchingProtocols {
+			return response, nil
+		}
+	}
+}
