--- a/internal/upstream/pool.go
+++ b/internal/upstream/pool.go
@@ -5,7 +5,7 @@
 //
 // Usage:
 //
-//	pool := upstream.NewPool("10.0.0.7:8000", 20, upstream.Dialer(time.Second))
+//	pool := upstream.NewPool("10.0.0.7:8000", 20, upstream.Dialer(time.Second, 2*time.Second))
 //	exchange, err := pool.Send(ctx, request)
 //	if err != nil { ... var failed *upstream.ErrExchange; errors.As(err, &failed); failed.Sent ... }
 //	... read exchange.Response().Body ...
--- a/internal/upstream/socket.go
+++ b/internal/upstream/socket.go
@@ -7,15 +7,12 @@
 	"time"
 )
 
-const (
-	// tcpUserTimeout is TCP_USER_TIMEOUT of Linux, which the syscall package does not name.
-	tcpUserTimeout = 18
-	// unacknowledgedMillis ends a connection whose bytes nobody acknowledges; a cut is silent.
-	unacknowledgedMillis = 2500
-)
+// tcpUserTimeout is TCP_USER_TIMEOUT of Linux, which the syscall package does not name.
+const tcpUserTimeout = 18
 
-// Dialer opens connections on which bytes that are not acknowledged end the connection.
-func Dialer(timeout time.Duration) func(ctx context.Context, address string) (net.Conn, error) {
+// Dialer opens connections that end if nobody acknowledges their bytes for a while; a cut is
+// silent, and after a loss of power the retries of the kernel come seconds late.
+func Dialer(timeout, unacknowledged time.Duration) func(ctx context.Context, address string) (net.Conn, error) {
 	dialer := &net.Dialer{
 		Timeout: timeout,
 		KeepAliveConfig: net.KeepAliveConfig{
@@ -24,7 +21,7 @@
 		Control: func(_, _ string, raw syscall.RawConn) error {
 			var failed error
 			err := raw.Control(func(descriptor uintptr) {
-				failed = syscall.SetsockoptInt(int(descriptor), syscall.IPPROTO_TCP, tcpUserTimeout, unacknowledgedMillis)
+				failed = syscall.SetsockoptInt(int(descriptor), syscall.IPPROTO_TCP, tcpUserTimeout, int(unacknowledged.Milliseconds()))
 			})
 			if err != nil {
 				return err
