--- /dev/null
+++ b/internal/catalog/catalog_test.go
@@ -0,0 +1,207 @@
+package catalog
+
+import (
+	"context"
+	"encoding/json"
+	"net"
+	"strconv"
+	"sync"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+	"gotest.tools/v3/poll"
+	"pgregory.net/rapid"
+
+	"github.com/mountstile/mountstile/internal/events"
+	"github.com/mountstile/mountstile/internal/transport"
+)
+
+func entry(key string, revision int64, value string) Entry {
+	made := Entry{Key: key, Revision: revision}
+	if value != "" {
+		made.Value = json.RawMessage(strconv.Quote(value))
+	}
+	return made
+}
+
+// Whatever the order and the number of times in which entries are heard, the newest stands.
+func TestMergeNeedsNoOrder(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		state := NewState()
+		newest := make(map[string]Entry)
+		for range rapid.IntRange(1, 40).Draw(t, "steps") {
+			revision := rapid.Int64Range(1, 15).Draw(t, "revision")
+			key := Key(EngineKind, rapid.SampledFrom([]string{"a", "b", "c"}).Draw(t, "key"))
+			value := ""
+			if revision%3 != 0 {
+				value = strconv.FormatInt(revision, 10)
+			}
+			heard := entry(key, revision, value)
+			state.Merge(time.Now(), heard)
+			if revision > newest[key].Revision {
+				newest[key] = heard
+			}
+		}
+		for key, want := range newest {
+			got, found := state.Get(key)
+			assert.Equal(t, found, !want.Removed())
+			if found {
+				assert.Equal(t, got.Revision, want.Revision)
+			}
+		}
+	})
+}
+
+func TestListingRemovesWhatItDoesNotShow(t *testing.T) {
+	state := NewState()
+	now := time.Now()
+	state.Merge(now, entry("engine/a", 3, "a"))
+	state.Merge(now, entry("engine/b", 9, "newer than the listing"))
+	state.Merge(now, entry("configuration/current", 2, "c"))
+	removed := state.RemoveMissing(now, EngineKind, map[string]bool{}, 7)
+	assert.Equal(t, len(removed), 1)
+	_, found := state.Get("engine/a")
+	assert.Assert(t, !found)
+	_, found = state.Get("engine/b")
+	assert.Assert(t, found, "a page that is older than the entry must not remove it")
+	_, found = state.Get("configuration/current")
+	assert.Assert(t, found)
+	assert.Assert(t, !state.Merge(now, entry("engine/a", 5, "old")), "an old entry must not come back")
+	state.Forget(now.Add(2 * removedFor))
+	assert.Equal(t, len(state.Since(0)), 2)
+}
+
+// recordingSource is a store whose changes the test makes.
+type recordingSource struct {
+	mutex   sync.Mutex
+	sink    Sink
+	running bool
+}
+
+func (s *recordingSource) Run(ctx context.Context, sink Sink) {
+	s.mutex.Lock()
+	s.sink = sink
+	s.running = true
+	s.mutex.Unlock()
+	ticker := time.NewTicker(20 * time.Millisecond)
+	defer ticker.Stop()
+	for {
+		sink.Contact()
+		select {
+		case <-ctx.Done():
+			s.mutex.Lock()
+			s.running = false
+			s.mutex.Unlock()
+			return
+		case <-ticker.C:
+		}
+	}
+}
+
+func (s *recordingSource) active() bool {
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
+	return s.running
+}
+
+func (s *recordingSource) change(entries ...Entry) {
+	s.mutex.Lock()
+	sink := s.sink
+	s.mutex.Unlock()
+	sink.Apply(entries)
+}
+
+type testNode struct {
+	manager *Manager
+	network *transport.Transport
+	address string
+	source  *recordingSource
+	stop    context.CancelFunc
+
+	mutex sync.Mutex
+	heard map[string]int64
+}
+
+func (n *testNode) onChange(changed Entry) {
+	n.mutex.Lock()
+	defer n.mutex.Unlock()
+	n.heard[changed.Key] = changed.Revision
+}
+
+func (n *testNode) revision(key string) int64 {
+	n.mutex.Lock()
+	defer n.mutex.Unlock()
+	return n.heard[key]
+}
+
+func startNode(t *testing.T, followAll bool, peers func() []string) *testNode {
+	t.Helper()
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	assert.NilError(t, err)
+	node := &testNode{address: listener.Addr().String(), source: &recordingSource{}, heard: make(map[string]int64)}
+	node.network = transport.New(transport.Options{Cluster: "test", NodeID: node.address, Address: node.address, Logger: events.Discard()})
+	node.manager = NewManager(Options{
+		Peers: peers, FollowAll: followAll, Source: node.source, FreshFor: 100 * time.Millisecond, OnChange: node.onChange,
+	}, node.network, events.Discard())
+	ctx, stop := context.WithCancel(context.Background())
+	node.stop = stop
+	go func() { _ = node.network.Serve(listener) }()
+	go node.manager.Run(ctx)
+	t.Cleanup(func() {
+		stop()
+		node.network.Close()
+	})
+	return node
+}
+
+func eventually(t *testing.T, what string, check func() bool) {
+	t.Helper()
+	poll.WaitOn(t, func(poll.LogT) poll.Result {
+		if check() {
+			return poll.Success()
+		}
+		return poll.Continue("%s", what)
+	}, poll.WithTimeout(10*time.Second), poll.WithDelay(10*time.Millisecond))
+}
+
+// A follower learns of changes from the first peer that is fresh, does not read the store, and
+// does so once no peer is left.
+func TestFollowerReadsTheStoreOnlyWithoutPeers(t *testing.T) {
+	none := func() []string { return nil }
+	first := startNode(t, true, none)
+	second := startNode(t, true, func() []string { return []string{first.address} })
+	follower := startNode(t, false, func() []string { return []string{first.address, second.address} })
+	eventually(t, "sources run", func() bool { return first.source.active() && second.source.active() })
+	first.source.change(entry("configuration/current", 5, "five"))
+	eventually(t, "the change arrives", func() bool { return follower.revision("configuration/current") == 5 })
+	eventually(t, "the peer is fresh", func() bool { return !follower.source.active() && follower.manager.Age() < time.Second })
+
+	first.stop()
+	first.network.Close()
+	second.source.change(entry("configuration/current", 6, "six"))
+	eventually(t, "the other peer is followed", func() bool { return follower.revision("configuration/current") == 6 })
+
+	second.stop()
+	second.network.Close()
+	eventually(t, "the store is read", follower.source.active)
+	follower.source.change(entry("configuration/current", 7, "seven"))
+	eventually(t, "its change arrives", func() bool { return follower.revision("configuration/current") == 7 })
+	follower.source.change(entry("configuration/current", 4, "four"))
+	assert.Equal(t, follower.revision("configuration/current"), int64(7))
+}
+
+func TestNodeWithoutTheStoreServesWhatPeersTell(t *testing.T) {
+	none := func() []string { return nil }
+	reader := startNode(t, true, none)
+	eventually(t, "its source runs", reader.source.active)
+	blind := startNode(t, true, func() []string { return []string{reader.address} })
+	follower := startNode(t, false, func() []string { return []string{blind.address} })
+	reader.source.change(entry("engine/e1", 9, "here"))
+	eventually(t, "news passes through the blind node", func() bool { return follower.revision("engine/e1") == 9 })
+	reader.source.change(entry("engine/e1", 11, ""))
+	eventually(t, "a removal passes, too", func() bool {
+		_, found := follower.manager.Get("engine/e1")
+		return !found
+	})
+}
--- /dev/null
+++ b/internal/conversation/conversation_test.go
@@ -0,0 +1,140 @@
+package conversation
+
+import (
+	"fmt"
+	"sort"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+	"pgregory.net/rapid"
+)
+
+func turn(id, previous string) Record {
+	return Record{Turn: &Turn{ID: id, Previous: previous, Text: []byte(id + "\n"), RetentionMillis: 60_000}}
+}
+
+func charge(program, turn string, tokens int64, settled bool) Record {
+	return Record{Charge: &Charge{Program: program, Turn: turn, Tokens: tokens, Settled: settled}}
+}
+
+// fingerprint is all that readers can see of a state.
+func fingerprint(state *State) []string {
+	var lines []string
+	for _, record := range state.Records() {
+		if record.Turn != nil {
+			lines = append(lines, fmt.Sprintf("%+v", *record.Turn))
+		} else {
+			lines = append(lines, fmt.Sprintf("%+v", *record.Charge))
+		}
+	}
+	sort.Strings(lines)
+	return lines
+}
+
+// Replicas that have applied the same records, in any order and any number of times, are equal.
+func TestRecordsNeedNoOrder(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		var records []Record
+		for index := range rapid.IntRange(1, 12).Draw(t, "turns") {
+			id := fmt.Sprintf("t%d", index)
+			previous := ""
+			if index > 0 {
+				previous = fmt.Sprintf("t%d", rapid.IntRange(0, index-1).Draw(t, "previous"))
+			}
+			records = append(records, turn(id, previous), charge("p", id, 9, false))
+			if rapid.Bool().Draw(t, "settled") {
+				records = append(records, charge("p", id, int64(index), true))
+			}
+		}
+		now := time.Now()
+		first, second := New(), New()
+		for _, record := range records {
+			first.Apply(now, record)
+		}
+		for _, record := range rapid.Permutation(append(records, records...)).Draw(t, "order") {
+			second.Apply(now, record)
+		}
+		assert.DeepEqual(t, fingerprint(first), fingerprint(second))
+	})
+}
+
+// A peer that pulls by keys, from any point on and in any steps, ends with everything.
+func TestKeysSinceMissNothing(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		now := time.Now()
+		source, puller := New(), New()
+		var position uint64
+		pull := func(limit int) {
+			keys, reached := source.KeysSince(position, limit)
+			for _, key := range keys {
+				record, found := source.Record(key)
+				assert.Assert(t, found)
+				puller.Apply(now, record)
+			}
+			assert.Assert(t, reached >= position)
+			position = reached
+		}
+		for index := range rapid.IntRange(1, 40).Draw(t, "changes") {
+			switch rapid.IntRange(0, 3).Draw(t, "change") {
+			case 0:
+				source.Apply(now, turn(fmt.Sprint(index), ""))
+			case 1:
+				source.Apply(now, charge("p", fmt.Sprint(index%5), 9, false))
+			case 2:
+				source.Apply(now, charge("p", fmt.Sprint(index%5), 3, true))
+			case 3:
+				pull(rapid.IntRange(1, 5).Draw(t, "limit"))
+			}
+		}
+		for position < source.Sequence() {
+			pull(3)
+		}
+		assert.DeepEqual(t, fingerprint(source), fingerprint(puller))
+	})
+}
+
+func TestChain(t *testing.T) {
+	state := New()
+	now := time.Now()
+	for _, record := range []Record{turn("a", ""), turn("b", "a"), turn("c", "b"), turn("other", "a"), turn("lost", "unknown")} {
+		state.Apply(now, record)
+	}
+	turns, missing := state.Chain("c")
+	assert.Equal(t, missing, "")
+	assert.Equal(t, len(turns), 3)
+	assert.Equal(t, turns[0].ID+turns[1].ID+turns[2].ID, "abc")
+	turns, missing = state.Chain("lost")
+	assert.Equal(t, missing, "unknown")
+	assert.Equal(t, len(turns), 1)
+	_, missing = state.Chain("nothing")
+	assert.Equal(t, missing, "nothing")
+}
+
+// A turn that is continued keeps all before it, however old these are; then everything is dropped.
+func TestRetention(t *testing.T) {
+	state := New()
+	start := time.Now()
+	state.Apply(start, turn("a", ""))
+	state.Apply(start.Add(50*time.Second), turn("b", "a"))
+	state.Apply(start, charge("p", "a", 5, true))
+	state.Expire(start.Add(100 * time.Second))
+	_, missing := state.Chain("b")
+	assert.Equal(t, missing, "")
+	state.Expire(start.Add(time.Hour))
+	turns, programs, bytes := state.Size()
+	assert.Equal(t, turns, 0)
+	assert.Equal(t, programs, 0)
+	assert.Equal(t, bytes, int64(0))
+	assert.Equal(t, len(state.Records()), 0)
+	assert.Equal(t, len(state.order), 0)
+}
+
+func TestSettledChargesStay(t *testing.T) {
+	state := New()
+	now := time.Now()
+	assert.Assert(t, state.Apply(now, charge("p", "a", 4, true)))
+	assert.Assert(t, !state.Apply(now, charge("p", "a", 99, false)), "a late reservation must not undo the settlement")
+	assert.DeepEqual(t, state.Charges("p"), []Charge{{Program: "p", Turn: "a", Tokens: 4, Settled: true}})
+	assert.Equal(t, len(state.Charges("q")), 0)
+}
--- a/internal/dispatch/dispatch.go
+++ b/internal/dispatch/dispatch.go
@@ -31,6 +31,8 @@
 	engineWait = 60 * time.Millisecond
 	// engineWaitStep is how often it looks.
 	engineWaitStep = 10 * time.Millisecond
+	// resumePause precedes another run at the same engine.
+	resumePause = 15 * time.Millisecond
 	// retryAfterNoEngine tells callers when to come back if no engine could take their call.
 	retryAfterNoEngine = 250 * time.Millisecond
 )
@@ -64,6 +66,8 @@
 	// Left is the time that the engine may take.
 	Left     time.Duration
 	Priority int
+	// LastEvent is where a stream goes on; empty for its start.
+	LastEvent string
 }
 
 // Call is one request of a caller.
@@ -73,6 +77,9 @@
 	Want     Want
 	Request  upstream.Request
 	Priority int
+	// Resume is set for streams that may go on in another run. It returns the last event that the
+	// caller has, and whether the caller has got any part of the answer.
+	Resume func() (lastEvent string, delivered bool)
 }
 
 // Attempt is a call at an engine that has begun to answer.
@@ -88,6 +95,9 @@
 // Engine is where the call runs.
 func (a *Attempt) Engine() *Engine { return a.engine }
 
+// Abandon closes the connection to the engine; a reader of the answer gets an error.
+func (a *Attempt) Abandon() { a.exchange.Abandon() }
+
 // SentAt is when the call was sent.
 func (a *Attempt) SentAt() time.Time { return a.sentAt }
 
@@ -103,6 +113,18 @@
 	return errors.WithStack(&ErrBroken{Delivered: delivered, cause: cause})
 }
 
+// ErrCallerGone means that the caller no longer takes its answer.
+type ErrCallerGone struct{ cause error }
+
+// CallerGone makes an ErrCallerGone.
+func CallerGone(cause error) error { return errors.WithStack(&ErrCallerGone{cause: cause}) }
+
+// Error implements error.
+func (e *ErrCallerGone) Error() string { return "the caller is gone: " + e.cause.Error() }
+
+// Unwrap returns the cause.
+func (e *ErrCallerGone) Unwrap() error { return e.cause }
+
 // Error implements error.
 func (e *ErrBroken) Error() string { return "the answer broke off: " + e.cause.Error() }
 
@@ -129,7 +151,7 @@
 	progress := &progress{call: call}
 	call.Want.Excluded = make(map[string]bool)
 	for {
-		engine, err := d.waitForEngine(ctx, call, progress)
+		engine, err := d.nextEngine(ctx, call, progress)
 		if err != nil {
 			return err
 		}
@@ -146,6 +168,17 @@
 	}
 }
 
+// nextEngine is the engine of the attempt before if the call is to go on there, or a new one.
+func (d *Dispatcher) nextEngine(ctx context.Context, call *Call, progress *progress) (*Engine, error) {
+	if again := progress.again; again != nil {
+		progress.again = nil
+		sleep(ctx, resumePause)
+		d.registry.use(again)
+		return again, nil
+	}
+	return d.waitForEngine(ctx, call, progress)
+}
+
 func (d *Dispatcher) waitForEngine(ctx context.Context, call *Call, progress *progress) (*Engine, error) {
 	waitUntil := time.Now().Add(engineWait)
 	for {
@@ -156,10 +189,14 @@
 		if ctx.Err() != nil || now.After(waitUntil) {
 			return nil, progress.noEngine(ctx)
 		}
-		select {
-		case <-ctx.Done():
-		case <-time.After(engineWaitStep):
-		}
+		sleep(ctx, engineWaitStep)
+	}
+}
+
+func sleep(ctx context.Context, duration time.Duration) {
+	select {
+	case <-ctx.Done():
+	case <-time.After(duration):
 	}
 }
 
@@ -172,7 +209,11 @@
 	if deadline, ok := ctx.Deadline(); ok {
 		left = deadline.Sub(sentAt)
 	}
-	d.protocol.Prepare(request.Header, Offer{Engine: engine.ID(), Left: left, Priority: call.Priority})
+	offer := Offer{Engine: engine.ID(), Left: left, Priority: call.Priority}
+	if call.Resume != nil {
+		offer.LastEvent, _ = call.Resume()
+	}
+	d.protocol.Prepare(request.Header, offer)
 	exchange, err := engine.pool.Send(ctx, &request)
 	if err != nil {
 		return d.sendFailed(ctx, engine, err)
@@ -224,6 +265,10 @@
 }
 
 func (d *Dispatcher) consumeFailed(ctx context.Context, engine *Engine, err error) (attemptOutcome, error) {
+	var gone *ErrCallerGone
+	if errors.As(err, &gone) {
+		return delivered, err
+	}
 	if ctx.Err() == nil {
 		d.registry.failed(engine, false, err)
 	}
--- a/internal/dispatch/progress.go
+++ b/internal/dispatch/progress.go
@@ -45,36 +45,63 @@
 	errServerError = attemptError("the engine answered with a failure of its own")
 )
 
+// maximalResumes bounds how often a stream goes on at the same engine.
+const maximalResumes = 3
+
 // progress is what was tried for a call.
 type progress struct {
 	call  *Call
 	sends int
-	// runs is how many engines may have run the call.
+	// runs is how many engines may have run the call and still may.
 	runs int
+	// ran tells that some engine may have run the call.
+	ran bool
+	// resumed is how often a stream went on at the engine that it was on.
+	resumed int
+	// again is the engine that the next attempt must go to; nil for any.
+	again *Engine
 }
 
 // mayGoOn counts an attempt that failed and tells whether another one is allowed.
 func (p *progress) mayGoOn(ctx context.Context, outcome attemptOutcome, engine *Engine, retries *retryBudget) bool {
 	p.sends++
-	p.call.Want.Excluded[engine.ID()] = true
 	if outcome == unknown || outcome == delivered {
-		p.runs++
+		p.ran = true
 	}
-	if ctx.Err() != nil || p.sends >= maximalSends || outcome == delivered {
+	if ctx.Err() != nil || outcome == delivered || p.sends >= maximalSends {
 		return false
 	}
-	if outcome == unknown && (!p.call.Route.Repeatable() || p.runs >= p.call.Route.Attempts()) {
-		return false
+	if p.call.Resume != nil && p.ran {
+		return p.mayResume(outcome, engine) && retries.spend()
+	}
+	p.call.Want.Excluded[engine.ID()] = true
+	if outcome == unknown {
+		p.runs++
+		if !p.call.Route.Repeatable() || p.runs >= p.call.Route.Attempts() {
+			return false
+		}
 	}
 	return retries.spend()
 }
 
+// mayResume lets a stream that broke off go on at its engine, which has the prompt in memory and is
+// no further engine to count. If that one is gone, it goes on elsewhere.
+func (p *progress) mayResume(outcome attemptOutcome, engine *Engine) bool {
+	if outcome == notSent || outcome == misdirected {
+		p.call.Want.Excluded[engine.ID()] = true
+		return true
+	}
+	p.resumed++
+	p.again = engine
+	return p.resumed <= maximalResumes
+}
+
 // final is the failure that the caller gets.
 func (p *progress) final(ctx context.Context, outcome attemptOutcome, cause error) error {
 	if outcome == delivered {
 		return cause
 	}
-	if p.runs > 0 {
+	if p.ran {
 		if errors.Is(ctx.Err(), context.DeadlineExceeded) {
 			return apierr.New(apierr.DeadlineExceeded, apierr.OutcomeUnknown, "no answer in time: %s", cause)
 		}
@@ -85,7 +112,7 @@
 
 // noEngine is the failure of a call for which there is no engine (any more).
 func (p *progress) noEngine(ctx context.Context) error {
-	if p.runs > 0 {
+	if p.ran {
 		return apierr.New(apierr.ExecutionUnknown, apierr.OutcomeUnknown, "no other engine may take the call")
 	}
 	return p.notRun(ctx, "no engine may take the call")
--- a/internal/dispatch/registry.go
+++ b/internal/dispatch/registry.go
@@ -138,6 +138,13 @@
 	return count
 }
 
+// use counts another attempt at an engine.
+func (r *Registry) use(engine *Engine) {
+	r.mutex.Lock()
+	defer r.mutex.Unlock()
+	engine.inFlight++
+}
+
 // release ends a use of an engine.
 func (r *Registry) release(engine *Engine) {
 	r.mutex.Lock()
--- a/internal/ingress/events.go
+++ b/internal/ingress/events.go
@@ -17,35 +17,54 @@
 	keep bool
 	// open tells that bytes of an event have passed whose end has not.
 	open bool
+	// lastID is the ID of the last whole event that had one; id is that of the event under way.
+	lastID, id string
 }
 
-// write takes bytes and returns how many events ended in them.
-func (s *eventScanner) write(chunk []byte) int {
+// write takes bytes. It returns how many events ended in them, and how many of the bytes lie before
+// the end of the last of these.
+func (s *eventScanner) write(chunk []byte) (ended, boundary int) {
 	before := s.count
-	for len(chunk) > 0 {
-		end := bytes.IndexByte(chunk, '\n')
-		if end < 0 {
-			s.line = append(s.line, chunk...)
+	for position := 0; position < len(chunk); {
+		length := bytes.IndexByte(chunk[position:], '\n')
+		if length < 0 {
+			s.line = append(s.line, chunk[position:]...)
 			s.open = true
 			break
 		}
-		s.line = append(s.line, chunk[:end]...)
-		chunk = chunk[end+1:]
-		s.endLine(bytes.TrimSuffix(s.line, []byte{'\r'}))
+		s.line = append(s.line, chunk[position:position+length]...)
+		position += length + 1
+		if s.endLine(bytes.TrimSuffix(s.line, []byte{'\r'})) {
+			boundary = position
+		}
 		s.line = s.line[:0]
 	}
-	return s.count - before
+	return s.count - before, boundary
+}
+
+// restart forgets the part of an event that was cut off; the events before it stay.
+func (s *eventScanner) restart() {
+	s.line = s.line[:0]
+	s.data = s.data[:0]
+	s.hasData = false
+	s.open = false
+	s.id = ""
 }
 
-func (s *eventScanner) endLine(line []byte) {
+// endLine reports whether the line ended an event.
+func (s *eventScanner) endLine(line []byte) bool {
 	if len(line) == 0 {
 		s.endEvent()
-		return
+		return true
 	}
 	s.open = true
+	if id, isID := bytes.CutPrefix(line, []byte("id:")); isID {
+		s.id = string(bytes.TrimPrefix(id, []byte{' '}))
+		return false
+	}
 	value, isData := bytes.CutPrefix(line, []byte("data:"))
 	if !isData {
-		return
+		return false
 	}
 	value = bytes.TrimPrefix(value, []byte{' '})
 	if s.hasData {
@@ -53,6 +72,7 @@
 	}
 	s.data = append(s.data, value...)
 	s.hasData = true
+	return false
 }
 
 func (s *eventScanner) endEvent() {
@@ -61,6 +81,10 @@
 		return
 	}
 	s.count++
+	if s.id != "" {
+		s.lastID = s.id
+	}
+	s.id = ""
 	if s.keep {
 		s.output = append(s.output, s.data...)
 		s.output = append(s.output, '\n')
--- a/internal/ingress/relay.go
+++ b/internal/ingress/relay.go
@@ -74,13 +74,21 @@
 	scanner eventScanner
 	flusher *http.ResponseController
 	lastAt  time.Time
+	// pending are bytes of an event whose end has not come. On resumable routes only whole events are
+	// passed on, so that another run can go on after the last.
+	pending   []byte
+	resumable bool
 }
 
 // relayStream passes events on as they come. The end of the answer goes out only once the turn is
 // kept.
 func (r *request) relayStream(ctx context.Context, call *dispatch.Call) error {
-	passed := &stream{request: r}
+	passed := &stream{request: r, resumable: r.route.Repeatable()}
 	passed.scanner.keep = r.route.Kept()
+	passed.scanner.lastID = r.caller.LastEvent
+	if passed.resumable {
+		call.Resume = passed.position
+	}
 	err := r.server.options.Dispatcher.Run(ctx, call, func(attempt *dispatch.Attempt) error {
 		passed.attempt = attempt
 		return passed.relay()
@@ -99,25 +107,43 @@
 	response := s.attempt.Response()
 	s.flusher = http.NewResponseController(s.request.writer)
 	s.lastAt = s.attempt.SentAt()
+	s.scanner.restart()
+	s.pending = s.pending[:0]
 	buffer := make([]byte, relayBufferBytes)
+	stall := s.watchStall()
+	defer stall.stop()
 	for {
 		read, err := response.Body.Read(buffer)
 		if read > 0 {
-			s.begin()
+			stall.heard()
 			if failure := s.pass(buffer[:read]); failure != nil {
 				return failure
 			}
 		}
 		if errors.Is(err, io.EOF) {
-			s.begin()
-			return nil
+			return s.end()
 		}
 		if err != nil {
-			return dispatch.Broken(s.request.sent, err)
+			return dispatch.Broken(s.request.sent && !s.resumable, err)
 		}
 	}
 }
 
+// end passes on what is left once the engine's answer has ended whole.
+func (s *stream) end() error {
+	s.begin()
+	if len(s.pending) == 0 {
+		return nil
+	}
+	return s.write(s.pending)
+}
+
+// position is where another run of a resumable stream would go on, and whether the caller has
+// got any of it from here.
+func (s *stream) position() (lastEvent string, delivered bool) {
+	return s.scanner.lastID, s.request.sent
+}
+
 // begin sends the head before the first bytes.
 func (s *stream) begin() {
 	if s.request.sent {
@@ -128,15 +154,32 @@
 }
 
 func (s *stream) pass(chunk []byte) error {
-	ended := s.scanner.write(chunk)
+	ended, boundary := s.scanner.write(chunk)
 	if ended > 0 {
 		s.observe(ended)
 	}
+	if !s.resumable {
+		s.begin()
+		return s.write(chunk)
+	}
+	if boundary == 0 {
+		s.pending = append(s.pending, chunk...)
+		return nil
+	}
+	s.begin()
+	whole := append(s.pending, chunk[:boundary]...)
+	err := s.write(whole)
+	s.pending = append(s.pending[:0], chunk[boundary:]...)
+	return err
+}
+
+// write sends bytes to the caller at once.
+func (s *stream) write(chunk []byte) error {
 	if _, err := s.request.writer.Write(chunk); err != nil {
-		return dispatch.Broken(true, err)
+		return dispatch.CallerGone(err)
 	}
 	if err := s.flusher.Flush(); err != nil {
-		return dispatch.Broken(true, err)
+		return dispatch.CallerGone(err)
 	}
 	return nil
 }
--- a/internal/ingress/server.go
+++ b/internal/ingress/server.go
@@ -50,6 +50,8 @@
 	Most int64
 	// Previous is the turn that this one continues.
 	Previous string
+	// LastEvent is the ID of the last event of this stream that the caller has; empty at its start.
+	LastEvent string
 	// PromptStart is equal for prompts that begin alike.
 	PromptStart string
 }
--- a/internal/turnlog/turnlog.go
+++ b/internal/turnlog/turnlog.go
@@ -9,7 +9,7 @@
 //
 //	log, err := turnlog.Open(folder, func(payload []byte) { ... })
 //	go log.Run(ctx)
-//	err = log.Append(ctx, payloads)
+//	err = log.Append(ctx, payloads, func() { ... what is durable now may be shown ... })
 package turnlog
 
 import (
@@ -61,6 +61,7 @@
 
 type appending struct {
 	payloads [][]byte
+	apply    func()
 	done     chan error
 }
 
@@ -152,10 +153,11 @@
 	return append(buffer, payload...)
 }
 
-// Append writes records and returns once they are synced. After an error they may or may not be
-// in the log.
-func (l *Log) Append(ctx context.Context, payloads [][]byte) error {
-	request := appending{payloads: payloads, done: make(chan error, 1)}
+// Append writes records and returns once they are synced. apply is called from Run when they are,
+// before anything else is written: the log may be rewritten at any moment with what live returns, so
+// what is durable must be in there. After an error the records may or may not be in the log.
+func (l *Log) Append(ctx context.Context, payloads [][]byte, apply func()) error {
+	request := appending{payloads: payloads, apply: apply, done: make(chan error, 1)}
 	select {
 	case l.queue <- request:
 	case <-ctx.Done():
@@ -204,6 +206,9 @@
 	}
 	err := l.write(buffer)
 	for _, request := range batch {
+		if err == nil {
+			request.apply()
+		}
 		request.done <- err
 	}
 }
--- /dev/null
+++ b/internal/turnlog/turnlog_test.go
@@ -0,0 +1,181 @@
+package turnlog
+
+import (
+	"context"
+	"fmt"
+	"os"
+	"path/filepath"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/cockroachdb/errors"
+	"gotest.tools/v3/assert"
+)
+
+func open(t *testing.T, folder string, live func() [][]byte) (*Log, []string, func()) {
+	t.Helper()
+	var replayed []string
+	log, err := Open(folder, func(payload []byte) { replayed = append(replayed, string(payload)) }, live)
+	assert.NilError(t, err)
+	ctx, cancel := context.WithCancel(context.Background())
+	done := make(chan struct{})
+	go func() {
+		log.Run(ctx)
+		close(done)
+	}()
+	return log, replayed, func() {
+		cancel()
+		<-done
+	}
+}
+
+func add(t *testing.T, log *Log, payloads ...string) {
+	t.Helper()
+	var encoded [][]byte
+	for _, payload := range payloads {
+		encoded = append(encoded, []byte(payload))
+	}
+	ctx, cancel := context.WithTimeout(context.Background(), 10*time.Second)
+	defer cancel()
+	assert.NilError(t, log.Append(ctx, encoded, func() {}))
+}
+
+func TestRecordsComeBackInOrder(t *testing.T) {
+	folder := t.TempDir()
+	log, _, stop := open(t, folder, nil)
+	add(t, log, "one", "two")
+	add(t, log, "three")
+	stop()
+	log, replayed, stop := open(t, folder, nil)
+	assert.DeepEqual(t, replayed, []string{"one", "two", "three"})
+	add(t, log, "four")
+	stop()
+	_, replayed, stop = open(t, folder, nil)
+	stop()
+	assert.DeepEqual(t, replayed, []string{"one", "two", "three", "four"})
+}
+
+// Whatever of the last write reached the disk, what was acknowledged before comes back, and what is
+// appended after the loss of power does, too.
+func TestTornEnd(t *testing.T) {
+	folder := t.TempDir()
+	log, _, stop := open(t, folder, nil)
+	add(t, log, "kept")
+	stop()
+	name := log.segments[0]
+	whole, err := os.ReadFile(name)
+	assert.NilError(t, err)
+	torn := appendFrame(nil, []byte("never acknowledged"))
+	for cut := range len(torn) + 1 {
+		for _, damage := range []int{-1, cut / 2} {
+			tail := append([]byte(nil), torn[:cut]...)
+			if damage >= 0 && damage < len(tail) {
+				tail[damage] ^= 0x40
+			}
+			copyFolder := t.TempDir()
+			assert.NilError(t, os.WriteFile(filepath.Join(copyFolder, filepath.Base(name)), append(append([]byte(nil), whole...), tail...), 0o600))
+			log, replayed, stop := open(t, copyFolder, nil)
+			assert.Equal(t, replayed[0], "kept", "cut at %d", cut)
+			add(t, log, "after")
+			stop()
+			_, replayed, stop = open(t, copyFolder, nil)
+			stop()
+			assert.Equal(t, replayed[len(replayed)-1], "after", "cut at %d", cut)
+		}
+	}
+}
+
+func TestAppendsAtOnceShareASync(t *testing.T) {
+	folder := t.TempDir()
+	log, _, stop := open(t, folder, nil)
+	var tasks sync.WaitGroup
+	for index := range 100 {
+		tasks.Add(1)
+		go func() {
+			defer tasks.Done()
+			add(t, log, fmt.Sprint(index))
+		}()
+	}
+	tasks.Wait()
+	stop()
+	_, replayed, stop := open(t, folder, nil)
+	stop()
+	assert.Equal(t, len(replayed), 100)
+}
+
+// A disk that refuses writes fails the append, and the log goes on once it takes them again.
+func TestFailingDisk(t *testing.T) {
+	folder := filepath.Join(t.TempDir(), "data")
+	assert.NilError(t, os.Mkdir(folder, 0o700))
+	log, _, stop := open(t, folder, nil)
+	add(t, log, "before")
+	moved := folder + ".gone"
+	assert.NilError(t, log.file.Close()) // the next write fails as on a full disk
+	assert.NilError(t, os.Rename(folder, moved))
+	ctx, cancel := context.WithTimeout(context.Background(), 10*time.Second)
+	defer cancel()
+	for range 2 {
+		err := log.Append(ctx, [][]byte{[]byte("lost")}, func() { t.Error("a record was shown that is not durable") })
+		var failure *ErrLog
+		assert.Assert(t, errors.As(err, &failure))
+	}
+	assert.NilError(t, os.Rename(moved, folder))
+	add(t, log, "after")
+	stop()
+	_, replayed, stop := open(t, folder, nil)
+	stop()
+	assert.DeepEqual(t, replayed, []string{"before", "after"})
+}
+
+// The log is rewritten with what is needed; of what is appended meanwhile nothing is lost, also if
+// nobody has waited for it.
+func TestGrownLogIsRewrittenWithWhatIsNeeded(t *testing.T) {
+	folder := t.TempDir()
+	var mutex sync.Mutex
+	var applied [][]byte
+	log, _, stop := open(t, folder, func() [][]byte {
+		mutex.Lock()
+		defer mutex.Unlock()
+		return append([][]byte(nil), applied...)
+	})
+	filler := make([]byte, 1<<20)
+	ctx, cancel := context.WithTimeout(context.Background(), 30*time.Second)
+	defer cancel()
+	var wanted []string
+	for index := range 2 * compactAbove / len(filler) {
+		name := fmt.Sprint("record ", index)
+		wanted = append(wanted, name)
+		err := log.Append(ctx, [][]byte{filler, []byte(name)}, func() {
+			mutex.Lock()
+			defer mutex.Unlock()
+			applied = append(applied, []byte(name))
+		})
+		assert.NilError(t, err)
+	}
+	stop()
+	names, err := filepath.Glob(filepath.Join(folder, segmentGlob))
+	assert.NilError(t, err)
+	assert.Assert(t, filepath.Base(names[0]) != fmt.Sprintf(segmentPattern, 1), "the log was never rewritten")
+	_, replayed, stop := open(t, folder, nil)
+	stop()
+	var found []string
+	for _, record := range replayed {
+		if len(record) < len(filler) {
+			found = append(found, record)
+		}
+	}
+	assert.DeepEqual(t, found, wanted)
+}
+
+func FuzzReplay(f *testing.F) {
+	f.Add(appendFrame(nil, []byte("x")))
+	f.Add([]byte{255, 255, 255, 255, 0, 0, 0, 0})
+	f.Fuzz(func(t *testing.T, content []byte) {
+		name := filepath.Join(t.TempDir(), fmt.Sprintf(segmentPattern, 1))
+		assert.NilError(t, os.WriteFile(name, content, 0o600))
+		size, err := replaySegment(name, func([]byte) {})
+		assert.NilError(t, err)
+		assert.Assert(t, size <= int64(len(content)))
+	})
+}
--- /dev/null
+++ b/internal/turnstore/cluster_test.go
@@ -0,0 +1,271 @@
+package turnstore
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"net"
+	"os"
+	"path/filepath"
+	"slices"
+	"sync"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"github.com/cockroachdb/errors"
+	"gotest.tools/v3/assert"
+	"gotest.tools/v3/poll"
+
+	"github.com/mountstile/mountstile/internal/configstore"
+	"github.com/mountstile/mountstile/internal/conversation"
+	"github.com/mountstile/mountstile/internal/events"
+	"github.com/mountstile/mountstile/internal/transport"
+)
+
+const (
+	testSetKey        = "set"
+	testCandidatesKey = "candidates"
+	testTimeout       = 15 * time.Second
+)
+
+// memoryStore is a configstore.Store in memory that tells of new replica sets at once.
+type memoryStore struct {
+	mutex    sync.Mutex
+	entries  map[string]configstore.Entry
+	revision int64
+	down     bool
+	onSet    []func(Set)
+}
+
+type storeDown struct{}
+
+// Error implements error.
+func (storeDown) Error() string { return "down" }
+
+func newMemoryStore() *memoryStore { return &memoryStore{entries: make(map[string]configstore.Entry)} }
+
+func (s *memoryStore) Get(_ context.Context, key string) (configstore.Entry, error) {
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
+	if s.down {
+		return configstore.Entry{}, &configstore.ErrUnavailable{Operation: "get", Cause: storeDown{}}
+	}
+	return s.entries[key], nil
+}
+
+func (s *memoryStore) CompareAndSwap(_ context.Context, key string, revision int64, writes []configstore.Write) error {
+	s.mutex.Lock()
+	if s.down {
+		s.mutex.Unlock()
+		return &configstore.ErrUnavailable{Operation: "write", Cause: storeDown{}}
+	}
+	if s.entries[key].Revision != revision {
+		actual := s.entries[key]
+		s.mutex.Unlock()
+		return &configstore.ErrConflict{Key: key, Actual: actual}
+	}
+	s.revision++
+	for _, write := range writes {
+		s.entries[write.Key] = configstore.Entry{Value: write.Value, Revision: s.revision}
+	}
+	s.mutex.Unlock()
+	s.spread()
+	return nil
+}
+
+func (s *memoryStore) Watch(context.Context, string, func(configstore.Event)) error {
+	return storeDown{}
+}
+
+func (s *memoryStore) setDown(down bool) {
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
+	s.down = down
+}
+
+func (s *memoryStore) set() Set {
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
+	var set Set
+	_ = json.Unmarshal(s.entries[testSetKey].Value, &set)
+	return set
+}
+
+// spread stands for the catalog, which brings each set to all nodes.
+func (s *memoryStore) spread() {
+	set := s.set()
+	s.mutex.Lock()
+	listeners := slices.Clone(s.onSet)
+	s.mutex.Unlock()
+	for _, listener := range listeners {
+		listener(set)
+	}
+}
+
+func (s *memoryStore) listen(listener func(Set)) {
+	s.mutex.Lock()
+	s.onSet = append(s.onSet, listener)
+	s.mutex.Unlock()
+	listener(s.set())
+}
+
+// process is one run of a replica.
+type process struct {
+	replica *Replica
+	network *transport.Transport
+	stop    context.CancelFunc
+	done    chan struct{}
+}
+
+// machine is a replica's machine: its address and disk stay while processes come and go.
+type machine struct {
+	name     string
+	address  string
+	folder   string
+	retiring atomic.Bool
+	retired  atomic.Bool
+	process  *process
+}
+
+// cluster is some replicas and a client on loopback.
+type cluster struct {
+	t        *testing.T
+	store    *memoryStore
+	machines []*machine
+	client   *Client
+	started  bool
+}
+
+func newCluster(t *testing.T, size int) *cluster {
+	t.Helper()
+	created := &cluster{t: t, store: newMemoryStore()}
+	for index := range size {
+		created.add(fmt.Sprintf("replica-%d", index))
+	}
+	created.client = created.newClient()
+	eventually(t, "the replica set has its members", func() bool { return len(created.store.set().Members) == size })
+	eventually(t, "the client is ready", func() bool {
+		ctx, cancel := context.WithTimeout(context.Background(), time.Second)
+		defer cancel()
+		return created.client.Ready(ctx)
+	})
+	created.started = true
+	return created
+}
+
+func (c *cluster) newClient() *Client {
+	network := transport.New(transport.Options{Cluster: "test", NodeID: "client", Logger: events.Discard()})
+	c.t.Cleanup(network.Close)
+	client := NewClient(ClientOptions{CacheBytes: 1 << 20}, network, events.Discard())
+	c.store.listen(client.ApplySet)
+	return client
+}
+
+// add starts a new machine with an empty disk.
+func (c *cluster) add(name string) *machine {
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	assert.NilError(c.t, err)
+	address := listener.Addr().String()
+	assert.NilError(c.t, listener.Close())
+	added := &machine{name: name, address: address, folder: c.t.TempDir()}
+	c.machines = append(c.machines, added)
+	c.start(added)
+	return added
+}
+
+func (c *cluster) start(m *machine) {
+	c.t.Helper()
+	network := transport.New(transport.Options{Cluster: "test", NodeID: m.name, Address: m.address, Logger: events.Discard()})
+	replica, err := NewReplica(ReplicaOptions{
+		Self: Member{Name: m.name, Address: m.address}, Folder: m.folder, FirstStart: !c.started, Copies: 2,
+		Store: c.store, SetKey: testSetKey, CandidatesKey: testCandidatesKey, Retiring: m.retiring.Load,
+		Retired: func(_ context.Context, done bool) error {
+			m.retired.Store(done)
+			return nil
+		},
+	}, network, events.Discard())
+	assert.NilError(c.t, err)
+	c.store.listen(replica.ApplySet)
+	var listener net.Listener
+	eventually(c.t, "the address is free", func() bool {
+		listener, err = net.Listen("tcp", m.address)
+		return err == nil
+	})
+	ctx, stop := context.WithCancel(context.Background())
+	run := &process{replica: replica, network: network, stop: stop, done: make(chan struct{})}
+	m.process = run
+	go func() { _ = network.Serve(listener) }()
+	go func() {
+		defer close(run.done)
+		replica.Run(ctx)
+	}()
+	c.t.Cleanup(func() { c.kill(m) })
+}
+
+func (c *cluster) kill(m *machine) {
+	if m.process == nil {
+		return
+	}
+	m.process.stop()
+	m.process.network.Close()
+	<-m.process.done
+	m.process = nil
+}
+
+// wipe kills a machine and empties its disk.
+func (c *cluster) wipe(m *machine) {
+	c.kill(m)
+	names, err := filepath.Glob(filepath.Join(m.folder, "*"))
+	assert.NilError(c.t, err)
+	for _, name := range names {
+		assert.NilError(c.t, os.Remove(name))
+	}
+}
+
+func eventually(t *testing.T, what string, check func() bool) {
+	t.Helper()
+	poll.WaitOn(t, func(poll.LogT) poll.Result {
+		if check() {
+			return poll.Success()
+		}
+		return poll.Continue("%s", what)
+	}, poll.WithTimeout(testTimeout), poll.WithDelay(20*time.Millisecond))
+}
+
+func (c *cluster) put(id, previous string) {
+	c.t.Helper()
+	ctx, cancel := context.WithTimeout(context.Background(), testTimeout)
+	defer cancel()
+	assert.NilError(c.t, c.client.Put(ctx, []conversation.Record{{Turn: &conversation.Turn{
+		ID: id, Previous: previous, Engine: "engine of " + id, Text: []byte(id + ";"), RetentionMillis: 60_000,
+	}}}))
+}
+
+// read opens a turn after previous through a client without a cache.
+func (c *cluster) read(previous string) (*Opened, error) {
+	ctx, cancel := context.WithTimeout(context.Background(), testTimeout)
+	defer cancel()
+	return c.newClient().Open(ctx, Opening{Turn: "next", Previous: previous, Budget: -1})
+}
+
+func (c *cluster) reserve(client *Client, turn string, budget, most int64) error {
+	ctx, cancel := context.WithTimeout(context.Background(), testTimeout)
+	defer cancel()
+	_, err := client.Open(ctx, Opening{Turn: turn, Program: "program", Budget: budget, Most: most})
+	return err
+}
+
+func (m *machine) complete() bool { return m.process.replica.folder.record().Complete }
+
+func (m *machine) turns() int {
+	m.process.replica.mutex.Lock()
+	defer m.process.replica.mutex.Unlock()
+	turns, _, _ := m.process.replica.state.Size()
+	return turns
+}
+
+func isErr[E error](err error) bool {
+	var typed E
+	return errors.As(err, &typed)
+}
--- a/internal/turnstore/replica.go
+++ b/internal/turnstore/replica.go
@@ -209,17 +209,20 @@
 	if len(news) == 0 {
 		return nil
 	}
-	if err := r.log.Append(ctx, encodeRecords(news)); err != nil {
+	err := r.log.Append(ctx, encodeRecords(news), func() { r.apply(news) })
+	if err != nil {
 		r.logger.Emit(events.ReplicaLogFailed, events.F("error", err), events.F("records", len(news)))
-		return err
 	}
+	return err
+}
+
+func (r *Replica) apply(records []conversation.Record) {
 	now := time.Now()
 	r.mutex.Lock()
 	defer r.mutex.Unlock()
-	for _, record := range news {
+	for _, record := range records {
 		r.state.Apply(now, record)
 	}
-	return nil
 }
 
 var errHandingOver = apierr.New(apierr.TurnsUnavailable, apierr.NotRun, "the replica hands over what it holds")
--- /dev/null
+++ b/internal/turnstore/turnstore_test.go
@@ -0,0 +1,292 @@
+package turnstore
+
+import (
+	"context"
+	"fmt"
+	"sync"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+	"pgregory.net/rapid"
+
+	"github.com/mountstile/mountstile/internal/apierr"
+	"github.com/mountstile/mountstile/internal/conversation"
+	"github.com/mountstile/mountstile/internal/transport"
+)
+
+func TestChainIsRebuiltForAnyClient(t *testing.T) {
+	t.Parallel()
+	c := newCluster(t, 3)
+	c.put("a", "")
+	c.put("b", "a")
+	opened, err := c.read("b")
+	assert.NilError(t, err)
+	assert.Equal(t, string(opened.Prefix), "a;b;")
+	assert.Equal(t, opened.Engine, "engine of b")
+	_, err = c.read("never")
+	assert.Assert(t, apierr.Is(err, apierr.NoSuchTurn), "%v", err)
+}
+
+// "No such turn" needs certainty: with two of three replicas silent, nobody can be sure.
+func TestNoCertaintyWithoutEnoughReplicas(t *testing.T) {
+	t.Parallel()
+	c := newCluster(t, 3)
+	c.kill(c.machines[0])
+	_, err := c.read("never")
+	assert.Assert(t, apierr.Is(err, apierr.NoSuchTurn), "%v", err)
+	c.kill(c.machines[1])
+	_, err = c.read("never")
+	assert.Assert(t, apierr.Is(err, apierr.TurnsUnavailable), "%v", err)
+	failure := apierr.From(err, apierr.OutcomeUnknown)
+	assert.Equal(t, failure.Outcome, apierr.NotRun)
+	assert.Assert(t, failure.RetryAfter > 0)
+}
+
+// A disk is lost right after the acknowledgement while all others lose power: the turn is there.
+func TestDiskLostWhileAllOthersLosePower(t *testing.T) {
+	t.Parallel()
+	for lost := range 4 {
+		t.Run(fmt.Sprint(lost), func(t *testing.T) {
+			c := newCluster(t, 4)
+			c.put("a", "")
+			for _, m := range c.machines {
+				if m != c.machines[lost] {
+					c.kill(m)
+				}
+			}
+			c.wipe(c.machines[lost])
+			for _, m := range c.machines {
+				c.start(m)
+			}
+			eventually(t, "the turn is served", func() bool {
+				opened, err := c.read("a")
+				assert.Assert(t, !apierr.Is(err, apierr.NoSuchTurn), "a kept turn was denied")
+				return err == nil && string(opened.Prefix) == "a;"
+			})
+			eventually(t, "the empty replica has caught up", func() bool {
+				return c.machines[lost].complete() && c.machines[lost].turns() == 1
+			})
+		})
+	}
+}
+
+// A replica whose disk was lost must not say "no" before it has everything again.
+func TestEmptyReplicaDeniesNothing(t *testing.T) {
+	t.Parallel()
+	c := newCluster(t, 3)
+	c.kill(c.machines[2])
+	c.put("a", "")
+	c.wipe(c.machines[0])
+	c.kill(c.machines[1])
+	c.start(c.machines[0])
+	c.start(c.machines[2])
+	for range 3 {
+		_, err := c.read("a")
+		assert.Assert(t, apierr.Is(err, apierr.TurnsUnavailable), "%v", err)
+	}
+	assert.Assert(t, !c.machines[0].complete())
+	c.start(c.machines[1])
+	eventually(t, "the turn is back", func() bool {
+		_, err := c.read("a")
+		return err == nil
+	})
+}
+
+func TestBudgetIsNeverOverspent(t *testing.T) {
+	t.Parallel()
+	c := newCluster(t, 3)
+	clients := []*Client{c.newClient(), c.newClient(), c.newClient()}
+	var admitted atomic.Int64
+	var tasks sync.WaitGroup
+	for index := range 30 {
+		tasks.Add(1)
+		go func() {
+			defer tasks.Done()
+			if c.reserve(clients[index%len(clients)], fmt.Sprint(index), 100, 30) == nil {
+				admitted.Add(1)
+			}
+		}()
+	}
+	tasks.Wait()
+	assert.Assert(t, admitted.Load() <= 3, "%d turns of 30 in a budget of 100", admitted.Load())
+}
+
+func TestSettledTurnsGiveBackWhatTheyDidNotUse(t *testing.T) {
+	t.Parallel()
+	c := newCluster(t, 3)
+	assert.NilError(t, c.reserve(c.client, "one", 100, 60))
+	err := c.reserve(c.client, "two", 100, 60)
+	assert.Assert(t, apierr.Is(err, apierr.BudgetExceeded), "%v", err)
+	assert.Equal(t, apierr.From(err, apierr.OutcomeUnknown).Outcome, apierr.NotRun)
+	c.client.Settle("program", "one", 9)
+	eventually(t, "there is room again", func() bool { return c.reserve(c.newClient(), "three", 100, 60) == nil })
+	for _, m := range c.machines {
+		c.kill(m)
+	}
+	for _, m := range c.machines {
+		c.start(m)
+	}
+	eventually(t, "what was spent is known after a loss of power", func() bool {
+		return apierr.Is(c.reserve(c.newClient(), "four", 100, 60), apierr.BudgetExceeded)
+	})
+}
+
+// A machine that is gone for good is replaced by one with another name, without the operator; then
+// the loss of another one is borne again.
+func TestReplacedMachine(t *testing.T) {
+	t.Parallel()
+	c := newCluster(t, 4)
+	c.put("a", "")
+	gone := c.machines[0]
+	c.kill(gone)
+	added := c.add("newcomer")
+	eventually(t, "the newcomer is a member", func() bool {
+		set := c.store.set()
+		return !set.Changing() && set.Has("newcomer") && !set.Has(gone.name)
+	})
+	assert.Equal(t, added.turns(), 1)
+	c.kill(c.machines[1])
+	c.put("b", "a")
+	opened, err := c.read("b")
+	assert.NilError(t, err)
+	assert.Equal(t, string(opened.Prefix), "a;b;")
+	_, err = c.read("never")
+	assert.Assert(t, apierr.Is(err, apierr.NoSuchTurn), "%v", err)
+}
+
+// One machine more than the set has room for pulls, but does not join.
+func TestSpareDoesNotJoin(t *testing.T) {
+	t.Parallel()
+	c := newCluster(t, 3)
+	c.put("a", "")
+	spare := c.add("spare")
+	eventually(t, "the spare has everything", func() bool { return spare.turns() == 1 })
+	assert.Assert(t, !c.store.set().Has("spare"))
+}
+
+func TestRetiredMachineLeavesNoCopyTooFew(t *testing.T) {
+	t.Parallel()
+	c := newCluster(t, 4)
+	for index := range 50 {
+		c.put(fmt.Sprint(index), "")
+	}
+	retiring := c.machines[2]
+	retiring.retiring.Store(true)
+	eventually(t, "it is emptied", retiring.retired.Load)
+	set := c.store.set()
+	assert.Assert(t, !set.Has(retiring.name) && !set.Changing())
+	c.wipe(retiring)
+	for _, m := range c.machines {
+		if m != retiring {
+			assert.Equal(t, m.turns(), 50, m.name)
+		}
+	}
+	_, err := c.read("49")
+	assert.NilError(t, err)
+}
+
+// A request of an older epoch is refused, and the client goes on with the newer set.
+func TestOlderEpochIsRefused(t *testing.T) {
+	t.Parallel()
+	c := newCluster(t, 3)
+	stale := c.newClient()
+	set := stale.Set()
+	fenced := set
+	fenced.Epoch += 5
+	for _, m := range c.machines {
+		_, err := m.process.replica.serveFence(context.Background(), transport.Peer{}, fenceRequest{Set: fenced})
+		assert.NilError(t, err)
+	}
+	answer, err := c.machines[0].process.replica.servePut(context.Background(), transport.Peer{}, putRequest{Epoch: set.Epoch})
+	assert.NilError(t, err)
+	assert.Equal(t, answer.Newer.Epoch, fenced.Epoch)
+	assert.NilError(t, c.reserve(stale, "one", 10, 1))
+	assert.Equal(t, stale.Set().Epoch, fenced.Epoch)
+	c.kill(c.machines[0])
+	c.start(c.machines[0])
+	assert.Equal(t, c.machines[0].process.replica.Set().Epoch, fenced.Epoch, "a restart must not forget the epoch")
+}
+
+// A change whose replica is gone for good is taken back by the others.
+func TestUnfinishedChangeIsTakenBack(t *testing.T) {
+	t.Parallel()
+	c := newCluster(t, 3)
+	set := c.store.set()
+	joint := set
+	joint.Epoch++
+	joint.Next = append(append([]Member(nil), set.Members...), Member{Name: "ghost", Address: "127.0.0.1:1"})
+	joint.ChangedBy = "ghost"
+	assert.NilError(t, c.machines[0].process.replica.replaceSet(context.Background(), set, joint))
+	c.put("during", "")
+	eventually(t, "the change is taken back", func() bool {
+		now := c.store.set()
+		return !now.Changing() && now.Epoch > joint.Epoch && !now.Has("ghost")
+	})
+	_, err := c.read("during")
+	assert.NilError(t, err)
+}
+
+func TestStoreOutageDoesNotStopTurns(t *testing.T) {
+	t.Parallel()
+	c := newCluster(t, 3)
+	c.store.setDown(true)
+	c.put("a", "")
+	_, err := c.read("a")
+	assert.NilError(t, err)
+	assert.NilError(t, c.reserve(c.client, "one", 10, 5))
+}
+
+// Any write set and any read set that count meet in a replica, in each step of a change.
+func TestWritesAndReadsMeet(t *testing.T) {
+	t.Parallel()
+	rapid.Check(t, func(t *rapid.T) {
+		members := func(label string, from, to int) []Member {
+			var made []Member
+			for index := range rapid.IntRange(from, to).Draw(t, label) {
+				made = append(made, Member{Name: fmt.Sprint(label[:1], index)})
+			}
+			return made
+		}
+		set := Set{Members: members("old", 1, 6), Copies: rapid.IntRange(1, 3).Draw(t, "copies")}
+		if rapid.Bool().Draw(t, "changing") {
+			set.Next = append(members("new", 1, 2), set.Members[rapid.IntRange(0, len(set.Members)-1).Draw(t, "left"):]...)
+		}
+		pick := func(label string) map[string]bool {
+			picked := make(map[string]bool)
+			for _, member := range set.All() {
+				picked[member.Name] = rapid.Bool().Draw(t, label)
+			}
+			return picked
+		}
+		written, read := pick("written"), pick("read")
+		if !set.Written(written) || !set.Read(read) {
+			return
+		}
+		for name := range written {
+			if written[name] && read[name] {
+				return
+			}
+		}
+		t.Fatalf("%v and %v count in %+v and don't meet", written, read, set)
+	})
+}
+
+func TestCacheForgetsOldAndMany(t *testing.T) {
+	t.Parallel()
+	kept := newCache(10)
+	kept.add(conversation.Turn{ID: "a", Text: make([]byte, 6), RetentionMillis: 60_000})
+	kept.add(conversation.Turn{ID: "b", Previous: "a", Text: make([]byte, 4), RetentionMillis: 60_000})
+	turns, found := kept.chain("b")
+	assert.Assert(t, found)
+	assert.Equal(t, len(turns), 2)
+	kept.add(conversation.Turn{ID: "c", Text: make([]byte, 4), RetentionMillis: 60_000})
+	_, found = kept.chain("b")
+	assert.Assert(t, !found, "a part of the chain had to give way")
+	old := newCache(10)
+	old.add(conversation.Turn{ID: "a", RetentionMillis: 0})
+	time.Sleep(time.Millisecond)
+	_, found = old.chain("a")
+	assert.Assert(t, !found)
+}
--- /dev/null
+++ b/internal/upstream/upstream_test.go
@@ -0,0 +1,380 @@
+package upstream
+
+import (
+	"bufio"
+	"context"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"strings"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"github.com/cockroachdb/errors"
+	"gotest.tools/v3/assert"
+	"gotest.tools/v3/poll"
+)
+
+// engine is a server whose behaviour on each connection is a script.
+type engine struct {
+	listener net.Listener
+	accepted atomic.Int64
+}
+
+func startEngine(t *testing.T, script func(connection net.Conn, reader *bufio.Reader, number int64)) *engine {
+	t.Helper()
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	assert.NilError(t, err)
+	started := &engine{listener: listener}
+	go func() {
+		for {
+			connection, err := listener.Accept()
+			if err != nil {
+				return
+			}
+			number := started.accepted.Add(1)
+			go func() {
+				defer connection.Close()
+				script(connection, bufio.NewReader(connection), number)
+			}()
+		}
+	}()
+	t.Cleanup(func() { _ = listener.Close() })
+	return started
+}
+
+func (e *engine) pool(limit int) *Pool {
+	return NewPool(e.listener.Addr().String(), limit, Dialer(time.Second, time.Second))
+}
+
+func readRequest(reader *bufio.Reader) (*http.Request, []byte, error) {
+	request, err := http.ReadRequest(reader)
+	if err != nil {
+		return nil, nil, err
+	}
+	body, err := io.ReadAll(request.Body)
+	return request, body, err
+}
+
+func reply(connection net.Conn, format string, args ...any) {
+	_, _ = fmt.Fprintf(connection, format, args...)
+}
+
+// echo answers each request with its body.
+func echo(connection net.Conn, reader *bufio.Reader, _ int64) {
+	for {
+		_, body, err := readRequest(reader)
+		if err != nil {
+			return
+		}
+		reply(connection, "HTTP/1.1 200 OK\r\nContent-Length: %d\r\n\r\n%s", len(body), body)
+	}
+}
+
+func post(body string) *Request {
+	return &Request{Method: http.MethodPost, Target: "/a/b?c=%20d", Host: "h.example", Header: http.Header{"X-One": {"1"}}, Body: []byte(body)}
+}
+
+func exchangeWhole(t *testing.T, pool *Pool, request *Request) (string, error) {
+	t.Helper()
+	exchange, err := pool.Send(context.Background(), request)
+	if err != nil {
+		return "", err
+	}
+	defer exchange.Abandon()
+	body, err := io.ReadAll(exchange.Response().Body)
+	if err != nil {
+		return "", err
+	}
+	exchange.Finish()
+	return string(body), nil
+}
+
+func TestConnectionsAreUsedAgain(t *testing.T) {
+	server := startEngine(t, echo)
+	pool := server.pool(4)
+	for step := range 5 {
+		text := strings.Repeat("x", step)
+		body, err := exchangeWhole(t, pool, post(text))
+		assert.NilError(t, err)
+		assert.Equal(t, body, text)
+	}
+	assert.Equal(t, pool.Opened(), int64(1))
+}
+
+func TestRequestsArriveByteForByte(t *testing.T) {
+	arrived := make(chan *http.Request, 1)
+	bodies := make(chan string, 1)
+	server := startEngine(t, func(connection net.Conn, reader *bufio.Reader, _ int64) {
+		request, body, err := readRequest(reader)
+		if err == nil {
+			arrived <- request
+			bodies <- string(body)
+			reply(connection, "HTTP/1.1 204 No Content\r\n\r\n")
+		}
+	})
+	_, err := exchangeWhole(t, server.pool(1), post("some\r\n\r\nGET / HTTP/1.1\r\n"))
+	assert.NilError(t, err)
+	request := <-arrived
+	assert.Equal(t, request.RequestURI, "/a/b?c=%20d")
+	assert.Equal(t, request.Host, "h.example")
+	assert.Equal(t, request.Header.Get("X-One"), "1")
+	assert.Equal(t, request.Header.Get("Accept-Encoding"), "")
+	assert.Equal(t, request.Header.Get("User-Agent"), "")
+	assert.Equal(t, <-bodies, "some\r\n\r\nGET / HTTP/1.1\r\n")
+}
+
+// A request is never sent again by itself when a connection that was used before breaks.
+func TestNoSilentReplay(t *testing.T) {
+	var requests atomic.Int64
+	server := startEngine(t, func(connection net.Conn, reader *bufio.Reader, _ int64) {
+		for {
+			if _, _, err := readRequest(reader); err != nil {
+				return
+			}
+			if requests.Add(1) == 2 {
+				return
+			}
+			reply(connection, "HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n")
+		}
+	})
+	pool := server.pool(2)
+	_, err := exchangeWhole(t, pool, post(""))
+	assert.NilError(t, err)
+	_, err = exchangeWhole(t, pool, &Request{Method: http.MethodGet, Target: "/", Host: "h", Header: http.Header{}})
+	var failed *ErrExchange
+	assert.Assert(t, errors.As(err, &failed))
+	assert.Assert(t, failed.Sent)
+	assert.Equal(t, requests.Load(), int64(2))
+}
+
+func TestDeadPortIsKnownAsNotSent(t *testing.T) {
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	assert.NilError(t, err)
+	assert.NilError(t, listener.Close())
+	pool := NewPool(listener.Addr().String(), 1, Dialer(time.Second, time.Second))
+	_, err = exchangeWhole(t, pool, post("x"))
+	var failed *ErrExchange
+	assert.Assert(t, errors.As(err, &failed))
+	assert.Assert(t, !failed.Sent)
+}
+
+// Bytes after a whole answer belong to no request: the next one gets a new connection.
+func TestSurplusAnswerSpoilsTheConnection(t *testing.T) {
+	server := startEngine(t, func(connection net.Conn, reader *bufio.Reader, number int64) {
+		if _, _, err := readRequest(reader); err != nil {
+			return
+		}
+		answer := fmt.Sprintf("HTTP/1.1 200 OK\r\nContent-Length: 1\r\n\r\n%d", number)
+		reply(connection, "%s%s", answer, answer)
+		_, _ = reader.ReadByte()
+	})
+	pool := server.pool(4)
+	first, err := exchangeWhole(t, pool, post(""))
+	assert.NilError(t, err)
+	assert.Equal(t, first, "1")
+	second, err := exchangeWhole(t, pool, post(""))
+	assert.NilError(t, err)
+	assert.Equal(t, second, "2")
+}
+
+func TestSurplusAnswerThatComesLateSpoilsTheConnection(t *testing.T) {
+	surplus := make(chan struct{})
+	sent := make(chan struct{})
+	server := startEngine(t, func(connection net.Conn, reader *bufio.Reader, number int64) {
+		if _, _, err := readRequest(reader); err != nil {
+			return
+		}
+		reply(connection, "HTTP/1.1 200 OK\r\nContent-Length: 1\r\n\r\n%d", number)
+		if number == 1 {
+			<-surplus
+			reply(connection, "HTTP/1.1 200 OK\r\nContent-Length: 1\r\n\r\n0")
+			close(sent)
+		}
+		_, _ = reader.ReadByte()
+	})
+	pool := server.pool(4)
+	_, err := exchangeWhole(t, pool, post(""))
+	assert.NilError(t, err)
+	close(surplus)
+	<-sent
+	poll.WaitOn(t, func(poll.LogT) poll.Result {
+		pool.mutex.Lock()
+		defer pool.mutex.Unlock()
+		if len(pool.idle) == 1 && !pool.idle[0].quiet() {
+			return poll.Success()
+		}
+		return poll.Continue("the surplus bytes have not arrived")
+	}, poll.WithTimeout(5*time.Second), poll.WithDelay(time.Millisecond))
+	second, err := exchangeWhole(t, pool, post(""))
+	assert.NilError(t, err)
+	assert.Equal(t, second, "2")
+}
+
+// An answer that comes before the body was read must not leave the rest of the body to be taken
+// for the next request.
+func TestEarlyAnswerWithUnreadBody(t *testing.T) {
+	server := startEngine(t, func(connection net.Conn, reader *bufio.Reader, number int64) {
+		if number == 1 {
+			_, _ = reader.ReadString('\n')
+			reply(connection, "HTTP/1.1 200 OK\r\nContent-Length: 5\r\n\r\nearly")
+			time.Sleep(20 * lateWriteWait) // keeps the connection open without reading on
+			return
+		}
+		echo(connection, reader, number)
+	})
+	pool := server.pool(4)
+	first, err := exchangeWhole(t, pool, post(strings.Repeat("x", 8<<20)))
+	assert.NilError(t, err)
+	assert.Equal(t, first, "early")
+	second, err := exchangeWhole(t, pool, post("next"))
+	assert.NilError(t, err)
+	assert.Equal(t, second, "next")
+	assert.Equal(t, pool.Opened(), int64(2))
+}
+
+func TestTruncatedAnswersAreErrors(t *testing.T) {
+	for name, answer := range map[string]string{
+		"length":  "HTTP/1.1 200 OK\r\nContent-Length: 10\r\n\r\nabc",
+		"chunked": "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n3\r\nabc\r\n",
+		"head":    "HTTP/1.1 200 OK\r\nConte",
+		"garbage": "no answer at all\r\n\r\n",
+		"chunk":   "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\nzz\r\nabc\r\n0\r\n\r\n",
+	} {
+		server := startEngine(t, func(connection net.Conn, reader *bufio.Reader, _ int64) {
+			if _, _, err := readRequest(reader); err == nil {
+				reply(connection, "%s", answer)
+			}
+		})
+		pool := server.pool(1)
+		_, err := exchangeWhole(t, pool, post("x"))
+		assert.Assert(t, err != nil, name)
+		assert.Equal(t, pool.open, 0, name)
+	}
+}
+
+func TestAnswerWithoutLengthEndsWithItsConnection(t *testing.T) {
+	server := startEngine(t, func(connection net.Conn, reader *bufio.Reader, number int64) {
+		if _, _, err := readRequest(reader); err != nil {
+			return
+		}
+		reply(connection, "HTTP/1.1 200 OK\r\n\r\nall of it")
+		if number == 2 {
+			_ = connection.(*net.TCPConn).SetLinger(0) // a reset in place of an end
+		}
+	})
+	pool := server.pool(1)
+	body, err := exchangeWhole(t, pool, post(""))
+	assert.NilError(t, err)
+	assert.Equal(t, body, "all of it")
+	_, err = exchangeWhole(t, pool, post(""))
+	assert.Assert(t, err != nil, "an answer that was reset on the way is not whole")
+}
+
+func TestInformationalAnswersArePassedOver(t *testing.T) {
+	server := startEngine(t, func(connection net.Conn, reader *bufio.Reader, _ int64) {
+		if _, _, err := readRequest(reader); err == nil {
+			reply(connection, "HTTP/1.1 103 Early Hints\r\n\r\nHTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok")
+		}
+	})
+	body, err := exchangeWhole(t, server.pool(1), post(""))
+	assert.NilError(t, err)
+	assert.Equal(t, body, "ok")
+}
+
+func TestKeepAliveTimeIsObeyed(t *testing.T) {
+	for header, opened := range map[string]int64{"timeout=0": 2, "timeout=5, max=100": 1, "max=3": 1} {
+		server := startEngine(t, func(connection net.Conn, reader *bufio.Reader, _ int64) {
+			for {
+				if _, _, err := readRequest(reader); err != nil {
+					return
+				}
+				reply(connection, "HTTP/1.1 200 OK\r\nKeep-Alive: %s\r\nContent-Length: 0\r\n\r\n", header)
+			}
+		})
+		pool := server.pool(2)
+		for range 2 {
+			_, err := exchangeWhole(t, pool, post(""))
+			assert.NilError(t, err)
+		}
+		assert.Equal(t, pool.Opened(), opened, header)
+	}
+}
+
+func TestCancelledRequestClosesItsConnection(t *testing.T) {
+	closed := make(chan struct{})
+	arrived := make(chan struct{})
+	server := startEngine(t, func(_ net.Conn, reader *bufio.Reader, _ int64) {
+		if _, _, err := readRequest(reader); err != nil {
+			return
+		}
+		close(arrived)
+		_, _ = reader.ReadByte()
+		close(closed)
+	})
+	ctx, cancel := context.WithCancel(context.Background())
+	go func() {
+		<-arrived
+		cancel()
+	}()
+	_, err := server.pool(1).Send(ctx, post("x"))
+	var failed *ErrExchange
+	assert.Assert(t, errors.As(err, &failed))
+	assert.Assert(t, failed.Sent)
+	select {
+	case <-closed:
+	case <-time.After(5 * time.Second):
+		t.Fatal("the engine still has the connection")
+	}
+}
+
+func TestConnectionLimit(t *testing.T) {
+	release := make(chan struct{})
+	server := startEngine(t, func(connection net.Conn, reader *bufio.Reader, _ int64) {
+		if _, _, err := readRequest(reader); err == nil {
+			<-release
+			reply(connection, "HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n")
+		}
+	})
+	pool := server.pool(1)
+	done := make(chan error, 1)
+	go func() {
+		_, err := exchangeWhole(t, pool, post(""))
+		done <- err
+	}()
+	poll.WaitOn(t, func(poll.LogT) poll.Result {
+		if pool.Opened() == 1 {
+			return poll.Success()
+		}
+		return poll.Continue("not sent yet")
+	})
+	_, err := pool.Send(context.Background(), post(""))
+	var limit *ErrConnectionLimit
+	assert.Assert(t, errors.As(err, &limit))
+	var failed *ErrExchange
+	assert.Assert(t, errors.As(err, &failed) && !failed.Sent)
+	close(release)
+	assert.NilError(t, <-done)
+}
+
+func TestHopHeadersAreNotPassedOn(t *testing.T) {
+	passed := PassedOn(http.Header{
+		"Connection": {"close, X-Mine"}, "X-Mine": {"1"}, "X-Yours": {"2"}, "Keep-Alive": {"timeout=1"},
+		"Transfer-Encoding": {"chunked"}, "Content-Length": {"3"}, "Te": {"trailers"},
+	})
+	assert.DeepEqual(t, passed, http.Header{"X-Yours": {"2"}})
+}
+
+func FuzzReadHead(f *testing.F) {
+	f.Add([]byte("HTTP/1.1 200 OK\r\nContent-Length: 1\r\n\r\nx"))
+	f.Add([]byte("HTTP/1.1 100 Continue\r\n\r\n"))
+	f.Fuzz(func(t *testing.T, answer []byte) {
+		connection := &Connection{reader: bufio.NewReader(strings.NewReader(string(answer)))}
+		response, err := readHead(connection, http.MethodPost)
+		if err == nil && response.StatusCode < http.StatusOK && response.StatusCode != http.StatusSwitchingProtocols {
+			t.Fatalf("status %d is not final", response.StatusCode)
+		}
+	})
+}
