--- a/internal/dispatch/dispatch.go
+++ b/internal/dispatch/dispatch.go
@@ -155,7 +155,7 @@
 		if err != nil {
 			return err
 		}
-		outcome, err := d.attempt(ctx, call, engine, consume)
+		outcome, err := d.limitedAttempt(ctx, call, engine, progress, consume)
 		d.registry.release(engine)
 		if outcome == succeeded {
 			return nil
@@ -200,6 +200,22 @@
 	}
 }
 
+// limitedAttempt gives up an attempt whose answer is late while another engine may still run the
+// call. Without that, an answer that an engine has lost would be waited for until the caller leaves.
+func (d *Dispatcher) limitedAttempt(ctx context.Context, call *Call, engine *Engine, progress *progress, consume func(*Attempt) error) (attemptOutcome, error) {
+	limit, limited := progress.attemptLimit(ctx, time.Now())
+	if !limited {
+		return d.attempt(ctx, call, engine, consume)
+	}
+	attemptContext, cancel := context.WithTimeout(ctx, limit)
+	defer cancel()
+	outcome, err := d.attempt(attemptContext, call, engine, consume)
+	if attemptContext.Err() != nil && ctx.Err() == nil {
+		d.registry.failed(engine, false, errLate)
+	}
+	return outcome, err
+}
+
 // attempt sends a call once.
 func (d *Dispatcher) attempt(ctx context.Context, call *Call, engine *Engine, consume func(*Attempt) error) (attemptOutcome, error) {
 	request := call.Request
--- /dev/null
+++ b/internal/dispatch/dispatch_test.go
@@ -0,0 +1,152 @@
+package dispatch
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"net"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"github.com/mountstile/mountstile/internal/catalog"
+	"github.com/mountstile/mountstile/internal/events"
+)
+
+func noDial(context.Context, string) (net.Conn, error) { return nil, errRefused }
+
+func registryOf(t *testing.T, zone string, zones ...string) *Registry {
+	t.Helper()
+	registry := NewRegistry(zone, noDial, events.Discard())
+	for index, engineZone := range zones {
+		specification := EngineSpecification{ID: fmt.Sprintf("e%d", index), Service: "s", Address: "127.0.0.1:1", Zone: engineZone, Slots: 8}
+		value, err := json.Marshal(specification)
+		assert.NilError(t, err)
+		registry.Apply(catalog.Entry{Key: catalog.Key(catalog.EngineKind, specification.ID), Revision: int64(index + 1), Value: value})
+	}
+	return registry
+}
+
+func TestCallsWithOnePromptMeetAtOneEngineOnAllNodes(t *testing.T) {
+	one := registryOf(t, "a", "a", "b", "c", "a", "b")
+	other := registryOf(t, "b", "a", "b", "c", "a", "b")
+	used := make(map[string]bool)
+	for index := range 40 {
+		want := Want{Service: "s", Affinity: fmt.Sprint("program ", index)}
+		first, second := one.choose(time.Now(), want), other.choose(time.Now(), want)
+		assert.Equal(t, first.ID(), second.ID())
+		used[first.ID()] = true
+		one.release(first)
+		other.release(second)
+	}
+	assert.Equal(t, len(used), 5)
+}
+
+func TestFullEngineIsLeftForTheNextInTheRanking(t *testing.T) {
+	registry := registryOf(t, "a", "a", "a", "a")
+	want := Want{Service: "s", Affinity: "p"}
+	counts := make(map[string]int)
+	for range 12 {
+		counts[registry.choose(time.Now(), want).ID()]++
+	}
+	assert.Assert(t, len(counts) > 1, "all calls stay at one engine: %v", counts)
+}
+
+func TestEngineThatHasThePromptIsPreferred(t *testing.T) {
+	registry := registryOf(t, "a", "a", "b", "c")
+	for _, id := range []string{"e0", "e1", "e2"} {
+		engine := registry.choose(time.Now(), Want{Service: "s", Affinity: "p", Preferred: id})
+		assert.Equal(t, engine.ID(), id)
+		registry.release(engine)
+	}
+}
+
+func TestCallsWithoutPromptStayInTheZoneWhileItIsNotBusy(t *testing.T) {
+	registry := registryOf(t, "a", "a", "b", "b")
+	first := registry.choose(time.Now(), Want{Service: "s"})
+	assert.Equal(t, first.Zone(), "a")
+	second := registry.choose(time.Now(), Want{Service: "s"})
+	assert.Equal(t, second.Zone(), "b")
+}
+
+func TestSlowEngineIsLeftAndTriedAgainLater(t *testing.T) {
+	registry := registryOf(t, "a", "a", "a")
+	want := Want{Service: "s", Affinity: "p"}
+	home := registry.choose(time.Now(), want)
+	registry.release(home)
+	other := registry.byID["e0"]
+	if other == home {
+		other = registry.byID["e1"]
+	}
+	for range 10 {
+		registry.Observe(other, "step", 10*time.Millisecond)
+	}
+	for range 3 {
+		registry.Observe(home, "step", 60*time.Millisecond)
+	}
+	now := time.Now()
+	assert.Equal(t, registry.choose(now, want), other)
+	registry.release(other)
+	assert.Equal(t, registry.choose(now.Add(5*paceMemory), want), home)
+}
+
+func TestRecordsThatGoWithAnOutageAreALastResortForAWhile(t *testing.T) {
+	registry := registryOf(t, "a", "a")
+	registry.Apply(catalog.Entry{Key: catalog.Key(catalog.EngineKind, "e0"), Revision: 9})
+	now := time.Now()
+	assert.Assert(t, registry.choose(now, Want{Service: "s"}) != nil)
+	assert.Assert(t, registry.choose(now.Add(removedGrace+time.Millisecond), Want{Service: "s"}) == nil)
+	assert.Equal(t, registry.Count("s"), 0)
+}
+
+func TestAddressThatPassedToAnotherEngineIsAnotherEngine(t *testing.T) {
+	registry := registryOf(t, "a", "a")
+	before := registry.byID["e0"]
+	value, err := json.Marshal(EngineSpecification{ID: "e0", Service: "s", Address: "127.0.0.1:2", Zone: "a", Slots: 8})
+	assert.NilError(t, err)
+	registry.Apply(catalog.Entry{Key: catalog.Key(catalog.EngineKind, "e0"), Revision: 5, Value: value})
+	assert.Assert(t, registry.byID["e0"] != before)
+	assert.Equal(t, registry.byID["e0"].Address(), "127.0.0.1:2")
+	registry.Apply(catalog.Entry{Key: catalog.Key(catalog.EngineKind, "bad"), Revision: 6, Value: json.RawMessage(`{"id":1}`)})
+	assert.Equal(t, registry.Count("s"), 1)
+}
+
+func TestBreakerOpensByShareAndTriesOne(t *testing.T) {
+	now := time.Now()
+	var rare breaker
+	for index := range 200 {
+		if index%20 == 0 {
+			assert.Assert(t, !rare.failed(now, false), "a failure in twenty must not open it")
+		}
+		rare.succeeded(now)
+	}
+	var often breaker
+	opened := false
+	for range 4 {
+		opened = often.failed(now, false)
+	}
+	assert.Assert(t, opened)
+	assert.Assert(t, !often.allows(now))
+	later := now.Add(breakerLongest)
+	assert.Assert(t, often.allows(later))
+	often.sent(later)
+	assert.Assert(t, !often.allows(later), "only one call tries it")
+	assert.Assert(t, often.succeeded(later))
+	assert.Assert(t, often.allows(later))
+	var severe breaker
+	assert.Assert(t, severe.failed(now, true))
+}
+
+func TestRetryBudget(t *testing.T) {
+	budget := newRetryBudget()
+	spent := 0
+	for budget.spend() {
+		spent++
+	}
+	assert.Equal(t, spent, int(retryBurst))
+	for range 8 {
+		budget.earn()
+	}
+	assert.Assert(t, budget.spend() && budget.spend() && !budget.spend())
+}
--- a/internal/dispatch/progress.go
+++ b/internal/dispatch/progress.go
@@ -4,10 +4,12 @@
 	"context"
 	"io"
 	"net/http"
+	"time"
 
 	"github.com/cockroachdb/errors"
 
 	"github.com/mountstile/mountstile/internal/apierr"
+	"github.com/mountstile/mountstile/internal/routing"
 )
 
 // maximalRefusalBytes bounds the body of a refusal that is read to keep its connection.
@@ -42,6 +44,7 @@
 	errRefused     = attemptError("the engine is full")
 	errMisdirected = attemptError("another engine has the address")
 	errSpoiled     = attemptError("the answer is damaged or belongs to another call")
+	errLate        = attemptError("the answer is late")
 	errServerError = attemptError("the engine answered with a failure of its own")
 )
 
@@ -62,6 +65,23 @@
 	again *Engine
 }
 
+// shortestAttempt is the least time that an attempt gets before another engine is asked.
+const shortestAttempt = 120 * time.Millisecond
+
+// attemptLimit is how long the next attempt of a call may take if another engine may run it after;
+// half of the time that is left stays for that one.
+func (p *progress) attemptLimit(ctx context.Context, now time.Time) (time.Duration, bool) {
+	route := p.call.Route
+	if route.Kind() != routing.Safe || p.runs+1 >= route.Attempts() {
+		return 0, false
+	}
+	limit := max(route.Objective(), shortestAttempt)
+	if deadline, ok := ctx.Deadline(); ok {
+		limit = min(limit, deadline.Sub(now)/2)
+	}
+	return limit, true
+}
+
 // mayGoOn counts an attempt that failed and tells whether another one is allowed.
 func (p *progress) mayGoOn(ctx context.Context, outcome attemptOutcome, engine *Engine, retries *retryBudget) bool {
 	p.sends++
