--- a/internal/upstream/socket.go
+++ b/internal/upstream/socket.go
@@ -16,7 +16,7 @@
 	dialer := &net.Dialer{
 		Timeout: timeout,
 		KeepAliveConfig: net.KeepAliveConfig{
-			Enable: true, Idle: 2 * time.Second, Interval: time.Second, Count: 2,
+			Enable: true, Idle: time.Second, Interval: time.Second, Count: 2,
 		},
 		Control: func(_, _ string, raw syscall.RawConn) error {
 			var failed error
