mountstile explain: the story of a request or program from the logs of several processes

Cause: on-call engineers have only logs and metrics, and a request's end did not tell what decided its way.

Change: the one line at the end of a request names what the choice of its engine saw (candidates, own calls in flight, pace, wait), the age of the catalog and the time for opening the turn; lines have milliseconds and a steady time; lines on requests are bounded, failures apart from successes, and dropped ones counted.

--- /dev/null
+++ b/cmd/mountstile/explain.go
@@ -0,0 +1,52 @@
+package main
+
+import (
+	"fmt"
+	"os"
+
+	"github.com/cockroachdb/errors"
+
+	"github.com/mountstile/mountstile/internal/explain"
+)
+
+type explainCommand struct {
+	Logs []string `long:"logs" description:"a log file of a process; may be repeated" required:"true"`
+	Args struct {
+		ID    string   `positional-arg-name:"ID" description:"a request's or a program's ID" required:"true"`
+		Files []string `positional-arg-name:"FILE" description:"more log files"`
+	} `positional-args:"true"`
+}
+
+// errNotInLogs means that no line of the logs is about the ID.
+type errNotInLogs struct{ id string }
+
+// Error implements error.
+func (e *errNotInLogs) Error() string { return "no line of these logs is about " + e.id }
+
+// Execute prints the story of a request or program.
+func (c *explainCommand) Execute([]string) error {
+	var lines []explain.Line
+	for _, name := range append(c.Logs, c.Args.Files...) {
+		file, err := os.Open(name)
+		if err != nil {
+			return errors.Wrap(err, "logs")
+		}
+		read, err := explain.Read(file, name)
+		if closeErr := file.Close(); err == nil {
+			err = closeErr
+		}
+		if err != nil {
+			return err
+		}
+		if len(read) == 0 {
+			fmt.Fprintf(os.Stderr, "%s has no log lines of mountstile\n", name)
+		}
+		lines = append(lines, read...)
+	}
+	report := explain.Explain(lines, c.Args.ID)
+	if !report.Found() {
+		return errors.WithStack(&errNotInLogs{id: c.Args.ID})
+	}
+	report.Write(os.Stdout)
+	return nil
+}
--- a/cmd/mountstile/main.go
+++ b/cmd/mountstile/main.go
@@ -58,6 +58,7 @@
 		{"status", "Show the cluster", "Shows members, the revision that each has in force, and who lags.", &statusCommand{}},
 		{"drain", "Drain a node or an engine", "Asks a node for a planned stop, or keeps new work away from an engine.", &drainCommand{}},
 		{"programs", "List programs", "Lists the programs under way.", &programsCommand{}},
+		{"explain", "Explain how a request ended", "Reads the logs of several processes and prints, in order of time, what was decided about a request or program, what the processes believed then, and why it failed.", &explainCommand{}},
 		{"policy", "Test or explain policies", "Tests a policy against cases, or explains where a call went.", &policyCommand{}},
 		{"key", "Make an API key", "Makes an API key and the salted hash of it that goes into a Tenant or a settings file.", &keyCommand{}},
 		{"keys", "Make certificates", "Makes a cluster's certificate authority and the certificates of its nodes.", &keysCommand{}},
--- a/internal/dispatch/dispatch.go
+++ b/internal/dispatch/dispatch.go
@@ -77,11 +77,28 @@
 	Want     Want
 	Request  upstream.Request
 	Priority int
+	// Trace is filled with what decided the call's way, for its log line.
+	Trace Trace
 	// Resume is set for streams that may go on in another run. It returns the last event that the
 	// caller has, and whether the caller has got any part of the answer.
 	Resume func() (lastEvent string, delivered bool)
 }
 
+// Trace is what decided the way of a call.
+type Trace struct {
+	// Engine is the one that was asked last.
+	Engine string
+	// Sends is how often the call was offered to engines.
+	Sends int
+	// Held is how long it waited for an engine that may take it.
+	Held time.Duration
+	// Candidates, InFlight and Pace are what the last choice of an engine saw: how many might take the
+	// call, and this node's own calls and the pace of the one that was chosen.
+	Candidates int
+	InFlight   int
+	Pace       float64
+}
+
 // Attempt is a call at an engine that has begun to answer.
 type Attempt struct {
 	exchange *upstream.Exchange
@@ -155,6 +172,7 @@
 		if err != nil {
 			return err
 		}
+		call.Trace.Sends++
 		outcome, err := d.limitedAttempt(ctx, call, engine, progress, consume)
 		d.registry.release(engine)
 		if outcome == succeeded {
@@ -180,10 +198,12 @@
 }
 
 func (d *Dispatcher) waitForEngine(ctx context.Context, call *Call, progress *progress) (*Engine, error) {
-	waitUntil := time.Now().Add(engineWait)
+	startedAt := time.Now()
+	waitUntil := startedAt.Add(engineWait)
+	defer func() { call.Trace.Held += time.Since(startedAt) }()
 	for {
 		now := time.Now()
-		if engine := d.registry.choose(now, call.Want); engine != nil {
+		if engine := d.registry.choose(now, call.Want, &call.Trace); engine != nil {
 			return engine, nil
 		}
 		if ctx.Err() != nil || now.After(waitUntil) {
--- a/internal/dispatch/dispatch_test.go
+++ b/internal/dispatch/dispatch_test.go
@@ -34,7 +34,7 @@
 	used := make(map[string]bool)
 	for index := range 40 {
 		want := Want{Service: "s", Affinity: fmt.Sprint("program ", index)}
-		first, second := one.choose(time.Now(), want), other.choose(time.Now(), want)
+		first, second := one.choose(time.Now(), want, &Trace{}), other.choose(time.Now(), want, &Trace{})
 		assert.Equal(t, first.ID(), second.ID())
 		used[first.ID()] = true
 		one.release(first)
@@ -48,7 +48,7 @@
 	want := Want{Service: "s", Affinity: "p"}
 	counts := make(map[string]int)
 	for range 12 {
-		counts[registry.choose(time.Now(), want).ID()]++
+		counts[registry.choose(time.Now(), want, &Trace{}).ID()]++
 	}
 	assert.Assert(t, len(counts) > 1, "all calls stay at one engine: %v", counts)
 }
@@ -56,7 +56,7 @@
 func TestEngineThatHasThePromptIsPreferred(t *testing.T) {
 	registry := registryOf(t, "a", "a", "b", "c")
 	for _, id := range []string{"e0", "e1", "e2"} {
-		engine := registry.choose(time.Now(), Want{Service: "s", Affinity: "p", Preferred: id})
+		engine := registry.choose(time.Now(), Want{Service: "s", Affinity: "p", Preferred: id}, &Trace{})
 		assert.Equal(t, engine.ID(), id)
 		registry.release(engine)
 	}
@@ -64,16 +64,16 @@
 
 func TestCallsWithoutPromptStayInTheZoneWhileItIsNotBusy(t *testing.T) {
 	registry := registryOf(t, "a", "a", "b", "b")
-	first := registry.choose(time.Now(), Want{Service: "s"})
+	first := registry.choose(time.Now(), Want{Service: "s"}, &Trace{})
 	assert.Equal(t, first.Zone(), "a")
-	second := registry.choose(time.Now(), Want{Service: "s"})
+	second := registry.choose(time.Now(), Want{Service: "s"}, &Trace{})
 	assert.Equal(t, second.Zone(), "b")
 }
 
 func TestSlowEngineIsLeftAndTriedAgainLater(t *testing.T) {
 	registry := registryOf(t, "a", "a", "a")
 	want := Want{Service: "s", Affinity: "p"}
-	home := registry.choose(time.Now(), want)
+	home := registry.choose(time.Now(), want, &Trace{})
 	registry.release(home)
 	other := registry.byID["e0"]
 	if other == home {
@@ -86,17 +86,17 @@
 		registry.Observe(home, "step", 60*time.Millisecond)
 	}
 	now := time.Now()
-	assert.Equal(t, registry.choose(now, want), other)
+	assert.Equal(t, registry.choose(now, want, &Trace{}), other)
 	registry.release(other)
-	assert.Equal(t, registry.choose(now.Add(5*paceMemory), want), home)
+	assert.Equal(t, registry.choose(now.Add(5*paceMemory), want, &Trace{}), home)
 }
 
 func TestRecordsThatGoWithAnOutageAreALastResortForAWhile(t *testing.T) {
 	registry := registryOf(t, "a", "a")
 	registry.Apply(catalog.Entry{Key: catalog.Key(catalog.EngineKind, "e0"), Revision: 9})
 	now := time.Now()
-	assert.Assert(t, registry.choose(now, Want{Service: "s"}) != nil)
-	assert.Assert(t, registry.choose(now.Add(removedGrace+time.Millisecond), Want{Service: "s"}) == nil)
+	assert.Assert(t, registry.choose(now, Want{Service: "s"}, &Trace{}) != nil)
+	assert.Assert(t, registry.choose(now.Add(removedGrace+time.Millisecond), Want{Service: "s"}, &Trace{}) == nil)
 	assert.Equal(t, registry.Count("s"), 0)
 }
 
--- a/internal/dispatch/placement.go
+++ b/internal/dispatch/placement.go
@@ -34,7 +34,7 @@
 // Calls with an affinity meet at one engine without any message between nodes: all rank the engines by
 // the same hash. A slow or busy engine is passed over for the next in the ranking. Calls without
 // one go to the engine with the least work from here, in this zone if that costs no more.
-func (r *Registry) choose(now time.Time, want Want) *Engine {
+func (r *Registry) choose(now time.Time, want Want, trace *Trace) *Engine {
 	r.mutex.Lock()
 	defer r.mutex.Unlock()
 	candidates := r.candidates(now, want)
@@ -48,6 +48,10 @@
 			best, bestCost = candidate, cost
 		}
 	}
+	trace.Engine = best.ID()
+	trace.Candidates = len(candidates)
+	trace.InFlight = best.inFlight
+	trace.Pace = best.pace.at(now)
 	best.inFlight++
 	best.breaker.sent(now)
 	return best
--- a/internal/events/events.go
+++ b/internal/events/events.go
@@ -4,6 +4,7 @@
 
 import (
 	"io"
+	"time"
 
 	"github.com/sirupsen/logrus"
 )
@@ -186,16 +187,20 @@
 
 // Logger writes events of the catalogue. The zero value discards them.
 type Logger struct {
-	entry *logrus.Entry
+	entry     *logrus.Entry
+	startedAt time.Time
 }
 
+// timeLayout has milliseconds, so that lines of several processes can be put in order.
+const timeLayout = "2006-01-02T15:04:05.000Z07:00"
+
 // NewLogger writes JSON lines to output at the given level; every line carries the node's name.
 func NewLogger(output io.Writer, level logrus.Level, node string) *Logger {
 	logger := logrus.New()
 	logger.SetOutput(output)
 	logger.SetLevel(level)
-	logger.SetFormatter(&logrus.JSONFormatter{})
-	return &Logger{entry: logger.WithField("node", node)}
+	logger.SetFormatter(&logrus.JSONFormatter{TimestampFormat: timeLayout})
+	return &Logger{entry: logger.WithField("node", node), startedAt: time.Now()}
 }
 
 // Discard returns a Logger that writes nothing.
@@ -221,6 +226,8 @@
 	}
 	values := make(logrus.Fields, len(fields)+2)
 	values["event"] = int(id)
+	// The time of day may jump; this one does not.
+	values["up_millis"] = time.Since(l.startedAt).Milliseconds()
 	values["name"] = event.Name
 	for _, field := range fields {
 		if err, isError := field.Value.(error); isError && err != nil {
--- /dev/null
+++ b/internal/explain/explain_test.go
@@ -0,0 +1,66 @@
+package explain
+
+import (
+	"strings"
+	"testing"
+
+	"gotest.tools/v3/assert"
+)
+
+const sampleLog = `collector 1 {"event":503,"name":"engine_breaker_open","node":"g1","engine":"e1","time":"2026-01-01T10:00:00.500Z","level":"warning","msg":"m"}
+no JSON at all
+{"event":503,"name":"engine_breaker_open","node":"g2","engine":"e1","time":"2026-01-01T10:00:00.600Z","msg":"m"}
+{"event":605,"name":"request_failed","node":"g1","request":"r1","program":"p","engine":"e1","reason":"execution_unknown","outcome":"outcome_unknown","error":"reset","millis":300,"time":"2026-01-01T10:00:01.000Z","msg":"m"}
+{"event":604,"name":"request_ended","node":"g2","request":"r2","program":"p","engine":"e2","status":200,"millis":20,"time":"2026-01-01T10:00:02.000Z","msg":"m"}
+{"event":604,"name":"request_ended","node":"g1","request":"other","program":"q","engine":"e2","millis":20,"time":"2026-01-01T10:00:01.500Z","msg":"m"}
+{"event":416,"name":"replica_log_failed","node":"s1","error":"no space","time":"2026-01-01T09:59:59.000Z","msg":"m"}
+{"event":416,"name":"replica_log_failed","node":"s1","error":"long ago","time":"2026-01-01T09:00:00.000Z","msg":"m"}
+{broken
+`
+
+func read(t *testing.T) []Line {
+	t.Helper()
+	lines, err := Read(strings.NewReader(sampleLog), "sample")
+	assert.NilError(t, err)
+	assert.Equal(t, len(lines), 7)
+	return lines
+}
+
+func TestStoryOfARequest(t *testing.T) {
+	report := Explain(read(t), "r1")
+	var text strings.Builder
+	report.Write(&text)
+	story := strings.Split(strings.TrimSpace(text.String()), "\n")
+	assert.Equal(t, len(story), 4, text.String())
+	assert.Assert(t, strings.Contains(story[0], "replica_log_failed"))
+	assert.Assert(t, strings.Contains(story[1], "engine_breaker_open") && strings.Contains(story[1], "g1"))
+	assert.Assert(t, strings.HasPrefix(story[2], "10:00:01.000 * g1"))
+	assert.Assert(t, strings.HasPrefix(story[3], "cause: request r1 at g1 ended as execution_unknown"))
+	assert.Assert(t, strings.Contains(story[3], "[reset]"))
+}
+
+func TestStoryOfAProgram(t *testing.T) {
+	report := Explain(read(t), "p")
+	assert.Equal(t, len(report.lines), 2)
+	assert.Equal(t, len(report.Causes()), 1)
+}
+
+func TestUnknownRequest(t *testing.T) {
+	report := Explain(read(t), "none")
+	assert.Assert(t, !report.Found())
+	var text strings.Builder
+	report.Write(&text)
+	assert.Equal(t, text.String(), "no line is about none\n")
+}
+
+func FuzzRead(f *testing.F) {
+	f.Add(sampleLog)
+	f.Fuzz(func(t *testing.T, text string) {
+		lines, err := Read(strings.NewReader(text), "fuzz")
+		if err != nil {
+			return
+		}
+		var story strings.Builder
+		Explain(lines, "r1").Write(&story)
+	})
+}
--- a/internal/ingress/metrics.go
+++ b/internal/ingress/metrics.go
@@ -1,6 +1,7 @@
 package ingress
 
 import (
+	"math"
 	"strconv"
 	"time"
 
@@ -15,6 +16,7 @@
 	requests *prometheus.CounterVec
 	seconds  *prometheus.HistogramVec
 	first    *prometheus.HistogramVec
+	dropped  prometheus.Counter
 }
 
 // NewMetrics registers the metrics.
@@ -31,40 +33,76 @@
 			Name: "mountstile_first_event_seconds", Help: "Time from the arrival of a request to its first event.", Buckets: buckets,
 		}, []string{"service"}),
 	}
-	registerer.MustRegister(metrics.requests, metrics.seconds, metrics.first)
+	metrics.dropped = prometheus.NewCounter(prometheus.CounterOpts{
+		Name: "mountstile_log_lines_dropped_total", Help: "Lines on requests that were over the limit and not written.",
+	})
+	registerer.MustRegister(metrics.requests, metrics.seconds, metrics.first, metrics.dropped)
 	return metrics
 }
 
-// log writes the one line that tells how a request ended, and counts it.
+// log writes the one line that tells how a request ended and what decided it, and counts it.
 func (r *request) log(err error) {
 	took := time.Since(r.arrivedAt)
-	fields := []events.Field{
-		events.F("request", r.caller.ID), events.F("program", r.caller.Program), events.F("previous", r.caller.Previous),
-		events.F("version", r.version), events.F("service", r.service.Name), events.F("engine", r.engine),
-		events.F("millis", took.Milliseconds()), events.F("patience_millis", r.caller.Patience.Milliseconds()),
+	status, reason, event := r.ending(err)
+	r.server.options.Metrics.observe(r, status, reason, took)
+	if !r.server.lines.allows(err != nil) {
+		r.server.options.Metrics.lineDropped()
+		return
 	}
-	if r.route != nil {
-		fields = append(fields, events.F("route", r.route.Name()))
+	fields := append(r.identity(),
+		events.F("status", status), events.F("reason", reason), events.F("millis", took.Milliseconds()),
+		events.F("version", r.version), events.F("catalog_age_millis", r.server.options.CatalogAge().Milliseconds()),
+	)
+	if r.opened != nil || r.opening > 0 {
+		fields = append(fields, events.F("open_millis", r.opening.Milliseconds()))
 	}
-	if !r.firstEventAt.IsZero() {
-		fields = append(fields, events.F("first_millis", r.firstEventAt.Sub(r.arrivedAt).Milliseconds()))
+	if r.call != nil {
+		fields = append(fields, r.placement()...)
 	}
-	reason := "answered"
-	status := r.status
-	event := events.RequestEnded
 	if err != nil {
 		failure := apierr.From(err, apierr.OutcomeUnknown)
-		reason = string(failure.Code)
-		if !r.sent {
-			status = failure.HTTPStatus()
-		}
-		event = events.RequestFailed
-		fields = append(fields, events.F("reason", reason), events.F("outcome", string(failure.Outcome)), events.F("error", err),
-			events.F("broken_off", r.sent))
+		fields = append(fields, events.F("outcome", string(failure.Outcome)), events.F("error", err), events.F("broken_off", r.sent))
 	}
-	fields = append(fields, events.F("status", status))
 	r.server.options.Logger.Emit(event, fields...)
-	r.server.options.Metrics.observe(r, status, reason, took)
+}
+
+// ending is how the request ended: its status, the reason in a word, and the event for it.
+func (r *request) ending(err error) (status int, reason string, event events.ID) {
+	if err == nil {
+		return r.status, "answered", events.RequestEnded
+	}
+	failure := apierr.From(err, apierr.OutcomeUnknown)
+	status = r.status
+	if !r.sent {
+		status = failure.HTTPStatus()
+	}
+	return status, string(failure.Code), events.RequestFailed
+}
+
+// identity names the request and what it belongs to.
+func (r *request) identity() []events.Field {
+	fields := []events.Field{
+		events.F("request", r.caller.ID), events.F("program", r.caller.Program), events.F("session", r.caller.Session),
+		events.F("previous", r.caller.Previous), events.F("patience_millis", r.caller.Patience.Milliseconds()),
+	}
+	if r.route != nil {
+		fields = append(fields, events.F("route", r.route.Name()), events.F("service", r.service.Name))
+	}
+	return fields
+}
+
+// placement tells where the call went and what the choice saw.
+func (r *request) placement() []events.Field {
+	trace := r.call.Trace
+	fields := []events.Field{
+		events.F("engine", trace.Engine), events.F("preferred", r.call.Want.Preferred), events.F("sends", trace.Sends),
+		events.F("held_millis", trace.Held.Milliseconds()), events.F("candidates", trace.Candidates),
+		events.F("in_flight", trace.InFlight), events.F("pace", math.Round(trace.Pace*100)/100),
+	}
+	if !r.firstEventAt.IsZero() {
+		fields = append(fields, events.F("first_millis", r.firstEventAt.Sub(r.arrivedAt).Milliseconds()))
+	}
+	return fields
 }
 
 func (m *Metrics) observe(r *request, status int, reason string, took time.Duration) {
@@ -77,3 +115,9 @@
 		m.first.WithLabelValues(r.service.Name).Observe(r.firstEventAt.Sub(r.arrivedAt).Seconds())
 	}
 }
+
+func (m *Metrics) lineDropped() {
+	if m != nil {
+		m.dropped.Inc()
+	}
+}
--- a/internal/ingress/node.go
+++ b/internal/ingress/node.go
@@ -81,6 +81,7 @@
 	node.server = New(Options{
 		Table: node.table.Load, Vocabulary: options.Vocabulary, Registry: node.registry, Turns: node.turns,
 		Dispatcher: dispatch.New(node.registry, options.Protocol, options.Logger), Logger: options.Logger, Metrics: options.Metrics,
+		CatalogAge: node.catalog.Age,
 	})
 	return node
 }
--- a/internal/ingress/server.go
+++ b/internal/ingress/server.go
@@ -72,6 +72,8 @@
 	Turns      *turnstore.Client
 	Logger     *events.Logger
 	Metrics    *Metrics
+	// CatalogAge is how old the node's knowledge of configuration and engines may be.
+	CatalogAge func() time.Duration
 }
 
 // Server is an http.Handler for callers' requests.
@@ -79,10 +81,11 @@
 	options  Options
 	draining atomic.Bool
 	active   atomic.Int64
+	lines    *lineLimit
 }
 
 // New returns a Server.
-func New(options Options) *Server { return &Server{options: options} }
+func New(options Options) *Server { return &Server{options: options, lines: newLineLimit()} }
 
 // Drain makes each further answer the last one of its connection.
 func (s *Server) Drain() { s.draining.Store(true) }
@@ -104,6 +107,8 @@
 	opened    *turnstore.Opened
 
 	// What the log line tells.
+	call         *dispatch.Call
+	opening      time.Duration
 	engine       string
 	status       int
 	firstEventAt time.Time
@@ -232,7 +237,9 @@
 	if r.route.Kept() {
 		opening.Previous = r.caller.Previous
 	}
+	startedAt := time.Now()
 	opened, err := r.server.options.Turns.Open(ctx, opening)
+	r.opening = time.Since(startedAt)
 	if err != nil {
 		return err
 	}
@@ -251,6 +258,7 @@
 			Header: upstream.PassedOn(r.http.Header), Body: r.prompt(),
 		},
 	}
+	r.call = call
 	if r.route.Sticky() || r.route.Kept() {
 		call.Want.Affinity = r.affinity()
 	}
