Replicas under random faults: kills, lost disks, cuts, replacements, store outages, from a seed

Cause: the promises of the replicas were shown fault by fault only.

Change: TestRandomFaults plays faults from a seed on real replicas over loopback while callers write and read; after each, nothing that was acknowledged is denied and nothing is found that was never written; in the end all is there and no budget is overspent. More seeds: go test ./internal/turnstore -run RandomFaults -args -turnstore.seed 10 -turnstore.runs 20.

--- a/internal/turnstore/cluster_test.go
+++ b/internal/turnstore/cluster_test.go
@@ -128,9 +128,54 @@
 	process  *process
 }
 
+// links are the connections between nodes; those of a node that is cut off are closed, and no new
+// ones are opened.
+type links struct {
+	mutex sync.Mutex
+	cut   map[string]bool
+	open  map[net.Conn][2]string
+}
+
+type cutOff struct{}
+
+// Error implements error.
+func (cutOff) Error() string { return "cut off" }
+
+func (l *links) dialFrom(from string) func(context.Context, string) (net.Conn, error) {
+	return func(ctx context.Context, to string) (net.Conn, error) {
+		l.mutex.Lock()
+		refused := l.cut[from] || l.cut[to]
+		l.mutex.Unlock()
+		if refused {
+			return nil, cutOff{}
+		}
+		connection, err := (&net.Dialer{}).DialContext(ctx, "tcp", to)
+		if err == nil {
+			l.mutex.Lock()
+			l.open[connection] = [2]string{from, to}
+			l.mutex.Unlock()
+		}
+		return connection, err
+	}
+}
+
+// set cuts a node's address off, or joins it again.
+func (l *links) set(address string, cut bool) {
+	l.mutex.Lock()
+	defer l.mutex.Unlock()
+	l.cut[address] = cut
+	for connection, ends := range l.open {
+		if cut && (ends[0] == address || ends[1] == address) {
+			_ = connection.Close()
+			delete(l.open, connection)
+		}
+	}
+}
+
 // cluster is some replicas and a client on loopback.
 type cluster struct {
 	t        *testing.T
+	links    links
 	store    *memoryStore
 	machines []*machine
 	client   *Client
@@ -140,6 +185,7 @@
 func newCluster(t *testing.T, size int) *cluster {
 	t.Helper()
 	created := &cluster{t: t, store: newMemoryStore()}
+	created.links = links{cut: make(map[string]bool), open: make(map[net.Conn][2]string)}
 	for index := range size {
 		created.add(fmt.Sprintf("replica-%d", index))
 	}
@@ -155,7 +201,7 @@
 }
 
 func (c *cluster) newClient() *Client {
-	network := transport.New(transport.Options{Cluster: "test", NodeID: "client", Logger: events.Discard()})
+	network := transport.New(transport.Options{Cluster: "test", NodeID: "client", Logger: events.Discard(), Dial: c.links.dialFrom("client")})
 	c.t.Cleanup(network.Close)
 	client := NewClient(ClientOptions{CacheBytes: 1 << 20}, network, events.Discard())
 	c.store.listen(client.ApplySet)
@@ -176,7 +222,9 @@
 
 func (c *cluster) start(m *machine) {
 	c.t.Helper()
-	network := transport.New(transport.Options{Cluster: "test", NodeID: m.name, Address: m.address, Logger: events.Discard()})
+	network := transport.New(transport.Options{
+		Cluster: "test", NodeID: m.name, Address: m.address, Logger: events.Discard(), Dial: c.links.dialFrom(m.address),
+	})
 	replica, err := NewReplica(ReplicaOptions{
 		Self: Member{Name: m.name, Address: m.address}, Folder: m.folder, FirstStart: !c.started, Copies: 2,
 		Store: c.store, SetKey: testSetKey, CandidatesKey: testCandidatesKey, Retiring: m.retiring.Load,
--- /dev/null
+++ b/internal/turnstore/random_test.go
@@ -0,0 +1,213 @@
+package turnstore
+
+import (
+	"context"
+	"flag"
+	"fmt"
+	"math/rand/v2"
+	"sync"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"github.com/mountstile/mountstile/internal/apierr"
+	"github.com/mountstile/mountstile/internal/conversation"
+)
+
+var (
+	randomSeed  = flag.Uint64("turnstore.seed", 1, "first seed of the random faults")
+	randomRuns  = flag.Int("turnstore.runs", 2, "how many seeds are played")
+	randomSteps = flag.Int("turnstore.steps", 12, "how many faults each seed has")
+)
+
+const (
+	randomBudget = 400
+	randomMost   = 60
+	// writerPause keeps the writers from filling the machine.
+	writerPause = 5 * time.Millisecond
+)
+
+// ledger is what callers were told.
+type ledger struct {
+	mutex sync.Mutex
+	kept  []string
+	// generated is what each program's callers have got, in tokens.
+	generated map[string]int64
+}
+
+// TestRandomFaults lets replicas be killed, wiped, cut off, replaced and emptied at random, as far as
+// the promises allow, while callers write and read. Nothing that was acknowledged is ever denied,
+// nothing is found that was never written, no budget is overspent, and in the end all is there.
+func TestRandomFaults(t *testing.T) {
+	t.Parallel()
+	for run := range *randomRuns {
+		seed := *randomSeed + uint64(run)
+		t.Run(fmt.Sprint(seed), func(t *testing.T) {
+			t.Parallel()
+			playFaults(t, seed)
+		})
+	}
+}
+
+func playFaults(t *testing.T, seed uint64) {
+	random := rand.New(rand.NewPCG(seed, 0))
+	c := newCluster(t, 3+random.IntN(2))
+	told := &ledger{generated: make(map[string]int64)}
+	ctx, stop := context.WithCancel(context.Background())
+	var writers sync.WaitGroup
+	for index := range 3 {
+		writers.Add(1)
+		go func() {
+			defer writers.Done()
+			c.write(ctx, told, c.newClient(), index)
+		}()
+	}
+	added := 0
+	for step := range *randomSteps {
+		c.fault(random, &added)
+		c.checkDenials(told, random)
+		c.settle(fmt.Sprintf("after step %d", step))
+		c.checkDenials(told, random)
+	}
+	stop()
+	writers.Wait()
+	for program, generated := range told.generated {
+		assert.Assert(t, generated <= randomBudget, "%s generated %d", program, generated)
+	}
+	for _, id := range told.kept {
+		eventually(t, "turn "+id+" is there", func() bool {
+			opened, err := c.read(id)
+			return err == nil && len(opened.Prefix) > 0
+		})
+	}
+	t.Logf("seed %d: %d turns kept, set %+v", seed, len(told.kept), c.store.set())
+}
+
+// write keeps turns and spends budgets until the context ends.
+func (c *cluster) write(ctx context.Context, told *ledger, client *Client, writer int) {
+	for number := 0; ctx.Err() == nil; number++ {
+		id := fmt.Sprintf("w%d-%d", writer, number)
+		program := fmt.Sprintf("program %d", number/10)
+		time.Sleep(writerPause)
+		if _, err := client.Open(ctx, Opening{Turn: id, Program: program, Budget: randomBudget, Most: randomMost}); err != nil {
+			continue
+		}
+		told.mutex.Lock()
+		told.generated[program] += randomMost
+		told.mutex.Unlock()
+		putContext, cancel := context.WithTimeout(ctx, time.Second)
+		err := client.Put(putContext, []conversation.Record{
+			{Turn: &conversation.Turn{ID: id, Text: []byte(id), RetentionMillis: 600_000}},
+			{Charge: &conversation.Charge{Program: program, Turn: id, Tokens: randomMost, Settled: true}},
+		})
+		cancel()
+		if err == nil {
+			told.mutex.Lock()
+			told.kept = append(told.kept, id)
+			told.mutex.Unlock()
+		}
+	}
+}
+
+// fault does one thing to the cluster.
+func (c *cluster) fault(random *rand.Rand, added *int) {
+	members := c.live()
+	victim := members[random.IntN(len(members))]
+	outage := time.Duration(50+random.IntN(400)) * time.Millisecond
+	switch random.IntN(7) {
+	case 0:
+		c.kill(victim)
+		time.Sleep(outage)
+		c.start(victim)
+	case 1:
+		for _, m := range members {
+			c.kill(m)
+		}
+		time.Sleep(outage)
+		for _, m := range members {
+			c.start(m)
+		}
+	case 2, 3:
+		c.wipeOne(random, members, victim)
+	case 4:
+		c.links.set(victim.address, true)
+		time.Sleep(2 * outage)
+		c.links.set(victim.address, false)
+	case 5:
+		c.kill(victim)
+		c.forget(victim)
+		*added++
+		c.add(fmt.Sprintf("added-%d", *added))
+	case 6:
+		c.store.setDown(true)
+		time.Sleep(outage)
+		c.store.setDown(false)
+	}
+}
+
+// wipeOne loses a disk, at times while all others lose power.
+func (c *cluster) wipeOne(random *rand.Rand, members []*machine, victim *machine) {
+	if random.IntN(2) == 0 {
+		for _, m := range members {
+			c.kill(m)
+		}
+	}
+	c.wipe(victim)
+	c.start(victim)
+	for _, m := range members {
+		if m.process == nil {
+			c.start(m)
+		}
+	}
+}
+
+func (c *cluster) live() []*machine {
+	var members []*machine
+	set := c.store.set()
+	for _, m := range c.machines {
+		if m.process != nil && set.Has(m.name) {
+			members = append(members, m)
+		}
+	}
+	return members
+}
+
+func (c *cluster) forget(gone *machine) {
+	var kept []*machine
+	for _, m := range c.machines {
+		if m != gone {
+			kept = append(kept, m)
+		}
+	}
+	c.machines = kept
+}
+
+// settle waits until all machines are complete members again.
+func (c *cluster) settle(when string) {
+	c.t.Helper()
+	eventually(c.t, "the cluster is whole "+when, func() bool {
+		set := c.store.set()
+		for _, m := range c.machines {
+			if !set.Has(m.name) || !m.complete() {
+				return false
+			}
+		}
+		return !set.Changing() && len(set.Members) == len(c.machines)
+	})
+}
+
+// checkDenials reads some of what was kept, and something that never was.
+func (c *cluster) checkDenials(told *ledger, random *rand.Rand) {
+	c.t.Helper()
+	told.mutex.Lock()
+	kept := told.kept
+	told.mutex.Unlock()
+	for range min(len(kept), 5) {
+		id := kept[random.IntN(len(kept))]
+		_, err := c.read(id)
+		assert.Assert(c.t, !apierr.Is(err, apierr.NoSuchTurn), "the kept turn %s was denied", id)
+	}
+	opened, err := c.read("forged")
+	assert.Assert(c.t, err != nil, "a turn that never was has the text %v", opened)
+}
