--- a/internal/control/control.go
+++ b/internal/control/control.go
@@ -1,6 +1,5 @@
 // Package control is the part of a node that works without callers: transport, membership,
-// configuration, placement, replicas and engine ownership. Nodes and the hollow nodes of the
-// capacity measurement run the same code.
+// configuration, placement, replicas and engine ownership.
 package control
 
 import (
