Only reservations count for a budget; engines that left are not brought back by late records

(1) When the nearest replica takes over 25 ms to give a turn's text, all are asked for the text again, without a reservation; their answers counted as synced reservations and as whole lists of charges. (3) After a dial's time-out a resumable stream moved to another engine, though its own might still run it.

Change: answers count for a budget only if the question reserved; an engine keeps the revision of its record, stays draining once it said so, and is a last resort for 5 s after its record came back; a stream moves only from an engine that refuses connections.

--- a/internal/dispatch/dispatch.go
+++ b/internal/dispatch/dispatch.go
@@ -14,6 +14,7 @@
 import (
 	"context"
 	"net/http"
+	"syscall"
 	"time"
 
 	"github.com/cockroachdb/errors"
@@ -206,7 +207,7 @@
 		if engine := d.registry.choose(now, call.Want, &call.Trace); engine != nil {
 			return engine, nil
 		}
-		if ctx.Err() != nil || now.After(waitUntil) {
+		if expired(ctx) || now.After(waitUntil) {
 			return nil, progress.noEngine(ctx)
 		}
 		sleep(ctx, engineWaitStep)
@@ -294,6 +295,9 @@
 		return notSent, err
 	case !sent:
 		d.registry.failed(engine, true, err)
+		if errors.Is(err, syscall.ECONNREFUSED) {
+			return gone, err
+		}
 		return notSent, err
 	}
 	d.registry.failed(engine, false, err)
--- a/internal/dispatch/dispatch_test.go
+++ b/internal/dispatch/dispatch_test.go
@@ -150,3 +150,39 @@
 	}
 	assert.Assert(t, budget.spend() && budget.spend() && !budget.spend())
 }
+
+// A record that comes back after it went may be a late one of an engine that has left: such an engine gets
+// nothing while there is another, until its record has outlived the silence that would remove it.
+func TestRecordThatComesBackIsNotTrustedAtOnce(t *testing.T) {
+	registry := registryOf(t, "a", "a", "a")
+	registry.Apply(catalog.Entry{Key: catalog.Key(catalog.EngineKind, "e0"), Revision: 10})
+	back := EngineSpecification{ID: "e0", Service: "s", Address: "127.0.0.1:1", Zone: "a", Slots: 8}
+	value, err := json.Marshal(back)
+	assert.NilError(t, err)
+	registry.Apply(catalog.Entry{Key: catalog.Key(catalog.EngineKind, "e0"), Revision: 11, Value: value})
+	now := time.Now()
+	for range 5 {
+		assert.Equal(t, registry.choose(now, Want{Service: "s", Preferred: "e0", Affinity: "p"}, &Trace{}).ID(), "e1")
+	}
+	only := Want{Service: "s", Excluded: map[string]bool{"e1": true}}
+	assert.Equal(t, registry.choose(now, only, &Trace{}).ID(), "e0")
+	later := now.Add(returnTrust + time.Millisecond)
+	assert.Equal(t, registry.choose(later, Want{Service: "s", Preferred: "e0", Affinity: "p"}, &Trace{}).ID(), "e0")
+}
+
+// An engine that said it drains stays so, whatever record of it comes later; an older record never
+// replaces a newer one.
+func TestDrainingEngineStaysDraining(t *testing.T) {
+	registry := registryOf(t, "a", "a")
+	record := func(revision int64, draining bool) {
+		value, err := json.Marshal(EngineSpecification{ID: "e0", Service: "s", Address: "127.0.0.1:1", Zone: "a", Slots: 8, Draining: draining})
+		assert.NilError(t, err)
+		registry.Apply(catalog.Entry{Key: catalog.Key(catalog.EngineKind, "e0"), Revision: revision, Value: value})
+	}
+	record(7, true)
+	record(6, false)
+	assert.Equal(t, registry.Count("s"), 0)
+	record(8, false)
+	assert.Equal(t, registry.Count("s"), 0)
+	assert.Assert(t, registry.choose(time.Now(), Want{Service: "s"}, &Trace{}) == nil)
+}
--- a/internal/dispatch/progress.go
+++ b/internal/dispatch/progress.go
@@ -20,8 +20,10 @@
 
 const (
 	succeeded attemptOutcome = iota
-	// notSent, refused and misdirected prove that the call was not run.
+	// notSent, gone, refused and misdirected prove that the call was not run. With gone, nobody
+	// listens at the engine's address any more.
 	notSent
+	gone
 	refused
 	misdirected
 	// unknown means that it may have run, and that the caller has got nothing yet.
@@ -32,7 +34,7 @@
 
 // String implements fmt.Stringer.
 func (o attemptOutcome) String() string {
-	return [...]string{"succeeded", "not_sent", "refused", "misdirected", "unknown", "delivered"}[o]
+	return [...]string{"succeeded", "not_sent", "gone", "refused", "misdirected", "unknown", "delivered"}[o]
 }
 
 type attemptError string
@@ -88,7 +90,7 @@
 	if outcome == unknown || outcome == delivered {
 		p.ran = true
 	}
-	if ctx.Err() != nil || outcome == delivered || p.sends >= maximalSends {
+	if expired(ctx) || outcome == delivered || p.sends >= maximalSends {
 		return false
 	}
 	if p.call.Resume != nil && p.ran {
@@ -104,10 +106,17 @@
 	return retries.spend()
 }
 
+// expired tells whether the time of a call is over. After a pause of the whole process the context's
+// own timer may come late.
+func expired(ctx context.Context) bool {
+	deadline, limited := ctx.Deadline()
+	return ctx.Err() != nil || (limited && time.Now().After(deadline))
+}
+
 // mayResume lets a stream that broke off go on at its engine, which has the prompt in memory and is
-// no further engine to count. If that one is gone, it goes on elsewhere.
+// no further engine to count. Only if that one has certainly ended does it go on elsewhere.
 func (p *progress) mayResume(outcome attemptOutcome, engine *Engine) bool {
-	if outcome == notSent || outcome == misdirected {
+	if outcome == gone || outcome == misdirected {
 		p.call.Want.Excluded[engine.ID()] = true
 		return true
 	}
--- a/internal/dispatch/registry.go
+++ b/internal/dispatch/registry.go
@@ -13,6 +13,9 @@
 )
 
 const (
+	// returnTrust is how long a record that came back after it went is not trusted: a late record of an
+	// engine that has left is removed for its silence within this time.
+	returnTrust = 5 * time.Second
 	// removedGrace is how long an engine without a record may be used when there is no other.
 	removedGrace = 1200 * time.Millisecond
 	// forgottenAfter is when an engine without a record is dropped.
@@ -66,23 +69,25 @@
 		return
 	}
 	known := r.byID[id]
-	if known != nil && known.specification.Address == specification.Address && known.specification.Service == specification.Service {
-		known.specification = specification
-		known.removedAt = time.Time{}
-	} else {
-		r.add(specification)
+	switch {
+	case known == nil || known.specification.Address != specification.Address || known.specification.Service != specification.Service:
+		r.add(specification, entry.Revision)
+	case known.revision >= entry.Revision:
+		return
+	default:
+		known.update(now, specification, entry.Revision)
 	}
 	r.logger.Emit(events.EngineChanged, events.F("engine", id), events.F("service", specification.Service),
 		events.F("address", specification.Address), events.F("draining", specification.Draining),
 		events.F("revision", entry.Revision))
 }
 
-func (r *Registry) add(specification EngineSpecification) {
+func (r *Registry) add(specification EngineSpecification, revision int64) {
 	limit := r.limits[specification.Service]
 	if limit == 0 {
 		limit = defaultConnections
 	}
-	created := &Engine{specification: specification, pool: upstream.NewPool(specification.Address, limit, r.dial)}
+	created := &Engine{specification: specification, revision: revision, pool: upstream.NewPool(specification.Address, limit, r.dial)}
 	r.byID[specification.ID] = created
 	members := r.services[specification.Service]
 	if members == nil {
@@ -94,10 +99,11 @@
 
 func (r *Registry) remove(now time.Time, id string, revision int64) {
 	known := r.byID[id]
-	if known == nil || !known.removedAt.IsZero() {
+	if known == nil || !known.removedAt.IsZero() || known.revision >= revision {
 		return
 	}
 	known.removedAt = now
+	known.revision = revision
 	r.logger.Emit(events.EngineGone, events.F("engine", id), events.F("revision", revision))
 }
 
--- a/internal/turnstore/client.go
+++ b/internal/turnstore/client.go
@@ -212,8 +212,11 @@
 // replicaAnswer is what one replica said.
 type replicaAnswer struct {
 	member Member
-	answer openAnswer
-	err    error
+	// reserving tells that the question was to reserve as well: only then does the answer count for
+	// the budget.
+	reserving bool
+	answer    openAnswer
+	err       error
 }
 
 // askForText asks all replicas, but only the nearest one for the text.
@@ -254,7 +257,7 @@
 
 func (c *Client) ask(ctx context.Context, member Member, request openRequest, answers chan<- replicaAnswer) {
 	answer, err := transport.Call[openAnswer](ctx, c.network, member.Address, openKind, request)
-	answers <- replicaAnswer{member: member, answer: answer, err: err}
+	answers <- replicaAnswer{member: member, reserving: request.Reserve != nil, answer: answer, err: err}
 }
 
 // askAll yields the answers of all replicas until the context ends.
--- a/internal/turnstore/gathering.go
+++ b/internal/turnstore/gathering.go
@@ -12,6 +12,10 @@
 	newer    *Set
 	answered map[string]bool
 	complete map[string]bool
+	// reserved have synced the reservation; reservedComplete of them are complete, so that their charges
+	// are all that they may have to show.
+	reserved         map[string]bool
+	reservedComplete map[string]bool
 	// known tells that some replica has the previous turn, though not its text or all before it.
 	known    bool
 	turns    map[string]conversation.Turn
@@ -24,9 +28,12 @@
 		set:      set,
 		answered: make(map[string]bool),
 		complete: make(map[string]bool),
+		reserved: make(map[string]bool),
 		turns:    make(map[string]conversation.Turn),
 		charges:  make(map[string]conversation.Charge),
 		withText: make(map[string]bool),
+
+		reservedComplete: make(map[string]bool),
 	}
 }
 
@@ -42,6 +49,10 @@
 	if reply.answer.Complete {
 		g.complete[reply.member.Name] = true
 	}
+	if reply.reserving {
+		g.reserved[reply.member.Name] = true
+		g.reservedComplete[reply.member.Name] = reply.answer.Complete
+	}
 	g.known = g.known || reply.answer.Known
 	if len(reply.answer.Chain) > 0 || reply.answer.Missing != "" {
 		g.withText[reply.member.Name] = true
@@ -83,7 +94,7 @@
 
 // decide reports whether the answers are enough, and then fills opened or returns the refusal.
 func (g *gathering) decide(opening Opening, opened *Opened, wantText bool) (bool, error) {
-	if opened.Reserved && !(g.set.Written(g.answered) && g.readable()) {
+	if opened.Reserved && !(g.set.Written(g.reserved) && g.set.Read(g.reservedComplete)) {
 		return false, nil
 	}
 	if opened.Reserved && g.spent(opening.Turn)+opening.Most > opening.Budget {
