Engines whose records stayed through an outage of the store don't get all the work

After an outage in which most records lapse, the engines whose records stayed were the only ones trusted for 5 s.

Change: if more engines are distrusted than usable, all of them are candidates.

TestEnginesWhoseRecordsStayedDoNotGetAllWork fails before and passes after.

--- a/internal/dispatch/dispatch_test.go
+++ b/internal/dispatch/dispatch_test.go
@@ -188,3 +188,18 @@
 	assert.Equal(t, registry.Count("s"), 0)
 	assert.Assert(t, registry.choose(time.Now(), Want{Service: "s"}, &Trace{}) == nil)
 }
+
+// After an outage of the store most records go and come back, each at its time. The few engines whose
+// records stayed must not get all the work meanwhile.
+func TestEnginesWhoseRecordsStayedDoNotGetAllWork(t *testing.T) {
+	registry := registryOf(t, "a", "a", "a", "a", "a", "a")
+	for index := 1; index < 5; index++ {
+		key := catalog.Key(catalog.EngineKind, fmt.Sprintf("e%d", index))
+		registry.Apply(catalog.Entry{Key: key, Revision: int64(20 + index)})
+	}
+	used := make(map[string]bool)
+	for index := range 40 {
+		used[registry.choose(time.Now(), Want{Service: "s", Affinity: fmt.Sprint(index)}, &Trace{}).ID()] = true
+	}
+	assert.Equal(t, len(used), 5)
+}
--- a/internal/dispatch/placement.go
+++ b/internal/dispatch/placement.go
@@ -68,8 +68,10 @@
 			resort = append(resort, known)
 		}
 	}
-	if len(usable) == 0 {
-		return resort
+	if len(resort) > len(usable) {
+		// Records that go one by one are those of engines that leave; most at once are those of a store
+		// that was out. Then the few that stayed must not get all the work.
+		return append(usable, resort...)
 	}
 	return usable
 }
