A turn sent again under its ID after a refusal is charged; TestBudget no longer depends on timing

A refused opening is settled at 0 in the background. When the caller sends the same ID again, as TestBudget does while the first turn isn't settled yet, the settled 0 is final: the second opening's charge is no news, what it generates is never counted, and the budget never runs out. Ruled out: lost bytes at the engine's reset (the kernel gives what has arrived before the error). Change: each opening names its charge for itself (turnstore.Opened.Settled). Before: TestRefusedTurnThatIsSentAgainIsCharged fails. After: turnstore, ingress and conversation three times each, green.

--- a/internal/conversation/conversation.go
+++ b/internal/conversation/conversation.go
@@ -42,8 +42,9 @@
 // Charge is what a program was charged for one turn, in tokens.
 type Charge struct {
 	Program string `json:"program"`
-	Turn    string `json:"turn"`
-	Tokens  int64  `json:"tokens"`
+	// Turn names the charge among those of its program; it tells the turn apart, and which try of it.
+	Turn   string `json:"turn"`
+	Tokens int64  `json:"tokens"`
 	// Settled charges are final; others are the most that the turn may generate.
 	Settled bool `json:"settled,omitempty"`
 }
--- a/internal/ingress/relay.go
+++ b/internal/ingress/relay.go
@@ -98,7 +98,7 @@
 		return passed.keep(ctx)
 	}
 	if r.opened != nil && r.opened.Reserved {
-		r.server.options.Turns.Settle(r.caller.Program, r.caller.ID, passed.generated())
+		r.server.options.Turns.Settle(r.opened, passed.generated())
 	}
 	return err
 }
@@ -209,9 +209,7 @@
 		Text: text, RetentionMillis: r.route.Retention().Milliseconds(),
 	}}}
 	if r.opened != nil && r.opened.Reserved {
-		records = append(records, conversation.Record{Charge: &conversation.Charge{
-			Program: r.caller.Program, Turn: r.caller.ID, Tokens: s.generated(), Settled: true,
-		}})
+		records = append(records, r.opened.Settled(s.generated()))
 	}
 	deadline := r.deadline().Add(keepGrace)
 	keepContext, cancel := context.WithDeadline(r.http.Context(), deadline)
@@ -219,7 +217,7 @@
 	if err := r.server.options.Turns.Put(keepContext, records); err != nil {
 		r.server.options.Logger.Emit(events.TurnNotKept, events.F("request", r.caller.ID), events.F("error", err))
 		if r.opened != nil && r.opened.Reserved {
-			r.server.options.Turns.Settle(r.caller.Program, r.caller.ID, s.generated())
+			r.server.options.Turns.Settle(r.opened, s.generated())
 		}
 		return apierr.New(apierr.TurnsUnavailable, apierr.Ran, "%s", err)
 	}
--- a/internal/turnstore/client.go
+++ b/internal/turnstore/client.go
@@ -2,6 +2,8 @@
 
 import (
 	"context"
+	"math/rand/v2"
+	"strconv"
 	"sync"
 	"time"
 
@@ -57,6 +59,15 @@
 	Engine string
 	// Reserved tells that a charge is to be settled.
 	Reserved bool
+	// program and charge name the reservation. Its name is made for this opening alone: a caller that
+	// was refused and sends the same ID again must not meet the settled charge of the refusal.
+	program string
+	charge  string
+}
+
+// Settled is the record of what the turn generated in the end, in tokens.
+func (o *Opened) Settled(tokens int64) conversation.Record {
+	return conversation.Record{Charge: &conversation.Charge{Program: o.program, Turn: o.charge, Tokens: tokens, Settled: true}}
 }
 
 // Client reads and writes turns on behalf of callers. All methods may be called concurrently.
@@ -121,14 +132,18 @@
 func (c *Client) Open(ctx context.Context, opening Opening) (*Opened, error) {
 	openContext, cancel := context.WithTimeout(ctx, openTimeout)
 	defer cancel()
-	opened := &Opened{Reserved: opening.Budget >= 0 && opening.Program != ""}
+	opened := &Opened{
+		Reserved: opening.Budget >= 0 && opening.Program != "",
+		program:  opening.Program,
+		charge:   opening.Turn + "/" + strconv.FormatUint(rand.Uint64(), 36),
+	}
 	chain, cached := c.cache.chain(opening.Previous)
 	if cached {
 		opened.use(chain)
 	}
 	err := c.openAtReplicas(openContext, opening, opened, opening.Previous != "" && !cached)
 	if err != nil && opened.Reserved {
-		c.Settle(opening.Program, opening.Turn, 0)
+		c.Settle(opened, 0)
 	}
 	if err != nil {
 		return nil, err
@@ -172,7 +187,7 @@
 		request.Previous = opening.Previous
 	}
 	if opened.Reserved {
-		request.Reserve = &conversation.Charge{Program: opening.Program, Turn: opening.Turn, Tokens: opening.Most}
+		request.Reserve = &conversation.Charge{Program: opening.Program, Turn: opened.charge, Tokens: opening.Most}
 	}
 	askContext, stop := context.WithCancel(ctx)
 	defer stop()
--- a/internal/turnstore/cluster_test.go
+++ b/internal/turnstore/cluster_test.go
@@ -297,10 +297,14 @@
 }
 
 func (c *cluster) reserve(client *Client, turn string, budget, most int64) error {
+	_, err := c.open(client, turn, budget, most)
+	return err
+}
+
+func (c *cluster) open(client *Client, turn string, budget, most int64) (*Opened, error) {
 	ctx, cancel := context.WithTimeout(context.Background(), testTimeout)
 	defer cancel()
-	_, err := client.Open(ctx, Opening{Turn: turn, Program: "program", Budget: budget, Most: most})
-	return err
+	return client.Open(ctx, Opening{Turn: turn, Program: "program", Budget: budget, Most: most})
 }
 
 func (m *machine) complete() bool { return m.process.replica.folder.record().Complete }
@@ -311,3 +315,10 @@
 	turns, _, _ := m.process.replica.state.Size()
 	return turns
 }
+
+// idle tells that no charge is being settled.
+func (c *Client) idle() bool {
+	c.mutex.Lock()
+	defer c.mutex.Unlock()
+	return c.settling == 0
+}
--- a/internal/turnstore/gathering.go
+++ b/internal/turnstore/gathering.go
@@ -97,7 +97,7 @@
 	if opened.Reserved && !(g.set.Written(g.reserved) && g.set.Read(g.reservedComplete)) {
 		return false, nil
 	}
-	if opened.Reserved && g.spent(opening.Turn)+opening.Most > opening.Budget {
+	if opened.Reserved && g.spent(opened.charge)+opening.Most > opening.Budget {
 		return true, apierr.New(apierr.BudgetExceeded, apierr.NotRun,
 			"the program's budget of %d tokens has no room for %d more", opening.Budget, opening.Most)
 	}
@@ -114,11 +114,11 @@
 	return false, nil
 }
 
-// spent is what the program was charged for its other turns.
-func (g *gathering) spent(turn string) int64 {
+// spent is what the program was charged otherwise than by the charge of this opening.
+func (g *gathering) spent(own string) int64 {
 	var sum int64
 	for id, charge := range g.charges {
-		if id != turn {
+		if id != own {
 			sum += charge.Tokens
 		}
 	}
--- a/internal/turnstore/put.go
+++ b/internal/turnstore/put.go
@@ -83,7 +83,7 @@
 
 // Settle tells, in the background, what a turn generated in the end. If that fails, the turn counts
 // at its most.
-func (c *Client) Settle(program, turn string, tokens int64) {
+func (c *Client) Settle(opened *Opened, tokens int64) {
 	c.mutex.Lock()
 	if c.settling >= maximalSettling {
 		c.mutex.Unlock()
@@ -91,11 +91,11 @@
 	}
 	c.settling++
 	c.mutex.Unlock()
-	charge := &conversation.Charge{Program: program, Turn: turn, Tokens: tokens, Settled: true}
+	record := opened.Settled(tokens)
 	go func() {
 		ctx, cancel := context.WithTimeout(context.Background(), settleTimeout)
 		defer cancel()
-		_ = c.Put(ctx, []conversation.Record{{Charge: charge}})
+		_ = c.Put(ctx, []conversation.Record{record})
 		c.mutex.Lock()
 		c.settling--
 		c.mutex.Unlock()
--- a/internal/turnstore/random_test.go
+++ b/internal/turnstore/random_test.go
@@ -90,16 +90,17 @@
 		id := fmt.Sprintf("w%d-%d", writer, number)
 		program := fmt.Sprintf("program %d", number/10)
 		time.Sleep(writerPause)
-		if _, err := client.Open(ctx, Opening{Turn: id, Program: program, Budget: randomBudget, Most: randomMost}); err != nil {
+		opened, err := client.Open(ctx, Opening{Turn: id, Program: program, Budget: randomBudget, Most: randomMost})
+		if err != nil {
 			continue
 		}
 		told.mutex.Lock()
 		told.generated[program] += randomMost
 		told.mutex.Unlock()
 		putContext, cancel := context.WithTimeout(ctx, time.Second)
-		err := client.Put(putContext, []conversation.Record{
+		err = client.Put(putContext, []conversation.Record{
 			{Turn: &conversation.Turn{ID: id, Text: []byte(id), RetentionMillis: 600_000}},
-			{Charge: &conversation.Charge{Program: program, Turn: id, Tokens: randomMost, Settled: true}},
+			opened.Settled(randomMost),
 		})
 		cancel()
 		if err == nil {
--- a/internal/turnstore/turnstore_test.go
+++ b/internal/turnstore/turnstore_test.go
@@ -116,11 +116,12 @@
 func TestSettledTurnsGiveBackWhatTheyDidNotUse(t *testing.T) {
 	t.Parallel()
 	c := newCluster(t, 3)
-	assert.NilError(t, c.reserve(c.client, "one", 100, 60))
-	err := c.reserve(c.client, "two", 100, 60)
+	one, err := c.open(c.client, "one", 100, 60)
+	assert.NilError(t, err)
+	err = c.reserve(c.client, "two", 100, 60)
 	assert.Assert(t, apierr.Is(err, apierr.BudgetExceeded), "%v", err)
 	assert.Equal(t, apierr.From(err, apierr.OutcomeUnknown).Outcome, apierr.NotRun)
-	c.client.Settle("program", "one", 9)
+	c.client.Settle(one, 9)
 	eventually(t, "there is room again", func() bool { return c.reserve(c.newClient(), "three", 100, 60) == nil })
 	for _, m := range c.machines {
 		c.kill(m)
@@ -135,6 +136,27 @@
 
 // A machine that is gone for good is replaced by one with another name, without the operator; then
 // the loss of another one is borne again.
+// A caller that was refused sends its request again with the same ID: the charge of the refusal, which was
+// settled at nothing, must not hide what the second one generates.
+func TestRefusedTurnThatIsSentAgainIsCharged(t *testing.T) {
+	t.Parallel()
+	c := newCluster(t, 3)
+	one, err := c.open(c.client, "one", 100, 60)
+	assert.NilError(t, err)
+	assert.Assert(t, apierr.Is(c.reserve(c.client, "two", 100, 60), apierr.BudgetExceeded))
+	c.client.Settle(one, 20)
+	eventually(t, "the refusal is settled", c.client.idle)
+	var two *Opened
+	eventually(t, "there is room for the second try", func() bool {
+		two, err = c.open(c.client, "two", 100, 60)
+		return err == nil
+	})
+	c.client.Settle(two, 60)
+	eventually(t, "the second try is settled", c.client.idle)
+	err = c.reserve(c.newClient(), "three", 100, 60)
+	assert.Assert(t, apierr.Is(err, apierr.BudgetExceeded), "%v", err)
+}
+
 func TestReplacedMachine(t *testing.T) {
 	t.Parallel()
 	c := newCluster(t, 4)
