One context-aware pause instead of four; accessors that nothing called are gone

No behaviour changes. Run: vet, and the tests of clock, catalog, dispatch, upstream, routing, ingress, platform, coordinator: green.

--- a/internal/catalog/manager.go
+++ b/internal/catalog/manager.go
@@ -6,6 +6,7 @@
 	"sync"
 	"time"
 
+	"github.com/mountstile/mountstile/internal/clock"
 	"github.com/mountstile/mountstile/internal/events"
 	"github.com/mountstile/mountstile/internal/transport"
 )
@@ -209,7 +210,7 @@
 			}
 			reached = false
 			request = followRequest{WaitMillis: followWait.Milliseconds()}
-			pause(ctx, followPause)
+			clock.Pause(ctx, followPause)
 			continue
 		}
 		if !reached {
@@ -223,13 +224,6 @@
 	}
 }
 
-func pause(ctx context.Context, duration time.Duration) {
-	select {
-	case <-ctx.Done():
-	case <-time.After(duration):
-	}
-}
-
 func (m *Manager) heardAge(self *follower, at time.Time, age time.Duration) {
 	if age >= unknownAge {
 		return
--- a/internal/clock/clock.go
+++ b/internal/clock/clock.go
@@ -7,6 +7,16 @@
 	"time"
 )
 
+// Pause waits in real time until duration is over or the context ends.
+func Pause(ctx context.Context, duration time.Duration) {
+	timer := time.NewTimer(duration)
+	defer timer.Stop()
+	select {
+	case <-timer.C:
+	case <-ctx.Done():
+	}
+}
+
 // Clock tells the time and makes what can be waited for.
 type Clock interface {
 	Now() time.Time
--- a/internal/coordinator/client.go
+++ b/internal/coordinator/client.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"github.com/mountstile/mountstile/internal/apierr"
+	"github.com/mountstile/mountstile/internal/clock"
 	"github.com/mountstile/mountstile/internal/membership"
 	"github.com/mountstile/mountstile/internal/partition"
 	"github.com/mountstile/mountstile/internal/program"
@@ -187,7 +188,7 @@
 		if time.Now().After(deadline) {
 			return none, unavailable(id, sent, last)
 		}
-		pause(ctx)
+		clock.Pause(ctx, routePause)
 	}
 }
 
@@ -279,12 +280,3 @@
 	}
 	return apierr.New(apierr.PartitionUnavailable, outcome, "partition %d has no leader: %v", id, last).WithRetryAfter(unavailableWait)
 }
-
-func pause(ctx context.Context) {
-	timer := time.NewTimer(routePause)
-	defer timer.Stop()
-	select {
-	case <-ctx.Done():
-	case <-timer.C:
-	}
-}
--- a/internal/dispatch/dispatch.go
+++ b/internal/dispatch/dispatch.go
@@ -20,6 +20,7 @@
 	"github.com/cockroachdb/errors"
 
 	"github.com/mountstile/mountstile/internal/apierr"
+	"github.com/mountstile/mountstile/internal/clock"
 	"github.com/mountstile/mountstile/internal/events"
 	"github.com/mountstile/mountstile/internal/routing"
 	"github.com/mountstile/mountstile/internal/upstream"
@@ -58,7 +59,7 @@
 	// Prepare sets the headers of an attempt. The header is a copy made for it.
 	Prepare(header http.Header, offer Offer)
 	// Judge tells what the head of an answer to the call with this ID means.
-	Judge(response *http.Response, callID string, repeatable bool) Verdict
+	Judge(response *http.Response, callID string) Verdict
 }
 
 // Offer describes one attempt.
@@ -191,7 +192,7 @@
 func (d *Dispatcher) nextEngine(ctx context.Context, call *Call, progress *progress) (*Engine, error) {
 	if again := progress.again; again != nil {
 		progress.again = nil
-		sleep(ctx, resumePause)
+		clock.Pause(ctx, resumePause)
 		d.registry.use(again)
 		return again, nil
 	}
@@ -210,14 +211,7 @@
 		if expired(ctx) || now.After(waitUntil) {
 			return nil, progress.noEngine(ctx)
 		}
-		sleep(ctx, engineWaitStep)
-	}
-}
-
-func sleep(ctx context.Context, duration time.Duration) {
-	select {
-	case <-ctx.Done():
-	case <-time.After(duration):
+		clock.Pause(ctx, engineWaitStep)
 	}
 }
 
@@ -256,7 +250,7 @@
 		return d.sendFailed(ctx, engine, err)
 	}
 	defer exchange.Abandon()
-	switch d.protocol.Judge(exchange.Response(), call.ID, call.Route.Repeatable()) {
+	switch d.protocol.Judge(exchange.Response(), call.ID) {
 	case Refused:
 		d.registry.markFull(engine)
 		d.drainRefusal(exchange)
--- a/internal/dispatch/registry.go
+++ b/internal/dispatch/registry.go
@@ -203,17 +203,6 @@
 	engine.pace.add(time.Now(), usual.ratio(duration))
 }
 
-// ConnectionsOpened returns how many connections to engines were opened so far.
-func (r *Registry) ConnectionsOpened() int64 {
-	r.mutex.Lock()
-	defer r.mutex.Unlock()
-	var opened int64
-	for _, known := range r.byID {
-		opened += known.pool.Opened()
-	}
-	return opened
-}
-
 // Any tells whether any engine is known.
 func (r *Registry) Any() bool {
 	r.mutex.Lock()
--- a/internal/ingress/harness_test.go
+++ b/internal/ingress/harness_test.go
@@ -56,7 +56,7 @@
 	}
 }
 
-func (testProtocol) Judge(response *http.Response, callID string, _ bool) dispatch.Verdict {
+func (testProtocol) Judge(response *http.Response, callID string) dispatch.Verdict {
 	switch {
 	case response.Header.Get("Untouched") != "":
 		return dispatch.Refused
--- a/internal/routing/routing.go
+++ b/internal/routing/routing.go
@@ -75,9 +75,6 @@
 	return targets[len(targets)-1].Service
 }
 
-// Targets returns the services of the route.
-func (r *Route) Targets() []TargetSpecification { return r.specification.Targets }
-
 func milliseconds(value float64) time.Duration {
 	return time.Duration(value * float64(time.Millisecond))
 }
--- a/internal/upstream/connection.go
+++ b/internal/upstream/connection.go
@@ -22,7 +22,6 @@
 	// idleUntil is when the engine may close the connection; zero if it didn't say.
 	idleUntil time.Time
 	usedAt    time.Time
-	reused    bool
 }
 
 func newConnection(raw net.Conn) *Connection {
@@ -59,9 +58,6 @@
 // Response is the head of the answer, and its body.
 func (e *Exchange) Response() *http.Response { return e.response }
 
-// Reused tells whether the connection had served another request before.
-func (e *Exchange) Reused() bool { return e.connection.reused }
-
 // Finish ends an exchange whose body was read to its end; the connection may serve again if
 // nothing speaks against it.
 func (e *Exchange) Finish() {
--- a/internal/upstream/keepalive.go
+++ b/internal/upstream/keepalive.go
@@ -13,7 +13,6 @@
 
 func (c *Connection) noteKeepAlive(response *http.Response) {
 	c.usedAt = time.Now()
-	c.reused = true
 	c.idleUntil = time.Time{}
 	for _, part := range strings.Split(response.Header.Get("Keep-Alive"), ",") {
 		name, value, _ := strings.Cut(strings.TrimSpace(part), "=")
