The replica set has 2f+1 members, one in each zone first; the others are spares

Ruled out: engines (first event 50 ms after the opening at the median, 163 ms at p99), gateways' processor (0.02 cores at most). Change: the first set takes 2f+1 candidates, from each zone in turn. Spares list keys from the member of their zone only (no traffic between zones) and join in the place of a member that is lost. A complete replica lists the keys of one other a second, and only asks the rest whether they are there. Tests: TestSpareTakesThePlaceOfALostMember (before: all machines are members), TestCompleteReplicaListsTheKeysOfOneOther.

--- a/internal/turnstore/cluster_test.go
+++ b/internal/turnstore/cluster_test.go
@@ -118,9 +118,13 @@
 }
 
 // machine is a replica's machine: its address and disk stay while processes come and go.
+// testZones is how many zones the machines are in, in turn.
+const testZones = 3
+
 type machine struct {
 	name     string
 	address  string
+	zone     string
 	folder   string
 	retiring atomic.Bool
 	retired  atomic.Bool
@@ -179,13 +183,20 @@
 	machines []*machine
 	client   *Client
 	started  bool
+	size     int
 }
 
 func newCluster(t *testing.T, size int) *cluster {
 	t.Helper()
-	created := &cluster{t: t, store: newMemoryStore()}
+	return newClusterWithSpares(t, size, 0)
+}
+
+// newClusterWithSpares starts more machines than the replica set has members, in three zones.
+func newClusterWithSpares(t *testing.T, size, spares int) *cluster {
+	t.Helper()
+	created := &cluster{t: t, store: newMemoryStore(), size: size}
 	created.links = links{cut: make(map[string]bool), open: make(map[net.Conn][2]string)}
-	for index := range size {
+	for index := range size + spares {
 		created.add(fmt.Sprintf("replica-%d", index))
 	}
 	created.client = created.newClient()
@@ -213,7 +224,7 @@
 	assert.NilError(c.t, err)
 	address := listener.Addr().String()
 	assert.NilError(c.t, listener.Close())
-	added := &machine{name: name, address: address, folder: c.t.TempDir()}
+	added := &machine{name: name, address: address, folder: c.t.TempDir(), zone: fmt.Sprint("zone-", len(c.machines)%testZones)}
 	c.machines = append(c.machines, added)
 	c.start(added)
 	return added
@@ -225,7 +236,7 @@
 		Cluster: "test", NodeID: m.name, Address: m.address, Logger: events.Discard(), Dial: c.links.dialFrom(m.address),
 	})
 	replica, err := NewReplica(ReplicaOptions{
-		Self: Member{Name: m.name, Address: m.address}, Folder: m.folder, FirstStart: !c.started, Copies: 2,
+		Self: Member{Name: m.name, Address: m.address, Zone: m.zone}, Folder: m.folder, FirstStart: !c.started, Copies: 2, Size: c.size,
 		Store: c.store, SetKey: testSetKey, CandidatesKey: testCandidatesKey, Retiring: m.retiring.Load,
 		Retired: func(_ context.Context, done bool) error {
 			m.retired.Store(done)
@@ -322,3 +333,13 @@
 	defer c.mutex.Unlock()
 	return c.settling == 0
 }
+
+func (c *cluster) machineOf(name string) *machine {
+	for _, m := range c.machines {
+		if m.name == name {
+			return m
+		}
+	}
+	c.t.Fatalf("there is no machine %s", name)
+	return nil
+}
--- a/internal/turnstore/membership.go
+++ b/internal/turnstore/membership.go
@@ -107,9 +107,33 @@
 	if !r.mayBootstrap(now, start, listed.Members) {
 		return nil
 	}
-	return r.swap(ctx, r.options.SetKey, 0, Set{
-		Epoch: 1, Members: listed.Members, Copies: r.options.Copies, Size: len(listed.Members),
-	})
+	members := firstMembers(listed.Members, r.options.Size)
+	return r.swap(ctx, r.options.SetKey, 0, Set{Epoch: 1, Members: members, Copies: r.options.Copies, Size: len(members)})
+}
+
+// firstMembers chooses the members of the first set among the candidates, from each zone in turn, so that
+// as many zones as possible have one.
+func firstMembers(listed []Member, size int) []Member {
+	if size <= 0 || size >= len(listed) {
+		return listed
+	}
+	var zones []string
+	byZone := make(map[string][]Member)
+	for _, member := range listed {
+		if len(byZone[member.Zone]) == 0 {
+			zones = append(zones, member.Zone)
+		}
+		byZone[member.Zone] = append(byZone[member.Zone], member)
+	}
+	var chosen []Member
+	for round := 0; len(chosen) < size; round++ {
+		for _, zone := range zones {
+			if round < len(byZone[zone]) && len(chosen) < size {
+				chosen = append(chosen, byZone[zone][round])
+			}
+		}
+	}
+	return chosen
 }
 
 // mayBootstrap leaves the first set to the first candidate, as long as that one may be alive.
--- a/internal/turnstore/messages.go
+++ b/internal/turnstore/messages.go
@@ -45,6 +45,8 @@
 	Epoch    int64  `json:"e"`
 	Identity string `json:"i"`
 	After    uint64 `json:"a"`
+	// Presence asks for no keys: only whether the replica is there, complete, and knows a newer set.
+	Presence bool `json:"p,omitempty"`
 }
 
 type digestAnswer struct {
--- a/internal/turnstore/pull.go
+++ b/internal/turnstore/pull.go
@@ -11,9 +11,9 @@
 )
 
 const (
-	// pullInterval is how often a replica asks each other one what it has missed.
+	// pullInterval is how often a replica asks another one what it has missed, and all whether they are there.
 	pullInterval = time.Second
-	// hastyPullInterval is the same for a replica that is not complete or not a member.
+	// hastyPullInterval is the same for a replica that must have everything soon.
 	hastyPullInterval = 100 * time.Millisecond
 	pullTimeout       = 1500 * time.Millisecond
 )
@@ -31,15 +31,20 @@
 	firstAskedAt time.Time
 }
 
-// pullLoop pulls from all other members, all at once, again and again.
+// pullLoop pulls from other members again and again.
 func (r *Replica) pullLoop(ctx context.Context) {
-	for ctx.Err() == nil {
-		r.pullAll(ctx)
+	for round := 0; ctx.Err() == nil; round++ {
+		hasty := r.pullsHastily()
+		if hasty {
+			r.pullAll(ctx)
+		} else {
+			r.pullFromOne(ctx, round)
+		}
 		if r.completeNow() {
 			r.finishCatchUp()
 		}
 		interval := pullInterval
-		if !r.folder.record().Complete || !r.Set().Has(r.options.Self.Name) {
+		if hasty {
 			interval = hastyPullInterval
 		}
 		select {
@@ -50,26 +55,96 @@
 	}
 }
 
+// pullsHastily tells whether this replica needs everything soon: it is not complete, or it is no
+// member and the set has a place for it.
+func (r *Replica) pullsHastily() bool {
+	if !r.folder.record().Complete {
+		return true
+	}
+	set := r.Set()
+	if set.Has(r.options.Self.Name) {
+		return false
+	}
+	return len(set.Members) < set.Size || r.silentMember(set.Members) != ""
+}
+
 func (r *Replica) others() []Member { return without(r.Set().All(), r.options.Self.Name) }
 
 func (r *Replica) pullAll(ctx context.Context) {
+	r.askOthers(func(member Member) { r.pullFrom(ctx, member) })
+}
+
+// pullFromOne pulls from one other member, and only asks the rest whether they are there.
+func (r *Replica) pullFromOne(ctx context.Context, round int) {
+	others := r.others()
+	if len(others) == 0 {
+		return
+	}
+	source := r.source(others, round)
+	r.askOthers(func(member Member) {
+		if member.Name == source.Name {
+			r.pullFrom(ctx, member)
+			return
+		}
+		r.checkPresence(ctx, member)
+	})
+}
+
+// source is the one to pull from. A member takes the others in turn, for each has nearly everything anyway;
+// a spare takes the nearest one, which costs no traffic between zones.
+func (r *Replica) source(others []Member, round int) Member {
+	if r.Set().Has(r.options.Self.Name) {
+		return others[round%len(others)]
+	}
+	return r.nearest(others)
+}
+
+// nearest is the first member of this replica's zone that is not silent, or else any.
+func (r *Replica) nearest(members []Member) Member {
+	r.mutex.Lock()
+	defer r.mutex.Unlock()
+	for _, member := range members {
+		if member.Zone == r.options.Self.Zone && !r.silent(member.Name) {
+			return member
+		}
+	}
+	return members[0]
+}
+
+// askOthers does something with all other members at once, and returns when all of it is done.
+func (r *Replica) askOthers(ask func(Member)) {
 	var tasks sync.WaitGroup
 	for _, member := range r.others() {
 		tasks.Add(1)
 		go func() {
 			defer tasks.Done()
-			r.pullFrom(ctx, member)
+			ask(member)
 		}()
 	}
 	tasks.Wait()
 }
 
+// checkPresence asks a member whether it is there.
+func (r *Replica) checkPresence(ctx context.Context, member Member) {
+	progress := r.progressOf(member)
+	answer, err := r.askDigest(ctx, member, progress, true)
+	if err != nil {
+		return
+	}
+	if answer.Set != nil {
+		r.ApplySet(*answer.Set)
+	}
+	r.mutex.Lock()
+	progress.heardAt = time.Now()
+	r.mutex.Unlock()
+}
+
 // pullFrom fetches what the peer has and this replica has not.
 func (r *Replica) pullFrom(ctx context.Context, member Member) {
 	progress := r.progressOf(member)
 	for ctx.Err() == nil {
 		asked := time.Now()
-		answer, err := r.askDigest(ctx, member, progress)
+		answer, err := r.askDigest(ctx, member, progress, false)
 		if err != nil {
 			return
 		}
@@ -106,9 +181,9 @@
 	return known
 }
 
-func (r *Replica) askDigest(ctx context.Context, member Member, progress *peerProgress) (digestAnswer, error) {
+func (r *Replica) askDigest(ctx context.Context, member Member, progress *peerProgress, presence bool) (digestAnswer, error) {
 	r.mutex.Lock()
-	request := digestRequest{Epoch: r.set.Epoch, Identity: progress.identity, After: progress.sequence}
+	request := digestRequest{Epoch: r.set.Epoch, Identity: progress.identity, After: progress.sequence, Presence: presence}
 	r.mutex.Unlock()
 	callContext, cancel := context.WithTimeout(ctx, pullTimeout)
 	defer cancel()
--- a/internal/turnstore/replica.go
+++ b/internal/turnstore/replica.go
@@ -44,6 +44,10 @@
 	FirstStart bool
 	// Copies is the number of disks that may be lost at once, and one.
 	Copies int
+	// Size is how many members the replica set gets; 0 means all replicas that start with the system.
+	// Replicas beyond it are spares: they hold what the nearest member holds, and take the place of a member
+	// that is lost.
+	Size int
 	// Store holds the replica set; SetKey and CandidatesKey are its keys.
 	Store         configstore.Store
 	SetKey        string
@@ -273,7 +277,9 @@
 		after = 0
 	}
 	answer := digestAnswer{Identity: r.incarnation, Complete: r.folder.record().Complete}
-	answer.Keys, answer.Sequence = r.state.KeysSince(after, digestKeys)
+	if !request.Presence {
+		answer.Keys, answer.Sequence = r.state.KeysSince(after, digestKeys)
+	}
 	if r.set.Epoch > request.Epoch {
 		set := r.set
 		answer.Set = &set
--- a/internal/turnstore/turnstore_test.go
+++ b/internal/turnstore/turnstore_test.go
@@ -188,6 +188,60 @@
 	assert.Assert(t, !c.store.set().Has("spare"))
 }
 
+// The set has no more members than it needs, one in each zone; the others are spares that hold everything,
+// and one of them takes the place of a member that is lost.
+func TestSpareTakesThePlaceOfALostMember(t *testing.T) {
+	t.Parallel()
+	c := newClusterWithSpares(t, 3, 3)
+	zones := make(map[string]bool)
+	for _, member := range c.store.set().Members {
+		zones[member.Zone] = true
+	}
+	assert.Equal(t, len(zones), testZones)
+	c.put("a", "")
+	for _, m := range c.machines {
+		eventually(t, m.name+" has the turn", func() bool { return m.turns() == 1 })
+	}
+	for range 2 {
+		set := c.store.set()
+		lost := c.machineOf(set.Members[0].Name)
+		c.wipe(lost)
+		c.forget(lost)
+		eventually(t, "a spare is a member", func() bool {
+			now := c.store.set()
+			return !now.Changing() && len(now.Members) == 3 && !now.Has(lost.name)
+		})
+	}
+	opened, err := c.read("a")
+	assert.NilError(t, err)
+	assert.Equal(t, string(opened.Prefix), "a;")
+	_, err = c.read("never")
+	assert.Assert(t, apierr.Is(err, apierr.NoSuchTurn), "%v", err)
+}
+
+// A replica that has everything lists the keys of one other at a time: a member those of each in turn, a
+// spare those of the member in its zone.
+func TestCompleteReplicaListsTheKeysOfOneOther(t *testing.T) {
+	t.Parallel()
+	c := newClusterWithSpares(t, 3, 1)
+	member := c.machineOf(c.store.set().Members[0].Name).process.replica
+	eventually(t, "the member is not in haste", func() bool { return !member.pullsHastily() })
+	asked := make(map[string]bool)
+	for round := range 2 {
+		asked[member.source(member.others(), round).Name] = true
+	}
+	assert.Equal(t, len(asked), 2)
+	for _, m := range c.machines {
+		if set := c.store.set(); !set.Has(m.name) {
+			spare := m.process.replica
+			eventually(t, "the spare is not in haste", func() bool { return !spare.pullsHastily() })
+			for round := range 3 {
+				assert.Equal(t, spare.source(spare.others(), round).Zone, m.zone)
+			}
+		}
+	}
+}
+
 func TestRetiredMachineLeavesNoCopyTooFew(t *testing.T) {
 	t.Parallel()
 	c := newCluster(t, 4)
