f+1 replicas read the store for all; followers fall back sooner

Cause (grown sites): each of 8 to 11 storage machines watched the store, and each followed all others. All calls are priced, and the feed between replicas grew with the square of their number. Change: the first f+1 members of the set read the store and follow each other; other replicas follow these, and read it themselves only while none is fresh. Test: TestReplicaReadsTheStoreOnlyWithoutReaders (before: the option did not exist, every replica read).

--- a/internal/catalog/catalog_test.go
+++ b/internal/catalog/catalog_test.go
@@ -136,13 +136,18 @@
 }
 
 func startNode(t *testing.T, followAll bool, peers func() []string) *testNode {
+	t.Helper()
+	return startReplica(t, followAll, func() bool { return followAll }, peers)
+}
+
+func startReplica(t *testing.T, followAll bool, readsStore func() bool, peers func() []string) *testNode {
 	t.Helper()
 	listener, err := net.Listen("tcp", "127.0.0.1:0")
 	assert.NilError(t, err)
 	node := &testNode{address: listener.Addr().String(), source: &recordingSource{}, heard: make(map[string]int64)}
 	node.network = transport.New(transport.Options{Cluster: "test", NodeID: node.address, Address: node.address, Logger: events.Discard()})
 	node.manager = NewManager(Options{
-		Peers: peers, FollowAll: followAll, Source: node.source, FreshFor: 100 * time.Millisecond, OnChange: node.onChange,
+		Peers: peers, FollowAll: followAll, ReadsStore: readsStore, Source: node.source, FreshFor: 100 * time.Millisecond, OnChange: node.onChange,
 	}, node.network, events.Discard())
 	ctx, stop := context.WithCancel(context.Background())
 	node.stop = stop
@@ -205,3 +210,27 @@
 		return !found
 	})
 }
+
+// A replica that leaves the store to others reads it only while none of them is fresh.
+func TestReplicaReadsTheStoreOnlyWithoutReaders(t *testing.T) {
+	none := func() []string { return nil }
+	var addresses []string
+	var readers []*testNode
+	for range 3 {
+		reader := startNode(t, true, none)
+		readers = append(readers, reader)
+		addresses = append(addresses, reader.address)
+	}
+	replica := startReplica(t, true, func() bool { return false }, func() []string { return addresses })
+	eventually(t, "the sources run", func() bool {
+		return readers[0].source.active() && readers[1].source.active() && readers[2].source.active()
+	})
+	readers[1].source.change(entry("configuration/current", 3, "three"))
+	eventually(t, "the change arrives", func() bool { return replica.revision("configuration/current") == 3 })
+	eventually(t, "the store is left to the readers", func() bool { return !replica.source.active() })
+	for _, reader := range readers {
+		reader.stop()
+		reader.network.Close()
+	}
+	eventually(t, "the replica reads the store itself", replica.source.active)
+}
--- a/internal/catalog/manager.go
+++ b/internal/catalog/manager.go
@@ -48,10 +48,12 @@
 type Options struct {
 	// Peers returns the addresses of nodes that serve their catalog, the preferred ones first.
 	Peers func() []string
-	// FollowAll follows all peers; otherwise only as many as it takes to be fresh, and the Source
-	// only when no peer is fresh.
+	// FollowAll follows all peers; otherwise only as many as it takes to be fresh.
 	FollowAll bool
-	Source    Source
+	// ReadsStore tells whether this node follows the Source at all times; others do so only while no peer is
+	// fresh. Nil stands for never.
+	ReadsStore func() bool
+	Source     Source
 	// FreshFor is the age up to which contact with the store counts as fresh. It covers the time
 	// for which the store may hold a question.
 	FreshFor time.Duration
@@ -153,7 +155,8 @@
 			m.startFollower(ctx, address)
 		}
 	}
-	m.switchSource(ctx, m.options.FollowAll || m.width > len(peers))
+	reads := m.options.ReadsStore != nil && m.options.ReadsStore()
+	m.switchSource(ctx, reads || m.width > len(peers))
 }
 
 func (m *Manager) startFollower(ctx context.Context, address string) {
@@ -163,8 +166,8 @@
 	go m.follow(followContext, address, created)
 }
 
-// chooseWidth follows no more peers than up to the first one that is fresh, and adds one at a time
-// while none is.
+// chooseWidth follows no more peers than up to the first one that is fresh. While none is, it follows twice as
+// many every time, and in the end the source.
 func (m *Manager) chooseWidth(now time.Time, peers []string) {
 	for index, address := range peers {
 		known := m.followers[address]
@@ -175,7 +178,7 @@
 		}
 	}
 	if m.width <= len(peers) && now.Sub(m.widenedAt) >= 2*widenInterval {
-		m.width++
+		m.width = min(2*m.width, len(peers)+1)
 		m.widenedAt = now
 	}
 }
--- /dev/null
+++ b/internal/turnlog/collect.go
@@ -0,0 +1,80 @@
+package turnlog
+
+import (
+	"bufio"
+	"os"
+)
+
+// collectStep is how many bytes of an old segment are read after a small write. After a large one it is twice
+// as many as were written, so that the log shrinks.
+const collectStep = 128 << 10
+
+// collection is the reading of the oldest segment.
+type collection struct {
+	file   *os.File
+	reader *bufio.Reader
+	kept   int64
+}
+
+// collectOldest goes on with the oldest segment while the log is large: what is needed of it is
+// appended again. The segment is removed only when all of that is synced.
+func (l *Log) collectOldest(step int) {
+	if l.collecting == nil && !l.beginCollection() {
+		return
+	}
+	var buffer []byte
+	ended := false
+	for read := 0; read < step && !ended; {
+		payload, err := readFrame(l.collecting.reader)
+		if err != nil {
+			ended = true
+			break
+		}
+		read += len(payload) + frameHeaderBytes
+		if l.options.Needed == nil || l.options.Needed(payload) {
+			buffer = appendFrame(buffer, payload)
+		}
+	}
+	if len(buffer) > 0 && l.write(buffer) != nil {
+		l.endCollection()
+		return
+	}
+	l.collecting.kept += int64(len(buffer))
+	if ended {
+		l.removeOldest()
+	}
+}
+
+func (l *Log) beginCollection() bool {
+	if l.bytes < l.collectAbove || len(l.segments) < 2 {
+		return false
+	}
+	file, err := os.Open(l.segments[0].name)
+	if err != nil {
+		return false
+	}
+	l.collecting = &collection{file: file, reader: bufio.NewReaderSize(file, readBufferBytes)}
+	return true
+}
+
+func (l *Log) endCollection() {
+	_ = l.collecting.file.Close()
+	l.collecting = nil
+}
+
+// removeOldest removes the segment that was read to its end. If most of it was still needed, the log
+// has to grow further before the next one is read: reading again what is needed gains nothing.
+func (l *Log) removeOldest() {
+	oldest := l.segments[0]
+	kept := l.collecting.kept
+	l.endCollection()
+	if os.Remove(oldest.name) != nil {
+		return
+	}
+	_ = SyncFolder(l.options.Folder)
+	l.segments = l.segments[1:]
+	l.bytes -= oldest.bytes
+	if 2*kept > oldest.bytes {
+		l.collectAbove += oldest.bytes
+	}
+}
--- a/internal/turnlog/turnlog.go
+++ b/internal/turnlog/turnlog.go
@@ -2,23 +2,24 @@
 // appends that come while a sync runs share the next one. Each record has a checksum, and a torn
 // end of the log, as a loss of power leaves it, is cut off when the log is opened.
 //
+// The log is a row of segments. Once it is large, the oldest segment is read again, a little with each
+// write; what is still needed of it is appended once more, and the segment is removed. So no write waits for
+// a whole log to be rewritten, and no more than a small part of it is in memory. Records may come back in
+// another order than they were written in, and more than once.
+//
 // A file is never written again after a failure: what reached the disk then is not known, so the
 // log goes on in a new file.
 //
 // Usage:
 //
-//	log, err := turnlog.Open(folder, func(payload []byte) { ... })
+//	log, err := turnlog.Open(turnlog.Options{Folder: folder, Replay: ..., Needed: ...})
 //	go log.Run(ctx)
 //	err = log.Append(ctx, payloads, func() { ... what is durable now may be shown ... })
 package turnlog
 
 import (
-	"bufio"
 	"context"
-	"encoding/binary"
 	"fmt"
-	"hash/crc32"
-	"io"
 	"os"
 	"path/filepath"
 	"slices"
@@ -28,18 +29,15 @@
 )
 
 const (
-	frameHeaderBytes = 8
-	maximalFrame     = 32 << 20
-	segmentPattern   = "turns-%08d.log"
-	segmentGlob      = "turns-*.log"
-	queuedAppends    = 256
-	// compactAbove and compactFactor tell when a log is rewritten: if it is larger than both.
-	compactAbove  = 24 << 20
-	compactFactor = 3
+	segmentPattern = "turns-%08d.log"
+	segmentGlob    = "turns-*.log"
+	queuedAppends  = 256
+	// segmentBytes is the size from which a new segment is begun.
+	segmentBytes = 4 << 20
+	// defaultCollectAbove is the size of the log, in bytes, from which old segments are collected.
+	defaultCollectAbove = 64 << 20
 )
 
-var checksums = crc32.MakeTable(crc32.Castagnoli)
-
 // ErrLog is a failure of the disk.
 type ErrLog struct {
 	Operation string
@@ -59,103 +57,75 @@
 	return errors.WithStack(&ErrLog{Operation: operation, cause: cause})
 }
 
+// Options configure a Log.
+type Options struct {
+	// Folder must exist.
+	Folder string
+	// Replay is called by Open for each record.
+	Replay func(payload []byte)
+	// Needed tells whether a record of an old segment must be kept. It is called from Run. Nil keeps all.
+	Needed func(payload []byte) bool
+	// CollectAbove is the size of the log, in bytes, from which old segments are collected; 0 stands for
+	// 64 MB.
+	CollectAbove int64
+}
+
 type appending struct {
 	payloads [][]byte
 	apply    func()
 	done     chan error
 }
 
+// segment is one file of the log.
+type segment struct {
+	name  string
+	bytes int64
+}
+
 // Log is an open log. Append may be called concurrently.
 type Log struct {
-	folder string
-	queue  chan appending
-	// live returns all records that are still needed, for compaction.
-	live func() [][]byte
+	options Options
+	queue   chan appending
 
 	// The rest belongs to Run.
-	file     *os.File
-	number   int
-	segments []string
+	file   *os.File
+	number int
+	// segments are the files, oldest first; the last one is written if file is open.
+	segments []segment
 	bytes    int64
-	liveSize int64
+	// collectAbove rises if most of what is collected is still needed.
+	collectAbove int64
+	collecting   *collection
 }
 
-// Open reads the log in folder, which must exist, and calls replay for each record in order. live
-// is called from Run when the log has grown; it must return what is to be kept.
-func Open(folder string, replay func(payload []byte), live func() [][]byte) (*Log, error) {
-	log := &Log{folder: folder, queue: make(chan appending, queuedAppends), live: live}
-	names, err := filepath.Glob(filepath.Join(folder, segmentGlob))
+// Open reads the log in a folder.
+func Open(options Options) (*Log, error) {
+	log := &Log{options: options, queue: make(chan appending, queuedAppends), collectAbove: options.CollectAbove}
+	if log.collectAbove == 0 {
+		log.collectAbove = defaultCollectAbove
+	}
+	names, err := filepath.Glob(filepath.Join(options.Folder, segmentGlob))
 	if err != nil {
 		return nil, failed("list", err)
 	}
 	slices.Sort(names)
 	for _, name := range names {
-		size, err := replaySegment(name, replay)
+		size, err := replaySegment(name, options.Replay)
 		if err != nil {
 			return nil, err
 		}
 		log.bytes += size
-		log.segments = append(log.segments, name)
+		log.segments = append(log.segments, segment{name: name, bytes: size})
 		if _, err := fmt.Sscanf(filepath.Base(name), segmentPattern, &log.number); err != nil {
 			return nil, failed("name of "+name, err)
 		}
 	}
-	log.liveSize = log.bytes
 	return log, nil
 }
 
-// replaySegment reads records up to the first damaged one; those behind it were never acknowledged.
-func replaySegment(name string, replay func([]byte)) (int64, error) {
-	file, err := os.Open(name)
-	if err != nil {
-		return 0, failed("open", err)
-	}
-	defer file.Close()
-	reader := bufio.NewReaderSize(file, 256<<10)
-	var size int64
-	for {
-		payload, err := readFrame(reader)
-		if err != nil {
-			return size, nil
-		}
-		size += int64(len(payload)) + frameHeaderBytes
-		replay(payload)
-	}
-}
-
-type damagedFrame struct{}
-
-// Error implements error.
-func (damagedFrame) Error() string { return "a record is damaged" }
-
-func readFrame(reader io.Reader) ([]byte, error) {
-	var header [frameHeaderBytes]byte
-	if _, err := io.ReadFull(reader, header[:]); err != nil {
-		return nil, err
-	}
-	length := binary.LittleEndian.Uint32(header[:4])
-	if length == 0 || length > maximalFrame {
-		return nil, damagedFrame{}
-	}
-	payload := make([]byte, length)
-	if _, err := io.ReadFull(reader, payload); err != nil {
-		return nil, err
-	}
-	if crc32.Checksum(payload, checksums) != binary.LittleEndian.Uint32(header[4:]) {
-		return nil, damagedFrame{}
-	}
-	return payload, nil
-}
-
-func appendFrame(buffer, payload []byte) []byte {
-	buffer = binary.LittleEndian.AppendUint32(buffer, uint32(len(payload)))
-	buffer = binary.LittleEndian.AppendUint32(buffer, crc32.Checksum(payload, checksums))
-	return append(buffer, payload...)
-}
-
 // Append writes records and returns once they are synced. apply is called from Run when they are,
-// before anything else is written: the log may be rewritten at any moment with what live returns, so
-// what is durable must be in there. After an error the records may or may not be in the log.
+// before anything else is written: Needed may be asked for them at any moment from then on. After an error
+// the records may or may not be in the log.
 func (l *Log) Append(ctx context.Context, payloads [][]byte, apply func()) error {
 	request := appending{payloads: payloads, apply: apply, done: make(chan error, 1)}
 	select {
@@ -179,13 +149,13 @@
 		case <-ctx.Done():
 			return
 		case first := <-l.queue:
-			l.writeBatch(l.collect(first))
-			l.compactIfLarge()
+			written := l.writeBatch(l.takeQueued(first))
+			l.collectOldest(max(collectStep, 2*written))
 		}
 	}
 }
 
-func (l *Log) collect(first appending) []appending {
+func (l *Log) takeQueued(first appending) []appending {
 	batch := []appending{first}
 	for {
 		select {
@@ -197,7 +167,8 @@
 	}
 }
 
-func (l *Log) writeBatch(batch []appending) {
+// writeBatch returns how many bytes it wrote.
+func (l *Log) writeBatch(batch []appending) int {
 	var buffer []byte
 	for _, request := range batch {
 		for _, payload := range request.payloads {
@@ -211,6 +182,7 @@
 		}
 		request.done <- err
 	}
+	return len(buffer)
 }
 
 func (l *Log) write(buffer []byte) error {
@@ -226,6 +198,11 @@
 		return failed("write", err)
 	}
 	l.bytes += int64(len(buffer))
+	current := &l.segments[len(l.segments)-1]
+	current.bytes += int64(len(buffer))
+	if current.bytes >= segmentBytes {
+		l.closeFile()
+	}
 	return nil
 }
 
@@ -235,17 +212,17 @@
 		return nil
 	}
 	l.number++
-	name := filepath.Join(l.folder, fmt.Sprintf(segmentPattern, l.number))
+	name := filepath.Join(l.options.Folder, fmt.Sprintf(segmentPattern, l.number))
 	file, err := os.OpenFile(name, os.O_CREATE|os.O_WRONLY|os.O_TRUNC, 0o600)
 	if err != nil {
 		return failed("create", err)
 	}
-	if err := SyncFolder(l.folder); err != nil {
+	if err := SyncFolder(l.options.Folder); err != nil {
 		_ = file.Close()
 		return err
 	}
 	l.file = file
-	l.segments = append(l.segments, name)
+	l.segments = append(l.segments, segment{name: name})
 	return nil
 }
 
@@ -265,31 +242,3 @@
 	defer directory.Close()
 	return failed("sync folder", directory.Sync())
 }
-
-// compactIfLarge rewrites the log with what is still needed. Until the new file is synced, the
-// old ones stay.
-func (l *Log) compactIfLarge() {
-	if l.bytes < compactAbove || l.bytes < compactFactor*l.liveSize {
-		return
-	}
-	old := l.segments
-	l.segments = nil
-	l.closeFile()
-	var buffer []byte
-	for _, payload := range l.live() {
-		buffer = appendFrame(buffer, payload)
-	}
-	before := l.bytes
-	l.bytes = 0
-	if err := l.write(buffer); err != nil {
-		l.segments = append(old, l.segments...)
-		l.bytes = before
-		l.liveSize = before
-		return
-	}
-	l.liveSize = l.bytes
-	for _, name := range old {
-		_ = os.Remove(name)
-	}
-	_ = SyncFolder(l.folder)
-}
--- a/internal/turnlog/turnlog_test.go
+++ b/internal/turnlog/turnlog_test.go
@@ -13,10 +13,16 @@
 	"gotest.tools/v3/assert"
 )
 
-func open(t *testing.T, folder string, live func() [][]byte) (*Log, []string, func()) {
+// testCollectAbove keeps the tests quick.
+const testCollectAbove = 12 << 20
+
+func open(t *testing.T, folder string, needed func([]byte) bool) (*Log, []string, func()) {
 	t.Helper()
 	var replayed []string
-	log, err := Open(folder, func(payload []byte) { replayed = append(replayed, string(payload)) }, live)
+	log, err := Open(Options{
+		Folder: folder, Replay: func(payload []byte) { replayed = append(replayed, string(payload)) }, Needed: needed,
+		CollectAbove: testCollectAbove,
+	})
 	assert.NilError(t, err)
 	ctx, cancel := context.WithCancel(context.Background())
 	done := make(chan struct{})
@@ -63,7 +69,7 @@
 	log, _, stop := open(t, folder, nil)
 	add(t, log, "kept")
 	stop()
-	name := log.segments[0]
+	name := log.segments[0].name
 	whole, err := os.ReadFile(name)
 	assert.NilError(t, err)
 	torn := appendFrame(nil, []byte("never acknowledged"))
@@ -128,46 +134,59 @@
 	assert.DeepEqual(t, replayed, []string{"before", "after"})
 }
 
-// The log is rewritten with what is needed; of what is appended meanwhile nothing is lost, also if
-// nobody has waited for it.
-func TestGrownLogIsRewrittenWithWhatIsNeeded(t *testing.T) {
+// Old segments go, what is needed of them stays; of what is appended meanwhile nothing is lost, also if
+// nobody has waited for it. The log does not grow beyond its limit and two segments.
+func TestGrownLogKeepsWhatIsNeeded(t *testing.T) {
 	folder := t.TempDir()
-	var mutex sync.Mutex
-	var applied [][]byte
-	log, _, stop := open(t, folder, func() [][]byte {
-		mutex.Lock()
-		defer mutex.Unlock()
-		return append([][]byte(nil), applied...)
-	})
 	filler := make([]byte, 1<<20)
+	log, _, stop := open(t, folder, func(payload []byte) bool { return len(payload) < len(filler) })
 	ctx, cancel := context.WithTimeout(context.Background(), 30*time.Second)
 	defer cancel()
-	var wanted []string
-	for index := range 2 * compactAbove / len(filler) {
+	wanted := make(map[string]bool)
+	for index := range 4 * testCollectAbove / len(filler) {
 		name := fmt.Sprint("record ", index)
-		wanted = append(wanted, name)
-		err := log.Append(ctx, [][]byte{filler, []byte(name)}, func() {
-			mutex.Lock()
-			defer mutex.Unlock()
-			applied = append(applied, []byte(name))
-		})
-		assert.NilError(t, err)
+		wanted[name] = true
+		assert.NilError(t, log.Append(ctx, [][]byte{filler, []byte(name)}, func() {}))
 	}
 	stop()
 	names, err := filepath.Glob(filepath.Join(folder, segmentGlob))
 	assert.NilError(t, err)
-	assert.Assert(t, filepath.Base(names[0]) != fmt.Sprintf(segmentPattern, 1), "the log was never rewritten")
+	assert.Assert(t, filepath.Base(names[0]) != fmt.Sprintf(segmentPattern, 1), "no old segment was removed")
+	assert.Assert(t, log.bytes <= testCollectAbove+2*segmentBytes, "the log has %d bytes", log.bytes)
 	_, replayed, stop := open(t, folder, nil)
 	stop()
-	var found []string
+	found := make(map[string]bool)
 	for _, record := range replayed {
 		if len(record) < len(filler) {
-			found = append(found, record)
+			found[record] = true
 		}
 	}
 	assert.DeepEqual(t, found, wanted)
 }
 
+// While nearly all is needed, the log grows instead of being read again and again.
+func TestLogThatIsAllNeededIsNotReadOverAndOver(t *testing.T) {
+	folder := t.TempDir()
+	log, _, stop := open(t, folder, nil)
+	ctx, cancel := context.WithTimeout(context.Background(), 30*time.Second)
+	defer cancel()
+	record := make([]byte, 256<<10)
+	const records = 120
+	for index := range records {
+		record[0] = byte(index + 1)
+		assert.NilError(t, log.Append(ctx, [][]byte{record}, func() {}))
+	}
+	stop()
+	assert.Assert(t, log.number <= 2*records*len(record)/segmentBytes, "%d segments were written", log.number)
+	_, replayed, stop := open(t, folder, nil)
+	stop()
+	found := make(map[byte]bool)
+	for _, payload := range replayed {
+		found[payload[0]] = true
+	}
+	assert.Equal(t, len(found), records)
+}
+
 func FuzzReplay(f *testing.F) {
 	f.Add(appendFrame(nil, []byte("x")))
 	f.Add([]byte{255, 255, 255, 255, 0, 0, 0, 0})
--- a/internal/turnstore/node.go
+++ b/internal/turnstore/node.go
@@ -43,16 +43,29 @@
 		return nil, err
 	}
 	node.catalog = catalog.NewManager(catalog.Options{
-		Peers: node.peers, FollowAll: true, Source: options.Source, FreshFor: options.FreshFor, OnChange: node.apply,
+		Peers: node.peers, FollowAll: true, ReadsStore: node.readsStore, Source: options.Source, FreshFor: options.FreshFor,
+		OnChange: node.apply,
 	}, options.Network, options.Logger)
 	return node, nil
 }
 
+// readsStore tells whether this replica is one of those that read the store for all. Each call of the store
+// counts, so only as many do as may be lost at once, and one. While the set is unknown, all read.
+func (n *Node) readsStore() bool {
+	set := n.replica.Set()
+	return set.Epoch == 0 || contains(set.readers(), n.options.Replica.Self.Name)
+}
+
+// peers are the replicas that read the store.
 func (n *Node) peers() []string {
 	var addresses []string
-	for _, member := range n.replica.others() {
+	set := n.replica.Set()
+	for _, member := range without(set.readers(), n.options.Replica.Self.Name) {
 		addresses = append(addresses, member.Address)
 	}
+	if set.Epoch > 0 {
+		return addresses
+	}
 	for _, seed := range n.options.Seeds() {
 		if seed != n.options.Replica.Self.Address {
 			addresses = append(addresses, seed)
--- a/internal/turnstore/set.go
+++ b/internal/turnstore/set.go
@@ -56,6 +56,9 @@
 
 func (s Set) reads(members []Member) int { return len(members) - s.writes(members) + 1 }
 
+// readers are the members that follow the store for all.
+func (s Set) readers() []Member { return s.Members[:min(s.Copies, len(s.Members))] }
+
 func contains(members []Member, name string) bool {
 	for _, member := range members {
 		if member.Name == name {
