--- a/internal/conversation/conversation.go
+++ b/internal/conversation/conversation.go
@@ -18,8 +18,9 @@
 )
 
 const (
-	// retentionSlack is how much longer than asked turns are kept, for clocks run apart.
-	retentionSlack = 30 * time.Second
+	// retentionSlack is how much longer than asked turns are kept: a turn is written a little before its answer
+	// ends, and a request that continues it may wait.
+	retentionSlack = 10 * time.Second
 	// chargeRetention is how long charges are kept after the last change to their program.
 	chargeRetention = 10 * time.Minute
 	// maximalChain bounds how many turns one conversation may have.
@@ -119,6 +120,15 @@
 	return known.charges[key.Turn].charge.Settled || !key.Settled
 }
 
+// Holds reports whether the state has exactly this version of a record.
+func (s *State) Holds(key Key) bool {
+	if !key.Charge {
+		return s.turns[key.Turn] != nil
+	}
+	known := s.accounts[key.Program]
+	return known != nil && known.charges[key.Turn] != nil && known.charges[key.Turn].charge.Settled == key.Settled
+}
+
 // Apply takes a record and reports whether it was news.
 func (s *State) Apply(now time.Time, record Record) bool {
 	key := record.Key()
@@ -274,12 +284,14 @@
 	return records
 }
 
-// Expire drops what need not be kept any longer.
-func (s *State) Expire(now time.Time) {
+// Expire drops what need not be kept any longer, and returns the IDs of the turns among it.
+func (s *State) Expire(now time.Time) []string {
+	var dropped []string
 	for id, known := range s.turns {
 		if now.After(known.keepTill) {
 			s.bytes -= int64(len(known.turn.Text))
 			delete(s.turns, id)
+			dropped = append(dropped, id)
 		}
 	}
 	for program, known := range s.accounts {
@@ -290,6 +302,7 @@
 	if len(s.order) > 0 && !s.current(s.order[0]) {
 		s.trimOrder()
 	}
+	return dropped
 }
 
 func (s *State) trimOrder() {
--- a/internal/turnlog/collect.go
+++ b/internal/turnlog/collect.go
@@ -22,7 +22,7 @@
 	if l.collecting == nil && !l.beginCollection() {
 		return
 	}
-	var buffer []byte
+	var needed [][]byte
 	ended := false
 	for read := 0; read < step && !ended; {
 		payload, err := readFrame(l.collecting.reader)
@@ -32,19 +32,34 @@
 		}
 		read += len(payload) + frameHeaderBytes
 		if l.options.Needed == nil || l.options.Needed(payload) {
-			buffer = appendFrame(buffer, payload)
+			needed = append(needed, payload)
 		}
 	}
-	if len(buffer) > 0 && l.write(buffer) != nil {
+	if len(needed) > 0 && !l.keep(needed) {
 		l.endCollection()
 		return
 	}
-	l.collecting.kept += int64(len(buffer))
 	if ended {
 		l.removeOldest()
 	}
 }
 
+// keep appends records once more and tells where they lie now.
+func (l *Log) keep(needed [][]byte) bool {
+	positions, written, err := l.write(needed)
+	if err != nil {
+		return false
+	}
+	l.collecting.kept += int64(written)
+	if l.options.Moved == nil {
+		return true
+	}
+	for index, payload := range needed {
+		l.options.Moved(payload, positions[index])
+	}
+	return true
+}
+
 func (l *Log) beginCollection() bool {
 	if l.bytes < l.collectAbove || len(l.segments) < 2 {
 		return false
@@ -68,6 +83,7 @@
 	oldest := l.segments[0]
 	kept := l.collecting.kept
 	l.endCollection()
+	l.readers.drop(oldest.number)
 	if os.Remove(oldest.name) != nil {
 		return
 	}
--- a/internal/turnlog/frame.go
+++ b/internal/turnlog/frame.go
@@ -48,7 +48,7 @@
 }
 
 // replaySegment reads records up to the first damaged one; those behind it were never acknowledged.
-func replaySegment(name string, replay func([]byte)) (int64, error) {
+func replaySegment(name string, number int, replay func([]byte, Position)) (int64, error) {
 	file, err := os.Open(name)
 	if err != nil {
 		return 0, failed("open", err)
@@ -61,7 +61,7 @@
 		if err != nil {
 			return size, nil
 		}
+		replay(payload, Position{segment: number, offset: size, length: len(payload)})
 		size += int64(len(payload)) + frameHeaderBytes
-		replay(payload)
 	}
 }
--- a/internal/turnlog/turnlog.go
+++ b/internal/turnlog/turnlog.go
@@ -62,9 +62,11 @@
 	// Folder must exist.
 	Folder string
 	// Replay is called by Open for each record.
-	Replay func(payload []byte)
+	Replay func(payload []byte, at Position)
 	// Needed tells whether a record of an old segment must be kept. It is called from Run. Nil keeps all.
 	Needed func(payload []byte) bool
+	// Moved is called from Run when a record that is needed lies elsewhere from now on. It may be nil.
+	Moved func(payload []byte, at Position)
 	// CollectAbove is the size of the log, in bytes, from which old segments are collected; 0 stands for
 	// 64 MB.
 	CollectAbove int64
@@ -72,14 +74,15 @@
 
 type appending struct {
 	payloads [][]byte
-	apply    func()
+	apply    func(at []Position)
 	done     chan error
 }
 
 // segment is one file of the log.
 type segment struct {
-	name  string
-	bytes int64
+	name   string
+	number int
+	bytes  int64
 }
 
 // Log is an open log. Append may be called concurrently.
@@ -96,6 +99,8 @@
 	// collectAbove rises if most of what is collected is still needed.
 	collectAbove int64
 	collecting   *collection
+
+	readers readers
 }
 
 // Open reads the log in a folder.
@@ -110,23 +115,23 @@
 	}
 	slices.Sort(names)
 	for _, name := range names {
-		size, err := replaySegment(name, options.Replay)
+		if _, err := fmt.Sscanf(filepath.Base(name), segmentPattern, &log.number); err != nil {
+			return nil, failed("name of "+name, err)
+		}
+		size, err := replaySegment(name, log.number, options.Replay)
 		if err != nil {
 			return nil, err
 		}
 		log.bytes += size
-		log.segments = append(log.segments, segment{name: name, bytes: size})
-		if _, err := fmt.Sscanf(filepath.Base(name), segmentPattern, &log.number); err != nil {
-			return nil, failed("name of "+name, err)
-		}
+		log.segments = append(log.segments, segment{name: name, number: log.number, bytes: size})
 	}
 	return log, nil
 }
 
 // Append writes records and returns once they are synced. apply is called from Run when they are,
-// before anything else is written: Needed may be asked for them at any moment from then on. After an error
+// before anything else is written, and gets where each record lies: Needed may be asked for them at any moment from then on. After an error
 // the records may or may not be in the log.
-func (l *Log) Append(ctx context.Context, payloads [][]byte, apply func()) error {
+func (l *Log) Append(ctx context.Context, payloads [][]byte, apply func(at []Position)) error {
 	request := appending{payloads: payloads, apply: apply, done: make(chan error, 1)}
 	select {
 	case l.queue <- request:
@@ -144,6 +149,7 @@
 // Run writes what is appended until the context ends.
 func (l *Log) Run(ctx context.Context) {
 	defer l.closeFile()
+	defer l.readers.close()
 	for {
 		select {
 		case <-ctx.Done():
@@ -169,41 +175,49 @@
 
 // writeBatch returns how many bytes it wrote.
 func (l *Log) writeBatch(batch []appending) int {
-	var buffer []byte
+	var payloads [][]byte
 	for _, request := range batch {
-		for _, payload := range request.payloads {
-			buffer = appendFrame(buffer, payload)
-		}
+		payloads = append(payloads, request.payloads...)
 	}
-	err := l.write(buffer)
+	positions, written, err := l.write(payloads)
 	for _, request := range batch {
 		if err == nil {
-			request.apply()
+			request.apply(positions[:len(request.payloads)])
+			positions = positions[len(request.payloads):]
 		}
 		request.done <- err
 	}
-	return len(buffer)
+	return written
 }
 
-func (l *Log) write(buffer []byte) error {
+// write appends records, syncs them, and returns where they lie.
+func (l *Log) write(payloads [][]byte) (positions []Position, written int, err error) {
 	if err := l.openFile(); err != nil {
-		return err
+		return nil, 0, err
 	}
-	_, err := l.file.Write(buffer)
-	if err == nil {
-		err = syscall.Fdatasync(int(l.file.Fd()))
+	current := &l.segments[len(l.segments)-1]
+	var buffer []byte
+	for _, payload := range payloads {
+		positions = append(positions, Position{segment: current.number, offset: current.bytes + int64(len(buffer)), length: len(payload)})
+		buffer = appendFrame(buffer, payload)
 	}
-	if err != nil {
+	if err := l.sync(buffer); err != nil {
 		l.closeFile()
-		return failed("write", err)
+		return nil, 0, err
 	}
 	l.bytes += int64(len(buffer))
-	current := &l.segments[len(l.segments)-1]
 	current.bytes += int64(len(buffer))
 	if current.bytes >= segmentBytes {
 		l.closeFile()
 	}
-	return nil
+	return positions, len(buffer), nil
+}
+
+func (l *Log) sync(buffer []byte) error {
+	if _, err := l.file.Write(buffer); err != nil {
+		return failed("write", err)
+	}
+	return failed("sync", syscall.Fdatasync(int(l.file.Fd())))
 }
 
 // openFile starts a new segment if there is none; its name is synced before anything in it counts.
@@ -222,7 +236,7 @@
 		return err
 	}
 	l.file = file
-	l.segments = append(l.segments, segment{name: name})
+	l.segments = append(l.segments, segment{name: name, number: l.number})
 	return nil
 }
 
--- a/internal/turnlog/turnlog_test.go
+++ b/internal/turnlog/turnlog_test.go
@@ -20,7 +20,7 @@
 	t.Helper()
 	var replayed []string
 	log, err := Open(Options{
-		Folder: folder, Replay: func(payload []byte) { replayed = append(replayed, string(payload)) }, Needed: needed,
+		Folder: folder, Replay: func(payload []byte, _ Position) { replayed = append(replayed, string(payload)) }, Needed: needed,
 		CollectAbove: testCollectAbove,
 	})
 	assert.NilError(t, err)
@@ -44,7 +44,7 @@
 	}
 	ctx, cancel := context.WithTimeout(context.Background(), 10*time.Second)
 	defer cancel()
-	assert.NilError(t, log.Append(ctx, encoded, func() {}))
+	assert.NilError(t, log.Append(ctx, encoded, func([]Position) {}))
 }
 
 func TestRecordsComeBackInOrder(t *testing.T) {
@@ -122,7 +122,7 @@
 	ctx, cancel := context.WithTimeout(context.Background(), 10*time.Second)
 	defer cancel()
 	for range 2 {
-		err := log.Append(ctx, [][]byte{[]byte("lost")}, func() { t.Error("a record was shown that is not durable") })
+		err := log.Append(ctx, [][]byte{[]byte("lost")}, func([]Position) { t.Error("a record was shown that is not durable") })
 		var failure *ErrLog
 		assert.Assert(t, errors.As(err, &failure))
 	}
@@ -146,7 +146,7 @@
 	for index := range 4 * testCollectAbove / len(filler) {
 		name := fmt.Sprint("record ", index)
 		wanted[name] = true
-		assert.NilError(t, log.Append(ctx, [][]byte{filler, []byte(name)}, func() {}))
+		assert.NilError(t, log.Append(ctx, [][]byte{filler, []byte(name)}, func([]Position) {}))
 	}
 	stop()
 	names, err := filepath.Glob(filepath.Join(folder, segmentGlob))
@@ -174,7 +174,7 @@
 	const records = 120
 	for index := range records {
 		record[0] = byte(index + 1)
-		assert.NilError(t, log.Append(ctx, [][]byte{record}, func() {}))
+		assert.NilError(t, log.Append(ctx, [][]byte{record}, func([]Position) {}))
 	}
 	stop()
 	assert.Assert(t, log.number <= 2*records*len(record)/segmentBytes, "%d segments were written", log.number)
@@ -187,13 +187,65 @@
 	assert.Equal(t, len(found), records)
 }
 
+// Records are found where the log says, also after they were moved and after a restart.
+func TestRecordsAreReadFromTheDisk(t *testing.T) {
+	folder := t.TempDir()
+	var mutex sync.Mutex
+	positions := make(map[string]Position)
+	learn := func(payload []byte, at Position) {
+		mutex.Lock()
+		defer mutex.Unlock()
+		positions[string(payload[:8])] = at
+	}
+	needed := func(payload []byte) bool { return payload[0] == 'n' }
+	options := Options{Folder: folder, Replay: learn, Moved: learn, Needed: needed, CollectAbove: testCollectAbove}
+	run := func() (*Log, func()) {
+		log, err := Open(options)
+		assert.NilError(t, err)
+		ctx, cancel := context.WithCancel(context.Background())
+		done := make(chan struct{})
+		go func() {
+			log.Run(ctx)
+			close(done)
+		}()
+		return log, func() {
+			cancel()
+			<-done
+		}
+	}
+	check := func(log *Log) {
+		t.Helper()
+		for index := range 100 {
+			name := fmt.Sprintf("n%07d", index)
+			payload, err := log.Read(positions[name])
+			assert.NilError(t, err, name)
+			assert.Equal(t, string(payload[:8]), name)
+		}
+	}
+	log, stop := run()
+	ctx, cancel := context.WithTimeout(context.Background(), 30*time.Second)
+	defer cancel()
+	for index := range 100 {
+		payload := append(fmt.Appendf(nil, "n%07d", index), make([]byte, index*100)...)
+		filler := append([]byte("filler.."), make([]byte, 300<<10)...)
+		err := log.Append(ctx, [][]byte{filler, payload}, func(at []Position) { learn(payload, at[1]) })
+		assert.NilError(t, err)
+	}
+	stop()
+	assert.Assert(t, log.segments[0].number > 1, "no segment was removed")
+	check(log)
+	log, stop = run()
+	defer stop()
+	check(log)
+}
+
 func FuzzReplay(f *testing.F) {
 	f.Add(appendFrame(nil, []byte("x")))
 	f.Add([]byte{255, 255, 255, 255, 0, 0, 0, 0})
 	f.Fuzz(func(t *testing.T, content []byte) {
 		name := filepath.Join(t.TempDir(), fmt.Sprintf(segmentPattern, 1))
 		assert.NilError(t, os.WriteFile(name, content, 0o600))
-		size, err := replaySegment(name, func([]byte) {})
+		size, err := replaySegment(name, 1, func([]byte, Position) {})
 		assert.NilError(t, err)
 		assert.Assert(t, size <= int64(len(content)))
 	})
--- a/internal/turnstore/cluster_test.go
+++ b/internal/turnstore/cluster_test.go
@@ -118,6 +118,9 @@
 }
 
 // machine is a replica's machine: its address and disk stay while processes come and go.
+// testTextBytes is so little that most texts are read from disk.
+const testTextBytes = 8
+
 // testZones is how many zones the machines are in, in turn.
 const testZones = 3
 
@@ -237,6 +240,7 @@
 	})
 	replica, err := NewReplica(ReplicaOptions{
 		Self: Member{Name: m.name, Address: m.address, Zone: m.zone}, Folder: m.folder, FirstStart: !c.started, Copies: 2, Size: c.size,
+		TextBytes: testTextBytes,
 		Store: c.store, SetKey: testSetKey, CandidatesKey: testCandidatesKey, Retiring: m.retiring.Load,
 		Retired: func(_ context.Context, done bool) error {
 			m.retired.Store(done)
--- a/internal/turnstore/membership.go
+++ b/internal/turnstore/membership.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"encoding/json"
+	"slices"
 	"time"
 
 	"github.com/cockroachdb/errors"
@@ -274,8 +275,18 @@
 
 func (r *Replica) push(ctx context.Context, epoch int64, member Member, records []conversation.Record) bool {
 	for len(records) > 0 {
-		batch := records[:min(len(records), pushKeys)]
+		batch := slices.Clone(records[:min(len(records), pushKeys)])
 		records = records[len(batch):]
+		// The texts are put into copies, so that those of one batch at a time are in memory.
+		for index, record := range batch {
+			if record.Turn != nil {
+				turn := *record.Turn
+				batch[index].Turn = &turn
+			}
+		}
+		if r.fillTexts(batch) != nil {
+			return false
+		}
 		callContext, cancel := context.WithTimeout(ctx, pullTimeout)
 		answer, err := transport.Call[putAnswer](callContext, r.network, member.Address, putKind, putRequest{Epoch: epoch, Records: batch})
 		cancel()
--- a/internal/turnstore/pull.go
+++ b/internal/turnstore/pull.go
@@ -257,7 +257,7 @@
 		return
 	}
 	r.mutex.Lock()
-	turns, programs, bytes := r.state.Size()
+	turns, programs, _ := r.state.Size()
 	r.mutex.Unlock()
-	r.logger.Emit(events.ReplicaComplete, events.F("turns", turns), events.F("programs", programs), events.F("bytes", bytes))
+	r.logger.Emit(events.ReplicaComplete, events.F("turns", turns), events.F("programs", programs), events.F("bytes", r.texts.size()))
 }
--- a/internal/turnstore/replica.go
+++ b/internal/turnstore/replica.go
@@ -14,7 +14,6 @@
 
 import (
 	"context"
-	"encoding/json"
 	"sync"
 	"time"
 
@@ -52,6 +51,12 @@
 	Store         configstore.Store
 	SetKey        string
 	CandidatesKey string
+	// TextBytes is how much of the turns' texts stays in memory, in bytes; the others are read from disk. 0 stands
+	// for 16 MB.
+	TextBytes int64
+	// LogBytes is the size of the log, in bytes, from which what is no longer needed is dropped; 0 stands for
+	// that of package turnlog.
+	LogBytes int64
 	// Retiring tells whether the operator wants this replica emptied; Retired tells the operator.
 	Retiring func() bool
 	Retired  func(ctx context.Context, done bool) error
@@ -63,6 +68,7 @@
 	network *transport.Transport
 	logger  *events.Logger
 	log     *turnlog.Log
+	texts   *texts
 	folder  *folder
 	// incarnation names this process to peers: after a restart, changes are numbered anew.
 	incarnation string
@@ -84,6 +90,7 @@
 		logger:  logger,
 		state:   conversation.New(),
 		peers:   make(map[string]*peerProgress),
+		texts:   newTexts(options.TextBytes),
 		setNews: make(chan struct{}, 1),
 
 		incarnation: uuid.NewString(),
@@ -95,18 +102,22 @@
 	replica.folder = opened
 	replica.set = opened.record().Set
 	now := time.Now()
-	replica.log, err = turnlog.Open(options.Folder, func(payload []byte) {
-		var record conversation.Record
-		if json.Unmarshal(payload, &record) == nil && (record.Turn != nil || record.Charge != nil) {
-			replica.state.Apply(now, record)
-		}
-	}, replica.encodeAll)
+	replica.log, err = turnlog.Open(turnlog.Options{
+		Folder: options.Folder, CollectAbove: options.LogBytes,
+		Needed: replica.needed, Moved: replica.moved,
+		Replay: func(payload []byte, at turnlog.Position) {
+			if record, valid := decodeRecord(payload); valid {
+				replica.applyOne(now, record, at)
+			}
+		},
+	})
 	if err != nil {
 		return nil, err
 	}
-	turns, programs, bytes := replica.state.Size()
+	replica.texts.log = replica.log
+	turns, programs, _ := replica.state.Size()
 	logger.Emit(events.ReplicaOpened, events.F("identity", opened.record().Identity), events.F("complete", opened.record().Complete),
-		events.F("epoch", replica.set.Epoch), events.F("turns", turns), events.F("programs", programs), events.F("bytes", bytes))
+		events.F("epoch", replica.set.Epoch), events.F("turns", turns), events.F("programs", programs), events.F("bytes", replica.texts.size()))
 	transport.Handle(network, openKind, replica.serveOpen)
 	transport.Handle(network, putKind, replica.servePut)
 	transport.Handle(network, digestKind, replica.serveDigest)
@@ -115,21 +126,15 @@
 	return replica, nil
 }
 
-func (r *Replica) encodeAll() [][]byte {
-	r.mutex.Lock()
-	records := r.state.Records()
-	r.mutex.Unlock()
-	return encodeRecords(records)
-}
-
-func encodeRecords(records []conversation.Record) [][]byte {
-	payloads := make([][]byte, 0, len(records))
-	for _, record := range records {
-		if payload, err := json.Marshal(record); err == nil {
-			payloads = append(payloads, payload)
-		}
+// needed tells whether a record in the log is the newest version of something that is still kept.
+func (r *Replica) needed(payload []byte) bool {
+	record, valid := decodeRecord(payload)
+	if !valid {
+		return false
 	}
-	return payloads
+	r.mutex.Lock()
+	defer r.mutex.Unlock()
+	return r.state.Holds(record.Key())
 }
 
 // Run writes the log, pulls from peers and keeps the replica set until the context ends.
@@ -158,8 +163,9 @@
 			return
 		case now := <-ticker.C:
 			r.mutex.Lock()
-			r.state.Expire(now)
+			dropped := r.state.Expire(now)
 			r.mutex.Unlock()
+			r.texts.drop(dropped)
 		}
 	}
 }
@@ -213,19 +219,38 @@
 	if len(news) == 0 {
 		return nil
 	}
-	err := r.log.Append(ctx, encodeRecords(news), func() { r.apply(news) })
+	err := r.log.Append(ctx, encodeRecords(news), func(at []turnlog.Position) { r.apply(news, at) })
 	if err != nil {
 		r.logger.Emit(events.ReplicaLogFailed, events.F("error", err), events.F("records", len(news)))
 	}
 	return err
 }
 
-func (r *Replica) apply(records []conversation.Record) {
+func (r *Replica) apply(records []conversation.Record, at []turnlog.Position) {
 	now := time.Now()
 	r.mutex.Lock()
 	defer r.mutex.Unlock()
-	for _, record := range records {
-		r.state.Apply(now, record)
+	for index, record := range records {
+		r.applyOne(now, record, at[index])
+	}
+}
+
+// applyOne takes a record that lies on disk. The text of a turn is not held in the state. The caller holds the
+// mutex, or nobody else knows the replica yet.
+func (r *Replica) applyOne(now time.Time, record conversation.Record, at turnlog.Position) {
+	if record.Turn != nil {
+		r.texts.put(record.Turn.ID, record.Turn.Text, at)
+		turn := *record.Turn
+		turn.Text = nil
+		record.Turn = &turn
+	}
+	r.state.Apply(now, record)
+}
+
+// moved learns where a record lies from now on.
+func (r *Replica) moved(payload []byte, at turnlog.Position) {
+	if record, valid := decodeRecord(payload); valid && record.Turn != nil {
+		r.texts.move(record.Turn.ID, at)
 	}
 }
 
@@ -240,6 +265,22 @@
 			return openAnswer{}, err
 		}
 	}
+	answer := r.answerOpen(request)
+	for index := range answer.Chain {
+		text, err := r.texts.get(answer.Chain[index].ID)
+		if err != nil {
+			r.logger.Emit(events.ReplicaLogFailed, events.F("error", err), events.F("turn", answer.Chain[index].ID))
+			answer.Missing = answer.Chain[index].ID
+			answer.Chain = answer.Chain[index+1:]
+			return answer, nil
+		}
+		answer.Chain[index].Text = text
+	}
+	return answer, nil
+}
+
+// answerOpen is the answer but for the texts of the turns.
+func (r *Replica) answerOpen(request openRequest) openAnswer {
 	r.mutex.Lock()
 	defer r.mutex.Unlock()
 	answer := openAnswer{Complete: r.folder.record().Complete}
@@ -247,13 +288,13 @@
 		answer.Charges = r.state.Charges(request.Reserve.Program)
 	}
 	if request.Previous == "" {
-		return answer, nil
+		return answer
 	}
 	answer.Known = r.state.HasTurn(request.Previous)
 	if request.WithText {
 		answer.Chain, answer.Missing = r.state.Chain(request.Previous)
 	}
-	return answer, nil
+	return answer
 }
 
 func (r *Replica) servePut(ctx context.Context, _ transport.Peer, request putRequest) (putAnswer, error) {
@@ -289,14 +330,31 @@
 
 func (r *Replica) serveFetch(_ context.Context, _ transport.Peer, request fetchRequest) (fetchAnswer, error) {
 	r.mutex.Lock()
-	defer r.mutex.Unlock()
 	var answer fetchAnswer
 	for _, key := range request.Keys[:min(len(request.Keys), fetchKeys)] {
 		if record, found := r.state.Record(key); found {
 			answer.Records = append(answer.Records, record)
 		}
 	}
-	return answer, nil
+	r.mutex.Unlock()
+	return answer, r.fillTexts(answer.Records)
+}
+
+// fillTexts gives turns their texts. A record that can't be read is a failure: whoever asked would take
+// an answer without it for all that there is.
+func (r *Replica) fillTexts(records []conversation.Record) error {
+	for _, record := range records {
+		if record.Turn == nil {
+			continue
+		}
+		text, err := r.texts.get(record.Turn.ID)
+		if err != nil {
+			r.logger.Emit(events.ReplicaLogFailed, events.F("error", err), events.F("turn", record.Turn.ID))
+			return err
+		}
+		record.Turn.Text = text
+	}
+	return nil
 }
 
 // serveFence makes the replica refuse older epochs from now on, also after a restart.
