Engines of the own zone and warm connections first; far fewer calls of the store at the start

Changes: another zone costs 0.4 of a rank for new prompts, too; where a prompt is known to lie, it is followed from everywhere. An engine to which no connection is free costs half a request in flight. Candidates but the first look once a second.

--- a/internal/catalog/manager.go
+++ b/internal/catalog/manager.go
@@ -118,6 +118,9 @@
 
 // Run follows peers and the store until the context ends.
 func (m *Manager) Run(ctx context.Context) {
+	m.mutex.Lock()
+	m.widenedAt = time.Now()
+	m.mutex.Unlock()
 	ticker := time.NewTicker(widenInterval)
 	defer ticker.Stop()
 	for {
--- a/internal/conversation/conversation.go
+++ b/internal/conversation/conversation.go
@@ -35,7 +35,7 @@
 	// Engine generated the answer and is likely to have the prompt in memory.
 	Engine string `json:"engine,omitempty"`
 	// Text is what this turn adds to the prompt of the next: its input, then its output.
-	Text []byte `json:"text"`
+	Text Text `json:"text"`
 	// RetentionMillis is how long the turn, and all before it, may be continued.
 	RetentionMillis int64 `json:"retention_millis"`
 }
--- /dev/null
+++ b/internal/conversation/text_test.go
@@ -0,0 +1,38 @@
+package conversation
+
+import (
+	"encoding/json"
+	"testing"
+
+	"github.com/cockroachdb/errors"
+	"gotest.tools/v3/assert"
+)
+
+func FuzzTextComesBack(f *testing.F) {
+	f.Add([]byte("plain {\"text\"}\n\u2028<b>"))
+	f.Add([]byte{0xff, 0, 1})
+	f.Add([]byte{})
+	f.Fuzz(func(t *testing.T, text []byte) {
+		encoded, err := json.Marshal(Turn{ID: "t", Text: text})
+		assert.NilError(t, err)
+		var decoded Turn
+		assert.NilError(t, json.Unmarshal(encoded, &decoded))
+		assert.Equal(t, string(decoded.Text), string(text))
+	})
+}
+
+// A text of ordinary characters grows by its quotes and its form, not by a third.
+func TestPlainTextIsNotMadeLonger(t *testing.T) {
+	encoded, err := json.Marshal(Text("an ordinary text"))
+	assert.NilError(t, err)
+	assert.Equal(t, string(encoded), `"=an ordinary text"`)
+}
+
+func TestTextOfUnknownFormIsRefused(t *testing.T) {
+	var text Text
+	err := json.Unmarshal([]byte(`"?x"`), &text)
+	var failure *ErrText
+	assert.Assert(t, errors.As(err, &failure))
+	assert.Assert(t, json.Unmarshal([]byte(`"+!"`), &text) != nil)
+	assert.Assert(t, json.Unmarshal([]byte(`7`), &text) != nil)
+}
--- a/internal/dispatch/placement.go
+++ b/internal/dispatch/placement.go
@@ -11,6 +11,8 @@
 const (
 	// otherZoneCost is what another zone costs against a busy engine, in requests in flight.
 	otherZoneCost = 0.4
+	// coldCost is what an engine costs to which a connection would have to be opened first.
+	coldCost = 0.5
 	// slowCost is what a slow engine costs, in requests in flight for each unit of its pace above 1.
 	slowCost = 6.0
 	// affinityShare is the share of an engine's slots that calls from this node may hold before a
@@ -78,22 +80,31 @@
 
 func (r *Registry) cost(now time.Time, engine *Engine, want Want) float64 {
 	busy := float64(engine.inFlight)
+	distance := 0.0
+	if engine.specification.Zone != r.zone {
+		distance = otherZoneCost
+	}
 	slow := 0.0
 	if current := engine.pace.at(now); current > slowPace {
 		slow = slowCost * (current - 1)
 	}
 	if want.Affinity == "" {
-		cost := busy + slow + 0.1*rand.Float64()
-		if engine.specification.Zone != r.zone {
-			cost += otherZoneCost
+		cost := busy + distance + slow + 0.1*rand.Float64()
+		if !engine.pool.Idle() {
+			cost += coldCost
 		}
 		return cost
 	}
+	if engine.specification.ID == want.Preferred {
+		distance = 0
+	}
 	overload := max(busy-affinityShare*float64(engine.specification.Slots), 0)
-	return rank(engine, want) + overload + slow
+	return rank(engine, want) + distance + overload + slow
 }
 
-// rank is 0 for the engine that has the prompt, and below 1 for others, the same on all nodes.
+// rank is 0 for the engine that has the prompt, and below 1 for others, the same on all nodes. Engines of
+// other zones are used for prompts that are new only if they rank far better, or are less busy: prompts
+// are most of the bytes between zones.
 func rank(engine *Engine, want Want) float64 {
 	if engine.specification.ID == want.Preferred {
 		return 0
--- a/internal/turnstore/cluster_test.go
+++ b/internal/turnstore/cluster_test.go
@@ -241,7 +241,7 @@
 	replica, err := NewReplica(ReplicaOptions{
 		Self: Member{Name: m.name, Address: m.address, Zone: m.zone}, Folder: m.folder, FirstStart: !c.started, Copies: 2, Size: c.size,
 		TextBytes: testTextBytes,
-		Store: c.store, SetKey: testSetKey, CandidatesKey: testCandidatesKey, Retiring: m.retiring.Load,
+		Store:     c.store, SetKey: testSetKey, CandidatesKey: testCandidatesKey, Retiring: m.retiring.Load,
 		Retired: func(_ context.Context, done bool) error {
 			m.retired.Store(done)
 			return nil
--- a/internal/turnstore/membership.go
+++ b/internal/turnstore/membership.go
@@ -26,7 +26,9 @@
 	candidatesSettle = 800 * time.Millisecond
 	// candidatesPatience is how long a list that is too short is waited for.
 	candidatesPatience = 4 * time.Second
-	fenceTimeout       = time.Second
+	// candidatesLookInterval is how often candidates but the first look at the list: each call of the store counts.
+	candidatesLookInterval = time.Second
+	fenceTimeout           = time.Second
 	// pushKeys bounds one message that hands over records.
 	pushKeys = 32
 )
@@ -41,6 +43,8 @@
 	startedAt time.Time
 	changedAt time.Time
 	count     int
+	// nextLookAt is when the list of candidates is read again.
+	nextLookAt time.Time
 }
 
 // membershipLoop changes the replica set when this replica must join, leave or take back a change.
@@ -86,6 +90,10 @@
 
 // bootstrap makes the first set from all replicas that have started with the system.
 func (r *Replica) bootstrap(ctx context.Context, start *bootstrapState) error {
+	now := time.Now()
+	if now.Before(start.nextLookAt) {
+		return nil
+	}
 	entry, err := r.get(ctx, r.options.CandidatesKey)
 	if err != nil {
 		return err
@@ -100,7 +108,10 @@
 		listed.Members = append(listed.Members, r.options.Self)
 		return r.swap(ctx, r.options.CandidatesKey, entry.Revision, listed)
 	}
-	now := time.Now()
+	if listed.Members[0].Name != r.options.Self.Name {
+		// The first candidate makes the set, and the store tells us of it; this is for the case that it doesn't.
+		start.nextLookAt = now.Add(candidatesLookInterval)
+	}
 	if len(listed.Members) != start.count {
 		start.count = len(listed.Members)
 		start.changedAt = now
--- a/internal/upstream/pool.go
+++ b/internal/upstream/pool.go
@@ -77,6 +77,13 @@
 	return p.opened
 }
 
+// Idle tells whether a connection is open and free.
+func (p *Pool) Idle() bool {
+	p.mutex.Lock()
+	defer p.mutex.Unlock()
+	return len(p.idle) > 0
+}
+
 // SetLimit changes how many connections may be open; those over it end when they are free.
 func (p *Pool) SetLimit(limit int) {
 	p.mutex.Lock()
