Replicas that do not answer are asked again over a new connection

Change: a question that is unanswered after 250 ms is asked again (then 500 ms, 1 s, five times at most), over a new connection if nothing came over the old one meanwhile; one that failed is asked again after 50 ms. All questions to replicas may be repeated. The old connection stays, for its peer may just be slow. Tests: TestReplicasThatAreBackAreReachedOverNewConnections (fails before). TestEmptyReplicaDeniesNothing now closes the client that wrote before the third machine is back: by asking again it brought the record there, so that the denial that the test looks for could not come.

--- a/internal/transport/connection.go
+++ b/internal/transport/connection.go
@@ -6,6 +6,7 @@
 	"encoding/json"
 	"net"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/cockroachdb/errors"
@@ -37,6 +38,9 @@
 	running   chan struct{}
 	done      chan struct{}
 	once      sync.Once
+	// heardAt is when something came last, in nanoseconds since the transport's process began to count; it
+	// begins with the connection.
+	heardAt atomic.Int64
 
 	mutex sync.Mutex
 	// waiting are the requests whose answers are to come.
@@ -54,8 +58,11 @@
 	queued  bool
 }
 
+// processStart is where heardAt counts from.
+var processStart = time.Now()
+
 func newConnection(t *Transport, raw net.Conn, peer Peer) *connection {
-	return &connection{
+	created := &connection{
 		transport: t,
 		raw:       raw,
 		reader:    bufio.NewReaderSize(raw, readerBytes),
@@ -66,6 +73,16 @@
 		waiting:   make(map[uint64]*pendingRequest),
 		serving:   make(map[uint64]bool),
 	}
+	created.hear()
+	return created
+}
+
+// hear notes that something came.
+func (c *connection) hear() { c.heardAt.Store(int64(time.Since(processStart))) }
+
+// silentFor is how long nothing has come.
+func (c *connection) silentFor(now time.Time) time.Duration {
+	return now.Sub(processStart) - time.Duration(c.heardAt.Load())
 }
 
 // start runs reader and writer; register has counted both.
@@ -199,6 +216,7 @@
 			c.reportReadError(err)
 			return
 		}
+		c.hear()
 		incoming, err := decodeFrame(line)
 		if err != nil {
 			c.transport.options.Logger.Emit(events.PeerRejected, events.F("peer", c.peer.Address), events.F("error", err))
--- a/internal/transport/transport.go
+++ b/internal/transport/transport.go
@@ -78,6 +78,8 @@
 }
 
 type dialAttempt struct {
+	// renews tells that the new connection is to be used in the place of one that is still open.
+	renews bool
 	done   chan struct{}
 	result *connection
 	err    error
@@ -266,13 +268,38 @@
 	}
 }
 
+// Renew dials a peer from which nothing has come for the length of silence, although a connection is open, and
+// uses the new connection from then on. A peer that lost its power says nothing on old connections when it is
+// back, until they are noticed to be dead; a new one reaches it at once. The old one stays open until it
+// ends by itself, for the peer may just be slow. Renew returns when it is known whether the peer was reached.
+func (t *Transport) Renew(ctx context.Context, address string, silence time.Duration) {
+	t.mutex.Lock()
+	peer := t.peers[address]
+	if t.closed || peer == nil || peer.silentFor(time.Now()) < silence {
+		t.mutex.Unlock()
+		return
+	}
+	attempt := t.dialling[address]
+	if attempt == nil {
+		attempt = &dialAttempt{renews: true, done: make(chan struct{})}
+		t.dialling[address] = attempt
+		t.tasks.Add(1)
+		go t.dial(address, attempt)
+	}
+	t.mutex.Unlock()
+	select {
+	case <-attempt.done:
+	case <-ctx.Done():
+	}
+}
+
 func (t *Transport) dial(address string, attempt *dialAttempt) {
 	defer t.tasks.Done()
 	ctx, cancel := context.WithTimeout(context.Background(), dialTimeout)
 	defer cancel()
 	raw, err := t.dialRaw(ctx, address)
 	if err == nil {
-		attempt.result, err = t.adopt(raw, Peer{Address: address})
+		attempt.result, err = t.adopt(raw, Peer{Address: address}, attempt.renews)
 	}
 	attempt.err = err
 	t.mutex.Lock()
@@ -301,9 +328,9 @@
 }
 
 // adopt registers a dialled connection and starts it with our hello.
-func (t *Transport) adopt(raw net.Conn, peer Peer) (*connection, error) {
+func (t *Transport) adopt(raw net.Conn, peer Peer, renews bool) (*connection, error) {
 	conn := newConnection(t, raw, peer)
-	if !t.register(conn) {
+	if !t.register(conn, renews) {
 		_ = raw.Close()
 		return nil, net.ErrClosed
 	}
@@ -316,15 +343,15 @@
 	return conn, nil
 }
 
-// register makes the connection the way to its peer, unless there is one already.
-func (t *Transport) register(conn *connection) bool {
+// register makes the connection the way to its peer, unless there is one already that it does not renew.
+func (t *Transport) register(conn *connection, renews bool) bool {
 	t.mutex.Lock()
 	defer t.mutex.Unlock()
 	if t.closed {
 		return false
 	}
 	t.open[conn] = struct{}{}
-	if t.peers[conn.peer.Address] == nil {
+	if renews || t.peers[conn.peer.Address] == nil {
 		t.peers[conn.peer.Address] = conn
 	}
 	t.tasks.Add(2)
@@ -405,7 +432,7 @@
 	}
 	_ = raw.SetDeadline(time.Time{})
 	incoming.peer = Peer{NodeID: greeting.NodeID, Address: greeting.Address}
-	if !t.register(incoming) {
+	if !t.register(incoming, false) {
 		_ = raw.Close()
 		return
 	}
--- /dev/null
+++ b/internal/turnstore/ask.go
@@ -0,0 +1,74 @@
+package turnstore
+
+import (
+	"context"
+	"time"
+
+	"github.com/mountstile/mountstile/internal/apierr"
+	"github.com/mountstile/mountstile/internal/clock"
+	"github.com/mountstile/mountstile/internal/transport"
+)
+
+const (
+	// askAgainAfter is how long an answer may take before the question is sent once more, over a new connection
+	// if nothing came over the old one. Replicas answer within a few sync times of their disks.
+	askAgainAfter = 250 * time.Millisecond
+	// askAgainPause follows a question that failed at once.
+	askAgainPause = 50 * time.Millisecond
+	// mostAsks bounds how often a question is sent.
+	mostAsks = 5
+)
+
+// askUntilAnswered sends a question to a replica until it is answered or the context ends. All questions may be asked again:
+// records never change, and replicas know those that they have. Without that, a turn would fail whose question
+// went to a replica that had just lost its power and is back a moment later.
+func askUntilAnswered[Response any](ctx context.Context, network *transport.Transport, address, kind string, request any) (Response, error) {
+	type reply struct {
+		response Response
+		err      error
+	}
+	replies := make(chan reply, mostAsks)
+	send := func() {
+		response, err := transport.Call[Response](ctx, network, address, kind, request)
+		replies <- reply{response, err}
+	}
+	wait := askAgainAfter
+	again := time.NewTimer(wait)
+	defer again.Stop()
+	go send()
+	for asked, pending := 1, 1; ; {
+		select {
+		case got := <-replies:
+			pending--
+			if got.err == nil || !apierr.Is(got.err, apierr.PeerUnreachable) || ctx.Err() != nil {
+				return got.response, got.err
+			}
+			if asked == mostAsks && pending == 0 {
+				return got.response, got.err
+			}
+			if asked < mostAsks {
+				asked++
+				pending++
+				go func() {
+					clock.Pause(ctx, askAgainPause)
+					send()
+				}()
+			}
+		case <-again.C:
+			if asked < mostAsks {
+				asked++
+				pending++
+				go func() {
+					network.Renew(ctx, address, askAgainAfter)
+					send()
+				}()
+			}
+			// The replica may just be busy: the more it is asked, the longer it would take.
+			wait *= 2
+			again.Reset(wait)
+		case <-ctx.Done():
+			var none Response
+			return none, unavailable("node at %s: %s", address, ctx.Err())
+		}
+	}
+}
--- /dev/null
+++ b/internal/turnstore/ask_test.go
@@ -0,0 +1,72 @@
+package turnstore
+
+import (
+	"context"
+	"net"
+	"sync"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"github.com/mountstile/mountstile/internal/conversation"
+	"github.com/mountstile/mountstile/internal/events"
+	"github.com/mountstile/mountstile/internal/transport"
+)
+
+// deadFirst dials so that the first connection to each address takes everything and answers nothing, like one to
+// a machine that lost its power.
+type deadFirst struct {
+	t     *testing.T
+	mutex sync.Mutex
+	seen  map[string]bool
+}
+
+func (d *deadFirst) dial(ctx context.Context, address string) (net.Conn, error) {
+	d.mutex.Lock()
+	first := !d.seen[address]
+	d.seen[address] = true
+	d.mutex.Unlock()
+	if !first {
+		return (&net.Dialer{}).DialContext(ctx, "tcp", address)
+	}
+	near, far := net.Pipe()
+	d.t.Cleanup(func() { _ = far.Close() })
+	go func() {
+		buffer := make([]byte, 4096)
+		for {
+			if _, err := far.Read(buffer); err != nil {
+				return
+			}
+		}
+	}()
+	return near, nil
+}
+
+// Replicas that are back are reached at once, also while old connections to them say nothing.
+func TestReplicasThatAreBackAreReachedOverNewConnections(t *testing.T) {
+	t.Parallel()
+	c := newCluster(t, 3)
+	c.put("a", "")
+	dialler := &deadFirst{t: t, seen: make(map[string]bool)}
+	network := transport.New(transport.Options{Cluster: "test", NodeID: "client", Logger: events.Discard(), Dial: dialler.dial})
+	defer network.Close()
+	client := NewClient(ClientOptions{CacheBytes: 1 << 20}, network, events.Discard())
+	client.ApplySet(c.store.set())
+	startedAt := time.Now()
+	opened, err := client.Open(context.Background(), Opening{Turn: "b", Program: "p", Previous: "a", Budget: 10, Most: 5})
+	assert.NilError(t, err)
+	assert.Equal(t, string(opened.Prefix), "a;")
+	assert.Assert(t, time.Since(startedAt) < openTimeout)
+
+	dialler.mutex.Lock()
+	clear(dialler.seen)
+	dialler.mutex.Unlock()
+	fresh := transport.New(transport.Options{Cluster: "test", NodeID: "client", Logger: events.Discard(), Dial: dialler.dial})
+	defer fresh.Close()
+	writer := NewClient(ClientOptions{CacheBytes: 1 << 20}, fresh, events.Discard())
+	writer.ApplySet(c.store.set())
+	ctx, cancel := context.WithTimeout(context.Background(), time.Second)
+	defer cancel()
+	assert.NilError(t, writer.Put(ctx, []conversation.Record{{Turn: &conversation.Turn{ID: "b", Previous: "a", Text: []byte("b;"), RetentionMillis: 60_000}}}))
+}
--- a/internal/turnstore/put.go
+++ b/internal/turnstore/put.go
@@ -5,7 +5,6 @@
 	"time"
 
 	"github.com/mountstile/mountstile/internal/conversation"
-	"github.com/mountstile/mountstile/internal/transport"
 )
 
 // putReply is what one replica said to an offer of records.
@@ -77,7 +76,7 @@
 func (c *Client) putTo(member Member, request putRequest, replies chan<- putReply) {
 	ctx, cancel := context.WithTimeout(context.Background(), putAttempt)
 	defer cancel()
-	answer, err := transport.Call[putAnswer](ctx, c.network, member.Address, putKind, request)
+	answer, err := askUntilAnswered[putAnswer](ctx, c.network, member.Address, putKind, request)
 	replies <- putReply{member: member, answer: answer, err: err}
 }
 
--- a/internal/turnstore/turnstore_test.go
+++ b/internal/turnstore/turnstore_test.go
@@ -78,6 +78,8 @@
 	c := newCluster(t, 3)
 	c.kill(c.machines[2])
 	c.put("a", "")
+	// The client offers the record to the third machine for a while; it must not get it when it is back.
+	c.client.network.Close()
 	c.wipe(c.machines[0])
 	c.kill(c.machines[1])
 	c.start(c.machines[0])
