--- a/internal/events/events.go
+++ b/internal/events/events.go
@@ -64,6 +64,8 @@
 	TurnRefused          ID = 417
 	TurnNotKept          ID = 418
 	ReplicaRetiring      ID = 419
+	ReplicasLost         ID = 420
+	ReplicasRegained     ID = 421
 	CacheReleased        ID = 501
 	CacheReleaseFailed   ID = 502
 	EngineBreakerOpen    ID = 503
@@ -150,6 +152,8 @@
 	{TurnRefused, "turn_refused", logrus.InfoLevel, "a turn was refused: budget spent, unknown previous turn, or too few replicas"},
 	{TurnNotKept, "turn_not_kept", logrus.WarnLevel, "a turn's record did not reach enough replicas; its answer was broken off"},
 	{ReplicaRetiring, "replica_retiring", logrus.InfoLevel, "this replica hands over what it holds, to be taken away"},
+	{ReplicasLost, "replicas_lost", logrus.WarnLevel, "too few replicas answer this gateway; it is not ready and refuses turns soon"},
+	{ReplicasRegained, "replicas_regained", logrus.InfoLevel, "enough replicas answer this gateway again"},
 	{CacheReleased, "cache_released", logrus.DebugLevel, "an engine confirmed that it holds no cache of an ended program"},
 	{CacheReleaseFailed, "cache_release_failed", logrus.WarnLevel, "an engine did not confirm a release; it is tried again"},
 	{EngineBreakerOpen, "engine_breaker_open", logrus.WarnLevel, "an engine failed repeatedly and gets no work for a while"},
--- a/internal/ingress/ingress_test.go
+++ b/internal/ingress/ingress_test.go
@@ -299,6 +299,35 @@
 	assert.Assert(t, strings.Contains(s.logged(), "turn_not_kept"))
 }
 
+// A gateway that is cut off from the replicas is not ready, and tells callers of turns to come back over
+// another connection.
+func TestGatewayWithoutReplicasIsNotReady(t *testing.T) {
+	t.Parallel()
+	s := newSite(t)
+	s.withReplica()
+	s.engine("e", func(call *engineCall) {
+		call.beginStream()
+		call.event(1)
+		call.endStream()
+	})
+	s.node.ready.Store(true)
+	turn := func(id string) answer {
+		return s.send("/stream/", id, "", "Program", "p", "Budget", "100", "Most", "9")
+	}
+	assert.Equal(t, turn("t1").status, http.StatusOK)
+	assert.Assert(t, s.node.Ready())
+	s.replica.Close()
+	eventually(t, "the gateway is not ready", func() bool {
+		got := turn("t2")
+		return got.status == http.StatusServiceUnavailable && got.header.Get("Retry-After") != "" && !s.node.Ready()
+	})
+	response, err := s.begin(context.Background(), "/stream/", "t3", "", "Program", "p", "Budget", "100", "Most", "9")
+	assert.NilError(t, err)
+	assert.Assert(t, response.Close, "the connection is to be kept")
+	assert.NilError(t, response.Body.Close())
+	assert.Assert(t, strings.Contains(s.logged(), "replicas_lost"))
+}
+
 func TestBudget(t *testing.T) {
 	t.Parallel()
 	s := newSite(t)
--- a/internal/ingress/node.go
+++ b/internal/ingress/node.go
@@ -154,6 +154,7 @@
 // Run learns until the context ends.
 func (n *Node) Run(ctx context.Context) {
 	go n.becomeReady(ctx)
+	go n.turns.WatchReach(ctx)
 	n.catalog.Run(ctx)
 }
 
@@ -182,8 +183,9 @@
 	return n.turns.Ready(askContext)
 }
 
-// Ready tells whether callers' connections should come here.
-func (n *Node) Ready() bool { return n.ready.Load() && !n.stopping.Load() }
+// Ready tells whether callers' connections should come here. A gateway that is cut off from the replicas can't
+// serve turns, which others may.
+func (n *Node) Ready() bool { return n.ready.Load() && !n.stopping.Load() && n.turns.Reachable() }
 
 // ServeReadiness answers the platform's question whether this node is ready.
 func (n *Node) ServeReadiness(writer http.ResponseWriter, _ *http.Request) {
--- a/internal/ingress/server.go
+++ b/internal/ingress/server.go
@@ -297,6 +297,10 @@
 	if failure.RetryAfter > 0 {
 		header.Set("Retry-After", strconv.FormatFloat(float64(failure.RetryAfter)/1000, 'f', 3, 64))
 	}
+	if failure.Code == apierr.TurnsUnavailable {
+		// The caller's next connection may come to a gateway that reaches the replicas.
+		header.Set("Connection", "close")
+	}
 	header.Set("Content-Type", "text/plain; charset=utf-8")
 	message := string(failure.Code) + "\n"
 	header.Set("Content-Length", strconv.Itoa(len(message)))
--- a/internal/turnstore/client.go
+++ b/internal/turnstore/client.go
@@ -76,6 +76,7 @@
 	network *transport.Transport
 	logger  *events.Logger
 	cache   *cache
+	reach   reach
 
 	mutex    sync.Mutex
 	set      Set
@@ -84,7 +85,9 @@
 
 // NewClient returns a Client that knows no replica set yet.
 func NewClient(options ClientOptions, network *transport.Transport, logger *events.Logger) *Client {
-	return &Client{options: options, network: network, logger: logger, cache: newCache(options.CacheBytes)}
+	return &Client{
+		options: options, network: network, logger: logger, cache: newCache(options.CacheBytes), reach: reach{logger: logger},
+	}
 }
 
 // ApplySet takes a set from the catalog or a replica; older ones are ignored.
@@ -130,7 +133,11 @@
 // Open reserves the turn's tokens and finds the text before it. The error is an apierr.Error with
 // the outcome NotRun: BudgetExceeded, NoSuchTurn or TurnsUnavailable.
 func (c *Client) Open(ctx context.Context, opening Opening) (*Opened, error) {
-	openContext, cancel := context.WithTimeout(ctx, openTimeout)
+	timeout := openTimeout
+	if !c.Reachable() {
+		timeout = lostOpenTimeout
+	}
+	openContext, cancel := context.WithTimeout(ctx, timeout)
 	defer cancel()
 	opened := &Opened{
 		Reserved: opening.Budget >= 0 && opening.Program != "",
@@ -141,7 +148,12 @@
 	if cached {
 		opened.use(chain)
 	}
-	err := c.openAtReplicas(openContext, opening, opened, opening.Previous != "" && !cached)
+	wantText := opening.Previous != "" && !cached
+	if !opened.Reserved && !wantText {
+		return opened, nil
+	}
+	err := c.openAtReplicas(openContext, opening, opened, wantText)
+	c.noteReach(ctx, err)
 	if err != nil && opened.Reserved {
 		c.Settle(opened, 0)
 	}
@@ -151,6 +163,16 @@
 	return opened, nil
 }
 
+// noteReach learns from an opening. One that its caller left says nothing.
+func (c *Client) noteReach(ctx context.Context, err error) {
+	switch {
+	case !apierr.Is(err, apierr.TurnsUnavailable):
+		c.reach.reached()
+	case ctx.Err() == nil:
+		c.reach.failed(err)
+	}
+}
+
 func (o *Opened) use(chain []conversation.Turn) {
 	size := 0
 	for _, turn := range chain {
@@ -170,9 +192,6 @@
 		if set.Epoch == 0 {
 			return unavailable("no replica set is known yet")
 		}
-		if !opened.Reserved && !wantText {
-			return nil
-		}
 		newer, err := c.openOnce(ctx, set, opening, opened, wantText)
 		if newer == nil {
 			return err
@@ -271,7 +290,7 @@
 }
 
 func (c *Client) ask(ctx context.Context, member Member, request openRequest, answers chan<- replicaAnswer) {
-	answer, err := transport.Call[openAnswer](ctx, c.network, member.Address, openKind, request)
+	answer, err := askUntilAnswered[openAnswer](ctx, c.network, member.Address, openKind, request)
 	answers <- replicaAnswer{member: member, reserving: request.Reserve != nil, answer: answer, err: err}
 }
 
