A replica that was cut off takes nobody's place; rounds of questions don't wait for silent members

When its ways came back one by one it took the place of a member that was well. Ruled out: the spare's own joining (3.26 to 3.86 s, right); races of two spares (there is one). Change: joining in somebody's place, and taking a change back, need 2.5 s without a pause in which so many members were heard as a read needs. A round no longer waits up to 1.5 s for silent members, which made the others seem unheard. Test: TestMemberThatWasCutOffTakesNobodysPlace (before: epoch 47 instead of 3); turnstore with the race detector green. A first test, with the spare cut off from the start, passed before the change, too, and was dropped.

--- a/internal/turnstore/membership.go
+++ b/internal/turnstore/membership.go
@@ -20,6 +20,10 @@
 	// silentAfter is how long a member must be silent before a newcomer takes its place, or its
 	// unfinished change is taken back.
 	silentAfter = 2500 * time.Millisecond
+	// touchWithin is how old the last word of a member may be that counts as heard. It is more than the time between
+	// two questions, and so much less than silentAfter that a replica which is cut off knows that before it
+	// takes others for silent.
+	touchWithin = 1400 * time.Millisecond
 	// storeTimeout bounds one call of the store.
 	storeTimeout = time.Second
 	// candidatesSettle is how long the list of candidates must rest before the first set is made.
@@ -68,6 +72,7 @@
 func (r *Replica) membershipStep(ctx context.Context, start *bootstrapState) error {
 	set := r.Set()
 	self := r.options.Self.Name
+	r.noteTouch(set)
 	switch {
 	case set.Epoch == 0:
 		if !r.options.FirstStart {
@@ -166,11 +171,11 @@
 	r.mutex.Lock()
 	ready := r.pulledEnough(startedAt)
 	r.mutex.Unlock()
-	if !ready {
+	if !ready || r.inTouchSince.IsZero() {
 		return nil
 	}
 	next := set.Members
-	if silent := r.silentMember(set.Members); silent != "" {
+	if silent := r.silentMember(set.Members); silent != "" && time.Since(r.inTouchSince) > silentAfter {
 		next = without(next, silent)
 	} else if len(set.Members) >= set.Size {
 		return nil
@@ -314,7 +319,7 @@
 	r.mutex.Lock()
 	silent := r.silent(set.ChangedBy)
 	r.mutex.Unlock()
-	if !silent {
+	if !silent || r.inTouchSince.IsZero() || time.Since(r.inTouchSince) < silentAfter {
 		return nil
 	}
 	old := set
@@ -340,6 +345,31 @@
 	return r.replaceSet(ctx, set, next)
 }
 
+// noteTouch keeps since when this replica has heard enough members. A replica for which others are silent may be
+// the one that is cut off, while it still reaches the store, or one whose ways are just coming back, one by
+// one. It must not take anybody's place then.
+func (r *Replica) noteTouch(set Set) {
+	switch {
+	case !r.hearsEnough(set):
+		r.inTouchSince = time.Time{}
+	case r.inTouchSince.IsZero():
+		r.inTouchSince = time.Now()
+	}
+}
+
+// hearsEnough tells whether so many members were heard of late that a read would succeed.
+func (r *Replica) hearsEnough(set Set) bool {
+	heard := map[string]bool{r.options.Self.Name: true}
+	r.mutex.Lock()
+	defer r.mutex.Unlock()
+	for name, progress := range r.peers {
+		if !progress.heardAt.IsZero() && time.Since(progress.heardAt) < touchWithin {
+			heard[name] = true
+		}
+	}
+	return set.Read(heard)
+}
+
 // silentMember returns a member that has not been heard for long.
 func (r *Replica) silentMember(members []Member) string {
 	r.mutex.Lock()
--- a/internal/turnstore/pull.go
+++ b/internal/turnstore/pull.go
@@ -26,20 +26,21 @@
 	wholeAt time.Time
 	// complete is what the peer said of itself then.
 	complete bool
+	// asking is true while a question of the pull loop is under way.
+	asking bool
 	// heardAt is when the peer last answered; firstAskedAt when it was first asked.
 	heardAt      time.Time
 	firstAskedAt time.Time
 }
 
-// pullLoop pulls from other members again and again.
+// pullLoop pulls from other members again and again. It does not wait for their answers: one that is silent
+// must not keep it from hearing the others.
 func (r *Replica) pullLoop(ctx context.Context) {
+	var tasks sync.WaitGroup
+	defer tasks.Wait()
 	for round := 0; ctx.Err() == nil; round++ {
 		hasty := r.pullsHastily()
-		if hasty {
-			r.pullAll(ctx)
-		} else {
-			r.pullFromOne(ctx, round)
-		}
+		r.beginRound(ctx, &tasks, round, hasty)
 		if r.completeNow() {
 			r.finishCatchUp()
 		}
@@ -70,24 +71,52 @@
 
 func (r *Replica) others() []Member { return without(r.Set().All(), r.options.Self.Name) }
 
+// pullAll pulls from all others and returns when all have answered or failed.
 func (r *Replica) pullAll(ctx context.Context) {
-	r.askOthers(func(member Member) { r.pullFrom(ctx, member) })
+	var tasks sync.WaitGroup
+	for _, member := range r.others() {
+		tasks.Add(1)
+		go func() {
+			defer tasks.Done()
+			r.pullFrom(ctx, member)
+		}()
+	}
+	tasks.Wait()
 }
 
-// pullFromOne pulls from one other member, and only asks the rest whether they are there.
-func (r *Replica) pullFromOne(ctx context.Context, round int) {
+// beginRound pulls from all others in haste; or else from one, and only asks the rest whether they are there.
+// Those that have not answered yet are left out.
+func (r *Replica) beginRound(ctx context.Context, tasks *sync.WaitGroup, round int, hasty bool) {
 	others := r.others()
 	if len(others) == 0 {
 		return
 	}
 	source := r.source(others, round)
-	r.askOthers(func(member Member) {
-		if member.Name == source.Name {
-			r.pullFrom(ctx, member)
-			return
+	for _, member := range others {
+		progress := r.progressOf(member)
+		if !r.setAsking(progress, true) {
+			continue
 		}
-		r.checkPresence(ctx, member)
-	})
+		tasks.Add(1)
+		go func() {
+			defer tasks.Done()
+			defer r.setAsking(progress, false)
+			if hasty || member.Name == source.Name {
+				r.pullFrom(ctx, member)
+			} else {
+				r.checkPresence(ctx, member)
+			}
+		}()
+	}
+}
+
+// setAsking reports whether that changed anything.
+func (r *Replica) setAsking(progress *peerProgress, asking bool) bool {
+	r.mutex.Lock()
+	defer r.mutex.Unlock()
+	changed := progress.asking != asking
+	progress.asking = asking
+	return changed
 }
 
 // source is the one to pull from. A member takes the others in turn, for each has nearly everything anyway;
@@ -111,19 +140,6 @@
 	return members[0]
 }
 
-// askOthers does something with all other members at once, and returns when all of it is done.
-func (r *Replica) askOthers(ask func(Member)) {
-	var tasks sync.WaitGroup
-	for _, member := range r.others() {
-		tasks.Add(1)
-		go func() {
-			defer tasks.Done()
-			ask(member)
-		}()
-	}
-	tasks.Wait()
-}
-
 // checkPresence asks a member whether it is there.
 func (r *Replica) checkPresence(ctx context.Context, member Member) {
 	progress := r.progressOf(member)
--- a/internal/turnstore/replica.go
+++ b/internal/turnstore/replica.go
@@ -80,6 +80,10 @@
 	refusing bool
 	peers    map[string]*peerProgress
 	setNews  chan struct{}
+
+	// inTouchSince is since when enough members are heard; zero while they aren't. It belongs to the loop that
+	// changes the replica set.
+	inTouchSince time.Time
 }
 
 // NewReplica reads the folder and registers the message handlers.
--- a/internal/turnstore/turnstore_test.go
+++ b/internal/turnstore/turnstore_test.go
@@ -221,6 +221,40 @@
 	assert.Assert(t, apierr.Is(err, apierr.NoSuchTurn), "%v", err)
 }
 
+// A member that is cut off from the others, but reaches the store, loses its place to a spare once. It takes the
+// others for silent, and must neither take a place of theirs while it is cut off nor when the ways come back.
+func TestMemberThatWasCutOffTakesNobodysPlace(t *testing.T) {
+	t.Parallel()
+	c := newClusterWithSpares(t, 3, 1)
+	c.put("a", "")
+	cut := c.machineOf(c.store.set().Members[0].Name)
+	eventually(t, "the member has pulled from the others", func() bool {
+		replica := cut.process.replica
+		replica.mutex.Lock()
+		defer replica.mutex.Unlock()
+		return replica.pulledEnough(time.Time{})
+	})
+	c.links.set(cut.address, true)
+	replaced := func() bool {
+		set := c.store.set()
+		return !set.Changing() && !set.Has(cut.name) && len(set.Members) == 3
+	}
+	eventually(t, "the spare is a member", replaced)
+	epoch := c.store.set().Epoch
+	settle := time.NewTimer(silentAfter + 2*time.Second)
+	defer settle.Stop()
+	<-settle.C
+	assert.Equal(t, c.store.set().Epoch, epoch, "the replica that is cut off changed the set")
+	c.links.set(cut.address, false)
+	c.put("b", "a")
+	eventually(t, "the machine is a spare that has everything", func() bool { return cut.turns() == 2 })
+	settle.Reset(time.Second)
+	<-settle.C
+	assert.Equal(t, c.store.set().Epoch, epoch, "the replica that came back changed the set")
+	_, err := c.read("b")
+	assert.NilError(t, err)
+}
+
 // A replica that has everything lists the keys of one other at a time: a member those of each in turn, a
 // spare those of the member in its zone.
 func TestCompleteReplicaListsTheKeysOfOneOther(t *testing.T) {
