--- a/internal/catalog/catalog.go
+++ b/internal/catalog/catalog.go
@@ -16,6 +16,7 @@
 
 import (
 	"encoding/json"
+	"sort"
 	"strings"
 	"time"
 )
@@ -62,8 +63,20 @@
 type State struct {
 	entries  map[string]*versioned
 	sequence uint64
+	// order are all changes, oldest first; those that a later one of their entry has overtaken are left in it
+	// for a while.
+	order []change
 }
 
+// change says that an entry changed at a sequence.
+type change struct {
+	sequence uint64
+	key      string
+}
+
+// orderSlack is how many overtaken changes may stay in the order, besides as many as there are entries.
+const orderSlack = 256
+
 // NewState returns an empty State.
 func NewState() *State { return &State{entries: make(map[string]*versioned)} }
 
@@ -80,6 +93,10 @@
 	s.sequence++
 	known.entry = entry
 	known.sequence = s.sequence
+	s.order = append(s.order, change{sequence: s.sequence, key: entry.Key})
+	if len(s.order) > 2*len(s.entries)+orderSlack {
+		s.trimOrder()
+	}
 	known.removedAt = time.Time{}
 	if entry.Removed() {
 		known.removedAt = now
@@ -114,15 +131,34 @@
 // Sequence rises with each change of this State; it means nothing to other nodes' States.
 func (s *State) Sequence() uint64 { return s.sequence }
 
-// Since returns the entries that changed after a sequence.
-func (s *State) Since(sequence uint64) []Entry {
+// Since returns up to limit entries that changed after a sequence, oldest change first, and the sequence that
+// they reach.
+func (s *State) Since(sequence uint64, limit int) ([]Entry, uint64) {
+	first := sort.Search(len(s.order), func(index int) bool { return s.order[index].sequence > sequence })
 	var changed []Entry
-	for _, known := range s.entries {
-		if known.sequence > sequence {
-			changed = append(changed, known.entry)
+	for _, candidate := range s.order[first:] {
+		known := s.entries[candidate.key]
+		if known == nil || known.sequence != candidate.sequence {
+			continue
+		}
+		if len(changed) == limit {
+			return changed, sequence
+		}
+		changed = append(changed, known.entry)
+		sequence = candidate.sequence
+	}
+	return changed, s.sequence
+}
+
+// trimOrder drops changes that were overtaken.
+func (s *State) trimOrder() {
+	kept := s.order[:0]
+	for _, candidate := range s.order {
+		if known := s.entries[candidate.key]; known != nil && known.sequence == candidate.sequence {
+			kept = append(kept, candidate)
 		}
 	}
-	return changed
+	s.order = kept
 }
 
 // Get returns an entry that is not removed.
--- a/internal/catalog/catalog_test.go
+++ b/internal/catalog/catalog_test.go
@@ -69,7 +69,49 @@
 	assert.Assert(t, found)
 	assert.Assert(t, !state.Merge(now, entry("engine/a", 5, "old")), "an old entry must not come back")
 	state.Forget(now.Add(2 * removedFor))
-	assert.Equal(t, len(state.Since(0)), 2)
+	left, _ := state.Since(0, 100)
+	assert.Equal(t, len(left), 2)
+}
+
+// Pages of changes bring each entry's newest version, whatever changes between them, and end.
+func TestPagesOfChangesMissNothing(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		state, follower := NewState(), NewState()
+		now := time.Now()
+		var after uint64
+		revision := int64(0)
+		page := func() bool {
+			limit := rapid.IntRange(1, 5).Draw(t, "limit")
+			entries, reached := state.Since(after, limit)
+			if len(entries) > limit {
+				t.Fatalf("%d entries in a page of %d", len(entries), limit)
+			}
+			for _, changed := range entries {
+				follower.Merge(now, changed)
+			}
+			more := reached < state.Sequence()
+			after = reached
+			return more
+		}
+		for range rapid.IntRange(1, 60).Draw(t, "steps") {
+			for range rapid.IntRange(0, 20).Draw(t, "changes") {
+				revision++
+				state.Merge(now, entry(Key(EngineKind, strconv.Itoa(rapid.IntRange(0, 9).Draw(t, "engine"))), revision, "value"))
+			}
+			page()
+		}
+		for page() {
+		}
+		for key, known := range state.entries {
+			got, found := follower.Get(key)
+			if !found || got.Revision != known.entry.Revision {
+				t.Fatalf("%s is at %d instead of %d", key, got.Revision, known.entry.Revision)
+			}
+		}
+		if len(state.order) > 2*len(state.entries)+orderSlack {
+			t.Fatalf("%d changes are kept for %d entries", len(state.order), len(state.entries))
+		}
+	})
 }
 
 // recordingSource is a store whose changes the test makes.
--- a/internal/catalog/manager.go
+++ b/internal/catalog/manager.go
@@ -16,6 +16,9 @@
 	// followWait is how long a peer holds a question to which there is no news; its answer is the
 	// sign that the peer is alive.
 	followWait = 500 * time.Millisecond
+	// followEntries bounds the entries of one answer. After a start all followers ask for everything at once; with
+	// thousands of engines, whole listings for each of them would be more than a replica's memory.
+	followEntries = 200
 	// followTimeout is how long an answer may take in all.
 	followTimeout = followWait + time.Second
 	// followPause follows a failed question, and doubles with each further one up to followPauseMost. It begins
@@ -276,9 +279,11 @@
 	if !m.contactAt.IsZero() {
 		age = min(time.Since(m.contactAt), unknownAge)
 	}
-	answer := followAnswer{Identity: m.identity, Sequence: m.state.Sequence(), AgeMillis: age.Milliseconds()}
-	if answer.Sequence > after {
-		answer.Entries = m.state.Since(after)
+	answer := followAnswer{Identity: m.identity, AgeMillis: age.Milliseconds()}
+	answer.Entries, answer.Sequence = m.state.Since(after, followEntries)
+	if answer.Sequence < m.state.Sequence() {
+		// What is missing still may be newer than the last contact with the store.
+		answer.AgeMillis = unknownAge.Milliseconds()
 	}
 	return answer, m.changed
 }
--- a/internal/transport/frame.go
+++ b/internal/transport/frame.go
@@ -35,7 +35,7 @@
 	MaxLineBytes = 16 << 20
 	// maxHelloBytes bounds what an unknown peer can make us hold.
 	maxHelloBytes = 4 << 10
-	readerBytes   = 16 << 10
+	readerBytes   = 4 << 10
 )
 
 // ErrLineTooLong means that a peer sent a line over the limit.
--- /dev/null
+++ b/internal/transport/renew_test.go
@@ -0,0 +1,50 @@
+package transport
+
+import (
+	"context"
+	"net"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+	"gotest.tools/v3/poll"
+
+	"github.com/mountstile/mountstile/internal/events"
+)
+
+// A silent peer is dialled again once a second at most, however many ask for it, and old connections end.
+func TestSilentPeerIsNotGivenMoreAndMoreConnections(t *testing.T) {
+	t.Parallel()
+	var dials atomic.Int64
+	dial := func(context.Context, string) (net.Conn, error) {
+		dials.Add(1)
+		near, far := net.Pipe()
+		t.Cleanup(func() { _ = far.Close() })
+		go func() {
+			buffer := make([]byte, 1024)
+			for {
+				if _, err := far.Read(buffer); err != nil {
+					return
+				}
+			}
+		}()
+		return near, nil
+	}
+	network := New(Options{Cluster: "test", NodeID: "a", Logger: events.Discard(), Dial: dial})
+	defer network.Close()
+	_, err := network.connect(context.Background(), "peer")
+	assert.NilError(t, err)
+	ctx, cancel := context.WithTimeout(context.Background(), 2500*time.Millisecond)
+	defer cancel()
+	for ctx.Err() == nil {
+		network.Renew(ctx, "peer", time.Millisecond)
+	}
+	assert.Assert(t, dials.Load() >= 2 && dials.Load() <= 4, "%d dials in 2.5 s", dials.Load())
+	poll.WaitOn(t, func(poll.LogT) poll.Result {
+		if network.Connections() == 1 {
+			return poll.Success()
+		}
+		return poll.Continue("%d connections are open", network.Connections())
+	}, poll.WithTimeout(10*time.Second))
+}
--- a/internal/transport/transport.go
+++ b/internal/transport/transport.go
@@ -53,7 +53,13 @@
 	aliveInterval = time.Second
 	aliveTimeout  = 2 * time.Second
 	aliveKind     = "alive"
-	queueFrames   = 1024
+	// queueFrames is how many lines may wait to be written. Each connection holds room for them, and a replica
+	// has connections to all gateways.
+	queueFrames = 256
+	// renewInterval is the least time between two dials of a peer to which a connection is open; renewGrace
+	// is how long the old connection is kept.
+	renewInterval = time.Second
+	renewGrace    = time.Second
 	maxConcurrent = 512
 )
 
@@ -68,9 +74,11 @@
 	peers    map[string]*connection
 	open     map[*connection]struct{}
 	dialling map[string]*dialAttempt
-	listener net.Listener
-	closed   bool
-	stopped  chan struct{}
+	// renewedAt is when a peer was last dialled although a connection was open.
+	renewedAt map[string]time.Time
+	listener  net.Listener
+	closed    bool
+	stopped   chan struct{}
 	// disconnected hears of each connection that ended.
 	disconnected func(Peer)
 	tasks        sync.WaitGroup
@@ -95,7 +103,10 @@
 		peers:    make(map[string]*connection),
 		open:     make(map[*connection]struct{}),
 		dialling: make(map[string]*dialAttempt),
-		stopped:  make(chan struct{}),
+
+		renewedAt: make(map[string]time.Time),
+
+		stopped: make(chan struct{}),
 	}
 	Handle(created, relayKind, created.serveRelay)
 	return created
@@ -270,17 +281,24 @@
 
 // Renew dials a peer from which nothing has come for the length of silence, although a connection is open, and
 // uses the new connection from then on. A peer that lost its power says nothing on old connections when it is
-// back, until they are noticed to be dead; a new one reaches it at once. The old one stays open until it
-// ends by itself, for the peer may just be slow. Renew returns when it is known whether the peer was reached.
+// back, until they are noticed to be dead; a new one reaches it at once. The old one stays open for a moment,
+// for the peer may just be slow; and it is dialled once a second at most, so that a peer with too much to do
+// isn't given connections on top. Renew returns when it is known whether the peer was reached.
 func (t *Transport) Renew(ctx context.Context, address string, silence time.Duration) {
 	t.mutex.Lock()
 	peer := t.peers[address]
-	if t.closed || peer == nil || peer.silentFor(time.Now()) < silence {
+	now := time.Now()
+	if t.closed || peer == nil || peer.silentFor(now) < silence {
 		t.mutex.Unlock()
 		return
 	}
 	attempt := t.dialling[address]
 	if attempt == nil {
+		if now.Sub(t.renewedAt[address]) < renewInterval {
+			t.mutex.Unlock()
+			return
+		}
+		t.renewedAt[address] = now
 		attempt = &dialAttempt{renews: true, done: make(chan struct{})}
 		t.dialling[address] = attempt
 		t.tasks.Add(1)
@@ -299,7 +317,11 @@
 	defer cancel()
 	raw, err := t.dialRaw(ctx, address)
 	if err == nil {
+		old := t.existing(address)
 		attempt.result, err = t.adopt(raw, Peer{Address: address}, attempt.renews)
+		if old != nil && attempt.result != nil && attempt.renews {
+			time.AfterFunc(renewGrace, old.close)
+		}
 	}
 	attempt.err = err
 	t.mutex.Lock()
