A disk that stands still refuses what it cannot take

Change: 512 appends wait at most; further ones fail at once, and the caller counts on the other replicas. Test: TestStandingDiskRefusesWhatItCannotTake (before: the append waits).

--- a/internal/turnlog/turnlog.go
+++ b/internal/turnlog/turnlog.go
@@ -31,7 +31,8 @@
 const (
 	segmentPattern = "turns-%08d.log"
 	segmentGlob    = "turns-*.log"
-	queuedAppends  = 256
+	// queuedAppends is how many appends may wait for the disk; all that wait are written together.
+	queuedAppends = 512
 	// segmentBytes is the size from which a new segment is begun.
 	segmentBytes = 4 << 20
 	// defaultCollectAbove is the size of the log, in bytes, from which old segments are collected.
@@ -50,6 +51,12 @@
 // Unwrap returns the cause.
 func (e *ErrLog) Unwrap() error { return e.cause }
 
+// errBusy means that the disk does not keep up.
+type errBusy struct{}
+
+// Error implements error.
+func (errBusy) Error() string { return "too many records wait for the disk" }
+
 func failed(operation string, cause error) error {
 	if cause == nil {
 		return nil
@@ -130,13 +137,14 @@
 
 // Append writes records and returns once they are synced. apply is called from Run when they are,
 // before anything else is written, and gets where each record lies: Needed may be asked for them at any moment from then on. After an error
-// the records may or may not be in the log.
+// the records may or may not be in the log. While the disk stands still and many wait already, it fails at
+// once: what waits is memory, and others have the records.
 func (l *Log) Append(ctx context.Context, payloads [][]byte, apply func(at []Position)) error {
 	request := appending{payloads: payloads, apply: apply, done: make(chan error, 1)}
 	select {
 	case l.queue <- request:
-	case <-ctx.Done():
-		return failed("append", ctx.Err())
+	default:
+		return failed("append", errBusy{})
 	}
 	select {
 	case err := <-request.done:
--- a/internal/turnlog/turnlog_test.go
+++ b/internal/turnlog/turnlog_test.go
@@ -11,6 +11,7 @@
 
 	"github.com/cockroachdb/errors"
 	"gotest.tools/v3/assert"
+	"gotest.tools/v3/poll"
 )
 
 // testCollectAbove keeps the tests quick.
@@ -110,6 +111,27 @@
 	assert.Equal(t, len(replayed), 100)
 }
 
+// While the disk stands still, no more appends wait than the log has room for.
+func TestStandingDiskRefusesWhatItCannotTake(t *testing.T) {
+	log, err := Open(Options{Folder: t.TempDir(), Replay: func([]byte, Position) {}})
+	assert.NilError(t, err)
+	// Run is not started: nothing is taken from the queue, as while a write hangs.
+	ctx, cancel := context.WithCancel(context.Background())
+	defer cancel()
+	for range queuedAppends {
+		go func() { _ = log.Append(ctx, [][]byte{[]byte("waits")}, func([]Position) {}) }()
+	}
+	poll.WaitOn(t, func(poll.LogT) poll.Result {
+		if len(log.queue) == queuedAppends {
+			return poll.Success()
+		}
+		return poll.Continue("%d appends wait", len(log.queue))
+	})
+	err = log.Append(ctx, [][]byte{[]byte("one too many")}, func([]Position) {})
+	var failure *ErrLog
+	assert.Assert(t, errors.As(err, &failure) && errors.Is(err, errBusy{}), "%v", err)
+}
+
 // A disk that refuses writes fails the append, and the log goes on once it takes them again.
 func TestFailingDisk(t *testing.T) {
 	folder := filepath.Join(t.TempDir(), "data")
