A replica that is merely slow is not asked again; one that is dialled again keeps what it had

A replica that was slow got more work for each question, and its requests, some 20 KB each (computed), filled the memory. Change: a question is asked again only if the way to the replica is newer than the question, or it failed at once. An append whose caller left writes no line.

--- a/internal/transport/connection.go
+++ b/internal/transport/connection.go
@@ -40,7 +40,8 @@
 	once      sync.Once
 	// heardAt is when something came last, in nanoseconds since the transport's process began to count; it
 	// begins with the connection.
-	heardAt atomic.Int64
+	heardAt  atomic.Int64
+	openedAt time.Time
 
 	mutex sync.Mutex
 	// waiting are the requests whose answers are to come.
@@ -73,6 +74,7 @@
 		waiting:   make(map[uint64]*pendingRequest),
 		serving:   make(map[uint64]bool),
 	}
+	created.openedAt = time.Now()
 	created.hear()
 	return created
 }
--- a/internal/transport/transport.go
+++ b/internal/transport/transport.go
@@ -283,34 +283,47 @@
 // uses the new connection from then on. A peer that lost its power says nothing on old connections when it is
 // back, until they are noticed to be dead; a new one reaches it at once. The old one stays open for a moment,
 // for the peer may just be slow; and it is dialled once a second at most, so that a peer with too much to do
-// isn't given connections on top. Renew returns when it is known whether the peer was reached.
-func (t *Transport) Renew(ctx context.Context, address string, silence time.Duration) {
-	t.mutex.Lock()
-	peer := t.peers[address]
-	now := time.Now()
-	if t.closed || peer == nil || peer.silentFor(now) < silence {
-		t.mutex.Unlock()
-		return
-	}
-	attempt := t.dialling[address]
+// isn't given connections on top. Renew reports whether the way to the peer is newer than a question that was
+// sent at the time given, so that it is worth asking again.
+func (t *Transport) Renew(ctx context.Context, address string, silence time.Duration, sentAt time.Time) bool {
+	attempt, renewed := t.renewal(address, silence, sentAt)
 	if attempt == nil {
-		if now.Sub(t.renewedAt[address]) < renewInterval {
-			t.mutex.Unlock()
-			return
-		}
-		t.renewedAt[address] = now
-		attempt = &dialAttempt{renews: true, done: make(chan struct{})}
-		t.dialling[address] = attempt
-		t.tasks.Add(1)
-		go t.dial(address, attempt)
+		return renewed
 	}
-	t.mutex.Unlock()
 	select {
 	case <-attempt.done:
+		return attempt.err == nil
 	case <-ctx.Done():
+		return false
 	}
 }
 
+// renewal begins a dial or joins one; without a dial it reports whether the way is new already.
+func (t *Transport) renewal(address string, silence time.Duration, sentAt time.Time) (attempt *dialAttempt, renewed bool) {
+	t.mutex.Lock()
+	defer t.mutex.Unlock()
+	now := time.Now()
+	peer := t.peers[address]
+	switch {
+	case t.closed || peer == nil:
+		return nil, false
+	case peer.openedAt.After(sentAt):
+		return nil, true
+	case peer.silentFor(now) < silence:
+		return nil, false
+	case t.dialling[address] != nil:
+		return t.dialling[address], false
+	case now.Sub(t.renewedAt[address]) < renewInterval:
+		return nil, false
+	}
+	t.renewedAt[address] = now
+	attempt = &dialAttempt{renews: true, done: make(chan struct{})}
+	t.dialling[address] = attempt
+	t.tasks.Add(1)
+	go t.dial(address, attempt)
+	return attempt, false
+}
+
 func (t *Transport) dial(address string, attempt *dialAttempt) {
 	defer t.tasks.Done()
 	ctx, cancel := context.WithTimeout(context.Background(), dialTimeout)
--- a/internal/turnstore/ask.go
+++ b/internal/turnstore/ask.go
@@ -10,8 +10,8 @@
 )
 
 const (
-	// askAgainAfter is how long an answer may take before the question is sent once more, over a new connection
-	// if nothing came over the old one. Replicas answer within a few sync times of their disks.
+	// askAgainAfter is how long an answer may take before it is looked whether the replica is heard at all. Replicas
+	// answer within a few sync times of their disks.
 	askAgainAfter = 250 * time.Millisecond
 	// askAgainPause follows a question that failed at once.
 	askAgainPause = 50 * time.Millisecond
@@ -19,15 +19,17 @@
 	mostAsks = 5
 )
 
-// askUntilAnswered sends a question to a replica until it is answered or the context ends. All questions may be asked again:
-// records never change, and replicas know those that they have. Without that, a turn would fail whose question
-// went to a replica that had just lost its power and is back a moment later.
+// askUntilAnswered sends a question to a replica until it is answered or the context ends. All questions may be
+// asked again: records never change, and replicas know those that they have. Without that, a turn would fail
+// whose question went to a replica that had just lost its power and is back a moment later. A replica that is
+// merely slow is not asked again: it has the question, and more of them would make it slower.
 func askUntilAnswered[Response any](ctx context.Context, network *transport.Transport, address, kind string, request any) (Response, error) {
 	type reply struct {
 		response Response
 		err      error
 	}
 	replies := make(chan reply, mostAsks)
+	renewed := make(chan struct{}, mostAsks)
 	send := func() {
 		response, err := transport.Call[Response](ctx, network, address, kind, request)
 		replies <- reply{response, err}
@@ -35,6 +37,7 @@
 	wait := askAgainAfter
 	again := time.NewTimer(wait)
 	defer again.Stop()
+	sentAt := time.Now()
 	go send()
 	for asked, pending := 1, 1; ; {
 		select {
@@ -49,23 +52,28 @@
 			if asked < mostAsks {
 				asked++
 				pending++
+				sentAt = time.Now()
 				go func() {
 					clock.Pause(ctx, askAgainPause)
 					send()
 				}()
 			}
 		case <-again.C:
+			before := sentAt
+			go func() {
+				if network.Renew(ctx, address, askAgainAfter, before) {
+					renewed <- struct{}{}
+				}
+			}()
+			wait *= 2
+			again.Reset(wait)
+		case <-renewed:
 			if asked < mostAsks {
 				asked++
 				pending++
-				go func() {
-					network.Renew(ctx, address, askAgainAfter)
-					send()
-				}()
+				sentAt = time.Now()
+				go send()
 			}
-			// The replica may just be busy: the more it is asked, the longer it would take.
-			wait *= 2
-			again.Reset(wait)
 		case <-ctx.Done():
 			var none Response
 			return none, unavailable("node at %s: %s", address, ctx.Err())
--- a/internal/turnstore/replica.go
+++ b/internal/turnstore/replica.go
@@ -224,7 +224,7 @@
 		return nil
 	}
 	err := r.log.Append(ctx, encodeRecords(news), func(at []turnlog.Position) { r.apply(news, at) })
-	if err != nil {
+	if err != nil && ctx.Err() == nil {
 		r.logger.Emit(events.ReplicaLogFailed, events.F("error", err), events.F("records", len(news)))
 	}
 	return err
