--- a/internal/turnstore/pull.go
+++ b/internal/turnstore/pull.go
@@ -31,6 +31,9 @@
 	// heardAt is when the peer last answered; firstAskedAt when it was first asked.
 	heardAt      time.Time
 	firstAskedAt time.Time
+	// askedAt is when the peer was last asked. One that was no member for a while was not asked either: its silence
+	// counts from the next question.
+	askedAt time.Time
 }
 
 // pullLoop pulls from other members again and again. It does not wait for their answers: one that is silent
@@ -189,11 +192,16 @@
 func (r *Replica) progressOf(member Member) *peerProgress {
 	r.mutex.Lock()
 	defer r.mutex.Unlock()
+	now := time.Now()
 	known := r.peers[member.Name]
 	if known == nil {
-		known = &peerProgress{firstAskedAt: time.Now()}
+		known = &peerProgress{}
 		r.peers[member.Name] = known
 	}
+	if now.Sub(known.askedAt) > silentAfter {
+		known.firstAskedAt = now
+	}
+	known.askedAt = now
 	return known
 }
 
--- a/internal/turnstore/turnstore_test.go
+++ b/internal/turnstore/turnstore_test.go
@@ -255,6 +255,27 @@
 	assert.NilError(t, err)
 }
 
+// A machine that was a member, became a spare and joins again is new to the members: what they remember of it is
+// old, and must not pass for silence.
+func TestFormerMemberIsNotSilentWhenItIsAskedAgain(t *testing.T) {
+	t.Parallel()
+	c := newCluster(t, 3)
+	replica := c.machines[0].process.replica
+	former := Member{Name: "former", Address: "127.0.0.1:1"}
+	replica.progressOf(former)
+	replica.mutex.Lock()
+	progress := replica.peers[former.Name]
+	longAgo := time.Now().Add(-time.Minute)
+	progress.heardAt, progress.firstAskedAt, progress.askedAt = longAgo, longAgo, longAgo
+	before := replica.silent(former.Name)
+	replica.mutex.Unlock()
+	assert.Assert(t, !before, "one that nobody asks counts as silent")
+	replica.progressOf(former)
+	replica.mutex.Lock()
+	defer replica.mutex.Unlock()
+	assert.Assert(t, !replica.silent(former.Name))
+}
+
 // A replica that has everything lists the keys of one other at a time: a member those of each in turn, a
 // spare those of the member in its zone.
 func TestCompleteReplicaListsTheKeysOfOneOther(t *testing.T) {
