A machine is not reported as emptied while too few others would be left

Cause: retire left the set however few members remained. After two of three storage machines had been emptied, one disk held all turns; a wipe of it then lost them, and the sole member with an empty disk waited for others for ever. Ruled out: a fault of the hand-over (the first machine's was complete). Also: a withdrawn retirement is undone; retirement has a file of its own. Tests that failed before: TestRetiringMachineWaitsForEnoughOthers, TestWithdrawnRetirementLeavesAWholeMember, TestOnlyMemberWithALostDiskServesOn.

--- a/internal/turnstore/membership.go
+++ b/internal/turnstore/membership.go
@@ -3,13 +3,11 @@
 import (
 	"context"
 	"encoding/json"
-	"slices"
 	"time"
 
 	"github.com/cockroachdb/errors"
 
 	"github.com/mountstile/mountstile/internal/configstore"
-	"github.com/mountstile/mountstile/internal/conversation"
 	"github.com/mountstile/mountstile/internal/events"
 	"github.com/mountstile/mountstile/internal/transport"
 )
@@ -33,8 +31,6 @@
 	// candidatesLookInterval is how often candidates but the first look at the list: each call of the store counts.
 	candidatesLookInterval = time.Second
 	fenceTimeout           = time.Second
-	// pushKeys bounds one message that hands over records.
-	pushKeys = 32
 )
 
 // candidates are the replicas that have started before there was a set.
@@ -73,13 +69,17 @@
 	set := r.Set()
 	self := r.options.Self.Name
 	r.noteTouch(set)
+	retiring := r.options.Retiring()
+	if !retiring {
+		r.takePartAgain()
+	}
 	switch {
 	case set.Epoch == 0:
 		if !r.options.FirstStart {
 			return nil
 		}
 		return r.bootstrap(ctx, start)
-	case r.options.Retiring():
+	case retiring:
 		return r.retire(ctx, set)
 	case set.Changing() && set.ChangedBy == self:
 		return r.finishJoin(ctx, set)
@@ -237,82 +237,6 @@
 	return set.Read(fenced)
 }
 
-// retire hands over all that this replica holds and leaves the set.
-func (r *Replica) retire(ctx context.Context, set Set) error {
-	self := r.options.Self.Name
-	if !set.Has(self) {
-		return r.options.Retired(ctx, true)
-	}
-	if set.Changing() && set.ChangedBy != self {
-		return r.takeBack(ctx, set)
-	}
-	if !set.Changing() {
-		r.logger.Emit(events.ReplicaRetiring, events.F("epoch", set.Epoch))
-		if err := r.options.Retired(ctx, false); err != nil {
-			return err
-		}
-		joint := set
-		joint.Epoch++
-		joint.Next = without(set.Members, self)
-		joint.ChangedBy = self
-		if err := r.replaceSet(ctx, set, joint); err != nil {
-			return err
-		}
-		set = joint
-	}
-	if !r.fence(ctx, set) {
-		return nil
-	}
-	r.mutex.Lock()
-	r.refusing = true
-	r.mutex.Unlock()
-	if !r.handOver(ctx, set) {
-		return nil
-	}
-	if err := r.replaceSet(ctx, set, finished(set)); err != nil {
-		return err
-	}
-	return r.options.Retired(ctx, true)
-}
-
-// handOver sends everything to the remaining members, and reports whether enough have it.
-func (r *Replica) handOver(ctx context.Context, set Set) bool {
-	r.mutex.Lock()
-	records := r.state.Records()
-	r.mutex.Unlock()
-	whole := make(map[string]bool)
-	for _, member := range set.Next {
-		if r.push(ctx, set.Epoch, member, records) {
-			whole[member.Name] = true
-		}
-	}
-	return len(whole) == len(set.Next) || (len(whole) >= set.Copies && Set{Members: set.Next, Copies: set.Copies}.Read(whole))
-}
-
-func (r *Replica) push(ctx context.Context, epoch int64, member Member, records []conversation.Record) bool {
-	for len(records) > 0 {
-		batch := slices.Clone(records[:min(len(records), pushKeys)])
-		records = records[len(batch):]
-		// The texts are put into copies, so that those of one batch at a time are in memory.
-		for index, record := range batch {
-			if record.Turn != nil {
-				turn := *record.Turn
-				batch[index].Turn = &turn
-			}
-		}
-		if r.fillTexts(batch) != nil {
-			return false
-		}
-		callContext, cancel := context.WithTimeout(ctx, pullTimeout)
-		answer, err := transport.Call[putAnswer](callContext, r.network, member.Address, putKind, putRequest{Epoch: epoch, Records: batch})
-		cancel()
-		if err != nil || answer.Newer != nil {
-			return false
-		}
-	}
-	return true
-}
-
 // takeBack ends a change whose replica has gone silent; what was written meanwhile counts in the
 // old set, too.
 func (r *Replica) takeBack(ctx context.Context, set Set) error {
--- a/internal/turnstore/pull.go
+++ b/internal/turnstore/pull.go
@@ -271,8 +271,9 @@
 	if r.set.Read(whole) {
 		return true
 	}
+	// The only member has nobody to ask: what it does not hold is nowhere.
 	others := without(r.set.All(), r.options.Self.Name)
-	return len(others) > 0 && count(others, anybody) == len(others)
+	return count(others, anybody) == len(others)
 }
 
 func (r *Replica) finishCatchUp() {
--- a/internal/turnstore/replica.go
+++ b/internal/turnstore/replica.go
@@ -84,6 +84,8 @@
 	// inTouchSince is since when enough members are heard; zero while they aren't. It belongs to the loop that
 	// changes the replica set.
 	inTouchSince time.Time
+	// retirementBegun tells that the operator knows of this replica's retirement; it belongs to the same loop.
+	retirementBegun bool
 }
 
 // NewReplica reads the folder and registers the message handlers.
--- /dev/null
+++ b/internal/turnstore/retirement.go
@@ -0,0 +1,122 @@
+package turnstore
+
+import (
+	"context"
+	"slices"
+
+	"github.com/mountstile/mountstile/internal/conversation"
+	"github.com/mountstile/mountstile/internal/events"
+	"github.com/mountstile/mountstile/internal/transport"
+)
+
+// pushKeys bounds one message that hands over records.
+const pushKeys = 32
+
+// retire hands over all that this replica holds and leaves the set. While too few others would be left to
+// survive the loss of a disk, it serves on and waits for another replica to join: once it is reported as
+// emptied, its disk is gone.
+func (r *Replica) retire(ctx context.Context, set Set) error {
+	self := r.options.Self.Name
+	if !set.Has(self) {
+		return r.options.Retired(ctx, true)
+	}
+	if set.Changing() && set.ChangedBy != self {
+		return r.takeBack(ctx, set)
+	}
+	if !set.Changing() {
+		if err := r.reportRetirementBegun(ctx, set); err != nil {
+			return err
+		}
+		if len(set.Members) <= set.Copies {
+			return nil
+		}
+		joint := set
+		joint.Epoch++
+		joint.Next = without(set.Members, self)
+		joint.ChangedBy = self
+		if err := r.replaceSet(ctx, set, joint); err != nil {
+			return err
+		}
+		set = joint
+	}
+	return r.finishRetirement(ctx, set)
+}
+
+// reportRetirementBegun tells the operator once.
+func (r *Replica) reportRetirementBegun(ctx context.Context, set Set) error {
+	if r.retirementBegun {
+		return nil
+	}
+	r.logger.Emit(events.ReplicaRetiring, events.F("epoch", set.Epoch), events.F("members", len(set.Members)),
+		events.F("waits", len(set.Members) <= set.Copies))
+	if err := r.options.Retired(ctx, false); err != nil {
+		return err
+	}
+	r.retirementBegun = true
+	return nil
+}
+
+// finishRetirement hands over once no write of the old epoch can succeed any more.
+func (r *Replica) finishRetirement(ctx context.Context, joint Set) error {
+	if !r.fence(ctx, joint) {
+		return nil
+	}
+	r.setRefusing(true)
+	if !r.handOver(ctx, joint) {
+		return nil
+	}
+	if err := r.replaceSet(ctx, joint, finished(joint)); err != nil {
+		return err
+	}
+	return r.options.Retired(ctx, true)
+}
+
+// takePartAgain undoes a retirement that the operator has withdrawn.
+func (r *Replica) takePartAgain() {
+	r.retirementBegun = false
+	r.setRefusing(false)
+}
+
+func (r *Replica) setRefusing(refusing bool) {
+	r.mutex.Lock()
+	defer r.mutex.Unlock()
+	r.refusing = refusing
+}
+
+// handOver sends everything to the remaining members, and reports whether enough have it.
+func (r *Replica) handOver(ctx context.Context, set Set) bool {
+	r.mutex.Lock()
+	records := r.state.Records()
+	r.mutex.Unlock()
+	whole := make(map[string]bool)
+	for _, member := range set.Next {
+		if r.push(ctx, set.Epoch, member, records) {
+			whole[member.Name] = true
+		}
+	}
+	return len(whole) == len(set.Next) || (len(whole) >= set.Copies && Set{Members: set.Next, Copies: set.Copies}.Read(whole))
+}
+
+func (r *Replica) push(ctx context.Context, epoch int64, member Member, records []conversation.Record) bool {
+	for len(records) > 0 {
+		batch := slices.Clone(records[:min(len(records), pushKeys)])
+		records = records[len(batch):]
+		// The texts are put into copies, so that those of one batch at a time are in memory.
+		for index, record := range batch {
+			if record.Turn != nil {
+				turn := *record.Turn
+				batch[index].Turn = &turn
+			}
+		}
+		if r.fillTexts(batch) != nil {
+			return false
+		}
+		callContext, cancel := context.WithTimeout(ctx, pullTimeout)
+		answer, err := transport.Call[putAnswer](callContext, r.network, member.Address, putKind, putRequest{Epoch: epoch, Records: batch})
+		cancel()
+		if err != nil || answer.Newer != nil {
+			return false
+		}
+	}
+	return true
+}
--- a/internal/turnstore/turnstore_test.go
+++ b/internal/turnstore/turnstore_test.go
@@ -320,6 +320,57 @@
 	assert.NilError(t, err)
 }
 
+// A machine is not reported as emptied while too few others would be left to survive the loss of a disk. It
+// serves on until another machine has joined.
+func TestRetiringMachineWaitsForEnoughOthers(t *testing.T) {
+	t.Parallel()
+	c := newCluster(t, 3)
+	c.put("a", "")
+	first, second := c.machines[0], c.machines[1]
+	first.retiring.Store(true)
+	eventually(t, "the first is emptied", first.retired.Load)
+	c.wipe(first)
+	c.forget(first)
+	second.retiring.Store(true)
+	settle := time.NewTimer(time.Second)
+	defer settle.Stop()
+	<-settle.C
+	assert.Assert(t, !second.retired.Load(), "one copy would be left")
+	c.put("b", "a")
+	c.add("newcomer")
+	eventually(t, "the second is emptied", second.retired.Load)
+	c.wipe(second)
+	c.forget(second)
+	c.wipe(c.machines[0])
+	c.start(c.machines[0])
+	opened, err := c.read("b")
+	assert.NilError(t, err)
+	assert.Equal(t, string(opened.Prefix), "a;b;")
+}
+
+// A replica that was to hand over what it holds takes records again once the operator has taken that back.
+func TestWithdrawnRetirementLeavesAWholeMember(t *testing.T) {
+	t.Parallel()
+	c := newCluster(t, 3)
+	first := c.machines[0]
+	first.process.replica.mutex.Lock()
+	first.process.replica.refusing = true
+	first.process.replica.mutex.Unlock()
+	c.kill(c.machines[1])
+	c.put("a", "")
+	assert.Equal(t, first.turns(), 1)
+}
+
+// The only member whose disk was lost knows that nothing is left anywhere, and serves on.
+func TestOnlyMemberWithALostDiskServesOn(t *testing.T) {
+	t.Parallel()
+	replica := &Replica{set: Set{Epoch: 4, Members: []Member{{Name: "only"}}, Copies: 1, Size: 1}}
+	replica.options.Self = Member{Name: "only"}
+	assert.Assert(t, replica.pulledEnough(time.Time{}))
+	replica.options.Self = Member{Name: "newcomer"}
+	assert.Assert(t, !replica.pulledEnough(time.Time{}), "the member may hold something")
+}
+
 // A request of an older epoch is refused, and the client goes on with the newer set.
 func TestOlderEpochIsRefused(t *testing.T) {
 	t.Parallel()
