Changes reach gateways by one feed more than may be lost, and knowledge is fresh within the platform's bounds

Also: positions outlast followers, a peer that hands over a listing is not doubled, spares serve their zone's gateways, few candidates enter the list for the first set; replicas have metrics.

--- a/internal/catalog/catalog.go
+++ b/internal/catalog/catalog.go
@@ -9,9 +9,9 @@
 //
 // Usage:
 //
-//	manager := catalog.NewManager(catalog.Options{...}, network, logger)
-//	go manager.Run(ctx)
-//	for entry := range manager.Subscribe(ctx) { ... }
+//	manager := catalog.NewManager(catalog.Options{Source: store, OnChange: apply, ...}, network, logger)
+//	go manager.Run(ctx)   // apply hears each changed entry
+//	entry, found := manager.Get(key)
 package catalog
 
 import (
--- a/internal/catalog/catalog_test.go
+++ b/internal/catalog/catalog_test.go
@@ -119,6 +119,20 @@
 	mutex   sync.Mutex
 	sink    Sink
 	running bool
+	silent  bool
+}
+
+// silence makes the store say nothing more, as behind a cut.
+func (s *recordingSource) silence() {
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
+	s.silent = true
+}
+
+func (s *recordingSource) speaks() bool {
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
+	return !s.silent
 }
 
 func (s *recordingSource) Run(ctx context.Context, sink Sink) {
@@ -129,7 +143,9 @@
 	ticker := time.NewTicker(20 * time.Millisecond)
 	defer ticker.Stop()
 	for {
-		sink.Contact()
+		if s.speaks() {
+			sink.Contact()
+		}
 		select {
 		case <-ctx.Done():
 			s.mutex.Lock()
@@ -183,14 +199,26 @@
 }
 
 func startReplica(t *testing.T, followAll bool, readsStore func() bool, peers func() []string) *testNode {
+	t.Helper()
+	return startNodeWith(t, func(options *Options) {
+		options.Peers = peers
+		options.FollowAll = followAll
+		options.ReadsStore = readsStore
+	})
+}
+
+// startNodeWith starts a node whose options the test completes.
+func startNodeWith(t *testing.T, complete func(*Options)) *testNode {
 	t.Helper()
 	listener, err := net.Listen("tcp", "127.0.0.1:0")
 	assert.NilError(t, err)
 	node := &testNode{address: listener.Addr().String(), source: &recordingSource{}, heard: make(map[string]int64)}
 	node.network = transport.New(transport.Options{Cluster: "test", NodeID: node.address, Address: node.address, Logger: events.Discard()})
-	node.manager = NewManager(Options{
-		Peers: peers, FollowAll: followAll, ReadsStore: readsStore, Source: node.source, FreshFor: 100 * time.Millisecond, OnChange: node.onChange,
-	}, node.network, events.Discard())
+	options := Options{
+		Self: Feed{Address: node.address}, Source: node.source, StaleAfter: time.Second, OnChange: node.onChange,
+	}
+	complete(&options)
+	node.manager = NewManager(options, node.network, events.Discard())
 	ctx, stop := context.WithCancel(context.Background())
 	node.stop = stop
 	go func() { _ = node.network.Serve(listener) }()
--- a/internal/catalog/manager.go
+++ b/internal/catalog/manager.go
@@ -3,32 +3,22 @@
 import (
 	"context"
 	"math/rand/v2"
+	"slices"
 	"sync"
 	"time"
 
-	"github.com/mountstile/mountstile/internal/clock"
 	"github.com/mountstile/mountstile/internal/events"
 	"github.com/mountstile/mountstile/internal/transport"
 )
 
 const (
-	followKind = "catalog.follow"
-	// followWait is how long a peer holds a question to which there is no news; its answer is the
-	// sign that the peer is alive.
-	followWait = 500 * time.Millisecond
-	// followEntries bounds the entries of one answer. After a start all followers ask for everything at once; with
-	// thousands of engines, whole listings for each of them would be more than a replica's memory.
-	followEntries = 200
-	// followTimeout is how long an answer may take in all.
-	followTimeout = followWait + time.Second
-	// followPause follows a failed question, and doubles with each further one up to followPauseMost. It begins
-	// short: after a restart of all nodes, gateways serve nothing before they reach a replica.
-	followPause     = 40 * time.Millisecond
-	followPauseMost = 400 * time.Millisecond
-	// widenInterval is how often the number of followed peers is looked at.
-	widenInterval = 250 * time.Millisecond
-	// staleAfter is the age from which a peer that we follow is not enough by itself.
-	staleAfter = 900 * time.Millisecond
+	// adjustInterval is how often it is looked which peers are to be followed.
+	adjustInterval = 100 * time.Millisecond
+	// startPatience is how long a node that has just started waits for the first answers of its first peers.
+	startPatience = 500 * time.Millisecond
+	// sourcePatience is how long all peers are followed without one that is fresh before the store is read, too. Up
+	// to as much again is added by chance: nodes that lose their peers together must not list everything at once.
+	sourcePatience = 100 * time.Millisecond
 	// unknownAge is the age of a node that never heard from the store.
 	unknownAge = time.Hour
 )
@@ -53,15 +43,22 @@
 type Options struct {
 	// Peers returns the addresses of nodes that serve their catalog, the preferred ones first.
 	Peers func() []string
-	// FollowAll follows all peers; otherwise only as many as it takes to be fresh.
+	// FollowAll follows all peers; otherwise only as many as it takes to have Need fresh ones.
 	FollowAll bool
+	// Need returns how many fresh peers to follow; nil stands for one. A peer that is cut off from the store without
+	// knowing it looks fresh for a while. With one peer more than may be lost at once, changes come all the same.
+	Need func() int
+	// Self is where this node is, and its zone; a node that serves nobody needs only the zone.
+	Self Feed
+	// Serves tells whether gateways are to follow this node instead of those that it follows. Nil stands for never.
+	Serves func() bool
 	// ReadsStore tells whether this node follows the Source at all times; others do so only while no peer is
 	// fresh. Nil stands for never.
 	ReadsStore func() bool
 	Source     Source
-	// FreshFor is the age up to which contact with the store counts as fresh. It covers the time
-	// for which the store may hold a question.
-	FreshFor time.Duration
+	// StaleAfter is the age from which a peer's contact with the store is not fresh any more. It covers the time
+	// for which the store may hold a question, and the ways.
+	StaleAfter time.Duration
 	// OnChange hears each changed entry, in no order. It must not block.
 	OnChange func(Entry)
 }
@@ -73,38 +70,28 @@
 	logger   *events.Logger
 	identity uint64
 
-	mutex   sync.Mutex
-	state   *State
-	changed chan struct{}
+	mutex sync.Mutex
+	state *State
+	// changed is closed at the next change, contacted at the next contact with the store.
+	changed   chan struct{}
+	contacted chan struct{}
 	// contactAt is the newest time at which the store is known to have been read, here or by a peer.
 	contactAt time.Time
 	followers map[string]*follower
+	// positions are how far each peer was followed, by address.
+	positions map[string]position
+	feeds     *feeds
+	offers    offers
 	// width is how many peers are followed; one more than there are means the source, too.
-	width        int
+	width int
+	// freshAt is when a peer was fresh last; when the node starts it begins a little later.
+	freshAt time.Time
+	// sourceJitter is added to sourcePatience.
+	sourceJitter time.Duration
 	stopSource   context.CancelFunc
-	widenedAt    time.Time
 	sourceActive bool
 }
 
-type follower struct {
-	stop context.CancelFunc
-	// contactAt is when the store had been read, by what this peer said last.
-	contactAt time.Time
-}
-
-type followRequest struct {
-	Identity   uint64 `json:"i"`
-	After      uint64 `json:"a"`
-	WaitMillis int64  `json:"w"`
-}
-
-type followAnswer struct {
-	Identity  uint64  `json:"i"`
-	Sequence  uint64  `json:"s"`
-	Entries   []Entry `json:"e,omitempty"`
-	AgeMillis int64   `json:"g"`
-}
-
 // NewManager returns a Manager; it serves peers at once, and learns once it runs.
 func NewManager(options Options, network *transport.Transport, logger *events.Logger) *Manager {
 	manager := &Manager{
@@ -114,8 +101,13 @@
 		identity:  rand.Uint64() >> 1,
 		state:     NewState(),
 		changed:   make(chan struct{}),
+		contacted: make(chan struct{}),
 		followers: make(map[string]*follower),
+		positions: make(map[string]position),
+		feeds:     newFeeds(),
 		width:     1,
+
+		sourceJitter: rand.N(sourcePatience),
 	}
 	transport.Handle(network, followKind, manager.serveFollow)
 	return manager
@@ -124,9 +116,9 @@
 // Run follows peers and the store until the context ends.
 func (m *Manager) Run(ctx context.Context) {
 	m.mutex.Lock()
-	m.widenedAt = time.Now()
+	m.freshAt = time.Now().Add(startPatience)
 	m.mutex.Unlock()
-	ticker := time.NewTicker(widenInterval)
+	ticker := time.NewTicker(adjustInterval)
 	defer ticker.Stop()
 	for {
 		m.adjust(ctx)
@@ -144,6 +136,7 @@
 	now := time.Now()
 	m.mutex.Lock()
 	defer m.mutex.Unlock()
+	peers = m.withOffers(now, peers)
 	m.state.Forget(now)
 	m.chooseWidth(now, peers)
 	wanted := make(map[string]bool, len(peers))
@@ -167,6 +160,20 @@
 	m.switchSource(ctx, reads || m.width > len(peers))
 }
 
+// withOffers puts the feeds to which this node was sent before its other peers.
+func (m *Manager) withOffers(now time.Time, peers []string) []string {
+	if m.options.FollowAll {
+		return peers
+	}
+	ordered := m.offers.valid(now)
+	for _, address := range peers {
+		if !slices.Contains(ordered, address) {
+			ordered = append(ordered, address)
+		}
+	}
+	return ordered
+}
+
 func (m *Manager) startFollower(ctx context.Context, address string) {
 	followContext, stop := context.WithCancel(ctx)
 	created := &follower{stop: stop}
@@ -174,23 +181,48 @@
 	go m.follow(followContext, address, created)
 }
 
-// chooseWidth follows no more peers than up to the first one that is fresh. While none is, it follows twice as
-// many every time, and in the end the source.
+// chooseWidth follows no more peers than it takes to have as many fresh ones as are needed. A peer that is handing
+// over a long listing counts: to ask more of them for the same listing at once would only make all of them
+// slower. While none is fresh, it follows all, and then the source.
 func (m *Manager) chooseWidth(now time.Time, peers []string) {
+	fresh := 0
 	for index, address := range peers {
 		known := m.followers[address]
-		if known != nil && now.Sub(known.contactAt) < m.options.FreshFor+staleAfter {
+		if known == nil || !(m.fresh(now, known) || known.handingOver(now)) {
+			continue
+		}
+		fresh++
+		m.freshAt = now
+		if fresh == m.need() {
 			m.width = index + 1
-			m.widenedAt = now
 			return
 		}
 	}
-	if m.width <= len(peers) && now.Sub(m.widenedAt) >= 2*widenInterval {
-		m.width = min(2*m.width, len(peers)+1)
-		m.widenedAt = now
+	lost := now.Sub(m.freshAt)
+	switch {
+	case fresh > 0:
+		m.width = len(peers)
+	case lost < 0:
+		m.width = min(m.need(), len(peers))
+	case lost < sourcePatience+m.sourceJitter:
+		m.width = len(peers)
+	default:
+		m.width = len(peers) + 1
 	}
 }
 
+func (m *Manager) need() int {
+	if m.options.Need == nil {
+		return 1
+	}
+	return max(m.options.Need(), 1)
+}
+
+// fresh tells whether a peer had read the store a short while ago, or heard from somebody who had.
+func (m *Manager) fresh(now time.Time, peer *follower) bool {
+	return now.Sub(peer.contactAt) < m.options.StaleAfter
+}
+
 func (m *Manager) switchSource(ctx context.Context, wanted bool) {
 	if wanted == m.sourceActive || m.options.Source == nil {
 		return
@@ -207,87 +239,6 @@
 	go m.options.Source.Run(sourceContext, m)
 }
 
-func (m *Manager) follow(ctx context.Context, address string, self *follower) {
-	request := followRequest{WaitMillis: followWait.Milliseconds()}
-	reached := false
-	wait := followPause
-	for ctx.Err() == nil {
-		askedAt := time.Now()
-		callContext, cancel := context.WithTimeout(ctx, followTimeout)
-		answer, err := transport.Call[followAnswer](callContext, m.network, address, followKind, request)
-		cancel()
-		if err != nil {
-			if reached {
-				m.logger.Emit(events.CatalogPeerLost, events.F("peer", address), events.F("error", err))
-			}
-			reached = false
-			request = followRequest{WaitMillis: followWait.Milliseconds()}
-			clock.Pause(ctx, wait)
-			wait = min(2*wait, followPauseMost)
-			continue
-		}
-		if !reached {
-			m.logger.Emit(events.CatalogPeerReached, events.F("peer", address), events.F("age_millis", answer.AgeMillis))
-		}
-		reached = true
-		wait = followPause
-		m.Apply(answer.Entries)
-		m.heardAge(self, askedAt, time.Duration(answer.AgeMillis)*time.Millisecond)
-		request.Identity = answer.Identity
-		request.After = answer.Sequence
-	}
-}
-
-func (m *Manager) heardAge(self *follower, at time.Time, age time.Duration) {
-	if age >= unknownAge {
-		return
-	}
-	m.mutex.Lock()
-	defer m.mutex.Unlock()
-	self.contactAt = at.Add(-age)
-	if self.contactAt.After(m.contactAt) {
-		m.contactAt = self.contactAt
-	}
-}
-
-func (m *Manager) serveFollow(ctx context.Context, _ transport.Peer, request followRequest) (followAnswer, error) {
-	deadline := time.NewTimer(time.Duration(request.WaitMillis) * time.Millisecond)
-	defer deadline.Stop()
-	after := request.After
-	if request.Identity != m.identity {
-		after = 0
-	}
-	for {
-		answer, changed := m.newsAfter(after)
-		if len(answer.Entries) > 0 {
-			return answer, nil
-		}
-		select {
-		case <-changed:
-		case <-deadline.C:
-			return answer, nil
-		case <-ctx.Done():
-			return answer, ctx.Err()
-		}
-	}
-}
-
-func (m *Manager) newsAfter(after uint64) (followAnswer, chan struct{}) {
-	m.mutex.Lock()
-	defer m.mutex.Unlock()
-	age := unknownAge
-	if !m.contactAt.IsZero() {
-		age = min(time.Since(m.contactAt), unknownAge)
-	}
-	answer := followAnswer{Identity: m.identity, AgeMillis: age.Milliseconds()}
-	answer.Entries, answer.Sequence = m.state.Since(after, followEntries)
-	if answer.Sequence < m.state.Sequence() {
-		// What is missing still may be newer than the last contact with the store.
-		answer.AgeMillis = unknownAge.Milliseconds()
-	}
-	return answer, m.changed
-}
-
 // Apply implements Sink.
 func (m *Manager) Apply(entries []Entry) {
 	if len(entries) == 0 {
@@ -336,7 +287,18 @@
 func (m *Manager) Contact() {
 	m.mutex.Lock()
 	defer m.mutex.Unlock()
-	m.contactAt = time.Now()
+	m.noteContact(time.Now())
+}
+
+// noteContact takes a newer contact and wakes followers, whose knowledge is as fresh by it. The caller holds the
+// mutex.
+func (m *Manager) noteContact(at time.Time) {
+	if !at.After(m.contactAt) {
+		return
+	}
+	m.contactAt = at
+	close(m.contacted)
+	m.contacted = make(chan struct{})
 }
 
 // Age is how long ago the store was read, here or by a peer that told us.
--- a/internal/ingress/node.go
+++ b/internal/ingress/node.go
@@ -45,8 +45,8 @@
 	Dial       func(ctx context.Context, address string) (net.Conn, error)
 	CacheBytes int64
 	Source     catalog.Source
-	// FreshFor is the age up to which contact with the store counts as fresh.
-	FreshFor time.Duration
+	// StaleAfter is the age from which contact with the store does not count as fresh.
+	StaleAfter time.Duration
 	// Seeds returns the addresses of replicas to begin with.
 	Seeds   func() []string
 	Network *transport.Transport
@@ -76,7 +76,7 @@
 			options.Network, options.Logger),
 	}
 	node.catalog = catalog.NewManager(catalog.Options{
-		Peers: node.peers, Source: options.Source, FreshFor: options.FreshFor, OnChange: node.apply,
+		Peers: node.peers, Need: node.turns.Copies, Self: catalog.Feed{Zone: options.Zone}, Source: options.Source, StaleAfter: options.StaleAfter, OnChange: node.apply,
 	}, options.Network, options.Logger)
 	node.server = New(Options{
 		Table: node.table.Load, Vocabulary: options.Vocabulary, Registry: node.registry, Turns: node.turns,
--- a/internal/turnstore/client.go
+++ b/internal/turnstore/client.go
@@ -110,6 +110,9 @@
 	return c.set
 }
 
+// Copies is one more than the number of disks that may be lost at once; 0 while no replica set is known.
+func (c *Client) Copies() int { return c.Set().Copies }
+
 // Ready asks the replicas whether enough of them answer.
 func (c *Client) Ready(ctx context.Context) bool {
 	set := c.Set()
--- a/internal/turnstore/membership.go
+++ b/internal/turnstore/membership.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"encoding/json"
+	"slices"
 	"time"
 
 	"github.com/cockroachdb/errors"
@@ -110,6 +111,10 @@
 		}
 	}
 	if !contains(listed.Members, r.options.Self.Name) {
+		if r.listSuffices(listed.Members) {
+			start.nextLookAt = now.Add(candidatesLookInterval)
+			return nil
+		}
 		listed.Members = append(listed.Members, r.options.Self)
 		return r.swap(ctx, r.options.CandidatesKey, entry.Revision, listed)
 	}
@@ -128,6 +133,16 @@
 	return r.swap(ctx, r.options.SetKey, 0, Set{Epoch: 1, Members: members, Copies: r.options.Copies, Size: len(members)})
 }
 
+// listSuffices tells whether the first set can be made without this replica: there are enough candidates, and one
+// in its zone. A hundred replicas that all add themselves to one entry of the store at once get in each
+// other's way.
+func (r *Replica) listSuffices(listed []Member) bool {
+	if r.options.Size <= 0 || len(listed) < r.options.Size {
+		return false
+	}
+	return slices.ContainsFunc(listed, func(member Member) bool { return member.Zone == r.options.Self.Zone })
+}
+
 // firstMembers chooses the members of the first set among the candidates, from each zone in turn, so that
 // as many zones as possible have one.
 func firstMembers(listed []Member, size int) []Member {
--- /dev/null
+++ b/internal/turnstore/metrics.go
@@ -0,0 +1,90 @@
+package turnstore
+
+import (
+	"context"
+	"time"
+
+	"github.com/prometheus/client_golang/prometheus"
+
+	"github.com/mountstile/mountstile/internal/transport"
+)
+
+// Metrics counts the questions that a replica answers and measures their times; it also tells what the replica
+// holds. A nil Metrics measures nothing.
+type Metrics struct {
+	registerer prometheus.Registerer
+	questions  *prometheus.CounterVec
+	seconds    *prometheus.HistogramVec
+}
+
+// NewMetrics registers the metrics.
+func NewMetrics(registerer prometheus.Registerer) *Metrics {
+	metrics := &Metrics{
+		registerer: registerer,
+		questions: prometheus.NewCounterVec(prometheus.CounterOpts{
+			Name: "mountstile_replica_questions_total", Help: "Questions that the replica answered, by kind and outcome.",
+		}, []string{"kind", "outcome"}),
+		seconds: prometheus.NewHistogramVec(prometheus.HistogramOpts{
+			Name: "mountstile_replica_answer_seconds", Help: "Time to answer a question, syncs of the disk included.",
+			Buckets: prometheus.ExponentialBuckets(0.0005, 2, 14),
+		}, []string{"kind"}),
+	}
+	registerer.MustRegister(metrics.questions, metrics.seconds)
+	return metrics
+}
+
+// show registers what is read off the replica whenever the metrics are asked for.
+func (m *Metrics) show(replica *Replica) {
+	if m == nil {
+		return
+	}
+	gauge := func(name, help string, value func() float64) {
+		m.registerer.MustRegister(prometheus.NewGaugeFunc(prometheus.GaugeOpts{Name: name, Help: help}, value))
+	}
+	gauge("mountstile_replica_turns", "Turns that the replica holds.", func() float64 { return float64(replica.size().turns) })
+	gauge("mountstile_replica_programs", "Programs whose charges the replica holds.", func() float64 { return float64(replica.size().programs) })
+	gauge("mountstile_replica_text_bytes", "Bytes of the texts of turns, on disk or in memory.", func() float64 { return float64(replica.texts.size()) })
+	gauge("mountstile_replica_set_epoch", "Epoch of the newest replica set that is known.", func() float64 { return float64(replica.Set().Epoch) })
+	gauge("mountstile_replica_complete", "1 if the replica has everything that its peers have.", func() float64 {
+		if replica.folder.record().Complete {
+			return 1
+		}
+		return 0
+	})
+}
+
+// replicaSize is how much a replica holds.
+type replicaSize struct{ turns, programs int }
+
+func (r *Replica) size() replicaSize {
+	r.mutex.Lock()
+	defer r.mutex.Unlock()
+	turns, programs, _ := r.state.Size()
+	return replicaSize{turns: turns, programs: programs}
+}
+
+// The outcomes of a question.
+const (
+	outcomeAnswered = "answered"
+	outcomeFailed   = "failed"
+)
+
+// measured wraps the handler of a kind of question.
+func measured[Request, Response any](
+	metrics *Metrics, kind string, handler func(context.Context, transport.Peer, Request) (Response, error),
+) func(context.Context, transport.Peer, Request) (Response, error) {
+	if metrics == nil {
+		return handler
+	}
+	return func(ctx context.Context, from transport.Peer, request Request) (Response, error) {
+		startedAt := time.Now()
+		response, err := handler(ctx, from, request)
+		outcome := outcomeAnswered
+		if err != nil {
+			outcome = outcomeFailed
+		}
+		metrics.questions.WithLabelValues(kind, outcome).Inc()
+		metrics.seconds.WithLabelValues(kind).Observe(time.Since(startedAt).Seconds())
+		return response, err
+	}
+}
--- a/internal/turnstore/node.go
+++ b/internal/turnstore/node.go
@@ -14,8 +14,8 @@
 type NodeOptions struct {
 	Replica ReplicaOptions
 	Source  catalog.Source
-	// FreshFor is the age up to which contact with the store counts as fresh.
-	FreshFor time.Duration
+	// StaleAfter is the age from which contact with the store does not count as fresh.
+	StaleAfter time.Duration
 	// Seeds returns the addresses of replicas to begin with.
 	Seeds   func() []string
 	Network *transport.Transport
@@ -43,8 +43,9 @@
 		return nil, err
 	}
 	node.catalog = catalog.NewManager(catalog.Options{
-		Peers: node.peers, FollowAll: true, ReadsStore: node.readsStore, Source: options.Source, FreshFor: options.FreshFor,
-		OnChange: node.apply,
+		Peers: node.peers, FollowAll: true, ReadsStore: node.readsStore, Source: options.Source, StaleAfter: options.StaleAfter,
+		Self:   catalog.Feed{Address: options.Replica.Self.Address, Zone: options.Replica.Self.Zone},
+		Serves: node.isSpare, OnChange: node.apply,
 	}, options.Network, options.Logger)
 	return node, nil
 }
@@ -56,6 +57,13 @@
 	return set.Epoch == 0 || contains(set.readers(), n.options.Replica.Self.Name)
 }
 
+// isSpare tells whether this replica is no member of a known set. Spares serve the catalog to the gateways of
+// their zone, for the members have the turns to keep.
+func (n *Node) isSpare() bool {
+	set := n.replica.Set()
+	return set.Epoch > 0 && !set.Has(n.options.Replica.Self.Name)
+}
+
 // peers are the replicas that read the store.
 func (n *Node) peers() []string {
 	var addresses []string
--- a/internal/turnstore/replica.go
+++ b/internal/turnstore/replica.go
@@ -60,6 +60,8 @@
 	// Retiring tells whether the operator wants this replica emptied; Retired tells the operator.
 	Retiring func() bool
 	Retired  func(ctx context.Context, done bool) error
+	// Metrics may be nil.
+	Metrics *Metrics
 }
 
 // Replica holds turns and budgets on disk. All methods may be called concurrently.
@@ -124,11 +126,12 @@
 	turns, programs, _ := replica.state.Size()
 	logger.Emit(events.ReplicaOpened, events.F("identity", opened.record().Identity), events.F("complete", opened.record().Complete),
 		events.F("epoch", replica.set.Epoch), events.F("turns", turns), events.F("programs", programs), events.F("bytes", replica.texts.size()))
-	transport.Handle(network, openKind, replica.serveOpen)
-	transport.Handle(network, putKind, replica.servePut)
-	transport.Handle(network, digestKind, replica.serveDigest)
-	transport.Handle(network, fetchKind, replica.serveFetch)
-	transport.Handle(network, fenceKind, replica.serveFence)
+	options.Metrics.show(replica)
+	transport.Handle(network, openKind, measured(options.Metrics, openKind, replica.serveOpen))
+	transport.Handle(network, putKind, measured(options.Metrics, putKind, replica.servePut))
+	transport.Handle(network, digestKind, measured(options.Metrics, digestKind, replica.serveDigest))
+	transport.Handle(network, fetchKind, measured(options.Metrics, fetchKind, replica.serveFetch))
+	transport.Handle(network, fenceKind, measured(options.Metrics, fenceKind, replica.serveFence))
 	return replica, nil
 }
 
--- a/internal/turnstore/turnstore_test.go
+++ b/internal/turnstore/turnstore_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"encoding/json"
 	"fmt"
 	"sync"
 	"sync/atomic"
@@ -255,6 +256,27 @@
 	assert.NilError(t, err)
 }
 
+// With many machines, only as many of them enter the list of candidates as the first set needs, and one of each
+// zone at least.
+func TestFewCandidatesForTheFirstSet(t *testing.T) {
+	t.Parallel()
+	c := newClusterWithSpares(t, 3, 9)
+	entry, err := c.store.Get(t.Context(), testCandidatesKey)
+	assert.NilError(t, err)
+	var listed candidates
+	assert.NilError(t, json.Unmarshal(entry.Value, &listed))
+	assert.Assert(t, len(listed.Members) < 3+testZones, "%d candidates", len(listed.Members))
+	zones := make(map[string]bool)
+	for _, member := range c.store.set().Members {
+		zones[member.Zone] = true
+	}
+	assert.Equal(t, len(zones), testZones)
+	c.put("a", "")
+	for _, m := range c.machines {
+		eventually(t, m.name+" has the turn", func() bool { return m.turns() == 1 })
+	}
+}
+
 // A machine that was a member, became a spare and joins again is new to the members: what they remember of it is
 // old, and must not pass for silence.
 func TestFormerMemberIsNotSilentWhenItIsAskedAgain(t *testing.T) {
