--- a/internal/ingress/metrics.go
+++ b/internal/ingress/metrics.go
@@ -85,6 +85,9 @@
 		events.F("request", r.caller.ID), events.F("program", r.caller.Program), events.F("session", r.caller.Session),
 		events.F("previous", r.caller.Previous), events.F("patience_millis", r.caller.Patience.Milliseconds()),
 	}
+	if r.caller.ProgramTimed {
+		fields = append(fields, events.F("program_left_millis", r.caller.ProgramPatience.Milliseconds()))
+	}
 	if r.route != nil {
 		fields = append(fields, events.F("route", r.route.Name()), events.F("service", r.service.Name))
 	}
--- a/internal/ingress/server.go
+++ b/internal/ingress/server.go
@@ -42,8 +42,10 @@
 	Patience time.Duration
 	Program  string
 	Session  string
-	// ProgramPatience is the time left for the whole program; 0 if it didn't say.
+	// ProgramPatience is the time left for the whole program, 0 if it is over; ProgramTimed tells whether the caller
+	// named it.
 	ProgramPatience time.Duration
+	ProgramTimed    bool
 	// Budget is NoBudget or what the program's turns may generate together, in tokens.
 	Budget int64
 	// Most is the most that this request may generate, in tokens.
