--- a/internal/events/events.go
+++ b/internal/events/events.go
@@ -85,6 +85,7 @@
 	RequestPanicked      ID = 603
 	RequestEnded         ID = 604
 	RequestFailed        ID = 605
+	RequestMalformed     ID = 606
 	AdminChange          ID = 701
 	AdminDenied          ID = 702
 	DrainRequested       ID = 703
@@ -173,6 +174,7 @@
 	{RequestPanicked, "request_panicked", logrus.ErrorLevel, "a request handler panicked; the request was failed"},
 	{RequestEnded, "request_ended", logrus.InfoLevel, "a routed request was answered"},
 	{RequestFailed, "request_failed", logrus.WarnLevel, "a routed request was refused or failed"},
+	{RequestMalformed, "request_malformed", logrus.WarnLevel, "what came on a caller's connection is no request, or its head is too large; it was refused"},
 	{AdminChange, "admin_change", logrus.InfoLevel, "an operator changed resources"},
 	{AdminDenied, "admin_denied", logrus.WarnLevel, "an administration request had no valid key or role"},
 	{DrainRequested, "drain_requested", logrus.InfoLevel, "an operator asked to drain"},
--- /dev/null
+++ b/internal/ingress/malformed_test.go
@@ -0,0 +1,77 @@
+package ingress
+
+import (
+	"bufio"
+	"bytes"
+	"io"
+	"net"
+	"net/http"
+	"strings"
+	"sync"
+	"testing"
+
+	"github.com/sirupsen/logrus"
+	"gotest.tools/v3/assert"
+	"gotest.tools/v3/poll"
+
+	"github.com/mountstile/mountstile/internal/events"
+)
+
+// lockedBuffer is a log that a test reads while it is written.
+type lockedBuffer struct {
+	mutex  sync.Mutex
+	buffer bytes.Buffer
+}
+
+// Write implements io.Writer.
+func (b *lockedBuffer) Write(data []byte) (int, error) {
+	b.mutex.Lock()
+	defer b.mutex.Unlock()
+	return b.buffer.Write(data)
+}
+
+func (b *lockedBuffer) text() string {
+	b.mutex.Lock()
+	defer b.mutex.Unlock()
+	return b.buffer.String()
+}
+
+// What net/http refuses by itself gets a log line, too; what a handler refuses gets no second one.
+func TestMalformedRequestsAreLogged(t *testing.T) {
+	t.Parallel()
+	var log lockedBuffer
+	node := &Node{server: New(Options{Logger: events.NewLogger(&log, logrus.InfoLevel, "gateway")})}
+	inner, err := net.Listen("tcp", "127.0.0.1:0")
+	assert.NilError(t, err)
+	server := &http.Server{
+		MaxHeaderBytes: 4 << 10,
+		Handler: http.HandlerFunc(func(writer http.ResponseWriter, _ *http.Request) {
+			writer.WriteHeader(http.StatusNotFound)
+		}),
+	}
+	go func() { _ = server.Serve(node.Listener(inner)) }()
+	t.Cleanup(func() { _ = server.Close() })
+	exchange := func(text string) int {
+		connection, err := net.Dial("tcp", inner.Addr().String())
+		assert.NilError(t, err)
+		defer connection.Close()
+		_, err = io.WriteString(connection, text)
+		assert.NilError(t, err)
+		response, err := http.ReadResponse(bufio.NewReader(connection), nil)
+		assert.NilError(t, err, text)
+		return response.StatusCode
+	}
+	assert.Equal(t, exchange("GET / HTTP/1.1\r\nHost: h\r\n\r\n"), http.StatusNotFound)
+	assert.Equal(t, exchange("GET / HTTP/1.1\r\n\r\n"), http.StatusBadRequest)
+	assert.Equal(t, exchange("nonsense\r\n\r\n"), http.StatusBadRequest)
+	assert.Equal(t, exchange("GET / HTTP/1.1\r\nHost: h\r\nX: "+strings.Repeat("x", 12<<10)+"\r\n\r\n"), http.StatusRequestHeaderFieldsTooLarge)
+	poll.WaitOn(t, func(poll.LogT) poll.Result {
+		if strings.Count(log.text(), "request_malformed") == 3 {
+			return poll.Success()
+		}
+		return poll.Continue("%s", log.text())
+	})
+	assert.Assert(t, strings.Contains(log.text(), "missing required Host header"), log.text())
+	assert.Assert(t, strings.Contains(log.text(), `"status":431`), log.text())
+	assert.Assert(t, !strings.Contains(log.text(), `"status":404`), log.text())
+}
