A change of the replica set ends although a member is lost for good meanwhile

The set stayed between two steps, and writes need both. Ruled out: gateways (three were left and ready), the store, the log. Tests that failed before: TestJoinFinishesWhenAMemberIsLostMeanwhile, TestRetirementIsTakenBackWhenAMemberIsLostMeanwhile.

--- a/internal/turnstore/membership.go
+++ b/internal/turnstore/membership.go
@@ -261,11 +261,16 @@
 	if !silent || r.inTouchSince.IsZero() || time.Since(r.inTouchSince) < silentAfter {
 		return nil
 	}
-	old := set
+	return r.replaceSet(ctx, set, takenBack(set))
+}
+
+// takenBack is the set without the change that is under way.
+func takenBack(joint Set) Set {
+	old := joint
 	old.Epoch++
 	old.Next = nil
 	old.ChangedBy = ""
-	return r.replaceSet(ctx, set, old)
+	return old
 }
 
 func (r *Replica) addressChanged(set Set) bool {
--- a/internal/turnstore/pull.go
+++ b/internal/turnstore/pull.go
@@ -255,7 +255,9 @@
 	return r.pulledEnough(time.Time{})
 }
 
-// pulledEnough is the same for what was pulled after a point in time. The caller holds the mutex.
+// pulledEnough is the same for what was pulled after a point in time. While the set changes, each record that counts
+// as written lies on enough of the members that stand, so those that are to come need not be asked: one of
+// them may be lost, and one may be this replica itself. The caller holds the mutex.
 func (r *Replica) pulledEnough(after time.Time) bool {
 	whole := make(map[string]bool)
 	anybody := make(map[string]bool)
@@ -268,7 +270,7 @@
 			whole[name] = true
 		}
 	}
-	if r.set.Read(whole) {
+	if count(r.set.Members, whole) >= r.set.reads(r.set.Members) {
 		return true
 	}
 	// The only member has nobody to ask: what it does not hold is nowhere.
--- a/internal/turnstore/random_test.go
+++ b/internal/turnstore/random_test.go
@@ -26,6 +26,8 @@
 	randomMost   = 60
 	// writerPause keeps the writers from filling the machine.
 	writerPause = 5 * time.Millisecond
+	// retirePatience is how long a machine may take to be emptied before that is withdrawn.
+	retirePatience = 3 * time.Second
 )
 
 // ledger is what callers were told.
@@ -116,7 +118,7 @@
 	members := c.live()
 	victim := members[random.IntN(len(members))]
 	outage := time.Duration(50+random.IntN(400)) * time.Millisecond
-	switch random.IntN(7) {
+	switch random.IntN(8) {
 	case 0:
 		c.kill(victim)
 		time.Sleep(outage)
@@ -144,9 +146,36 @@
 		c.store.setDown(true)
 		time.Sleep(outage)
 		c.store.setDown(false)
+	case 7:
+		c.retireOne(random, members, victim, added)
 	}
 }
 
+// retireOne has a machine emptied, at times while another one is down, and then brings a new one in its place. If it
+// can't be emptied soon, the operator withdraws the request.
+func (c *cluster) retireOne(random *rand.Rand, members []*machine, victim *machine, added *int) {
+	var down *machine
+	if other := members[random.IntN(len(members))]; other != victim && random.IntN(2) == 0 {
+		down = other
+		c.kill(down)
+	}
+	victim.retiring.Store(true)
+	for waited := time.Duration(0); waited < retirePatience && !victim.retired.Load(); waited += writerPause {
+		time.Sleep(writerPause)
+	}
+	if down != nil {
+		c.start(down)
+	}
+	if !victim.retired.Load() {
+		victim.retiring.Store(false)
+		return
+	}
+	c.wipe(victim)
+	c.forget(victim)
+	*added++
+	c.add(fmt.Sprintf("added-%d", *added))
+}
+
 // wipeOne loses a disk, at times while all others lose power.
 func (c *cluster) wipeOne(random *rand.Rand, members []*machine, victim *machine) {
 	if random.IntN(2) == 0 {
--- a/internal/turnstore/retirement.go
+++ b/internal/turnstore/retirement.go
@@ -14,7 +14,8 @@
 
 // retire hands over all that this replica holds and leaves the set. While too few others would be left to
 // survive the loss of a disk, it serves on and waits for another replica to join: once it is reported as
-// emptied, its disk is gone.
+// emptied, its disk is gone. While another member is silent, it waits for a spare to take that one's place, and
+// takes back a change that it has begun: nothing could be written until the silent one is back, which may be never.
 func (r *Replica) retire(ctx context.Context, set Set) error {
 	self := r.options.Self.Name
 	if !set.Has(self) {
@@ -23,11 +24,15 @@
 	if set.Changing() && set.ChangedBy != self {
 		return r.takeBack(ctx, set)
 	}
+	silent := r.silentMember(set.Members) != ""
+	if set.Changing() && silent {
+		return r.stay(ctx, set)
+	}
 	if !set.Changing() {
 		if err := r.reportRetirementBegun(ctx, set); err != nil {
 			return err
 		}
-		if len(set.Members) <= set.Copies {
+		if len(set.Members) <= set.Copies || silent {
 			return nil
 		}
 		joint := set
@@ -42,6 +47,15 @@
 	return r.finishRetirement(ctx, set)
 }
 
+// stay takes back a change by which this replica was to leave.
+func (r *Replica) stay(ctx context.Context, joint Set) error {
+	if err := r.replaceSet(ctx, joint, takenBack(joint)); err != nil {
+		return err
+	}
+	r.setRefusing(false)
+	return nil
+}
+
 // reportRetirementBegun tells the operator once.
 func (r *Replica) reportRetirementBegun(ctx context.Context, set Set) error {
 	if r.retirementBegun {
--- a/internal/turnstore/turnstore_test.go
+++ b/internal/turnstore/turnstore_test.go
@@ -370,6 +370,65 @@
 	assert.Equal(t, string(opened.Prefix), "a;b;")
 }
 
+// cutWhenChanged cuts a machine off at the moment at which the named replica begins a change of the set.
+func (c *cluster) cutWhenChanged(by string, lost *machine) {
+	var once sync.Once
+	c.store.listen(func(set Set) {
+		if set.Changing() && set.ChangedBy == by {
+			once.Do(func() { c.links.set(lost.address, true) })
+		}
+	})
+}
+
+// A spare that is filling the set when a member is lost for good still joins: all that was ever written is at the
+// other member, and nothing could be written otherwise.
+func TestJoinFinishesWhenAMemberIsLostMeanwhile(t *testing.T) {
+	t.Parallel()
+	c := newClusterWithSpares(t, 3, 1)
+	c.put("a", "")
+	var spare, retiring, lost *machine
+	for _, m := range c.machines {
+		switch {
+		case !c.store.set().Has(m.name):
+			spare = m
+		case retiring == nil:
+			retiring = m
+		default:
+			lost = m
+		}
+	}
+	c.cutWhenChanged(spare.name, lost)
+	retiring.retiring.Store(true)
+	eventually(t, "the spare is a member", func() bool {
+		set := c.store.set()
+		return !set.Changing() && set.Has(spare.name) && !set.Has(retiring.name)
+	})
+	c.put("b", "a")
+	opened, err := c.read("b")
+	assert.NilError(t, err)
+	assert.Equal(t, string(opened.Prefix), "a;b;")
+}
+
+// A machine that is to be emptied takes its leaving back when another member is lost while it hands over; it leaves
+// once a spare has taken the lost one's place.
+func TestRetirementIsTakenBackWhenAMemberIsLostMeanwhile(t *testing.T) {
+	t.Parallel()
+	c := newClusterWithSpares(t, 3, 1)
+	c.put("a", "")
+	members := c.live()
+	retiring, lost := members[0], members[1]
+	c.cutWhenChanged(retiring.name, lost)
+	retiring.retiring.Store(true)
+	c.put("b", "a")
+	eventually(t, "the machine is emptied in the end", retiring.retired.Load)
+	set := c.store.set()
+	assert.Assert(t, !set.Has(lost.name) && !set.Has(retiring.name), "%v", set)
+	c.put("c", "b")
+	opened, err := c.read("c")
+	assert.NilError(t, err)
+	assert.Equal(t, string(opened.Prefix), "a;b;c;")
+}
+
 // A replica that was to hand over what it holds takes records again once the operator has taken that back.
 func TestWithdrawnRetirementLeavesAWholeMember(t *testing.T) {
 	t.Parallel()
