A replica that no longer leaves takes its leaving back instead of ending it

Cause, found by reading after one failed run of the package's tests (its output was cut, so which test failed is not known): a leaving replica whose retirement is withdrawn, or that starts anew before it has heard of it again, took its own change for a join and ended it without handing over.

--- a/internal/turnstore/membership.go
+++ b/internal/turnstore/membership.go
@@ -82,6 +82,9 @@
 		return r.bootstrap(ctx, start)
 	case retiring:
 		return r.retire(ctx, set)
+	case set.Changing() && set.ChangedBy == self && !contains(set.Next, self):
+		// This replica was leaving, and is not to any more, or has not heard of it again since it started.
+		return r.stay(ctx, set)
 	case set.Changing() && set.ChangedBy == self:
 		return r.finishJoin(ctx, set)
 	case set.Changing():
