--- a/internal/explain/explain.go
+++ b/internal/explain/explain.go
@@ -41,6 +41,8 @@
 	name   string
 	node   string
 	fields map[string]json.RawMessage
+	// others is how many further lines, mostly of other processes, tell the same change.
+	others int
 }
 
 // hiddenFields are shown otherwise, or tell nothing about the request.
@@ -145,6 +147,7 @@
 		}
 	}
 	sortByTime(report.context)
+	report.context = mergeContext(report.context, nodes)
 	report.context = report.context[:min(len(report.context), maximalContext)]
 	return report
 }
@@ -191,7 +194,7 @@
 		if line.About(r.id) {
 			mark = "*"
 		}
-		fmt.Fprintf(output, "%s %s %-22s %-24s %s\n", line.at.Format(reportTimeShape), mark, line.node, line.name, line.details())
+		fmt.Fprintf(output, "%s %s %-22s %-24s %s\n", line.at.Format(reportTimeShape), mark, line.tellers(), line.name, line.details())
 	}
 	for _, cause := range r.Causes() {
 		fmt.Fprintln(output, "cause: "+cause)
@@ -201,14 +204,14 @@
 func (l Line) details() string {
 	var names []string
 	for name := range l.fields {
-		if !slices.Contains(hiddenFields, name) && l.text(name) != "" {
+		if value := l.text(name); !slices.Contains(hiddenFields, name) && value != "" && value != "null" {
 			names = append(names, name)
 		}
 	}
 	slices.Sort(names)
 	var parts []string
 	for _, name := range names {
-		parts = append(parts, name+"="+l.text(name))
+		parts = append(parts, name+"="+l.readable(name))
 	}
 	return strings.Join(parts, " ")
 }
--- a/internal/explain/explain_test.go
+++ b/internal/explain/explain_test.go
@@ -45,6 +45,26 @@
 	assert.Equal(t, len(report.Causes()), 1)
 }
 
+const clusterLog = `{"event":414,"name":"replica_set_changed","node":"g2","epoch":3,"members":[{"name":"s1","address":"a"},{"name":"s2"}],"next":null,"time":"2026-01-01T10:00:00.100Z"}
+{"event":414,"name":"replica_set_changed","node":"g1","epoch":3,"members":[{"name":"s1","address":"a"},{"name":"s2"}],"next":null,"time":"2026-01-01T10:00:00.200Z"}
+{"event":414,"name":"replica_set_changed","node":"g3","epoch":3,"members":[{"name":"s1"},{"name":"s2"}],"time":"2026-01-01T10:00:00.300Z"}
+{"event":414,"name":"replica_set_changed","node":"g3","epoch":4,"members":[{"name":"s2"},{"name":"s3"}],"time":"2026-01-01T10:00:00.400Z"}
+{"event":605,"name":"request_failed","node":"g1","request":"r1","reason":"turns_unavailable","millis":300,"time":"2026-01-01T10:00:01.000Z"}
+`
+
+// What a whole cluster tells of one change takes one line, that of the process which handled the request.
+func TestOneLineForWhatManyProcessesTell(t *testing.T) {
+	lines, err := Read(strings.NewReader(clusterLog), "cluster")
+	assert.NilError(t, err)
+	var text strings.Builder
+	Explain(lines, "r1").Write(&text)
+	story := strings.Split(strings.TrimSpace(text.String()), "\n")
+	assert.Equal(t, len(story), 4, text.String())
+	assert.Assert(t, strings.Contains(story[0], "g1 +2") && strings.Contains(story[0], "members=s1,s2"), story[0])
+	assert.Assert(t, !strings.Contains(story[0], "next="), story[0])
+	assert.Assert(t, strings.Contains(story[1], "g3 ") && strings.Contains(story[1], "epoch=4"), story[1])
+}
+
 func TestUnknownRequest(t *testing.T) {
 	report := Explain(read(t), "none")
 	assert.Assert(t, !report.Found())
