--- a/internal/turnlog/turnlog.go
+++ b/internal/turnlog/turnlog.go
@@ -31,8 +31,9 @@
 const (
 	segmentPattern = "turns-%08d.log"
 	segmentGlob    = "turns-*.log"
-	// queuedAppends is how many appends may wait for the disk; all that wait are written together.
-	queuedAppends = 512
+	// queuedAppends is how many appends may wait for the disk; all that wait are written together. With its record,
+	// the question that brought it and two goroutines each takes some 50 kB of a replica's memory.
+	queuedAppends = 256
 	// segmentBytes is the size from which a new segment is begun.
 	segmentBytes = 4 << 20
 	// defaultCollectAbove is the size of the log, in bytes, from which old segments are collected.
--- a/internal/turnstore/replica.go
+++ b/internal/turnstore/replica.go
@@ -18,6 +18,7 @@
 	"time"
 
 	"github.com/google/uuid"
+	"golang.org/x/time/rate"
 
 	"github.com/mountstile/mountstile/internal/apierr"
 	"github.com/mountstile/mountstile/internal/configstore"
@@ -33,6 +34,8 @@
 	// digestKeys and fetchKeys bound one answer.
 	digestKeys = 2000
 	fetchKeys  = 64
+	// failureLinesASecond is how many lines a second tell of records that could not be written.
+	failureLinesASecond = 20
 )
 
 // ReplicaOptions configure a Replica.
@@ -83,6 +86,10 @@
 	peers    map[string]*peerProgress
 	setNews  chan struct{}
 
+	// failureLines bounds the log lines on records that could not be written: a disk that stands still refuses
+	// hundreds a second.
+	failureLines *rate.Limiter
+
 	// inTouchSince is since when enough members are heard; zero while they aren't. It belongs to the loop that
 	// changes the replica set.
 	inTouchSince time.Time
@@ -101,7 +108,8 @@
 		texts:   newTexts(options.TextBytes),
 		setNews: make(chan struct{}, 1),
 
-		incarnation: uuid.NewString(),
+		incarnation:  uuid.NewString(),
+		failureLines: rate.NewLimiter(failureLinesASecond, failureLinesASecond),
 	}
 	opened, err := openFolder(options.Folder, options.FirstStart)
 	if err != nil {
@@ -229,7 +237,7 @@
 		return nil
 	}
 	err := r.log.Append(ctx, encodeRecords(news), func(at []turnlog.Position) { r.apply(news, at) })
-	if err != nil && ctx.Err() == nil {
+	if err != nil && ctx.Err() == nil && r.failureLines.Allow() {
 		r.logger.Emit(events.ReplicaLogFailed, events.F("error", err), events.F("records", len(news)))
 	}
 	return err
