A replica whose own disk stands still takes no peer for silent

Cause, by reading, of the kind that TestMemberThatWasCutOffTakesNobodysPlace showed beside other work (a replica that came back took a member's place): a peer counted as heard only after its records were written here. While the own disk stands still the peer is not asked either, and seemed silent after 2.5 s. Ruled out: the machine's processor alone (the test passes beside 4 and 36 busy loops).

--- a/internal/turnstore/membership.go
+++ b/internal/turnstore/membership.go
@@ -332,7 +332,7 @@
 // silent needs the mutex.
 func (r *Replica) silent(name string) bool {
 	progress := r.peers[name]
-	if progress == nil || time.Since(progress.askedAt) > silentAfter {
+	if progress == nil || progress.appending || time.Since(progress.askedAt) > silentAfter {
 		return false
 	}
 	last := progress.heardAt
--- a/internal/turnstore/pull.go
+++ b/internal/turnstore/pull.go
@@ -28,6 +28,8 @@
 	complete bool
 	// asking is true while a question of the pull loop is under way.
 	asking bool
+	// appending is true while this replica waits for its own disk with what the peer has sent.
+	appending bool
 	// heardAt is when the peer last answered; firstAskedAt when it was first asked.
 	heardAt      time.Time
 	firstAskedAt time.Time
@@ -153,9 +155,6 @@
 	if answer.Set != nil {
 		r.ApplySet(*answer.Set)
 	}
-	r.mutex.Lock()
-	progress.heardAt = time.Now()
-	r.mutex.Unlock()
 }
 
 // pullFrom fetches what the peer has and this replica has not.
@@ -170,12 +169,11 @@
 		if answer.Set != nil {
 			r.ApplySet(*answer.Set)
 		}
-		if !r.fetch(ctx, member, r.missing(answer.Keys)) {
+		if !r.fetch(ctx, member, progress, r.missing(answer.Keys)) {
 			return
 		}
 		reachedEnd := len(answer.Keys) < digestKeys
 		r.mutex.Lock()
-		progress.heardAt = time.Now()
 		progress.identity = answer.Identity
 		progress.sequence = answer.Sequence
 		if reachedEnd {
@@ -211,7 +209,19 @@
 	r.mutex.Unlock()
 	callContext, cancel := context.WithTimeout(ctx, pullTimeout)
 	defer cancel()
-	return transport.Call[digestAnswer](callContext, r.network, member.Address, digestKind, request)
+	answer, err := transport.Call[digestAnswer](callContext, r.network, member.Address, digestKind, request)
+	if err == nil {
+		r.noteHeard(progress)
+	}
+	return answer, err
+}
+
+// noteHeard notes that a peer has answered, before anything is done with the answer: while this replica waits for its own
+// disk, it must not take the peer for silent.
+func (r *Replica) noteHeard(progress *peerProgress) {
+	r.mutex.Lock()
+	defer r.mutex.Unlock()
+	progress.heardAt = time.Now()
 }
 
 func (r *Replica) missing(keys []conversation.Key) []conversation.Key {
@@ -227,20 +237,38 @@
 }
 
 // fetch reports whether all that was asked for is here and synced.
-func (r *Replica) fetch(ctx context.Context, member Member, keys []conversation.Key) bool {
+func (r *Replica) fetch(ctx context.Context, member Member, progress *peerProgress, keys []conversation.Key) bool {
 	for len(keys) > 0 {
 		batch := keys[:min(len(keys), fetchKeys)]
 		keys = keys[len(batch):]
 		callContext, cancel := context.WithTimeout(ctx, pullTimeout)
 		answer, err := transport.Call[fetchAnswer](callContext, r.network, member.Address, fetchKind, fetchRequest{Keys: batch})
 		cancel()
-		if err != nil || r.append(ctx, answer.Records) != nil {
+		if err != nil {
+			return false
+		}
+		r.noteHeard(progress)
+		if r.appendPulled(ctx, progress, answer.Records) != nil {
 			return false
 		}
 	}
 	return true
 }
 
+// appendPulled writes what came from a peer. The peer is not asked meanwhile, so its silence counts from the end on.
+func (r *Replica) appendPulled(ctx context.Context, progress *peerProgress, records []conversation.Record) error {
+	r.setAppending(progress, true)
+	defer r.setAppending(progress, false)
+	return r.append(ctx, records)
+}
+
+func (r *Replica) setAppending(progress *peerProgress, appending bool) {
+	r.mutex.Lock()
+	defer r.mutex.Unlock()
+	progress.appending = appending
+	progress.firstAskedAt = time.Now()
+}
+
 // completeNow tells whether an incomplete replica has all that was ever written: all that so many
 // complete members hold that each record is with one of them, or all that anybody holds.
 func (r *Replica) completeNow() bool {
