--- a/internal/turnstore/cluster_test.go
+++ b/internal/turnstore/cluster_test.go
@@ -19,6 +19,7 @@
 	"github.com/mountstile/mountstile/internal/configstore"
 	"github.com/mountstile/mountstile/internal/conversation"
 	"github.com/mountstile/mountstile/internal/events"
+	"github.com/mountstile/mountstile/internal/standin/memorydisk"
 	"github.com/mountstile/mountstile/internal/transport"
 )
 
@@ -227,7 +228,7 @@
 	assert.NilError(c.t, err)
 	address := listener.Addr().String()
 	assert.NilError(c.t, listener.Close())
-	added := &machine{name: name, address: address, folder: c.t.TempDir(), zone: fmt.Sprint("zone-", len(c.machines)%testZones)}
+	added := &machine{name: name, address: address, folder: memorydisk.Folder(c.t), zone: fmt.Sprint("zone-", len(c.machines)%testZones)}
 	c.machines = append(c.machines, added)
 	c.start(added)
 	return added
