The state of a replica no longer counts bytes that nobody reads; one way to its size

Size's third value was discarded at each of its three callers, and texts lie elsewhere since they moved to disk. The test that checked it at the end of retention checks the count of charges instead, which a wrong Expire would leave behind. Keys of changes are made without copying their records.

--- a/internal/conversation/conversation.go
+++ b/internal/conversation/conversation.go
@@ -126,6 +126,15 @@
 	return !c.account.dropped && c.account.charges[c.charge].sequence == c.sequence
 }
 
+// key names what the change left; the change must be current.
+func (c change) key() Key {
+	if c.turn != nil {
+		return Key{Turn: c.turn.turn.ID}
+	}
+	stored := c.account.charges[c.charge]
+	return Key{Turn: stored.name, Program: c.account.program, Charge: true, Settled: stored.settled}
+}
+
 // record is what the change left; the change must be current.
 func (c change) record() Record {
 	if c.turn != nil {
@@ -151,9 +160,8 @@
 	engineNames map[string]string
 	order       []change
 	sequence    uint64
-	// charges is how many charges are held, bytes how many bytes of texts.
+	// charges is how many charges are held.
 	charges int
-	bytes   int64
 }
 
 // New returns an empty State.
@@ -217,7 +225,6 @@
 	s.shareStrings(&turn)
 	added := &storedTurn{turn: turn, sequence: s.sequence}
 	s.turns[turn.ID] = added
-	s.bytes += int64(len(turn.Text))
 	s.keepChain(now.Add(time.Duration(turn.RetentionMillis)*time.Millisecond+retentionSlack), turn.ID)
 	return added
 }
@@ -318,7 +325,7 @@
 		}
 		sequence = entry.sequence
 		if entry.current() {
-			keys = append(keys, entry.record().Key())
+			keys = append(keys, entry.key())
 		}
 	}
 	return keys, max(sequence, s.sequence)
@@ -375,7 +382,6 @@
 	var dropped []string
 	for id, known := range s.turns {
 		if now.After(known.keepTill) {
-			s.bytes -= int64(len(known.turn.Text))
 			known.dropped = true
 			delete(s.turns, id)
 			dropped = append(dropped, id)
@@ -405,7 +411,5 @@
 	s.order = kept
 }
 
-// Size returns how many turns and programs are held, and the bytes of the turns' texts.
-func (s *State) Size() (turns, programs int, bytes int64) {
-	return len(s.turns), len(s.accounts), s.bytes
-}
+// Size returns how many turns and programs are held.
+func (s *State) Size() (turns, programs int) { return len(s.turns), len(s.accounts) }
--- a/internal/conversation/conversation_test.go
+++ b/internal/conversation/conversation_test.go
@@ -123,10 +123,10 @@
 	_, missing := state.Chain("b")
 	assert.Equal(t, missing, "")
 	state.Expire(start.Add(time.Hour))
-	turns, programs, bytes := state.Size()
+	turns, programs := state.Size()
 	assert.Equal(t, turns, 0)
 	assert.Equal(t, programs, 0)
-	assert.Equal(t, bytes, int64(0))
+	assert.Equal(t, state.charges, 0)
 	assert.Equal(t, len(state.Records()), 0)
 	assert.Equal(t, len(state.order), 0)
 }
--- a/internal/turnstore/cluster_test.go
+++ b/internal/turnstore/cluster_test.go
@@ -326,10 +326,7 @@
 func (m *machine) complete() bool { return m.process.replica.folder.record().Complete }
 
 func (m *machine) turns() int {
-	m.process.replica.mutex.Lock()
-	defer m.process.replica.mutex.Unlock()
-	turns, _, _ := m.process.replica.state.Size()
-	return turns
+	return m.process.replica.size().turns
 }
 
 // idle tells that no charge is being settled.
--- a/internal/turnstore/metrics.go
+++ b/internal/turnstore/metrics.go
@@ -59,7 +59,7 @@
 func (r *Replica) size() replicaSize {
 	r.mutex.Lock()
 	defer r.mutex.Unlock()
-	turns, programs, _ := r.state.Size()
+	turns, programs := r.state.Size()
 	return replicaSize{turns: turns, programs: programs}
 }
 
--- a/internal/turnstore/pull.go
+++ b/internal/turnstore/pull.go
@@ -311,8 +311,6 @@
 		r.logger.Emit(events.ReplicaLogFailed, events.F("error", err))
 		return
 	}
-	r.mutex.Lock()
-	turns, programs, _ := r.state.Size()
-	r.mutex.Unlock()
-	r.logger.Emit(events.ReplicaComplete, events.F("turns", turns), events.F("programs", programs), events.F("bytes", r.texts.size()))
+	held := r.size()
+	r.logger.Emit(events.ReplicaComplete, events.F("turns", held.turns), events.F("programs", held.programs), events.F("bytes", r.texts.size()))
 }
--- a/internal/turnstore/replica.go
+++ b/internal/turnstore/replica.go
@@ -131,9 +131,9 @@
 		return nil, err
 	}
 	replica.texts.log = replica.log
-	turns, programs, _ := replica.state.Size()
+	held := replica.size()
 	logger.Emit(events.ReplicaOpened, events.F("identity", opened.record().Identity), events.F("complete", opened.record().Complete),
-		events.F("epoch", replica.set.Epoch), events.F("turns", turns), events.F("programs", programs), events.F("bytes", replica.texts.size()))
+		events.F("epoch", replica.set.Epoch), events.F("turns", held.turns), events.F("programs", held.programs), events.F("bytes", replica.texts.size()))
 	options.Metrics.show(replica)
 	transport.Handle(network, openKind, measured(options.Metrics, openKind, replica.serveOpen))
 	transport.Handle(network, putKind, measured(options.Metrics, putKind, replica.servePut))
