Programs stay at their engine and meet by shared part; gateways know one another's calls in flight

Cause: an engine reads prompts between the steps of all that it runs, so what it reads holds up everything. Change: a settled charge names its engine, and the next opening of the program is told it; prompts with one shared part meet at a third of the engines, as far as that part is long against what a turn adds; programs begin where few calls of all gateways are in flight. Gateways tell these counts with the openings that they send anyway, 3 KB/s at most.

--- a/internal/conversation/conversation.go
+++ b/internal/conversation/conversation.go
@@ -49,6 +49,9 @@
 	Tokens int64  `json:"tokens"`
 	// Settled charges are final; others are the most that the turn may generate.
 	Settled bool `json:"settled,omitempty"`
+	// Engine ran the turn, and is likely to have the program's prompts in memory. It is a hint in a settled charge, and
+	// is lost where the charge is pulled from another replica.
+	Engine string `json:"engine,omitempty"`
 }
 
 // Record is one change; one of its fields is set.
@@ -93,8 +96,10 @@
 
 // account is what one program was charged.
 type account struct {
-	program  string
-	charges  []storedCharge
+	program string
+	charges []storedCharge
+	// engine ran the turn that was settled last.
+	engine   string
 	keepTill time.Time
 	dropped  bool
 }
@@ -237,14 +242,19 @@
 	if known := s.accounts[turn.Program]; known != nil {
 		turn.Program = known.program
 	}
-	if name, found := s.engineNames[turn.Engine]; found {
-		turn.Engine = name
-		return
+	turn.Engine = s.sharedEngineName(turn.Engine)
+}
+
+// sharedEngineName is the name as it is held already, or holds it.
+func (s *State) sharedEngineName(engine string) string {
+	if name, found := s.engineNames[engine]; found {
+		return name
 	}
 	if len(s.engineNames) >= mostEngineNames {
 		clear(s.engineNames)
 	}
-	s.engineNames[turn.Engine] = turn.Engine
+	s.engineNames[engine] = engine
+	return engine
 }
 
 // keepChain keeps a turn and all before it, for they are a part of it.
@@ -276,6 +286,9 @@
 	stored.sequence = s.sequence
 	stored.tokens = charge.Tokens
 	stored.settled = charge.Settled
+	if charge.Engine != "" {
+		known.engine = s.sharedEngineName(charge.Engine)
+	}
 	return known, index
 }
 
@@ -313,6 +326,15 @@
 	return charges
 }
 
+// Engine is where a turn of the program ran last, as far as it is known; empty if it isn't.
+func (s *State) Engine(program string) string {
+	known := s.accounts[program]
+	if known == nil {
+		return ""
+	}
+	return known.engine
+}
+
 // Sequence is the number of the last change.
 func (s *State) Sequence() uint64 { return s.sequence }
 
--- a/internal/dispatch/placement.go
+++ b/internal/dispatch/placement.go
@@ -1,8 +1,10 @@
 package dispatch
 
 import (
+	"cmp"
 	"math"
 	"math/rand/v2"
+	"slices"
 	"time"
 
 	"github.com/cespare/xxhash/v2"
@@ -15,9 +17,25 @@
 	coldCost = 0.5
 	// slowCost is what a slow engine costs, in requests in flight for each unit of its pace above 1.
 	slowCost = 6.0
-	// affinityShare is the share of an engine's slots that calls from this node may hold before a
-	// call leaves the engine that has its prompt.
-	affinityShare = 0.5
+	// homeShare is the part of the engines at which prompts with one shared part meet while load allows; fewestHomes is
+	// how many of them there are at least.
+	homeShare   = 1.0 / 3
+	fewestHomes = 2
+	// rereadCost is what it costs to read a part of a prompt once more that is as long as what the call adds itself, in
+	// ranks: while an engine reads, all that it runs stands still.
+	rereadCost = 0.17
+	// mostRereadCost bounds it, so that no engine is ever too busy to be left.
+	mostRereadCost = 2.0
+	// evenFactor and evenSlack say from how many calls on an engine counts as busier than the others: this many times
+	// the mean, and this many calls more.
+	evenFactor = 1.2
+	evenSlack  = 2.0
+	// unevenCost is what each call above that costs.
+	unevenCost = 0.3
+	// firstTurnCost is what each call at an engine costs a turn that has nothing to be read again, and firstTurnRank what
+	// the rank by hashing counts for it.
+	firstTurnCost = 0.1
+	firstTurnRank = 0.3
 )
 
 // Want says which engine a call would like.
@@ -27,15 +45,36 @@
 	Affinity string
 	// Preferred is the engine that holds the prompt, if it is known.
 	Preferred string
+	// Remembered tells that later calls of the program will know where this one ran. Then its first one may run
+	// wherever least is to be done; otherwise all of them meet where the hash says.
+	Remembered bool
+	// Prompt is what is known of the prompt's parts.
+	Prompt Prompt
 	// Excluded engines were tried.
 	Excluded map[string]bool
 }
 
+// Prompt is what is known of a prompt's parts. The zero value stands for a prompt of which nothing is known.
+type Prompt struct {
+	// Shared names the first part, which prompts of other programs begin with, too.
+	Shared string
+	// SharedTokens is its length, OwnTokens that of the last part, which no engine has read yet, and HistoryTokens that of
+	// all between them, which only an engine has that ran the program's earlier turns.
+	SharedTokens, HistoryTokens, OwnTokens int64
+}
+
+// rereadCost is what it costs to read tokens of the prompt that an engine may not have any more.
+func (p Prompt) rereadCost(tokens int64) float64 {
+	return min(rereadCost*float64(tokens)/float64(max(p.OwnTokens, 1)), mostRereadCost)
+}
+
 // choose returns the engine for a call and counts it as in flight, or nil if none may be used.
 //
-// Calls with an affinity meet at one engine without any message between nodes: all rank the engines by
-// the same hash. A slow or busy engine is passed over for the next in the ranking. Calls without
-// one go to the engine with the least work from here, in this zone if that costs no more.
+// What an engine reads of a prompt holds up all that it runs, so most of the choice is about reading little: turns
+// stay at the engine that ran the ones before, which is known or found by hashing the program, and programs whose
+// prompts begin alike meet at a third of the engines. Against that stands load: a program begins where the fewest
+// calls of all gateways are in flight, and leaves an engine that has far more of them than the others.
+// Calls without a prompt go to the engine with the least work from here, in this zone if that costs no more.
 func (r *Registry) choose(now time.Time, want Want, trace *Trace) *Engine {
 	r.mutex.Lock()
 	defer r.mutex.Unlock()
@@ -43,10 +82,11 @@
 	if len(candidates) == 0 {
 		return nil
 	}
+	surroundings := r.surroundingsOf(now, candidates, want)
 	best := candidates[0]
 	bestCost := math.Inf(1)
 	for _, candidate := range candidates {
-		if cost := r.cost(now, candidate, want); cost < bestCost {
+		if cost := r.cost(now, candidate, want, surroundings); cost < bestCost {
 			best, bestCost = candidate, cost
 		}
 	}
@@ -78,8 +118,57 @@
 	return usable
 }
 
-func (r *Registry) cost(now time.Time, engine *Engine, want Want) float64 {
-	busy := float64(engine.inFlight)
+// surroundings are what the cost of one candidate depends on beside itself.
+type surroundings struct {
+	// homes are the engines at which prompts with the call's shared part meet; nil if it has none.
+	homes map[*Engine]bool
+	// even is up to how many calls an engine is no busier than the others.
+	even float64
+}
+
+func (r *Registry) surroundingsOf(now time.Time, candidates []*Engine, want Want) surroundings {
+	if want.Affinity == "" {
+		return surroundings{}
+	}
+	sum := 0.0
+	for _, candidate := range candidates {
+		sum += r.busy(now, candidate)
+	}
+	return surroundings{
+		homes: homesOf(candidates, want.Prompt.Shared),
+		even:  evenFactor*sum/float64(len(candidates)) + evenSlack,
+	}
+}
+
+// homesOf are the engines that rank first for a shared part of prompts, the same on all gateways.
+func homesOf(candidates []*Engine, shared string) map[*Engine]bool {
+	if shared == "" {
+		return nil
+	}
+	type ranked struct {
+		engine *Engine
+		hash   uint64
+	}
+	all := make([]ranked, 0, len(candidates))
+	for _, candidate := range candidates {
+		all = append(all, ranked{candidate, xxhash.Sum64String(shared + "\x00" + candidate.specification.ID)})
+	}
+	slices.SortFunc(all, func(a, b ranked) int { return cmp.Compare(b.hash, a.hash) })
+	count := max(int(math.Ceil(homeShare*float64(len(all)))), fewestHomes)
+	homes := make(map[*Engine]bool, count)
+	for _, home := range all[:min(count, len(all))] {
+		homes[home.engine] = true
+	}
+	return homes
+}
+
+// busy is how many calls an engine has in flight, with those of the other gateways as far as they are known.
+func (r *Registry) busy(now time.Time, engine *Engine) float64 {
+	return float64(engine.inFlight) + r.others.Others(now, engine.specification.ID)
+}
+
+// cost weighs an engine for a call; the cheapest one gets it.
+func (r *Registry) cost(now time.Time, engine *Engine, want Want, around surroundings) float64 {
 	distance := 0.0
 	if engine.specification.Zone != r.zone {
 		distance = otherZoneCost
@@ -89,7 +178,7 @@
 		slow = slowCost * (current - 1)
 	}
 	if want.Affinity == "" {
-		cost := busy + distance + slow + 0.1*rand.Float64()
+		cost := float64(engine.inFlight) + distance + slow + 0.1*rand.Float64()
 		if !engine.pool.Idle() {
 			cost += coldCost
 		}
@@ -98,17 +187,32 @@
 	if engine.specification.ID == want.Preferred {
 		distance = 0
 	}
-	overload := max(busy-affinityShare*float64(engine.specification.Slots), 0)
-	return rank(engine, want) + distance + overload + slow
+	uneven := unevenCost * max(r.busy(now, engine)-around.even, 0)
+	return r.promptCost(now, engine, want, around) + distance + uneven + slow
 }
 
-// rank is 0 for the engine that has the prompt, and below 1 for others, the same on all nodes. Engines of
-// other zones are used for prompts that are new only if they rank far better, or are less busy: prompts
-// are most of the bytes between zones.
-func rank(engine *Engine, want Want) float64 {
+// promptCost is what it costs to bring a prompt to an engine that may have less of it than another.
+func (r *Registry) promptCost(now time.Time, engine *Engine, want Want, around surroundings) float64 {
 	if engine.specification.ID == want.Preferred {
 		return 0
 	}
+	cost := 0.0
+	if around.homes != nil && !around.homes[engine] {
+		cost += want.Prompt.rereadCost(want.Prompt.SharedTokens)
+	}
+	if want.Preferred == "" && want.Remembered {
+		return cost + firstTurnCost*r.busy(now, engine) + firstTurnRank*rank(engine, want)
+	}
+	if want.Preferred != "" {
+		cost += want.Prompt.rereadCost(want.Prompt.HistoryTokens)
+	}
+	return cost + rank(engine, want)
+}
+
+// rank is below 1, and the same on all nodes. Engines of
+// other zones are used for prompts that are new only if they rank far better, or are less busy: prompts
+// are most of the bytes between zones.
+func rank(engine *Engine, want Want) float64 {
 	hash := xxhash.Sum64String(want.Affinity + "\x00" + engine.specification.ID)
 	return 0.05 + 0.9*float64(hash>>11)/float64(1<<53)
 }
--- a/internal/dispatch/registry.go
+++ b/internal/dispatch/registry.go
@@ -9,6 +9,7 @@
 
 	"github.com/mountstile/mountstile/internal/catalog"
 	"github.com/mountstile/mountstile/internal/events"
+	"github.com/mountstile/mountstile/internal/load"
 	"github.com/mountstile/mountstile/internal/upstream"
 )
 
@@ -38,6 +39,8 @@
 	byID         map[string]*Engine
 	limits       map[string]int
 	expectations map[string]*expectation
+	// others are the calls of other gateways.
+	others *load.View
 }
 
 // NewRegistry returns a Registry for a node in zone.
@@ -50,6 +53,7 @@
 		byID:         make(map[string]*Engine),
 		limits:       make(map[string]int),
 		expectations: make(map[string]*expectation),
+		others:       load.NewView(),
 	}
 }
 
@@ -144,6 +148,22 @@
 	return count
 }
 
+// Report implements turnstore.LoadExchange: the calls of this gateway that are in flight.
+func (r *Registry) Report() load.Sheet {
+	r.mutex.Lock()
+	defer r.mutex.Unlock()
+	var sheet load.Sheet
+	for id, known := range r.byID {
+		if known.inFlight > 0 {
+			sheet = append(sheet, load.Count{Engine: id, Calls: known.inFlight})
+		}
+	}
+	return sheet.Busiest()
+}
+
+// Take implements turnstore.LoadExchange.
+func (r *Registry) Take(now time.Time, others load.Sheet) { r.others.Take(now, others) }
+
 // use counts another attempt at an engine.
 func (r *Registry) use(engine *Engine) {
 	r.mutex.Lock()
--- a/internal/ingress/node.go
+++ b/internal/ingress/node.go
@@ -69,10 +69,11 @@
 
 // NewNode returns a Node that knows nothing yet.
 func NewNode(options NodeOptions) *Node {
+	registry := dispatch.NewRegistry(options.Zone, options.Dial, options.Logger)
 	node := &Node{
 		options:  options,
-		registry: dispatch.NewRegistry(options.Zone, options.Dial, options.Logger),
-		turns: turnstore.NewClient(turnstore.ClientOptions{Zone: options.Zone, CacheBytes: options.CacheBytes},
+		registry: registry,
+		turns: turnstore.NewClient(turnstore.ClientOptions{Zone: options.Zone, CacheBytes: options.CacheBytes, Load: registry},
 			options.Network, options.Logger),
 	}
 	node.catalog = catalog.NewManager(catalog.Options{
--- a/internal/ingress/relay.go
+++ b/internal/ingress/relay.go
@@ -98,7 +98,7 @@
 		return passed.keep(ctx)
 	}
 	if r.opened != nil && r.opened.Reserved {
-		r.server.options.Turns.Settle(r.opened, passed.generated())
+		r.server.options.Turns.Settle(r.opened, passed.generated(), r.engine)
 	}
 	return err
 }
@@ -209,7 +209,7 @@
 		Text: text, RetentionMillis: r.route.Retention().Milliseconds(),
 	}}}
 	if r.opened != nil && r.opened.Reserved {
-		records = append(records, r.opened.Settled(s.generated()))
+		records = append(records, r.opened.Settled(s.generated(), r.engine))
 	}
 	deadline := r.deadline().Add(keepGrace)
 	keepContext, cancel := context.WithDeadline(r.http.Context(), deadline)
@@ -217,7 +217,7 @@
 	if err := r.server.options.Turns.Put(keepContext, records); err != nil {
 		r.server.options.Logger.Emit(events.TurnNotKept, events.F("request", r.caller.ID), events.F("error", err))
 		if r.opened != nil && r.opened.Reserved {
-			r.server.options.Turns.Settle(r.opened, s.generated())
+			r.server.options.Turns.Settle(r.opened, s.generated(), r.engine)
 		}
 		return apierr.New(apierr.TurnsUnavailable, apierr.Ran, "%s", err)
 	}
--- a/internal/ingress/server.go
+++ b/internal/ingress/server.go
@@ -54,8 +54,8 @@
 	Previous string
 	// LastEvent is the ID of the last event of this stream that the caller has; empty at its start.
 	LastEvent string
-	// PromptStart is equal for prompts that begin alike.
-	PromptStart string
+	// Prompt is what the caller says of its prompt's parts.
+	Prompt dispatch.Prompt
 }
 
 // Vocabulary reads callers' headers; it varies between platforms.
@@ -263,6 +263,8 @@
 	r.call = call
 	if r.route.Sticky() || r.route.Kept() {
 		call.Want.Affinity = r.affinity()
+		call.Want.Prompt = r.caller.Prompt
+		call.Want.Remembered = r.opened != nil
 	}
 	if r.opened != nil {
 		call.Want.Preferred = r.opened.Engine
@@ -277,7 +279,7 @@
 	if r.caller.Program != "" {
 		return r.caller.Program
 	}
-	return r.caller.PromptStart
+	return r.caller.Prompt.Shared
 }
 
 // prompt is what the engine gets: all turns before this one, then what the caller sent.
--- /dev/null
+++ b/internal/load/pacer.go
@@ -0,0 +1,38 @@
+package load
+
+import (
+	"sync"
+	"time"
+)
+
+const (
+	// shortestPause is the least time between two reports: within it, an engine gets a few calls at most.
+	shortestPause = 60 * time.Millisecond
+	// bytesPerSecond is what reports and answers may take: half of the 6 KB/s that control may use on a node.
+	bytesPerSecond = 3000
+)
+
+// Pacer says when a gateway may report, so that the bytes of reports and answers stay bounded however many engines and
+// replicas there are. All methods may be called concurrently.
+type Pacer struct {
+	mutex sync.Mutex
+	next  time.Time
+}
+
+// Due reports whether a report may be sent now, and counts it as sent.
+func (p *Pacer) Due(now time.Time) bool {
+	p.mutex.Lock()
+	defer p.mutex.Unlock()
+	if now.Before(p.next) {
+		return false
+	}
+	p.next = now.Add(shortestPause)
+	return true
+}
+
+// Spent counts bytes that a report or its answer took.
+func (p *Pacer) Spent(bytes int) {
+	p.mutex.Lock()
+	defer p.mutex.Unlock()
+	p.next = p.next.Add(time.Duration(bytes) * time.Second / bytesPerSecond)
+}
--- a/internal/turnstore/client.go
+++ b/internal/turnstore/client.go
@@ -10,6 +10,7 @@
 	"github.com/mountstile/mountstile/internal/apierr"
 	"github.com/mountstile/mountstile/internal/conversation"
 	"github.com/mountstile/mountstile/internal/events"
+	"github.com/mountstile/mountstile/internal/load"
 	"github.com/mountstile/mountstile/internal/transport"
 )
 
@@ -38,6 +39,16 @@
 	Zone string
 	// CacheBytes bounds the turns that are kept in memory.
 	CacheBytes int64
+	// Load is exchanged with the replicas along with openings; nil for none.
+	Load LoadExchange
+}
+
+// LoadExchange is what a gateway tells of its calls in flight, and hears of the others'.
+type LoadExchange interface {
+	// Report returns the calls in flight here.
+	Report() load.Sheet
+	// Take hears the sum of what the others reported.
+	Take(now time.Time, others load.Sheet)
 }
 
 // Opening is what must be known before a turn is sent to an engine.
@@ -55,7 +66,7 @@
 type Opened struct {
 	// Prefix is the text of all turns before this one.
 	Prefix []byte
-	// Engine generated the turn before this one; empty if there is none.
+	// Engine generated the turn before this one, or ran another turn of the program; empty if none is known.
 	Engine string
 	// Reserved tells that a charge is to be settled.
 	Reserved bool
@@ -65,9 +76,10 @@
 	charge  string
 }
 
-// Settled is the record of what the turn generated in the end, in tokens.
-func (o *Opened) Settled(tokens int64) conversation.Record {
-	return conversation.Record{Charge: &conversation.Charge{Program: o.program, Turn: o.charge, Tokens: tokens, Settled: true}}
+// Settled is the record of what the turn generated in the end, in tokens, and of the engine where it ran; that is
+// empty if it didn't.
+func (o *Opened) Settled(tokens int64, engine string) conversation.Record {
+	return conversation.Record{Charge: &conversation.Charge{Program: o.program, Turn: o.charge, Tokens: tokens, Settled: true, Engine: engine}}
 }
 
 // Client reads and writes turns on behalf of callers. All methods may be called concurrently.
@@ -77,6 +89,8 @@
 	logger  *events.Logger
 	cache   *cache
 	reach   reach
+	// loadPacer bounds the bytes of reports of load and their answers.
+	loadPacer load.Pacer
 
 	mutex    sync.Mutex
 	set      Set
@@ -158,7 +172,7 @@
 	err := c.openAtReplicas(openContext, opening, opened, wantText)
 	c.noteReach(ctx, err)
 	if err != nil && opened.Reserved {
-		c.Settle(opened, 0)
+		c.Settle(opened, 0, "")
 	}
 	if err != nil {
 		return nil, err
@@ -259,8 +273,10 @@
 // askForText asks all replicas, but only the nearest one for the text.
 func (c *Client) askForText(ctx context.Context, set Set, request openRequest) chan replicaAnswer {
 	answers := make(chan replicaAnswer, answersQueued)
+	c.addLoadReport(set, &request)
 	withText := request
 	withText.WithText = request.Previous != ""
+	withText.LoadNews = request.Load != nil
 	nearest := c.nearest(set)
 	for _, member := range set.All() {
 		mine := request
@@ -294,6 +310,7 @@
 
 func (c *Client) ask(ctx context.Context, member Member, request openRequest, answers chan<- replicaAnswer) {
 	answer, err := askUntilAnswered[openAnswer](ctx, c.network, member.Address, openKind, request)
+	c.takeLoadNews(answer)
 	answers <- replicaAnswer{member: member, reserving: request.Reserve != nil, answer: answer, err: err}
 }
 
--- a/internal/turnstore/cluster_test.go
+++ b/internal/turnstore/cluster_test.go
@@ -213,10 +213,13 @@
 	return created
 }
 
-func (c *cluster) newClient() *Client {
-	network := transport.New(transport.Options{Cluster: "test", NodeID: "client", Logger: events.Discard(), Dial: c.links.dialFrom("client")})
+func (c *cluster) newClient() *Client { return c.newClientWith("client", nil) }
+
+// newClientWith returns a client of a gateway with a name that exchanges load.
+func (c *cluster) newClientWith(name string, exchange LoadExchange) *Client {
+	network := transport.New(transport.Options{Cluster: "test", NodeID: name, Logger: events.Discard(), Dial: c.links.dialFrom("client")})
 	c.t.Cleanup(network.Close)
-	client := NewClient(ClientOptions{CacheBytes: 1 << 20}, network, events.Discard())
+	client := NewClient(ClientOptions{CacheBytes: 1 << 20, Load: exchange}, network, events.Discard())
 	c.store.listen(client.ApplySet)
 	return client
 }
--- a/internal/turnstore/gathering.go
+++ b/internal/turnstore/gathering.go
@@ -21,6 +21,8 @@
 	turns    map[string]conversation.Turn
 	charges  map[string]conversation.Charge
 	withText map[string]bool
+	// engine is where a turn of the program ran last, as some replica says.
+	engine string
 }
 
 func newGathering(set Set) *gathering {
@@ -54,6 +56,9 @@
 		g.reservedComplete[reply.member.Name] = reply.answer.Complete
 	}
 	g.known = g.known || reply.answer.Known
+	if reply.answer.Engine != "" {
+		g.engine = reply.answer.Engine
+	}
 	if len(reply.answer.Chain) > 0 || reply.answer.Missing != "" {
 		g.withText[reply.member.Name] = true
 	}
@@ -101,6 +106,9 @@
 		return true, apierr.New(apierr.BudgetExceeded, apierr.NotRun,
 			"the program's budget of %d tokens has no room for %d more", opening.Budget, opening.Most)
 	}
+	if opened.Engine == "" {
+		opened.Engine = g.engine
+	}
 	if !wantText {
 		return true, nil
 	}
--- /dev/null
+++ b/internal/turnstore/loadnews_test.go
@@ -0,0 +1,76 @@
+package turnstore
+
+import (
+	"sync"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"github.com/mountstile/mountstile/internal/load"
+)
+
+// countedLoad reports fixed counts and keeps what it hears.
+type countedLoad struct {
+	reported load.Sheet
+	mutex    sync.Mutex
+	heard    load.Sheet
+}
+
+func (c *countedLoad) Report() load.Sheet { return c.reported }
+
+func (c *countedLoad) Take(_ time.Time, others load.Sheet) {
+	c.mutex.Lock()
+	defer c.mutex.Unlock()
+	c.heard = others
+}
+
+func (c *countedLoad) heardOf(engine string) int {
+	c.mutex.Lock()
+	defer c.mutex.Unlock()
+	for _, count := range c.heard {
+		if count.Engine == engine {
+			return count.Calls
+		}
+	}
+	return 0
+}
+
+// Gateways hear of one another's calls by the openings that they make anyway.
+func TestGatewaysHearOfOneAnothersCalls(t *testing.T) {
+	t.Parallel()
+	c := newCluster(t, 3)
+	one, two := &countedLoad{reported: load.Sheet{{Engine: "e", Calls: 4}}}, &countedLoad{reported: load.Sheet{{Engine: "e", Calls: 7}}}
+	first, second := c.newClientWith("first", one), c.newClientWith("second", two)
+	eventually(t, "both have heard", func() bool {
+		assert.NilError(t, c.reserve(first, "one", 1<<40, 1))
+		assert.NilError(t, c.reserve(second, "two", 1<<40, 1))
+		return one.heardOf("e") == 7 && two.heardOf("e") == 4
+	})
+}
+
+// The next turn of a program is told where the last one ran, through whatever gateway it comes, also after all
+// replicas lost their power.
+func TestOpeningTellsWhereTheProgramRan(t *testing.T) {
+	t.Parallel()
+	c := newCluster(t, 3)
+	opened, err := c.open(c.client, "one", 1000, 60)
+	assert.NilError(t, err)
+	assert.Equal(t, opened.Engine, "")
+	c.client.Settle(opened, 9, "engine-1")
+	engineOf := func() string {
+		next, err := c.open(c.newClient(), "two", 1000, 10)
+		if err != nil {
+			return ""
+		}
+		return next.Engine
+	}
+	eventually(t, "the engine is told", func() bool { return engineOf() == "engine-1" })
+	for _, m := range c.machines {
+		c.kill(m)
+	}
+	for _, m := range c.machines {
+		c.start(m)
+	}
+	eventually(t, "the engine is told after the loss of power", func() bool { return engineOf() == "engine-1" })
+}
--- a/internal/turnstore/messages.go
+++ b/internal/turnstore/messages.go
@@ -1,6 +1,9 @@
 package turnstore
 
-import "github.com/mountstile/mountstile/internal/conversation"
+import (
+	"github.com/mountstile/mountstile/internal/conversation"
+	"github.com/mountstile/mountstile/internal/load"
+)
 
 // The kinds of messages.
 const (
@@ -19,6 +22,10 @@
 	Previous string               `json:"p,omitempty"`
 	// WithText asks for the turns of the chain, not only whether the turn is known.
 	WithText bool `json:"t,omitempty"`
+	// Load is the gateway's report of its calls in flight, nil if it makes none this time; LoadNews asks for the sum of the
+	// others' reports.
+	Load     *load.Sheet `json:"l,omitempty"`
+	LoadNews bool        `json:"w,omitempty"`
 }
 
 type openAnswer struct {
@@ -27,9 +34,12 @@
 	// Complete tells whether what the replica doesn't know may be counted.
 	Complete bool                  `json:"c,omitempty"`
 	Charges  []conversation.Charge `json:"q,omitempty"`
-	Known    bool                  `json:"k,omitempty"`
-	Chain    []conversation.Turn   `json:"h,omitempty"`
-	Missing  string                `json:"m,omitempty"`
+	// Engine is where a turn of the program ran last, if that is known.
+	Engine  string              `json:"g,omitempty"`
+	Known   bool                `json:"k,omitempty"`
+	Chain   []conversation.Turn `json:"h,omitempty"`
+	Missing string              `json:"m,omitempty"`
+	Load    *load.Sheet         `json:"l,omitempty"`
 }
 
 type putRequest struct {
--- a/internal/turnstore/put.go
+++ b/internal/turnstore/put.go
@@ -80,9 +80,9 @@
 	replies <- putReply{member: member, answer: answer, err: err}
 }
 
-// Settle tells, in the background, what a turn generated in the end. If that fails, the turn counts
+// Settle tells, in the background, what a turn generated in the end, and where. If that fails, the turn counts
 // at its most.
-func (c *Client) Settle(opened *Opened, tokens int64) {
+func (c *Client) Settle(opened *Opened, tokens int64, engine string) {
 	c.mutex.Lock()
 	if c.settling >= maximalSettling {
 		c.mutex.Unlock()
@@ -90,7 +90,7 @@
 	}
 	c.settling++
 	c.mutex.Unlock()
-	record := opened.Settled(tokens)
+	record := opened.Settled(tokens, engine)
 	go func() {
 		ctx, cancel := context.WithTimeout(context.Background(), settleTimeout)
 		defer cancel()
--- a/internal/turnstore/random_test.go
+++ b/internal/turnstore/random_test.go
@@ -108,7 +108,7 @@
 		putContext, cancel := context.WithTimeout(ctx, time.Second)
 		err = client.Put(putContext, []conversation.Record{
 			{Turn: &conversation.Turn{ID: id, Text: []byte(id), RetentionMillis: 600_000}},
-			opened.Settled(randomMost),
+			opened.Settled(randomMost, "engine"),
 		})
 		cancel()
 		if err == nil {
--- a/internal/turnstore/record.go
+++ b/internal/turnstore/record.go
@@ -12,6 +12,8 @@
 const (
 	turnRecord   = 1
 	chargeRecord = 2
+	// placedChargeRecord is a charge that also names the engine, between its number and its last byte.
+	placedChargeRecord = 3
 )
 
 // recordRoom is what the fields of a record take besides a text, as a first guess, in bytes.
@@ -38,10 +40,17 @@
 	}
 	charge := record.Charge
 	payload := make([]byte, 0, recordRoom)
-	payload = append(payload, chargeRecord)
+	kind := byte(chargeRecord)
+	if charge.Engine != "" {
+		kind = placedChargeRecord
+	}
+	payload = append(payload, kind)
 	payload = appendString(payload, charge.Program)
 	payload = appendString(payload, charge.Turn)
 	payload = binary.AppendVarint(payload, charge.Tokens)
+	if kind == placedChargeRecord {
+		payload = appendString(payload, charge.Engine)
+	}
 	settled := byte(0)
 	if charge.Settled {
 		settled = 1
@@ -67,8 +76,11 @@
 		}
 		turn.Text = append([]byte(nil), fields.rest...)
 		return conversation.Record{Turn: turn}, !fields.failed
-	case chargeRecord:
+	case chargeRecord, placedChargeRecord:
 		charge := &conversation.Charge{Program: fields.text(), Turn: fields.text(), Tokens: fields.number()}
+		if payload[0] == placedChargeRecord {
+			charge.Engine = fields.text()
+		}
 		valid := !fields.failed && len(fields.rest) == 1 && fields.rest[0] <= 1
 		charge.Settled = valid && fields.rest[0] == 1
 		return conversation.Record{Charge: charge}, valid
--- a/internal/turnstore/record_test.go
+++ b/internal/turnstore/record_test.go
@@ -13,6 +13,7 @@
 		{Turn: &conversation.Turn{ID: "t2", Previous: "t1", Program: "p", Engine: "e", Text: []byte("{\x00\xff\n"), RetentionMillis: 9}},
 		{Turn: &conversation.Turn{ID: "t"}},
 		{Charge: &conversation.Charge{Program: "p", Turn: "t", Tokens: 7, Settled: true}},
+		{Charge: &conversation.Charge{Program: "p", Turn: "t", Tokens: 7, Settled: true, Engine: "e"}},
 	} {
 		decoded, valid := decodeRecord(encodeRecord(record))
 		assert.Assert(t, valid)
--- a/internal/turnstore/replica.go
+++ b/internal/turnstore/replica.go
@@ -24,6 +24,7 @@
 	"github.com/mountstile/mountstile/internal/configstore"
 	"github.com/mountstile/mountstile/internal/conversation"
 	"github.com/mountstile/mountstile/internal/events"
+	"github.com/mountstile/mountstile/internal/load"
 	"github.com/mountstile/mountstile/internal/transport"
 	"github.com/mountstile/mountstile/internal/turnlog"
 )
@@ -75,6 +76,8 @@
 	log     *turnlog.Log
 	texts   *texts
 	folder  *folder
+	// board adds up the calls in flight at engines that gateways report.
+	board *load.Board
 	// incarnation names this process to peers: after a restart, changes are numbered anew.
 	incarnation string
 
@@ -106,6 +109,7 @@
 		state:   conversation.New(),
 		peers:   make(map[string]*peerProgress),
 		texts:   newTexts(options.TextBytes),
+		board:   load.NewBoard(),
 		setNews: make(chan struct{}, 1),
 
 		incarnation:  uuid.NewString(),
@@ -273,7 +277,8 @@
 
 var errHandingOver = apierr.New(apierr.TurnsUnavailable, apierr.NotRun, "the replica hands over what it holds")
 
-func (r *Replica) serveOpen(ctx context.Context, _ transport.Peer, request openRequest) (openAnswer, error) {
+// open reserves a turn's tokens and finds the turns before it.
+func (r *Replica) open(ctx context.Context, request openRequest) (openAnswer, error) {
 	if newer := r.newerThan(request.Epoch); newer != nil {
 		return openAnswer{Newer: newer}, nil
 	}
@@ -303,6 +308,7 @@
 	answer := openAnswer{Complete: r.folder.record().Complete}
 	if request.Reserve != nil {
 		answer.Charges = r.state.Charges(request.Reserve.Program)
+		answer.Engine = r.state.Engine(request.Reserve.Program)
 	}
 	if request.Previous == "" {
 		return answer
--- a/internal/turnstore/turnstore_test.go
+++ b/internal/turnstore/turnstore_test.go
@@ -124,7 +124,7 @@
 	err = c.reserve(c.client, "two", 100, 60)
 	assert.Assert(t, apierr.Is(err, apierr.BudgetExceeded), "%v", err)
 	assert.Equal(t, apierr.From(err, apierr.OutcomeUnknown).Outcome, apierr.NotRun)
-	c.client.Settle(one, 9)
+	c.client.Settle(one, 9, "")
 	eventually(t, "there is room again", func() bool { return c.reserve(c.newClient(), "three", 100, 60) == nil })
 	for _, m := range c.machines {
 		c.kill(m)
@@ -147,14 +147,14 @@
 	one, err := c.open(c.client, "one", 100, 60)
 	assert.NilError(t, err)
 	assert.Assert(t, apierr.Is(c.reserve(c.client, "two", 100, 60), apierr.BudgetExceeded))
-	c.client.Settle(one, 20)
+	c.client.Settle(one, 20, "")
 	eventually(t, "the refusal is settled", c.client.idle)
 	var two *Opened
 	eventually(t, "there is room for the second try", func() bool {
 		two, err = c.open(c.client, "two", 100, 60)
 		return err == nil
 	})
-	c.client.Settle(two, 60)
+	c.client.Settle(two, 60, "")
 	eventually(t, "the second try is settled", c.client.idle)
 	err = c.reserve(c.newClient(), "three", 100, 60)
 	assert.Assert(t, apierr.Is(err, apierr.BudgetExceeded), "%v", err)
