Nodes that start serve at once: the store is read soon, requests wait for routes, turns run beside their reservation

If the reservation fails then, the answer is 502 and never 402 or 503, for it has run; a failure that is not 'not run' no longer gets 503 at all. Ruled out: reading the store after 30 ms alone (measured before: no gain).

--- a/internal/catalog/feeds_test.go
+++ b/internal/catalog/feeds_test.go
@@ -140,6 +140,19 @@
 	assert.Equal(t, manager.width, 5, "the store is read")
 }
 
+// A node that has just started, and finds no peer soon, reads the store at once: until then it can serve nobody.
+func TestStartReadsTheStoreSoon(t *testing.T) {
+	manager := &Manager{followers: make(map[string]*follower), options: Options{StaleAfter: time.Second, Need: func() int { return 2 }}}
+	peers := []string{"a", "b", "c"}
+	now := time.Now()
+	manager.freshAt = now.Add(startPatience)
+	manager.sourceJitter = sourcePatience
+	manager.chooseWidth(now, peers)
+	assert.Equal(t, manager.width, 2)
+	manager.chooseWidth(now.Add(startPatience+time.Millisecond), peers)
+	assert.Equal(t, manager.width, 4)
+}
+
 // A replica that is cut off from the store, and does not know it yet, keeps no change from its followers.
 func TestChangePassesAReplicaThatIsCutOff(t *testing.T) {
 	none := func() []string { return nil }
--- a/internal/catalog/manager.go
+++ b/internal/catalog/manager.go
@@ -16,8 +16,10 @@
 const (
 	// adjustInterval is how often it is looked which peers are to be followed.
 	adjustInterval = 100 * time.Millisecond
-	// startPatience is how long a node that has just started waits for the first answers of its first peers.
-	startPatience = 500 * time.Millisecond
+	// startPatience is how long a node that has just started waits for the first answers of its peers before it reads
+	// the store, too. After a loss of power everywhere, replicas came back 0.3 s later than gateways, which meanwhile
+	// knew no routes.
+	startPatience = 30 * time.Millisecond
 	// sourcePatience is how long all peers are followed without one that is fresh before the store is read, too. Up
 	// to as much again is added by chance: nodes that lose their peers together must not list everything at once.
 	sourcePatience = 100 * time.Millisecond
@@ -91,6 +93,9 @@
 	width int
 	// freshAt is when a peer was fresh last; when the node starts it begins a little later.
 	freshAt time.Time
+	// beenFresh tells that a peer was fresh before. Until then the node knows nothing, and nobody waits for the store
+	// in vain.
+	beenFresh bool
 	// sourceJitter is added to sourcePatience.
 	sourceJitter time.Duration
 	stopSource   context.CancelFunc
@@ -127,9 +132,12 @@
 	m.mutex.Unlock()
 	ticker := time.NewTicker(adjustInterval)
 	defer ticker.Stop()
+	started := time.NewTimer(startPatience)
+	defer started.Stop()
 	for {
 		m.adjust(ctx)
 		select {
+		case <-started.C:
 		case <-ctx.Done():
 			return
 		case <-ticker.C:
@@ -199,7 +207,7 @@
 			continue
 		}
 		fresh++
-		m.freshAt = now
+		m.freshAt, m.beenFresh = now, true
 		if fresh == m.need() {
 			m.width = index + 1
 			return
@@ -211,6 +219,8 @@
 		m.width = len(peers)
 	case lost < 0:
 		m.width = min(m.need(), len(peers))
+	case !m.beenFresh:
+		m.width = len(peers) + 1
 	case lost < sourcePatience+m.sourceJitter:
 		m.width = len(peers)
 	default:
--- a/internal/dispatch/dispatch.go
+++ b/internal/dispatch/dispatch.go
@@ -138,6 +138,18 @@
 // CallerGone makes an ErrCallerGone.
 func CallerGone(cause error) error { return errors.WithStack(&ErrCallerGone{cause: cause}) }
 
+// ErrWithdrawn means that the gateway itself no longer wants the answer.
+type ErrWithdrawn struct{ cause error }
+
+// Withdrawn makes an ErrWithdrawn.
+func Withdrawn(cause error) error { return errors.WithStack(&ErrWithdrawn{cause: cause}) }
+
+// Error implements error.
+func (e *ErrWithdrawn) Error() string { return "the call was withdrawn: " + e.cause.Error() }
+
+// Unwrap returns the cause.
+func (e *ErrWithdrawn) Unwrap() error { return e.cause }
+
 // Error implements error.
 func (e *ErrCallerGone) Error() string { return "the caller is gone: " + e.cause.Error() }
 
@@ -300,7 +312,8 @@
 
 func (d *Dispatcher) consumeFailed(ctx context.Context, engine *Engine, err error) (attemptOutcome, error) {
 	var gone *ErrCallerGone
-	if errors.As(err, &gone) {
+	var withdrawn *ErrWithdrawn
+	if errors.As(err, &gone) || errors.As(err, &withdrawn) {
 		return delivered, err
 	}
 	if ctx.Err() == nil {
--- a/internal/dispatch/dispatch_test.go
+++ b/internal/dispatch/dispatch_test.go
@@ -252,3 +252,14 @@
 	}
 	assert.Equal(t, len(used), 5)
 }
+
+// One short sample right after the start must not make all engines look slow.
+func TestFirstSamplesMakeNoEngineSlow(t *testing.T) {
+	var usual expectation
+	assert.Equal(t, usual.ratio(time.Millisecond), 1.0)
+	for range fewSamples {
+		ratio := usual.ratio(24 * time.Millisecond)
+		assert.Assert(t, ratio < slowPace, "%f", ratio)
+	}
+	assert.Assert(t, usual.ratio(100*time.Millisecond) > slowPace)
+}
--- a/internal/dispatch/pace.go
+++ b/internal/dispatch/pace.go
@@ -41,19 +41,28 @@
 const maximalSample = 6
 
 // expectation is the usual time of a kind of step, over all engines.
-type expectation struct{ average time.Duration }
+type expectation struct {
+	average time.Duration
+	samples int
+}
 
 // ratio compares a sample with what is usual, and learns from it. A sample far above what is usual
-// counts little, so that slow engines don't become the usual.
+// counts little, so that slow engines don't become the usual. While few samples are known, none is judged: with a first
+// one that happened to be short, a node that had just started would take all engines for slow.
 func (e *expectation) ratio(sample time.Duration) float64 {
-	if e.average == 0 {
-		e.average = sample
+	e.samples++
+	if e.samples <= fewSamples {
+		e.average += (sample - e.average) / time.Duration(e.samples)
 		return 1
 	}
-	ratio := float64(sample) / float64(e.average)
+	ratio := float64(sample) / float64(max(e.average, 1))
 	step := float64(min(sample, 2*e.average)-e.average) * expectationWeight
 	e.average += time.Duration(step)
 	return ratio
 }
 
-const expectationWeight = 0.03
+const (
+	expectationWeight = 0.03
+	// fewSamples is how many samples give the first average, as they come; a node of few calls has them in a second.
+	fewSamples = 8
+)
--- a/internal/ingress/harness_test.go
+++ b/internal/ingress/harness_test.go
@@ -143,6 +143,14 @@
 }
 
 func newSite(t *testing.T) *site {
+	t.Helper()
+	created := newStartingSite(t)
+	created.configure(1, func(*routing.Specification) {})
+	return created
+}
+
+// newStartingSite has a gateway that knows no routes yet.
+func newStartingSite(t *testing.T) *site {
 	t.Helper()
 	created := &site{t: t, engines: make(map[string]*testEngine), logs: &strings.Builder{}}
 	logger := events.NewLogger(lockedWriter{&created.mutex, created.logs}, 4, "gateway")
@@ -152,7 +160,6 @@
 		Zone: "a", Vocabulary: testProtocol{}, Protocol: testProtocol{}, Dial: upstream.Dialer(time.Second, time.Second),
 		CacheBytes: 1 << 20, Seeds: func() []string { return nil }, Network: created.network, Logger: logger,
 	})
-	created.configure(1, func(*routing.Specification) {})
 	created.front = httptest.NewUnstartedServer(nil)
 	created.front.Config = created.node.NewHTTPServer()
 	created.front.Start()
@@ -228,7 +235,10 @@
 }
 
 // withReplica starts one replica and makes it the replica set.
-func (s *site) withReplica() {
+func (s *site) withReplica() { s.withLateReplica()() }
+
+// withLateReplica makes a replica the replica set that answers once the returned function was called.
+func (s *site) withLateReplica() (start func()) {
 	s.t.Helper()
 	listener, err := net.Listen("tcp", "127.0.0.1:0")
 	assert.NilError(s.t, err)
@@ -242,7 +252,6 @@
 	replica.ApplySet(set)
 	ctx, stop := context.WithCancel(context.Background())
 	done := make(chan struct{})
-	go func() { _ = s.replica.Serve(listener) }()
 	go func() {
 		defer close(done)
 		replica.Run(ctx)
@@ -253,6 +262,7 @@
 		<-done
 	})
 	s.apply(catalog.ReplicaSetKind, "current", set)
+	return func() { go func() { _ = s.replica.Serve(listener) }() }
 }
 
 type answer struct {
--- a/internal/ingress/metrics.go
+++ b/internal/ingress/metrics.go
@@ -54,7 +54,7 @@
 		events.F("version", r.version), events.F("catalog_age_millis", r.server.options.CatalogAge().Milliseconds()),
 	)
 	if r.opened != nil || r.opening > 0 {
-		fields = append(fields, events.F("open_millis", r.opening.Milliseconds()))
+		fields = append(fields, events.F("open_millis", r.opening.Milliseconds()), events.F("ran_ahead", r.ahead))
 	}
 	if r.call != nil {
 		fields = append(fields, r.placement()...)
--- a/internal/ingress/node.go
+++ b/internal/ingress/node.go
@@ -62,6 +62,8 @@
 	turns    *turnstore.Client
 	server   *Server
 	table    atomic.Pointer[routing.Table]
+	// started is closed with the first routes.
+	started  chan struct{}
 	ready    atomic.Bool
 	stopping atomic.Bool
 	applying sync.Mutex
@@ -73,6 +75,7 @@
 	node := &Node{
 		options:  options,
 		registry: registry,
+		started:  make(chan struct{}),
 		turns: turnstore.NewClient(turnstore.ClientOptions{Zone: options.Zone, CacheBytes: options.CacheBytes, Load: registry},
 			options.Network, options.Logger),
 	}
@@ -80,7 +83,7 @@
 		Peers: node.peers, Need: node.turns.Copies, Self: catalog.Feed{Zone: options.Zone}, Source: options.Source, StaleAfter: options.StaleAfter, OnChange: node.apply,
 	}, options.Network, options.Logger)
 	node.server = New(Options{
-		Table: node.table.Load, Vocabulary: options.Vocabulary, Registry: node.registry, Turns: node.turns,
+		Table: node.table.Load, Started: node.started, Vocabulary: options.Vocabulary, Registry: node.registry, Turns: node.turns,
 		Dispatcher: dispatch.New(node.registry, options.Protocol, options.Logger), Logger: options.Logger, Metrics: options.Metrics,
 		CatalogAge: node.catalog.Age,
 	})
@@ -147,7 +150,10 @@
 	for _, service := range specification.Services {
 		n.registry.SetConnectionLimit(service.Name, max(service.MaxConnections/connectionShare, minimalConnections))
 	}
-	n.table.Store(table)
+	first := n.table.Swap(table) == nil
+	if first {
+		close(n.started)
+	}
 	n.options.Logger.Emit(events.RoutesInstalled, events.F("version", table.Version()), events.F("revision", entry.Revision),
 		events.F("routes", len(specification.Routes)), events.F("store_age_millis", n.catalog.Age().Milliseconds()))
 }
--- a/internal/ingress/relay.go
+++ b/internal/ingress/relay.go
@@ -97,9 +97,7 @@
 	if whole && r.route.Kept() {
 		return passed.keep(ctx)
 	}
-	if r.opened != nil && r.opened.Reserved {
-		r.server.options.Turns.Settle(r.opened, passed.generated(), r.engine)
-	}
+	r.settle(passed.generated())
 	return err
 }
 
@@ -115,10 +113,11 @@
 	for {
 		read, err := response.Body.Read(buffer)
 		if read > 0 {
-			stall.heard()
+			stall.pause()
 			if failure := s.pass(buffer[:read]); failure != nil {
 				return failure
 			}
+			stall.heard()
 		}
 		if errors.Is(err, io.EOF) {
 			return s.end()
@@ -131,7 +130,9 @@
 
 // end passes on what is left once the engine's answer has ended whole.
 func (s *stream) end() error {
-	s.begin()
+	if err := s.begin(); err != nil {
+		return err
+	}
 	if len(s.pending) == 0 {
 		return nil
 	}
@@ -144,13 +145,17 @@
 	return s.scanner.lastID, s.request.sent
 }
 
-// begin sends the head before the first bytes.
-func (s *stream) begin() {
+// begin sends the head before the first bytes. The caller gets nothing before the turn's tokens are reserved.
+func (s *stream) begin() error {
 	if s.request.sent {
-		return
+		return nil
+	}
+	if err := s.request.awaitReservation(); err != nil {
+		return dispatch.Withdrawn(err)
 	}
 	s.request.writeHead(s.attempt)
 	s.request.writer.WriteHeader(s.attempt.Response().StatusCode)
+	return nil
 }
 
 func (s *stream) pass(chunk []byte) error {
@@ -159,14 +164,18 @@
 		s.observe(ended)
 	}
 	if !s.resumable {
-		s.begin()
+		if err := s.begin(); err != nil {
+			return err
+		}
 		return s.write(chunk)
 	}
 	if boundary == 0 {
 		s.pending = append(s.pending, chunk...)
 		return nil
 	}
-	s.begin()
+	if err := s.begin(); err != nil {
+		return err
+	}
 	whole := append(s.pending, chunk[:boundary]...)
 	err := s.write(whole)
 	s.pending = append(s.pending[:0], chunk[boundary:]...)
@@ -186,9 +195,13 @@
 
 func (s *stream) observe(ended int) {
 	now := time.Now()
-	if s.request.firstEventAt.IsZero() {
+	switch {
+	case s.request.firstEventAt.IsZero():
 		s.request.firstEventAt = now
-	} else {
+	case s.request.ahead:
+		// Events that were held come all at once, which says nothing about the engine: taken for its pace, they made all
+		// engines look slow but one, to which everything went then.
+	default:
 		s.request.server.options.Registry.Observe(s.attempt.Engine(), eventGapStep, now.Sub(s.lastAt)/time.Duration(ended))
 	}
 	s.lastAt = now
@@ -216,9 +229,7 @@
 	defer cancel()
 	if err := r.server.options.Turns.Put(keepContext, records); err != nil {
 		r.server.options.Logger.Emit(events.TurnNotKept, events.F("request", r.caller.ID), events.F("error", err))
-		if r.opened != nil && r.opened.Reserved {
-			r.server.options.Turns.Settle(r.opened, s.generated(), r.engine)
-		}
+		r.settle(s.generated())
 		return apierr.New(apierr.TurnsUnavailable, apierr.Ran, "%s", err)
 	}
 	return nil
--- a/internal/ingress/server.go
+++ b/internal/ingress/server.go
@@ -67,7 +67,9 @@
 // Options configure a Server.
 type Options struct {
 	// Table returns the routes in force; nil before there are any.
-	Table      func() *routing.Table
+	Table func() *routing.Table
+	// Started is closed once there are routes.
+	Started    <-chan struct{}
 	Vocabulary Vocabulary
 	Dispatcher *dispatch.Dispatcher
 	Registry   *dispatch.Registry
@@ -106,7 +108,11 @@
 	version   int64
 	arrivedAt time.Time
 	body      []byte
-	opened    *turnstore.Opened
+	// reservation is the opening of the turn, which may still be under way while it runs; nil for calls that need none.
+	reservation *reservation
+	opened      *turnstore.Opened
+	// ahead tells that the turn runs beside its reservation.
+	ahead bool
 
 	// What the log line tells.
 	call         *dispatch.Call
@@ -140,12 +146,14 @@
 	if err := r.prepare(); err != nil {
 		return err
 	}
-	ctx, cancel := context.WithDeadline(r.http.Context(), r.deadline())
+	limited, cancel := context.WithDeadline(r.http.Context(), r.deadline())
 	defer cancel()
-	if err := r.openTurn(ctx); err != nil {
+	ctx, stop := context.WithCancelCause(limited)
+	defer stop(nil)
+	if err := r.openTurn(ctx, stop); err != nil {
 		return err
 	}
-	err := r.dispatch(ctx)
+	err := r.denied(ctx, r.dispatch(ctx))
 	if ctx.Err() == nil {
 		return err
 	}
@@ -157,7 +165,7 @@
 
 // prepare finds the route and reads the request.
 func (r *request) prepare() error {
-	table := r.server.options.Table()
+	table := r.awaitRoutes()
 	if table == nil {
 		return apierr.New(apierr.StoreUnavailable, apierr.NotRun, "no configuration is known yet").WithRetryAfter(retryAfterStarting)
 	}
@@ -228,27 +236,6 @@
 	return r.arrivedAt.Add(limit)
 }
 
-// openTurn reserves the budget and finds the turns before this one.
-func (r *request) openTurn(ctx context.Context) error {
-	if r.route.Kind() != routing.Stream || (r.caller.Budget == NoBudget && !r.route.Kept()) {
-		return nil
-	}
-	opening := turnstore.Opening{
-		Turn: r.caller.ID, Program: r.caller.Program, Budget: r.caller.Budget, Most: r.caller.Most,
-	}
-	if r.route.Kept() {
-		opening.Previous = r.caller.Previous
-	}
-	startedAt := time.Now()
-	opened, err := r.server.options.Turns.Open(ctx, opening)
-	r.opening = time.Since(startedAt)
-	if err != nil {
-		return err
-	}
-	r.opened = opened
-	return nil
-}
-
 func (r *request) dispatch(ctx context.Context) error {
 	call := &dispatch.Call{
 		ID:       r.caller.ID,
@@ -264,7 +251,7 @@
 	if r.route.Sticky() || r.route.Kept() {
 		call.Want.Affinity = r.affinity()
 		call.Want.Prompt = r.caller.Prompt
-		call.Want.Remembered = r.opened != nil
+		call.Want.Remembered = r.reservation != nil
 	}
 	if r.opened != nil {
 		call.Want.Preferred = r.opened.Engine
@@ -297,6 +284,10 @@
 	if failure.Outcome == apierr.NotRun && failure.Code == apierr.DeadlineExceeded {
 		status = http.StatusServiceUnavailable
 	}
+	if failure.Outcome != apierr.NotRun && status == http.StatusServiceUnavailable {
+		// That status promises callers that their request was not run.
+		status = http.StatusBadGateway
+	}
 	header := r.writer.Header()
 	if failure.RetryAfter > 0 {
 		header.Set("Retry-After", strconv.FormatFloat(float64(failure.RetryAfter)/1000, 'f', 3, 64))
--- a/internal/ingress/stall.go
+++ b/internal/ingress/stall.go
@@ -41,6 +41,13 @@
 	return watch
 }
 
+// pause stops the clock while it is not the engine that is waited for.
+func (w *stallWatch) pause() {
+	if w.timer != nil {
+		w.timer.Stop()
+	}
+}
+
 func (w *stallWatch) heard() {
 	if w.timer != nil {
 		w.timer.Reset(eventStall)
--- a/internal/turnstore/client.go
+++ b/internal/turnstore/client.go
@@ -95,12 +95,15 @@
 	mutex    sync.Mutex
 	set      Set
 	settling int
+	// setKnown is closed once a replica set is known.
+	setKnown chan struct{}
 }
 
 // NewClient returns a Client that knows no replica set yet.
 func NewClient(options ClientOptions, network *transport.Transport, logger *events.Logger) *Client {
 	return &Client{
 		options: options, network: network, logger: logger, cache: newCache(options.CacheBytes), reach: reach{logger: logger},
+		setKnown: make(chan struct{}),
 	}
 }
 
@@ -108,6 +111,9 @@
 func (c *Client) ApplySet(set Set) {
 	c.mutex.Lock()
 	newer := set.Epoch > c.set.Epoch
+	if newer && c.set.Epoch == 0 {
+		close(c.setKnown)
+	}
 	if newer {
 		c.set = set
 	}
@@ -204,11 +210,13 @@
 
 // openAtReplicas tries again with the newer set when a replica knows one.
 func (c *Client) openAtReplicas(ctx context.Context, opening Opening, opened *Opened, wantText bool) error {
+	select {
+	case <-c.setKnown:
+	case <-ctx.Done():
+		return unavailable("no replica set is known yet")
+	}
 	for {
 		set := c.Set()
-		if set.Epoch == 0 {
-			return unavailable("no replica set is known yet")
-		}
 		newer, err := c.openOnce(ctx, set, opening, opened, wantText)
 		if newer == nil {
 			return err
