Programs that begin are spread over engines by chance as well as by load

Cause: on the grown deployment 57 gateways know of one another's calls with a delay of 0.1 to 0.3 s; meanwhile all of them chose the same least busy engine (64 turns a second at one, 21 at the mean).

--- a/internal/dispatch/placement.go
+++ b/internal/dispatch/placement.go
@@ -32,10 +32,11 @@
 	evenSlack  = 2.0
 	// unevenCost is what each call above that costs.
 	unevenCost = 0.3
-	// firstTurnCost is what each call at an engine costs a turn that has nothing to be read again, and firstTurnRank what
-	// the rank by hashing counts for it.
-	firstTurnCost = 0.1
-	firstTurnRank = 0.3
+	// firstTurnCost is what each call at an engine costs a turn that has nothing to be read again. Up to firstTurnSpread is
+	// added by chance: what gateways know of one another is some 0.1 to 0.3 s old, and without it all of them chose
+	// the same engine in the meantime (with 57 gateways, three times the mean of turns came to one of 45 engines).
+	firstTurnCost   = 0.1
+	firstTurnSpread = 0.8
 )
 
 // Want says which engine a call would like.
@@ -201,7 +202,7 @@
 		cost += want.Prompt.rereadCost(want.Prompt.SharedTokens)
 	}
 	if want.Preferred == "" && want.Remembered {
-		return cost + firstTurnCost*r.busy(now, engine) + firstTurnRank*rank(engine, want)
+		return cost + firstTurnCost*r.busy(now, engine) + firstTurnSpread*rand.Float64()
 	}
 	if want.Preferred != "" {
 		cost += want.Prompt.rereadCost(want.Prompt.HistoryTokens)
