News of the load is fresher, comes from another replica if one is lost, and reading again weighs less against load

Traced with what the choice saw (busy, busy_age_millis are logged now): gateways of the zone whose first replica was lost had news of 1.8 to 3.3 s; elsewhere whole names and five replicas made it 0.6 s old within its bytes. And a shared part counted as much as 20 calls in flight. Change: engines are named by four characters, reports go to the first replica of each zone only, a question for news that is not answered goes to the next replica; a shared part counts as 10 calls at most, as does a history, in the same unit as calls above the even share.

--- a/internal/dispatch/dispatch.go
+++ b/internal/dispatch/dispatch.go
@@ -94,10 +94,13 @@
 	Sends int
 	// Held is how long it waited for an engine that may take it.
 	Held time.Duration
-	// Candidates, InFlight and Pace are what the last choice of an engine saw: how many might take the
-	// call, and this node's own calls and the pace of the one that was chosen.
+	// Candidates, InFlight, Busy and Pace are what the last choice of an engine saw: how many might take the
+	// call, and this node's own calls, those of all nodes and the pace of the one that was chosen. NewsAge is how old
+	// the news of the other nodes' calls was.
 	Candidates int
 	InFlight   int
+	Busy       float64
+	NewsAge    time.Duration
 	Pace       float64
 }
 
--- a/internal/dispatch/engine.go
+++ b/internal/dispatch/engine.go
@@ -3,6 +3,7 @@
 import (
 	"time"
 
+	"github.com/mountstile/mountstile/internal/load"
 	"github.com/mountstile/mountstile/internal/upstream"
 )
 
@@ -20,6 +21,7 @@
 // Engine is what this node knows of one engine. Its fields are guarded by the Registry's mutex.
 type Engine struct {
 	specification EngineSpecification
+	loadKey       load.Key
 	// revision is that of the record which was applied last: records may be heard out of order.
 	revision int64
 	pool     *upstream.Pool
--- a/internal/dispatch/placement.go
+++ b/internal/dispatch/placement.go
@@ -21,17 +21,17 @@
 	// how many of them there are at least.
 	homeShare   = 1.0 / 3
 	fewestHomes = 2
-	// rereadCost is what it costs to read a part of a prompt once more that is as long as what the call adds itself, in
-	// ranks: while an engine reads, all that it runs stands still.
-	rereadCost = 0.17
+	// rereadCost is what it costs to read a part of a prompt once more that is as long as what the call adds itself:
+	// while an engine reads, all that it runs stands still.
+	rereadCost = 0.08
 	// mostRereadCost bounds it, so that no engine is ever too busy to be left.
-	mostRereadCost = 2.0
+	mostRereadCost = 1.0
 	// evenFactor and evenSlack say from how many calls on an engine counts as busier than the others: this many times
 	// the mean, and this many calls more.
 	evenFactor = 1.2
 	evenSlack  = 2.0
 	// unevenCost is what each call above that costs.
-	unevenCost = 0.3
+	unevenCost = 0.1
 	// firstTurnCost is what each call at an engine costs a turn that has nothing to be read again. Up to firstTurnSpread is
 	// added by chance: what gateways know of one another is some 0.1 to 0.3 s old, and without it all of them chose
 	// the same engine in the meantime (with 57 gateways, three times the mean of turns came to one of 45 engines).
@@ -94,6 +94,8 @@
 	trace.Engine = best.ID()
 	trace.Candidates = len(candidates)
 	trace.InFlight = best.inFlight
+	trace.Busy = r.busy(now, best)
+	trace.NewsAge, _ = r.others.Age(now)
 	trace.Pace = best.pace.at(now)
 	best.inFlight++
 	best.breaker.sent(now)
@@ -165,7 +167,7 @@
 
 // busy is how many calls an engine has in flight, with those of the other gateways as far as they are known.
 func (r *Registry) busy(now time.Time, engine *Engine) float64 {
-	return float64(engine.inFlight) + r.others.Others(now, engine.specification.ID)
+	return float64(engine.inFlight) + r.others.Others(now, engine.loadKey)
 }
 
 // cost weighs an engine for a call; the cheapest one gets it.
--- a/internal/dispatch/registry.go
+++ b/internal/dispatch/registry.go
@@ -91,7 +91,7 @@
 	if limit == 0 {
 		limit = defaultConnections
 	}
-	created := &Engine{specification: specification, revision: revision, pool: upstream.NewPool(specification.Address, limit, r.dial)}
+	created := &Engine{specification: specification, loadKey: load.KeyOf(specification.ID), revision: revision, pool: upstream.NewPool(specification.Address, limit, r.dial)}
 	r.byID[specification.ID] = created
 	members := r.services[specification.Service]
 	if members == nil {
@@ -153,9 +153,9 @@
 	r.mutex.Lock()
 	defer r.mutex.Unlock()
 	var sheet load.Sheet
-	for id, known := range r.byID {
+	for _, known := range r.byID {
 		if known.inFlight > 0 {
-			sheet = append(sheet, load.Count{Engine: id, Calls: known.inFlight})
+			sheet = append(sheet, load.Count{Engine: known.loadKey, Calls: known.inFlight})
 		}
 	}
 	return sheet.Busiest()
--- a/internal/ingress/metrics.go
+++ b/internal/ingress/metrics.go
@@ -100,7 +100,8 @@
 	fields := []events.Field{
 		events.F("engine", trace.Engine), events.F("preferred", r.call.Want.Preferred), events.F("sends", trace.Sends),
 		events.F("held_millis", trace.Held.Milliseconds()), events.F("candidates", trace.Candidates),
-		events.F("in_flight", trace.InFlight), events.F("pace", math.Round(trace.Pace*100)/100),
+		events.F("in_flight", trace.InFlight), events.F("busy", math.Round(trace.Busy)),
+		events.F("busy_age_millis", trace.NewsAge.Milliseconds()), events.F("pace", math.Round(trace.Pace*100)/100),
 	}
 	if !r.firstEventAt.IsZero() {
 		fields = append(fields, events.F("first_millis", r.firstEventAt.Sub(r.arrivedAt).Milliseconds()))
--- a/internal/load/load.go
+++ b/internal/load/load.go
@@ -12,16 +12,20 @@
 //
 //	view := load.NewView()                         // in a gateway
 //	view.Take(now, others)
-//	busy := own + view.Others(now, "engine-1")
+//	busy := own + view.Others(now, load.KeyOf("engine-1"))
 package load
 
 import (
+	"cmp"
+	"encoding/base64"
+	"encoding/binary"
 	"slices"
 	"strconv"
 	"strings"
 	"sync"
 	"time"
 
+	"github.com/cespare/xxhash/v2"
 	"github.com/cockroachdb/errors"
 )
 
@@ -33,16 +37,32 @@
 	newsHalfLife = 500 * time.Millisecond
 	// mostEntries bounds a sheet: of more engines only the busiest are told.
 	mostEntries = 64
+	// keyBytes is how many bytes of an engine's hash name it. Two engines with one key, which is one pair in 200
+	// deployments of 400 engines, are each taken to be as busy as both.
+	keyBytes = 3
 )
 
+// Key names an engine in a sheet, in four characters: with whole names, what gateways know of one another would be two
+// and a half times as old for the same bytes.
+type Key string
+
+// KeyOf returns the key of an engine.
+func KeyOf(engine string) Key {
+	hash := binary.BigEndian.AppendUint64(nil, xxhash.Sum64String(engine))
+	return Key(base64.RawURLEncoding.EncodeToString(hash[:keyBytes]))
+}
+
+// keyCharacters is the length of a Key.
+var keyCharacters = base64.RawURLEncoding.EncodedLen(keyBytes)
+
 // Count is how many calls are in flight at one engine.
 type Count struct {
-	Engine string
+	Engine Key
 	Calls  int
 }
 
-// Sheet is a set of counts; engines without calls are left out. On the wire it is one text, ENGINE=CALLS separated
-// by commas, for it is sent many times a second.
+// Sheet is a set of counts; engines without calls are left out. On the wire it is one text, each engine's key with its
+// calls behind it, separated by commas, for it is sent many times a second.
 type Sheet []Count
 
 // ErrSheet means that a text is no sheet.
@@ -59,7 +79,6 @@
 			text = append(text, ',')
 		}
 		text = append(text, count.Engine...)
-		text = append(text, '=')
 		text = strconv.AppendInt(text, int64(count.Calls), 10)
 	}
 	return text, nil
@@ -72,12 +91,14 @@
 		return nil
 	}
 	for _, part := range strings.Split(string(text), ",") {
-		engine, number, found := strings.Cut(part, "=")
-		calls, err := strconv.Atoi(number)
-		if !found || err != nil || calls < 0 {
+		if len(part) <= keyCharacters {
+			return errors.WithStack(&ErrSheet{Text: part})
+		}
+		calls, err := strconv.Atoi(part[keyCharacters:])
+		if err != nil || calls < 0 {
 			return errors.WithStack(&ErrSheet{Text: part})
 		}
-		*s = append(*s, Count{Engine: engine, Calls: calls})
+		*s = append(*s, Count{Engine: Key(part[:keyCharacters]), Calls: calls})
 	}
 	return nil
 }
@@ -88,7 +109,7 @@
 		if a.Calls != b.Calls {
 			return b.Calls - a.Calls
 		}
-		return strings.Compare(a.Engine, b.Engine)
+		return cmp.Compare(a.Engine, b.Engine)
 	})
 	return s[:min(len(s), mostEntries)]
 }
@@ -112,7 +133,7 @@
 	b.mutex.Lock()
 	defer b.mutex.Unlock()
 	b.reports[gateway] = report{sheet: reported, at: now}
-	sums := make(map[string]int)
+	sums := make(map[Key]int)
 	for name, known := range b.reports {
 		if now.Sub(known.at) > reportKept {
 			delete(b.reports, name)
@@ -135,12 +156,12 @@
 // View is what a gateway knows of the others' calls. All methods may be called concurrently.
 type View struct {
 	mutex sync.Mutex
-	calls map[string]int
+	calls map[Key]int
 	at    time.Time
 }
 
 // NewView returns a View that knows nothing.
-func NewView() *View { return &View{calls: make(map[string]int)} }
+func NewView() *View { return &View{calls: make(map[Key]int)} }
 
 // Take replaces what is known by the answer of a replica.
 func (v *View) Take(now time.Time, others Sheet) {
@@ -154,7 +175,7 @@
 }
 
 // Others is how many calls of other gateways an engine is expected to have. It fades with the age of the news.
-func (v *View) Others(now time.Time, engine string) float64 {
+func (v *View) Others(now time.Time, engine Key) float64 {
 	v.mutex.Lock()
 	defer v.mutex.Unlock()
 	calls := v.calls[engine]
--- a/internal/load/pacer.go
+++ b/internal/load/pacer.go
@@ -8,8 +8,8 @@
 const (
 	// shortestPause is the least time between two reports: within it, an engine gets a few calls at most.
 	shortestPause = 60 * time.Millisecond
-	// bytesPerSecond is what reports and answers may take: half of the 6 KB/s that control may use on a node.
-	bytesPerSecond = 3000
+	// bytesPerSecond is what reports and answers may take: two thirds of the 6 KB/s that control may use on a node.
+	bytesPerSecond = 4000
 )
 
 // Pacer says when a gateway may report, so that the bytes of reports and answers stay bounded however many engines and
--- a/internal/turnstore/client.go
+++ b/internal/turnstore/client.go
@@ -89,8 +89,9 @@
 	logger  *events.Logger
 	cache   *cache
 	reach   reach
-	// loadPacer bounds the bytes of reports of load and their answers.
+	// loadPacer bounds the bytes of reports of load and their answers; news tells who is asked for the others'.
 	loadPacer load.Pacer
+	news      newsSource
 
 	mutex    sync.Mutex
 	set      Set
@@ -281,16 +282,12 @@
 // askForText asks all replicas, but only the nearest one for the text.
 func (c *Client) askForText(ctx context.Context, set Set, request openRequest) chan replicaAnswer {
 	answers := make(chan replicaAnswer, answersQueued)
-	c.addLoadReport(set, &request)
-	withText := request
-	withText.WithText = request.Previous != ""
-	withText.LoadNews = request.Load != nil
+	report := c.loadReport(set)
 	nearest := c.nearest(set)
 	for _, member := range set.All() {
 		mine := request
-		if member.Name == nearest {
-			mine = withText
-		}
+		mine.WithText = request.Previous != "" && member.Name == nearest
+		report.addTo(&mine, member)
 		go c.ask(ctx, member, mine, answers)
 	}
 	return answers
--- a/internal/turnstore/loadnews.go
+++ b/internal/turnstore/loadnews.go
@@ -3,20 +3,76 @@
 import (
 	"context"
 	"encoding/json"
+	"slices"
+	"sync"
 	"time"
 
 	"github.com/mountstile/mountstile/internal/load"
 	"github.com/mountstile/mountstile/internal/transport"
 )
 
-// addLoadReport lets an opening carry this gateway's calls in flight to all replicas, if it is time for that.
-func (c *Client) addLoadReport(set Set, request *openRequest) {
+// loadReport is what openings of this moment tell of the load; the zero value tells nothing.
+type loadReport struct {
+	sheet *load.Sheet
+	// hearers are the replicas that are told: the first of each zone, whom the gateways of that zone ask first. What
+	// these hear is what all gateways know.
+	hearers []Member
+	// newsFrom is the replica that is asked for the others' reports.
+	newsFrom string
+}
+
+// loadReport makes a report if it is time for one.
+func (c *Client) loadReport(set Set) loadReport {
 	if c.options.Load == nil || !c.loadPacer.Due(time.Now()) {
-		return
+		return loadReport{}
+	}
+	sheet := c.options.Load.Report()
+	report := loadReport{sheet: &sheet}
+	for _, member := range set.All() {
+		if set.firstOfZone(member) {
+			report.hearers = append(report.hearers, member)
+		}
 	}
-	report := c.options.Load.Report()
-	request.Load = &report
-	c.loadPacer.Spent(len(set.All()) * sheetBytes(report))
+	report.newsFrom = c.news.choose(report.hearers, c.options.Zone)
+	c.loadPacer.Spent(len(report.hearers) * sheetBytes(sheet))
+	return report
+}
+
+// addTo lets an opening for a replica carry the report.
+func (l loadReport) addTo(request *openRequest, member Member) {
+	if contains(l.hearers, member.Name) {
+		request.Load = l.sheet
+		request.LoadNews = member.Name == l.newsFrom
+	}
+}
+
+// newsSource chooses the replica that is asked for news of the load: that of the own zone, or the next one after a
+// question that had no answer by the time of the next. The news would stay away for seconds if that replica is lost.
+type newsSource struct {
+	mutex   sync.Mutex
+	turn    int
+	waiting bool
+}
+
+func (n *newsSource) choose(hearers []Member, zone string) string {
+	n.mutex.Lock()
+	defer n.mutex.Unlock()
+	if len(hearers) == 0 {
+		return ""
+	}
+	if n.waiting {
+		n.turn++
+	}
+	n.waiting = true
+	own := max(slices.IndexFunc(hearers, func(member Member) bool { return member.Zone == zone }), 0)
+	return hearers[(own+n.turn)%len(hearers)].Name
+}
+
+// heard notes that the question was answered.
+func (n *newsSource) heard() {
+	n.mutex.Lock()
+	defer n.mutex.Unlock()
+	n.waiting = false
 }
 
 // takeLoadNews hears the others' calls in flight, if the answer has them.
@@ -24,6 +80,7 @@
 	if c.options.Load == nil || answer.Load == nil {
 		return
 	}
+	c.news.heard()
 	c.options.Load.Take(time.Now(), *answer.Load)
 	c.loadPacer.Spent(sheetBytes(*answer.Load))
 }
--- a/internal/turnstore/set.go
+++ b/internal/turnstore/set.go
@@ -39,6 +39,16 @@
 // Has tells whether a replica is a member of either step.
 func (s Set) Has(name string) bool { return contains(s.Members, name) || contains(s.Next, name) }
 
+// firstOfZone tells whether a member is the first of its zone.
+func (s Set) firstOfZone(member Member) bool {
+	for _, other := range s.All() {
+		if other.Zone == member.Zone {
+			return other.Name == member.Name
+		}
+	}
+	return false
+}
+
 // Written tells whether a record that the named replicas have synced counts as written.
 func (s Set) Written(synced map[string]bool) bool {
 	enough := func(members []Member) bool { return count(members, synced) >= s.writes(members) }
