Engines whose records went with an outage of the store are used until these may be back

Distrust of records that come back (against late ones of engines that have left) kept these engines out for 5 s, unless most had gone. Seen in the log lines: candidates fell from 45 to 29 to 33. Change: an outage is a gap in what is heard of the store; a record that goes with it leaves its engine in use for 2.2 s after the store is heard of again, the platform's 2 s and a little for the news; one that comes back is trusted at once; what is missing then is gone. Engines that said they drain stay out. Tests: TestEngineWhoseRecordWentWithAnOutageIsUsed, TestDrainingEngineStaysSoThroughAnOutage, TestOutageIsTold.

--- a/internal/catalog/feeds_test.go
+++ b/internal/catalog/feeds_test.go
@@ -218,3 +218,17 @@
 		assert.Equal(t, request.Identity, uint64(7))
 	}
 }
+
+// Whoever depends on records in the store is told once it is back after an outage, and not of the pauses of calm times.
+func TestOutageIsTold(t *testing.T) {
+	var told []time.Time
+	manager := &Manager{contacted: make(chan struct{}), options: Options{
+		StaleAfter: time.Second, OnOutage: func(since time.Time) { told = append(told, since) },
+	}}
+	now := time.Now()
+	manager.noteContact(now)
+	manager.noteContact(now.Add(900 * time.Millisecond))
+	assert.Equal(t, len(told), 0)
+	manager.noteContact(now.Add(4 * time.Second))
+	assert.DeepEqual(t, told, []time.Time{now.Add(900 * time.Millisecond)})
+}
--- a/internal/catalog/manager.go
+++ b/internal/catalog/manager.go
@@ -65,6 +65,9 @@
 	StaleAfter time.Duration
 	// OnChange hears each changed entry, in no order. It must not block.
 	OnChange func(Entry)
+	// OnOutage hears, once the store is heard of again, since when it had not been, if that was longer ago than
+	// StaleAfter. It must not block. It may be nil.
+	OnOutage func(since time.Time)
 }
 
 // Manager keeps a State up to date and serves it to peers. All methods may be called concurrently.
@@ -313,6 +316,9 @@
 	if !at.After(m.contactAt) {
 		return
 	}
+	if before := m.contactAt; m.options.OnOutage != nil && !before.IsZero() && at.Sub(before) > m.options.StaleAfter {
+		m.options.OnOutage(before)
+	}
 	m.contactAt = at
 	close(m.contacted)
 	m.contacted = make(chan struct{})
--- a/internal/dispatch/dispatch_test.go
+++ b/internal/dispatch/dispatch_test.go
@@ -263,3 +263,42 @@
 	}
 	assert.Assert(t, usual.ratio(100*time.Millisecond) > slowPace)
 }
+
+// applyEngine gives an engine a record at a revision, or takes it away.
+func applyEngine(t *testing.T, registry *Registry, id string, revision int64, present bool) {
+	t.Helper()
+	entry := catalog.Entry{Key: catalog.Key(catalog.EngineKind, id), Revision: revision}
+	if present {
+		value, err := json.Marshal(EngineSpecification{ID: id, Service: "s", Address: "127.0.0.1:1", Zone: "a", Slots: 8})
+		assert.NilError(t, err)
+		entry.Value = value
+	}
+	registry.Apply(entry)
+}
+
+// An engine whose record went with an outage of the store goes on to get work for as long as the record may come back,
+// and is trusted when it does; then it is gone.
+func TestEngineWhoseRecordWentWithAnOutageIsUsed(t *testing.T) {
+	registry := registryOf(t, "a", "a", "a", "a")
+	registry.NoteOutage(time.Now().Add(-3 * time.Second))
+	applyEngine(t, registry, "e0", 10, false)
+	now := time.Now()
+	wanted := Want{Service: "s", Excluded: map[string]bool{"e1": true, "e2": true}}
+	assert.Assert(t, registry.choose(now, wanted, &Trace{}) != nil, "its record may come back")
+	assert.Assert(t, registry.choose(now.Add(lapsedGrace), wanted, &Trace{}) == nil, "its record did not come back")
+	applyEngine(t, registry, "e0", 11, true)
+	assert.Assert(t, registry.choose(now.Add(lapsedGrace), wanted, &Trace{}) != nil, "its record is back")
+	// A record that goes later, without an outage, says that the engine left.
+	registry.outage.until = now.Add(-time.Minute)
+	applyEngine(t, registry, "e0", 12, false)
+	assert.Assert(t, registry.choose(time.Now().Add(removedGrace+time.Millisecond), wanted, &Trace{}) == nil)
+}
+
+// An engine that said that it drains before the outage gets nothing after it.
+func TestDrainingEngineStaysSoThroughAnOutage(t *testing.T) {
+	registry := registryOf(t, "a", "a")
+	registry.byID["e0"].specification.Draining = true
+	registry.NoteOutage(time.Now().Add(-3 * time.Second))
+	applyEngine(t, registry, "e0", 10, false)
+	assert.Assert(t, registry.choose(time.Now(), Want{Service: "s"}, &Trace{}) == nil)
+}
--- a/internal/dispatch/engine.go
+++ b/internal/dispatch/engine.go
@@ -44,13 +44,21 @@
 // Zone is where the engine runs.
 func (e *Engine) Zone() string { return e.specification.Zone }
 
+// outage is a time in which the store was not heard of.
+type outage struct{ since, until time.Time }
+
+// covers tells whether a record that went at a time may have run out for the outage alone.
+func (o outage) covers(removedAt time.Time) bool {
+	return !o.until.IsZero() && removedAt.After(o.since) && removedAt.Before(o.until.Add(lapseNoticed))
+}
+
 // update takes a newer record. An engine that once said that it drains does not take that back: a
-// record without that word is a late one.
-func (e *Engine) update(now time.Time, specification EngineSpecification, revision int64) {
+// record without that word is a late one. One that comes back after an outage is trusted at once.
+func (e *Engine) update(now time.Time, specification EngineSpecification, revision int64, last outage) {
 	specification.Draining = specification.Draining || e.specification.Draining
 	e.specification = specification
 	e.revision = revision
-	if !e.removedAt.IsZero() {
+	if !e.removedAt.IsZero() && !last.covers(e.removedAt) {
 		e.returnedAt = now
 	}
 	e.removedAt = time.Time{}
@@ -61,9 +69,15 @@
 	return e.returnedAt.IsZero() || now.Sub(e.returnedAt) > returnTrust
 }
 
+// recorded tells whether the engine has a record, or may have lost it only to an outage of the store. Without that, a third
+// of 45 engines stood idle in a burst for 5 s after an outage of 2.5 s.
+func (e *Engine) recorded(now time.Time, last outage) bool {
+	return e.removedAt.IsZero() || (last.covers(e.removedAt) && now.Before(last.until.Add(lapsedGrace)))
+}
+
 // usable tells whether new work may go to the engine at all.
-func (e *Engine) usable(now time.Time) bool {
-	return e.removedAt.IsZero() && e.trusted(now) && !e.specification.Draining && e.breaker.allows(now) && !now.Before(e.fullUntil)
+func (e *Engine) usable(now time.Time, last outage) bool {
+	return e.recorded(now, last) && e.trusted(now) && !e.specification.Draining && e.breaker.allows(now) && !now.Before(e.fullUntil)
 }
 
 // lastResort tells whether an engine may be used if no other is usable, whose record has just gone, or
--- a/internal/dispatch/placement.go
+++ b/internal/dispatch/placement.go
@@ -107,7 +107,7 @@
 	for id, known := range r.services[want.Service] {
 		switch {
 		case want.Excluded[id]:
-		case known.usable(now):
+		case known.usable(now, r.outage):
 			usable = append(usable, known)
 		case known.lastResort(now):
 			resort = append(resort, known)
--- a/internal/dispatch/registry.go
+++ b/internal/dispatch/registry.go
@@ -17,6 +17,12 @@
 	// returnTrust is how long a record that came back after it went is not trusted: a late record of an
 	// engine that has left is removed for its silence within this time.
 	returnTrust = 5 * time.Second
+	// lapsedGrace is how long after an outage of the store an engine may be without a record that went with it. The
+	// platform's promise is that records of engines that live are back within 2 s; the rest is for the news to come.
+	lapsedGrace = 2200 * time.Millisecond
+	// lapseNoticed is how long after an outage records go that ran out in it. One that goes later says that its engine
+	// left.
+	lapseNoticed = 500 * time.Millisecond
 	// removedGrace is how long an engine without a record may be used when there is no other.
 	removedGrace = 1200 * time.Millisecond
 	// forgottenAfter is when an engine without a record is dropped.
@@ -39,6 +45,8 @@
 	byID         map[string]*Engine
 	limits       map[string]int
 	expectations map[string]*expectation
+	// outage is the last one of the store.
+	outage outage
 	// others are the calls of other gateways.
 	others *load.View
 }
@@ -79,7 +87,7 @@
 	case known.revision >= entry.Revision:
 		return
 	default:
-		known.update(now, specification, entry.Revision)
+		known.update(now, specification, entry.Revision, r.outage)
 	}
 	r.logger.Emit(events.EngineChanged, events.F("engine", id), events.F("service", specification.Service),
 		events.F("address", specification.Address), events.F("draining", specification.Draining),
@@ -148,6 +156,16 @@
 	return count
 }
 
+// NoteOutage learns that the store was out until now. Records that went since then may have run out only because
+// engines could not renew them.
+func (r *Registry) NoteOutage(since time.Time) {
+	now := time.Now()
+	r.mutex.Lock()
+	r.outage = outage{since: since, until: now}
+	r.mutex.Unlock()
+	r.logger.Emit(events.StoreOutageEnded, events.F("millis", now.Sub(since).Milliseconds()))
+}
+
 // Report implements turnstore.LoadExchange: the calls of this gateway that are in flight.
 func (r *Registry) Report() load.Sheet {
 	r.mutex.Lock()
--- a/internal/events/events.go
+++ b/internal/events/events.go
@@ -80,6 +80,7 @@
 	EngineChanged        ID = 512
 	EngineGone           ID = 513
 	AttemptRetried       ID = 514
+	StoreOutageEnded     ID = 515
 	CallFailed           ID = 601
 	CallRefused          ID = 602
 	RequestPanicked      ID = 603
@@ -169,6 +170,7 @@
 	{EngineChanged, "engine_changed", logrus.InfoLevel, "an engine's record appeared or changed"},
 	{EngineGone, "engine_gone", logrus.InfoLevel, "an engine's record went"},
 	{AttemptRetried, "attempt_retried", logrus.InfoLevel, "an attempt failed and the call goes to another engine"},
+	{StoreOutageEnded, "store_outage_ended", logrus.InfoLevel, "the store is heard of again; records of engines that went meanwhile may come back"},
 	{CallFailed, "call_failed", logrus.WarnLevel, "a call ended with a failure"},
 	{CallRefused, "call_refused", logrus.DebugLevel, "a call was refused as not run"},
 	{RequestPanicked, "request_panicked", logrus.ErrorLevel, "a request handler panicked; the request was failed"},
--- a/internal/ingress/node.go
+++ b/internal/ingress/node.go
@@ -81,6 +81,7 @@
 	}
 	node.catalog = catalog.NewManager(catalog.Options{
 		Peers: node.peers, Need: node.turns.Copies, Self: catalog.Feed{Zone: options.Zone}, Source: options.Source, StaleAfter: options.StaleAfter, OnChange: node.apply,
+		OnOutage: registry.NoteOutage,
 	}, options.Network, options.Logger)
 	node.server = New(Options{
 		Table: node.table.Load, Started: node.started, Vocabulary: options.Vocabulary, Registry: node.registry, Turns: node.turns,
