--- a/internal/ingress/reservation.go
+++ b/internal/ingress/reservation.go
@@ -108,7 +108,7 @@
 	if r.opened == nil && r.ahead {
 		go func() {
 			<-r.reservation.done
-			if opened := r.reservation.opened; opened != nil {
+			if opened := r.reservation.opened; opened != nil && opened.Reserved {
 				r.server.options.Turns.Settle(opened, 0, "")
 			}
 		}()
