--- a/internal/events/events.go
+++ b/internal/events/events.go
@@ -66,6 +66,7 @@
 	ReplicaRetiring      ID = 419
 	ReplicasLost         ID = 420
 	ReplicasRegained     ID = 421
+	ReplicaShardChanged  ID = 422
 	CacheReleased        ID = 501
 	CacheReleaseFailed   ID = 502
 	EngineBreakerOpen    ID = 503
@@ -156,6 +157,7 @@
 	{ReplicaRetiring, "replica_retiring", logrus.InfoLevel, "this replica hands over what it holds, to be taken away"},
 	{ReplicasLost, "replicas_lost", logrus.WarnLevel, "too few replicas answer this gateway; it is not ready and refuses turns soon"},
 	{ReplicasRegained, "replicas_regained", logrus.InfoLevel, "enough replicas answer this gateway again"},
+	{ReplicaShardChanged, "replica_shard_changed", logrus.InfoLevel, "this spare holds another shard from now on, for that one lacks a member"},
 	{CacheReleased, "cache_released", logrus.DebugLevel, "an engine confirmed that it holds no cache of an ended program"},
 	{CacheReleaseFailed, "cache_release_failed", logrus.WarnLevel, "an engine did not confirm a release; it is tried again"},
 	{EngineBreakerOpen, "engine_breaker_open", logrus.WarnLevel, "an engine failed repeatedly and gets no work for a while"},
--- a/internal/ingress/relay.go
+++ b/internal/ingress/relay.go
@@ -221,13 +221,16 @@
 		ID: r.caller.ID, Previous: r.caller.Previous, Program: r.caller.Program, Engine: r.engine,
 		Text: text, RetentionMillis: r.route.Retention().Milliseconds(),
 	}}}
+	if r.opened != nil {
+		records = append(r.opened.Inherited(), records...)
+	}
 	if r.opened != nil && r.opened.Reserved {
 		records = append(records, r.opened.Settled(s.generated(), r.engine))
 	}
 	deadline := r.deadline().Add(keepGrace)
 	keepContext, cancel := context.WithDeadline(r.http.Context(), deadline)
 	defer cancel()
-	if err := r.server.options.Turns.Put(keepContext, records); err != nil {
+	if err := r.server.options.Turns.Put(keepContext, r.caller.Program, records); err != nil {
 		r.server.options.Logger.Emit(events.TurnNotKept, events.F("request", r.caller.ID), events.F("error", err))
 		r.settle(s.generated())
 		return apierr.New(apierr.TurnsUnavailable, apierr.Ran, "%s", err)
--- a/internal/ingress/reservation.go
+++ b/internal/ingress/reservation.go
@@ -71,7 +71,7 @@
 // an opening has met too few replicas, it would most likely run in vain: on 57 gateways, 526 turns did so in a second
 // in which two of four replicas were lost.
 func (r *request) mayRunAhead() bool {
-	return r.route.Repeatable() && !r.route.Kept() && r.server.options.Turns.Steady()
+	return r.route.Repeatable() && !r.route.Kept() && r.server.options.Turns.Steady(r.caller.Program)
 }
 
 // awaitReservation waits until the turn is opened or can't be. The opening ends with the request's context at the
--- a/internal/turnstore/client.go
+++ b/internal/turnstore/client.go
@@ -74,6 +74,22 @@
 	// was refused and sends the same ID again must not meet the settled charge of the refusal.
 	program string
 	charge  string
+	// chain are the turns before this one, oldest first; they are inherited if a program of another shard had them.
+	chain     []conversation.Turn
+	inherited bool
+}
+
+// Inherited are records to write along with the turn: the turns before it, if a program of another shard had them. So the
+// turns before any turn lie in its shard, and are read there at once.
+func (o *Opened) Inherited() []conversation.Record {
+	if !o.inherited {
+		return nil
+	}
+	records := make([]conversation.Record, 0, len(o.chain))
+	for index := range o.chain {
+		records = append(records, conversation.Record{Turn: &o.chain[index]})
+	}
+	return records
 }
 
 // Settled is the record of what the turn generated in the end, in tokens, and of the engine where it ran; that is
@@ -88,61 +104,105 @@
 	network *transport.Transport
 	logger  *events.Logger
 	cache   *cache
-	reach   reach
 	// loadPacer bounds the bytes of reports of load and their answers; news tells who is asked for the others'.
 	loadPacer load.Pacer
 	news      newsSource
 
 	mutex    sync.Mutex
-	set      Set
+	sets     sets
+	reaches  map[int]*reach
 	settling int
-	// setKnown is closed once a replica set is known.
-	setKnown chan struct{}
+	// setsKnown is closed once the replica sets of all shards are known.
+	setsKnown chan struct{}
 }
 
 // NewClient returns a Client that knows no replica set yet.
 func NewClient(options ClientOptions, network *transport.Transport, logger *events.Logger) *Client {
 	return &Client{
-		options: options, network: network, logger: logger, cache: newCache(options.CacheBytes), reach: reach{logger: logger},
-		setKnown: make(chan struct{}),
+		options: options, network: network, logger: logger, cache: newCache(options.CacheBytes),
+		sets: make(sets), reaches: make(map[int]*reach), setsKnown: make(chan struct{}),
 	}
 }
 
 // ApplySet takes a set from the catalog or a replica; older ones are ignored.
 func (c *Client) ApplySet(set Set) {
 	c.mutex.Lock()
-	newer := set.Epoch > c.set.Epoch
-	if newer && c.set.Epoch == 0 {
-		close(c.setKnown)
-	}
-	if newer {
-		c.set = set
+	knewAll := c.sets.whole()
+	newer := c.sets.apply(set)
+	if newer && !knewAll && c.sets.whole() {
+		close(c.setsKnown)
 	}
 	c.mutex.Unlock()
 	if newer {
-		c.logger.Emit(events.ReplicaSetChanged, events.F("epoch", set.Epoch), events.F("members", set.Members), events.F("next", set.Next))
+		c.logger.Emit(events.ReplicaSetChanged, set.fields()...)
+	}
+}
+
+// Set returns the newest known replica set of the first shard, whose members follow the store for all.
+func (c *Client) Set() Set { return c.setOf(0) }
+
+func (c *Client) setOf(shard int) Set {
+	c.mutex.Lock()
+	defer c.mutex.Unlock()
+	return c.sets[shard]
+}
+
+// allSets returns the sets of all shards, or nothing while some are not known.
+func (c *Client) allSets() []Set {
+	c.mutex.Lock()
+	defer c.mutex.Unlock()
+	if !c.sets.whole() {
+		return nil
 	}
+	return c.sets.all()
 }
 
-// Set returns the newest replica set that is known.
-func (c *Client) Set() Set {
+// shardOf is the shard of a program, and whether the replica sets are known.
+func (c *Client) shardOf(program string) (int, bool) {
 	c.mutex.Lock()
 	defer c.mutex.Unlock()
-	return c.set
+	return shardOf(program, c.sets.shards()), c.sets.whole()
 }
 
 // Copies is one more than the number of disks that may be lost at once; 0 while no replica set is known.
 func (c *Client) Copies() int { return c.Set().Copies }
 
-// Ready asks the replicas whether enough of them answer.
+// Ready asks the replicas whether enough of them answer in more than half of the shards. If one shard is lost for long,
+// gateways must not stay away from the callers of all others.
 func (c *Client) Ready(ctx context.Context) bool {
-	set := c.Set()
-	if set.Epoch == 0 {
+	known := c.allSets()
+	if len(known) == 0 {
 		return false
 	}
+	readable := make(chan bool, len(known))
+	for _, set := range known {
+		go func() { readable <- c.readable(ctx, set) }()
+	}
+	ready := 0
+	for range known {
+		if <-readable {
+			ready++
+		}
+		if mostOf(ready, len(known)) {
+			return true
+		}
+	}
+	return false
+}
+
+// mostOf tells whether a part of the shards is more than half of them.
+func mostOf(part, shards int) bool { return 2*part > shards }
+
+// readable asks the replicas of a shard whether enough of them answer.
+func (c *Client) readable(ctx context.Context, set Set) bool {
+	askContext, stop := context.WithCancel(ctx)
+	defer stop()
 	gathering := newGathering(set)
-	for answer := range c.askAll(ctx, set, openRequest{Epoch: set.Epoch}) {
+	for answer := range c.askAll(askContext, set, openRequest{Shard: set.Shard, Epoch: set.Epoch}) {
 		gathering.add(answer)
+		if gathering.newer != nil {
+			c.ApplySet(*gathering.newer)
+		}
 		if gathering.readable() {
 			return true
 		}
@@ -157,8 +217,12 @@
 // Open reserves the turn's tokens and finds the text before it. The error is an apierr.Error with
 // the outcome NotRun: BudgetExceeded, NoSuchTurn or TurnsUnavailable.
 func (c *Client) Open(ctx context.Context, opening Opening) (*Opened, error) {
+	shard, err := c.awaitShard(ctx, opening.Program)
+	if err != nil {
+		return nil, err
+	}
 	timeout := openTimeout
-	if !c.Reachable() {
+	if c.reach(shard).lost() {
 		timeout = lostOpenTimeout
 	}
 	openContext, cancel := context.WithTimeout(ctx, timeout)
@@ -170,14 +234,17 @@
 	}
 	chain, cached := c.cache.chain(opening.Previous)
 	if cached {
-		opened.use(chain)
+		c.use(opened, chain, shard)
 	}
 	wantText := opening.Previous != "" && !cached
 	if !opened.Reserved && !wantText {
 		return opened, nil
 	}
-	err := c.openAtReplicas(openContext, opening, opened, wantText)
-	c.noteReach(ctx, err)
+	err = c.openAtReplicas(openContext, shard, opening, opened, wantText)
+	c.noteReach(ctx, shard, err)
+	if wantText && apierr.Is(err, apierr.NoSuchTurn) {
+		err = c.openFromOtherShard(openContext, shard, opening, opened)
+	}
 	if err != nil && opened.Reserved {
 		c.Settle(opened, 0, "")
 	}
@@ -188,16 +255,40 @@
 }
 
 // noteReach learns from an opening. One that its caller left says nothing.
-func (c *Client) noteReach(ctx context.Context, err error) {
+func (c *Client) noteReach(ctx context.Context, shard int, err error) {
 	switch {
 	case !apierr.Is(err, apierr.TurnsUnavailable):
-		c.reach.reached()
+		c.reach(shard).reached()
 	case ctx.Err() == nil:
-		c.reach.failed(err)
+		c.reach(shard).failed(err)
 	}
 }
 
+// awaitShard waits until the replica sets are known.
+func (c *Client) awaitShard(ctx context.Context, program string) (int, error) {
+	waitContext, cancel := context.WithTimeout(ctx, openTimeout)
+	defer cancel()
+	select {
+	case <-c.setsKnown:
+	case <-waitContext.Done():
+		return 0, unavailable("the replica sets are not known yet")
+	}
+	shard, _ := c.shardOf(program)
+	return shard, nil
+}
+
+// use takes the turns before the one that is opened. Those that lie in another shard are written again with it.
+func (c *Client) use(opened *Opened, chain []conversation.Turn, shard int) {
+	opened.use(chain)
+	if len(chain) == 0 {
+		return
+	}
+	home, _ := c.shardOf(chain[len(chain)-1].Program)
+	opened.inherited = home != shard
+}
+
 func (o *Opened) use(chain []conversation.Turn) {
+	o.chain = chain
 	size := 0
 	for _, turn := range chain {
 		size += len(turn.Text)
@@ -210,14 +301,9 @@
 }
 
 // openAtReplicas tries again with the newer set when a replica knows one.
-func (c *Client) openAtReplicas(ctx context.Context, opening Opening, opened *Opened, wantText bool) error {
-	select {
-	case <-c.setKnown:
-	case <-ctx.Done():
-		return unavailable("no replica set is known yet")
-	}
+func (c *Client) openAtReplicas(ctx context.Context, shard int, opening Opening, opened *Opened, wantText bool) error {
 	for {
-		set := c.Set()
+		set := c.setOf(shard)
 		newer, err := c.openOnce(ctx, set, opening, opened, wantText)
 		if newer == nil {
 			return err
@@ -227,7 +313,7 @@
 }
 
 func (c *Client) openOnce(ctx context.Context, set Set, opening Opening, opened *Opened, wantText bool) (*Set, error) {
-	request := openRequest{Epoch: set.Epoch}
+	request := openRequest{Shard: set.Shard, Epoch: set.Epoch}
 	if wantText {
 		request.Previous = opening.Previous
 	}
@@ -247,7 +333,9 @@
 		}
 		if done, err := gathering.decide(opening, opened, wantText); done {
 			if err == nil && wantText {
-				c.cache.addChain(gathering.chain(opening.Previous))
+				chain := gathering.chain(opening.Previous)
+				c.use(opened, chain, set.Shard)
+				c.cache.addChain(chain)
 			}
 			return nil, err
 		}
@@ -282,7 +370,7 @@
 // askForText asks all replicas, but only the nearest one for the text.
 func (c *Client) askForText(ctx context.Context, set Set, request openRequest) chan replicaAnswer {
 	answers := make(chan replicaAnswer, answersQueued)
-	report := c.loadReport(set)
+	report := c.loadReport()
 	nearest := c.nearest(set)
 	for _, member := range set.All() {
 		mine := request
@@ -290,11 +378,12 @@
 		report.addTo(&mine, member)
 		go c.ask(ctx, member, mine, answers)
 	}
+	c.tellLoad(report, set)
 	return answers
 }
 
 func (c *Client) askOthersForText(ctx context.Context, set Set, previous string, answers chan replicaAnswer) {
-	request := openRequest{Epoch: set.Epoch, Previous: previous, WithText: true}
+	request := openRequest{Shard: set.Shard, Epoch: set.Epoch, Previous: previous, WithText: true}
 	nearest := c.nearest(set)
 	for _, member := range set.All() {
 		if member.Name != nearest {
--- a/internal/turnstore/folder.go
+++ b/internal/turnstore/folder.go
@@ -24,6 +24,8 @@
 	Identity string `json:"identity"`
 	// Complete means that what this replica doesn't know was never written, or is with others.
 	Complete bool `json:"complete"`
+	// Assigned tells that the replica holds the shard of Set.
+	Assigned bool `json:"assigned,omitempty"`
 	Set      Set  `json:"set"`
 }
 
@@ -65,6 +67,9 @@
 func (f *folder) saveSet(set Set) error {
 	f.mutex.Lock()
 	defer f.mutex.Unlock()
+	if f.stored.Set.Epoch > 0 && set.Shard != f.stored.Set.Shard {
+		return errors.WithStack(errOtherShard{})
+	}
 	if set.Epoch <= f.stored.Set.Epoch {
 		return nil
 	}
@@ -77,6 +82,21 @@
 	return nil
 }
 
+// saveShard notes that the replica holds a shard from now on. If it held another one, it is not complete any more.
+func (f *folder) saveShard(set Set) error {
+	f.mutex.Lock()
+	defer f.mutex.Unlock()
+	before := f.stored
+	f.stored.Complete = before.Complete && (!before.Assigned || before.Set.Shard == set.Shard)
+	f.stored.Assigned = true
+	f.stored.Set = set
+	if err := f.save(); err != nil {
+		f.stored = before
+		return err
+	}
+	return nil
+}
+
 func (f *folder) saveComplete() error {
 	f.mutex.Lock()
 	defer f.mutex.Unlock()
--- a/internal/turnstore/gathering.go
+++ b/internal/turnstore/gathering.go
@@ -97,7 +97,7 @@
 	return len(g.withText) > 0 && g.chain(previous) == nil
 }
 
-// decide reports whether the answers are enough, and then fills opened or returns the refusal.
+// decide reports whether the answers are enough, and then fills opened but for the turns before, or returns the refusal.
 func (g *gathering) decide(opening Opening, opened *Opened, wantText bool) (bool, error) {
 	if opened.Reserved && !(g.set.Written(g.reserved) && g.set.Read(g.reservedComplete)) {
 		return false, nil
@@ -112,16 +112,19 @@
 	if !wantText {
 		return true, nil
 	}
-	if chain := g.chain(opening.Previous); chain != nil {
-		opened.use(chain)
+	if g.chain(opening.Previous) != nil {
 		return true, nil
 	}
 	if g.readable() && !g.known && len(g.turns) == 0 {
-		return true, apierr.New(apierr.NoSuchTurn, apierr.NotRun, "there is no turn %q", opening.Previous)
+		return true, noSuchTurn(opening.Previous)
 	}
 	return false, nil
 }
 
+func noSuchTurn(id string) *apierr.Error {
+	return apierr.New(apierr.NoSuchTurn, apierr.NotRun, "there is no turn %q", id)
+}
+
 // spent is what the program was charged otherwise than by the charge of this opening.
 func (g *gathering) spent(own string) int64 {
 	var sum int64
--- a/internal/turnstore/loadnews.go
+++ b/internal/turnstore/loadnews.go
@@ -11,23 +11,29 @@
 	"github.com/mountstile/mountstile/internal/transport"
 )
 
+// loadTimeout bounds a report that is sent by itself: news that is older has faded.
+const loadTimeout = 500 * time.Millisecond
+
 // loadReport is what openings of this moment tell of the load; the zero value tells nothing.
 type loadReport struct {
 	sheet *load.Sheet
-	// hearers are the replicas that are told: the first of each zone, whom the gateways of that zone ask first. What
-	// these hear is what all gateways know.
+	// hearers are the replicas that are told: the first of each zone in the first shard, whom the gateways of that zone
+	// ask for news. What these hear is what all gateways know.
 	hearers []Member
+	// epoch is that of the first shard's set.
+	epoch int64
 	// newsFrom is the replica that is asked for the others' reports.
 	newsFrom string
 }
 
 // loadReport makes a report if it is time for one.
-func (c *Client) loadReport(set Set) loadReport {
+func (c *Client) loadReport() loadReport {
 	if c.options.Load == nil || !c.loadPacer.Due(time.Now()) {
 		return loadReport{}
 	}
+	set := c.Set()
 	sheet := c.options.Load.Report()
-	report := loadReport{sheet: &sheet}
+	report := loadReport{sheet: &sheet, epoch: set.Epoch}
 	for _, member := range set.All() {
 		if set.firstOfZone(member) {
 			report.hearers = append(report.hearers, member)
@@ -46,6 +52,25 @@
 	}
 }
 
+// tellLoad sends a report to the hearers that an opening at the members of a set does not reach.
+func (c *Client) tellLoad(report loadReport, set Set) {
+	for _, hearer := range report.hearers {
+		if set.Has(hearer.Name) {
+			continue
+		}
+		request := openRequest{Epoch: report.epoch}
+		report.addTo(&request, hearer)
+		go func() {
+			ctx, cancel := context.WithTimeout(context.Background(), loadTimeout)
+			defer cancel()
+			// A report that does not arrive is replaced by the next one.
+			if answer, err := transport.Call[openAnswer](ctx, c.network, hearer.Address, openKind, request); err == nil {
+				c.takeLoadNews(answer)
+			}
+		}()
+	}
+}
+
 // newsSource chooses the replica that is asked for news of the load: that of the own zone, or the next one after a
 // question that had no answer by the time of the next. The news would stay away for seconds if that replica is lost.
 type newsSource struct {
--- a/internal/turnstore/membership.go
+++ b/internal/turnstore/membership.go
@@ -3,7 +3,7 @@
 import (
 	"context"
 	"encoding/json"
-	"slices"
+	"math/rand/v2"
 	"time"
 
 	"github.com/cockroachdb/errors"
@@ -31,7 +31,10 @@
 	candidatesPatience = 4 * time.Second
 	// candidatesLookInterval is how often candidates but the first look at the list: each call of the store counts.
 	candidatesLookInterval = time.Second
-	fenceTimeout           = time.Second
+	// candidatesSpread is within which a candidate that met another one's change tries again. It leaves room within
+	// candidatesSettle for the try, which comes at a step of membershipInterval: the sets are not made without it.
+	candidatesSpread = 400 * time.Millisecond
+	fenceTimeout     = time.Second
 )
 
 // candidates are the replicas that have started before there was a set.
@@ -67,10 +70,15 @@
 }
 
 func (r *Replica) membershipStep(ctx context.Context, start *bootstrapState) error {
-	set := r.Set()
 	self := r.options.Self.Name
-	r.noteTouch(set)
 	retiring := r.options.Retiring(self)
+	for _, set := range r.otherSets(noShard) {
+		r.noteTouch(set)
+	}
+	if err := r.keepShard(retiring); err != nil {
+		r.logger.Emit(events.ReplicaLogFailed, events.F("error", err))
+	}
+	set := r.Set()
 	if !retiring {
 		r.takePartAgain()
 	}
@@ -114,15 +122,10 @@
 		}
 	}
 	if !contains(listed.Members, r.options.Self.Name) {
-		if r.listSuffices(listed.Members) {
-			start.nextLookAt = now.Add(candidatesLookInterval)
-			return nil
-		}
-		listed.Members = append(listed.Members, r.options.Self)
-		return r.swap(ctx, r.options.CandidatesKey, entry.Revision, listed)
+		return r.becomeCandidate(ctx, start, entry.Revision, listed)
 	}
 	if listed.Members[0].Name != r.options.Self.Name {
-		// The first candidate makes the set, and the store tells us of it; this is for the case that it doesn't.
+		// The first candidate makes the sets, and the store tells us of them; this is for the case that it doesn't.
 		start.nextLookAt = now.Add(candidatesLookInterval)
 	}
 	if len(listed.Members) != start.count {
@@ -132,43 +135,35 @@
 	if !r.mayBootstrap(now, start, listed.Members) {
 		return nil
 	}
-	members := firstMembers(listed.Members, r.options.Size)
-	return r.swap(ctx, r.options.SetKey, 0, Set{Epoch: 1, Members: members, Copies: r.options.Copies, Size: len(members)})
+	return r.makeFirstSets(ctx, listed.Members)
 }
 
-// listSuffices tells whether the first set can be made without this replica: there are enough candidates, and one
-// in its zone. A hundred replicas that all add themselves to one entry of the store at once get in each
-// other's way.
-func (r *Replica) listSuffices(listed []Member) bool {
-	if r.options.Size <= 0 || len(listed) < r.options.Size {
-		return false
+// becomeCandidate adds this replica to the list of candidates. Where dozens do so at once, those that meet another
+// one's change try again at times of their own.
+func (r *Replica) becomeCandidate(ctx context.Context, start *bootstrapState, revision int64, listed candidates) error {
+	listed.Members = append(listed.Members, r.options.Self)
+	err := r.swap(ctx, r.options.CandidatesKey, revision, listed)
+	var conflict *configstore.ErrConflict
+	if errors.As(err, &conflict) {
+		start.nextLookAt = time.Now().Add(rand.N(candidatesSpread))
+		return nil
 	}
-	return slices.ContainsFunc(listed, func(member Member) bool { return member.Zone == r.options.Self.Zone })
+	return err
 }
 
-// firstMembers chooses the members of the first set among the candidates, from each zone in turn, so that
-// as many zones as possible have one.
-func firstMembers(listed []Member, size int) []Member {
-	if size <= 0 || size >= len(listed) {
-		return listed
-	}
-	var zones []string
-	byZone := make(map[string][]Member)
-	for _, member := range listed {
-		if len(byZone[member.Zone]) == 0 {
-			zones = append(zones, member.Zone)
-		}
-		byZone[member.Zone] = append(byZone[member.Zone], member)
-	}
-	var chosen []Member
-	for round := 0; len(chosen) < size; round++ {
-		for _, zone := range zones {
-			if round < len(byZone[zone]) && len(chosen) < size {
-				chosen = append(chosen, byZone[zone][round])
-			}
+// makeFirstSets writes the sets of all shards in one change, unless somebody has.
+func (r *Replica) makeFirstSets(ctx context.Context, listed []Member) error {
+	var writes []configstore.Write
+	for _, set := range firstSets(listed, r.options.Size, r.options.Copies) {
+		encoded, err := json.Marshal(set)
+		if err != nil {
+			return errors.Wrap(err, "replica set")
 		}
+		writes = append(writes, configstore.Write{Key: setKey(r.options.SetKey, set.Shard), Value: encoded})
 	}
-	return chosen
+	callContext, cancel := context.WithTimeout(ctx, storeTimeout)
+	defer cancel()
+	return r.options.Store.CompareAndSwap(callContext, r.options.SetKey, 0, writes)
 }
 
 // mayBootstrap leaves the first set to the first candidate, as long as that one may be alive.
@@ -190,11 +185,11 @@
 	r.mutex.Lock()
 	ready := r.pulledEnough(startedAt)
 	r.mutex.Unlock()
-	if !ready || r.inTouchSince.IsZero() {
+	if !ready || r.inTouchFor(set) == 0 {
 		return nil
 	}
 	next := set.Members
-	if silent := r.silentMember(set.Members); silent != "" && time.Since(r.inTouchSince) > silentAfter {
+	if silent := r.silentMember(set.Members); silent != "" && r.inTouchFor(set) > silentAfter {
 		next = without(next, silent)
 	} else if retiring := r.retiringMember(set.Members); retiring != "" && r.hearsAll(set.Members) {
 		next = without(next, retiring)
@@ -274,7 +269,7 @@
 	r.mutex.Lock()
 	silent := r.silent(set.ChangedBy)
 	r.mutex.Unlock()
-	if !silent || r.inTouchSince.IsZero() || time.Since(r.inTouchSince) < silentAfter {
+	if !silent || r.inTouchFor(set) < silentAfter {
 		return nil
 	}
 	return r.replaceSet(ctx, set, takenBack(set))
@@ -311,10 +306,19 @@
 func (r *Replica) noteTouch(set Set) {
 	switch {
 	case !r.hearsEnough(set):
-		r.inTouchSince = time.Time{}
-	case r.inTouchSince.IsZero():
-		r.inTouchSince = time.Now()
+		delete(r.inTouchSince, set.Shard)
+	case r.inTouchSince[set.Shard].IsZero():
+		r.inTouchSince[set.Shard] = time.Now()
+	}
+}
+
+// inTouchFor is for how long this replica has heard enough members of a set; 0 if it does not.
+func (r *Replica) inTouchFor(set Set) time.Duration {
+	since := r.inTouchSince[set.Shard]
+	if since.IsZero() {
+		return 0
 	}
+	return time.Since(since)
 }
 
 // hearsEnough tells whether so many members were heard of late that a read would succeed.
@@ -371,7 +375,8 @@
 
 // replaceSet writes a set if the store still has the one that it follows.
 func (r *Replica) replaceSet(ctx context.Context, old, next Set) error {
-	entry, err := r.get(ctx, r.options.SetKey)
+	key := setKey(r.options.SetKey, old.Shard)
+	entry, err := r.get(ctx, key)
 	if err != nil {
 		return err
 	}
@@ -383,7 +388,7 @@
 		r.ApplySet(stored)
 		return errors.WithStack(&ErrSetChanged{Epoch: stored.Epoch})
 	}
-	if err := r.swap(ctx, r.options.SetKey, entry.Revision, next); err != nil {
+	if err := r.swap(ctx, key, entry.Revision, next); err != nil {
 		return err
 	}
 	r.ApplySet(next)
--- a/internal/turnstore/messages.go
+++ b/internal/turnstore/messages.go
@@ -16,6 +16,7 @@
 
 // openRequest reserves a turn's tokens and asks what a replica knows of the turn before it.
 type openRequest struct {
+	Shard int   `json:"s,omitempty"`
 	Epoch int64 `json:"e"`
 	// Reserve is nil if the program has no budget.
 	Reserve  *conversation.Charge `json:"r,omitempty"`
@@ -43,6 +44,7 @@
 }
 
 type putRequest struct {
+	Shard   int                   `json:"s,omitempty"`
 	Epoch   int64                 `json:"e"`
 	Records []conversation.Record `json:"r"`
 }
@@ -52,6 +54,9 @@
 }
 
 type digestRequest struct {
+	// From is the asker. A connection that this replica has dialled does not name its other end.
+	From     string `json:"f,omitempty"`
+	Shard    int    `json:"s,omitempty"`
 	Epoch    int64  `json:"e"`
 	Identity string `json:"i"`
 	After    uint64 `json:"a"`
@@ -64,6 +69,8 @@
 	Sequence uint64             `json:"s"`
 	Keys     []conversation.Key `json:"k,omitempty"`
 	Complete bool               `json:"c,omitempty"`
+	// Followed tells that a spare, another one than the asker, pulls from this replica.
+	Followed bool `json:"f,omitempty"`
 	// Set is the newest set that the replica knows.
 	Set *Set `json:"n,omitempty"`
 }
--- a/internal/turnstore/node.go
+++ b/internal/turnstore/node.go
@@ -44,7 +44,7 @@
 	node.catalog = catalog.NewManager(catalog.Options{
 		Peers: node.peers, FollowAll: true, ReadsStore: node.readsStore, Source: options.Source, StaleAfter: options.StaleAfter,
 		Self:   catalog.Feed{Address: options.Replica.Self.Address, Zone: options.Replica.Self.Zone},
-		Serves: node.isSpare, OnChange: node.apply,
+		Serves: node.servesGateways, OnChange: node.apply,
 	}, options.Network, options.Logger)
 	return node, nil
 }
@@ -52,21 +52,21 @@
 // readsStore tells whether this replica is one of those that read the store for all. Each call of the store
 // counts, so only as many do as may be lost at once, and one. While the set is unknown, all read.
 func (n *Node) readsStore() bool {
-	set := n.replica.Set()
+	set := n.replica.setOf(0)
 	return set.Epoch == 0 || contains(set.readers(), n.options.Replica.Self.Name)
 }
 
-// isSpare tells whether this replica is no member of a known set. Spares serve the catalog to the gateways of
-// their zone, for the members have the turns to keep.
-func (n *Node) isSpare() bool {
-	set := n.replica.Set()
+// servesGateways tells whether this replica is no member of the first shard, whose members read the store for all and hear
+// the gateways' load. All others serve the catalog to the gateways of their zone.
+func (n *Node) servesGateways() bool {
+	set := n.replica.setOf(0)
 	return set.Epoch > 0 && !set.Has(n.options.Replica.Self.Name)
 }
 
 // peers are the replicas that read the store.
 func (n *Node) peers() []string {
 	var addresses []string
-	set := n.replica.Set()
+	set := n.replica.setOf(0)
 	for _, member := range without(set.readers(), n.options.Replica.Self.Name) {
 		addresses = append(addresses, member.Address)
 	}
@@ -86,7 +86,7 @@
 		return
 	}
 	var set Set
-	if json.Unmarshal(entry.Value, &set) == nil {
+	if json.Unmarshal(entry.Value, &set) == nil && set.Epoch > 0 {
 		n.replica.ApplySet(set)
 	}
 }
--- a/internal/turnstore/pull.go
+++ b/internal/turnstore/pull.go
@@ -33,6 +33,8 @@
 	// heardAt is when the peer last answered; firstAskedAt when it was first asked.
 	heardAt      time.Time
 	firstAskedAt time.Time
+	// followed tells that a spare pulls from the peer, as it said last.
+	followed bool
 	// askedAt is when the peer was last asked. One that was no member for a while was not asked either: its silence
 	// counts from the next question.
 	askedAt time.Time
@@ -97,6 +99,7 @@
 		return
 	}
 	source := r.source(others, round)
+	shard := r.Set().Shard
 	for _, member := range others {
 		progress := r.progressOf(member)
 		if !r.setAsking(progress, true) {
@@ -109,7 +112,7 @@
 			if hasty || member.Name == source.Name {
 				r.pullFrom(ctx, member)
 			} else {
-				r.checkPresence(ctx, member)
+				r.checkPresence(ctx, shard, member)
 			}
 		}()
 	}
@@ -146,9 +149,9 @@
 }
 
 // checkPresence asks a member whether it is there.
-func (r *Replica) checkPresence(ctx context.Context, member Member) {
+func (r *Replica) checkPresence(ctx context.Context, shard int, member Member) {
 	progress := r.progressOf(member)
-	answer, err := r.askDigest(ctx, member, progress, true)
+	answer, err := r.askDigest(ctx, shard, member, progress, true)
 	if err != nil {
 		return
 	}
@@ -159,10 +162,11 @@
 
 // pullFrom fetches what the peer has and this replica has not.
 func (r *Replica) pullFrom(ctx context.Context, member Member) {
+	shard := r.Set().Shard
 	progress := r.progressOf(member)
 	for ctx.Err() == nil {
 		asked := time.Now()
-		answer, err := r.askDigest(ctx, member, progress, false)
+		answer, err := r.askDigest(ctx, shard, member, progress, false)
 		if err != nil {
 			return
 		}
@@ -203,15 +207,16 @@
 	return known
 }
 
-func (r *Replica) askDigest(ctx context.Context, member Member, progress *peerProgress, presence bool) (digestAnswer, error) {
+func (r *Replica) askDigest(ctx context.Context, shard int, member Member, progress *peerProgress, presence bool) (digestAnswer, error) {
 	r.mutex.Lock()
-	request := digestRequest{Epoch: r.set.Epoch, Identity: progress.identity, After: progress.sequence, Presence: presence}
+	request := digestRequest{From: r.options.Self.Name, Shard: shard, Epoch: r.sets[shard].Epoch, Identity: progress.identity, After: progress.sequence, Presence: presence}
 	r.mutex.Unlock()
 	callContext, cancel := context.WithTimeout(ctx, pullTimeout)
 	defer cancel()
 	answer, err := transport.Call[digestAnswer](callContext, r.network, member.Address, digestKind, request)
 	if err == nil {
 		r.noteHeard(progress)
+		r.noteFollowed(progress, answer.Followed)
 	}
 	return answer, err
 }
@@ -224,6 +229,12 @@
 	progress.heardAt = time.Now()
 }
 
+func (r *Replica) noteFollowed(progress *peerProgress, followed bool) {
+	r.mutex.Lock()
+	defer r.mutex.Unlock()
+	progress.followed = followed
+}
+
 func (r *Replica) missing(keys []conversation.Key) []conversation.Key {
 	r.mutex.Lock()
 	defer r.mutex.Unlock()
--- a/internal/turnstore/put.go
+++ b/internal/turnstore/put.go
@@ -14,13 +14,14 @@
 	err    error
 }
 
-// Put writes records and returns once enough replicas have synced them. It offers them again until
-// the context ends.
-func (c *Client) Put(ctx context.Context, records []conversation.Record) error {
+// Put writes records to the shard of a program and returns once enough replicas have synced them. It offers them again
+// until the context ends.
+func (c *Client) Put(ctx context.Context, program string, records []conversation.Record) error {
 	synced := make(map[string]bool)
 	for {
-		set := c.Set()
-		if set.Epoch > 0 && c.offer(ctx, set, records, synced) {
+		shard, known := c.shardOf(program)
+		set := c.setOf(shard)
+		if known && c.offer(ctx, set, records, synced) {
 			c.remember(records)
 			return nil
 		}
@@ -51,7 +52,7 @@
 	}
 	replies := make(chan putReply, len(asked))
 	for _, member := range asked {
-		go c.putTo(member, putRequest{Epoch: set.Epoch, Records: records}, replies)
+		go c.putTo(member, putRequest{Shard: set.Shard, Epoch: set.Epoch, Records: records}, replies)
 	}
 	for range asked {
 		select {
@@ -94,7 +95,7 @@
 	go func() {
 		ctx, cancel := context.WithTimeout(context.Background(), settleTimeout)
 		defer cancel()
-		_ = c.Put(ctx, []conversation.Record{record})
+		_ = c.Put(ctx, opened.program, []conversation.Record{record})
 		c.mutex.Lock()
 		c.settling--
 		c.mutex.Unlock()
--- a/internal/turnstore/reach.go
+++ b/internal/turnstore/reach.go
@@ -19,8 +19,9 @@
 	reachTimeout  = 800 * time.Millisecond
 )
 
-// reach is whether enough replicas answer this node, as its own openings show.
+// reach is whether enough replicas of a shard answer this node, as its own openings show.
 type reach struct {
+	shard  int
 	logger *events.Logger
 
 	mutex    sync.Mutex
@@ -34,7 +35,7 @@
 	defer r.mutex.Unlock()
 	r.failures = 0
 	if !r.lostAt.IsZero() {
-		r.logger.Emit(events.ReplicasRegained, events.F("lost_for_millis", time.Since(r.lostAt).Milliseconds()))
+		r.logger.Emit(events.ReplicasRegained, events.F("shard", r.shard), events.F("lost_for_millis", time.Since(r.lostAt).Milliseconds()))
 		r.lostAt = time.Time{}
 	}
 }
@@ -46,7 +47,7 @@
 	r.failures++
 	if r.failures >= lostAfterFailures && r.lostAt.IsZero() {
 		r.lostAt = time.Now()
-		r.logger.Emit(events.ReplicasLost, events.F("failures", r.failures), events.F("error", cause))
+		r.logger.Emit(events.ReplicasLost, events.F("shard", r.shard), events.F("failures", r.failures), events.F("error", cause))
 	}
 }
 
@@ -62,11 +63,35 @@
 	return !r.lostAt.IsZero()
 }
 
-// Reachable tells whether enough replicas answer. While they don't, turns are refused soon.
-func (c *Client) Reachable() bool { return !c.reach.lost() }
+// reach is that of a shard.
+func (c *Client) reach(shard int) *reach {
+	c.mutex.Lock()
+	defer c.mutex.Unlock()
+	known := c.reaches[shard]
+	if known == nil {
+		known = &reach{shard: shard, logger: c.logger}
+		c.reaches[shard] = known
+	}
+	return known
+}
 
-// Steady tells whether the last opening met enough replicas, or there was none yet.
-func (c *Client) Steady() bool { return !c.reach.failing() }
+// Reachable tells whether enough replicas answer in more than half of the shards. Turns of the others are refused soon.
+func (c *Client) Reachable() bool {
+	known := c.allSets()
+	reachable := 0
+	for _, set := range known {
+		if !c.reach(set.Shard).lost() {
+			reachable++
+		}
+	}
+	return len(known) == 0 || mostOf(reachable, len(known))
+}
+
+// Steady tells whether the last opening of a program's shard met enough replicas, or there was none yet.
+func (c *Client) Steady(program string) bool {
+	shard, _ := c.shardOf(program)
+	return !c.reach(shard).failing()
+}
 
 // WatchReach tries replicas that are out of reach until the context ends.
 func (c *Client) WatchReach(ctx context.Context) {
@@ -78,13 +103,27 @@
 			return
 		case <-ticker.C:
 		}
-		if c.Reachable() {
+		c.tryLost(ctx)
+	}
+}
+
+// tryLost asks the replicas of all shards that are out of reach, and returns once all have answered or are given up.
+func (c *Client) tryLost(ctx context.Context) {
+	askContext, cancel := context.WithTimeout(ctx, reachTimeout)
+	defer cancel()
+	var tasks sync.WaitGroup
+	for _, set := range c.allSets() {
+		reach := c.reach(set.Shard)
+		if !reach.lost() {
 			continue
 		}
-		askContext, cancel := context.WithTimeout(ctx, reachTimeout)
-		if c.Ready(askContext) {
-			c.reach.reached()
-		}
-		cancel()
+		tasks.Add(1)
+		go func() {
+			defer tasks.Done()
+			if c.readable(askContext, set) {
+				reach.reached()
+			}
+		}()
 	}
+	tasks.Wait()
 }
--- a/internal/turnstore/replica.go
+++ b/internal/turnstore/replica.go
@@ -17,6 +17,7 @@
 	"sync"
 	"time"
 
+	"github.com/cockroachdb/errors"
 	"github.com/google/uuid"
 	"golang.org/x/time/rate"
 
@@ -47,11 +48,12 @@
 	FirstStart bool
 	// Copies is the number of disks that may be lost at once, and one.
 	Copies int
-	// Size is how many members the replica set gets; 0 means all replicas that start with the system.
-	// Replicas beyond it are spares: they hold what the nearest member holds, and take the place of a member
-	// that is lost.
+	// Size is how many members a replica set gets; 0 means all replicas that start with the system. There are as
+	// many sets, each with a shard of the programs, as these replicas are enough for. Replicas beyond that are spares:
+	// they hold what the nearest member of a shard holds, and take the place of a member that is lost.
 	Size int
-	// Store holds the replica set; SetKey and CandidatesKey are its keys.
+	// Store holds the replica sets. SetKey is the key of the first shard's; those of the others have its number behind a
+	// slash. CandidatesKey is the key of the replicas that start with the system.
 	Store         configstore.Store
 	SetKey        string
 	CandidatesKey string
@@ -83,11 +85,17 @@
 
 	mutex sync.Mutex
 	state *conversation.State
-	set   Set
+	// sets are the replica sets of all shards; set is that of this replica's.
+	sets sets
+	set  Set
+	// shard is what this replica holds, or noShard.
+	shard int
 	// refusing is true while the replica hands over what it holds.
 	refusing bool
-	// spareHeardAt is when a replica that is no member asked last.
+	// spareHeardAt is when a replica that is no member asked last; follower is the last one that pulled, at followedAt.
 	spareHeardAt time.Time
+	follower     string
+	followedAt   time.Time
 	peers        map[string]*peerProgress
 	setNews      chan struct{}
 
@@ -95,9 +103,11 @@
 	// hundreds a second.
 	failureLines *rate.Limiter
 
-	// inTouchSince is since when enough members are heard; zero while they aren't. It belongs to the loop that
+	// inTouchSince is since when enough members of a shard are heard; zero while they aren't. It belongs to the loop that
 	// changes the replica set.
-	inTouchSince time.Time
+	inTouchSince map[int]time.Time
+	// need is the shard that this replica is about to move to. It belongs to the same loop.
+	need shardNeed
 	// retirementBegunAt is when the operator was told of this replica's retirement; zero if it wasn't. It belongs to the
 	// same loop.
 	retirementBegunAt time.Time
@@ -114,7 +124,10 @@
 		texts:   newTexts(options.TextBytes),
 		board:   load.NewBoard(),
 		setNews: make(chan struct{}, 1),
+		sets:    make(sets),
+		shard:   noShard,
 
+		inTouchSince: make(map[int]time.Time),
 		incarnation:  uuid.NewString(),
 		failureLines: rate.NewLimiter(failureLinesASecond, failureLinesASecond),
 	}
@@ -123,7 +136,7 @@
 		return nil, err
 	}
 	replica.folder = opened
-	replica.set = opened.record().Set
+	replica.restoreShard(opened.record())
 	now := time.Now()
 	replica.log, err = turnlog.Open(turnlog.Options{
 		Folder: options.Folder, CollectAbove: options.LogBytes,
@@ -140,7 +153,7 @@
 	replica.texts.log = replica.log
 	held := replica.size()
 	logger.Emit(events.ReplicaOpened, events.F("identity", opened.record().Identity), events.F("complete", opened.record().Complete),
-		events.F("epoch", replica.set.Epoch), events.F("turns", held.turns), events.F("programs", held.programs), events.F("bytes", replica.texts.size()))
+		events.F("shard", replica.shard), events.F("epoch", replica.set.Epoch), events.F("turns", held.turns), events.F("programs", held.programs), events.F("bytes", replica.texts.size()))
 	options.Metrics.show(replica)
 	transport.Handle(network, openKind, measured(options.Metrics, openKind, replica.serveOpen))
 	transport.Handle(network, putKind, measured(options.Metrics, putKind, replica.servePut))
@@ -174,6 +187,7 @@
 	start(r.log.Run)
 	start(r.expireLoop)
 	start(r.pullLoop)
+	start(r.watchLoop)
 	start(r.membershipLoop)
 	tasks.Wait()
 }
@@ -194,40 +208,59 @@
 	}
 }
 
-// Set returns the newest replica set that is known here.
+// Set returns the newest known replica set of this replica's shard.
 func (r *Replica) Set() Set {
 	r.mutex.Lock()
 	defer r.mutex.Unlock()
 	return r.set
 }
 
+// setOf returns the newest known replica set of a shard.
+func (r *Replica) setOf(shard int) Set {
+	r.mutex.Lock()
+	defer r.mutex.Unlock()
+	return r.sets[shard]
+}
+
 // ApplySet takes a set from the catalog or a peer; older ones are ignored.
 func (r *Replica) ApplySet(set Set) {
 	r.mutex.Lock()
-	newer := set.Epoch > r.set.Epoch
-	if newer {
+	newer := r.sets.apply(set)
+	first := newer && r.takeFirstShard()
+	own := newer && set.Shard == r.shard
+	if own {
 		r.set = set
 	}
 	r.mutex.Unlock()
 	if !newer {
 		return
 	}
-	r.logger.Emit(events.ReplicaSetChanged, events.F("epoch", set.Epoch), events.F("members", set.Members), events.F("next", set.Next))
+	r.logger.Emit(events.ReplicaSetChanged, set.fields()...)
+	if own || first {
+		r.wakePulls()
+	}
+}
+
+// wakePulls lets the pull loop begin its next round at once.
+func (r *Replica) wakePulls() {
 	select {
 	case r.setNews <- struct{}{}:
 	default:
 	}
 }
 
-// newerThan returns the known set if a request's epoch is older.
-func (r *Replica) newerThan(epoch int64) *Set {
+// newerThan returns the known set of a shard if a request's epoch is older. The error says that this replica holds
+// another shard. One that does not know its shard yet has never left the one that others know it in.
+func (r *Replica) newerThan(shard int, epoch int64) (*Set, error) {
 	r.mutex.Lock()
 	defer r.mutex.Unlock()
-	if epoch >= r.set.Epoch {
-		return nil
+	if set := r.sets[shard]; epoch < set.Epoch {
+		return &set, nil
+	}
+	if r.shard != noShard && r.shard != shard {
+		return nil, apierr.New(apierr.TurnsUnavailable, apierr.NotRun, "the replica holds shard %d, not %d", r.shard, shard)
 	}
-	set := r.set
-	return &set
+	return nil, nil
 }
 
 // append makes records durable that are not known yet, then applies them.
@@ -282,8 +315,8 @@
 
 // open reserves a turn's tokens and finds the turns before it.
 func (r *Replica) open(ctx context.Context, request openRequest) (openAnswer, error) {
-	if newer := r.newerThan(request.Epoch); newer != nil {
-		return openAnswer{Newer: newer}, nil
+	if newer, err := r.newerThan(request.Shard, request.Epoch); newer != nil || err != nil {
+		return openAnswer{Newer: newer}, err
 	}
 	if request.Reserve != nil {
 		if err := r.append(ctx, []conversation.Record{{Charge: request.Reserve}}); err != nil {
@@ -324,8 +357,8 @@
 }
 
 func (r *Replica) servePut(ctx context.Context, _ transport.Peer, request putRequest) (putAnswer, error) {
-	if newer := r.newerThan(request.Epoch); newer != nil {
-		return putAnswer{Newer: newer}, nil
+	if newer, err := r.newerThan(request.Shard, request.Epoch); newer != nil || err != nil {
+		return putAnswer{Newer: newer}, err
 	}
 	r.mutex.Lock()
 	refusing := r.refusing
@@ -336,17 +369,25 @@
 	return putAnswer{}, r.append(ctx, request.Records)
 }
 
-func (r *Replica) serveDigest(_ context.Context, from transport.Peer, request digestRequest) (digestAnswer, error) {
+func (r *Replica) serveDigest(_ context.Context, _ transport.Peer, request digestRequest) (digestAnswer, error) {
 	r.mutex.Lock()
 	defer r.mutex.Unlock()
-	if !r.set.Has(from.NodeID) {
-		r.spareHeardAt = time.Now()
+	if r.shard != noShard && r.shard != request.Shard {
+		return digestAnswer{}, apierr.New(apierr.TurnsUnavailable, apierr.NotRun, "the replica holds shard %d, not %d", r.shard, request.Shard)
+	}
+	now := time.Now()
+	if !r.set.Has(request.From) {
+		r.spareHeardAt = now
+		if !request.Presence {
+			r.follower, r.followedAt = request.From, now
+		}
 	}
 	after := request.After
 	if request.Identity != r.incarnation {
 		after = 0
 	}
 	answer := digestAnswer{Identity: r.incarnation, Complete: r.folder.record().Complete}
+	answer.Followed = r.follower != request.From && now.Sub(r.followedAt) < spareHeardFor
 	if !request.Presence {
 		answer.Keys, answer.Sequence = r.state.KeysSince(after, digestKeys)
 	}
@@ -390,6 +431,9 @@
 func (r *Replica) serveFence(_ context.Context, _ transport.Peer, request fenceRequest) (fenceAnswer, error) {
 	r.ApplySet(request.Set)
 	set := r.Set()
+	if set.Shard != request.Set.Shard {
+		return fenceAnswer{}, errors.WithStack(errOtherShard{})
+	}
 	if err := r.folder.saveSet(set); err != nil {
 		return fenceAnswer{}, err
 	}
--- a/internal/turnstore/retirement.go
+++ b/internal/turnstore/retirement.go
@@ -120,14 +120,14 @@
 	r.mutex.Unlock()
 	whole := make(map[string]bool)
 	for _, member := range set.Next {
-		if r.push(ctx, set.Epoch, member, records) {
+		if r.push(ctx, set, member, records) {
 			whole[member.Name] = true
 		}
 	}
 	return len(whole) == len(set.Next) || (len(whole) >= set.Copies && Set{Members: set.Next, Copies: set.Copies}.Read(whole))
 }
 
-func (r *Replica) push(ctx context.Context, epoch int64, member Member, records []conversation.Record) bool {
+func (r *Replica) push(ctx context.Context, set Set, member Member, records []conversation.Record) bool {
 	for len(records) > 0 {
 		batch := slices.Clone(records[:min(len(records), pushKeys)])
 		records = records[len(batch):]
@@ -142,7 +142,7 @@
 			return false
 		}
 		callContext, cancel := context.WithTimeout(ctx, pullTimeout)
-		answer, err := transport.Call[putAnswer](callContext, r.network, member.Address, putKind, putRequest{Epoch: epoch, Records: batch})
+		answer, err := transport.Call[putAnswer](callContext, r.network, member.Address, putKind, putRequest{Shard: set.Shard, Epoch: set.Epoch, Records: batch})
 		cancel()
 		if err != nil || answer.Newer != nil {
 			return false
--- a/internal/turnstore/set.go
+++ b/internal/turnstore/set.go
@@ -1,5 +1,7 @@
 package turnstore
 
+import "github.com/mountstile/mountstile/internal/events"
+
 // Member is one replica.
 type Member struct {
 	Name    string `json:"name"`
@@ -7,9 +9,12 @@
 	Zone    string `json:"zone,omitempty"`
 }
 
-// Set says which replicas hold the turns. While Next is not empty, the set is changing: writes and
+// Set says which replicas hold the turns of one shard. While Next is not empty, the set is changing: writes and
 // reads need enough replicas of both Members and Next.
 type Set struct {
+	// Shard is the number of the shard, from 0; Shards is how many there are, 0 standing for one.
+	Shard  int `json:"shard,omitempty"`
+	Shards int `json:"shards,omitempty"`
 	// Epoch rises with each change. Replicas refuse requests of older epochs than they have seen.
 	Epoch   int64    `json:"epoch"`
 	Members []Member `json:"members"`
@@ -22,6 +27,13 @@
 	Size int `json:"size"`
 }
 
+// fields are what log events tell of a set.
+func (s Set) fields() []events.Field {
+	return []events.Field{
+		events.F("shard", s.Shard), events.F("epoch", s.Epoch), events.F("members", s.Members), events.F("next", s.Next),
+	}
+}
+
 // Changing tells whether the set is between two steps of a change.
 func (s Set) Changing() bool { return len(s.Next) > 0 }
 
--- /dev/null
+++ b/internal/turnstore/shard_test.go
@@ -0,0 +1,276 @@
+package turnstore
+
+import (
+	"context"
+	"fmt"
+	"math/rand/v2"
+	"sync"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"github.com/mountstile/mountstile/internal/apierr"
+	"github.com/mountstile/mountstile/internal/conversation"
+)
+
+func candidatesInZones(count, zones int) []Member {
+	var listed []Member
+	for index := range count {
+		listed = append(listed, Member{Name: fmt.Sprint("replica-", index), Zone: fmt.Sprint("zone-", index*zones/count)})
+	}
+	return listed
+}
+
+// Each shard's members are in as many zones as they go, no machine is in two sets, and there is a spare for each shard
+// in a zone of its own where there are enough machines.
+func TestFirstSetsShareOutTheMachines(t *testing.T) {
+	for _, test := range []struct{ machines, zones, size, shards int }{
+		{3, 3, 3, 1}, {4, 3, 5, 1}, {9, 3, 5, 1}, {11, 4, 5, 1}, {12, 6, 5, 2}, {36, 6, 5, 6}, {8, 3, 3, 2},
+	} {
+		sets := firstSets(candidatesInZones(test.machines, test.zones), test.size, test.size/2+1)
+		assert.Equal(t, len(sets), test.shards)
+		seen := make(map[string]bool)
+		for index, set := range sets {
+			assert.Equal(t, set.Shard, index)
+			assert.Equal(t, len(set.Members), min(test.size, test.machines))
+			zones := make(map[string]bool)
+			for _, member := range set.Members {
+				assert.Assert(t, !seen[member.Name], "%s is in two sets", member.Name)
+				seen[member.Name] = true
+				zones[member.Zone] = true
+			}
+			assert.Equal(t, len(zones), min(test.zones, len(set.Members)), "%d machines", test.machines)
+		}
+	}
+}
+
+// programIn returns a program of a shard.
+func programIn(shard, shards int) string {
+	for number := 0; ; number++ {
+		if program := fmt.Sprint("program-", number); shardOf(program, shards) == shard {
+			return program
+		}
+	}
+}
+
+// newSharded starts two shards of three members, and spares.
+func newSharded(t *testing.T, spares int) *cluster {
+	t.Helper()
+	c := newClusterWithSpares(t, 3, 3+spares)
+	assert.Equal(t, len(c.store.sets()), 2)
+	return c
+}
+
+func (c *cluster) keep(client *Client, program, id, previous string) error {
+	ctx, cancel := context.WithTimeout(context.Background(), testTimeout)
+	defer cancel()
+	opened, err := client.Open(ctx, Opening{Turn: id, Program: program, Previous: previous, Budget: randomBudget, Most: 1})
+	if err != nil {
+		return err
+	}
+	records := append(opened.Inherited(), conversation.Record{Turn: &conversation.Turn{
+		ID: id, Previous: previous, Program: program, Text: []byte(id + ";"), RetentionMillis: 600_000,
+	}}, opened.Settled(1, "engine"))
+	return client.Put(ctx, program, records)
+}
+
+func (c *cluster) readAs(program, previous string) (*Opened, error) {
+	ctx, cancel := context.WithTimeout(context.Background(), testTimeout)
+	defer cancel()
+	return c.newClient().Open(ctx, Opening{Turn: "next", Program: program, Previous: previous, Budget: -1})
+}
+
+// What a program keeps lies at the members of its shard only.
+func TestShardsDivideTheTurns(t *testing.T) {
+	t.Parallel()
+	c := newSharded(t, 2)
+	for shard := range 2 {
+		program := programIn(shard, 2)
+		assert.NilError(t, c.keep(c.client, program, program+"-a", ""))
+		assert.NilError(t, c.keep(c.client, program, program+"-b", program+"-a"))
+		opened, err := c.readAs(program, program+"-b")
+		assert.NilError(t, err)
+		assert.Equal(t, string(opened.Prefix), program+"-a;"+program+"-b;")
+	}
+	for _, set := range c.store.sets() {
+		for _, member := range set.Members {
+			m := c.machineOf(member.Name)
+			eventually(t, "each member has the turns of its shard", func() bool { return m.turns() == 2 })
+		}
+	}
+	_, err := c.readAs("any", "never")
+	assert.Assert(t, apierr.Is(err, apierr.NoSuchTurn), "%v", err)
+}
+
+// A program that goes on from a turn of another shard takes the turns before it along: once its own turn is kept, it
+// does not need the other shard any more.
+func TestProgramGoesOnFromATurnOfAnotherShard(t *testing.T) {
+	t.Parallel()
+	c := newSharded(t, 2)
+	older, newer := programIn(0, 2), programIn(1, 2)
+	assert.NilError(t, c.keep(c.client, older, "a", ""))
+	assert.NilError(t, c.keep(c.client, older, "b", "a"))
+	for index, client := range []*Client{c.newClient(), c.client} {
+		// The second client has the turns in memory, and asks nobody for them.
+		assert.NilError(t, c.keep(client, newer, fmt.Sprint("c", index), "b"))
+	}
+	for _, member := range c.store.setOf(0).Members {
+		c.kill(c.machineOf(member.Name))
+	}
+	for index := range 2 {
+		opened, err := c.readAs(newer, fmt.Sprint("c", index))
+		assert.NilError(t, err)
+		assert.Equal(t, string(opened.Prefix), fmt.Sprintf("a;b;c%d;", index))
+	}
+	// Nobody can be sure any more that a turn was never kept.
+	_, err := c.readAs(newer, "never")
+	assert.Assert(t, apierr.Is(err, apierr.TurnsUnavailable), "%v", err)
+	_, err = c.readAs(older, "b")
+	assert.Assert(t, apierr.Is(err, apierr.TurnsUnavailable), "%v", err)
+	assert.Assert(t, c.client.Ready(t.Context()) == false, "one of two shards is not most of them")
+}
+
+// Spares go where a member is missing, whichever shard they held before: here one is missing in each shard, then once more
+// in the same.
+func TestSparesTakePlacesInAnyShard(t *testing.T) {
+	t.Parallel()
+	c := newSharded(t, 3)
+	for shard := range 2 {
+		assert.NilError(t, c.keep(c.client, programIn(shard, 2), fmt.Sprint("kept-", shard), ""))
+	}
+	lose := func(shard int) {
+		lost := c.machineOf(c.store.setOf(shard).Members[0].Name)
+		c.kill(lost)
+		c.forget(lost)
+		eventually(t, "another machine is in its place", func() bool {
+			set := c.store.setOf(shard)
+			return !set.Has(lost.name) && !set.Changing() && len(set.Members) == 3
+		})
+	}
+	lose(0)
+	lose(1)
+	lose(1)
+	for shard := range 2 {
+		for _, member := range c.store.setOf(shard).Members {
+			assert.Assert(t, c.machineOf(member.Name).complete(), "%s is a member and not complete", member.Name)
+		}
+		opened, err := c.readAs(programIn(shard, 2), fmt.Sprint("kept-", shard))
+		assert.NilError(t, err)
+		assert.Equal(t, string(opened.Prefix), fmt.Sprintf("kept-%d;", shard))
+	}
+}
+
+// TestRandomFaultsOfShards is TestRandomFaults for two shards and their spares: members are killed, wiped, cut off, lost for good and
+// emptied, and what was kept in either shard is never denied, nor a budget overspent.
+func TestRandomFaultsOfShards(t *testing.T) {
+	t.Parallel()
+	for run := range *randomRuns {
+		seed := *randomSeed + uint64(run)
+		t.Run(fmt.Sprint(seed), func(t *testing.T) {
+			t.Parallel()
+			playShardFaults(t, seed)
+		})
+	}
+}
+
+func playShardFaults(t *testing.T, seed uint64) {
+	random := rand.New(rand.NewPCG(seed, 1))
+	c := newSharded(t, 2)
+	told := &ledger{generated: make(map[string]int64)}
+	ctx, stop := context.WithCancel(context.Background())
+	var writers sync.WaitGroup
+	for index := range 3 {
+		writers.Add(1)
+		go func() {
+			defer writers.Done()
+			c.write(ctx, told, c.newClient(), index)
+		}()
+	}
+	added := 0
+	for step := range *randomSteps {
+		c.fault(random, &added)
+		c.checkDenials(told, random)
+		c.settleShards(fmt.Sprintf("after step %d", step))
+		c.checkDenials(told, random)
+	}
+	stop()
+	writers.Wait()
+	for program, generated := range told.generated {
+		assert.Assert(t, generated <= randomBudget, "%s generated %d", program, generated)
+	}
+	for _, id := range told.kept {
+		eventually(t, "turn "+id+" is there", func() bool {
+			opened, err := c.read(id)
+			return err == nil && len(opened.Prefix) > 0
+		})
+	}
+}
+
+// settleShards waits until each shard has its members, and these are there and complete.
+func (c *cluster) settleShards(when string) {
+	c.t.Helper()
+	eventually(c.t, "the shards are whole "+when, func() bool {
+		for _, set := range c.store.sets() {
+			if set.Changing() || len(set.Members) != set.Size {
+				return false
+			}
+			for _, member := range set.Members {
+				if m := c.find(member.Name); m == nil || m.process == nil || !m.complete() {
+					return false
+				}
+			}
+		}
+		return true
+	})
+}
+
+// A spare that has moved says nothing about its old shard, and answers with the newer set where it knows one.
+func TestReplicaAnswersForItsShardOnly(t *testing.T) {
+	t.Parallel()
+	c := newSharded(t, 2)
+	member := c.machineOf(c.store.setOf(1).Members[0].Name).process.replica
+	eventually(t, "it knows both sets, and its shard is on disk", func() bool {
+		return member.setOf(0).Epoch > 0 && member.folder.record().Assigned
+	})
+	_, err := member.newerThan(0, c.store.setOf(0).Epoch)
+	assert.Assert(t, apierr.Is(err, apierr.TurnsUnavailable), "%v", err)
+	newer, err := member.newerThan(0, 0)
+	assert.NilError(t, err)
+	assert.Equal(t, newer.Shard, 0)
+	assert.Assert(t, member.folder.saveSet(c.store.setOf(0)) != nil, "the set of another shard was taken")
+}
+
+// A replica whose disk has a shard takes it up at its start, before it has heard of any set.
+func TestShardIsRememberedOnDisk(t *testing.T) {
+	t.Parallel()
+	c := newSharded(t, 2)
+	m := c.machineOf(c.store.setOf(1).Members[0].Name)
+	eventually(t, "the shard is on disk", func() bool { return m.process.replica.folder.record().Assigned })
+	c.kill(m)
+	opened, err := openFolder(m.folder, false)
+	assert.NilError(t, err)
+	assert.Equal(t, opened.record().Set.Shard, 1)
+	assert.Assert(t, opened.record().Complete)
+	moved := c.store.setOf(0)
+	assert.NilError(t, opened.saveShard(moved))
+	assert.Assert(t, !opened.record().Complete, "it is complete in a shard of which it has nothing")
+}
+
+// A member must not take another member for a spare: it would wait in vain for a spare to take its place.
+func TestMembersAreNotTakenForSpares(t *testing.T) {
+	t.Parallel()
+	c := newCluster(t, 3)
+	started := time.Now()
+	for _, m := range c.machines {
+		eventually(t, "each has heard all others", func() bool { return m.process.replica.hearsAll(c.store.set().Members) })
+	}
+	eventually(t, "some rounds of questions have passed", func() bool { return time.Since(started) > 3*pullInterval })
+	for _, m := range c.machines {
+		replica := m.process.replica
+		replica.mutex.Lock()
+		heard := replica.spareHeardAt
+		replica.mutex.Unlock()
+		assert.Assert(t, heard.IsZero() || heard.Before(started), "%s took a member for a spare", m.name)
+	}
+}
--- a/internal/turnstore/texts.go
+++ b/internal/turnstore/texts.go
@@ -95,6 +95,15 @@
 	}
 }
 
+// clear forgets all texts.
+func (t *texts) clear() {
+	t.mutex.Lock()
+	defer t.mutex.Unlock()
+	t.entries = make(map[string]*textEntry)
+	t.newest = nil
+	t.resident, t.total = 0, 0
+}
+
 // size is the bytes of all texts, on disk or in memory.
 func (t *texts) size() int64 {
 	t.mutex.Lock()
