--- a/internal/replica/group.go
+++ b/internal/replica/group.go
@@ -219,8 +219,9 @@
 func (g *group) fail(err error) {
 	g.host.options.Logger.Emit(events.StorageFailed, events.F("partition", g.id), events.F("error", err))
 	g.failure = apierr.New(apierr.PartitionUnavailable, apierr.OutcomeUnknown, "this replica has failed: %s", err)
-	g.failWaiters(g.failure)
+	// Whoever hears of the failure finds it in the status, so that comes first.
 	g.publishStatus()
+	g.failWaiters(g.failure)
 }
 
 func (g *group) restore(snapshot consensus.Snapshot) {
--- a/internal/replica/replica_test.go
+++ b/internal/replica/replica_test.go
@@ -213,6 +213,19 @@
 	return nil
 }
 
+// Whoever learns from its proposal that a replica has failed finds that in the replica's status.
+func TestFailureIsInTheStatusBeforeProposalsEnd(t *testing.T) {
+	here := newSite(t)
+	host, _ := here.start("a", &fullDisk{left: 6})
+	failing, err := newGroup(host, 7, &journal{}, Stored{})
+	assert.NilError(t, err)
+	result := make(chan proposalResult)
+	failing.waiters[1] = waiter{result: result}
+	go failing.fail(os.ErrInvalid)
+	assert.Assert(t, apierr.Is((<-result).err, apierr.PartitionUnavailable))
+	assert.Assert(t, failing.status.Load().Failed != "")
+}
+
 // TestFullDiskStopsAnswering: a replica that can't write must not acknowledge.
 func TestFullDiskStopsAnswering(t *testing.T) {
 	here := newSite(t)
