--- a/internal/replica/replica_test.go
+++ b/internal/replica/replica_test.go
@@ -219,11 +219,14 @@
 	host, _ := here.start("a", &fullDisk{left: 6})
 	failing, err := newGroup(host, 7, &journal{}, Stored{})
 	assert.NilError(t, err)
+	// Nobody takes the second result before the status was looked at, so that what comes after both has not come.
 	result := make(chan proposalResult)
 	failing.waiters[1] = waiter{result: result}
+	failing.waiters[2] = waiter{result: result}
 	go failing.fail(os.ErrInvalid)
 	assert.Assert(t, apierr.Is((<-result).err, apierr.PartitionUnavailable))
 	assert.Assert(t, failing.status.Load().Failed != "")
+	<-result
 }
 
 // TestFullDiskStopsAnswering: a replica that can't write must not acknowledge.
