--- a/internal/node/collector.go
+++ b/internal/node/collector.go
@@ -7,7 +7,6 @@
 )
 
 var (
-	trafficDescription = prometheus.NewDesc("mountstile_peer_bytes_total", "Bytes between nodes by message kind and direction.", []string{"kind", "direction"}, nil)
 	membersDescription = prometheus.NewDesc("mountstile_members", "Members by status.", []string{"status"}, nil)
 	revisionDescrip    = prometheus.NewDesc("mountstile_config_revision", "Configuration revision in force.", nil, nil)
 	groupsDescription  = prometheus.NewDesc("mountstile_partitions", "Partitions that this node holds, by role.", []string{"role"}, nil)
@@ -30,7 +29,6 @@
 
 // Describe implements prometheus.Collector.
 func (c *collector) Describe(descriptions chan<- *prometheus.Desc) {
-	descriptions <- trafficDescription
 	descriptions <- membersDescription
 	descriptions <- revisionDescrip
 	descriptions <- groupsDescription
@@ -41,10 +39,6 @@
 
 // Collect implements prometheus.Collector.
 func (c *collector) Collect(metrics chan<- prometheus.Metric) {
-	for kind, traffic := range c.plane.Transport.Traffic().ByKind() {
-		metrics <- prometheus.MustNewConstMetric(trafficDescription, prometheus.CounterValue, float64(traffic.SentBytes), kind, "sent")
-		metrics <- prometheus.MustNewConstMetric(trafficDescription, prometheus.CounterValue, float64(traffic.ReceivedBytes), kind, "received")
-	}
 	statuses := make(map[string]int)
 	for _, member := range c.plane.Membership.View().All() {
 		statuses[string(member.Status)]++
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -166,7 +166,7 @@
 // assembleServers makes what callers and operators talk to.
 func (n *Node) assembleServers(id string, models engine.ModelEngine) {
 	client := coordinator.NewClient(n.plane.Transport, n.plane.Membership, n.plane.Partitions)
-	n.registry.MustRegister(collectors.NewGoCollector(), collectors.NewProcessCollector(collectors.ProcessCollectorOpts{}), newCollector(n.plane))
+	n.registry.MustRegister(collectors.NewGoCollector(), collectors.NewProcessCollector(collectors.ProcessCollectorOpts{}), newCollector(n.plane), n.plane.Transport.Traffic())
 	n.gateway = gateway.New(gateway.Options{
 		NodeID:       id,
 		Config:       n.plane.Config,
