--- a/internal/turnstore/loadnews_test.go
+++ b/internal/turnstore/loadnews_test.go
@@ -111,3 +111,19 @@
 		return one.heardOf("engi") == 9
 	})
 }
+
+// Gateways hear of one another's calls whichever shards their programs are in.
+func TestGatewaysHearOfOneAnotherAcrossShards(t *testing.T) {
+	t.Parallel()
+	c := newSharded(t, 2)
+	one, two := &countedLoad{reported: load.Sheet{{Engine: "engi", Calls: 4}}}, &countedLoad{reported: load.Sheet{{Engine: "engi", Calls: 7}}}
+	first, second := c.newClientWith("first", one), c.newClientWith("second", two)
+	eventually(t, "both have heard", func() bool {
+		for shard, client := range []*Client{first, second} {
+			opened, err := client.Open(t.Context(), Opening{Turn: "next", Program: programIn(shard, 2), Budget: 1 << 40, Most: 1})
+			assert.NilError(t, err)
+			client.Settle(opened, 1, "")
+		}
+		return one.heardOf("engi") == 7 && two.heardOf("engi") == 4
+	})
+}
