A gateway is ready while it reaches half of the shards

With two shards, more than half of them are both: the loss of one beyond what is borne made every gateway say that it isn't ready, and the programs of the other were not served.

--- a/internal/turnstore/client.go
+++ b/internal/turnstore/client.go
@@ -170,8 +170,8 @@
 // Copies is one more than the number of disks that may be lost at once; 0 while no replica set is known.
 func (c *Client) Copies() int { return c.Set().Copies }
 
-// Ready asks the replicas whether enough of them answer in more than half of the shards. If one shard is lost for long,
-// gateways must not stay away from the callers of all others.
+// Ready asks the replicas whether enough of them answer in half of the shards. If a shard is lost for long, gateways must
+// not stay away from the callers of the others, be it one of two.
 func (c *Client) Ready(ctx context.Context) bool {
 	known := c.allSets()
 	if len(known) == 0 {
@@ -186,15 +186,15 @@
 		if <-readable {
 			ready++
 		}
-		if mostOf(ready, len(known)) {
+		if suffices(ready, len(known)) {
 			return true
 		}
 	}
 	return false
 }
 
-// mostOf tells whether a part of the shards is more than half of them.
-func mostOf(part, shards int) bool { return 2*part > shards }
+// suffices tells whether a part of the shards is half of them or more.
+func suffices(part, shards int) bool { return 2*part >= shards }
 
 // readable asks the replicas of a shard whether enough of them answer.
 func (c *Client) readable(ctx context.Context, set Set) bool {
--- a/internal/turnstore/reach.go
+++ b/internal/turnstore/reach.go
@@ -75,7 +75,7 @@
 	return known
 }
 
-// Reachable tells whether enough replicas answer in more than half of the shards. Turns of the others are refused soon.
+// Reachable tells whether enough replicas answer in half of the shards. Turns of the others are refused soon.
 func (c *Client) Reachable() bool {
 	known := c.allSets()
 	reachable := 0
@@ -84,7 +84,7 @@
 			reachable++
 		}
 	}
-	return len(known) == 0 || mostOf(reachable, len(known))
+	return len(known) == 0 || suffices(reachable, len(known))
 }
 
 // Steady tells whether the last opening of a program's shard met enough replicas, or there was none yet.
