--- a/internal/turnstore/random_test.go
+++ b/internal/turnstore/random_test.go
@@ -55,6 +55,13 @@
 func playFaults(t *testing.T, seed uint64) {
 	random := rand.New(rand.NewPCG(seed, 0))
 	c := newCluster(t, 3+random.IntN(2))
+	c.playFaults(random, c.settle)
+	t.Logf("seed %d: set %+v", seed, c.store.set())
+}
+
+// playFaults plays faults, each after the cluster has settled from the one before, while callers write and read.
+func (c *cluster) playFaults(random *rand.Rand, settle func(when string)) {
+	t := c.t
 	told := &ledger{generated: make(map[string]int64)}
 	ctx, stop := context.WithCancel(context.Background())
 	var writers sync.WaitGroup
@@ -69,7 +76,7 @@
 	for step := range *randomSteps {
 		c.fault(random, &added)
 		c.checkDenials(told, random)
-		c.settle(fmt.Sprintf("after step %d", step))
+		settle(fmt.Sprintf("after step %d", step))
 		c.checkDenials(told, random)
 	}
 	stop()
@@ -83,7 +90,7 @@
 			return err == nil && len(opened.Prefix) > 0
 		})
 	}
-	t.Logf("seed %d: %d turns kept, set %+v", seed, len(told.kept), c.store.set())
+	t.Logf("%d turns kept", len(told.kept))
 }
 
 // write keeps turns and spends budgets until the context ends.
--- a/internal/turnstore/shard_test.go
+++ b/internal/turnstore/shard_test.go
@@ -4,7 +4,6 @@
 	"context"
 	"fmt"
 	"math/rand/v2"
-	"sync"
 	"testing"
 	"time"
 
@@ -175,40 +174,8 @@
 		seed := *randomSeed + uint64(run)
 		t.Run(fmt.Sprint(seed), func(t *testing.T) {
 			t.Parallel()
-			playShardFaults(t, seed)
-		})
-	}
-}
-
-func playShardFaults(t *testing.T, seed uint64) {
-	random := rand.New(rand.NewPCG(seed, 1))
-	c := newSharded(t, 2)
-	told := &ledger{generated: make(map[string]int64)}
-	ctx, stop := context.WithCancel(context.Background())
-	var writers sync.WaitGroup
-	for index := range 3 {
-		writers.Add(1)
-		go func() {
-			defer writers.Done()
-			c.write(ctx, told, c.newClient(), index)
-		}()
-	}
-	added := 0
-	for step := range *randomSteps {
-		c.fault(random, &added)
-		c.checkDenials(told, random)
-		c.settleShards(fmt.Sprintf("after step %d", step))
-		c.checkDenials(told, random)
-	}
-	stop()
-	writers.Wait()
-	for program, generated := range told.generated {
-		assert.Assert(t, generated <= randomBudget, "%s generated %d", program, generated)
-	}
-	for _, id := range told.kept {
-		eventually(t, "turn "+id+" is there", func() bool {
-			opened, err := c.read(id)
-			return err == nil && len(opened.Prefix) > 0
+			c := newSharded(t, 2)
+			c.playFaults(rand.New(rand.NewPCG(seed, 1)), c.settleShards)
 		})
 	}
 }
