A test waits until the replica that it pulls from has something to pull

Traced by reading: a turn counts as kept on two of three replicas, and the source may be the third. Then the pull ends with nothing, and the rounds of the test, which only note questions, make the source silent after 2.5 s.

--- a/internal/turnstore/pull_test.go
+++ b/internal/turnstore/pull_test.go
@@ -23,6 +23,8 @@
 	assert.NilError(t, err)
 	stalled.ApplySet(c.store.set())
 	source := c.store.set().Members[0]
+	// Two of three replicas suffice for the turn; where the source gets it last, there would be nothing to pull yet.
+	eventually(t, "the source has the turn", func() bool { return c.machineOf(source.Name).turns() == 1 })
 	ctx, stop := context.WithCancel(t.Context())
 	ended := make(chan struct{})
 	go func() {
