Sight: a line and a counter for each resumption, and how each stream ended

The log could not tell which streams that broke off ended with a failure of the engine. stream_resumed (516) names the request, the engine, the last event, the status and the events that the run brought; the request's own line says how the stream ended (whole, or cut and by whom), over how many runs. Counters: mountstile_stream_resumptions_total, mountstile_streams_total. No logic is changed.

--- a/internal/dispatch/dispatch.go
+++ b/internal/dispatch/dispatch.go
@@ -81,9 +81,29 @@
 	Priority int
 	// Trace is filled with what decided the call's way, for its log line.
 	Trace Trace
-	// Resume is set for streams that may go on in another run. It returns the last event that the
-	// caller has, and whether the caller has got any part of the answer.
-	Resume func() (lastEvent string, delivered bool)
+	// Stream is set for streams that may go on in another run.
+	Stream Resumable
+}
+
+// Resumable is a stream that may go on in another run.
+type Resumable interface {
+	// LastEvent is the ID of the last event that the caller has; empty if it has none.
+	LastEvent() string
+	// Resumed learns how a run ended that was to go on after what the caller has.
+	Resumed(resumption Resumption)
+}
+
+// Resumption is one run that was to go on with a stream.
+type Resumption struct {
+	Engine string
+	// LastEvent is where it was to go on; empty for the start of the stream.
+	LastEvent string
+	// Status is that of the answer's head; 0 if none came.
+	Status int
+	// Outcome is what is known of the run, in a word.
+	Outcome string
+	// Cause is why the run did not bring the rest of the stream; nil if it did.
+	Cause error
 }
 
 // Trace is what decided the way of a call.
@@ -190,8 +210,13 @@
 			return err
 		}
 		call.Trace.Sends++
-		outcome, err := d.limitedAttempt(ctx, call, engine, progress, consume)
+		run := Resumption{Engine: engine.ID()}
+		outcome, err := d.limitedAttempt(ctx, call, engine, progress, &run, consume)
 		d.registry.release(engine)
+		if call.Stream != nil && progress.ran {
+			run.Outcome, run.Cause = outcome.String(), err
+			call.Stream.Resumed(run)
+		}
 		if outcome == succeeded {
 			return nil
 		}
@@ -232,22 +257,22 @@
 
 // limitedAttempt gives up an attempt whose answer is late while another engine may still run the
 // call. Without that, an answer that an engine has lost would be waited for until the caller leaves.
-func (d *Dispatcher) limitedAttempt(ctx context.Context, call *Call, engine *Engine, progress *progress, consume func(*Attempt) error) (attemptOutcome, error) {
+func (d *Dispatcher) limitedAttempt(ctx context.Context, call *Call, engine *Engine, progress *progress, run *Resumption, consume func(*Attempt) error) (attemptOutcome, error) {
 	limit, limited := progress.attemptLimit(ctx, time.Now())
 	if !limited {
-		return d.attempt(ctx, call, engine, consume)
+		return d.attempt(ctx, call, engine, run, consume)
 	}
 	attemptContext, cancel := context.WithTimeout(ctx, limit)
 	defer cancel()
-	outcome, err := d.attempt(attemptContext, call, engine, consume)
+	outcome, err := d.attempt(attemptContext, call, engine, run, consume)
 	if attemptContext.Err() != nil && ctx.Err() == nil {
 		d.registry.failed(engine, false, errLate)
 	}
 	return outcome, err
 }
 
-// attempt sends a call once.
-func (d *Dispatcher) attempt(ctx context.Context, call *Call, engine *Engine, consume func(*Attempt) error) (attemptOutcome, error) {
+// attempt sends a call once. What it learns of a stream's run is added to run.
+func (d *Dispatcher) attempt(ctx context.Context, call *Call, engine *Engine, run *Resumption, consume func(*Attempt) error) (attemptOutcome, error) {
 	request := call.Request
 	request.Header = call.Request.Header.Clone()
 	sentAt := time.Now()
@@ -256,8 +281,9 @@
 		left = deadline.Sub(sentAt)
 	}
 	offer := Offer{Engine: engine.ID(), Left: left, Priority: call.Priority}
-	if call.Resume != nil {
-		offer.LastEvent, _ = call.Resume()
+	if call.Stream != nil {
+		offer.LastEvent = call.Stream.LastEvent()
+		run.LastEvent = offer.LastEvent
 	}
 	d.protocol.Prepare(request.Header, offer)
 	exchange, err := engine.pool.Send(ctx, &request)
@@ -265,6 +291,7 @@
 		return d.sendFailed(ctx, engine, err)
 	}
 	defer exchange.Abandon()
+	run.Status = exchange.Response().StatusCode
 	switch d.protocol.Judge(exchange.Response(), call.ID) {
 	case Refused:
 		d.registry.markFull(engine)
--- a/internal/dispatch/progress.go
+++ b/internal/dispatch/progress.go
@@ -93,7 +93,7 @@
 	if expired(ctx) || outcome == delivered || p.sends >= maximalSends {
 		return false
 	}
-	if p.call.Resume != nil && p.ran {
+	if p.call.Stream != nil && p.ran {
 		return p.mayResume(outcome, engine) && retries.spend()
 	}
 	p.call.Want.Excluded[engine.ID()] = true
--- a/internal/events/events.go
+++ b/internal/events/events.go
@@ -82,6 +82,7 @@
 	EngineGone           ID = 513
 	AttemptRetried       ID = 514
 	StoreOutageEnded     ID = 515
+	StreamResumed        ID = 516
 	CallFailed           ID = 601
 	CallRefused          ID = 602
 	RequestPanicked      ID = 603
@@ -174,6 +175,7 @@
 	{EngineGone, "engine_gone", logrus.InfoLevel, "an engine's record went"},
 	{AttemptRetried, "attempt_retried", logrus.InfoLevel, "an attempt failed and the call goes to another engine"},
 	{StoreOutageEnded, "store_outage_ended", logrus.InfoLevel, "the store is heard of again; records of engines that went meanwhile may come back"},
+	{StreamResumed, "stream_resumed", logrus.InfoLevel, "another run was to go on with a stream that had broken off; status, events and outcome tell what it brought"},
 	{CallFailed, "call_failed", logrus.WarnLevel, "a call ended with a failure"},
 	{CallRefused, "call_refused", logrus.DebugLevel, "a call was refused as not run"},
 	{RequestPanicked, "request_panicked", logrus.ErrorLevel, "a request handler panicked; the request was failed"},
--- a/internal/ingress/metrics.go
+++ b/internal/ingress/metrics.go
@@ -19,6 +19,9 @@
 	openings *prometheus.HistogramVec
 	places   *prometheus.CounterVec
 	dropped  prometheus.Counter
+	// resumptions and endings are of streams, by outcome.
+	resumptions *prometheus.CounterVec
+	endings     *prometheus.CounterVec
 }
 
 // NewMetrics registers the metrics.
@@ -44,6 +47,13 @@
 	metrics.dropped = prometheus.NewCounter(prometheus.CounterOpts{
 		Name: "mountstile_log_lines_dropped_total", Help: "Lines on requests that were over the limit and not written.",
 	})
+	metrics.resumptions = prometheus.NewCounterVec(prometheus.CounterOpts{
+		Name: "mountstile_stream_resumptions_total", Help: "Runs that were to go on with a broken stream, by what came of them.",
+	}, []string{"outcome"})
+	metrics.endings = prometheus.NewCounterVec(prometheus.CounterOpts{
+		Name: "mountstile_streams_total", Help: "Streams by how they ended: whole, or cut and by whom.",
+	}, []string{"end"})
+	registerer.MustRegister(metrics.resumptions, metrics.endings)
 	registerer.MustRegister(metrics.requests, metrics.seconds, metrics.first, metrics.openings, metrics.places, metrics.dropped)
 	return metrics
 }
@@ -67,6 +77,9 @@
 	if r.call != nil {
 		fields = append(fields, r.placement()...)
 	}
+	if r.ended != nil {
+		fields = append(fields, r.ended.fields()...)
+	}
 	if err != nil {
 		failure := apierr.From(err, apierr.OutcomeUnknown)
 		fields = append(fields, events.F("outcome", string(failure.Outcome)), events.F("error", err), events.F("broken_off", r.sent))
@@ -124,6 +137,9 @@
 	m.requests.WithLabelValues(r.service.Name, strconv.Itoa(status), reason).Inc()
 	m.seconds.WithLabelValues(r.service.Name).Observe(took.Seconds())
 	m.observeTurn(r)
+	if r.ended != nil {
+		m.endings.WithLabelValues(r.ended.way).Inc()
+	}
 	if !r.firstEventAt.IsZero() {
 		m.first.WithLabelValues(r.service.Name).Observe(r.firstEventAt.Sub(r.arrivedAt).Seconds())
 	}
@@ -162,3 +178,10 @@
 		m.dropped.Inc()
 	}
 }
+
+// resumed counts a run that was to go on with a stream.
+func (m *Metrics) resumed(outcome string) {
+	if m != nil {
+		m.resumptions.WithLabelValues(outcome).Inc()
+	}
+}
--- a/internal/ingress/server.go
+++ b/internal/ingress/server.go
@@ -121,6 +121,8 @@
 	status       int
 	firstEventAt time.Time
 	sent         bool
+	// ended is how the stream ended; nil for calls that are none.
+	ended *streamEnding
 }
 
 // ServeHTTP implements http.Handler.
