Streams have one state machine, which alone says when an answer is complete

Cause: the head of a continuation was judged like that of a first attempt, where an engine's failure is an answer to be passed on, and the end of any body ended the stream. Ruled out by the lines on resumptions: ends taken for whole where there is no length, and silent runs that are abandoned (69 of 69 short answers had a last run of status 500). eventstream.Stream owns the life of a stream: a continuation must have the head of the rest (status, type, weights), its first event must come after the caller's last one, and it must bring one; an end within an event is none. A turn is kept only if its stream has ended, not by the status of the first head, and of a resumable one only events that passed are charged. Callers of HTTP/1.0 are cut by a reset.

--- a/internal/dispatch/dispatch.go
+++ b/internal/dispatch/dispatch.go
@@ -85,27 +85,6 @@
 	Stream Resumable
 }
 
-// Resumable is a stream that may go on in another run.
-type Resumable interface {
-	// LastEvent is the ID of the last event that the caller has; empty if it has none.
-	LastEvent() string
-	// Resumed learns how a run ended that was to go on after what the caller has.
-	Resumed(resumption Resumption)
-}
-
-// Resumption is one run that was to go on with a stream.
-type Resumption struct {
-	Engine string
-	// LastEvent is where it was to go on; empty for the start of the stream.
-	LastEvent string
-	// Status is that of the answer's head; 0 if none came.
-	Status int
-	// Outcome is what is known of the run, in a word.
-	Outcome string
-	// Cause is why the run did not bring the rest of the stream; nil if it did.
-	Cause error
-}
-
 // Trace is what decided the way of a call.
 type Trace struct {
 	// Engine is the one that was asked last.
@@ -210,13 +189,10 @@
 			return err
 		}
 		call.Trace.Sends++
-		run := Resumption{Engine: engine.ID()}
-		outcome, err := d.limitedAttempt(ctx, call, engine, progress, &run, consume)
+		run := newRun(call, engine)
+		outcome, err := d.limitedAttempt(ctx, call, engine, progress, run, consume)
 		d.registry.release(engine)
-		if call.Stream != nil && progress.ran {
-			run.Outcome, run.Cause = outcome.String(), err
-			call.Stream.Resumed(run)
-		}
+		run.end(call, progress, outcome, err)
 		if outcome == succeeded {
 			return nil
 		}
@@ -280,11 +256,7 @@
 	if deadline, ok := ctx.Deadline(); ok {
 		left = deadline.Sub(sentAt)
 	}
-	offer := Offer{Engine: engine.ID(), Left: left, Priority: call.Priority}
-	if call.Stream != nil {
-		offer.LastEvent = call.Stream.LastEvent()
-		run.LastEvent = offer.LastEvent
-	}
+	offer := Offer{Engine: engine.ID(), Left: left, Priority: call.Priority, LastEvent: run.LastEvent}
 	d.protocol.Prepare(request.Header, offer)
 	exchange, err := engine.pool.Send(ctx, &request)
 	if err != nil {
--- /dev/null
+++ b/internal/dispatch/resume.go
@@ -0,0 +1,49 @@
+package dispatch
+
+// Resumable is a stream that may go on in another run.
+type Resumable interface {
+	// LastEvent is the ID of the last event that the caller has; empty if it has none.
+	LastEvent() string
+	// Events is how many whole events the caller has.
+	Events() int
+	// Resumed learns how a run ended that was to go on after what the caller has.
+	Resumed(resumption Resumption)
+}
+
+// Resumption is one run that was to go on with a stream.
+type Resumption struct {
+	Engine string
+	// LastEvent is where it was to go on; empty for the start of the stream.
+	LastEvent string
+	// Status is that of the answer's head; 0 if none came.
+	Status int
+	// Events is how many whole events it brought.
+	Events int
+	// Outcome is what is known of the run, in a word.
+	Outcome string
+	// Cause is why the run did not bring the rest of the stream; nil if it did.
+	Cause error
+	// before is how many events the caller had when the run began.
+	before int
+}
+
+// newRun begins a run of a call at an engine.
+func newRun(call *Call, engine *Engine) *Resumption {
+	run := &Resumption{Engine: engine.ID()}
+	if call.Stream != nil {
+		run.LastEvent = call.Stream.LastEvent()
+		run.before = call.Stream.Events()
+	}
+	return run
+}
+
+// end tells a stream of a run that was to go on with it.
+func (r *Resumption) end(call *Call, progress *progress, outcome attemptOutcome, cause error) {
+	if call.Stream == nil || !progress.ran {
+		return
+	}
+	r.Events = call.Stream.Events() - r.before
+	r.Outcome = outcome.String()
+	r.Cause = cause
+	call.Stream.Resumed(*r)
+}
--- /dev/null
+++ b/internal/eventstream/stream.go
@@ -0,0 +1,295 @@
+// Package eventstream owns the life of one answer that is a stream of events (text/event-stream): which bytes of which run
+// the caller gets, where another run may go on after one that broke off, and when the answer is complete. It is a state
+// machine without clock, goroutine or I/O.
+//
+// A stream is read from one run of an engine or from several, each of which goes on after the last event of those
+// before. The caller gets the first run's head, each event once, in order, and an end only if the last run has ended whole
+// and brought something.
+//
+//	           Bytes                    End
+//	Opened ───────────────> Passing ───────────> Ended
+//	│    ^ Break               │  ^
+//	└────┘               Break │  │ Bytes: the first event after the caller's last one
+//	                           v  │
+//	                        Broken ──Begin: the head of the rest──> Resuming ──Break──> Broken
+//
+// Usage:
+//
+//	stream := eventstream.New(eventstream.Options{Resumable: true})
+//	for each run that the engine is asked for, after stream.LastEvent() {
+//		err := stream.Begin(head)           // fails if the head is not that of the rest
+//		passed, err := stream.Bytes(chunk)  // passed is for the caller, also beside an error
+//		passed, err := stream.End()         // the body has ended whole
+//		stream.Break()                      // or the run has ended otherwise, or one of these failed
+//	}
+//	if stream.State() == eventstream.Ended { ... the answer is complete ... }
+package eventstream
+
+// State is where a stream is in its life.
+type State int
+
+// The states.
+const (
+	// Opened means that nothing has passed to the caller: the next run's answer may be any.
+	Opened State = iota
+	// Passing means that bytes of the present run have passed.
+	Passing
+	// Broken means that a run broke off after bytes had passed.
+	Broken
+	// Resuming means that the rest has begun to come, and none of its events has passed yet.
+	Resuming
+	// Ended means that the caller has the whole answer.
+	Ended
+)
+
+// String implements fmt.Stringer.
+func (s State) String() string {
+	return [...]string{"opened", "passing", "broken", "resuming", "ended"}[s]
+}
+
+const (
+	// MediaType is that of event streams.
+	MediaType = "text/event-stream"
+	// maximalHeldBytes bounds what is held of one run: an event whose end has not come, or a failure's body.
+	maximalHeldBytes = 16 << 20
+)
+
+// Options are what is known of a stream before it begins.
+type Options struct {
+	// Resumable streams may go on in another run after their last event. Only whole events of them are passed on.
+	Resumable bool
+	// Keep tells whether Output is wanted.
+	Keep bool
+	// LastEvent is the ID of the last event that the caller has from an answer before; empty if it has none.
+	LastEvent string
+	// VersionField is the field of an event that tells that the weights change with it; empty if there is none.
+	VersionField string
+}
+
+// Head is what counts of the head of a run's answer.
+type Head struct {
+	Status int
+	// MediaType is that of the body, in lower case and without parameters.
+	MediaType string
+	// Version is that of the weights; empty if the engine doesn't tell.
+	Version string
+}
+
+// streams tells whether events follow, and not a failure or some other body.
+func (h Head) streams() bool {
+	return h.Status >= 200 && h.Status < 300 && h.MediaType == MediaType
+}
+
+// Stream is the life of one answer. It is not safe for concurrent use.
+type Stream struct {
+	options Options
+	state   State
+	// first is the head that the caller gets, present that of the present run.
+	first, present Head
+	// opaque tells that the present run's body is no event stream: it is an answer all the same, if it is the first.
+	opaque  bool
+	scanner scanner
+	// held are bytes that have not passed: of an event whose end has not come, or of an opaque body.
+	held []byte
+	out  []byte
+	// count is how many events have passed.
+	count int
+	// lastID is the ID of the last event that passed, numbered whether it had one; version is that of the weights
+	// which made it.
+	lastID   string
+	numbered bool
+	version  string
+	output   []byte
+}
+
+// New returns a Stream of which the caller has got nothing yet.
+func New(options Options) *Stream {
+	stream := &Stream{options: options, lastID: options.LastEvent, numbered: true}
+	stream.scanner.versionField = options.VersionField
+	return stream
+}
+
+// State is where the stream is.
+func (s *Stream) State() State { return s.state }
+
+// LastEvent is the ID of the last event that the caller has; empty if it has none. Another run goes on after it.
+func (s *Stream) LastEvent() string { return s.lastID }
+
+// Passed is how many whole events have passed.
+func (s *Stream) Passed() int { return s.count }
+
+// Started is how many events the caller has got a part of, the whole ones included.
+func (s *Stream) Started() int {
+	if !s.options.Resumable && !s.opaque && s.scanner.open() {
+		return s.count + 1
+	}
+	return s.count
+}
+
+// Output is the data of each event that has passed, each followed by a line feed. It is empty unless Options.Keep is set.
+func (s *Stream) Output() []byte { return s.output }
+
+// MayResume tells whether another run may follow the present one, which has broken off: the caller has got nothing, or it is
+// known after which event the other one is to go on.
+func (s *Stream) MayResume() bool {
+	return s.state == Opened || (s.options.Resumable && !s.opaque && s.numbered && s.state != Ended)
+}
+
+// Begin takes the head of a run's answer. Once bytes have passed, one that is not the head of the rest is an ErrNotTheRest:
+// a failure of the engine is an answer only to a request that has none.
+func (s *Stream) Begin(head Head) error {
+	s.scanner.restart()
+	s.held = s.held[:0]
+	s.present = head
+	switch s.state {
+	case Opened:
+		s.first = head
+		s.opaque = !head.streams()
+		s.version = head.Version
+		return nil
+	case Broken:
+		if err := s.isRest(head); err != nil {
+			return err
+		}
+		s.state = Resuming
+		return nil
+	}
+	return &ErrNotTheRest{Reason: "the stream is " + s.state.String(), Status: head.Status}
+}
+
+// isRest compares a head with that of the stream that it is to go on with.
+func (s *Stream) isRest(head Head) error {
+	switch {
+	case !s.MayResume():
+		return &ErrNotTheRest{Reason: "the stream can't be resumed", Status: head.Status}
+	case head.Status != s.first.Status:
+		return &ErrNotTheRest{Reason: "its status is another", Status: head.Status}
+	case head.MediaType != s.first.MediaType:
+		return &ErrNotTheRest{Reason: "its type is " + head.MediaType, Status: head.Status}
+	case head.Version != s.version:
+		return &ErrNotTheRest{Reason: "its weights are of version " + head.Version, Status: head.Status}
+	}
+	return nil
+}
+
+// Bytes takes a part of the present run's body and returns what the caller is to get now, also beside an error; it is valid
+// until the next call. An ErrDamaged means that the run can't be trusted from there on.
+func (s *Stream) Bytes(chunk []byte) ([]byte, error) {
+	switch {
+	case s.opaque && s.options.Resumable:
+		return nil, s.hold(chunk)
+	case s.opaque:
+		s.state = Passing
+		return chunk, nil
+	case !s.options.Resumable:
+		return s.passThrough(chunk), nil
+	}
+	return s.passEvents(chunk)
+}
+
+// hold keeps bytes back.
+func (s *Stream) hold(chunk []byte) error {
+	if len(s.held)+len(chunk) > maximalHeldBytes {
+		return &ErrDamaged{Reason: "an event or a failure is larger than is held"}
+	}
+	s.held = append(s.held, chunk...)
+	return nil
+}
+
+// passThrough passes bytes as they come; events are only counted.
+func (s *Stream) passThrough(chunk []byte) []byte {
+	for rest := chunk; len(rest) > 0; {
+		taken, ended := s.scanner.next(rest)
+		rest = rest[taken:]
+		if ended {
+			s.take(s.scanner.event)
+			s.scanner.restart()
+		}
+	}
+	s.state = Passing
+	return chunk
+}
+
+// passEvents passes whole events, each checked against the one before.
+func (s *Stream) passEvents(chunk []byte) ([]byte, error) {
+	s.out = s.out[:0]
+	for len(chunk) > 0 {
+		taken, ended := s.scanner.next(chunk)
+		if err := s.hold(chunk[:taken]); err != nil {
+			return s.out, err
+		}
+		chunk = chunk[taken:]
+		if !ended {
+			break
+		}
+		if err := s.follows(s.scanner.event); err != nil {
+			return s.out, err
+		}
+		if s.take(s.scanner.event) {
+			s.state = Passing
+			s.out = append(s.out, s.held...)
+			s.held = s.held[:0]
+		}
+		s.scanner.restart()
+	}
+	return s.out, nil
+}
+
+// follows checks an event of a resumable stream against the last one that the caller has.
+func (s *Stream) follows(next event) error {
+	switch {
+	case !next.hasData:
+		return nil
+	case next.id == "" && (s.state == Resuming || s.options.LastEvent != "" && s.count == 0):
+		return &ErrDamaged{Reason: "the first event after " + s.lastID + " has no ID"}
+	case next.id != "" && s.lastID != "" && !rises(s.lastID, next.id):
+		return &ErrDamaged{Reason: "event " + next.id + " comes after " + s.lastID}
+	}
+	return nil
+}
+
+// take counts an event that passes. What has no data is none, and passes with the event after it.
+func (s *Stream) take(passed event) bool {
+	if !passed.hasData {
+		return false
+	}
+	s.count++
+	s.numbered = passed.id != ""
+	if s.numbered {
+		s.lastID = passed.id
+	}
+	if passed.version != "" {
+		s.version = passed.version
+	}
+	if s.options.Keep {
+		s.output = append(s.output, passed.data...)
+		s.output = append(s.output, '\n')
+	}
+	return true
+}
+
+// End takes the end of the present run's body, which is whole by its framing, and returns what the caller is to get before
+// the end of its answer. An error means that this is not the end of the stream.
+func (s *Stream) End() ([]byte, error) {
+	switch {
+	case s.opaque:
+	case s.scanner.open():
+		return nil, &ErrDamaged{Reason: "the answer ends within an event"}
+	case s.state == Resuming || s.state == Broken:
+		// An engine that fails may end an answer before its first event. Taken for the rest, it would end the stream.
+		return nil, &ErrNotTheRest{Reason: "it brought no event", Status: s.present.Status}
+	}
+	s.state = Ended
+	return s.held, nil
+}
+
+// Break notes that the present run has ended early, or that what it sent was not the rest.
+func (s *Stream) Break() {
+	s.held = s.held[:0]
+	if s.options.Resumable {
+		s.scanner.restart()
+	}
+	if s.state == Passing || s.state == Resuming {
+		s.state = Broken
+	}
+}
--- a/internal/ingress/harness_test.go
+++ b/internal/ingress/harness_test.go
@@ -48,6 +48,8 @@
 	return caller, nil
 }
 
+func (testProtocol) WeightsVersion() (header, eventField string) { return "Weights", "weights" }
+
 func (testProtocol) Prepare(header http.Header, offer dispatch.Offer) {
 	header.Set("Engine", offer.Engine)
 	header.Set("Left", strconv.FormatInt(offer.Left.Milliseconds(), 10))
--- a/internal/ingress/node.go
+++ b/internal/ingress/node.go
@@ -211,6 +211,7 @@
 func (n *Node) NewHTTPServer() *http.Server {
 	return &http.Server{
 		Handler: n.server, ReadHeaderTimeout: headerTimeout, IdleTimeout: idleTimeout, MaxHeaderBytes: maximalHeaderBytes,
+		ConnContext: withConnection,
 	}
 }
 
--- a/internal/ingress/server.go
+++ b/internal/ingress/server.go
@@ -62,6 +62,9 @@
 type Vocabulary interface {
 	// Caller reads the headers; the error is an apierr.Error with the code InvalidRequest.
 	Caller(header http.Header) (Caller, error)
+	// WeightsVersion names the header of an answer, and the field of an event, that tell the version of the weights
+	// which an engine uses; empty where engines don't tell.
+	WeightsVersion() (header, eventField string)
 }
 
 // Options configure a Server.
@@ -139,7 +142,7 @@
 		return
 	}
 	if current.sent {
-		panic(http.ErrAbortHandler)
+		current.cut()
 	}
 	current.refuse(err)
 }
--- a/internal/ingress/stall.go
+++ b/internal/ingress/stall.go
@@ -23,7 +23,7 @@
 
 func (s *stream) watchStall() *stallWatch {
 	watch := &stallWatch{}
-	if !s.resumable {
+	if !s.request.route.Repeatable() {
 		return watch
 	}
 	attempt := s.attempt
--- a/internal/ingress/stream.go
+++ b/internal/ingress/stream.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"io"
+	"mime"
 	"net/http"
 	"time"
 
@@ -12,6 +13,7 @@
 	"github.com/mountstile/mountstile/internal/conversation"
 	"github.com/mountstile/mountstile/internal/dispatch"
 	"github.com/mountstile/mountstile/internal/events"
+	"github.com/mountstile/mountstile/internal/eventstream"
 )
 
 const (
@@ -27,48 +29,48 @@
 type stream struct {
 	request *request
 	attempt *dispatch.Attempt
-	scanner eventScanner
+	// life decides what passes, and when the answer is complete.
+	life    *eventstream.Stream
 	flusher *http.ResponseController
 	lastAt  time.Time
-	// pending are bytes of an event whose end has not come. On resumable routes only whole events are
-	// passed on, so that another run can go on after the last.
-	pending   []byte
-	resumable bool
-	// runs is how many engines' answers were read, before how many events had ended when the last of them began.
-	runs   int
-	before int
+	// runs is how many engines' answers were read.
+	runs int
 }
 
 // relayStream passes events on as they come. The end of the answer goes out only once the turn is
 // kept.
 func (r *request) relayStream(ctx context.Context, call *dispatch.Call) error {
-	passed := &stream{request: r, resumable: r.route.Repeatable()}
-	passed.scanner.keep = r.route.Kept()
-	passed.scanner.lastID = r.caller.LastEvent
-	if passed.resumable {
+	_, versionField := r.server.options.Vocabulary.WeightsVersion()
+	passed := &stream{request: r, life: eventstream.New(eventstream.Options{
+		Resumable: r.route.Repeatable(), Keep: r.route.Kept(), LastEvent: r.caller.LastEvent, VersionField: versionField,
+	})}
+	if r.route.Repeatable() {
 		call.Stream = passed
 	}
 	err := r.server.options.Dispatcher.Run(ctx, call, func(attempt *dispatch.Attempt) error {
 		passed.attempt = attempt
 		return passed.relay()
 	})
-	r.ended = passed.ending(ctx, err)
-	whole := err == nil && r.status < http.StatusMultipleChoices
-	if whole && r.route.Kept() {
-		return passed.keep(ctx)
+	// A turn is kept only if its stream has ended: the status alone is that of the first run, of which the rest may be missing.
+	whole := err == nil && passed.life.State() == eventstream.Ended
+	if whole && r.route.Kept() && r.status < http.StatusMultipleChoices {
+		err = passed.keep()
+	} else {
+		r.settle(passed.generated())
 	}
-	r.settle(passed.generated())
+	r.ended = passed.ending(ctx, err)
 	return err
 }
 
+// relay passes on what one run brings.
 func (s *stream) relay() error {
 	response := s.attempt.Response()
 	s.flusher = http.NewResponseController(s.request.writer)
 	s.lastAt = s.attempt.SentAt()
-	s.scanner.restart()
-	s.pending = s.pending[:0]
 	s.runs++
-	s.before = s.scanner.count
+	if err := s.life.Begin(s.headOf(response)); err != nil {
+		return s.broken(err)
+	}
 	buffer := make([]byte, relayBufferBytes)
 	stall := s.watchStall()
 	defer stall.stop()
@@ -85,29 +87,69 @@
 			return s.end()
 		}
 		if err != nil {
-			return dispatch.Broken(s.request.sent && !s.resumable, err)
+			return s.broken(err)
 		}
 	}
 }
 
-// end passes on what is left once the engine's answer has ended whole.
+// headOf is what counts of an answer's head.
+func (s *stream) headOf(response *http.Response) eventstream.Head {
+	versionHeader, _ := s.request.server.options.Vocabulary.WeightsVersion()
+	head := eventstream.Head{Status: response.StatusCode}
+	if mediaType, _, err := mime.ParseMediaType(response.Header.Get("Content-Type")); err == nil {
+		head.MediaType = mediaType
+	}
+	if versionHeader != "" {
+		head.Version = response.Header.Get(versionHeader)
+	}
+	return head
+}
+
+// pass gives the stream a part of the run's body, and the caller what comes out of it.
+func (s *stream) pass(chunk []byte) error {
+	before := s.life.Passed()
+	passed, damage := s.life.Bytes(chunk)
+	s.observe(s.life.Passed() - before)
+	if len(passed) > 0 {
+		if err := s.write(passed); err != nil {
+			return err
+		}
+	}
+	if damage != nil {
+		return s.broken(damage)
+	}
+	return nil
+}
+
+// end passes on what is left once the run's body has ended whole, if that is the end of the stream.
 func (s *stream) end() error {
+	rest, err := s.life.End()
+	if err != nil {
+		return s.broken(err)
+	}
 	if err := s.begin(); err != nil {
 		return err
 	}
-	if len(s.pending) == 0 {
+	if len(rest) == 0 {
 		return nil
 	}
-	return s.write(s.pending)
+	return s.write(rest)
+}
+
+// broken ends a run that did not bring the stream to its end. Another one may follow if it is known where it is to go on.
+func (s *stream) broken(cause error) error {
+	s.life.Break()
+	return dispatch.Broken(!s.life.MayResume(), cause)
 }
 
 // LastEvent implements dispatch.Resumable.
-func (s *stream) LastEvent() string { return s.scanner.lastID }
+func (s *stream) LastEvent() string { return s.life.LastEvent() }
+
+// Events implements dispatch.Resumable.
+func (s *stream) Events() int { return s.life.Passed() }
 
 // Resumed implements dispatch.Resumable.
 func (s *stream) Resumed(resumption dispatch.Resumption) {
-	brought := s.scanner.count - s.before
-	s.before = s.scanner.count
 	r := s.request
 	r.server.options.Metrics.resumed(resumption.Outcome)
 	if !r.server.lines.allows(true) {
@@ -115,12 +157,13 @@
 		return
 	}
 	r.server.options.Logger.Emit(events.StreamResumed, events.F("request", r.caller.ID), events.F("engine", resumption.Engine),
-		events.F("last_event", resumption.LastEvent), events.F("status", resumption.Status), events.F("events", brought),
+		events.F("last_event", resumption.LastEvent), events.F("status", resumption.Status), events.F("events", resumption.Events),
 		events.F("outcome", resumption.Outcome), events.F("error", resumption.Cause))
 }
 
 // begin sends the head before the first bytes. The caller gets nothing before the turn's tokens are reserved.
 func (s *stream) begin() error {
+	s.request.engine = s.attempt.Engine().ID()
 	if s.request.sent {
 		return nil
 	}
@@ -132,32 +175,11 @@
 	return nil
 }
 
-func (s *stream) pass(chunk []byte) error {
-	ended, boundary := s.scanner.write(chunk)
-	if ended > 0 {
-		s.observe(ended)
-	}
-	if !s.resumable {
-		if err := s.begin(); err != nil {
-			return err
-		}
-		return s.write(chunk)
-	}
-	if boundary == 0 {
-		s.pending = append(s.pending, chunk...)
-		return nil
-	}
+// write sends bytes to the caller at once, after the head.
+func (s *stream) write(chunk []byte) error {
 	if err := s.begin(); err != nil {
 		return err
 	}
-	whole := append(s.pending, chunk[:boundary]...)
-	err := s.write(whole)
-	s.pending = append(s.pending[:0], chunk[boundary:]...)
-	return err
-}
-
-// write sends bytes to the caller at once.
-func (s *stream) write(chunk []byte) error {
 	if _, err := s.request.writer.Write(chunk); err != nil {
 		return dispatch.CallerGone(err)
 	}
@@ -167,7 +189,11 @@
 	return nil
 }
 
+// observe learns from the time that events took.
 func (s *stream) observe(ended int) {
+	if ended == 0 {
+		return
+	}
 	now := time.Now()
 	switch {
 	case s.request.firstEventAt.IsZero():
@@ -183,14 +209,15 @@
 
 // generated is how many tokens the caller may have got.
 func (s *stream) generated() int64 {
-	return int64(s.scanner.started()) * int64(s.request.service.TokensPerEvent)
+	return int64(s.life.Started()) * int64(s.request.service.TokensPerEvent)
 }
 
 // keep writes the turn and its charge.
-func (s *stream) keep(ctx context.Context) error {
+func (s *stream) keep() error {
 	r := s.request
-	text := make([]byte, 0, len(r.body)+len(s.scanner.output))
-	text = append(append(text, r.body...), s.scanner.output...)
+	output := s.life.Output()
+	text := make([]byte, 0, len(r.body)+len(output))
+	text = append(append(text, r.body...), output...)
 	records := []conversation.Record{{Turn: &conversation.Turn{
 		ID: r.caller.ID, Previous: r.caller.Previous, Program: r.caller.Program, Engine: r.engine,
 		Text: text, RetentionMillis: r.route.Retention().Milliseconds(),
--- a/internal/ingress/streamend.go
+++ b/internal/ingress/streamend.go
@@ -7,6 +7,7 @@
 
 	"github.com/mountstile/mountstile/internal/dispatch"
 	"github.com/mountstile/mountstile/internal/events"
+	"github.com/mountstile/mountstile/internal/eventstream"
 )
 
 // The ways in which a stream that has begun may end, as log lines and metrics name them. All but the first are cuts, and
@@ -32,7 +33,7 @@
 
 // ending tells how a stream ended whose dispatch ended with err.
 func (s *stream) ending(ctx context.Context, err error) *streamEnding {
-	return &streamEnding{way: s.wayOfEnding(ctx, err), runs: s.runs, whole: s.scanner.count, lastEvent: s.scanner.lastID}
+	return &streamEnding{way: s.wayOfEnding(ctx, err), runs: s.runs, whole: s.life.Passed(), lastEvent: s.life.LastEvent()}
 }
 
 func (s *stream) wayOfEnding(ctx context.Context, err error) string {
@@ -45,7 +46,7 @@
 		return endedWhole
 	case errors.As(err, &gone), s.request.http.Context().Err() != nil:
 		return cutByCaller
-	case errors.As(err, &withdrawn):
+	case errors.As(err, &withdrawn), s.life.State() == eventstream.Ended:
 		return cutByGateway
 	case ctx.Err() != nil:
 		return cutByDeadline
