--- a/internal/explain/explain.go
+++ b/internal/explain/explain.go
@@ -175,12 +175,21 @@
 			continue
 		}
 		reason := line.text("reason")
-		causes = append(causes, fmt.Sprintf("request %s at %s ended as %s (%s): %s",
-			line.text("request"), line.node, reason, line.text("outcome"), meaning(reason, line)))
+		causes = append(causes, fmt.Sprintf("request %s at %s ended as %s (%s): %s%s",
+			line.text("request"), line.node, reason, line.text("outcome"), meaning(reason, line), line.streamEnd()))
 	}
 	return causes
 }
 
+// streamEnd tells how far a stream came that was cut; empty for other requests.
+func (l Line) streamEnd() string {
+	way := l.text("stream")
+	if !strings.HasPrefix(way, "cut_") {
+		return ""
+	}
+	return fmt.Sprintf("; its stream was %s after %s events, read from %s answers", way, l.text("events"), l.text("runs"))
+}
+
 // Write prints the story: what was believed and done, in order of time, then the causes.
 func (r Report) Write(output io.Writer) {
 	if !r.Found() {
--- a/internal/explain/explain_test.go
+++ b/internal/explain/explain_test.go
@@ -65,6 +65,22 @@
 	assert.Assert(t, strings.Contains(story[1], "g3 ") && strings.Contains(story[1], "epoch=4"), story[1])
 }
 
+const streamLog = `{"event":514,"name":"attempt_retried","node":"g1","request":"r1","engine":"e1","outcome":"unknown","time":"2026-01-01T10:00:00.100Z"}
+{"event":516,"name":"stream_resumed","node":"g1","request":"r1","engine":"e1","last_event":"2","status":500,"events":0,"outcome":"unknown","time":"2026-01-01T10:00:00.200Z"}
+{"event":605,"name":"request_failed","node":"g1","request":"r1","reason":"execution_unknown","outcome":"outcome_unknown","stream":"cut_by_engine","runs":2,"events":2,"last_event":"2","millis":300,"time":"2026-01-01T10:00:01.000Z"}
+`
+
+func TestStoryOfAStreamThatWasCut(t *testing.T) {
+	lines, err := Read(strings.NewReader(streamLog), "gateway")
+	assert.NilError(t, err)
+	var text strings.Builder
+	Explain(lines, "r1").Write(&text)
+	story := strings.Split(strings.TrimSpace(text.String()), "\n")
+	assert.Equal(t, len(story), 4, text.String())
+	assert.Assert(t, strings.Contains(story[1], "stream_resumed") && strings.Contains(story[1], "status=500"), story[1])
+	assert.Assert(t, strings.Contains(story[3], "its stream was cut_by_engine after 2 events, read from 2 answers"), story[3])
+}
+
 func TestUnknownRequest(t *testing.T) {
 	report := Explain(read(t), "none")
 	assert.Assert(t, !report.Found())
