--- a/internal/ingress/harness_test.go
+++ b/internal/ingress/harness_test.go
@@ -44,6 +44,7 @@
 	if budget, err := strconv.ParseInt(header.Get("Budget"), 10, 64); err == nil {
 		caller.Budget = budget
 	}
+	caller.LastEvent = header.Get("Last")
 	caller.Most, _ = strconv.ParseInt(header.Get("Most"), 10, 64)
 	return caller, nil
 }
--- a/internal/ingress/resume_test.go
+++ b/internal/ingress/resume_test.go
@@ -204,6 +204,58 @@
 	assert.Equal(t, got.body, wholeStream)
 }
 
+// A caller that has the first half from an answer before gets the second one, whatever breaks before it comes.
+func TestCallerThatComesWithItsLastEvent(t *testing.T) {
+	t.Parallel()
+	for name, first := range map[string]func(call *engineCall){
+		"broken before an event": func(call *engineCall) { call.beginStream(); call.reset() },
+		"broken within an event": func(call *engineCall) { call.beginStream(); call.chunk("id: 3\nda"); call.reset() },
+		"from the start":         func(call *engineCall) { call.beginStream(); call.chunk(wholeStream); call.endStream() },
+		"without ID":             func(call *engineCall) { call.beginStream(); call.chunk("data: e3\n\n"); call.endStream() },
+	} {
+		s := newSite(t)
+		s.engine("e", func(call *engineCall) {
+			assert.Check(t, call.request.Header.Get("After") == "2", name)
+			if call.number == 1 {
+				first(call)
+				return
+			}
+			call.rest()
+		})
+		got := s.send("/resume/", "c1", "", "Last", "2")
+		assert.NilError(t, got.err, name)
+		assert.Equal(t, got.body, eventText(3, 4), name)
+	}
+}
+
+// A run that is abandoned for its silence may send its last bytes in that moment; they are passed on, or another run's are,
+// and never both.
+func TestLastBytesOfASilentRun(t *testing.T) {
+	t.Parallel()
+	for step := range 24 {
+		t.Run(fmt.Sprint(step), func(t *testing.T) {
+			t.Parallel()
+			silence := eventStall + time.Duration(step-12)*time.Millisecond/2
+			s := newSite(t)
+			s.engine("e", func(call *engineCall) {
+				if call.number > 1 {
+					call.rest()
+					return
+				}
+				call.beginStream()
+				call.chunk(firstHalf)
+				<-time.After(silence)
+				call.event(3)
+				call.event(4)
+				call.endStream()
+			})
+			got := s.send("/resume/", "c1", "")
+			assert.NilError(t, got.err)
+			assert.Equal(t, got.body, wholeStream)
+		})
+	}
+}
+
 // sendBroken sends a request whose engine breaks off after the first half; later runs are played by the script.
 func sendBroken(t *testing.T, later func(call *engineCall)) answer {
 	t.Helper()
