--- a/internal/ingress/harness_test.go
+++ b/internal/ingress/harness_test.go
@@ -34,7 +34,7 @@
 type testProtocol struct{}
 
 func (testProtocol) Caller(header http.Header) (Caller, error) {
-	caller := Caller{ID: header.Get("Call"), Program: header.Get("Program"), Previous: header.Get("Previous"), Budget: NoBudget}
+	caller := Caller{ID: header.Get("Call"), Program: header.Get("Program"), Previous: header.Get("Previous"), LastEvent: header.Get("After"), Budget: NoBudget}
 	if caller.ID == "" {
 		return caller, apierr.New(apierr.InvalidRequest, apierr.NotRun, "no ID")
 	}
