--- a/internal/dispatch/dispatch.go
+++ b/internal/dispatch/dispatch.go
@@ -66,8 +66,10 @@
 	// Left is the time that the engine may take.
 	Left     time.Duration
 	Priority int
-	// LastEvent is where a stream goes on; empty for its start.
+	// LastEvent is where a stream goes on; empty for its start, or where the caller says.
 	LastEvent string
+	// FromStart tells that a stream without LastEvent begins at its start, wherever the caller says.
+	FromStart bool
 }
 
 // Call is one request of a caller.
@@ -81,6 +83,8 @@
 	Trace Trace
 	// Stream is set for streams that may go on in another run.
 	Stream Resumable
+	// FromStart tells that the first run begins at the stream's start, wherever the caller says.
+	FromStart bool
 }
 
 // Trace is what decided the way of a call.
@@ -124,7 +128,9 @@
 // whether the caller has got a part of it, so that no other answer may follow.
 type ErrBroken struct {
 	Delivered bool
-	cause     error
+	// engineWell tells that the engine is not to blame.
+	engineWell bool
+	cause      error
 }
 
 // Broken makes an ErrBroken.
@@ -132,6 +138,12 @@
 	return errors.WithStack(&ErrBroken{Delivered: delivered, cause: cause})
 }
 
+// BrokenByCaller makes an ErrBroken for which the engine is not to blame: its answer does not fit what the caller has. Other
+// callers' requests still go there.
+func BrokenByCaller(delivered bool, cause error) error {
+	return errors.WithStack(&ErrBroken{Delivered: delivered, engineWell: true, cause: cause})
+}
+
 // ErrCallerGone means that the caller no longer takes its answer.
 type ErrCallerGone struct{ cause error }
 
@@ -204,12 +216,22 @@
 
 // nextEngine is the engine of the attempt before if the call is to go on there, or a new one.
 func (d *Dispatcher) nextEngine(ctx context.Context, call *Call, progress *progress) (*Engine, error) {
-	if again := progress.again; again != nil {
-		progress.again = nil
-		clock.Pause(ctx, progress.resumeWait())
-		d.registry.use(again)
+	again := progress.again
+	if again == nil {
+		return d.waitForEngine(ctx, call, progress)
+	}
+	progress.again = nil
+	clock.Pause(ctx, progress.resumeWait())
+	switch d.registry.use(again) {
+	case present:
 		return again, nil
+	case draining:
+		// It still runs, and counts as one of the engines that the call was sent to.
+		if call.Route.Attempts() <= 1 {
+			return nil, progress.noEngine(ctx)
+		}
 	}
+	call.Want.Excluded[again.ID()] = true
 	return d.waitForEngine(ctx, call, progress)
 }
 
@@ -254,7 +276,7 @@
 	if deadline, ok := ctx.Deadline(); ok {
 		left = deadline.Sub(sentAt)
 	}
-	offer := Offer{Engine: engine.ID(), Left: left, Priority: call.Priority, LastEvent: run.LastEvent}
+	offer := Offer{Engine: engine.ID(), Left: left, Priority: call.Priority, LastEvent: run.LastEvent, FromStart: call.FromStart}
 	d.protocol.Prepare(request.Header, offer)
 	exchange, err := engine.pool.Send(ctx, &request)
 	if err != nil {
@@ -316,11 +338,12 @@
 	if errors.As(err, &gone) || errors.As(err, &withdrawn) {
 		return delivered, err
 	}
-	if ctx.Err() == nil {
+	var broken *ErrBroken
+	isBroken := errors.As(err, &broken)
+	if ctx.Err() == nil && !(isBroken && broken.engineWell) {
 		d.registry.failed(engine, false, err)
 	}
-	var broken *ErrBroken
-	if errors.As(err, &broken) && !broken.Delivered {
+	if isBroken && !broken.Delivered {
 		return unknown, err
 	}
 	return delivered, err
--- a/internal/dispatch/engine.go
+++ b/internal/dispatch/engine.go
@@ -29,6 +29,8 @@
 	// removedAt is when its record went; zero while there is one. returnedAt is when it came back.
 	removedAt  time.Time
 	returnedAt time.Time
+	// drainingAt is when it said that it drains; zero before.
+	drainingAt time.Time
 	breaker    breaker
 	pace       pace
 	// fullUntil is until when it counts as full, for it said so.
@@ -56,6 +58,9 @@
 // record without that word is a late one. One that comes back after an outage is trusted at once.
 func (e *Engine) update(now time.Time, specification EngineSpecification, revision int64, last outage) {
 	specification.Draining = specification.Draining || e.specification.Draining
+	if !e.specification.Draining {
+		e.drainingAt = drainingSince(now, specification)
+	}
 	e.specification = specification
 	e.revision = revision
 	if !e.removedAt.IsZero() && !last.covers(e.removedAt) {
@@ -75,6 +80,36 @@
 	return e.removedAt.IsZero() || (last.covers(e.removedAt) && now.Before(last.until.Add(lapsedGrace)))
 }
 
+// drainingSince is when an engine began to drain whose record is read now; zero if it doesn't drain.
+func drainingSince(now time.Time, specification EngineSpecification) time.Time {
+	if !specification.Draining {
+		return time.Time{}
+	}
+	return now
+}
+
+// presence is whether a stream that was on an engine may be asked for there again.
+type presence int
+
+const (
+	// present engines are there, or have been leaving for a short while only.
+	present presence = iota
+	// draining engines said so too long ago: what reaches them now counts as sent to an engine that left.
+	draining
+	// absent engines have no record any more.
+	absent
+)
+
+func (e *Engine) presence(now time.Time, last outage) presence {
+	switch {
+	case !e.recorded(now, last) && now.Sub(e.removedAt) > removedGrace:
+		return absent
+	case !e.drainingAt.IsZero() && now.Sub(e.drainingAt) > drainingGrace:
+		return draining
+	}
+	return present
+}
+
 // usable tells whether new work may go to the engine at all.
 func (e *Engine) usable(now time.Time, last outage) bool {
 	return e.recorded(now, last) && e.trusted(now) && !e.specification.Draining && e.breaker.allows(now) && !now.Before(e.fullUntil)
--- a/internal/dispatch/registry.go
+++ b/internal/dispatch/registry.go
@@ -25,6 +25,9 @@
 	lapseNoticed = 500 * time.Millisecond
 	// removedGrace is how long an engine without a record may be used when there is no other.
 	removedGrace = 1200 * time.Millisecond
+	// drainingGrace is how long a stream may still be asked for at an engine that said that it drains. The platform allows two
+	// seconds from then on, of which the way there takes a part.
+	drainingGrace = 1200 * time.Millisecond
 	// forgottenAfter is when an engine without a record is dropped.
 	forgottenAfter = 30 * time.Second
 	// fullFor is how long an engine that said it is full gets no more work from here.
@@ -99,7 +102,7 @@
 	if limit == 0 {
 		limit = defaultConnections
 	}
-	created := &Engine{specification: specification, loadKey: load.KeyOf(specification.ID), revision: revision, pool: upstream.NewPool(specification.Address, limit, r.dial)}
+	created := &Engine{drainingAt: drainingSince(time.Now(), specification), specification: specification, loadKey: load.KeyOf(specification.ID), revision: revision, pool: upstream.NewPool(specification.Address, limit, r.dial)}
 	r.byID[specification.ID] = created
 	members := r.services[specification.Service]
 	if members == nil {
@@ -182,11 +185,15 @@
 // Take implements turnstore.LoadExchange.
 func (r *Registry) Take(now time.Time, others load.Sheet) { r.others.Take(now, others) }
 
-// use counts another attempt at an engine.
-func (r *Registry) use(engine *Engine) {
+// use counts another attempt at an engine that a stream was on, if it may still be sent there.
+func (r *Registry) use(engine *Engine) presence {
 	r.mutex.Lock()
 	defer r.mutex.Unlock()
-	engine.inFlight++
+	found := engine.presence(time.Now(), r.outage)
+	if found == present {
+		engine.inFlight++
+	}
+	return found
 }
 
 // release ends a use of an engine.
--- a/internal/dispatch/resume_test.go
+++ b/internal/dispatch/resume_test.go
@@ -2,12 +2,15 @@
 
 import (
 	"context"
+	"encoding/json"
 	"testing"
 	"time"
 
 	"gotest.tools/v3/assert"
 
+	"github.com/mountstile/mountstile/internal/catalog"
 	"github.com/mountstile/mountstile/internal/events"
+	"github.com/mountstile/mountstile/internal/routing"
 )
 
 // A stream that broke off is asked for at its engine, but not once that one has left for so long that nothing may go there.
@@ -21,3 +24,48 @@
 	next, err := dispatcher.nextEngine(context.Background(), call, &progress{call: call, ran: true, resumed: 1, again: left})
 	assert.Assert(t, err != nil && next == nil, "the engine that left is asked again")
 }
+
+// An engine that said that it drains still gets the rest of its streams for a short while. After that the stream goes elsewhere
+// if its route lets more engines run it, and is cut otherwise.
+func TestStreamAtADrainingEngine(t *testing.T) {
+	for _, row := range []struct {
+		since    time.Duration
+		attempts int
+		next     string
+	}{
+		{since: drainingGrace / 2, attempts: 1, next: "e0"},
+		{since: drainingGrace / 2, attempts: 2, next: "e0"},
+		{since: 2 * drainingGrace, attempts: 1, next: ""},
+		{since: 2 * drainingGrace, attempts: 2, next: "e1"},
+	} {
+		registry := registryOf(t, "a", "a", "a")
+		record, err := json.Marshal(EngineSpecification{ID: "e0", Service: "s", Address: "127.0.0.1:1", Zone: "a", Draining: true})
+		assert.NilError(t, err)
+		registry.Apply(catalog.Entry{Key: catalog.Key(catalog.EngineKind, "e0"), Revision: 10, Value: record})
+		draining := registry.byID["e0"]
+		draining.drainingAt = draining.drainingAt.Add(-row.since)
+		call := &Call{Route: routeOf(t, row.attempts), Want: Want{Service: "s", Excluded: make(map[string]bool)}}
+		next, err := New(registry, nil, events.Discard()).nextEngine(context.Background(), call, &progress{call: call, ran: true, resumed: 1, again: draining})
+		assert.Equal(t, err == nil, row.next != "", "%+v: %v", row, err)
+		if err == nil {
+			assert.Equal(t, next.ID(), row.next, "%+v", row)
+		}
+	}
+}
+
+// routeOf is a resumable stream's route.
+func routeOf(t *testing.T, attempts int) *routing.Route {
+	t.Helper()
+	table, err := routing.New(routing.Specification{
+		Version:  1,
+		Services: []routing.ServiceSpecification{{Name: "s"}},
+		Routes: []routing.RouteSpecification{{
+			Name: "r", Host: "h", Prefix: "/", Kind: routing.Stream, TimeoutMillis: 1000, Attempts: attempts, Resumable: true,
+			Targets: []routing.TargetSpecification{{Service: "s", Weight: 1}},
+		}},
+	})
+	assert.NilError(t, err)
+	route, found := table.Match("h", "/")
+	assert.Assert(t, found)
+	return route
+}
--- a/internal/eventstream/errors.go
+++ b/internal/eventstream/errors.go
@@ -19,3 +19,12 @@
 
 // Error implements error.
 func (e *ErrDamaged) Error() string { return "the stream is damaged: " + e.Reason }
+
+// ErrMismatch means that what an engine has does not fit what the caller has, for which the engine is not to blame: its
+// weights have changed, or the caller named an event that is not of this stream.
+type ErrMismatch struct{ Reason string }
+
+// Error implements error.
+func (e *ErrMismatch) Error() string {
+	return "the answer does not fit what the caller has: " + e.Reason
+}
--- a/internal/eventstream/stream.go
+++ b/internal/eventstream/stream.go
@@ -50,7 +50,8 @@
 const (
 	// MediaType is that of event streams.
 	MediaType = "text/event-stream"
-	// maximalHeldBytes bounds what is held of one run: an event whose end has not come, or a failure's body.
+	// maximalHeldBytes bounds what is held of one run: an event whose end has not come, or a failure's body. It is as much
+	// as a gateway holds of any other answer.
 	maximalHeldBytes = 16 << 20
 )
 
@@ -62,6 +63,9 @@
 	Keep bool
 	// LastEvent is the ID of the last event that the caller has from an answer before; empty if it has none.
 	LastEvent string
+	// FromStart tells that runs begin at the stream's start although the caller has a part of it, for Output is to be of all
+	// of it. What the caller has does not pass.
+	FromStart bool
 	// VersionField is the field of an event that tells that the weights change with it; empty if there is none.
 	VersionField string
 }
@@ -75,10 +79,8 @@
 	Version string
 }
 
-// streams tells whether events follow, and not a failure or some other body.
-func (h Head) streams() bool {
-	return h.Status >= 200 && h.Status < 300 && h.MediaType == MediaType
-}
+// succeeds tells whether the answer is a success. Its events count whatever its type says.
+func (h Head) succeeds() bool { return h.Status >= 200 && h.Status < 300 }
 
 // Stream is the life of one answer. It is not safe for concurrent use.
 type Stream struct {
@@ -86,33 +88,46 @@
 	state   State
 	// first is the head that the caller gets, present that of the present run.
 	first, present Head
-	// opaque tells that the present run's body is no event stream: it is an answer all the same, if it is the first.
-	opaque  bool
-	scanner scanner
-	// held are bytes that have not passed: of an event whose end has not come, or of an opaque body.
+	scanner        scanner
+	// held are bytes that have not passed: of an event whose end has not come, or of a failure.
 	held []byte
 	out  []byte
-	// count is how many events have passed.
-	count int
-	// lastID is the ID of the last event that passed, numbered whether it had one; version is that of the weights
-	// which made it.
+	// count is how many events have passed, taken how many have come, those that the caller had before included; brought
+	// tells that some came in the present run.
+	count, taken int
+	brought      bool
+	// lastID is the ID of the last event that was taken, numbered whether it had one; order is of all IDs, and version that
+	// of the weights which made the last event.
 	lastID   string
 	numbered bool
+	order    idOrder
 	version  string
 	output   []byte
+	// skipping tells that the caller has what comes.
+	skipping bool
+	// mismatched tells that no run of the engine fits what the caller has.
+	mismatched bool
 }
 
 // New returns a Stream of which the caller has got nothing yet.
 func New(options Options) *Stream {
-	stream := &Stream{options: options, lastID: options.LastEvent, numbered: true}
+	stream := &Stream{options: options, numbered: true}
 	stream.scanner.versionField = options.VersionField
+	switch {
+	case options.LastEvent == "":
+	case options.FromStart:
+		stream.skipping = true
+	default:
+		stream.lastID = options.LastEvent
+		stream.order.take(options.LastEvent)
+	}
 	return stream
 }
 
 // State is where the stream is.
 func (s *Stream) State() State { return s.state }
 
-// LastEvent is the ID of the last event that the caller has; empty if it has none. Another run goes on after it.
+// LastEvent is the ID of the event after which another run goes on; empty for the start of the stream.
 func (s *Stream) LastEvent() string { return s.lastID }
 
 // Passed is how many whole events have passed.
@@ -120,31 +135,35 @@
 
 // Started is how many events the caller has got a part of, the whole ones included.
 func (s *Stream) Started() int {
-	if !s.options.Resumable && !s.opaque && s.scanner.open() {
+	if !s.options.Resumable && s.present.succeeds() && s.scanner.open() {
 		return s.count + 1
 	}
 	return s.count
 }
 
-// Output is the data of each event that has passed, each followed by a line feed. It is empty unless Options.Keep is set.
+// Output is the data of each event that was taken, each followed by a line feed. It is empty unless Options.Keep is set.
 func (s *Stream) Output() []byte { return s.output }
 
 // MayResume tells whether another run may follow the present one, which has broken off: the caller has got nothing, or it is
 // known after which event the other one is to go on.
 func (s *Stream) MayResume() bool {
-	return s.state == Opened || (s.options.Resumable && !s.opaque && s.numbered && s.state != Ended)
+	if s.state == Opened {
+		return true
+	}
+	known := s.numbered && !s.order.overflown && !s.mismatched
+	return s.options.Resumable && s.first.succeeds() && known && s.state != Ended
 }
 
-// Begin takes the head of a run's answer. Once bytes have passed, one that is not the head of the rest is an ErrNotTheRest:
-// a failure of the engine is an answer only to a request that has none.
+// Begin takes the head of a run's answer. Once bytes have passed, one that is not the head of the rest is an ErrNotTheRest or
+// an ErrMismatch: a failure of the engine is an answer only to a request that has none.
 func (s *Stream) Begin(head Head) error {
-	s.scanner.restart()
+	s.scanner.restartBody()
 	s.held = s.held[:0]
+	s.brought = false
 	s.present = head
 	switch s.state {
 	case Opened:
 		s.first = head
-		s.opaque = !head.streams()
 		s.version = head.Version
 		return nil
 	case Broken:
@@ -167,22 +186,24 @@
 	case head.MediaType != s.first.MediaType:
 		return &ErrNotTheRest{Reason: "its type is " + head.MediaType, Status: head.Status}
 	case head.Version != s.version:
-		return &ErrNotTheRest{Reason: "its weights are of version " + head.Version, Status: head.Status}
+		s.mismatched = true
+		return &ErrMismatch{Reason: "the engine's weights are of version " + head.Version + " now"}
 	}
 	return nil
 }
 
 // Bytes takes a part of the present run's body and returns what the caller is to get now, also beside an error; it is valid
-// until the next call. An ErrDamaged means that the run can't be trusted from there on.
+// until the next call. An ErrDamaged means that the run can't be trusted from there on, an ErrMismatch that it does not fit
+// what the caller had before.
 func (s *Stream) Bytes(chunk []byte) ([]byte, error) {
 	switch {
-	case s.opaque && s.options.Resumable:
+	case !s.present.succeeds() && s.options.Resumable:
 		return nil, s.hold(chunk)
-	case s.opaque:
+	case !s.present.succeeds():
 		s.state = Passing
 		return chunk, nil
 	case !s.options.Resumable:
-		return s.passThrough(chunk), nil
+		return s.passThrough(chunk)
 	}
 	return s.passEvents(chunk)
 }
@@ -197,7 +218,8 @@
 }
 
 // passThrough passes bytes as they come; events are only counted.
-func (s *Stream) passThrough(chunk []byte) []byte {
+func (s *Stream) passThrough(chunk []byte) ([]byte, error) {
+	s.state = Passing
 	for rest := chunk; len(rest) > 0; {
 		taken, ended := s.scanner.next(rest)
 		rest = rest[taken:]
@@ -206,11 +228,13 @@
 			s.scanner.restart()
 		}
 	}
-	s.state = Passing
-	return chunk
+	if s.scanner.size > maximalHeldBytes {
+		return chunk, &ErrDamaged{Reason: "an event is larger than is remembered"}
+	}
+	return chunk, nil
 }
 
-// passEvents passes whole events, each checked against the one before.
+// passEvents passes whole events, each checked against those before.
 func (s *Stream) passEvents(chunk []byte) ([]byte, error) {
 	s.out = s.out[:0]
 	for len(chunk) > 0 {
@@ -222,41 +246,71 @@
 		if !ended {
 			break
 		}
-		if err := s.follows(s.scanner.event); err != nil {
+		if err := s.passEvent(); err != nil {
 			return s.out, err
 		}
-		if s.take(s.scanner.event) {
-			s.state = Passing
-			s.out = append(s.out, s.held...)
-			s.held = s.held[:0]
-		}
-		s.scanner.restart()
 	}
 	return s.out, nil
 }
 
-// follows checks an event of a resumable stream against the last one that the caller has.
+// passEvent takes the event whose end has come, and what was held of it passes.
+func (s *Stream) passEvent() error {
+	next := s.scanner.event
+	if err := s.follows(next); err != nil {
+		return err
+	}
+	s.scanner.restart()
+	skipped := s.skipping
+	s.take(next)
+	switch {
+	case skipped:
+	case next.hasData, s.state != Resuming:
+		// What has no data, such as a comment, keeps a caller that waits from giving up: it passes at once. Only in a run
+		// that is to bring the rest it waits for an event, until which the run may not be the rest.
+		s.state = Passing
+		s.out = append(s.out, s.held...)
+	default:
+		return nil
+	}
+	s.held = s.held[:0]
+	return nil
+}
+
+// follows checks an event of a resumable stream against those that the caller has.
 func (s *Stream) follows(next event) error {
+	reason := ""
 	switch {
 	case !next.hasData:
+	case next.id == "" && s.unproved():
+		reason = "the first event after " + s.lastID + " has no ID"
+	case next.id != "" && !s.order.allows(next.id):
+		reason = "event " + next.id + " comes after " + s.lastID
+	}
+	switch {
+	case reason == "":
 		return nil
-	case next.id == "" && (s.state == Resuming || s.options.LastEvent != "" && s.count == 0):
-		return &ErrDamaged{Reason: "the first event after " + s.lastID + " has no ID"}
-	case next.id != "" && s.lastID != "" && !rises(s.lastID, next.id):
-		return &ErrDamaged{Reason: "event " + next.id + " comes after " + s.lastID}
+	case s.count == 0 && s.lastID != "":
+		return &ErrMismatch{Reason: reason + ", which the caller named"}
 	}
-	return nil
+	return &ErrDamaged{Reason: reason}
+}
+
+// unproved tells whether nothing has shown yet that the present run goes on after what the caller has.
+func (s *Stream) unproved() bool {
+	return s.state == Resuming || (s.count == 0 && s.options.LastEvent != "")
 }
 
-// take counts an event that passes. What has no data is none, and passes with the event after it.
-func (s *Stream) take(passed event) bool {
+// take counts an event that passes, unless the caller has it. What has no data is none.
+func (s *Stream) take(passed event) {
 	if !passed.hasData {
-		return false
+		return
 	}
-	s.count++
+	s.taken++
+	s.brought = true
 	s.numbered = passed.id != ""
 	if s.numbered {
 		s.lastID = passed.id
+		s.order.take(passed.id)
 	}
 	if passed.version != "" {
 		s.version = passed.version
@@ -265,29 +319,55 @@
 		s.output = append(s.output, passed.data...)
 		s.output = append(s.output, '\n')
 	}
-	return true
+	if s.skipping {
+		s.skipping = passed.id != s.options.LastEvent
+		return
+	}
+	s.count++
 }
 
 // End takes the end of the present run's body, which is whole by its framing, and returns what the caller is to get before
-// the end of its answer. An error means that this is not the end of the stream.
+// the end of its answer, also beside an error. An error means that this is not the end of the stream.
 func (s *Stream) End() ([]byte, error) {
+	s.out = s.out[:0]
+	if !s.present.succeeds() {
+		s.state = Ended
+		return s.held, nil
+	}
+	if err := s.finishEvent(); err != nil {
+		return s.out, err
+	}
 	switch {
-	case s.opaque:
-	case s.scanner.open():
-		return nil, &ErrDamaged{Reason: "the answer ends within an event"}
-	case s.state == Resuming || s.state == Broken:
+	case s.scanner.open() && (s.present.MediaType == MediaType || s.count > 0):
+		return s.out, &ErrDamaged{Reason: "the answer ends within an event"}
+	case s.state == Resuming || s.state == Broken || (s.taken > 0 && !s.brought):
 		// An engine that fails may end an answer before its first event. Taken for the rest, it would end the stream.
-		return nil, &ErrNotTheRest{Reason: "it brought no event", Status: s.present.Status}
+		return s.out, &ErrNotTheRest{Reason: "it brought no event", Status: s.present.Status}
+	case s.skipping:
+		return s.out, &ErrMismatch{Reason: "event " + s.options.LastEvent + ", which the caller named, did not come"}
 	}
 	s.state = Ended
-	return s.held, nil
+	return append(s.out, s.held...), nil
+}
+
+// finishEvent takes an event that ended with the last byte of the body.
+func (s *Stream) finishEvent() error {
+	if !s.scanner.finish() {
+		return nil
+	}
+	if s.options.Resumable {
+		return s.passEvent()
+	}
+	s.take(s.scanner.event)
+	s.scanner.restart()
+	return nil
 }
 
 // Break notes that the present run has ended early, or that what it sent was not the rest.
 func (s *Stream) Break() {
 	s.held = s.held[:0]
 	if s.options.Resumable {
-		s.scanner.restart()
+		s.scanner.restartBody()
 	}
 	if s.state == Passing || s.state == Resuming {
 		s.state = Broken
--- a/internal/eventstream/stream_test.go
+++ b/internal/eventstream/stream_test.go
@@ -191,19 +191,74 @@
 	assert.Equal(t, string(passed), eventText(3, 4))
 }
 
-// The weights may change within a run, which says so; the rest must come from those at which the stream stands.
+// The weights may change within a run, which says so; the rest must come from those at which the stream stands. An engine does
+// not go back to older ones: asking it again is in vain.
 func TestRestComesFromTheSameWeights(t *testing.T) {
 	t.Parallel()
-	versioned := Head{Status: 200, MediaType: MediaType, Version: "7"}
-	stream := New(Options{Resumable: true, VersionField: "weights"})
-	assert.NilError(t, stream.Begin(versioned))
-	_, err := stream.Bytes([]byte(eventText(1, 1) + "weights: 8\n" + eventText(2, 2)))
-	assert.NilError(t, err)
-	stream.Break()
-	assert.Assert(t, stream.Begin(versioned) != nil)
-	stream.Break()
-	versioned.Version = "8"
-	assert.NilError(t, stream.Begin(versioned))
+	for version, fits := range map[string]bool{"7": false, "8": true, "9": false, "": false} {
+		stream := New(Options{Resumable: true, VersionField: "weights"})
+		assert.NilError(t, stream.Begin(Head{Status: 200, MediaType: MediaType, Version: "7"}))
+		_, err := stream.Bytes([]byte(eventText(1, 1) + "weights: 8\n" + eventText(2, 2)))
+		assert.NilError(t, err)
+		stream.Break()
+		err = stream.Begin(Head{Status: 200, MediaType: MediaType, Version: version})
+		var mismatch *ErrMismatch
+		assert.Equal(t, errors.As(err, &mismatch), !fits, "version %q: %v", version, err)
+		assert.Equal(t, stream.MayResume(), fits, "version %q", version)
+	}
+}
+
+// A caller that has the first two events gets the others; the output is of all of them. Runs begin at the start of the stream,
+// or where the one before broke off.
+func TestOutputOfAStreamThatTheCallerHasAPartOf(t *testing.T) {
+	t.Parallel()
+	for name, runs := range map[string][]string{
+		"one run":                      {eventText(1, 4)},
+		"broken within the known part": {eventText(1, 1) + "id: 2", eventText(2, 4)},
+		"broken after the known part":  {eventText(1, 2) + "id", eventText(3, 4)},
+		"broken in the new part":       {eventText(1, 3) + "id", eventText(4, 4)},
+	} {
+		stream := New(Options{Resumable: true, Keep: true, LastEvent: "2", FromStart: true})
+		got := ""
+		for index, body := range runs {
+			assert.NilError(t, stream.Begin(eventHead), name)
+			passed, err := stream.Bytes([]byte(body))
+			assert.NilError(t, err, name)
+			got += string(passed)
+			if index < len(runs)-1 {
+				stream.Break()
+				continue
+			}
+			_, err = stream.End()
+			assert.NilError(t, err, name)
+		}
+		assert.Equal(t, got, eventText(3, 4), name)
+		assert.Equal(t, string(stream.Output()), "e1\ne2\ne3\ne4\n", name)
+		assert.Equal(t, stream.Passed(), 2, name)
+	}
+}
+
+func TestKnownPartAloneIsNoWholeStream(t *testing.T) {
+	t.Parallel()
+	for name, runs := range map[string][]string{
+		"ends before it":                 {eventText(1, 1)},
+		"never comes":                    {eventText(3, 4)},
+		"breaks after it, then is empty": {eventText(1, 2) + "id", ""},
+	} {
+		stream := New(Options{Resumable: true, Keep: true, LastEvent: "2", FromStart: true})
+		var err error
+		for index, body := range runs {
+			assert.NilError(t, stream.Begin(eventHead), name)
+			_, err = stream.Bytes([]byte(body))
+			if err == nil && index == len(runs)-1 {
+				_, err = stream.End()
+			}
+			if index < len(runs)-1 {
+				stream.Break()
+			}
+		}
+		assert.Assert(t, err != nil, name)
+	}
 }
 
 func TestOnlyWhatHasPassedIsCounted(t *testing.T) {
--- a/internal/ingress/harness_test.go
+++ b/internal/ingress/harness_test.go
@@ -44,7 +44,6 @@
 	if budget, err := strconv.ParseInt(header.Get("Budget"), 10, 64); err == nil {
 		caller.Budget = budget
 	}
-	caller.LastEvent = header.Get("Last")
 	caller.Most, _ = strconv.ParseInt(header.Get("Most"), 10, 64)
 	return caller, nil
 }
@@ -54,8 +53,11 @@
 func (testProtocol) Prepare(header http.Header, offer dispatch.Offer) {
 	header.Set("Engine", offer.Engine)
 	header.Set("Left", strconv.FormatInt(offer.Left.Milliseconds(), 10))
-	if offer.LastEvent != "" {
+	switch {
+	case offer.LastEvent != "":
 		header.Set("After", offer.LastEvent)
+	case offer.FromStart:
+		header.Del("After")
 	}
 }
 
--- a/internal/ingress/resume_test.go
+++ b/internal/ingress/resume_test.go
@@ -222,7 +222,7 @@
 			}
 			call.rest()
 		})
-		got := s.send("/resume/", "c1", "", "Last", "2")
+		got := s.send("/resume/", "c1", "", "After", "2")
 		assert.NilError(t, got.err, name)
 		assert.Equal(t, got.body, eventText(3, 4), name)
 	}
--- a/internal/ingress/stream.go
+++ b/internal/ingress/stream.go
@@ -3,8 +3,8 @@
 import (
 	"context"
 	"io"
-	"mime"
 	"net/http"
+	"strings"
 	"time"
 
 	"github.com/cockroachdb/errors"
@@ -41,8 +41,12 @@
 // kept.
 func (r *request) relayStream(ctx context.Context, call *dispatch.Call) error {
 	_, versionField := r.server.options.Vocabulary.WeightsVersion()
+	// Of a kept turn that its caller takes up again, the engine is asked for all: kept as the turn, the rest alone would be
+	// given to engines as the whole answer.
+	call.FromStart = r.route.Repeatable() && r.route.Kept() && r.caller.LastEvent != ""
 	passed := &stream{request: r, life: eventstream.New(eventstream.Options{
-		Resumable: r.route.Repeatable(), Keep: r.route.Kept(), LastEvent: r.caller.LastEvent, VersionField: versionField,
+		Resumable: r.route.Repeatable(), Keep: r.route.Kept(), LastEvent: r.caller.LastEvent, FromStart: call.FromStart,
+		VersionField: versionField,
 	})}
 	if r.route.Repeatable() {
 		call.Stream = passed
@@ -95,10 +99,8 @@
 // headOf is what counts of an answer's head.
 func (s *stream) headOf(response *http.Response) eventstream.Head {
 	versionHeader, _ := s.request.server.options.Vocabulary.WeightsVersion()
-	head := eventstream.Head{Status: response.StatusCode}
-	if mediaType, _, err := mime.ParseMediaType(response.Header.Get("Content-Type")); err == nil {
-		head.MediaType = mediaType
-	}
+	mediaType, _, _ := strings.Cut(response.Header.Get("Content-Type"), ";")
+	head := eventstream.Head{Status: response.StatusCode, MediaType: strings.ToLower(strings.TrimSpace(mediaType))}
 	if versionHeader != "" {
 		head.Version = response.Header.Get(versionHeader)
 	}
@@ -123,22 +125,27 @@
 
 // end passes on what is left once the run's body has ended whole, if that is the end of the stream.
 func (s *stream) end() error {
-	rest, err := s.life.End()
-	if err != nil {
-		return s.broken(err)
-	}
-	if err := s.begin(); err != nil {
-		return err
+	before := s.life.Passed()
+	rest, damage := s.life.End()
+	s.observe(s.life.Passed() - before)
+	if len(rest) > 0 {
+		if err := s.write(rest); err != nil {
+			return err
+		}
 	}
-	if len(rest) == 0 {
-		return nil
+	if damage != nil {
+		return s.broken(damage)
 	}
-	return s.write(rest)
+	return s.begin()
 }
 
 // broken ends a run that did not bring the stream to its end. Another one may follow if it is known where it is to go on.
 func (s *stream) broken(cause error) error {
 	s.life.Break()
+	var mismatch *eventstream.ErrMismatch
+	if errors.As(cause, &mismatch) {
+		return dispatch.BrokenByCaller(!s.life.MayResume(), cause)
+	}
 	return dispatch.Broken(!s.life.MayResume(), cause)
 }
 
--- a/internal/upstream/pool.go
+++ b/internal/upstream/pool.go
@@ -52,6 +52,12 @@
 // Error implements error.
 func (*ErrConnectionLimit) Error() string { return "all connections to the engine are in use" }
 
+// ErrProtocolSwitched means that an engine switched protocols on the connection.
+type ErrProtocolSwitched struct{}
+
+// Error implements error.
+func (*ErrProtocolSwitched) Error() string { return "the engine switched protocols" }
+
 // Pool holds the connections to one engine. All methods may be called concurrently.
 type Pool struct {
 	address string
