Tests of gateways and replicas keep their folders in memory, with one function for it

TestEventsOfAllRunsAreChargedOnce, TestDeniedTurnThatRanIsNotCalledNotRun and TestHalfAnswerIsNotKept failed beside other work with turns_unavailable: replicas waited for the machine's disk.

--- a/internal/ingress/harness_test.go
+++ b/internal/ingress/harness_test.go
@@ -24,6 +24,7 @@
 	"github.com/mountstile/mountstile/internal/dispatch"
 	"github.com/mountstile/mountstile/internal/events"
 	"github.com/mountstile/mountstile/internal/routing"
+	"github.com/mountstile/mountstile/internal/standin/memoryfolder"
 	"github.com/mountstile/mountstile/internal/transport"
 	"github.com/mountstile/mountstile/internal/turnstore"
 	"github.com/mountstile/mountstile/internal/upstream"
@@ -250,7 +251,7 @@
 	member := turnstore.Member{Name: "replica", Address: listener.Addr().String(), Zone: "a"}
 	s.replica = transport.New(transport.Options{Cluster: "test", NodeID: "replica", Address: member.Address, Logger: events.Discard()})
 	replica, err := turnstore.NewReplica(turnstore.ReplicaOptions{
-		Self: member, Folder: s.t.TempDir(), FirstStart: true, Copies: 1, Retiring: func(string) bool { return false },
+		Self: member, Folder: memoryfolder.New(s.t), FirstStart: true, Copies: 1, Retiring: func(string) bool { return false },
 	}, s.replica, events.Discard())
 	assert.NilError(s.t, err)
 	set := turnstore.Set{Epoch: 1, Members: []turnstore.Member{member}, Copies: 1, Size: 1}
