A type with parameters that can't be read is still that type

Cause: mime.ParseMediaType returns the type beside ErrInvalidMediaParameter, which was taken for no type. Two of the four type lines of streamtype_test.go that failed pass in each of its three tests; no type and another type still fail.

--- a/internal/ingress/stream.go
+++ b/internal/ingress/stream.go
@@ -96,7 +96,8 @@
 func (s *stream) headOf(response *http.Response) eventstream.Head {
 	versionHeader, _ := s.request.server.options.Vocabulary.WeightsVersion()
 	head := eventstream.Head{Status: response.StatusCode}
-	if mediaType, _, err := mime.ParseMediaType(response.Header.Get("Content-Type")); err == nil {
+	// Parameters that can't be read say nothing against the type before them.
+	if mediaType, _, err := mime.ParseMediaType(response.Header.Get("Content-Type")); err == nil || errors.Is(err, mime.ErrInvalidMediaParameter) {
 		head.MediaType = mediaType
 	}
 	if versionHeader != "" {
