Tests: what is no whole answer of an engine

Six of the new cases of TestStreamIsWholeOnlyWithItsEnd fail (go test ./internal/engine): an empty finish reason, the reasons abort and error, two choices, a piece of another choice, and a piece after the finish reason count as a whole answer.

--- a/internal/engine/engine_test.go
+++ b/internal/engine/engine_test.go
@@ -159,6 +159,21 @@
 		"error in mid-air":  piece + `data: {"error":{"message":"out of memory"}}` + "\n\n" + done,
 		"nothing":           "",
 		"event over limits": "data: " + strings.Repeat("x", maxEventBytes+1),
+
+		"end alone":                     done,
+		"empty finish reason":           `data: {"choices":[{"delta":{"content":"a"},"finish_reason":""}]}` + "\n\n" + done,
+		"given up by the engine":        piece + `data: {"choices":[{"delta":{},"finish_reason":"abort"}]}` + "\n\n" + done,
+		"failed in the engine":          piece + `data: {"choices":[{"delta":{},"finish_reason":"error"}]}` + "\n\n" + done,
+		"error as a text":               piece + `data: {"error":"out of memory"}` + "\n\n" + finish + done,
+		"error after the finish reason": piece + finish + `data: {"error":{"message":"x"}}` + "\n\n" + done,
+		"two choices":                   `data: {"choices":[{"index":0,"delta":{"content":"a"}},{"index":1,"delta":{"content":"b"}}]}` + "\n\n" + finish + done,
+		"another choice":                piece + `data: {"choices":[{"index":1,"delta":{"content":"b"}}]}` + "\n\n" + finish + done,
+		"a piece after the finish":      piece + finish + piece + done,
+		"part of the end mark":          piece + finish + "data: [DON",
+		"part of an event":              piece + `data: {"choices":[{"delta":{"content":"a"},"finish_re`,
+		"a page":                        "<html><body>[DONE]</body></html>\n",
+		"a failure's body":              `{"error":{"message":"out of memory"}}` + "\n" + done,
+		"a whole answer as one object":  `{"choices":[{"message":{"content":"a"},"finish_reason":"stop"}]}`,
 	}
 	for name, input := range cutOff {
 		t.Run(name, func(t *testing.T) {
