An answer is whole only with a finish reason of the one choice that was asked for

Cause: the decoder took an empty finish reason, and vLLM's abort and error, for a finish, merged pieces of other choices into the answer, and let pieces follow the finish reason. Each of them could end a broken answer as whole, and join two. Change: such an event breaks the stream, so that the call goes on elsewhere. An empty reason is none.

--- a/internal/engine/openai.go
+++ b/internal/engine/openai.go
@@ -148,6 +148,7 @@
 }
 
 type chunkChoice struct {
+	Index        int        `json:"index"`
 	Delta        chunkDelta `json:"delta"`
 	FinishReason *string    `json:"finish_reason"`
 }
@@ -171,6 +172,18 @@
 	Message string `json:"message"`
 }
 
+// errGivenUp means that an engine ended an answer that it did not finish.
+type errGivenUp struct{ FinishReason string }
+
+// Error implements error.
+func (e *errGivenUp) Error() string { return "the engine ended the answer with " + e.FinishReason }
+
+// Finish reasons of vLLM for answers that are not whole; OpenAI's API has none for that.
+const (
+	finishAbort = "abort"
+	finishError = "error"
+)
+
 // errGarbled means that an engine's event can't be decoded.
 type errGarbled struct{ Event string }
 
@@ -219,15 +232,9 @@
 		return Delta{}, &ErrBroken{Cause: &errGarbled{Event: event.Error.Message}}
 	}
 	delta := Delta{Model: event.Model}
-	if len(event.Choices) > 0 {
-		choice := event.Choices[0]
-		if choice.Delta.Content != nil {
-			delta.Content = *choice.Delta.Content
-		}
-		delta.ToolCalls = choice.Delta.ToolCalls
-		if choice.FinishReason != nil {
-			delta.FinishReason = *choice.FinishReason
-			s.finished = true
+	for _, choice := range event.Choices {
+		if err := s.decodeChoice(choice, &delta); err != nil {
+			return Delta{}, &ErrBroken{Cause: err}
 		}
 	}
 	if event.Usage != nil {
@@ -239,6 +246,39 @@
 	return delta, nil
 }
 
+// decodeChoice adds a choice to delta. One choice was asked for: pieces of another, or after the end of this one, belong
+// to another answer.
+func (s *eventStream) decodeChoice(choice chunkChoice, delta *Delta) error {
+	if choice.Index != 0 {
+		return &errGarbled{Event: "a piece of choice " + strconv.Itoa(choice.Index)}
+	}
+	content := ""
+	if choice.Delta.Content != nil {
+		content = *choice.Delta.Content
+	}
+	if s.finished && content != "" {
+		return &errGarbled{Event: "a piece after the finish reason"}
+	}
+	delta.Content += content
+	if len(choice.Delta.ToolCalls) > 0 {
+		delta.ToolCalls = choice.Delta.ToolCalls
+	}
+	return s.noteFinish(choice.FinishReason, delta)
+}
+
+// noteFinish takes a finish reason. Some engines write an empty one into each event.
+func (s *eventStream) noteFinish(reason *string, delta *Delta) error {
+	if reason == nil || *reason == "" {
+		return nil
+	}
+	if *reason == finishAbort || *reason == finishError {
+		return &errGivenUp{FinishReason: *reason}
+	}
+	delta.FinishReason = *reason
+	s.finished = true
+	return nil
+}
+
 // Close implements Stream; it cancels an answer that has not ended.
 func (s *eventStream) Close() {
 	if s.ended {
