Events that only name tool calls count for no token

Cause: a JSON null of the member counted as a piece, which a call that breaks off is charged for. Measured: TestNullToolCallsAreNone failed before, go test ./internal/engine passes.

--- a/internal/engine/engine_test.go
+++ b/internal/engine/engine_test.go
@@ -254,3 +254,10 @@
 	assert.Equal(t, answer.Trailer.Get("X-Checksum"), "abc")
 	assert.Equal(t, string(answer.Body), "body")
 }
+
+// TestNullToolCallsAreNone: an event that only names the member has no piece of a tool call, which would be counted.
+func TestNullToolCallsAreNone(t *testing.T) {
+	delta, err := streamOf(`data: {"choices":[{"delta":{"role":"assistant","tool_calls":null}}]}` + "\n").Next()
+	assert.NilError(t, err)
+	assert.Equal(t, len(delta.ToolCalls), 0)
+}
--- a/internal/engine/openai.go
+++ b/internal/engine/openai.go
@@ -30,6 +30,7 @@
 	endOfStream    = "[DONE]"
 	assistantRole  = "assistant"
 	jsonMediaType  = "application/json"
+	jsonNull       = "null"
 	maxDrainedBody = 64 << 10
 )
 
@@ -260,8 +261,8 @@
 		return &errGarbled{Event: "a piece after the finish reason"}
 	}
 	delta.Content += content
-	if len(choice.Delta.ToolCalls) > 0 {
-		delta.ToolCalls = choice.Delta.ToolCalls
+	if calls := choice.Delta.ToolCalls; len(calls) > 0 && string(calls) != jsonNull {
+		delta.ToolCalls = calls
 	}
 	return s.noteFinish(choice.FinishReason, delta)
 }
