Tokens of resumed answers count once, and a refused continuation is tried elsewhere

Cause: usage was added up over attempts: what the next engine counted of the answer so far as prompt, and what a broken one had told, counted twice; with that an answer could end with the reason length before its limit. A call that failed while it was resumed cost nothing, as did the prompt of an answer of which only the end was lost. A status such as 400 or 204 to a continuation ended the call as its caller's fault. Change: usageCounter counts over attempts; a lost attempt reports what its caller has (Spent), which the call costs if there is no further one; once a part of the answer is here, a refusal is one more lost attempt; a finish reason that came stays.

--- a/internal/coordinator/messages.go
+++ b/internal/coordinator/messages.go
@@ -60,6 +60,8 @@
 	Attempt     int          `json:"attempt"`
 	Undelivered bool         `json:"undelivered,omitempty"`
 	Avoid       []string     `json:"avoid,omitempty"`
+	// Spent is what the call costs, in tokens, if it gets no further: that of which its caller has a part.
+	Spent int64 `json:"spent,omitempty"`
 }
 
 // FinishRequest reports an answer.
--- a/internal/coordinator/server.go
+++ b/internal/coordinator/server.go
@@ -420,6 +420,7 @@
 		Program:     begin.Admit.Program,
 		Attempt:     request.Attempt,
 		Undelivered: request.Undelivered,
+		Spent:       request.Spent,
 	}})
 	if err != nil {
 		return BeginResponse{}, err
--- a/internal/gateway/chat_execution.go
+++ b/internal/gateway/chat_execution.go
@@ -31,7 +31,7 @@
 	content   strings.Builder
 	toolCalls toolCallMerger
 	pace      engine.Pace
-	usage     program.Usage
+	usage     usageCounter
 	finish    string
 }
 
@@ -100,7 +100,7 @@
 		}
 		if added := content[overlap:]; added != "" {
 			e.content.WriteString(added)
-			e.usage.Completion = pieces
+			e.usage.follow(pieces)
 			e.ensureWriter(w).piece(engine.Delta{Content: added})
 		}
 		return true
@@ -162,7 +162,7 @@
 	defer func() { e.release(target, response.CallID, failed, e.pace.Step()) }()
 	if e.gateway.options.Pauses.PausedSince(asked) {
 		failed = false
-		return nil, e.retry(response, true), nil
+		return nil, e.retryAfter(response, true), nil
 	}
 	w.Header().Set(HeaderEngine, target.Name)
 	err := e.stream(ctx, w, target, response)
@@ -188,11 +188,15 @@
 	case errors.As(cause, &noModel):
 		// The engine works, and did not run the call: it has loaded another model meanwhile.
 		*failed = false
-		return nil, e.retry(response, true), nil
+		return nil, e.retryAfter(response, true), nil
 	case errors.As(cause, &undelivered):
-		return nil, e.retry(response, true), nil
+		return nil, e.retryAfter(response, true), nil
 	case errors.As(cause, &refused) && !refused.Temporary():
 		*failed = false
+		if e.begun() {
+			// An engine has taken the caller's request: what this one refuses is to go on with the answer.
+			return nil, e.retryAfter(response, false), nil
+		}
 		failure := apierr.New(apierr.InvalidRequest, apierr.Ran, "%s", refused)
 		return nil, nil, e.settleFailure(ctx, response, failure, &program.Usage{})
 	case e.toolCalls.begun():
@@ -200,24 +204,41 @@
 		failure := apierr.New(apierr.EngineFailed, apierr.Ran, "%s", cause)
 		return nil, nil, e.settleFailure(ctx, response, failure, nil)
 	}
-	return nil, e.retry(response, false), nil
+	return nil, e.retryAfter(response, false), nil
+}
+
+// begun tells whether a part of the answer is here.
+func (e *chatExecution) begun() bool { return e.content.Len() > 0 || e.toolCalls.begun() }
+
+// retryAfter asks for another attempt, and tells what the call costs if there is none: that of which its caller has a part
+// is not free.
+func (e *chatExecution) retryAfter(response coordinator.BeginResponse, undelivered bool) *coordinator.RetryRequest {
+	request := e.retry(response, undelivered)
+	if e.writer != nil && e.writer.begun() {
+		request.Spent = e.usage.usage().Total()
+	}
+	return request
 }
 
 // stream passes an engine's answer on, all but its end.
 func (e *chatExecution) stream(ctx context.Context, w http.ResponseWriter, target engine.Target, response coordinator.BeginResponse) error {
 	if e.live == nil && e.identity.idempotencyKey != "" {
-		e.live = e.gateway.options.Live.publish(response.CallID, e.content.String(), e.usage.Completion)
+		e.live = e.gateway.options.Live.publish(response.CallID, e.content.String(), e.usage.completion())
 	}
+	messages := append(response.History, e.request.Messages...)
+	e.usage.begin(promptBytes(messages) / program.BytesPerToken)
 	resumed := e.content.Len() > 0
-	if resumed && e.usage.Completion >= e.request.MaxTokens {
+	if resumed && e.usage.completion() >= e.request.MaxTokens {
 		// Only the end of the answer was lost.
-		e.finish = finishLength
+		if e.finish == "" {
+			e.finish = finishLength
+		}
 		return nil
 	}
 	chat := engine.ChatRequest{
 		Model:      e.request.Model,
-		Messages:   append(response.History, e.request.Messages...),
-		MaxTokens:  e.request.MaxTokens - e.usage.Completion,
+		Messages:   messages,
+		MaxTokens:  e.request.MaxTokens - e.usage.completion(),
 		Partial:    e.content.String(),
 		Parameters: e.request.Parameters,
 		Program:    coordinator.CacheID(e.identity.key),
@@ -234,20 +255,16 @@
 	if resumed {
 		e.gateway.options.Logger.Emit(events.EngineResumed, events.F("call", response.CallID), events.F("engine", target.Name))
 	}
-	received := int64(0)
 	for {
 		delta, err := pieces.Next()
 		if errors.Is(err, io.EOF) {
 			return nil
 		}
 		if err != nil {
-			// Each piece of a cut-off attempt counts for one token at least.
-			e.usage.Completion += received
 			return e.attemptFailure(watched, response, err)
 		}
 		dog.heard()
 		if delta.Content != "" || len(delta.ToolCalls) > 0 {
-			received++
 			e.pace.Note(time.Now())
 			if e.writer == nil {
 				e.gateway.options.Metrics.firstToken.WithLabelValues(e.service).Observe(time.Since(e.started).Seconds())
@@ -274,15 +291,18 @@
 		e.live.add(delta.Content)
 	}
 	e.toolCalls.add(delta.ToolCalls)
+	isPiece := delta.Content != "" || len(delta.ToolCalls) > 0
+	if isPiece {
+		e.usage.piece()
+		e.finish = ""
+	}
 	if delta.FinishReason != "" {
 		e.finish = delta.FinishReason
 	}
 	if delta.Usage != nil {
-		e.usage.Prompt = delta.Usage.Prompt
-		e.usage.Cached = delta.Usage.Cached
-		e.usage.Completion += delta.Usage.Completion
+		e.usage.tell(*delta.Usage)
 	}
-	if delta.Content != "" || len(delta.ToolCalls) > 0 {
+	if isPiece {
 		e.ensureWriter(w).piece(delta)
 	}
 }
@@ -293,6 +313,6 @@
 	if err != nil {
 		return nil, nil, err
 	}
-	answer := program.Answer{Message: message, FinishReason: e.finish, Model: e.request.Model, Usage: e.usage}
+	answer := program.Answer{Message: message, FinishReason: e.finish, Model: e.request.Model, Usage: e.usage.usage()}
 	return e.store(ctx, response, answer)
 }
--- a/internal/program/calls.go
+++ b/internal/program/calls.go
@@ -265,6 +265,7 @@
 	if call.State != Dispatching || call.Attempt != request.Attempt {
 		return Result{Call: call.public(), Error: call.Error}
 	}
+	call.Spent = max(call.Spent, request.Spent)
 	if call.Repeatable || request.Undelivered {
 		call.State = Admitted
 		call.MayHaveRun = call.MayHaveRun || !request.Undelivered
@@ -315,7 +316,7 @@
 	case request.Error == nil:
 		return refuse(apierr.InvalidRequest, "a failure needs an error")
 	case call.State == Admitted && request.Attempt == 0:
-		m.settle(program, call, 0)
+		m.settle(program, call, call.Spent)
 		failure := *request.Error
 		failure.Outcome = admittedOutcome(call)
 		m.finish(program, call, Failed, nil, &failure)
--- a/internal/program/lifecycle.go
+++ b/internal/program/lifecycle.go
@@ -38,7 +38,7 @@
 	program.History = History{}
 	for _, call := range program.Open {
 		if call.State == Admitted {
-			m.settle(program, call, 0)
+			m.settle(program, call, call.Spent)
 			ended := apierr.New(apierr.ProgramEnded, admittedOutcome(call), "program %s has ended: %s", program.Key.Path, reason)
 			m.finish(program, call, Failed, nil, ended)
 		}
--- a/internal/program/machine_test.go
+++ b/internal/program/machine_test.go
@@ -122,6 +122,36 @@
 	assert.Assert(t, dispatch(machine, "a", 2).Error == nil)
 }
 
+// TestLostCallCostsWhatItsCallerHas: a call that ends between two attempts costs what its caller has of the answer, which the
+// gateway reports with the loss, and no more than was reserved.
+func TestLostCallCostsWhatItsCallerHas(t *testing.T) {
+	lose := func(machine *program.Machine, attempt int, spent int64) {
+		machine.Execute(program.Command{At: 1, Lose: &program.LoseAttempt{CallID: "a", Program: key, Attempt: attempt, Spent: spent}})
+	}
+	ends := map[string]program.Command{
+		"given up":      {At: 1, Fail: &program.Fail{CallID: "a", Program: key, Error: apierr.New(apierr.EngineFailed, apierr.NotRun, "no engine")}},
+		"program ended": {At: 1, End: &program.End{Program: key, Reason: program.EndByCaller}},
+	}
+	for name, end := range ends {
+		for _, last := range []int64{0, 40, 5000} {
+			t.Run(fmt.Sprint(name, " after ", last), func(t *testing.T) {
+				machine := program.NewMachine()
+				admit(machine, program.Admit{CallID: "a", Reserve: 600, Repeatable: true})
+				dispatch(machine, "a", 1)
+				lose(machine, 1, 30)
+				dispatch(machine, "a", 2)
+				lose(machine, 2, last)
+				machine.Execute(end)
+				summary, _ := machine.Summary(key)
+				assert.Equal(t, summary.Used, min(max(30, last), 600))
+				assert.Equal(t, summary.Reserved, int64(0))
+				call, _ := machine.Call(key, "a")
+				assert.Equal(t, call.Error.Outcome, apierr.OutcomeUnknown)
+			})
+		}
+	}
+}
+
 func TestNotRunForbidsDispatch(t *testing.T) {
 	machine := program.NewMachine()
 	admit(machine, program.Admit{CallID: "a", IdempotencyKey: "k"})
--- a/internal/program/types.go
+++ b/internal/program/types.go
@@ -87,7 +87,9 @@
 	// ReachedBefore is the program's Reached before the call's first dispatch.
 	ReachedBefore uint64 `json:"reached_before,omitempty"`
 	// MayHaveRun is set if an attempt was lost that its gateway may have sent.
-	MayHaveRun bool          `json:"may_have_run,omitempty"`
+	MayHaveRun bool `json:"may_have_run,omitempty"`
+	// Spent is what the call costs, in tokens, if it ends without another attempt.
+	Spent      int64         `json:"spent,omitempty"`
 	Reserved   int64         `json:"reserved,omitempty"`
 	Base       HistoryMark   `json:"base"`
 	CheckBase  bool          `json:"check_base,omitempty"`
@@ -183,6 +185,8 @@
 	// Undelivered means that the gateway, the only process that could send, says that it sent
 	// nothing and never will.
 	Undelivered bool `json:"undelivered,omitempty"`
+	// Spent is the cost, in tokens, of what the caller has of the answer so far.
+	Spent int64 `json:"spent,omitempty"`
 }
 
 // Complete records a call's answer.
