A stream that panics is cut, and followers don't join two answers

Cause: the recovery wrote a failure's body into a stream that had begun, and ended it in order. A follower asked by call and offset alone, and got the rest of another answer if the call was executed anew at that gateway between two questions; as the next executor it would have had the joined text continued and stored. Change: an answer that has begun is cut by a panic; each running answer has a number, which a follower tells with its offset. Measured: go test ./internal/gateway passes, both tests of cut_test.go failed before; go test ./test/path -run 'TestRepeat|TestIdem|TestOfficial|TestContin' passes.

--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -105,13 +105,22 @@
 		g.fail(w, apierr.New(apierr.Overloaded, apierr.NotRun, "this node is stopping; ask another one").WithRetryAfter(100*time.Millisecond))
 		return
 	}
+	answer := &startedWriter{ResponseWriter: w}
 	defer func() {
 		if reason := recover(); reason != nil {
-			g.options.Logger.Emit(events.RequestPanicked, events.F("reason", reason), events.F("stack", string(debug.Stack())))
-			g.fail(w, apierr.New(apierr.Internal, apierr.OutcomeUnknown, "internal failure"))
+			g.failPanicked(answer, reason)
 		}
 	}()
-	g.mux.ServeHTTP(w, r)
+	g.mux.ServeHTTP(answer, r)
+}
+
+// failPanicked answers with a failure, or cuts an answer that has begun: the body of a failure would end it as if it were whole.
+func (g *Gateway) failPanicked(answer *startedWriter, reason any) {
+	g.options.Logger.Emit(events.RequestPanicked, events.F("reason", reason), events.F("stack", string(debug.Stack())))
+	if answer.started {
+		panic(http.ErrAbortHandler)
+	}
+	g.fail(answer, apierr.New(apierr.Internal, apierr.OutcomeUnknown, "internal failure"))
 }
 
 // caller is who sent a request.
@@ -144,7 +153,7 @@
 
 // readBody reads a bounded body.
 func (g *Gateway) readBody(w http.ResponseWriter, r *http.Request) ([]byte, error) {
-	body, err := io.ReadAll(http.MaxBytesReader(w, r.Body, g.options.MaxBodyBytes))
+	body, err := io.ReadAll(http.MaxBytesReader(unwrapped(w), r.Body, g.options.MaxBodyBytes))
 	var tooLarge *http.MaxBytesError
 	if errors.As(err, &tooLarge) {
 		return nil, apierr.New(apierr.BodyTooLarge, apierr.NotRun, "the body is over %d bytes", tooLarge.Limit)
--- a/internal/gateway/live.go
+++ b/internal/gateway/live.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"math/rand/v2"
 	"sync"
 	"time"
 
@@ -19,10 +20,14 @@
 	CallID string `json:"call"`
 	// Offset is how many bytes of the answer the reader has.
 	Offset int `json:"offset"`
+	// Answer is the one of which the reader has them, 0 before the first response.
+	Answer uint64 `json:"answer,omitempty"`
 }
 
 type liveResponse struct {
-	Found   bool   `json:"found"`
+	Found bool `json:"found"`
+	// Answer names the answer. A call that is executed anew has another one, whose text need not be the same.
+	Answer  uint64 `json:"answer,omitempty"`
 	Content string `json:"content,omitempty"`
 	// Pieces is in how many pieces the engine has sent the text so far; each is a token at least.
 	Pieces int64 `json:"pieces,omitempty"`
@@ -32,6 +37,7 @@
 
 // liveAnswer is the text of a running answer, from its start. Live's mutex guards it.
 type liveAnswer struct {
+	id      uint64
 	content []byte
 	pieces  int64
 	ended   bool
@@ -45,11 +51,13 @@
 
 	mutex   sync.Mutex
 	answers map[string]*liveAnswer
+	// lastID is that of the latest answer. It begins by chance, so that a gateway which was restarted names none as before.
+	lastID uint64
 }
 
 // NewLive returns a Live and registers its message.
 func NewLive(network *transport.Transport, members *membership.Manager) *Live {
-	live := &Live{network: network, membership: members, answers: make(map[string]*liveAnswer)}
+	live := &Live{network: network, membership: members, answers: make(map[string]*liveAnswer), lastID: rand.Uint64() >> 1}
 	transport.Handle(network, liveKind, func(ctx context.Context, _ transport.Peer, request liveRequest) (liveResponse, error) {
 		return live.read(ctx, request), nil
 	})
@@ -72,7 +80,8 @@
 	if earlier := l.answers[callID]; earlier != nil {
 		earlier.end()
 	}
-	answer := &liveAnswer{content: []byte(content), pieces: pieces, changed: make(chan struct{})}
+	l.lastID++
+	answer := &liveAnswer{id: l.lastID, content: []byte(content), pieces: pieces, changed: make(chan struct{})}
 	l.answers[callID] = answer
 	return &livePublisher{live: l, callID: callID, answer: answer}
 }
@@ -121,12 +130,12 @@
 	l.mutex.Lock()
 	answer := l.answers[request.CallID]
 	l.mutex.Unlock()
-	if answer == nil {
+	if answer == nil || request.Answer != 0 && request.Answer != answer.id {
 		return liveResponse{}
 	}
 	for {
 		l.mutex.Lock()
-		response := liveResponse{Found: true, Ended: answer.ended, Pieces: answer.pieces}
+		response := liveResponse{Found: true, Answer: answer.id, Ended: answer.ended, Pieces: answer.pieces}
 		if request.Offset >= 0 && request.Offset < len(answer.content) {
 			response.Content = string(answer.content[request.Offset:])
 		}
@@ -157,6 +166,7 @@
 		if response.Content != "" && !pass(response.Content, response.Pieces) {
 			return
 		}
+		request.Answer = response.Answer
 		request.Offset += len(response.Content)
 		if response.Ended {
 			return
