The catalog tells of rising versions only

Cause: two feeds merged under the mutex and told subscribers after it, in any order. Change: changes are told one at a time, and one that was overtaken is left to whoever merged the newer one. A feed also waits for what others are telling, so that contact with the store isn't noted before its changes are in force.

--- a/internal/catalog/manager.go
+++ b/internal/catalog/manager.go
@@ -69,7 +69,8 @@
 	// StaleAfter is the age from which a peer's contact with the store is not fresh any more. It covers the time
 	// for which the store may hold a question, and the ways.
 	StaleAfter time.Duration
-	// OnChange hears each changed entry, in no order. It must not block.
+	// OnChange hears changed entries, one at a time. Of each entry it hears rising revisions, the newest at last; those
+	// that were overtaken may be left out. It must not block, nor change the Manager.
 	OnChange func(Entry)
 	// OnOutage hears, once the store is heard of again, since when it had not been, if that was longer ago than
 	// StaleAfter. It must not block. It may be nil.
@@ -83,6 +84,9 @@
 	logger   *events.Logger
 	identity uint64
 
+	// telling is held while OnChange is called. It is taken without mutex, and before it.
+	telling sync.Mutex
+
 	mutex sync.Mutex
 	state *State
 	// changed is closed at the next change, contacted at the next contact with the store.
@@ -308,11 +312,23 @@
 		m.changed = make(chan struct{})
 	}
 	m.mutex.Unlock()
+	m.telling.Lock()
+	defer m.telling.Unlock()
 	for _, entry := range news {
-		m.options.OnChange(entry)
+		if !m.overtaken(entry) {
+			m.options.OnChange(entry)
+		}
 	}
 }
 
+// overtaken reports whether there is a newer version of an entry. Whoever merged that tells of it: a subscriber that heard the
+// older one later would go back to it.
+func (m *Manager) overtaken(entry Entry) bool {
+	m.mutex.Lock()
+	defer m.mutex.Unlock()
+	return m.state.Revision(entry.Key) > entry.Revision
+}
+
 // Contact implements Sink.
 func (m *Manager) Contact() {
 	m.mutex.Lock()
