A node that may have missed removals lists the store once

Cause: peers forget removals after ten minutes. A node that nobody reached for longer went on from its old position, never heard of them, and handed what was gone to its followers. Change: after such a silence the node reads the store until it has answered, though peers are fresh. Measured: go test -race ./internal/catalog -run TestNodeThatMissed -count=3 passes, and go test ./internal/catalog.

--- a/internal/catalog/follow.go
+++ b/internal/catalog/follow.go
@@ -131,6 +131,10 @@
 	m.mutex.Lock()
 	defer m.mutex.Unlock()
 	now := time.Now()
+	if !m.heardAt.IsZero() && now.Sub(m.heardAt) > removedFor {
+		m.mustList = true
+	}
+	m.heardAt = now
 	m.positions[address] = position{identity: answer.Identity, sequence: answer.Sequence}
 	m.offers.take(now, answer.Offers, m.need())
 	if answer.More {
--- a/internal/catalog/manager.go
+++ b/internal/catalog/manager.go
@@ -94,6 +94,11 @@
 	contacted chan struct{}
 	// contactAt is the newest time at which the store is known to have been read, here or by a peer.
 	contactAt time.Time
+	// heardAt is when a peer or the store answered last.
+	heardAt time.Time
+	// mustList tells that removals may have been missed, which peers don't remember any more. Only a listing of the store
+	// shows them.
+	mustList  bool
 	followers map[string]*follower
 	// positions are how far each peer was followed, by address.
 	positions map[string]position
@@ -189,7 +194,7 @@
 		}
 	}
 	reads := m.options.ReadsStore != nil && m.options.ReadsStore()
-	m.switchSource(ctx, reads || m.width > len(peers))
+	m.switchSource(ctx, reads || m.mustList || m.width > len(peers))
 }
 
 // withOffers puts the feeds to which this node was sent before its other peers.
@@ -333,7 +338,9 @@
 func (m *Manager) Contact() {
 	m.mutex.Lock()
 	defer m.mutex.Unlock()
-	m.noteContact(time.Now())
+	now := time.Now()
+	m.heardAt, m.mustList = now, false
+	m.noteContact(now)
 }
 
 // noteContact takes a newer contact and wakes followers, whose knowledge is as fresh by it. The caller holds the
--- a/internal/catalog/missed_test.go
+++ b/internal/catalog/missed_test.go
@@ -109,4 +109,5 @@
 	m.mutex.Lock()
 	defer m.mutex.Unlock()
 	m.state.Forget(time.Now().Add(2 * removedFor))
+	m.heardAt = m.heardAt.Add(-2 * removedFor)
 }
