--- a/test/path/resume_test.go
+++ b/test/path/resume_test.go
@@ -11,8 +11,10 @@
 	"strings"
 	"sync"
 	"testing"
+	"time"
 
 	"gotest.tools/v3/assert"
+	"gotest.tools/v3/poll"
 
 	"github.com/mountstile/mountstile/internal/adminclient"
 	"github.com/mountstile/mountstile/internal/engine"
@@ -295,10 +297,25 @@
 
 // ask calls a scripted model in a program of the model's name.
 func (s scripted) ask(t *testing.T, model string, stream bool, maxTokens int) outcome {
+	t.Helper()
+	return s.askAt(t, 0, model, stream, maxTokens)
+}
+
+// askAt does it at a node.
+func (s scripted) askAt(t *testing.T, node int, model string, stream bool, maxTokens int) outcome {
 	t.Helper()
 	body := fmt.Sprintf(`{"model":%q,"messages":[{"role":"user","content":"count"}],"max_tokens":%d,"stream":%t,"stream_options":{"include_usage":true}}`, model, maxTokens, stream)
-	header := map[string]string{gateway.HeaderProgram: model, gateway.HeaderIdempotency: model}
-	response, text := post(t, s.Cluster, "/v1/chat/completions", body, header)
+	request, err := http.NewRequestWithContext(t.Context(), http.MethodPost, s.APIs()[node]+"/v1/chat/completions", strings.NewReader(body))
+	assert.NilError(t, err)
+	request.Header.Set("Authorization", "Bearer "+apiKey)
+	request.Header.Set(gateway.HeaderProgram, model)
+	request.Header.Set(gateway.HeaderIdempotency, model)
+	response, err := http.DefaultClient.Do(request)
+	assert.NilError(t, err)
+	defer func() { _ = response.Body.Close() }()
+	read, err := io.ReadAll(response.Body)
+	assert.NilError(t, err)
+	text := string(read)
 	got := outcome{status: response.StatusCode, text: text}
 	if response.Header.Get("Content-Type") != "text/event-stream" {
 		got.take(t, text)
@@ -484,3 +501,50 @@
 		assert.Assert(t, got.usage.Prompt > 0)
 	})
 }
+
+// TestFollowersOfResumedAnswers repeats a call at other nodes while its continuation is under way: followers get the same end, or the same
+// failure, as the caller.
+func TestFollowersOfResumedAnswers(t *testing.T) {
+	ends := map[string]func(*run){"mended": (*run).rest, "lost": wrongContinuations["status 500 with a stream"]}
+	scripts := make(map[string]script)
+	reached, released := make(map[string]chan struct{}), make(map[string]chan struct{})
+	for model, end := range ends {
+		begun, release := make(chan struct{}), make(chan struct{})
+		reached[model], released[model] = begun, release
+		scripts[model] = script{breakOff, func(r *run) {
+			close(begun)
+			<-release
+			end(r)
+		}, end}
+	}
+	system := startScripted(t, scripts)
+	for model := range ends {
+		t.Run(model, func(t *testing.T) {
+			got := make([]outcome, 3)
+			var asking sync.WaitGroup
+			ask := func(node int) {
+				asking.Go(func() { got[node] = system.askAt(t, node, model, true, scriptedTokens) })
+			}
+			ask(0)
+			<-reached[model]
+			ask(1)
+			ask(2)
+			poll.WaitOn(t, func(poll.LogT) poll.Result {
+				if system.Nodes[1].Status().Active > 0 && system.Nodes[2].Status().Active > 0 {
+					return poll.Success()
+				}
+				return poll.Continue("the repeats are not there yet")
+			}, poll.WithTimeout(patience), poll.WithDelay(time.Millisecond))
+			close(released[model])
+			asking.Wait()
+			for _, one := range got {
+				if model == "mended" {
+					system.whole(t, model, one, "stop")
+					continue
+				}
+				assert.Assert(t, one.failed && !one.ended && one.finish == "", one.text)
+				assert.Assert(t, piecesOf(one.content) >= 0, one.content)
+			}
+		})
+	}
+}
