--- a/internal/emulator/job.go
+++ b/internal/emulator/job.go
@@ -62,6 +62,10 @@
 			return
 		case progress := <-j.progress:
 			j.fail(w, progress.Token)
+			if j.faults.EndAfterTokens > 0 && progress.Token > j.faults.EndAfterTokens {
+				j.endMark(w)
+				return
+			}
 			j.send(w, event{Choices: []eventChoice{{Delta: eventDelta{Content: tokenText(j.prompt, j.already+progress.Token)}}}})
 			if progress.Done {
 				j.finish(w, progress)
@@ -105,9 +109,15 @@
 		TotalTokens:      j.promptTokens + j.output,
 		Details:          eventPromptDetails{CachedTokens: last.Cached},
 	}})
-	_, _ = w.Write([]byte("data: [DONE]\n\n"))
-	_ = http.NewResponseController(w).Flush()
+	if !j.faults.NoEndMark {
+		j.endMark(w)
+	}
 	j.server.mutex.Lock()
 	j.entry.Finished = true
 	j.server.mutex.Unlock()
 }
+
+func (j *job) endMark(w http.ResponseWriter) {
+	_, _ = w.Write([]byte("data: [DONE]\n\n"))
+	_ = http.NewResponseController(w).Flush()
+}
--- a/internal/emulator/server.go
+++ b/internal/emulator/server.go
@@ -41,6 +41,12 @@
 	CutAfterTokens int `json:"cut_after_tokens,omitempty"`
 	// GarbleAfterTokens sends an event that is no JSON after so many tokens.
 	GarbleAfterTokens int `json:"garble_after_tokens,omitempty"`
+	// ResumeStatus answers requests to go on with a partial answer with this status and an error object.
+	ResumeStatus int `json:"resume_status,omitempty"`
+	// EndAfterTokens ends each answer after so many tokens with the end mark, but without a finish reason.
+	EndAfterTokens int `json:"end_after_tokens,omitempty"`
+	// NoEndMark ends each answer in order, but without the end mark.
+	NoEndMark bool `json:"no_end_mark,omitempty"`
 	// Hang stops the engine; requests stay open.
 	Hang bool `json:"hang,omitempty"`
 	// Slowdown multiplies the time of each step; 0 counts as 1.
@@ -264,6 +270,12 @@
 		http.Error(w, err.Error(), http.StatusBadRequest)
 		return
 	}
+	if status := s.resumeStatus(); body.Continue && status != 0 {
+		w.Header().Set("Content-Type", "application/json")
+		w.WriteHeader(status)
+		_, _ = w.Write([]byte(resumeFailure))
+		return
+	}
 	job, refusal := s.submit(r, body)
 	if refusal != 0 {
 		http.Error(w, "refused", refusal)
@@ -273,6 +285,15 @@
 	job.stream(w, r)
 }
 
+// resumeFailure is the body of a failed resumption.
+const resumeFailure = `{"error":{"message":"can't go on","type":"server_error"}}` + "\n"
+
+func (s *Server) resumeStatus() int {
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
+	return s.faults.ResumeStatus
+}
+
 // submit books a request in the ledger and the model.
 func (s *Server) submit(r *http.Request, body chatBody) (*job, int) {
 	messages, partial := body.Messages, ""
--- a/internal/lab/torture/torture.go
+++ b/internal/lab/torture/torture.go
@@ -8,6 +8,7 @@
 	"context"
 	"fmt"
 	"math/rand/v2"
+	"net/http"
 	"slices"
 	"sync"
 	"sync/atomic"
@@ -173,6 +174,11 @@
 		{"node_killed", r.replaceNode},
 		{"engine_cut", r.engineFault(emulator.Faults{CutAfterTokens: 5})},
 		{"engine_garbled", r.engineFault(emulator.Faults{GarbleAfterTokens: 5})},
+		{"engine_ends_early", r.engineFault(emulator.Faults{EndAfterTokens: 5})},
+		{"engine_without_end_mark", r.engineFault(emulator.Faults{NoEndMark: true})},
+		{"resumption_refused", r.resumeFault(http.StatusInternalServerError)},
+		{"resumption_garbled", r.resumeFault(http.StatusOK)},
+		{"resumption_rejected", r.resumeFault(http.StatusBadRequest)},
 		{"engine_refusing", r.engineFault(emulator.Faults{RefuseStatus: 503})},
 		{"engine_slow", r.engineFault(emulator.Faults{Slowdown: 20})},
 		{"releases_refused", r.engineFault(emulator.Faults{RefuseReleases: true})},
@@ -260,6 +266,23 @@
 	}
 }
 
+// leastForResumes is how many engines it takes so that one goes on with what another has cut and a third one refuses, while the
+// breaker of a fourth may be open yet since the fault before. With three, calls ended with no engine left.
+const leastForResumes = 4
+
+// resumeFault lets one engine cut its answers, and another one answer with a failure's body when it is asked to go on.
+func (r *run) resumeFault(status int) func(context.Context) {
+	return func(context.Context) {
+		if r.options.Engines < leastForResumes {
+			return
+		}
+		cut := r.random.IntN(r.options.Engines)
+		failing := (cut + 1 + r.random.IntN(r.options.Engines-1)) % r.options.Engines
+		r.system.Engines[fmt.Sprintf("m%d", failing+1)].SetFaults(emulator.Faults{ResumeStatus: status})
+		r.system.Engines[fmt.Sprintf("m%d", cut+1)].SetFaults(emulator.Faults{CutAfterTokens: 5})
+	}
+}
+
 func (r *run) applicationFault(context.Context) {
 	name := fmt.Sprintf("b%d", r.random.IntN(2)+1)
 	r.system.Applications[name].SetFaults(emulator.ApplicationFaults{CutBeforeAnswer: true})
--- a/test/path/path_test.go
+++ b/test/path/path_test.go
@@ -273,8 +273,9 @@
 // TestEngineLostInMidStream cuts one engine's answers: callers still get one whole answer.
 func TestEngineLostInMidStream(t *testing.T) {
 	faults := map[string]emulator.Faults{
-		"cut":     {CutAfterTokens: 7},
-		"garbled": {GarbleAfterTokens: 7},
+		"cut":                           {CutAfterTokens: 7},
+		"garbled":                       {GarbleAfterTokens: 7},
+		"ended without a finish reason": {EndAfterTokens: 7},
 	}
 	for name, fault := range faults {
 		t.Run(name, func(t *testing.T) {
