Emulator: runs and continuations that go wrong, by shares and a seed

The engines of the node program never failed while an answer was continued. PUT /faults takes "runs": a share of the runs from the beginning and of those with continue_final_message break off, answer 500, 503 or an empty 200, or end with an error event. go test -race -count=3 ./internal/emulator passes.

--- a/internal/emulator/job.go
+++ b/internal/emulator/job.go
@@ -19,6 +19,8 @@
 	limited      bool
 	progress     chan Progress
 	faults       Faults
+	// fault is how this run goes wrong.
+	fault runFault
 }
 
 func formatNumber(number int64) string { return strconv.FormatInt(number, 10) }
@@ -54,7 +56,10 @@
 
 // stream sends the tokens as they come, and ends early where a fault says so.
 func (j *job) stream(w http.ResponseWriter, r *http.Request) {
-	w.Header().Set("Content-Type", "text/event-stream")
+	if j.failHead(w) {
+		return
+	}
+	w.Header().Set("Content-Type", eventStreamType)
 	w.WriteHeader(http.StatusOK)
 	for {
 		select {
@@ -62,6 +67,9 @@
 			return
 		case progress := <-j.progress:
 			j.fail(w, progress.Token)
+			if j.failRun(w, progress.Token) {
+				return
+			}
 			j.send(w, event{Choices: []eventChoice{{Delta: eventDelta{Content: tokenText(j.prompt, j.already+progress.Token)}}}})
 			if progress.Done {
 				j.finish(w, progress)
--- a/internal/emulator/server.go
+++ b/internal/emulator/server.go
@@ -47,6 +47,8 @@
 	Slowdown float64 `json:"slowdown,omitempty"`
 	// RefuseReleases answers releases of cache with an error.
 	RefuseReleases bool `json:"refuse_releases,omitempty"`
+	// Runs are failures of some runs and continuations.
+	Runs RunFaults `json:"runs,omitzero"`
 }
 
 // Stats is what the engine counts.
@@ -71,9 +73,11 @@
 	streams map[string]chan Progress
 	ledger  []*LedgerEntry
 	faults  Faults
-	tokens  int64
-	next    int64
-	slot    modelSlot
+	// arrivals counts the runs of each prompt since the faults were set, by which faults of runs are drawn.
+	arrivals map[uint64]int
+	tokens   int64
+	next     int64
+	slot     modelSlot
 	// loads and refusedOrders count orders that were followed and fenced off.
 	loads, refusedOrders int64
 }
@@ -81,11 +85,12 @@
 // NewServer returns an idle engine.
 func NewServer(config Config) *Server {
 	server := &Server{
-		config:  config,
-		mux:     http.NewServeMux(),
-		wake:    make(chan struct{}, 1),
-		model:   NewModel(config),
-		streams: make(map[string]chan Progress),
+		config:   config,
+		mux:      http.NewServeMux(),
+		wake:     make(chan struct{}, 1),
+		model:    NewModel(config),
+		streams:  make(map[string]chan Progress),
+		arrivals: make(map[uint64]int),
 	}
 	server.mux.HandleFunc("POST "+engine.ChatPath, server.handleChat)
 	server.mux.HandleFunc("POST "+engine.ReleasePath, server.handleRelease)
@@ -160,6 +165,7 @@
 func (s *Server) SetFaults(faults Faults) {
 	s.mutex.Lock()
 	s.faults = faults
+	clear(s.arrivals)
 	s.mutex.Unlock()
 	s.wakeUp()
 }
@@ -200,6 +206,10 @@
 		http.Error(w, err.Error(), http.StatusBadRequest)
 		return
 	}
+	if kind := faults.Runs.unknownKind(); kind != "" {
+		http.Error(w, "no kind of fault: "+string(kind), http.StatusBadRequest)
+		return
+	}
 	s.SetFaults(faults)
 	w.WriteHeader(http.StatusNoContent)
 }
@@ -292,6 +302,10 @@
 	if !s.slot.serves(body.Model) {
 		return nil, http.StatusNotFound
 	}
+	fault := s.drawFault(runIdentity{prompt: prompt, continues: body.Continue}, max(1, total-already))
+	if fault.kind == FaultUnavailable {
+		return nil, http.StatusServiceUnavailable
+	}
 	s.next++
 	entry := &LedgerEntry{
 		Program:  r.Header.Get(engine.HeaderProgram),
@@ -304,7 +318,7 @@
 	s.ledger = append(s.ledger, entry)
 	created := &job{
 		server: s, entry: entry, model: body.Model, prompt: prompt, already: already,
-		id: entry.Call + "/" + entry.Attempt + "/" + formatNumber(s.next), faults: s.faults,
+		id: entry.Call + "/" + entry.Attempt + "/" + formatNumber(s.next), faults: s.faults, fault: fault,
 		promptTokens: tokensOf(text + partial), output: max(1, total-already), limited: body.MaxTokens > 0 && total-already >= body.MaxTokens,
 	}
 	created.progress = make(chan Progress, created.output)
@@ -317,6 +331,16 @@
 	return created, 0
 }
 
+// drawFault decides how a run goes wrong that is to bring so many tokens. It needs the mutex.
+func (s *Server) drawFault(run runIdentity, tokens int) runFault {
+	if !s.faults.Runs.on() {
+		return runFault{}
+	}
+	s.arrivals[run.prompt]++
+	run.arrival = s.arrivals[run.prompt]
+	return s.faults.Runs.draw(run, tokens)
+}
+
 func (s *Server) forget(id string) {
 	s.mutex.Lock()
 	defer s.mutex.Unlock()
