--- a/internal/ingress/harness_test.go
+++ b/internal/ingress/harness_test.go
@@ -44,10 +44,13 @@
 	if budget, err := strconv.ParseInt(header.Get("Budget"), 10, 64); err == nil {
 		caller.Budget = budget
 	}
+	caller.LastEvent = header.Get("Last")
 	caller.Most, _ = strconv.ParseInt(header.Get("Most"), 10, 64)
 	return caller, nil
 }
 
+func (testProtocol) WeightsVersion() (header, eventField string) { return "Weights", "weights" }
+
 func (testProtocol) Prepare(header http.Header, offer dispatch.Offer) {
 	header.Set("Engine", offer.Engine)
 	header.Set("Left", strconv.FormatInt(offer.Left.Milliseconds(), 10))
--- a/internal/ingress/resume_test.go
+++ b/internal/ingress/resume_test.go
@@ -7,6 +7,7 @@
 	"net/http"
 	"strings"
 	"testing"
+	"time"
 
 	"gotest.tools/v3/assert"
 
@@ -166,6 +167,95 @@
 	t.Run("a caller without chunks", cutOlderCaller)
 }
 
+// An engine that breaks off after each event still brings the stream to its end: a run that brought something is progress.
+func TestStreamGoesOnWhileRunsBringEvents(t *testing.T) {
+	t.Parallel()
+	s := newSite(t)
+	const last = 9
+	s.engine("e", func(call *engineCall) {
+		call.beginStream()
+		call.event(int(call.number))
+		if call.number == last {
+			call.endStream()
+			return
+		}
+		call.reset()
+	})
+	got := s.send("/resume/", "c1", "")
+	assert.NilError(t, got.err)
+	assert.Equal(t, got.body, eventText(1, last))
+}
+
+// An engine that fails for a while is asked again later and later, so that the stream outlasts it.
+func TestStreamOutlastsAnEngineThatFailsForAWhile(t *testing.T) {
+	t.Parallel()
+	var brokenAt time.Time
+	got := sendBroken(t, func(call *engineCall) {
+		if call.number == 2 {
+			brokenAt = time.Now()
+		}
+		if time.Since(brokenAt) < 200*time.Millisecond {
+			call.answer(500, "out of memory\n")
+			return
+		}
+		call.rest()
+	})
+	assert.NilError(t, got.err)
+	assert.Equal(t, got.body, wholeStream)
+}
+
+// A caller that has the first half from an answer before gets the second one, whatever breaks before it comes.
+func TestCallerThatComesWithItsLastEvent(t *testing.T) {
+	t.Parallel()
+	for name, first := range map[string]func(call *engineCall){
+		"broken before an event": func(call *engineCall) { call.beginStream(); call.reset() },
+		"broken within an event": func(call *engineCall) { call.beginStream(); call.chunk("id: 3\nda"); call.reset() },
+		"from the start":         func(call *engineCall) { call.beginStream(); call.chunk(wholeStream); call.endStream() },
+		"without ID":             func(call *engineCall) { call.beginStream(); call.chunk("data: e3\n\n"); call.endStream() },
+	} {
+		s := newSite(t)
+		s.engine("e", func(call *engineCall) {
+			assert.Check(t, call.request.Header.Get("After") == "2", name)
+			if call.number == 1 {
+				first(call)
+				return
+			}
+			call.rest()
+		})
+		got := s.send("/resume/", "c1", "", "Last", "2")
+		assert.NilError(t, got.err, name)
+		assert.Equal(t, got.body, eventText(3, 4), name)
+	}
+}
+
+// A run that is abandoned for its silence may send its last bytes in that moment; they are passed on, or another run's are,
+// and never both.
+func TestLastBytesOfASilentRun(t *testing.T) {
+	t.Parallel()
+	for step := range 24 {
+		t.Run(fmt.Sprint(step), func(t *testing.T) {
+			t.Parallel()
+			silence := eventStall + time.Duration(step-12)*time.Millisecond/2
+			s := newSite(t)
+			s.engine("e", func(call *engineCall) {
+				if call.number > 1 {
+					call.rest()
+					return
+				}
+				call.beginStream()
+				call.chunk(firstHalf)
+				<-time.After(silence)
+				call.event(3)
+				call.event(4)
+				call.endStream()
+			})
+			got := s.send("/resume/", "c1", "")
+			assert.NilError(t, got.err)
+			assert.Equal(t, got.body, wholeStream)
+		})
+	}
+}
+
 // sendBroken sends a request whose engine breaks off after the first half; later runs are played by the script.
 func sendBroken(t *testing.T, later func(call *engineCall)) answer {
 	t.Helper()
