An engine's word that it lacks a model stands against its record: the call waits, and fails no more

Cause of TestModelsFollowDemand's 352 calls: an order's record waits up to 200 ms for the next round of the membership. The decider was killed within that time: the others went on to take the engine for one that has its old model. Each call that went there got 404, avoided the engine, and was refused at once, for no engine was left ("no engine of the pool works at present"), or for the retry budget was used up by such 404s, until a successor had asked the engines. A slow machine widens the time in which the test kills the decider. The same comes about whenever a record is wrong: a late order, an engine that was started anew.

Change: the coordinator believes the engine. It takes it out of use for that model until its next record, for 15 s at most (modelload.View.Refute, log line 517), the call waits for what is left of its time in line, and neither attempts nor the retry budget pay for a 404 of an engine that loads models. Nodes report such engines with their demand; the decider asks them in its next step.

--- a/internal/coordinator/messages.go
+++ b/internal/coordinator/messages.go
@@ -50,6 +50,8 @@
 	RunningAt string `json:"running_at,omitempty"`
 	// Conflict is the end of the stored history.
 	Conflict *program.HistoryMark `json:"conflict,omitempty"`
+	// WaitedMillis is how long the call stood in line, for a retry after the engine lacked the model.
+	WaitedMillis int64 `json:"waited_ms,omitempty"`
 	// LeaseMillis is how long the gateway may wait before it sends.
 	LeaseMillis int64 `json:"lease_ms,omitempty"`
 }
@@ -60,6 +62,12 @@
 	Attempt     int          `json:"attempt"`
 	Undelivered bool         `json:"undelivered,omitempty"`
 	Avoid       []string     `json:"avoid,omitempty"`
+	// Lacking is the engine of the lost attempt if that has refused the call, for it had not loaded the
+	// model; WaitedMillis is then the response's.
+	Lacking      string `json:"lacking,omitempty"`
+	WaitedMillis int64  `json:"waited_ms,omitempty"`
+	// Refusals counts the call's attempts that have ended so.
+	Refusals int `json:"refusals,omitempty"`
 }
 
 // FinishRequest reports an answer.
--- a/internal/coordinator/models.go
+++ b/internal/coordinator/models.go
@@ -21,6 +21,9 @@
 	Changed() <-chan struct{}
 	// Want tells that a call waits for a model that no engine has.
 	Want()
+	// Refute tells that an engine has refused a call, for it lacks a model that it should have by what
+	// Engines returned.
+	Refute(pool, engine, model string) bool
 }
 
 // errMoreEngines is the cause when a placement begins anew, for further engines have the model.
@@ -97,6 +100,14 @@
 	return placing, func() { cancel(nil) }
 }
 
+// refuteModel takes an engine out of use for the model that it has refused a call of. The call then waits
+// as one whose model no engine has.
+func (s *Server) refuteModel(request RetryRequest) {
+	if service, known := s.options.Config.Current().Set.Service(request.Begin.Admit.Service); known {
+		s.options.Models.Refute(service.Pool, request.Lacking, request.Begin.Admit.Model)
+	}
+}
+
 // ModelDemand counts the open calls of the partitions that this node leads, by pool and model.
 func (s *Server) ModelDemand() []modelload.PoolDemand {
 	set := s.options.Config.Current().Set
--- a/internal/coordinator/placement.go
+++ b/internal/coordinator/placement.go
@@ -14,7 +14,20 @@
 
 func seconds(value float64) time.Duration { return time.Duration(value * float64(time.Second)) }
 
-func (s *Server) place(ctx context.Context, request BeginRequest, call *program.Call, avoid []string) (scheduler.Decision, error) {
+// pastAttempts is what earlier attempts of a call leave to the next one.
+type pastAttempts struct {
+	// avoid are the engines on which the call has failed.
+	avoid []string
+	// waited is how much of its time in line is used up, as long as no engine has run the call.
+	waited time.Duration
+}
+
+// pastAttempts is what a retry leaves to the next attempt.
+func (r RetryRequest) pastAttempts() pastAttempts {
+	return pastAttempts{avoid: r.Avoid, waited: time.Duration(r.WaitedMillis) * time.Millisecond}
+}
+
+func (s *Server) place(ctx context.Context, request BeginRequest, call *program.Call, earlier pastAttempts) (scheduler.Decision, error) {
 	set := s.options.Config.Current().Set
 	service, known := set.Service(request.Admit.Service)
 	if !known {
@@ -28,7 +41,7 @@
 	if err != nil {
 		return scheduler.Decision{}, apierr.New(apierr.PolicyFailed, apierr.NotRun, "%s", err)
 	}
-	description := s.describe(request, call, set, service, avoid)
+	description := s.describe(request, call, set, service, earlier)
 	if pool.Loading != nil {
 		return s.placeOnLoaded(ctx, request, service, pool, description, rules)
 	}
@@ -65,10 +78,11 @@
 }
 
 // describe adds what only this node knows: the tenant's weight, and engines that have failed.
-func (s *Server) describe(request BeginRequest, call *program.Call, set *resource.Set, service *resource.Service, avoid []string) scheduler.Call {
+func (s *Server) describe(request BeginRequest, call *program.Call, set *resource.Set, service *resource.Service, earlier pastAttempts) scheduler.Call {
 	summary, _ := s.machine(request.Partition).Summary(request.Admit.Program)
 	description := DescribeCall(request, call, summary, service, time.Now())
-	description.Avoid = avoid
+	description.Avoid = earlier.avoid
+	description.Wait = max(0, description.Wait-earlier.waited)
 	if tenant, known := set.Tenant(request.Admit.Program.Tenant); known {
 		description.Weight = tenant.Weight
 	}
--- a/internal/coordinator/server.go
+++ b/internal/coordinator/server.go
@@ -190,7 +190,7 @@
 		}
 		return BeginResponse{}, result.Error
 	}
-	response, err := s.follow(ctx, request, result.Call, nil)
+	response, err := s.follow(ctx, request, result.Call, pastAttempts{})
 	return response, onceAdmitted(err)
 }
 
@@ -242,7 +242,7 @@
 }
 
 // follow drives a call that has no driver on this leader, and waits for any other to end.
-func (s *Server) follow(ctx context.Context, request BeginRequest, call *program.Call, avoid []string) (BeginResponse, error) {
+func (s *Server) follow(ctx context.Context, request BeginRequest, call *program.Call, earlier pastAttempts) (BeginResponse, error) {
 	machine := s.machine(request.Partition)
 	ticker := time.NewTicker(leadershipCheck)
 	defer ticker.Stop()
@@ -265,7 +265,7 @@
 		case current.State == program.Admitted:
 			if driven, done := s.startDriving(ctx, current.ID); done != nil {
 				defer done()
-				return s.drive(driven, request, current, avoid)
+				return s.drive(driven, request, current, earlier)
 			}
 		}
 		select {
@@ -310,7 +310,7 @@
 }
 
 // drive takes an admitted call through its turn, an engine, and the commit of the dispatch.
-func (s *Server) drive(ctx context.Context, request BeginRequest, call *program.Call, avoid []string) (BeginResponse, error) {
+func (s *Server) drive(ctx context.Context, request BeginRequest, call *program.Call, earlier pastAttempts) (BeginResponse, error) {
 	if err := s.awaitTurn(ctx, request, call); err != nil {
 		if apierr.Is(err, apierr.NotLeader) {
 			return BeginResponse{}, err
@@ -321,7 +321,9 @@
 	if err := s.options.Limits.Acquire(ctx, permit); err != nil {
 		return BeginResponse{}, s.giveUp(ctx, request, call, err)
 	}
-	decision, err := s.place(ctx, request, call, avoid)
+	started := time.Now()
+	decision, err := s.place(ctx, request, call, earlier)
+	waited := earlier.waited + time.Since(started)
 	if err != nil {
 		s.options.Limits.Release(permit)
 		if apierr.Is(err, apierr.NotLeader) {
@@ -331,7 +333,9 @@
 	}
 	result, err := s.dispatch(ctx, request, call, decision)
 	if err == nil && result.Error == nil {
-		return s.engineResponse(request, result.Call)
+		response, err := s.engineResponse(request, result.Call)
+		response.WaitedMillis = waited.Milliseconds()
+		return response, err
 	}
 	s.options.Release(decision.Engine, owner.ReleaseRequest{Engine: decision.Engine.Name, CallID: call.ID})
 	if err != nil {
@@ -427,30 +431,35 @@
 	if result.Error != nil {
 		return BeginResponse{}, result.Error
 	}
-	if refusal := s.refuseRetry(begin, result.Call); refusal != nil {
+	if request.Lacking != "" {
+		s.refuteModel(request)
+	}
+	if refusal := s.refuseRetry(request, result.Call); refusal != nil {
 		return BeginResponse{}, s.giveUp(ctx, begin, result.Call, refusal)
 	}
 	if done != nil && result.Call.State == program.Admitted {
-		response, err := s.drive(driven, begin, result.Call, request.Avoid)
+		response, err := s.drive(driven, begin, result.Call, request.pastAttempts())
 		return response, onceAdmitted(err)
 	}
 	if done != nil {
 		done()
 	}
-	response, err := s.follow(ctx, begin, result.Call, request.Avoid)
+	response, err := s.follow(ctx, begin, result.Call, request.pastAttempts())
 	return response, onceAdmitted(err)
 }
 
-// refuseRetry applies the service's most attempts and the pool's retry budget.
-func (s *Server) refuseRetry(begin BeginRequest, call *program.Call) error {
-	if call.State != program.Admitted {
+// refuseRetry applies the service's most attempts and the pool's retry budget. An engine that lacks a model
+// costs neither: it has not failed, and after one refusal it is asked no more.
+func (s *Server) refuseRetry(request RetryRequest, call *program.Call) error {
+	if call.State != program.Admitted || request.Lacking != "" {
 		return nil
 	}
-	service, known := s.options.Config.Current().Set.Service(begin.Admit.Service)
-	if known && call.Attempt >= service.MaxAttempts {
-		return apierr.New(apierr.EngineFailed, apierr.NotRun, "%d engines failed in a row", call.Attempt).WithRetryAfter(time.Second)
+	name := request.Begin.Admit.Service
+	service, known := s.options.Config.Current().Set.Service(name)
+	if failed := call.Attempt - request.Refusals; known && failed >= service.MaxAttempts {
+		return apierr.New(apierr.EngineFailed, apierr.NotRun, "%d engines failed in a row", failed).WithRetryAfter(time.Second)
 	}
-	if !s.retryBudget(begin.Admit.Service).Take() {
+	if !s.retryBudget(name).Take() {
 		return apierr.New(apierr.EngineFailed, apierr.NotRun, "the retry budget of the service is used up").WithRetryAfter(time.Second)
 	}
 	return nil
--- a/internal/events/events.go
+++ b/internal/events/events.go
@@ -83,6 +83,7 @@
 	AttemptRetried       ID = 514
 	StoreOutageEnded     ID = 515
 	StreamResumed        ID = 516
+	ModelRefuted         ID = 517
 	CallFailed           ID = 601
 	CallRefused          ID = 602
 	RequestPanicked      ID = 603
@@ -176,6 +177,7 @@
 	{AttemptRetried, "attempt_retried", logrus.InfoLevel, "an attempt failed and the call goes to another engine"},
 	{StoreOutageEnded, "store_outage_ended", logrus.InfoLevel, "the store is heard of again; records of engines that went meanwhile may come back"},
 	{StreamResumed, "stream_resumed", logrus.InfoLevel, "another run was to go on with a stream that had broken off; status, events and outcome tell what it brought"},
+	{ModelRefuted, "model_refuted", logrus.WarnLevel, "an engine had not the model that its record tells; it gets no calls of that model for a while"},
 	{CallFailed, "call_failed", logrus.WarnLevel, "a call ended with a failure"},
 	{CallRefused, "call_refused", logrus.DebugLevel, "a call was refused as not run"},
 	{RequestPanicked, "request_panicked", logrus.ErrorLevel, "a request handler panicked; the request was failed"},
--- a/internal/gateway/chat_execution.go
+++ b/internal/gateway/chat_execution.go
@@ -180,15 +180,16 @@
 // afterFailure decides what a failed attempt means.
 func (e *chatExecution) afterFailure(ctx context.Context, response coordinator.BeginResponse, cause error, failed *bool) (*program.Answer, *coordinator.RetryRequest, error) {
 	e.gateway.options.Metrics.retries.WithLabelValues(e.service).Inc()
+	var noModel *engine.ErrNoModel
+	if errors.As(cause, &noModel) {
+		// The engine works, and did not run the call: it has loaded another model meanwhile.
+		*failed = false
+		return nil, e.retryWithoutModel(response), nil
+	}
 	e.avoid = append(e.avoid, response.Engine.Name)
 	var undelivered *engine.ErrUndelivered
 	var refused *engine.ErrRefused
-	var noModel *engine.ErrNoModel
 	switch {
-	case errors.As(cause, &noModel):
-		// The engine works, and did not run the call: it has loaded another model meanwhile.
-		*failed = false
-		return nil, e.retry(response, true), nil
 	case errors.As(cause, &undelivered):
 		return nil, e.retry(response, true), nil
 	case errors.As(cause, &refused) && !refused.Temporary():
--- a/internal/gateway/execution.go
+++ b/internal/gateway/execution.go
@@ -29,6 +29,8 @@
 	joined bool
 	// avoid are the engines on which the call has failed.
 	avoid []string
+	// refusals counts the attempts that an engine refused, for it had not loaded the model.
+	refusals int
 }
 
 // attempt sends a call to the engine of a response. It returns the committed answer, or how to go
@@ -105,7 +107,21 @@
 }
 
 func (e *execution) retry(response coordinator.BeginResponse, undelivered bool) *coordinator.RetryRequest {
-	return &coordinator.RetryRequest{Begin: e.begin, Attempt: response.Attempt, Undelivered: undelivered, Avoid: e.avoid}
+	return &coordinator.RetryRequest{Begin: e.begin, Attempt: response.Attempt, Undelivered: undelivered, Avoid: e.avoid, Refusals: e.refusals}
+}
+
+// retryWithoutModel asks for another attempt after an engine refused the call, for it had not loaded the
+// model. Where engines load models, it may get the call again once it has done so.
+func (e *execution) retryWithoutModel(response coordinator.BeginResponse) *coordinator.RetryRequest {
+	pool, known := e.gateway.options.Config.Current().Set.Pool(response.Engine.Pool)
+	if !known || pool.Loading == nil {
+		e.avoid = append(e.avoid, response.Engine.Name)
+		return e.retry(response, true)
+	}
+	e.refusals++
+	retry := e.retry(response, true)
+	retry.Lacking, retry.WaitedMillis = response.Engine.Name, response.WaitedMillis
+	return retry
 }
 
 // store commits an answer.
--- a/internal/modelload/controller.go
+++ b/internal/modelload/controller.go
@@ -70,10 +70,10 @@
 }
 
 // step asks engines, tells the members what changed, and gives orders.
-func (c *controller) step(ctx context.Context, pool *resource.Pool, targets []resource.Engine, models []string, demand map[string]float64) {
+func (c *controller) step(ctx context.Context, pool *resource.Pool, targets []resource.Engine, models []string, reports *demandTable) {
 	now := time.Now()
-	c.smooth(demand, now)
-	c.ask(ctx, targets, now)
+	c.smooth(reports.sum(c.pool, now), now)
+	c.ask(ctx, targets, reports.refuted(c.pool), now)
 	if highest := c.highestSeen(); highest > c.latestToken() && !c.raiseFloor(ctx, highest) {
 		return
 	}
@@ -121,8 +121,9 @@
 	}
 }
 
-// ask learns the state of engines that load, that were not asked for a while, or are new.
-func (c *controller) ask(ctx context.Context, targets []resource.Engine, now time.Time) {
+// ask learns the state of engines that load, that were not asked for a while, or are new, and of those that
+// were refuted since they were asked.
+func (c *controller) ask(ctx context.Context, targets []resource.Engine, refuted map[string]time.Time, now time.Time) {
 	var tasks sync.WaitGroup
 	slots := make(chan struct{}, askParallel)
 	for _, target := range targets {
@@ -131,7 +132,8 @@
 			known = &knownEngine{}
 			c.engines[target.Name] = known
 		}
-		if known.reached && known.state.Loading == "" && now.Sub(known.asked) < askInterval {
+		current := now.Sub(known.asked) < askInterval && !refuted[target.Name].After(known.asked)
+		if known.reached && known.state.Loading == "" && current {
 			continue
 		}
 		slots <- struct{}{}
--- a/internal/modelload/demand.go
+++ b/internal/modelload/demand.go
@@ -27,12 +27,15 @@
 type demandReport struct {
 	PoolDemand
 	Node string `json:"node"`
+	// Refuted are the engines that lacked the model of their record.
+	Refuted []string `json:"refuted,omitempty"`
 	// IntervalMillis is when to expect the next one.
 	IntervalMillis int64 `json:"interval_ms"`
 }
 
 type heardReport struct {
 	report  demandReport
+	at      time.Time
 	expires time.Time
 }
 
@@ -53,7 +56,7 @@
 		d.reports[report.Pool] = make(map[string]heardReport)
 	}
 	expires := now.Add(reportsMissed * time.Duration(report.IntervalMillis) * time.Millisecond)
-	d.reports[report.Pool][report.Node] = heardReport{report: report, expires: expires}
+	d.reports[report.Pool][report.Node] = heardReport{report: report, at: now, expires: expires}
 }
 
 // sum adds up what the nodes reported lately on a pool.
@@ -72,3 +75,18 @@
 	}
 	return total
 }
+
+// refuted returns when a node last told of each engine of a pool that it lacks the model of its record.
+func (d *demandTable) refuted(pool string) map[string]time.Time {
+	d.mutex.Lock()
+	defer d.mutex.Unlock()
+	latest := make(map[string]time.Time)
+	for _, heard := range d.reports[pool] {
+		for _, engine := range heard.report.Refuted {
+			if heard.at.After(latest[engine]) {
+				latest[engine] = heard.at
+			}
+		}
+	}
+	return latest
+}
--- a/internal/modelload/manager.go
+++ b/internal/modelload/manager.go
@@ -76,6 +76,16 @@
 	}
 }
 
+// Refute takes an engine out of use as View's does, and has whoever decides ask it soon.
+func (m *Manager) Refute(pool, engine, model string) bool {
+	if !m.View.Refute(pool, engine, model) {
+		return false
+	}
+	m.options.Logger.Emit(events.ModelRefuted, events.F("pool", pool), events.F("engine", engine), events.F("model", model))
+	m.Want()
+	return true
+}
+
 // Run reports and decides until the context ends.
 func (m *Manager) Run(ctx context.Context) {
 	ticker := time.NewTicker(stepInterval)
@@ -110,7 +120,7 @@
 	if len(set.LoadingPools()) == 0 {
 		return
 	}
-	for _, demand := range m.options.Demand() {
+	for _, demand := range m.withRefuted(m.options.Demand(), set) {
 		if pool, known := set.Pool(demand.Pool); !known || pool.Loading == nil {
 			continue
 		}
@@ -118,7 +128,7 @@
 		if err != nil {
 			continue
 		}
-		report := demandReport{PoolDemand: demand, Node: view.Self.ID, IntervalMillis: interval.Milliseconds()}
+		report := demandReport{PoolDemand: demand, Node: view.Self.ID, Refuted: m.Refuted(demand.Pool), IntervalMillis: interval.Milliseconds()}
 		for _, replicaID := range replicas {
 			member, known := view.Replica(replicaID)
 			switch {
@@ -132,6 +142,18 @@
 	}
 }
 
+// withRefuted adds the pools without demand of which an engine was refuted: whoever decides must hear of it,
+// also if the calls that have found out are over.
+func (m *Manager) withRefuted(demands []PoolDemand, set *resource.Set) []PoolDemand {
+	for _, item := range set.LoadingPools() {
+		counted := slices.ContainsFunc(demands, func(demand PoolDemand) bool { return demand.Pool == item.Name })
+		if !counted && len(m.Refuted(item.Name)) > 0 {
+			demands = append(demands, PoolDemand{Pool: item.Name})
+		}
+	}
+	return demands
+}
+
 // control steps the pools that this node decides for, and forgets the others.
 func (m *Manager) control(ctx context.Context) {
 	set := m.options.Config.Current().Set
@@ -142,7 +164,7 @@
 			continue
 		}
 		led[item.Name] = true
-		current.step(ctx, item.Pool, m.ownEngines(item), set.ModelsOfPool(item.Name), m.reports.sum(item.Name, time.Now()))
+		current.step(ctx, item.Pool, m.ownEngines(item), set.ModelsOfPool(item.Name), m.reports)
 	}
 	for name := range m.controllers {
 		if !led[name] {
--- a/internal/modelload/view.go
+++ b/internal/modelload/view.go
@@ -2,8 +2,10 @@
 
 import (
 	"encoding/json"
+	"slices"
 	"strings"
 	"sync"
+	"time"
 
 	"github.com/mountstile/mountstile/internal/membership"
 	"github.com/mountstile/mountstile/internal/resource"
@@ -13,6 +15,10 @@
 // fencing tokens, so that a deposed leader's word never replaces its successor's.
 const recordPrefix = "model/"
 
+// refutedFor is how long an engine's own word stands against its record, unless a new record comes. Then
+// whoever decides has asked all engines anew, and one that was refuted by mistake is used again.
+const refutedFor = askInterval
+
 // mostSubsets bounds the cached lists of engines.
 const mostSubsets = 1024
 
@@ -27,6 +33,9 @@
 type View struct {
 	mutex  sync.Mutex
 	models map[string]string
+	// refuted are the engines that lacked the model of their record, and until when they count as
+	// without any.
+	refuted map[string]time.Time
 	// subsets caches the engines of a model, for the pools of the configuration in force.
 	subsets map[subsetKey][]resource.Engine
 	changed chan struct{}
@@ -39,7 +48,7 @@
 
 // NewView returns a View that follows the members' records.
 func NewView(members *membership.Manager) *View {
-	view := &View{models: make(map[string]string), subsets: make(map[subsetKey][]resource.Engine), changed: make(chan struct{})}
+	view := &View{models: make(map[string]string), refuted: make(map[string]time.Time), subsets: make(map[subsetKey][]resource.Engine), changed: make(chan struct{})}
 	members.Subscribe(view.heard)
 	return view
 }
@@ -54,12 +63,68 @@
 	}
 	v.mutex.Lock()
 	defer v.mutex.Unlock()
-	v.models[strings.TrimPrefix(change.Record.Key, recordPrefix)] = value.Model
+	key := strings.TrimPrefix(change.Record.Key, recordPrefix)
+	v.models[key] = value.Model
+	delete(v.refuted, key)
+	v.change()
+}
+
+// change tells that another set of engines has some model. The mutex is held.
+func (v *View) change() {
 	clear(v.subsets)
 	close(v.changed)
 	v.changed = make(chan struct{})
 }
 
+// Refute takes an engine out of use that has refused a call, for it lacks the model of its record. An order's
+// record is lost when the node that gave it dies before it has told the others; calls that go on to that
+// engine would be refused until another node decides. It returns false if the engine counts as without that
+// model anyway.
+func (v *View) Refute(pool, engine, model string) bool {
+	v.mutex.Lock()
+	defer v.mutex.Unlock()
+	key := pool + "/" + engine
+	if v.believed(key, time.Now()) != model {
+		return false
+	}
+	v.refuted[key] = time.Now().Add(refutedFor)
+	v.change()
+	return true
+}
+
+// Refuted lists the engines of a pool that were taken out of use so, and have no new record yet.
+func (v *View) Refuted(pool string) []string {
+	v.mutex.Lock()
+	defer v.mutex.Unlock()
+	v.forgiveRefuted(time.Now())
+	var engines []string
+	for key := range v.refuted {
+		if engine, found := strings.CutPrefix(key, pool+"/"); found {
+			engines = append(engines, engine)
+		}
+	}
+	slices.Sort(engines)
+	return engines
+}
+
+// believed is the model of an engine's record unless the engine has refuted it. The mutex is held.
+func (v *View) believed(key string, now time.Time) string {
+	if now.Before(v.refuted[key]) {
+		return ""
+	}
+	return v.models[key]
+}
+
+// forgiveRefuted lets engines be used again whose time is over. The mutex is held.
+func (v *View) forgiveRefuted(now time.Time) {
+	for key, until := range v.refuted {
+		if !now.Before(until) {
+			delete(v.refuted, key)
+			clear(v.subsets)
+		}
+	}
+}
+
 // Changed is closed with the next change of any engine's model.
 func (v *View) Changed() <-chan struct{} {
 	v.mutex.Lock()
@@ -71,13 +136,15 @@
 func (v *View) Engines(name string, pool *resource.Pool, model string) []resource.Engine {
 	v.mutex.Lock()
 	defer v.mutex.Unlock()
+	now := time.Now()
+	v.forgiveRefuted(now)
 	key := subsetKey{pool: pool, model: model}
 	if known, cached := v.subsets[key]; cached {
 		return known
 	}
 	var subset []resource.Engine
 	for _, engine := range pool.Engines {
-		if v.models[name+"/"+engine.Name] == model {
+		if v.believed(name+"/"+engine.Name, now) == model {
 			subset = append(subset, engine)
 		}
 	}
@@ -89,9 +156,10 @@
 	return subset
 }
 
-// Model returns what an engine has loaded; it is empty while the engine loads.
+// Model returns what an engine has loaded; it is empty while the engine loads, or if it lacks what its
+// record tells.
 func (v *View) Model(pool, engine string) string {
 	v.mutex.Lock()
 	defer v.mutex.Unlock()
-	return v.models[pool+"/"+engine]
+	return v.believed(pool+"/"+engine, time.Now())
 }
--- a/test/path/models_test.go
+++ b/test/path/models_test.go
@@ -14,6 +14,7 @@
 	"gotest.tools/v3/assert"
 	"gotest.tools/v3/poll"
 
+	"github.com/mountstile/mountstile/internal/adminclient"
 	"github.com/mountstile/mountstile/internal/apierr"
 	"github.com/mountstile/mountstile/internal/emulator"
 	"github.com/mountstile/mountstile/internal/engine"
@@ -188,6 +189,73 @@
 	}, poll.WithTimeout(patience))
 }
 
+// recordedModels is what a node believes that the engines have loaded.
+func recordedModels(t *testing.T, system *cluster.Cluster, node int) map[string]string {
+	t.Helper()
+	address := "http://" + system.Nodes[node].Settings().Admin.Listen
+	list, err := adminclient.New(address, cluster.AdminKey).Models(t.Context())
+	assert.NilError(t, err)
+	models := make(map[string]string)
+	for _, item := range list.Engines {
+		models[item.Engine] = item.Model
+	}
+	return models
+}
+
+// waitForBeliefs waits until all nodes believe of all engines what these say, and that has been loaded.
+func waitForBeliefs(t *testing.T, system *cluster.Cluster) {
+	t.Helper()
+	poll.WaitOn(t, func(poll.LogT) poll.Result {
+		for node := range system.Nodes {
+			believed := recordedModels(t, system, node)
+			for name, server := range system.Engines {
+				if state := server.ModelState(); state.Model == "" || state.Loading != "" || believed[name] != state.Model {
+					return poll.Continue("node %d believes %v, engine %s has %+v", node, believed, name, state)
+				}
+			}
+		}
+		return poll.Success()
+	}, poll.WithTimeout(patience))
+}
+
+// TestEnginesThatLackTheRecordedModel: all engines that have a model by the members' records have loaded
+// another one, as after an order whose record did not get out. Calls of that model wait for an engine that
+// loads it and none fails, whether the node that decides finds out or dies.
+func TestEnginesThatLackTheRecordedModel(t *testing.T) {
+	for name, deciderDies := range map[string]bool{"decider lives": false, "decider dies": true} {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			weights := serveWeights(t, "")
+			system := startLoading(t, weights.URL, patience)
+			poll.WaitOn(t, func(poll.LogT) poll.Result {
+				if counts := modelsAtEngines(t, system); counts["small"] != modelEngines/2 || counts["large"] != modelEngines/2 {
+					return poll.Continue("engines have %v", counts)
+				}
+				return poll.Success()
+			}, poll.WithTimeout(patience))
+			waitForBeliefs(t, system)
+			for name, server := range system.Engines {
+				order := engine.Order{Token: highestToken(system) + 1, Model: "small", WeightStore: weights.URL}
+				if server.ModelState().Model != "small" {
+					assert.NilError(t, engine.NewOpenAI().Order(t.Context(), engine.Target{Name: name, URL: system.EngineURL(name)}, order))
+				}
+			}
+			waitForModel(t, system, "small", modelEngines)
+			if deciderDies {
+				killDecider(t, system)
+			}
+			client := runner.NewClient(apiKey)
+			defer client.Close()
+			large := callFor(t, system, client, "large", 14)
+			waitForModel(t, system, "large", 1)
+			large.stop()
+			assert.Equal(t, len(large.failures), 0, "%v", large.failures)
+			assert.Assert(t, large.calls.Load() > 0)
+			waitForBeliefs(t, system)
+		})
+	}
+}
+
 // TestEnginesOfAnEarlierCluster: engines have seen tokens of a cluster that is gone, whose terms were higher.
 // The present leader goes above them, and gives orders again.
 func TestEnginesOfAnEarlierCluster(t *testing.T) {
