--- a/internal/gateway/chat_execution.go
+++ b/internal/gateway/chat_execution.go
@@ -180,15 +180,16 @@
 // afterFailure decides what a failed attempt means.
 func (e *chatExecution) afterFailure(ctx context.Context, response coordinator.BeginResponse, cause error, failed *bool) (*program.Answer, *coordinator.RetryRequest, error) {
 	e.gateway.options.Metrics.retries.WithLabelValues(e.service).Inc()
+	var noModel *engine.ErrNoModel
+	if errors.As(cause, &noModel) {
+		// The engine works, and did not run the call: it has loaded another model meanwhile.
+		*failed = false
+		return nil, e.withSpent(e.retryWithoutModel(response)), nil
+	}
 	e.avoid = append(e.avoid, response.Engine.Name)
 	var undelivered *engine.ErrUndelivered
 	var refused *engine.ErrRefused
-	var noModel *engine.ErrNoModel
 	switch {
-	case errors.As(cause, &noModel):
-		// The engine works, and did not run the call: it has loaded another model meanwhile.
-		*failed = false
-		return nil, e.retryAfter(response, true), nil
 	case errors.As(cause, &undelivered):
 		return nil, e.retryAfter(response, true), nil
 	case errors.As(cause, &refused) && !refused.Temporary():
@@ -210,10 +211,13 @@
 // begun tells whether a part of the answer is here.
 func (e *chatExecution) begun() bool { return e.content.Len() > 0 || e.toolCalls.begun() }
 
-// retryAfter asks for another attempt, and tells what the call costs if there is none: that of which its caller has a part
-// is not free.
+// retryAfter asks for another attempt.
 func (e *chatExecution) retryAfter(response coordinator.BeginResponse, undelivered bool) *coordinator.RetryRequest {
-	request := e.retry(response, undelivered)
+	return e.withSpent(e.retry(response, undelivered))
+}
+
+// withSpent tells what the call costs if there is no other attempt: that of which its caller has a part is not free.
+func (e *chatExecution) withSpent(request *coordinator.RetryRequest) *coordinator.RetryRequest {
 	if e.writer != nil && e.writer.begun() {
 		request.Spent = e.usage.usage().Total()
 	}
