An engine that switches protocols has not answered

Cause: 101 was taken for a final head and passed on; what follows it is no answer in the protocol, and the caller's connection is out of step. No request asks for it, Upgrade is never sent. TestSwitchOfProtocolsIsNoAnswer passes (three runs with -race), as do the tests of upstream.

--- a/internal/upstream/pool.go
+++ b/internal/upstream/pool.go
@@ -52,6 +52,12 @@
 // Error implements error.
 func (*ErrConnectionLimit) Error() string { return "all connections to the engine are in use" }
 
+// ErrProtocolSwitched means that the engine went on in another protocol, which no request asks for.
+type ErrProtocolSwitched struct{}
+
+// Error implements error.
+func (*ErrProtocolSwitched) Error() string { return "the engine switched to another protocol" }
+
 // Pool holds the connections to one engine. All methods may be called concurrently.
 type Pool struct {
 	address string
--- a/internal/upstream/send.go
+++ b/internal/upstream/send.go
@@ -83,7 +83,11 @@
 		if err != nil {
 			return nil, err
 		}
-		if response.StatusCode >= http.StatusOK || response.StatusCode == http.StatusSwitchingProtocols {
+		if response.StatusCode == http.StatusSwitchingProtocols {
+			// Nobody asked for another protocol, and what follows is no answer in this one.
+			return nil, errors.WithStack(&ErrProtocolSwitched{})
+		}
+		if response.StatusCode >= http.StatusOK {
 			return response, nil
 		}
 	}
