--- a/internal/ingress/sight_test.go
+++ b/internal/ingress/sight_test.go
@@ -112,3 +112,23 @@
 		assert.Equal(t, engine.runs.Load(), int64(1))
 	}
 }
+
+// The lines on what was tried count on over all runs of a call.
+func TestSendsAreCountedOverAllRuns(t *testing.T) {
+	t.Parallel()
+	s := newSite(t)
+	s.engine("e", func(call *engineCall) {
+		call.beginStream()
+		call.event(int(call.number))
+		if call.number == 4 {
+			call.endStream()
+			return
+		}
+		call.reset()
+	})
+	assert.NilError(t, s.send("/resume/", "c1", "").err)
+	assert.Equal(t, strings.Count(s.logged(), `"name":"attempt_retried"`), 3)
+	for _, part := range []string{`"sends":1`, `"sends":2`, `"sends":3`} {
+		assert.Assert(t, strings.Contains(s.logged(), part), "%s is missing: %s", part, s.logged())
+	}
+}
