--- a/internal/dispatch/dispatch.go
+++ b/internal/dispatch/dispatch.go
@@ -198,7 +198,7 @@
 			return progress.final(ctx, outcome, err)
 		}
 		d.logger.Emit(events.AttemptRetried, events.F("request", call.ID), events.F("engine", engine.ID()),
-			events.F("outcome", outcome.String()), events.F("error", err), events.F("sends", progress.sends))
+			events.F("outcome", outcome.String()), events.F("error", err), events.F("sends", call.Trace.Sends))
 	}
 }
 
