--- a/internal/ingress/node.go
+++ b/internal/ingress/node.go
@@ -64,11 +64,12 @@
 	turns    *turnstore.Client
 	server   *Server
 	table    atomic.Pointer[routing.Table]
-	// started is closed with the first routes.
-	started  chan struct{}
-	ready    atomic.Bool
-	stopping atomic.Bool
-	applying sync.Mutex
+	// routedAt is when the first routes came; wasSettled stays true once they were up to date.
+	routedAt   atomic.Pointer[time.Time]
+	wasSettled atomic.Bool
+	ready      atomic.Bool
+	stopping   atomic.Bool
+	applying   sync.Mutex
 }
 
 // NewNode returns a Node that knows nothing yet.
@@ -77,7 +78,6 @@
 	node := &Node{
 		options:  options,
 		registry: registry,
-		started:  make(chan struct{}),
 		turns: turnstore.NewClient(turnstore.ClientOptions{Zone: options.Zone, CacheBytes: options.CacheBytes, Load: registry},
 			options.Network, options.Logger),
 	}
@@ -86,7 +86,7 @@
 		FirstStart: options.FirstStart, OnOutage: registry.NoteOutage,
 	}, options.Network, options.Logger)
 	node.server = New(Options{
-		Table: node.table.Load, Started: node.started, Vocabulary: options.Vocabulary, Registry: node.registry, Turns: node.turns,
+		Table: node.table.Load, Settled: node.settled, Vocabulary: options.Vocabulary, Registry: node.registry, Turns: node.turns,
 		Dispatcher: dispatch.New(node.registry, options.Protocol, options.Logger), Logger: options.Logger, Metrics: options.Metrics,
 		CatalogAge: node.catalog.Age,
 	})
@@ -153,9 +153,9 @@
 	for _, service := range specification.Services {
 		n.registry.SetConnectionLimit(service.Name, max(service.MaxConnections/connectionShare, minimalConnections))
 	}
-	first := n.table.Swap(table) == nil
-	if first {
-		close(n.started)
+	if n.table.Swap(table) == nil {
+		now := time.Now()
+		n.routedAt.Store(&now)
 	}
 	n.options.Logger.Emit(events.RoutesInstalled, events.F("version", table.Version()), events.F("revision", entry.Revision),
 		events.F("routes", len(specification.Routes)), events.F("store_age_millis", n.catalog.Age().Milliseconds()))
@@ -185,8 +185,7 @@
 }
 
 func (n *Node) canServe(ctx context.Context) bool {
-	table := n.table.Load()
-	if table == nil || !n.registry.Any() {
+	if !n.settled() || !n.registry.Any() {
 		return false
 	}
 	askContext, cancel := context.WithTimeout(ctx, time.Second)
--- a/internal/ingress/server.go
+++ b/internal/ingress/server.go
@@ -71,8 +71,9 @@
 type Options struct {
 	// Table returns the routes in force; nil before there are any.
 	Table func() *routing.Table
-	// Started is closed once there are routes.
-	Started    <-chan struct{}
+	// Settled tells whether the routes are those that a request is to be handled by: there are some, and they are not older
+	// than what this node may have had before it was restarted, as far as it can find out.
+	Settled    func() bool
 	Vocabulary Vocabulary
 	Dispatcher *dispatch.Dispatcher
 	Registry   *dispatch.Registry
