--- a/internal/dispatch/dispatch.go
+++ b/internal/dispatch/dispatch.go
@@ -27,7 +27,8 @@
 )
 
 const (
-	// maximalSends bounds how often a call is offered to engines, refusals included.
+	// maximalSends bounds how often a call is offered to engines, refusals included; of a stream, how often in a row
+	// without getting an event.
 	maximalSends = 6
 	// engineWait is how long a call waits for an engine that may take it.
 	engineWait = 60 * time.Millisecond
@@ -124,8 +125,8 @@
 // SentAt is when the call was sent.
 func (a *Attempt) SentAt() time.Time { return a.sentAt }
 
-// ErrBroken is returned by a consumer if the answer ended early or was damaged. Delivered tells
-// whether the caller has got a part of it, so that no other answer may follow.
+// ErrBroken is returned by a consumer if the answer ended early or was damaged. Delivered tells whether nothing may follow, for
+// the caller has got a part of it; a part of a stream that may go on in another run doesn't count.
 type ErrBroken struct {
 	Delivered bool
 	// engineWell tells that the engine is not to blame.
@@ -199,10 +200,10 @@
 			return err
 		}
 		call.Trace.Sends++
-		run := newRun(call, engine)
+		run := newResumption(call, engine, progress.ran)
 		outcome, err := d.limitedAttempt(ctx, call, engine, progress, run, consume)
 		d.registry.release(engine)
-		run.end(call, progress, outcome, err)
+		run.end(call, outcome, err)
 		if outcome == succeeded {
 			return nil
 		}
--- a/internal/dispatch/progress.go
+++ b/internal/dispatch/progress.go
@@ -26,9 +26,9 @@
 	gone
 	refused
 	misdirected
-	// unknown means that it may have run, and that the caller has got nothing yet.
+	// unknown means that it may have run, and that another answer or, of a stream, another run may follow.
 	unknown
-	// delivered means that the caller has got a part of an answer that then broke off.
+	// delivered means that the caller has got a part of an answer that then broke off, and that nothing may follow.
 	delivered
 )
 
--- a/internal/dispatch/resume.go
+++ b/internal/dispatch/resume.go
@@ -25,21 +25,24 @@
 	Cause error
 	// before is how many events the caller had when the run began.
 	before int
+	// told tells that it is a resumption, of which the stream learns.
+	told bool
 }
 
-// newRun begins a run of a call at an engine.
-func newRun(call *Call, engine *Engine) *Resumption {
+// newResumption begins a run of a call at an engine. The first run of a stream is none, and is told to nobody.
+func newResumption(call *Call, engine *Engine, ranBefore bool) *Resumption {
 	run := &Resumption{Engine: engine.ID()}
 	if call.Stream != nil {
 		run.LastEvent = call.Stream.LastEvent()
 		run.before = call.Stream.Events()
+		run.told = ranBefore
 	}
 	return run
 }
 
-// end tells a stream of a run that was to go on with it.
-func (r *Resumption) end(call *Call, progress *progress, outcome attemptOutcome, cause error) {
-	if call.Stream == nil || !progress.ran {
+// end tells the stream how the run ended.
+func (r *Resumption) end(call *Call, outcome attemptOutcome, cause error) {
+	if !r.told {
 		return
 	}
 	r.Events = call.Stream.Events() - r.before
--- a/internal/eventstream/order_test.go
+++ b/internal/eventstream/order_test.go
@@ -81,6 +81,7 @@
 		"comments":                  ": hello\n\nid: 1\ndata: a\n\n:\n\nid: 2\ndata: b\n\n: bye\n\n",
 		"comment at the end":        "id: 1\ndata: a\n\nid: 2\ndata: b\n\n: bye",
 		"pause before a retry":      "retry: 10\n\nid: 1\ndata: a\n\nid: 2\ndata: b\n\nretry: 10\n\n",
+		"a retry at the end":        "id: 1\ndata: a\n\nid: 2\ndata: b\n\nretry: 10\n",
 		"a name without data":       "id: 1\ndata: a\n\nid: 2\ndata: b\n\nevent: done\n\n",
 		"empty lines at the end":    "id: 1\ndata: a\n\nid: 2\ndata: b\n\n\n\r\n",
 	} {
--- a/internal/eventstream/scanner.go
+++ b/internal/eventstream/scanner.go
@@ -19,7 +19,7 @@
 	// line is the part of a line that has arrived. A carriage return at its end may be the first half of a line's end.
 	line  []byte
 	event event
-	// fields tells that a line of the event has ended that is no comment.
+	// fields tells that a line of the event has ended that belongs to it, unlike comments and pauses before a retry.
 	fields bool
 	// size is how many bytes of the event are remembered.
 	size int
@@ -28,6 +28,8 @@
 }
 
 const (
+	// retryField tells how long a caller is to wait before it comes back.
+	retryField    = "retry"
 	lineEnds      = "\r\n"
 	byteOrderMark = "\ufeff"
 )
@@ -93,7 +95,7 @@
 	if len(name) == 0 {
 		return
 	}
-	s.fields = true
+	s.fields = s.fields || string(name) != retryField
 	value = bytes.TrimPrefix(value, []byte{' '})
 	switch string(name) {
 	case "id":
--- a/internal/eventstream/stream.go
+++ b/internal/eventstream/stream.go
@@ -185,7 +185,7 @@
 		return &ErrNotTheRest{Reason: "its status is another", Status: head.Status}
 	case head.MediaType != s.first.MediaType:
 		return &ErrNotTheRest{Reason: "its type is " + head.MediaType, Status: head.Status}
-	case head.Version != s.version:
+	case head.Version != s.version && head.Version != "" && s.version != "":
 		s.mismatched = true
 		return &ErrMismatch{Reason: "the engine's weights are of version " + head.Version + " now"}
 	}
--- a/internal/ingress/cut.go
+++ b/internal/ingress/cut.go
@@ -18,17 +18,21 @@
 }
 
 // cut ends an answer so that it can't look whole. It does not return.
-func (r *request) cut() {
-	if !r.http.ProtoAtLeast(1, 1) {
-		r.reset()
-	}
-	panic(http.ErrAbortHandler)
-}
+func (r *request) cut() { panic(http.ErrAbortHandler) }
+
+// endByReset makes the connection of a caller of HTTP/1.0 end by a reset from now on, also if this process is killed: such a caller
+// takes an orderly end of the connection for that of its answer.
+func (r *request) endByReset() { r.setLinger(0) }
 
-// reset makes the connection end by a reset: a caller of HTTP/1.0 takes an orderly end of the connection for that of its answer.
-func (r *request) reset() {
+// endInOrder takes that back, for the answer is whole.
+func (r *request) endInOrder() { r.setLinger(-1) }
+
+func (r *request) setLinger(seconds int) {
+	if r.http.ProtoAtLeast(1, 1) {
+		return
+	}
 	if connection, ok := r.http.Context().Value(connectionKey{}).(*net.TCPConn); ok {
 		// It fails only on a connection that has ended.
-		_ = connection.SetLinger(0)
+		_ = connection.SetLinger(seconds)
 	}
 }
--- a/internal/ingress/harness_test.go
+++ b/internal/ingress/harness_test.go
@@ -240,6 +240,29 @@
 	}
 }
 
+// engineThatDies starts an engine that serves one call: it sends one event, breaks off, and is gone.
+func (s *site) engineThatDies() {
+	s.t.Helper()
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	assert.NilError(s.t, err)
+	go func() {
+		connection, err := listener.Accept()
+		if err != nil {
+			return
+		}
+		_ = listener.Close()
+		request, err := http.ReadRequest(bufio.NewReader(connection))
+		if err != nil {
+			return
+		}
+		call := &engineCall{connection: connection, id: request.Header.Get("Call")}
+		call.beginStream()
+		call.event(1)
+		call.reset()
+	}()
+	s.apply(catalog.EngineKind, "dies", dispatch.EngineSpecification{ID: "dies", Service: "models", Address: listener.Addr().String(), Zone: "a", Slots: 8})
+}
+
 // withReplica starts one replica and makes it the replica set.
 func (s *site) withReplica() { s.withLateReplica()() }
 
--- a/internal/ingress/stream.go
+++ b/internal/ingress/stream.go
@@ -62,6 +62,9 @@
 	} else {
 		r.settle(passed.generated())
 	}
+	if err == nil {
+		r.endInOrder()
+	}
 	r.ended = passed.ending(ctx, err)
 	return err
 }
@@ -177,6 +180,7 @@
 	if err := s.request.awaitReservation(); err != nil {
 		return dispatch.Withdrawn(err)
 	}
+	s.request.endByReset()
 	s.request.writeHead(s.attempt)
 	s.request.writer.WriteHeader(s.attempt.Response().StatusCode)
 	return nil
