TestModelsFollowDemand shows which calls failed, when, and what engines and nodes held then

A demand that failed shows its failures by text with count, first and last time, what each engine has, what each node believes, and the nodes last 400 log lines. The check is as strict: one failed call fails the test.

--- a/test/path/models_test.go
+++ b/test/path/models_test.go
@@ -5,12 +5,14 @@
 	"fmt"
 	"net"
 	"net/http/httptest"
+	"strings"
 	"sync"
 	"sync/atomic"
 	"testing"
 	"time"
 
 	"github.com/cockroachdb/errors"
+	"github.com/sirupsen/logrus"
 	"gotest.tools/v3/assert"
 	"gotest.tools/v3/poll"
 
@@ -41,6 +43,37 @@
 	return weights
 }
 
+// keptLines keeps the nodes' log lines, and shows them if the test fails.
+type keptLines struct {
+	mutex sync.Mutex
+	lines []string
+}
+
+// mostKeptLines bounds the log lines that a failed test shows.
+const mostKeptLines = 400
+
+func keepLines(t *testing.T) *keptLines {
+	t.Helper()
+	kept := &keptLines{}
+	t.Cleanup(func() {
+		kept.mutex.Lock()
+		defer kept.mutex.Unlock()
+		if t.Failed() {
+			t.Logf("the nodes' last log lines:\n%s", strings.Join(kept.lines, ""))
+		}
+	})
+	return kept
+}
+
+// Write implements io.Writer; the logger writes one line at a time.
+func (k *keptLines) Write(line []byte) (int, error) {
+	k.mutex.Lock()
+	defer k.mutex.Unlock()
+	k.lines = append(k.lines, string(line))
+	k.lines = k.lines[max(0, len(k.lines)-mostKeptLines):]
+	return len(line), nil
+}
+
 // startLoading brings up a cluster whose engines load models small and large from a weight store.
 func startLoading(t *testing.T, weightStore string, queue time.Duration) *cluster.Cluster {
 	t.Helper()
@@ -58,6 +91,7 @@
 	defer cancel()
 	system, err := cluster.Start(ctx, cluster.Options{
 		Nodes: 4, Zones: []string{"a", "b", "c"}, Region: "r", Resources: items, Engine: emulator.DefaultConfig(), Partitions: 6,
+		LogOutput: keepLines(t), LogLevel: logrus.InfoLevel,
 	})
 	t.Cleanup(system.Stop)
 	assert.NilError(t, err)
@@ -74,12 +108,18 @@
 	return counts
 }
 
+// failedCall is a call's failure and when it came.
+type failedCall struct {
+	at  time.Time
+	err error
+}
+
 // demand keeps calls of one model going until it is stopped, and counts those that failed.
 type demand struct {
 	stopped  atomic.Bool
 	tasks    sync.WaitGroup
 	mutex    sync.Mutex
-	failures []error
+	failures []failedCall
 	calls    atomic.Int64
 }
 
@@ -93,7 +133,7 @@
 				request.Model, request.Tokens = model, 60
 				if _, err := client.Chat(t.Context(), addresses[(number+count)%len(addresses)], request); err != nil {
 					running.mutex.Lock()
-					running.failures = append(running.failures, err)
+					running.failures = append(running.failures, failedCall{at: time.Now().UTC(), err: err})
 					running.mutex.Unlock()
 				}
 				running.calls.Add(1)
@@ -103,9 +143,42 @@
 	return running
 }
 
-func (d *demand) stop() {
+// stop ends the calls; none may have failed.
+func (d *demand) stop(t *testing.T, system *cluster.Cluster) {
+	t.Helper()
 	d.stopped.Store(true)
 	d.tasks.Wait()
+	if len(d.failures) == 0 {
+		return
+	}
+	for name, server := range system.Engines {
+		t.Logf("engine %s has %+v", name, server.ModelState())
+	}
+	for node := range system.Nodes {
+		t.Logf("node %d believes %v", node, recordedModels(t, system, node))
+	}
+	t.Fatalf("%d of %d calls failed: %v", len(d.failures), d.calls.Load(), d.kinds())
+}
+
+// failedKind is what failures have in common.
+type failedKind struct {
+	count       int
+	first, last time.Time
+}
+
+// kinds groups the failures by their text.
+func (d *demand) kinds() map[string]failedKind {
+	kinds := make(map[string]failedKind)
+	for _, failure := range d.failures {
+		kind := kinds[failure.err.Error()]
+		if kind.count == 0 {
+			kind.first = failure.at
+		}
+		kind.count++
+		kind.last = failure.at
+		kinds[failure.err.Error()] = kind
+	}
+	return kinds
 }
 
 func waitForModel(t *testing.T, system *cluster.Cluster, model string, engines int) {
@@ -127,8 +200,7 @@
 	defer client.Close()
 	small := callFor(t, system, client, "small", 14)
 	waitForModel(t, system, "small", modelEngines-1)
-	small.stop()
-	assert.Equal(t, len(small.failures), 0, "%v", small.failures)
+	small.stop(t, system)
 
 	shown := 0
 	list, err := system.Admin.Models(t.Context())
@@ -143,8 +215,7 @@
 	killDecider(t, system)
 	large := callFor(t, system, client, "large", 14)
 	waitForModel(t, system, "large", modelEngines-1)
-	large.stop()
-	assert.Equal(t, len(large.failures), 0, "%v", large.failures)
+	large.stop(t, system)
 	assert.Assert(t, highestToken(system) > before, "a successor's tokens are higher")
 
 	// An order of before the change of leaders comes late: it changes nothing at engines that the successor
@@ -248,8 +319,7 @@
 			defer client.Close()
 			large := callFor(t, system, client, "large", 14)
 			waitForModel(t, system, "large", 1)
-			large.stop()
-			assert.Equal(t, len(large.failures), 0, "%v", large.failures)
+			large.stop(t, system)
 			assert.Assert(t, large.calls.Load() > 0)
 			waitForBeliefs(t, system)
 		})
