--- a/test/path/models_test.go
+++ b/test/path/models_test.go
@@ -157,13 +157,13 @@
 	for node := range system.Nodes {
 		t.Logf("node %d believes %v", node, recordedModels(t, system, node))
 	}
-	t.Fatalf("%d of %d calls failed: %v", len(d.failures), d.calls.Load(), d.kinds())
+	t.Fatalf("%d of %d calls failed: %+v", len(d.failures), d.calls.Load(), d.kinds())
 }
 
-// failedKind is what failures have in common.
+// failedKind is what failures have in common; the times are of the first and the last one.
 type failedKind struct {
-	count       int
-	first, last time.Time
+	Count       int
+	First, Last string
 }
 
 // kinds groups the failures by their text.
@@ -171,11 +171,11 @@
 	kinds := make(map[string]failedKind)
 	for _, failure := range d.failures {
 		kind := kinds[failure.err.Error()]
-		if kind.count == 0 {
-			kind.first = failure.at
+		kind.Count++
+		kind.Last = failure.at.Format(time.RFC3339Nano)
+		if kind.First == "" {
+			kind.First = kind.Last
 		}
-		kind.count++
-		kind.last = failure.at
 		kinds[failure.err.Error()] = kind
 	}
 	return kinds
