An item of the store that can't be used is not gone in a listing

After an outage all keys are listed again: a configuration or an engine's record that could not be used counted as removed, and the removal spread to all nodes; those that start later got no routes. TestItemsThatCannotBeUsedLeaveTheLastOnesInAListing fails before.

--- a/internal/catalog/catalog.go
+++ b/internal/catalog/catalog.go
@@ -54,6 +54,12 @@
 // Removed tells whether the entry says that the item is gone.
 func (e Entry) Removed() bool { return len(e.Value) == 0 }
 
+// Unchanged stands in a listing for an item that is there and can't be used: it is not gone, and what is known of it stays.
+func Unchanged(key string) Entry { return Entry{Key: key} }
+
+// unchanged tells whether the entry only says that its item is there; no item has the revision 0.
+func (e Entry) unchanged() bool { return e.Revision == 0 && e.Removed() }
+
 type versioned struct {
 	entry     Entry
 	sequence  uint64
--- a/internal/catalog/manager.go
+++ b/internal/catalog/manager.go
@@ -302,7 +302,7 @@
 	m.mutex.Lock()
 	for _, entry := range entries {
 		listed[entry.Key] = true
-		if m.state.Merge(now, entry) {
+		if !entry.unchanged() && m.state.Merge(now, entry) {
 			news = append(news, entry)
 		}
 	}
