An engine that moves to another service or address is not used where it was; a test's port is not taken by others

Registry.Apply left the old record in the service that the engine had left, and took any older record of another address: TestEngineThatMovesIsNotUsedWhereItWas fails before. TestModelThatCannotBeLoaded failed once of four runs with the race detector beside load (bind: address already in use): its port was free for a while, and other tests take ports of the same address.

--- a/internal/dispatch/dispatch_test.go
+++ b/internal/dispatch/dispatch_test.go
@@ -332,3 +332,19 @@
 	applyEngine(t, registry, "e0", 10, false)
 	assert.Assert(t, registry.choose(time.Now(), Want{Service: "s"}, &Trace{}) == nil)
 }
+
+// An engine that moves to another service or address is not used where it was, and an older record does not bring it back.
+func TestEngineThatMovesIsNotUsedWhereItWas(t *testing.T) {
+	registry := registryOf(t, "a", "a")
+	record := func(revision int64, service, address string) {
+		value, err := json.Marshal(EngineSpecification{ID: "e0", Service: service, Address: address, Zone: "a", Slots: 8})
+		assert.NilError(t, err)
+		registry.Apply(catalog.Entry{Key: catalog.Key(catalog.EngineKind, "e0"), Revision: revision, Value: value})
+	}
+	record(7, "other", "127.0.0.1:2")
+	assert.Equal(t, registry.Count("s"), 0)
+	assert.Equal(t, registry.Count("other"), 1)
+	record(5, "s", "127.0.0.1:1")
+	assert.Equal(t, registry.Count("s"), 0, "an older record brought it back")
+	assert.Equal(t, registry.byID["e0"].Address(), "127.0.0.1:2")
+}
--- a/internal/dispatch/registry.go
+++ b/internal/dispatch/registry.go
@@ -85,10 +85,14 @@
 	}
 	known := r.byID[id]
 	switch {
-	case known == nil || known.specification.Address != specification.Address || known.specification.Service != specification.Service:
+	case known == nil:
 		r.add(specification, entry.Revision)
 	case known.revision >= entry.Revision:
 		return
+	case known.specification.Address != specification.Address || known.specification.Service != specification.Service:
+		// What is known of the engine there says nothing of it here, and the service that it left must not use it.
+		r.drop(known)
+		r.add(specification, entry.Revision)
 	default:
 		known.update(now, specification, entry.Revision, r.outage)
 	}
@@ -123,16 +127,21 @@
 }
 
 func (r *Registry) forget(now time.Time) {
-	for id, known := range r.byID {
+	for _, known := range r.byID {
 		if known.removedAt.IsZero() || known.inFlight > 0 || now.Sub(known.removedAt) < forgottenAfter {
 			continue
 		}
-		known.pool.Close()
-		delete(r.byID, id)
-		delete(r.services[known.specification.Service], id)
+		r.drop(known)
 	}
 }
 
+// drop forgets an engine. Calls that are under way there end as they would.
+func (r *Registry) drop(known *Engine) {
+	known.pool.Close()
+	delete(r.byID, known.ID())
+	delete(r.services[known.specification.Service], known.ID())
+}
+
 // SetConnectionLimit bounds the connections of this node to each engine of a service.
 func (r *Registry) SetConnectionLimit(service string, limit int) {
 	r.mutex.Lock()
--- a/test/path/models_test.go
+++ b/test/path/models_test.go
@@ -352,7 +352,8 @@
 // call, with its key, runs.
 func TestModelThatCannotBeLoaded(t *testing.T) {
 	t.Parallel()
-	weights := serveWeights(t, "")
+	// The store comes back at the same port. On an address of its own no other test takes that meanwhile.
+	weights := serveWeights(t, "127.0.77.1:0")
 	weights.Close()
 	system := startLoading(t, weights.URL, time.Second)
 	client := runner.NewClient(apiKey)
