--- a/internal/eventstream/stream.go
+++ b/internal/eventstream/stream.go
@@ -340,7 +340,7 @@
 	switch {
 	case s.scanner.open() && (s.present.MediaType == MediaType || s.count > 0):
 		return s.out, &ErrDamaged{Reason: "the answer ends within an event"}
-	case s.state == Resuming || s.state == Broken || (s.taken > 0 && !s.brought):
+	case s.state == Resuming || s.state == Broken || (!s.brought && s.goesOn()):
 		// An engine that fails may end an answer before its first event. Taken for the rest, it would end the stream.
 		return s.out, &ErrNotTheRest{Reason: "it brought no event", Status: s.present.Status}
 	case s.skipping:
@@ -350,6 +350,11 @@
 	return append(s.out, s.held...), nil
 }
 
+// goesOn tells whether the present run is to go on with a stream of which the caller has a part.
+func (s *Stream) goesOn() bool {
+	return s.taken > 0 || (s.options.LastEvent != "" && s.present.MediaType == MediaType)
+}
+
 // finishEvent takes an event that ended with the last byte of the body.
 func (s *Stream) finishEvent() error {
 	if !s.scanner.finish() {
--- a/internal/eventstream/stream_test.go
+++ b/internal/eventstream/stream_test.go
@@ -178,9 +178,12 @@
 	assert.NilError(t, stream.Begin(eventHead))
 	stream.Break()
 	assert.Equal(t, stream.LastEvent(), "2")
-	for _, wrong := range []string{eventText(1, 3), eventText(2, 2), "data: e3\n\n"} {
+	for _, wrong := range []string{eventText(1, 3), eventText(2, 2), "data: e3\n\n", "", ": busy\n\n"} {
 		assert.NilError(t, stream.Begin(eventHead))
 		passed, err := stream.Bytes([]byte(wrong))
+		if err == nil {
+			passed, err = stream.End()
+		}
 		assert.Assert(t, err != nil, wrong)
 		assert.Equal(t, len(passed), 0)
 		stream.Break()
