A replica that is being added keeps what it has acknowledged, also while an older record of its group lacks it

Cause: TestCachesAreReleasedThoughTheCoordinatorDied once waited 60 s in vain for the partitions to be repaired. A node that comes back hears the group's record of before it is added, which lacks it. From the leader's first message until the entry that adds it was applied, its next look at the groups (each second) took that record for its removal, and it forgot the replica, also what it had acknowledged. The leader goes by the acknowledgement and promotes it; its later rejections count as stale. With the old run still a voter there are two of four, the promotion is never committed, and the partition stays without a leader that can commit. The disk has no part in it: the nodes of that test have no data folder.

Change: Host.Drop in place of Stop. The replica decides on its own goroutine, after all that it has acknowledged: it ends only if no leader sends to it and it has not committed the change that lacks it. Its data is gone before the group is forgotten, so that a message can't start it with what is about to be removed.

--- a/internal/partition/repair.go
+++ b/internal/partition/repair.go
@@ -88,16 +88,17 @@
 	}
 }
 
-// dropRemoved stops a replica that the group has gone on without.
+// dropRemoved ends a replica that the group has gone on without. The record that lacks this node may also be of before the
+// node is added, and the status of before what the replica holds now; the host looks at the replica itself.
 func (m *Manager) dropRemoved(status replica.Status) {
 	self := m.options.Membership.View().Self.ReplicaID
 	m.mutex.Lock()
 	record, changed := m.members[status.Group]
 	m.mutex.Unlock()
-	if !changed || record.Members.Contains(self) || record.version <= status.MembersIndex && status.Members.Contains(self) {
+	if !changed || record.Members.Contains(self) {
 		return
 	}
-	if err := m.options.Host.Stop(status.Group); err != nil {
+	if err := m.options.Host.Drop(status.Group, record.version); err != nil {
 		m.options.Logger.Emit(events.StorageFailed, events.F("partition", status.Group), events.F("error", err))
 	}
 }
--- a/internal/replica/group.go
+++ b/internal/replica/group.go
@@ -38,9 +38,17 @@
 	message  *consensus.Message
 	proposal *proposal
 	action   func(*consensus.Core)
+	retire   *retirement
 	tick     bool
 }
 
+// retirement asks a replica to end if the group has gone on without it.
+type retirement struct {
+	changedAt uint64
+	// ended gets whether it has.
+	ended chan bool
+}
+
 type proposal struct {
 	command []byte
 	result  chan proposalResult
@@ -88,7 +96,9 @@
 	membersIndex uint64
 	wasLeader    bool
 	failure      error
-	status       atomic.Pointer[Status]
+	// retired tells that the replica takes part in nothing any more, because its data is about to be removed.
+	retired bool
+	status  atomic.Pointer[Status]
 }
 
 func newGroup(host *Host, id uint32, machine StateMachine, stored Stored) (*group, error) {
@@ -146,6 +156,17 @@
 }
 
 func (g *group) handle(next event) {
+	if next.retire != nil {
+		g.retired = g.retired || g.outlived(next.retire.changedAt)
+		next.retire.ended <- g.retired
+		return
+	}
+	if g.retired {
+		if next.proposal != nil {
+			next.proposal.result <- proposalResult{err: g.notLeader()}
+		}
+		return
+	}
 	if g.failure != nil {
 		if next.proposal != nil {
 			next.proposal.result <- proposalResult{err: g.failure}
@@ -164,6 +185,13 @@
 	}
 }
 
+// outlived reports whether the group has gone on without this replica since a change that it has not committed. Whoever
+// leads sends to members alone, so a replica that hears a leader is a member or about to be.
+func (g *group) outlived(changedAt uint64) bool {
+	heard := g.failure == nil && g.core.LeaderID() != ""
+	return !heard && g.core.Committed() < changedAt
+}
+
 func (g *group) propose(request proposal) {
 	index, term, err := g.core.Propose(request.command)
 	if err != nil {
@@ -349,6 +377,20 @@
 	}
 }
 
+// retire makes the replica take part in nothing any more if the group has gone on without it, and reports whether it has.
+func (g *group) retire(changedAt uint64) bool {
+	request := &retirement{changedAt: changedAt, ended: make(chan bool, 1)}
+	if err := g.post(context.Background(), event{retire: request}); err != nil {
+		return false
+	}
+	select {
+	case ended := <-request.ended:
+		return ended
+	case <-g.stopped:
+		return false
+	}
+}
+
 // offer queues an event unless the mailbox is full; messages and ticks may be lost.
 func (g *group) offer(next event) {
 	select {
--- a/internal/replica/host.go
+++ b/internal/replica/host.go
@@ -162,18 +162,22 @@
 	return nil
 }
 
-// Stop ends a replica and forgets its data.
-func (h *Host) Stop(id uint32) error {
-	h.mutex.Lock()
-	running := h.groups[id]
-	delete(h.groups, id)
-	h.mutex.Unlock()
-	if running == nil {
+// Drop ends a replica and forgets its data, if the group has gone on without it: no leader sends to it, and it has not
+// committed the group's change of that index. The replica itself decides, after all that it has acknowledged: a leader that is
+// adding it counts on that, and would wait without end for one that forgot. The failure is of the storage.
+func (h *Host) Drop(id uint32, changedAt uint64) error {
+	running := h.get(id)
+	if running == nil || !running.retire(changedAt) {
 		return nil
 	}
 	running.close()
+	err := h.options.Storage.Remove(id)
+	// The group is known until its data is gone, so that a message for it can't start it with what is about to be removed.
+	h.mutex.Lock()
+	delete(h.groups, id)
+	h.mutex.Unlock()
 	h.options.Logger.Emit(events.GroupRemoved, events.F("partition", id))
-	return h.options.Storage.Remove(id)
+	return err
 }
 
 // Propose replicates a command and returns the state machine's result. A failure with outcome
