The process tests keep what the processes of a failed test logged, and what the members last said of an unfinished repair

Change: the output of each process of a failed test goes into a file of the temporary folder, whose name the test prints (MOUNTSTILE_TEST_LOGS puts it into the test's own output, as before); waitRepaired prints each member's last word.

--- a/test/process/harness_test.go
+++ b/test/process/harness_test.go
@@ -26,6 +26,7 @@
 	"gotest.tools/v3/assert"
 	"gotest.tools/v3/poll"
 
+	"github.com/mountstile/mountstile/internal/admin"
 	"github.com/mountstile/mountstile/internal/adminclient"
 	"github.com/mountstile/mountstile/internal/emulator"
 	"github.com/mountstile/mountstile/internal/lab/runner"
@@ -96,13 +97,33 @@
 	t.Cleanup(func() {
 		started.signal(syscall.SIGCONT)
 		started.kill()
-		if t.Failed() && os.Getenv("MOUNTSTILE_TEST_LOGS") != "" {
-			t.Logf("%s %v:\n%s", name, arguments, started.output)
+		if t.Failed() {
+			started.keepOutput(t)
 		}
 	})
 	return started
 }
 
+// keepOutput keeps what a process of a failed test has logged, so that a failure that shows once can be traced: in a file that
+// outlives the run, or in the test's own output where MOUNTSTILE_TEST_LOGS is set.
+func (d *daemon) keepOutput(t *testing.T) {
+	t.Helper()
+	if os.Getenv("MOUNTSTILE_TEST_LOGS") != "" {
+		t.Logf("%v:\n%s", d.command.Args, d.output)
+		return
+	}
+	file, err := os.CreateTemp("", "mountstile-failed-"+strings.ReplaceAll(t.Name(), "/", "-")+"-*.log")
+	if err != nil {
+		t.Logf("the output of %v is lost: %s", d.command.Args, err)
+		return
+	}
+	defer func() { _ = file.Close() }()
+	if _, err := file.Write(d.output.Bytes()); err != nil {
+		t.Logf("the output of %v is cut: %s", d.command.Args, err)
+	}
+	t.Logf("the output of %v is in %s", d.command.Args, file.Name())
+}
+
 func (d *daemon) signal(signal syscall.Signal) { _ = d.command.Process.Signal(signal) }
 
 func (d *daemon) kill() {
@@ -288,8 +309,15 @@
 // partition has a leader and would survive the loss of a node.
 func (s *system) waitRepaired() {
 	s.t.Helper()
+	var status admin.ClusterStatus
+	var err error
+	defer func() {
+		if s.t.Failed() {
+			s.logStatus(status, err)
+		}
+	}()
 	s.waitFor("the partitions to be repaired", func() bool {
-		status, err := s.admin.Status(context.Background())
+		status, err = s.admin.Status(context.Background())
 		if err != nil {
 			return false
 		}
@@ -308,6 +336,20 @@
 	})
 }
 
+// logStatus shows what the members last said, or why they did not.
+func (s *system) logStatus(status admin.ClusterStatus, failure error) {
+	s.t.Helper()
+	if failure != nil {
+		s.t.Logf("no status: %s", failure)
+		return
+	}
+	for _, member := range status.Members {
+		encoded, err := json.Marshal(member)
+		assert.Check(s.t, err)
+		s.t.Logf("%s", encoded)
+	}
+}
+
 // cut blocks the traffic from one node to another; the other direction goes on.
 func (s *system) cut(from, to int) {
 	s.blackHole(s.links[[2]int{from, to}], "upstream")
