An action on a replica that has failed ends with the failure, in place of never

Cause: a replica that can't write its storage passed over actions without an answer, and Host.Do had no other end. Its status still says that it leads, so the node's next look at its groups asked it whether a learner has caught up, or to change the group, or to move leadership before a planned stop, and waited for ever: the repair of all the groups that the node leads stood still.

Change: the event tells who asked why the action is not run.

--- a/internal/replica/group.go
+++ b/internal/replica/group.go
@@ -38,8 +38,10 @@
 	message  *consensus.Message
 	proposal *proposal
 	action   func(*consensus.Core)
-	retire   *retirement
-	tick     bool
+	// refused hears, if there is one, why an action is not run.
+	refused chan error
+	retire  *retirement
+	tick    bool
 }
 
 // retirement asks a replica to end if the group has gone on without it.
@@ -168,9 +170,7 @@
 		return
 	}
 	if g.failure != nil {
-		if next.proposal != nil {
-			next.proposal.result <- proposalResult{err: g.failure}
-		}
+		g.refuse(next)
 		return
 	}
 	switch {
@@ -185,6 +185,16 @@
 	}
 }
 
+// refuse answers whoever waits for an event of a replica that has failed.
+func (g *group) refuse(next event) {
+	if next.proposal != nil {
+		next.proposal.result <- proposalResult{err: g.failure}
+	}
+	if next.refused != nil {
+		next.refused <- g.failure
+	}
+}
+
 // outlived reports whether the group has gone on without this replica since a change that it has not committed. Whoever
 // leads sends to members alone, so a replica that hears a leader is a member or about to be.
 func (g *group) outlived(changedAt uint64) bool {
--- a/internal/replica/host.go
+++ b/internal/replica/host.go
@@ -201,7 +201,7 @@
 	}
 }
 
-// Do runs an action on a group's core, on its own goroutine.
+// Do runs an action on a group's core, on its own goroutine. A replica that has failed runs none; the failure says why.
 func (h *Host) Do(ctx context.Context, id uint32, action func(*consensus.Core)) error {
 	running := h.get(id)
 	if running == nil {
@@ -212,12 +212,15 @@
 		action(core)
 		close(done)
 	}
-	if err := running.post(ctx, event{action: wrapped}); err != nil {
+	refused := make(chan error, 1)
+	if err := running.post(ctx, event{action: wrapped, refused: refused}); err != nil {
 		return err
 	}
 	select {
 	case <-done:
 		return nil
+	case err := <-refused:
+		return err
 	case <-running.stopped:
 		return apierr.New(apierr.PartitionUnavailable, apierr.NotRun, "the replica stopped")
 	}
--- a/internal/replica/replica_test.go
+++ b/internal/replica/replica_test.go
@@ -250,3 +250,29 @@
 	status, _ := host.Status(1)
 	assert.Assert(t, status.Failed != "")
 }
+
+// A replica that has failed runs no action any more; whoever asks for one must hear that, because the repair of all groups waits
+// for the answer.
+func TestAnActionOfAFailedReplicaEnds(t *testing.T) {
+	here := newSite(t)
+	host, _ := here.start("a", &fullDisk{left: 6})
+	assert.NilError(t, host.Start(1, &consensus.Members{Voters: []string{"a"}}))
+	poll.WaitOn(t, func(poll.LogT) poll.Result {
+		_, err := host.Propose(context.Background(), 1, []byte("x"))
+		if apierr.Is(err, apierr.PartitionUnavailable) {
+			return poll.Success()
+		}
+		return poll.Continue("%v", err)
+	}, poll.WithTimeout(patience), poll.WithDelay(time.Millisecond))
+	ended := make(chan error, 1)
+	go func() { ended <- host.Do(context.Background(), 1, func(*consensus.Core) {}) }()
+	poll.WaitOn(t, func(poll.LogT) poll.Result {
+		select {
+		case err := <-ended:
+			assert.Check(t, apierr.Is(err, apierr.PartitionUnavailable), "%v", err)
+			return poll.Success()
+		default:
+			return poll.Continue("the action has not ended")
+		}
+	}, poll.WithTimeout(patience/6))
+}
