A leader reports the members that are committed, not a change that is in its log alone

Cause: a replica that takes over leadership reported the members as of the end of its log under the index of the last committed change. Other nodes drop a replica that a newer report lacks; the removal may never be committed, and the replica forgets entries that were committed with its acknowledgement. A later report of the same index is not taken.

Change: what Options.Changed hears has the members as of MembersIndex.

--- a/internal/replica/group.go
+++ b/internal/replica/group.go
@@ -350,10 +350,17 @@
 	}
 	g.wasLeader = leads
 	if previous != nil && (previous.IsLeader != leads || previous.MembersIndex != status.MembersIndex) {
-		g.host.changed(*status)
+		g.host.changed(g.committedStatus(*status))
 	}
 }
 
+// committedStatus gives the members as of MembersIndex: a later change in the log may still be dropped by another leader, and
+// the replica that it removes must not hear of it before.
+func (g *group) committedStatus(status Status) Status {
+	status.Members = g.core.SnapshotAt().Members
+	return status
+}
+
 // compact replaces old entries by a snapshot.
 func (g *group) compact() {
 	if g.failure != nil || g.core.Applied() < g.core.FirstIndex()+compactAfter {
--- a/internal/replica/host.go
+++ b/internal/replica/host.go
@@ -30,7 +30,7 @@
 	Address func(replicaID string) (string, bool)
 	// NewMachine makes the state machine of a group.
 	NewMachine func(group uint32) StateMachine
-	// Changed hears of changes of leadership and of members. It must not block.
+	// Changed hears of changes of leadership and of members, with the members that are committed. It must not block.
 	Changed func(Status)
 	Logger  *events.Logger
 }
--- a/internal/replica/replica_test.go
+++ b/internal/replica/replica_test.go
@@ -276,3 +276,32 @@
 		}
 	}, poll.WithTimeout(patience/6))
 }
+
+// Other nodes act on the members that a leader reports, and a replica that they lack is dropped. A change that is in the
+// log alone may never be: another leader may drop the entry.
+func TestAnUncommittedChangeIsNotReported(t *testing.T) {
+	here := newSite(t)
+	host, _ := here.start("a", Memory{})
+	var reported []Status
+	host.options.Changed = func(status Status) { reported = append(reported, status) }
+	committed := consensus.Members{Voters: []string{"a", "b", "c", "d"}}
+	pending := consensus.Members{Voters: []string{"a", "b", "c"}}
+	leading, err := newGroup(host, 7, &journal{}, Stored{
+		State:    consensus.HardState{Term: 1, Commit: 4},
+		Snapshot: consensus.Snapshot{Index: 4, Term: 1, Members: committed},
+		Entries:  []consensus.Entry{{Index: 5, Term: 1, Kind: consensus.EntryMembers, Members: &pending}},
+	})
+	assert.NilError(t, err)
+	leading.handle(event{action: func(core *consensus.Core) { core.Campaign() }})
+	leading.handle(event{message: &consensus.Message{Kind: consensus.PreVoteResponse, From: "b", To: "a", Term: 2}})
+	leading.handle(event{message: &consensus.Message{Kind: consensus.VoteResponse, From: "b", To: "a", Term: 2}})
+	leading.process()
+	assert.Equal(t, len(reported), 1)
+	assert.Assert(t, reported[0].IsLeader)
+	assert.DeepEqual(t, reported[0].Members, committed)
+	leading.handle(event{message: &consensus.Message{Kind: consensus.AppendResponse, From: "b", To: "a", Term: 2, Index: 6}})
+	leading.process()
+	assert.Equal(t, len(reported), 2)
+	assert.Equal(t, reported[1].MembersIndex, uint64(5))
+	assert.DeepEqual(t, reported[1].Members, pending)
+}
