--- a/internal/replica/group.go
+++ b/internal/replica/group.go
@@ -38,7 +38,17 @@
 	message  *consensus.Message
 	proposal *proposal
 	action   func(*consensus.Core)
-	tick     bool
+	// refused hears, if there is one, why an action is not run.
+	refused chan error
+	retire  *retirement
+	tick    bool
+}
+
+// retirement asks a replica to end if the group has gone on without it.
+type retirement struct {
+	changedAt uint64
+	// ended gets whether it has.
+	ended chan bool
 }
 
 type proposal struct {
@@ -88,7 +98,9 @@
 	membersIndex uint64
 	wasLeader    bool
 	failure      error
-	status       atomic.Pointer[Status]
+	// retired tells that the replica takes part in nothing any more, because its data is about to be removed.
+	retired bool
+	status  atomic.Pointer[Status]
 }
 
 func newGroup(host *Host, id uint32, machine StateMachine, stored Stored) (*group, error) {
@@ -146,12 +158,21 @@
 }
 
 func (g *group) handle(next event) {
-	if g.failure != nil {
+	if next.retire != nil {
+		g.retired = g.retired || g.outlived(next.retire.changedAt)
+		next.retire.ended <- g.retired
+		return
+	}
+	if g.retired {
 		if next.proposal != nil {
-			next.proposal.result <- proposalResult{err: g.failure}
+			next.proposal.result <- proposalResult{err: g.notLeader()}
 		}
 		return
 	}
+	if g.failure != nil {
+		g.refuse(next)
+		return
+	}
 	switch {
 	case next.tick:
 		g.core.Tick()
@@ -164,6 +185,23 @@
 	}
 }
 
+// refuse answers whoever waits for an event of a replica that has failed.
+func (g *group) refuse(next event) {
+	if next.proposal != nil {
+		next.proposal.result <- proposalResult{err: g.failure}
+	}
+	if next.refused != nil {
+		next.refused <- g.failure
+	}
+}
+
+// outlived reports whether the group has gone on without this replica since a change that it has not committed. Whoever
+// leads sends to members alone, so a replica that hears a leader is a member or about to be.
+func (g *group) outlived(changedAt uint64) bool {
+	heard := g.failure == nil && g.core.LeaderID() != ""
+	return !heard && g.core.Committed() < changedAt
+}
+
 func (g *group) propose(request proposal) {
 	index, term, err := g.core.Propose(request.command)
 	if err != nil {
@@ -312,10 +350,17 @@
 	}
 	g.wasLeader = leads
 	if previous != nil && (previous.IsLeader != leads || previous.MembersIndex != status.MembersIndex) {
-		g.host.changed(*status)
+		g.host.changed(g.committedStatus(*status))
 	}
 }
 
+// committedStatus gives the members as of MembersIndex: a later change in the log may still be dropped by another leader, and
+// the replica that it removes must not hear of it before.
+func (g *group) committedStatus(status Status) Status {
+	status.Members = g.core.SnapshotAt().Members
+	return status
+}
+
 // compact replaces old entries by a snapshot.
 func (g *group) compact() {
 	if g.failure != nil || g.core.Applied() < g.core.FirstIndex()+compactAfter {
@@ -349,6 +394,20 @@
 	}
 }
 
+// retire makes the replica take part in nothing any more if the group has gone on without it, and reports whether it has.
+func (g *group) retire(changedAt uint64) bool {
+	request := &retirement{changedAt: changedAt, ended: make(chan bool, 1)}
+	if err := g.post(context.Background(), event{retire: request}); err != nil {
+		return false
+	}
+	select {
+	case ended := <-request.ended:
+		return ended
+	case <-g.stopped:
+		return false
+	}
+}
+
 // offer queues an event unless the mailbox is full; messages and ticks may be lost.
 func (g *group) offer(next event) {
 	select {
