--- a/internal/ingress/framing_test.go
+++ b/internal/ingress/framing_test.go
@@ -118,15 +118,7 @@
 	t.Parallel()
 	for _, path := range []string{"/stream/", "/resume/"} {
 		s := newSite(t)
-		s.engine("e", func(call *engineCall) {
-			if call.number > 1 {
-				call.answer(500, "out of memory\n")
-				return
-			}
-			call.beginStream()
-			call.chunk(firstHalf)
-			call.reset()
-		})
+		s.engine("e", failWhileResuming)
 		got := s.exchangeRaw("GET " + path + " HTTP/1.1\r\nHost: h\r\nCall: c1\r\nConnection: close\r\n\r\n")
 		assert.Assert(t, got[0].err != nil, "%s: the answer looks whole: %q", path, got[0].body)
 	}
--- a/internal/ingress/resume_test.go
+++ b/internal/ingress/resume_test.go
@@ -55,6 +55,28 @@
 	c.endStream()
 }
 
+// failWhileResuming is the script of an engine that breaks off after the first half and then fails.
+func failWhileResuming(call *engineCall) {
+	if call.number > 1 {
+		call.answer(500, "out of memory\n")
+		return
+	}
+	call.beginStream()
+	call.chunk(firstHalf)
+	call.reset()
+}
+
+// sendOld sends a request of HTTP/1.0 to an address, and returns what comes until the connection ends, and how it ends.
+func sendOld(t *testing.T, address string) (got []byte, end error) {
+	t.Helper()
+	connection, err := net.Dial("tcp", address)
+	assert.NilError(t, err)
+	defer connection.Close()
+	_, err = io.WriteString(connection, "POST /resume/ HTTP/1.0\r\nHost: h\r\nCall: c1\r\nContent-Length: 0\r\n\r\n")
+	assert.NilError(t, err)
+	return io.ReadAll(connection)
+}
+
 // head writes the head of an answer with these further lines.
 func (c *engineCall) head(protocol string, status int, lines ...string) {
 	c.write("%s %d X\r\nCall: %s\r\nSeal: s\r\n%s\r\n", protocol, status, c.id, strings.Join(append(lines, ""), "\r\n"))
@@ -279,15 +301,7 @@
 func TestFailuresWhileResumingCountAgainstTheEngine(t *testing.T) {
 	t.Parallel()
 	s := newSite(t)
-	s.engine("e", func(call *engineCall) {
-		if call.number > 1 {
-			call.answer(500, "out of memory\n")
-			return
-		}
-		call.beginStream()
-		call.chunk(firstHalf)
-		call.reset()
-	})
+	s.engine("e", failWhileResuming)
 	assert.Assert(t, s.send("/resume/", "c1", "").err != nil)
 	assert.Assert(t, strings.Contains(s.logged(), "engine_breaker_open"))
 	assert.Assert(t, strings.Contains(s.logged(), `"stream":"cut_by_engine"`))
@@ -337,20 +351,7 @@
 func cutOlderCaller(t *testing.T) {
 	t.Parallel()
 	s := newSite(t)
-	s.engine("e", func(call *engineCall) {
-		if call.number > 1 {
-			call.answer(500, "out of memory\n")
-			return
-		}
-		call.beginStream()
-		call.chunk(firstHalf)
-		call.reset()
-	})
-	connection, err := net.Dial("tcp", s.front.Listener.Addr().String())
-	assert.NilError(t, err)
-	defer connection.Close()
-	_, err = io.WriteString(connection, "POST /resume/ HTTP/1.0\r\nHost: h\r\nCall: c1\r\nContent-Length: 0\r\n\r\n")
-	assert.NilError(t, err)
-	got, err := io.ReadAll(connection)
+	s.engine("e", failWhileResuming)
+	got, err := sendOld(t, s.front.Listener.Addr().String())
 	assert.Assert(t, err != nil, "the answer looks whole: %q", got)
 }
--- a/internal/ingress/resumefaults_test.go
+++ b/internal/ingress/resumefaults_test.go
@@ -112,26 +112,13 @@
 func TestOlderCallerIsCutThroughTheNodesListener(t *testing.T) {
 	t.Parallel()
 	s := newSite(t)
-	s.engine("e", func(call *engineCall) {
-		if call.number > 1 {
-			call.answer(500, "out of memory\n")
-			return
-		}
-		call.beginStream()
-		call.chunk(firstHalf)
-		call.reset()
-	})
+	s.engine("e", failWhileResuming)
 	inner, err := net.Listen("tcp", "127.0.0.1:0")
 	assert.NilError(t, err)
 	server := s.node.NewHTTPServer()
 	go func() { _ = server.Serve(s.node.Listener(inner)) }()
 	t.Cleanup(func() { _ = server.Close() })
-	connection, err := net.Dial("tcp", inner.Addr().String())
-	assert.NilError(t, err)
-	defer connection.Close()
-	_, err = io.WriteString(connection, "POST /resume/ HTTP/1.0\r\nHost: h\r\nCall: c1\r\nContent-Length: 0\r\n\r\n")
-	assert.NilError(t, err)
-	got, err := io.ReadAll(connection)
+	got, err := sendOld(t, inner.Addr().String())
 	assert.Assert(t, err != nil, "the answer looks whole: %q", got)
 }
 
