A pool that loads no models any more avoids an engine without the model, as before

While a change of configuration ends a pool's loading, a gateway with the old one could send a call to the same engine again and again: the coordinator with the new one neither refuted nor avoided it, nor took from the retry budget. Found by reading; the coordinator decides by its own configuration now (TestEngineWithoutModelCostsNoRetry).

--- a/internal/coordinator/models.go
+++ b/internal/coordinator/models.go
@@ -101,11 +101,20 @@
 }
 
 // refuteModel takes an engine out of use for the model that it has refused a call of. The call then waits
-// as one whose model no engine has.
-func (s *Server) refuteModel(request RetryRequest) {
-	if service, known := s.options.Config.Current().Set.Service(request.Begin.Admit.Service); known {
-		s.options.Models.Refute(service.Pool, request.Lacking, request.Begin.Admit.Model)
+// as one whose model no engine has. It returns false if the pool's engines load no models, or none any more:
+// there only avoiding the engine keeps the call from coming back to it at once.
+func (s *Server) refuteModel(request RetryRequest) bool {
+	set := s.options.Config.Current().Set
+	service, known := set.Service(request.Begin.Admit.Service)
+	if !known {
+		return false
+	}
+	pool, known := set.Pool(service.Pool)
+	if !known || pool.Loading == nil {
+		return false
 	}
+	s.options.Models.Refute(service.Pool, request.Lacking, request.Begin.Admit.Model)
+	return true
 }
 
 // ModelDemand counts the open calls of the partitions that this node leads, by pool and model.
--- a/internal/coordinator/server.go
+++ b/internal/coordinator/server.go
@@ -431,8 +431,8 @@
 	if result.Error != nil {
 		return BeginResponse{}, result.Error
 	}
-	if request.Lacking != "" {
-		s.refuteModel(request)
+	if request.Lacking != "" && !s.refuteModel(request) {
+		request.Avoid, request.Lacking = append(request.Avoid, request.Lacking), ""
 	}
 	if refusal := s.refuseRetry(request, result.Call); refusal != nil {
 		return BeginResponse{}, s.giveUp(ctx, begin, result.Call, refusal)
--- a/internal/coordinator/server_test.go
+++ b/internal/coordinator/server_test.go
@@ -42,6 +42,7 @@
 func TestEngineWithoutModelCostsNoRetry(t *testing.T) {
 	server := withService(t, 2)
 	request := RetryRequest{Begin: BeginRequest{Admit: program.Admit{Service: "s", Model: "m"}}}
+	assert.Assert(t, !server.refuteModel(request), "the pool's engines load no models")
 	call := &program.Call{State: program.Admitted, Attempt: 2}
 	message := func() string { return apierr.From(server.refuseRetry(request, call), apierr.Ran).Message }
 
