The process tests choose ports that the system gives to nobody else

Cause: beside two disk writers and other work (load 34) TestOneWayPartition failed once: an engine had ended at its start with "listen tcp 127.158.0.19:44021: bind: address already in use" (found in the kept output). The port was one that Linux gives to whoever asks for any; between the choice and the start, a program that listens on all hosts can get it: a listener on 0.0.0.0 with a port of that range makes listening on it at 127.158.0.19 fail with the same words. Who held it then was not seen.

Change: ports below that range; runs at the same time still differ in host or port.

--- a/test/process/harness_test.go
+++ b/test/process/harness_test.go
@@ -66,16 +66,38 @@
 // hosts numbers the loopback addresses that this run has given out.
 var hosts atomic.Int64
 
+const (
+	// Runs at the same time differ in the last digits of their process's number, which choose the host, or in those before, which
+	// choose the port.
+	hostsOfRuns = 100
+	// lowestPort and portCount lie below the ports that Linux gives to whoever asks for any (32768 to 60999, ip_local_port_range).
+	// One of those is taken meanwhile by a program that listens on all hosts.
+	lowestPort = 12000
+	portCount  = 20000
+	// portTries is how many ports are tried, because another program may have been given one of its own.
+	portTries = 100
+)
+
 // freeAddress returns an address for a process to listen on. Each is on a loopback host of its own,
 // so that neither another test nor an outgoing connection can take the port meanwhile.
 func freeAddress(t *testing.T) string {
 	t.Helper()
 	number := hosts.Add(1)
-	host := fmt.Sprintf("127.%d.%d.%d", 100+os.Getpid()%100, number/250, number%250+1)
-	listener, err := net.Listen("tcp", host+":0")
-	assert.NilError(t, err)
-	defer func() { _ = listener.Close() }()
-	return listener.Addr().String()
+	process := os.Getpid()
+	host := fmt.Sprintf("127.%d.%d.%d", 100+process%hostsOfRuns, number/250, number%250+1)
+	var failure error
+	for try := range portTries {
+		port := lowestPort + (process/hostsOfRuns+try)%portCount
+		listener, err := net.Listen("tcp", fmt.Sprintf("%s:%d", host, port))
+		if err != nil {
+			failure = err
+			continue
+		}
+		defer func() { _ = listener.Close() }()
+		return listener.Addr().String()
+	}
+	assert.NilError(t, failure)
+	return ""
 }
 
 // daemon is one process of the system.
