--- a/internal/eventstream/stream.go
+++ b/internal/eventstream/stream.go
@@ -6,12 +6,16 @@
 // before. The caller gets the first run's head, each event once, in order, and an end only if the last run has ended whole
 // and brought something.
 //
-//	           Bytes                    End
-//	Opened ───────────────> Passing ───────────> Ended
-//	│    ^ Break               │  ^
-//	└────┘               Break │  │ Bytes: the first event after the caller's last one
-//	                           v  │
-//	                        Broken ──Begin: the head of the rest──> Resuming ──Break──> Broken
+//	Opened, End ────────────────────────────────> Ended
+//	Opened, Bytes that pass ────────────────────> Passing
+//	Opened, Break ──────────────────────────────> Opened
+//	Passing, End ───────────────────────────────> Ended
+//	Passing, Break ─────────────────────────────> Broken
+//	Broken, Begin with the head of the rest ────> Resuming
+//	Resuming, an event after the caller's last ─> Passing
+//	Resuming, Break ────────────────────────────> Broken
+//
+// A stream that is given up stays Broken. After each error of Begin, Bytes or End, Break is to be called.
 //
 // Usage:
 //
