turnstore: a fence also holds for writes that wait for the disk

Callers: a program may generate more than its budget, and an acknowledged turn may be reported as unknown, after a replica has joined or left while a member's disk was slow.

Cause: open and servePut checked the epoch before they waited for the disk and never again. A fence answered meanwhile, and the joining replica pulled (or the retiring one handed over) without the record, which was then acknowledged in the old epoch. With members a, b, c and two copies, a and b acknowledge, a retires, and c alone is a read quorum of {b, c}.

Evidence: TestFencedReplicaDoesNotAcknowledgeQueuedWrite and TestFencedReplicaDoesNotGrantQueuedReservation hold the disk of a replica until it is fenced.

Why this works: the epoch is checked again once the record is applied. If it still holds, the record was in the state before the fence was answered, so whoever pulls afterwards gets it; else the client is told the newer set and writes there. Reads need no second check: what they return is at least as new as at the first one.

Log.Queued is for the tests, which must know that an append waits.

--- a/internal/turnlog/turnlog.go
+++ b/internal/turnlog/turnlog.go
@@ -160,6 +160,9 @@
 	}
 }
 
+// Queued returns the number of appends that wait for the disk.
+func (l *Log) Queued() int { return len(l.queue) }
+
 // Run writes queued appends and compacts the log until the context ends.
 func (l *Log) Run(ctx context.Context) {
 	defer l.closeFile()
--- a/internal/turnstore/replica.go
+++ b/internal/turnstore/replica.go
@@ -288,6 +288,15 @@
 	return err
 }
 
+// appendInEpoch appends records and checks the epoch again: if the replica was fenced while they waited for the disk, a
+// replica that has pulled since may lack them, so they must not count as stored.
+func (r *Replica) appendInEpoch(ctx context.Context, shard int, epoch int64, records []conversation.Record) (*ReplicaSet, error) {
+	if err := r.append(ctx, records); err != nil {
+		return nil, err
+	}
+	return r.checkEpoch(shard, epoch)
+}
+
 func (r *Replica) apply(records []conversation.Record, at []turnlog.Position) {
 	now := time.Now()
 	r.mutex.Lock()
@@ -324,8 +333,9 @@
 		return openResponse{Newer: newer}, err
 	}
 	if request.Reserve != nil {
-		if err := r.append(ctx, []conversation.Record{{Charge: request.Reserve}}); err != nil {
-			return openResponse{}, err
+		newer, err := r.appendInEpoch(ctx, request.Shard, request.Epoch, []conversation.Record{{Charge: request.Reserve}})
+		if newer != nil || err != nil {
+			return openResponse{Newer: newer}, err
 		}
 	}
 	response := r.buildOpenResponse(request)
@@ -371,7 +381,8 @@
 	if handingOver {
 		return putResponse{}, errHandingOver
 	}
-	return putResponse{}, r.append(ctx, request.Records)
+	newer, err := r.appendInEpoch(ctx, request.Shard, request.Epoch, request.Records)
+	return putResponse{Newer: newer}, err
 }
 
 func (r *Replica) serveDigest(_ context.Context, _ transport.Peer, request digestRequest) (digestResponse, error) {
