--- a/internal/admin/cluster.go
+++ b/internal/admin/cluster.go
@@ -98,7 +98,7 @@
 func (s *Server) fetchStatus(ctx context.Context, target *MemberStatus) {
 	ctx, cancel := context.WithTimeout(ctx, statusTimeout)
 	defer cancel()
-	node, err := transport.Call[NodeStatus](ctx, s.options.Transport, target.Member.Address, statusKind, empty{})
+	node, err := transport.Call[NodeStatus](ctx, s.options.Transport, target.Member.Peer(), statusKind, empty{})
 	if err != nil {
 		target.Error = apierr.From(err, apierr.NotRun)
 		return
@@ -143,7 +143,7 @@
 	s.options.Logger.Emit(events.DrainRequested, events.F("target", member.ID), events.F("author", sender.name))
 	ctx, cancel := context.WithTimeout(ctx, statusTimeout)
 	defer cancel()
-	_, err := transport.Call[empty](ctx, s.options.Transport, member.Address, drainKind, empty{})
+	_, err := transport.Call[empty](ctx, s.options.Transport, member.Peer(), drainKind, empty{})
 	return member, err
 }
 
--- a/internal/catalog/catalog_test.go
+++ b/internal/catalog/catalog_test.go
@@ -203,12 +203,21 @@
 	return n.revisions[key]
 }
 
-func startNode(t *testing.T, followAll bool, peers func() []string) *testNode {
+// peersAt returns peers of which only the addresses are known.
+func peersAt(addresses ...string) []transport.Peer {
+	var peers []transport.Peer
+	for _, address := range addresses {
+		peers = append(peers, transport.Peer{Address: address})
+	}
+	return peers
+}
+
+func startNode(t *testing.T, followAll bool, peers func() []transport.Peer) *testNode {
 	t.Helper()
 	return startReplica(t, followAll, func() bool { return followAll }, peers)
 }
 
-func startReplica(t *testing.T, followAll bool, readsStore func() bool, peers func() []string) *testNode {
+func startReplica(t *testing.T, followAll bool, readsStore func() bool, peers func() []transport.Peer) *testNode {
 	t.Helper()
 	return startNodeWith(t, func(options *Options) {
 		options.Peers = peers
@@ -252,10 +261,10 @@
 
 // A follower gets changes from the first fresh peer, and reads the store only after all peers are lost.
 func TestFollowerReadsStoreOnlyWithoutPeers(t *testing.T) {
-	none := func() []string { return nil }
+	none := func() []transport.Peer { return nil }
 	first := startNode(t, true, none)
-	second := startNode(t, true, func() []string { return []string{first.address} })
-	follower := startNode(t, false, func() []string { return []string{first.address, second.address} })
+	second := startNode(t, true, func() []transport.Peer { return peersAt(first.address) })
+	follower := startNode(t, false, func() []transport.Peer { return peersAt(first.address, second.address) })
 	eventually(t, "both sources run", func() bool { return first.source.active() && second.source.active() })
 	first.source.change(entry("configuration/current", 5, "five"))
 	eventually(t, "the change arrives", func() bool { return follower.revision("configuration/current") == 5 })
@@ -276,11 +285,11 @@
 }
 
 func TestChangesPassThroughFollower(t *testing.T) {
-	none := func() []string { return nil }
+	none := func() []transport.Peer { return nil }
 	reader := startNode(t, true, none)
 	eventually(t, "its source runs", reader.source.active)
-	relay := startNode(t, true, func() []string { return []string{reader.address} })
-	follower := startNode(t, false, func() []string { return []string{relay.address} })
+	relay := startNode(t, true, func() []transport.Peer { return peersAt(reader.address) })
+	follower := startNode(t, false, func() []transport.Peer { return peersAt(relay.address) })
 	reader.source.change(entry("engine/e1", 9, "here"))
 	eventually(t, "the change passes through the relay", func() bool { return follower.revision("engine/e1") == 9 })
 	reader.source.change(entry("engine/e1", 11, ""))
@@ -292,7 +301,7 @@
 
 // A replica that need not read the store does so only after all readers are lost.
 func TestReplicaReadsStoreOnlyWithoutReaders(t *testing.T) {
-	none := func() []string { return nil }
+	none := func() []transport.Peer { return nil }
 	var addresses []string
 	var readers []*testNode
 	for range 3 {
@@ -300,7 +309,7 @@
 		readers = append(readers, reader)
 		addresses = append(addresses, reader.address)
 	}
-	replica := startReplica(t, true, func() bool { return false }, func() []string { return addresses })
+	replica := startReplica(t, true, func() bool { return false }, func() []transport.Peer { return peersAt(addresses...) })
 	eventually(t, "the sources run", func() bool {
 		return readers[0].source.active() && readers[1].source.active() && readers[2].source.active()
 	})
--- a/internal/catalog/follow.go
+++ b/internal/catalog/follow.go
@@ -33,6 +33,7 @@
 
 // follower is the state of following one peer.
 type follower struct {
+	peer transport.Peer
 	stop context.CancelFunc
 	// syncedAt is the time at which the peer's catalog was last in sync with the store.
 	syncedAt time.Time
@@ -76,20 +77,44 @@
 	HeldMillis int64 `json:"h,omitempty"`
 	// More means that the peer has further entries, or is itself receiving a listing.
 	More bool `json:"m,omitempty"`
-	// Referrals are the addresses of mirrors to follow instead of this peer.
-	Referrals []string `json:"o,omitempty"`
+	// Referrals are the addresses of mirrors to follow instead of this peer; ReferralNodes are their node IDs, in the
+	// same order. Nodes of earlier builds don't send the IDs.
+	Referrals     []string `json:"o,omitempty"`
+	ReferralNodes []string `json:"on,omitempty"`
+}
+
+// setReferrals stores the mirrors to follow.
+func (r *followResponse) setReferrals(mirrors []transport.Peer) {
+	for _, mirror := range mirrors {
+		r.Referrals = append(r.Referrals, mirror.Address)
+		r.ReferralNodes = append(r.ReferralNodes, mirror.NodeID)
+	}
+}
+
+// referrals returns the mirrors to follow.
+func (r *followResponse) referrals() []transport.Peer {
+	var mirrors []transport.Peer
+	for index, address := range r.Referrals {
+		mirror := transport.Peer{Address: address}
+		if len(r.ReferralNodes) == len(r.Referrals) {
+			mirror.NodeID = r.ReferralNodes[index]
+		}
+		mirrors = append(mirrors, mirror)
+	}
+	return mirrors
 }
 
 // follow polls a peer for changes until the context ends.
-func (m *Manager) follow(ctx context.Context, address string, self *follower) {
+func (m *Manager) follow(ctx context.Context, self *follower) {
+	address := self.peer.Address
 	reached := false
 	backoff := minFollowBackoff
 	for ctx.Err() == nil {
 		requestedAt := time.Now()
-		response, err := m.requestChanges(ctx, address)
+		response, err := m.requestChanges(ctx, self.peer)
 		if err == nil {
 			m.Apply(response.Entries)
-			err = m.fetchAnnounced(ctx, address, response.Announced)
+			err = m.fetchAnnounced(ctx, self.peer, response.Announced)
 		}
 		if ctx.Err() != nil {
 			return
@@ -108,15 +133,15 @@
 		}
 		reached = true
 		backoff = minFollowBackoff
-		m.recordResponse(address, self, requestedAt, response)
+		m.recordResponse(self, requestedAt, response)
 	}
 }
 
-func (m *Manager) requestChanges(ctx context.Context, address string) (followResponse, error) {
+func (m *Manager) requestChanges(ctx context.Context, peer transport.Peer) (followResponse, error) {
 	callContext, cancel := context.WithTimeout(ctx, followTimeout)
 	defer cancel()
 	m.mutex.Lock()
-	last := m.positions[address]
+	last := m.positions[peer.Address]
 	m.mutex.Unlock()
 	request := followRequest{
 		Identity: last.identity, After: last.sequence, WaitMillis: longPollWait.Milliseconds(), Zone: m.options.Self.Zone,
@@ -125,12 +150,12 @@
 	if m.isMirror() {
 		request.Endpoint = &m.options.Self
 	}
-	return transport.CallWithRelays[followResponse](callContext, m.network, address, followKind, request, relayDelay)
+	return transport.CallWithRelays[followResponse](callContext, m.network, peer, followKind, request, relayDelay)
 }
 
 // recordResponse records the position, the sync time and the referrals of a response. Its entries must have been
 // applied: otherwise this node would skip them and appear to be in sync.
-func (m *Manager) recordResponse(address string, self *follower, requestedAt time.Time, response followResponse) {
+func (m *Manager) recordResponse(self *follower, requestedAt time.Time, response followResponse) {
 	m.mutex.Lock()
 	defer m.mutex.Unlock()
 	now := time.Now()
@@ -138,8 +163,8 @@
 		m.mustList = true
 	}
 	m.lastResponseAt = now
-	m.positions[address] = position{identity: response.Identity, sequence: response.Sequence}
-	m.referrals.update(now, response.Referrals, m.minFreshPeers())
+	m.positions[self.peer.Address] = position{identity: response.Identity, sequence: response.Sequence}
+	m.referrals.update(now, response.referrals(), m.minFreshPeers())
 	if response.More {
 		self.lastPageAt = now
 	}
@@ -168,7 +193,7 @@
 	for {
 		response, changed, synced := m.changesAfter(after)
 		if len(response.Entries)+len(response.Announced) > 0 || due {
-			response.Referrals = referred
+			response.setReferrals(referred)
 			response.HeldMillis = time.Since(arrivedAt).Milliseconds()
 			return response, nil
 		}
@@ -186,17 +211,17 @@
 
 // referralsFor returns the mirrors that a follower should use: this node if it is a mirror in the follower's
 // zone, or else some of the mirrors that follow this node.
-func (m *Manager) referralsFor(from transport.Peer, request followRequest) []string {
+func (m *Manager) referralsFor(from transport.Peer, request followRequest) []transport.Peer {
 	now := time.Now()
 	isMirror := m.isMirror()
 	m.mutex.Lock()
 	defer m.mutex.Unlock()
 	switch {
 	case request.Endpoint != nil:
-		m.mirrors.markSeen(now, *request.Endpoint)
+		m.mirrors.markSeen(now, *request.Endpoint, from.NodeID)
 		return nil
 	case isMirror && m.options.Self.Zone == request.Zone:
-		return []string{m.options.Self.Address}
+		return []transport.Peer{{NodeID: m.network.NodeID(), Address: m.options.Self.Address}}
 	case isMirror:
 		return nil
 	}
--- a/internal/catalog/large.go
+++ b/internal/catalog/large.go
@@ -50,13 +50,13 @@
 
 // fetchAnnounced fetches the announced versions that this node lacks. If several peers announce a version at the same
 // time, it is fetched from the first one, and the followers of the other peers wait for it.
-func (m *Manager) fetchAnnounced(ctx context.Context, address string, announced []announcement) error {
+func (m *Manager) fetchAnnounced(ctx context.Context, peer transport.Peer, announced []announcement) error {
 	for _, wanted := range announced {
 		if m.has(wanted) {
 			continue
 		}
 		name := wanted.Key + "@" + strconv.FormatInt(wanted.Revision, 10)
-		_, err, _ := m.fetches.Do(name, func() (any, error) { return nil, m.fetch(ctx, address, wanted) })
+		_, err, _ := m.fetches.Do(name, func() (any, error) { return nil, m.fetch(ctx, peer, wanted) })
 		if err != nil && !m.has(wanted) {
 			return err
 		}
@@ -71,15 +71,15 @@
 	return m.state.Revision(wanted.Key) >= wanted.Revision
 }
 
-func (m *Manager) fetch(ctx context.Context, address string, wanted announcement) error {
+func (m *Manager) fetch(ctx context.Context, peer transport.Peer, wanted announcement) error {
 	callContext, cancel := context.WithTimeout(ctx, followTimeout)
 	defer cancel()
-	response, err := transport.CallWithRelays[fetchResponse](callContext, m.network, address, fetchKind, fetchRequest{Key: wanted.Key}, relayDelay)
+	response, err := transport.CallWithRelays[fetchResponse](callContext, m.network, peer, fetchKind, fetchRequest{Key: wanted.Key}, relayDelay)
 	if err != nil {
 		return err
 	}
 	if response.Entry.Key != wanted.Key || response.Entry.Revision < wanted.Revision {
-		return apierr.New(apierr.Internal, apierr.Ran, "node at %s announced %s at revision %d but returned revision %d", address, wanted.Key, wanted.Revision, response.Entry.Revision)
+		return apierr.New(apierr.Internal, apierr.Ran, "node at %s announced %s at revision %d but returned revision %d", peer.Address, wanted.Key, wanted.Revision, response.Entry.Revision)
 	}
 	m.Apply([]Entry{response.Entry})
 	return nil
--- a/internal/catalog/large_test.go
+++ b/internal/catalog/large_test.go
@@ -6,6 +6,8 @@
 	"testing"
 
 	"gotest.tools/v3/assert"
+
+	"github.com/mountstile/mountstile/internal/transport"
 )
 
 // receivedBytes returns the number of bytes received in messages of a kind.
@@ -15,12 +17,12 @@
 
 // A large value must be transferred only once, however many peers announce it.
 func TestLargeValueIsFetchedOnce(t *testing.T) {
-	none := func() []string { return nil }
+	none := func() []transport.Peer { return nil }
 	first := startNode(t, true, none)
-	second := startNode(t, true, func() []string { return []string{first.address} })
-	third := startNode(t, true, func() []string { return []string{first.address} })
+	second := startNode(t, true, func() []transport.Peer { return peersAt(first.address) })
+	third := startNode(t, true, func() []transport.Peer { return peersAt(first.address) })
 	follower := startNodeWith(t, func(options *Options) {
-		options.Peers = func() []string { return []string{first.address, second.address, third.address} }
+		options.Peers = func() []transport.Peer { return peersAt(first.address, second.address, third.address) }
 		options.MinFreshPeers = func() int { return 3 }
 	})
 	eventually(t, "all three are followed", func() bool {
@@ -46,14 +48,14 @@
 // While an announced value can't be fetched, the follower must not record the peer's position and sync time: it
 // would skip the value and appear fresh.
 func TestFailedFetchIsRetried(t *testing.T) {
-	none := func() []string { return nil }
+	none := func() []transport.Peer { return nil }
 	peer := startNode(t, true, none)
 	for range maxConcurrentFetches {
 		peer.manager.fetchSlots <- struct{}{}
 	}
 	eventually(t, "the peer's source runs", peer.source.active)
 	peer.source.change(entry("configuration/current", 5, strings.Repeat("r", 2*largeValueBytes)))
-	follower := startNode(t, false, func() []string { return []string{peer.address} })
+	follower := startNode(t, false, func() []transport.Peer { return peersAt(peer.address) })
 	eventually(t, "the follower reads the store because it is not fresh", follower.source.active)
 	assert.Equal(t, follower.revision("configuration/current"), int64(0))
 	for range maxConcurrentFetches {
--- a/internal/catalog/manager.go
+++ b/internal/catalog/manager.go
@@ -49,8 +49,8 @@
 
 // Options configures a Manager.
 type Options struct {
-	// Peers returns the addresses of nodes that serve their catalog, in order of preference.
-	Peers func() []string
+	// Peers returns the nodes that serve their catalog, in order of preference. Their addresses are distinct.
+	Peers func() []transport.Peer
 	// FollowAll follows all peers instead of only as many as it takes to have MinFreshPeers fresh ones.
 	FollowAll bool
 	// MinFreshPeers returns how many fresh peers to follow. The default is one. A peer that has lost the store appears
@@ -178,21 +178,21 @@
 	peers = m.withReferrals(now, peers)
 	m.state.ExpireTombstones(now)
 	m.updateFollowCount(now, peers)
-	wanted := make(map[string]bool, len(peers))
-	for index, address := range peers {
+	wanted := make(map[string]transport.Peer, len(peers))
+	for index, peer := range peers {
 		if m.options.FollowAll || index < m.followCount {
-			wanted[address] = true
+			wanted[peer.Address] = peer
 		}
 	}
 	for address, existing := range m.followers {
-		if !wanted[address] {
+		if wanted[address] != existing.peer {
 			existing.stop()
 			delete(m.followers, address)
 		}
 	}
-	for address := range wanted {
+	for address, peer := range wanted {
 		if m.followers[address] == nil {
-			m.startFollower(ctx, address)
+			m.startFollower(ctx, peer)
 		}
 	}
 	reads := m.options.ReadsStore != nil && m.options.ReadsStore()
@@ -200,33 +200,33 @@
 }
 
 // withReferrals returns the mirrors to which this node was referred, followed by its other peers.
-func (m *Manager) withReferrals(now time.Time, peers []string) []string {
+func (m *Manager) withReferrals(now time.Time, peers []transport.Peer) []transport.Peer {
 	if m.options.FollowAll {
 		return peers
 	}
 	ordered := m.referrals.valid(now)
-	for _, address := range peers {
-		if !slices.Contains(ordered, address) {
-			ordered = append(ordered, address)
+	for _, peer := range peers {
+		if !slices.ContainsFunc(ordered, func(other transport.Peer) bool { return other.Address == peer.Address }) {
+			ordered = append(ordered, peer)
 		}
 	}
 	return ordered
 }
 
-func (m *Manager) startFollower(ctx context.Context, address string) {
+func (m *Manager) startFollower(ctx context.Context, peer transport.Peer) {
 	followContext, stop := context.WithCancel(ctx)
-	created := &follower{stop: stop}
-	m.followers[address] = created
-	go m.follow(followContext, address, created)
+	created := &follower{peer: peer, stop: stop}
+	m.followers[peer.Address] = created
+	go m.follow(followContext, created)
 }
 
 // updateFollowCount sets followCount to the least number of peers that includes enough fresh ones. A peer that is
 // sending a listing counts as fresh: requesting the same listing from further peers would only slow all of them
 // down. Without a fresh peer, all are followed, and after a delay the source is read, too.
-func (m *Manager) updateFollowCount(now time.Time, peers []string) {
+func (m *Manager) updateFollowCount(now time.Time, peers []transport.Peer) {
 	fresh := 0
-	for index, address := range peers {
-		existing := m.followers[address]
+	for index, peer := range peers {
+		existing := m.followers[peer.Address]
 		if existing == nil || !(m.fresh(now, existing) || existing.transferring(now)) {
 			continue
 		}
--- a/internal/catalog/mirrors_test.go
+++ b/internal/catalog/mirrors_test.go
@@ -23,9 +23,9 @@
 // Gateways follow a mirror in their zone instead of the reader of the store, and the reader again after the mirror is
 // lost.
 func TestFollowersAreReferredToMirror(t *testing.T) {
-	none := func() []string { return nil }
+	none := func() []transport.Peer { return nil }
 	reader := startNode(t, true, none)
-	readers := func() []string { return []string{reader.address} }
+	readers := func() []transport.Peer { return peersAt(reader.address) }
 	mirror := startNodeWith(t, func(options *Options) {
 		options.FollowAll = true
 		options.Peers = readers
@@ -60,11 +60,11 @@
 	known := newMirrors()
 	const mirrorCount, followerCount = 4, 200
 	for index := range mirrorCount {
-		known.markSeen(now, Endpoint{Address: fmt.Sprint("mirror-", index), Zone: "near"})
+		known.markSeen(now, Endpoint{Address: fmt.Sprint("mirror-", index), Zone: "near"}, "")
 	}
-	known.markSeen(now, Endpoint{Address: "other", Zone: "far"})
-	chosen := make(map[string]string)
-	counts := make(map[string]int)
+	known.markSeen(now, Endpoint{Address: "other", Zone: "far"}, "")
+	chosen := make(map[string]transport.Peer)
+	counts := make(map[transport.Peer]int)
 	for index := range followerCount {
 		follower := fmt.Sprint("gateway-", index)
 		mirrors := known.choose(now, "near", follower, 1)
@@ -78,12 +78,12 @@
 	}
 	later := now.Add(mirrorTTL + time.Second)
 	for index := range mirrorCount - 1 {
-		known.markSeen(later, Endpoint{Address: fmt.Sprint("mirror-", index), Zone: "near"})
+		known.markSeen(later, Endpoint{Address: fmt.Sprint("mirror-", index), Zone: "near"}, "")
 	}
 	for follower, before := range chosen {
 		mirrors := known.choose(later, "near", follower, 2)
 		assert.Equal(t, len(mirrors), 2)
-		if before != fmt.Sprint("mirror-", mirrorCount-1) {
+		if before.Address != fmt.Sprint("mirror-", mirrorCount-1) {
 			assert.Equal(t, mirrors[0], before)
 		}
 	}
@@ -95,20 +95,20 @@
 	var received referrals
 	received.update(now, nil, 2)
 	assert.Equal(t, len(received.valid(now)), 0)
-	received.update(now, []string{"first"}, 2)
-	received.update(now.Add(time.Second), []string{"second", "third"}, 2)
-	assert.DeepEqual(t, received.valid(now.Add(time.Second)), []string{"first", "second"})
+	received.update(now, peersAt("first"), 2)
+	received.update(now.Add(time.Second), peersAt("second", "third"), 2)
+	assert.DeepEqual(t, received.valid(now.Add(time.Second)), peersAt("first", "second"))
 	later := now.Add(time.Second + referralTTL)
-	assert.DeepEqual(t, received.valid(later), []string{"second"})
-	received.update(later, []string{"third"}, 2)
-	assert.DeepEqual(t, received.valid(later), []string{"second", "third"})
+	assert.DeepEqual(t, received.valid(later), peersAt("second"))
+	received.update(later, peersAt("third"), 2)
+	assert.DeepEqual(t, received.valid(later), peersAt("second", "third"))
 }
 
 // While a peer sends a long listing page by page, its followers must neither request it from other peers nor read
 // the store.
 func TestTransferringPeerCountsAsFresh(t *testing.T) {
 	manager := &Manager{followers: make(map[string]*follower), options: Options{StaleAfter: time.Second}}
-	peers := []string{"a", "b", "c"}
+	peers := peersAt("a", "b", "c")
 	now := time.Now()
 	manager.lastFreshAt = now.Add(-time.Minute)
 	manager.followers["a"] = &follower{lastPageAt: now.Add(-maxPageGap / 2)}
@@ -122,7 +122,7 @@
 // number of peers means that the store is read.
 func TestFollowCount(t *testing.T) {
 	manager := &Manager{followers: make(map[string]*follower), options: Options{StaleAfter: time.Second, MinFreshPeers: func() int { return 2 }}}
-	peers := []string{"a", "b", "c", "d"}
+	peers := peersAt("a", "b", "c", "d")
 	now := time.Now()
 	manager.lastFreshAt = now.Add(startupDelay)
 	manager.updateFollowCount(now, peers)
@@ -145,7 +145,7 @@
 // A node without a fresh peer reads the store right after the startup delay, since it can't serve until then.
 func TestStoreIsReadAfterStartupDelay(t *testing.T) {
 	manager := &Manager{followers: make(map[string]*follower), options: Options{StaleAfter: time.Second, MinFreshPeers: func() int { return 2 }}}
-	peers := []string{"a", "b", "c"}
+	peers := peersAt("a", "b", "c")
 	now := time.Now()
 	manager.lastFreshAt = now.Add(startupDelay)
 	manager.sourceJitter = sourceDelay
@@ -158,13 +158,13 @@
 // At the first start of the system, a node waits for a replica instead of reading the store; later it does not wait.
 func TestFirstStartWaitsForReplicas(t *testing.T) {
 	var reachable atomic.Bool
-	replica := startNode(t, true, func() []string { return nil })
+	replica := startNode(t, true, func() []transport.Peer { return nil })
 	start := func(first bool) *testNode {
 		return startNodeWith(t, func(options *Options) {
 			options.FirstStart = first
-			options.Peers = func() []string {
+			options.Peers = func() []transport.Peer {
 				if reachable.Load() {
-					return []string{replica.address}
+					return peersAt(replica.address)
 				}
 				return nil
 			}
@@ -182,11 +182,11 @@
 
 // Followers of a replica that has lost the store without having noticed must still receive changes.
 func TestChangeArrivesDespitePartitionedReplica(t *testing.T) {
-	none := func() []string { return nil }
+	none := func() []transport.Peer { return nil }
 	partitioned := startNode(t, true, none)
 	reader := startNode(t, true, none)
 	follower := startNodeWith(t, func(options *Options) {
-		options.Peers = func() []string { return []string{partitioned.address, reader.address} }
+		options.Peers = func() []transport.Peer { return peersAt(partitioned.address, reader.address) }
 		options.MinFreshPeers = func() int { return 2 }
 	})
 	eventually(t, "both are followed", func() bool {
@@ -201,9 +201,9 @@
 
 // If all peers silently lose the store, their followers must read it themselves soon after the catalog is stale.
 func TestStoreIsReadSoonAfterPeersBecomeStale(t *testing.T) {
-	none := func() []string { return nil }
+	none := func() []transport.Peer { return nil }
 	peer := startNode(t, true, none)
-	follower := startNode(t, false, func() []string { return []string{peer.address} })
+	follower := startNode(t, false, func() []transport.Peer { return peersAt(peer.address) })
 	eventually(t, "the peer is fresh", func() bool { return !follower.source.active() && follower.manager.Age() < time.Second })
 	peer.source.disconnect()
 	lostAt := time.Now()
@@ -237,7 +237,7 @@
 		return followResponse{Identity: 7, Sequence: 30, Entries: []Entry{entry("engine/e", 3, "here")}}, nil
 	})
 	go func() { _ = network.Serve(listener) }()
-	startNode(t, false, func() []string { return []string{listener.Addr().String()} })
+	startNode(t, false, func() []transport.Peer { return peersAt(listener.Addr().String()) })
 	assert.Equal(t, (<-peer.requests).After, uint64(0))
 	for range 3 {
 		request := <-peer.requests
--- a/internal/catalog/missed_test.go
+++ b/internal/catalog/missed_test.go
@@ -7,6 +7,8 @@
 	"time"
 
 	"gotest.tools/v3/assert"
+
+	"github.com/mountstile/mountstile/internal/transport"
 )
 
 // listingSource is a Source without engines that responds only while reachable.
@@ -40,17 +42,17 @@
 func TestStoreIsListedAfterMissedTombstones(t *testing.T) {
 	for name, missed := range map[string]bool{"long partition": true, "short partition": false} {
 		t.Run(name, func(t *testing.T) {
-			reader := startNode(t, true, func() []string { return nil })
+			reader := startNode(t, true, func() []transport.Peer { return nil })
 			eventually(t, "the reader's source runs", reader.source.active)
 			var partitioned atomic.Bool
 			store := &listingSource{}
 			follower := startNodeWith(t, func(options *Options) {
 				options.Source = store
-				options.Peers = func() []string {
+				options.Peers = func() []transport.Peer {
 					if partitioned.Load() {
 						return nil
 					}
-					return []string{reader.address}
+					return peersAt(reader.address)
 				}
 			})
 			reader.source.change(entry("engine/e1", 9, "here"))
--- a/internal/configuration/manager.go
+++ b/internal/configuration/manager.go
@@ -159,19 +159,19 @@
 // of this node's ID, which spreads the requests of many nodes over different peers.
 func (m *Manager) fetchFromPeers(ctx context.Context) bool {
 	m.sourceMutex.Lock()
-	addresses := []string{m.source}
+	peers := []transport.Peer{{Address: m.source}}
 	m.sourceMutex.Unlock()
 	view := m.options.Membership.View()
 	for _, member := range membership.Rank(view.Usable(), view.Self.ID) {
-		if member.ID != view.Self.ID && len(addresses) < 4 {
-			addresses = append(addresses, member.Address)
+		if member.ID != view.Self.ID && len(peers) < 4 {
+			peers = append(peers, member.Peer())
 		}
 	}
-	for _, address := range addresses {
-		if address == "" {
+	for _, peer := range peers {
+		if peer.Address == "" {
 			continue
 		}
-		if m.fetchFrom(ctx, address) {
+		if m.fetchFrom(ctx, peer) {
 			return true
 		}
 	}
@@ -190,11 +190,11 @@
 	Encoded []byte `json:"encoded,omitempty"`
 }
 
-func (m *Manager) fetchFrom(ctx context.Context, address string) bool {
+func (m *Manager) fetchFrom(ctx context.Context, peer transport.Peer) bool {
 	ctx, cancel := context.WithTimeout(ctx, fetchTimeout)
 	defer cancel()
 	current := m.Current()
-	response, err := transport.Call[fetchResponse](ctx, m.options.Transport, address, fetchKind, fetchRequest{Have: current.Revision()})
+	response, err := transport.Call[fetchResponse](ctx, m.options.Transport, peer, fetchKind, fetchRequest{Have: current.Revision()})
 	if err != nil || response.Revision <= current.Revision() {
 		return false
 	}
@@ -203,7 +203,7 @@
 		err = m.Install(document)
 	}
 	if err != nil {
-		m.options.Logger.Emit(events.ConfigFetchFailed, events.F("peer", address), events.F("error", err))
+		m.options.Logger.Emit(events.ConfigFetchFailed, events.F("peer", peer.Address), events.F("error", err))
 		return false
 	}
 	return true
--- a/internal/control/control.go
+++ b/internal/control/control.go
@@ -208,7 +208,7 @@
 		if member.ID == p.options.Self.ID {
 			response, failure = p.Owner.Reserve(ctx, request)
 		} else {
-			response, failure = owner.ReserveRemote(ctx, p.Transport, member.Address, request)
+			response, failure = owner.ReserveRemote(ctx, p.Transport, member.Peer(), request)
 		}
 		if ctx.Err() != nil && !response.Granted {
 			// The owner may have granted the slot already, or may still grant it.
@@ -234,5 +234,5 @@
 		p.Owner.Release(request)
 		return
 	}
-	owner.ReleaseRemote(p.Transport, member.Address, request)
+	owner.ReleaseRemote(p.Transport, member.Peer(), request)
 }
--- a/internal/coordinator/client.go
+++ b/internal/coordinator/client.go
@@ -83,7 +83,7 @@
 func (c *Client) List(ctx context.Context, tenant string) (programs []program.Summary, unreachable []string) {
 	for _, member := range c.membership.View().Usable() {
 		callContext, cancel := context.WithTimeout(ctx, requestTimeout)
-		response, err := transport.Call[ListResponse](callContext, c.transport, member.Address, listKind, ListRequest{Tenant: tenant})
+		response, err := transport.Call[ListResponse](callContext, c.transport, member.Peer(), listKind, ListRequest{Tenant: tenant})
 		cancel()
 		if err != nil {
 			unreachable = append(unreachable, member.ID)
@@ -98,7 +98,7 @@
 func (c *Client) Explain(ctx context.Context, callID string) (ExplainResponse, error) {
 	for _, member := range c.membership.View().Usable() {
 		callContext, cancel := context.WithTimeout(ctx, requestTimeout)
-		response, err := transport.Call[ExplainResponse](callContext, c.transport, member.Address, explainKind, ExplainRequest{CallID: callID})
+		response, err := transport.Call[ExplainResponse](callContext, c.transport, member.Peer(), explainKind, ExplainRequest{CallID: callID})
 		cancel()
 		if err == nil && response.Found {
 			return response, nil
@@ -115,8 +115,8 @@
 		recipients = []string{leader}
 	}
 	for _, replicaID := range recipients {
-		if address, known := c.address(replicaID); known {
-			c.transport.Send(address, cancelKind, CancelRequest{Partition: partitionID, CallID: callID})
+		if to, known := c.peerOf(replicaID); known {
+			c.transport.Send(to, cancelKind, CancelRequest{Partition: partitionID, CallID: callID})
 		}
 	}
 }
@@ -137,9 +137,11 @@
 	c.leaders[id] = replicaID
 }
 
-func (c *Client) address(replicaID string) (string, bool) {
+// peerOf returns the node that holds a replica. Any run of the node may answer: a request names its partition, and only
+// the partition's leader serves it.
+func (c *Client) peerOf(replicaID string) (transport.Peer, bool) {
 	member, known := c.membership.View().ByReplicaID(replicaID)
-	return member.Address, known && member.Usable()
+	return transport.Peer{Address: member.Address}, known && member.Usable()
 }
 
 // candidates returns the replicas to try, starting with the leader if it is known.
@@ -193,7 +195,7 @@
 
 func callReplica[Response any](ctx context.Context, c *Client, replicaID, kind string, request any, timeout time.Duration) (Response, error) {
 	var zero Response
-	address, known := c.address(replicaID)
+	to, known := c.peerOf(replicaID)
 	if !known {
 		return zero, apierr.New(apierr.PeerUnreachable, apierr.NotRun, "replica %s is not a usable member", replicaID)
 	}
@@ -203,27 +205,27 @@
 		defer cancel()
 	}
 	if !c.needsRelay(replicaID) {
-		response, err := transport.Call[Response](ctx, c.transport, address, kind, request)
+		response, err := transport.Call[Response](ctx, c.transport, to, kind, request)
 		if !apierr.Is(err, apierr.PeerUnreachable) || ctx.Err() != nil {
 			return response, err
 		}
 		c.startRelaying(replicaID)
 	}
-	return callViaRelay[Response](ctx, c, address, kind, request)
+	return callViaRelay[Response](ctx, c, to, kind, request)
 }
 
 // callViaRelay calls a replica through another node. Membership considers the replica alive, so the fault is probably on the
 // network path from this node.
-func callViaRelay[Response any](ctx context.Context, c *Client, address, kind string, request any) (Response, error) {
+func callViaRelay[Response any](ctx context.Context, c *Client, to transport.Peer, kind string, request any) (Response, error) {
 	var zero Response
 	var lastErr error = apierr.New(apierr.PeerUnreachable, apierr.OutcomeUnknown, "no relay is available")
 	view := c.membership.View()
 	tried := 0
-	for _, relay := range membership.Rank(view.Eligible(), view.Self.ID+address) {
-		if relay.ID == view.Self.ID || relay.Address == address || c.needsRelay(relay.ReplicaID) {
+	for _, relay := range membership.Rank(view.Eligible(), view.Self.ID+to.Address) {
+		if relay.ID == view.Self.ID || relay.Address == to.Address || c.needsRelay(relay.ReplicaID) {
 			continue
 		}
-		response, err := transport.CallVia[Response](ctx, c.transport, relay.Address, address, kind, request)
+		response, err := transport.CallVia[Response](ctx, c.transport, relay.Peer(), to, kind, request)
 		if ctx.Err() != nil || !apierr.Is(err, apierr.PeerUnreachable) && !apierr.Is(err, apierr.RelayFailed) {
 			return response, err
 		}
--- a/internal/coordinator/executions.go
+++ b/internal/coordinator/executions.go
@@ -147,7 +147,7 @@
 	}
 	ctx, cancel := context.WithTimeout(ctx, executionsTimeout)
 	defer cancel()
-	response, err := transport.Call[executionsResponse](ctx, s.options.Transport, member.Address, executionsKind, request)
+	response, err := transport.Call[executionsResponse](ctx, s.options.Transport, member.Peer(), executionsKind, request)
 	if err != nil {
 		return
 	}
--- a/internal/events/events.go
+++ b/internal/events/events.go
@@ -97,6 +97,7 @@
 	PeerLineTooLong        ID = 802
 	CertificatesReloaded   ID = 803
 	PeerWayChanged         ID = 804
+	MessageMisdirected     ID = 805
 )
 
 // Event is an entry of the catalogue: an event's number, name, level and log message.
@@ -191,6 +192,7 @@
 	{PeerLineTooLong, "peer_line_too_long", logrus.WarnLevel, "a peer sent a line over the limit; its connection was closed"},
 	{CertificatesReloaded, "certificates_reloaded", logrus.InfoLevel, "node certificates were read again"},
 	{PeerWayChanged, "peer_way_changed", logrus.InfoLevel, "a peer that can't be reached directly was reached through a relay, or directly again if none is named"},
+	{MessageMisdirected, "message_misdirected", logrus.WarnLevel, "a message for another node was refused; one line for each connection"},
 }
 
 var byID = func() map[ID]Event {
--- a/internal/gateway/answer_relay.go
+++ b/internal/gateway/answer_relay.go
@@ -183,5 +183,5 @@
 	if !known || !member.Usable() {
 		return answerReadResponse{}, nil
 	}
-	return transport.Call[answerReadResponse](ctx, r.network, member.Address, answerReadKind, request)
+	return transport.Call[answerReadResponse](ctx, r.network, member.Peer(), answerReadKind, request)
 }
--- a/internal/ingress/node.go
+++ b/internal/ingress/node.go
@@ -97,26 +97,31 @@
 	return node
 }
 
-// peers lists the addresses of the replicas of this zone, then of the others, then of the seeds.
-func (n *Node) peers() []string {
-	var local, remote []string
+// peers lists the replicas of this zone, then the others, then the seeds.
+func (n *Node) peers() []transport.Peer {
+	var local, remote []transport.Peer
 	for _, member := range n.turns.ReplicaSet().All() {
 		if member.Zone == n.options.Zone {
-			local = append(local, member.Address)
+			local = append(local, member.Peer())
 		} else {
-			remote = append(remote, member.Address)
+			remote = append(remote, member.Peer())
 		}
 	}
-	return deduplicate(append(append(local, remote...), n.options.Seeds()...))
+	all := append(local, remote...)
+	for _, seed := range n.options.Seeds() {
+		all = append(all, transport.Peer{Address: seed})
+	}
+	return deduplicate(all)
 }
 
-func deduplicate(addresses []string) []string {
-	seen := make(map[string]bool, len(addresses))
-	var unique []string
-	for _, address := range addresses {
-		if !seen[address] {
-			seen[address] = true
-			unique = append(unique, address)
+// deduplicate keeps the first peer of each address.
+func deduplicate(peers []transport.Peer) []transport.Peer {
+	seen := make(map[string]bool, len(peers))
+	var unique []transport.Peer
+	for _, peer := range peers {
+		if !seen[peer.Address] {
+			seen[peer.Address] = true
+			unique = append(unique, peer)
 		}
 	}
 	return unique
--- a/internal/ingress/startup_test.go
+++ b/internal/ingress/startup_test.go
@@ -48,7 +48,7 @@
 	address = listener.Addr().String()
 	network := transport.New(transport.Options{Cluster: "test", NodeID: address, Address: address, Logger: events.Discard()})
 	peer = catalog.NewManager(catalog.Options{
-		Peers: func() []string { return nil }, FollowAll: true, ReadsStore: func() bool { return true }, Source: source,
+		Peers: func() []transport.Peer { return nil }, FollowAll: true, ReadsStore: func() bool { return true }, Source: source,
 		StaleAfter: staleAfter, OnChange: func(catalog.Entry) {},
 	}, network, events.Discard())
 	ctx, stop := context.WithCancel(context.Background())
--- a/internal/limit/limiter.go
+++ b/internal/limit/limiter.go
@@ -94,7 +94,7 @@
 	}
 	ctx, cancel := context.WithTimeout(ctx, acquireTimeout)
 	defer cancel()
-	return transport.Call[Response](ctx, l.network, owner.Address, acquireKind, request)
+	return transport.Call[Response](ctx, l.network, owner.Peer(), acquireKind, request)
 }
 
 func (l *Limiter) owner(request Request) (membership.Member, bool) {
@@ -112,7 +112,7 @@
 		l.releaseLocal(request)
 		return
 	}
-	l.network.Send(owner.Address, releaseKind, request)
+	l.network.Send(owner.Peer(), releaseKind, request)
 }
 
 // acquireLocal acquires a permit from this node's counter. A repeated request for the same call is granted again and
--- a/internal/membership/manager.go
+++ b/internal/membership/manager.go
@@ -109,7 +109,8 @@
 	subscribers := m.subscribers
 	m.mutex.Unlock()
 	for _, outgoing := range packets {
-		m.transport.Send(outgoing.Address, messageKind, outgoing.Packet)
+		// Packets name their recipient themselves; a packet to a seed is for whoever is there.
+		m.transport.Send(transport.Peer{Address: outgoing.Address}, messageKind, outgoing.Packet)
 	}
 	if len(changes) > 0 {
 		m.notify(subscribers)
--- a/internal/membership/member.go
+++ b/internal/membership/member.go
@@ -8,6 +8,8 @@
 	"time"
 
 	"github.com/cespare/xxhash/v2"
+
+	"github.com/mountstile/mountstile/internal/transport"
 )
 
 // Status is the status of a member.
@@ -49,6 +51,9 @@
 	SuspectedBy string `json:"by,omitempty"`
 }
 
+// Peer returns the member as the recipient of messages. A later run of the node doesn't answer for it.
+func (m Member) Peer() transport.Peer { return transport.Peer{NodeID: m.ID, Address: m.Address} }
+
 // Usable reports whether the member is neither dead nor has left.
 func (m Member) Usable() bool { return m.Status != Dead && m.Status != Left }
 
--- a/internal/modelload/manager.go
+++ b/internal/modelload/manager.go
@@ -137,7 +137,7 @@
 			case member.ID == view.Self.ID:
 				m.reports.add(report, time.Now())
 			default:
-				m.options.Transport.Send(member.Address, demandKind, report)
+				m.options.Transport.Send(member.Peer(), demandKind, report)
 			}
 		}
 	}
--- a/internal/owner/owner.go
+++ b/internal/owner/owner.go
@@ -126,13 +126,13 @@
 	}
 }
 
-// ReserveRemote sends a ReserveRequest to the owner at address.
-func ReserveRemote(ctx context.Context, network *transport.Transport, address string, request ReserveRequest) (ReserveResponse, error) {
-	return transport.Call[ReserveResponse](ctx, network, address, reserveKind, request)
+// ReserveRemote sends a ReserveRequest to an owner.
+func ReserveRemote(ctx context.Context, network *transport.Transport, to transport.Peer, request ReserveRequest) (ReserveResponse, error) {
+	return transport.Call[ReserveResponse](ctx, network, to, reserveKind, request)
 }
 
-// ReleaseRemote sends a ReleaseRequest to the owner at address, without an acknowledgement. If the message is lost, the slot is
+// ReleaseRemote sends a ReleaseRequest to an owner, without an acknowledgement. If the message is lost, the slot is
 // freed when the reservation expires.
-func ReleaseRemote(network *transport.Transport, address string, request ReleaseRequest) {
-	network.Send(address, releaseKind, request)
+func ReleaseRemote(network *transport.Transport, to transport.Peer, request ReleaseRequest) {
+	network.Send(to, releaseKind, request)
 }
--- a/internal/partition/repair_test.go
+++ b/internal/partition/repair_test.go
@@ -85,7 +85,7 @@
 	}
 	message.Entries = append(message.Entries, consensus.Entry{Index: changedAt, Term: 1, Kind: consensus.EntryMembers, Members: &members})
 	f.waitFor("the log to be applied", func() bool {
-		f.leader.Send(f.address, "raft", groupMessage{Group: testGroup, Message: message})
+		f.leader.Send(transport.Peer{Address: f.address}, "raft", groupMessage{Group: testGroup, Message: message})
 		status, known := f.host.Status(testGroup)
 		return known && status.Applied == changedAt
 	})
--- a/internal/replica/host.go
+++ b/internal/replica/host.go
@@ -297,13 +297,15 @@
 	if !known {
 		return
 	}
+	// Messages name the receiving replica themselves.
+	to := transport.Peer{Address: address}
 	if message.Kind == consensus.InstallSnapshot {
 		for _, part := range splitSnapshot(id, message) {
-			h.options.Transport.Send(address, snapshotPartKind, part)
+			h.options.Transport.Send(to, snapshotPartKind, part)
 		}
 		return
 	}
-	h.options.Transport.Send(address, messageKind, groupMessage{Group: id, Message: message})
+	h.options.Transport.Send(to, messageKind, groupMessage{Group: id, Message: message})
 }
 
 func (h *Host) queueHeartbeat(id uint32, message consensus.Message) {
@@ -324,7 +326,7 @@
 	h.heartbeatMutex.Unlock()
 	for replicaID, heartbeats := range pending {
 		if address, known := h.options.Address(replicaID); known {
-			h.options.Transport.Send(address, heartbeatKind, heartbeatMessage{From: h.options.ReplicaID, To: replicaID, Heartbeats: heartbeats})
+			h.options.Transport.Send(transport.Peer{Address: address}, heartbeatKind, heartbeatMessage{From: h.options.ReplicaID, To: replicaID, Heartbeats: heartbeats})
 		}
 	}
 }
--- a/internal/transport/connection.go
+++ b/internal/transport/connection.go
@@ -34,6 +34,12 @@
 	raw       net.Conn
 	reader    *bufio.Reader
 	peer      Peer
+	// dialled is true if this node has opened the connection.
+	dialled bool
+	// identity is what the peer's last hello says; nil before the first one.
+	identity atomic.Pointer[identity]
+	// logRefusal limits the log lines about misdirected messages to one.
+	logRefusal sync.Once
 	// canRelay is true if the peer's hello says that it forwards requests for other nodes.
 	canRelay     bool
 	queue        chan outgoingLine
@@ -226,6 +232,13 @@
 			return
 		}
 		c.transport.traffic.countReceived(incoming.Kind, len(line))
+		if incoming.Kind == helloKind {
+			if err := c.handleHello(incoming); err != nil {
+				c.transport.options.Logger.Emit(events.PeerRejected, events.F("peer", c.peer.Address), events.F("error", err))
+				return
+			}
+			continue
+		}
 		c.dispatch(incoming)
 	}
 }
@@ -241,14 +254,21 @@
 	switch {
 	case incoming.Kind == livenessKind:
 		c.handleLiveness(incoming)
+		return
 	case incoming.Reply:
 		c.deliverReply(incoming)
-	case incoming.ID == 0:
-		if handler := c.transport.oneWay[incoming.Kind]; handler != nil {
-			handler(c.peer, incoming.Payload)
-		}
-	default:
+		return
+	}
+	if err := c.transport.checkRecipient(incoming); err != nil {
+		c.refuse(incoming, err)
+		return
+	}
+	if incoming.ID != 0 {
 		c.serveRequest(incoming)
+		return
+	}
+	if handler := c.transport.oneWay[incoming.Kind]; handler != nil {
+		handler(c.sender(), incoming.Payload)
 	}
 }
 
@@ -293,7 +313,7 @@
 		reply.Error = apierr.New(apierr.NotFound, apierr.NotRun, "this node does not serve %q", incoming.Kind)
 		return reply
 	}
-	response, err := handler(ctx, c.peer, incoming.Payload)
+	response, err := handler(ctx, c.sender(), incoming.Payload)
 	if err != nil {
 		reply.Error = apierr.From(err, apierr.OutcomeUnknown)
 		return reply
--- a/internal/transport/frame.go
+++ b/internal/transport/frame.go
@@ -19,9 +19,13 @@
 	Reply   bool            `json:"r,omitempty"`
 	Payload json.RawMessage `json:"p,omitempty"`
 	Error   *apierr.Error   `json:"e,omitempty"`
+	// To and ClusterID identify the recipient of a request or one-way message; empty if the sender knows that the peer is
+	// the recipient, or doesn't know them.
+	To        string `json:"t,omitempty"`
+	ClusterID string `json:"c,omitempty"`
 }
 
-// hello is the payload of the first frame of each connection.
+// hello is the payload of the first frame of each connection, in both directions.
 type hello struct {
 	Cluster string `json:"cluster"`
 	NodeID  string `json:"node"`
@@ -29,6 +33,8 @@
 	Address string `json:"address"`
 	// Relays is true if the sender forwards requests for other nodes.
 	Relays bool `json:"relays,omitempty"`
+	// ClusterID is empty while the sender doesn't know it.
+	ClusterID string `json:"cluster_id,omitempty"`
 }
 
 const (
--- a/internal/transport/liveness_test.go
+++ b/internal/transport/liveness_test.go
@@ -66,11 +66,11 @@
 			}})
 			running := make(chan error, 1)
 			go func() {
-				_, err := Call[echo](t.Context(), client, address, "slow", echo{})
+				_, err := Call[echo](t.Context(), client, Peer{Address: address}, "slow", echo{})
 				running <- err
 			}()
 			<-entered
-			_, err := Call[echo](t.Context(), client, address, "echo", echo{string(marker)})
+			_, err := Call[echo](t.Context(), client, Peer{Address: address}, "echo", echo{string(marker)})
 			assert.Assert(t, apierr.Is(err, apierr.PeerUnreachable), "%v", err)
 			assert.Equal(t, apierr.From(err, apierr.Ran).Outcome, apierr.OutcomeUnknown)
 			close(release)
--- a/internal/transport/redial.go
+++ b/internal/transport/redial.go
@@ -50,9 +50,5 @@
 		return nil, false
 	}
 	t.redialledAt[address] = now
-	attempt = &dialAttempt{replaces: true, done: make(chan struct{})}
-	t.dialling[address] = attempt
-	t.tasks.Add(1)
-	go t.dial(address, attempt)
-	return attempt, false
+	return t.startDial(address, true), false
 }
--- a/internal/transport/redial_test.go
+++ b/internal/transport/redial_test.go
@@ -33,7 +33,7 @@
 	}
 	network := New(Options{Cluster: "test", NodeID: "a", Logger: events.Discard(), Dial: dial})
 	defer network.Close()
-	_, err := network.connect(context.Background(), "peer")
+	_, err := network.connect(context.Background(), Peer{Address: "peer"})
 	assert.NilError(t, err)
 	ctx, cancel := context.WithTimeout(context.Background(), 2500*time.Millisecond)
 	defer cancel()
--- a/internal/transport/relay_client.go
+++ b/internal/transport/relay_client.go
@@ -65,7 +65,7 @@
 
 // RefreshRelays fetches the list of relays from peers at intervals until the context ends. The previous list is kept
 // if no peer returns one.
-func (t *Transport) RefreshRelays(ctx context.Context, peers func() []string) {
+func (t *Transport) RefreshRelays(ctx context.Context, peers func() []Peer) {
 	for {
 		found := t.fetchRelays(ctx, peers())
 		wait := relayRefreshInterval
@@ -81,10 +81,10 @@
 }
 
 // fetchRelays tries the peers in order until one returns relays, and reports whether one did.
-func (t *Transport) fetchRelays(ctx context.Context, peers []string) bool {
-	for _, address := range peers {
+func (t *Transport) fetchRelays(ctx context.Context, peers []Peer) bool {
+	for _, peer := range peers {
 		fetchContext, cancel := context.WithTimeout(ctx, relayRefreshTimeout)
-		result, err := Call[relaysResponse](fetchContext, t, address, relaysKind, relaysRequest{Count: maxRelays})
+		result, err := Call[relaysResponse](fetchContext, t, peer, relaysKind, relaysRequest{Count: maxRelays})
 		cancel()
 		if err == nil && len(result.Addresses) > 0 {
 			t.relayRoutes.mutex.Lock()
@@ -99,13 +99,13 @@
 // CallWithRelays is like Call, but also sends the request through relays if the peer can't be reached or nothing
 // arrives from it for relayDelay; immediately if the peer was last reached through a relay. The request may reach
 // the peer more than once.
-func CallWithRelays[Response any](ctx context.Context, t *Transport, address, kind string, request any, relayDelay time.Duration) (Response, error) {
+func CallWithRelays[Response any](ctx context.Context, t *Transport, to Peer, kind string, request any, relayDelay time.Duration) (Response, error) {
 	var response Response
 	payload, err := json.Marshal(request)
 	if err != nil {
 		return response, errors.Wrapf(err, "encoding %s", kind)
 	}
-	result, err := t.callWithRelays(ctx, address, kind, payload, relayDelay)
+	result, err := t.callWithRelays(ctx, to, kind, payload, relayDelay)
 	if err != nil {
 		return response, err
 	}
@@ -128,15 +128,15 @@
 	return r.err == nil || (!apierr.Is(r.err, apierr.PeerUnreachable) && !apierr.Is(r.err, apierr.RelayFailed))
 }
 
-func (t *Transport) callWithRelays(ctx context.Context, address, kind string, payload json.RawMessage, relayDelay time.Duration) (json.RawMessage, error) {
-	relays, viaRelay := t.relayRoutes.routesTo(address)
+func (t *Transport) callWithRelays(ctx context.Context, to Peer, kind string, payload json.RawMessage, relayDelay time.Duration) (json.RawMessage, error) {
+	relays, viaRelay := t.relayRoutes.routesTo(to.Address)
 	if len(relays) == 0 {
-		return t.call(ctx, address, kind, payload)
+		return t.call(ctx, to, kind, payload)
 	}
 	callContext, stop := context.WithCancel(ctx)
 	defer stop()
 	relayed := &relayedCall{
-		transport: t, ctx: callContext, address: address, kind: kind, payload: payload, relays: relays,
+		transport: t, ctx: callContext, to: to, kind: kind, payload: payload, relays: relays,
 		startedAt: time.Now(), results: make(chan routeResult, len(relays)+1),
 	}
 	relayed.sendDirect()
@@ -150,7 +150,7 @@
 type relayedCall struct {
 	transport *Transport
 	ctx       context.Context
-	address   string
+	to        Peer
 	kind      string
 	payload   json.RawMessage
 	startedAt time.Time
@@ -172,7 +172,7 @@
 		case result := <-c.results:
 			c.pending--
 			if result.fromPeer() {
-				c.transport.recordRoute(c.address, result.relay, c.kind)
+				c.transport.recordRoute(c.to.Address, result.relay, c.kind)
 				return result.payload, result.err
 			}
 			last = result.err
@@ -181,11 +181,11 @@
 			c.handleDelay()
 			timer.Reset(max(relayDelay, minRelayDelay))
 		case <-c.ctx.Done():
-			return nil, unreachable(c.address, apierr.OutcomeUnknown, c.ctx.Err())
+			return nil, unreachable(c.to.Address, apierr.OutcomeUnknown, c.ctx.Err())
 		}
 	}
 	if c.usingRelays {
-		return nil, unreachable(c.address, apierr.OutcomeUnknown, last)
+		return nil, unreachable(c.to.Address, apierr.OutcomeUnknown, last)
 	}
 	return nil, last
 }
@@ -207,7 +207,7 @@
 	switch {
 	case c.usingRelays:
 		c.sendViaNextRelay()
-	case c.transport.silentSince(c.address, c.startedAt):
+	case c.transport.silentSince(c.to.Address, c.startedAt):
 		c.startRelays()
 	}
 }
@@ -222,7 +222,7 @@
 func (c *relayedCall) sendDirect() {
 	c.pending++
 	go func() {
-		result, err := c.transport.call(c.ctx, c.address, c.kind, c.payload)
+		result, err := c.transport.call(c.ctx, c.to, c.kind, c.payload)
 		c.results <- routeResult{payload: result, err: err}
 	}()
 }
@@ -235,16 +235,16 @@
 	relay := c.relays[0]
 	c.relays = c.relays[1:]
 	c.pending++
-	go func() { c.results <- c.transport.callViaRelay(c.ctx, relay, c.address, c.kind, c.payload) }()
+	go func() { c.results <- c.transport.callViaRelay(c.ctx, relay, c.to, c.kind, c.payload) }()
 }
 
 // callViaRelay sends a request through a relay and passes the remaining time on.
-func (t *Transport) callViaRelay(ctx context.Context, relay, address, kind string, payload json.RawMessage) routeResult {
-	request := relayRequest{Address: address, Kind: kind, Payload: payload}
+func (t *Transport) callViaRelay(ctx context.Context, relay string, to Peer, kind string, payload json.RawMessage) routeResult {
+	request := relayRequest{Address: to.Address, Node: to.NodeID, Kind: kind, Payload: payload}
 	if deadline, limited := ctx.Deadline(); limited {
 		request.TimeoutMillis = max(time.Until(deadline).Milliseconds(), 1)
 	}
-	result, err := Call[json.RawMessage](ctx, t, relay, relayKind, request)
+	result, err := Call[json.RawMessage](ctx, t, Peer{Address: relay}, relayKind, request)
 	return routeResult{relay: relay, payload: result, err: err}
 }
 
--- a/internal/transport/relay_client_test.go
+++ b/internal/transport/relay_client_test.go
@@ -72,7 +72,7 @@
 	_, fixture.server = serve(t, Options{Cluster: "c", NodeID: "server"})
 	for _, name := range []string{"relay-1", "relay-2"} {
 		relay, address := serve(t, Options{Cluster: "c", NodeID: name, Relays: true})
-		_, err := Call[echo](t.Context(), relay, fixture.server, "echo", echo{})
+		_, err := Call[echo](t.Context(), relay, Peer{Address: fixture.server}, "echo", echo{})
 		assert.NilError(t, err)
 		fixture.relays = append(fixture.relays, address)
 		fixture.running = append(fixture.running, relay)
@@ -80,7 +80,7 @@
 	fixture.client, _ = serve(t, Options{Cluster: "c", NodeID: "client", Dial: fixture.network.dial, Relays: true})
 	ctx, stop := context.WithCancel(t.Context())
 	t.Cleanup(stop)
-	go fixture.client.RefreshRelays(ctx, func() []string { return []string{fixture.server} })
+	go fixture.client.RefreshRelays(ctx, func() []Peer { return []Peer{{Address: fixture.server}} })
 	poll.WaitOn(t, func(poll.LogT) poll.Result {
 		if relays, _ := fixture.client.relayRoutes.routesTo(fixture.server); len(relays) != len(fixture.relays) {
 			return poll.Continue("relays %v", relays)
@@ -94,7 +94,7 @@
 	t.Helper()
 	ctx, cancel := context.WithTimeout(t.Context(), 5*time.Second)
 	defer cancel()
-	return CallWithRelays[echo](ctx, f.client, f.server, kind, echo{"hello"}, testRelayDelay)
+	return CallWithRelays[echo](ctx, f.client, Peer{Address: f.server}, kind, echo{"hello"}, testRelayDelay)
 }
 
 // routesViaRelay reports whether the client last reached the server through a relay.
@@ -137,7 +137,7 @@
 	fixture.network.set(fixture.relays[1], true)
 	ctx, cancel := context.WithTimeout(t.Context(), 500*time.Millisecond)
 	defer cancel()
-	_, err = CallWithRelays[echo](ctx, fixture.client, fixture.server, "echo", echo{}, testRelayDelay)
+	_, err = CallWithRelays[echo](ctx, fixture.client, Peer{Address: fixture.server}, "echo", echo{}, testRelayDelay)
 	assert.Assert(t, apierr.Is(err, apierr.PeerUnreachable), "%v", err)
 }
 
@@ -161,10 +161,10 @@
 	defer stop()
 	go func() {
 		for ctx.Err() == nil {
-			_, _ = Call[echo](ctx, fixture.client, address, "echo", echo{})
+			_, _ = Call[echo](ctx, fixture.client, Peer{Address: address}, "echo", echo{})
 		}
 	}()
-	_, err := CallWithRelays[echo](ctx, fixture.client, address, "slow", echo{}, testRelayDelay)
+	_, err := CallWithRelays[echo](ctx, fixture.client, Peer{Address: address}, "slow", echo{}, testRelayDelay)
 	assert.NilError(t, err)
 	mutex.Lock()
 	defer mutex.Unlock()
--- a/internal/transport/relay_server.go
+++ b/internal/transport/relay_server.go
@@ -14,7 +14,9 @@
 
 // relayRequest asks a node to forward a request to a peer that the sender can't reach directly.
 type relayRequest struct {
-	Address string          `json:"address"`
+	Address string `json:"address"`
+	// Node is the ID of the peer; empty if the sender doesn't know it.
+	Node    string          `json:"node,omitempty"`
 	Kind    string          `json:"kind"`
 	Payload json.RawMessage `json:"payload"`
 	// TimeoutMillis is the time left until the sender's deadline; 0 means no deadline other than the end of its
@@ -22,14 +24,14 @@
 	TimeoutMillis int64 `json:"left_millis,omitempty"`
 }
 
-// CallVia sends a request through the node at relay. A relay forwards over a single hop only.
-func CallVia[Response any](ctx context.Context, t *Transport, relay, address, kind string, request any) (Response, error) {
+// CallVia sends a request through a relay. A relay forwards over a single hop only.
+func CallVia[Response any](ctx context.Context, t *Transport, relay, to Peer, kind string, request any) (Response, error) {
 	var response Response
 	payload, err := json.Marshal(request)
 	if err != nil {
 		return response, errors.Wrapf(err, "encoding %s", kind)
 	}
-	return Call[Response](ctx, t, relay, relayKind, relayRequest{Address: address, Kind: kind, Payload: payload})
+	return Call[Response](ctx, t, relay, relayKind, relayRequest{Address: to.Address, Node: to.NodeID, Kind: kind, Payload: payload})
 }
 
 // forwardRequest sends a relayed request to its destination and returns the reply.
@@ -42,7 +44,7 @@
 		defer cancel()
 		ctx = limited
 	}
-	reply, err := t.call(ctx, request.Address, request.Kind, request.Payload)
+	reply, err := t.call(ctx, Peer{NodeID: request.Node, Address: request.Address}, request.Kind, request.Payload)
 	if apierr.Is(err, apierr.PeerUnreachable) {
 		// With PeerUnreachable the sender would conclude that it can't reach the relay.
 		failure := *apierr.From(err, apierr.OutcomeUnknown)
--- a/internal/transport/transport.go
+++ b/internal/transport/transport.go
@@ -15,8 +15,9 @@
 	"github.com/mountstile/mountstile/internal/events"
 )
 
-// Peer identifies the other end of a connection.
+// Peer identifies the other end of a connection, or the recipient of a message.
 type Peer struct {
+	// NodeID is empty if only the address is known, as of a seed. Any node at the address may then answer.
 	NodeID  string
 	Address string
 }
@@ -81,7 +82,9 @@
 	disconnected func(Peer)
 	tasks        sync.WaitGroup
 	nextID       atomic.Uint64
-	relayRoutes  relayRoutes
+	// clusterID is nil while it is unknown.
+	clusterID   atomic.Pointer[string]
+	relayRoutes relayRoutes
 }
 
 type dialAttempt struct {
@@ -166,15 +169,16 @@
 	}
 }
 
-// Call sends a request and waits for the response. A failure to reach the peer has the code
-// PeerUnreachable; its outcome is NotRun only if nothing was sent.
-func Call[Response any](ctx context.Context, t *Transport, address, kind string, request any) (Response, error) {
+// Call sends a request and waits for the response, which is from the given peer: a node that has another ID refuses the
+// request. A failure to reach the peer has the code PeerUnreachable; its outcome is NotRun only if the peer can't have
+// received the request.
+func Call[Response any](ctx context.Context, t *Transport, to Peer, kind string, request any) (Response, error) {
 	var response Response
 	payload, err := json.Marshal(request)
 	if err != nil {
 		return response, errors.Wrapf(err, "encoding %s", kind)
 	}
-	reply, err := t.call(ctx, address, kind, payload)
+	reply, err := t.call(ctx, to, kind, payload)
 	if err != nil {
 		return response, err
 	}
@@ -188,15 +192,16 @@
 	return apierr.New(apierr.PeerUnreachable, outcome, "node at %s: %s", address, err)
 }
 
-func (t *Transport) call(ctx context.Context, address, kind string, payload json.RawMessage) (json.RawMessage, error) {
-	conn, err := t.connect(ctx, address)
+func (t *Transport) call(ctx context.Context, to Peer, kind string, payload json.RawMessage) (json.RawMessage, error) {
+	address := to.Address
+	conn, err := t.connect(ctx, to)
 	if err != nil {
 		return nil, unreachable(address, apierr.NotRun, err)
 	}
 	id := t.nextID.Add(1)
 	replies := conn.addPending(id)
 	defer conn.removePending(id)
-	if err := conn.enqueue(ctx, frame{Kind: kind, ID: id, Payload: payload}); err != nil {
+	if err := conn.enqueue(ctx, conn.addressed(to, frame{Kind: kind, ID: id, Payload: payload})); err != nil {
 		return nil, unreachable(address, apierr.NotRun, err)
 	}
 	conn.markQueued(id)
@@ -205,6 +210,9 @@
 		if reply.Error != nil {
 			return nil, reply.Error
 		}
+		if err := conn.checkPeer(to); err != nil {
+			return nil, unreachable(address, apierr.OutcomeUnknown, err)
+		}
 		return reply.Payload, nil
 	case <-conn.done:
 		return nil, unreachable(address, apierr.OutcomeUnknown, errConnectionClosed)
@@ -215,21 +223,21 @@
 
 // Send queues a one-way message without blocking. The message is dropped if the peer can't be reached or its queue
 // is full.
-func (t *Transport) Send(address, kind string, message any) {
+func (t *Transport) Send(to Peer, kind string, message any) {
 	payload, err := json.Marshal(message)
 	if err != nil {
 		return
 	}
 	outgoing := frame{Kind: kind, Payload: payload}
-	if conn := t.connectionTo(address); conn != nil {
-		conn.tryEnqueue(outgoing)
+	if conn := t.connectionTo(to.Address); conn != nil && conn.checkPeer(to) == nil {
+		conn.tryEnqueue(conn.addressed(to, outgoing))
 		return
 	}
 	t.spawn(func() {
 		ctx, cancel := context.WithTimeout(context.Background(), dialTimeout)
 		defer cancel()
-		if conn, err := t.connect(ctx, address); err == nil {
-			conn.tryEnqueue(outgoing)
+		if conn, err := t.connect(ctx, to); err == nil {
+			conn.tryEnqueue(conn.addressed(to, outgoing))
 		}
 	})
 }
@@ -255,25 +263,13 @@
 	return t.peers[address]
 }
 
-// connect returns the connection to address, dialling if there is none. Concurrent callers share one dial.
-func (t *Transport) connect(ctx context.Context, address string) (*connection, error) {
-	t.mutex.Lock()
-	if conn := t.peers[address]; conn != nil {
-		t.mutex.Unlock()
-		return conn, nil
-	}
-	if t.closed {
-		t.mutex.Unlock()
-		return nil, net.ErrClosed
+// connect returns the connection to a peer, dialling if there is none or if it leads to another node. Concurrent callers
+// share one dial.
+func (t *Transport) connect(ctx context.Context, to Peer) (*connection, error) {
+	conn, attempt, err := t.findOrDial(to)
+	if conn != nil || err != nil {
+		return conn, err
 	}
-	attempt := t.dialling[address]
-	if attempt == nil {
-		attempt = &dialAttempt{done: make(chan struct{})}
-		t.dialling[address] = attempt
-		t.tasks.Add(1)
-		go t.dial(address, attempt)
-	}
-	t.mutex.Unlock()
 	select {
 	case <-attempt.done:
 		return attempt.result, attempt.err
@@ -282,6 +278,43 @@
 	}
 }
 
+// findOrDial returns the open connection to a peer, or else a dial in progress.
+func (t *Transport) findOrDial(to Peer) (*connection, *dialAttempt, error) {
+	t.mutex.Lock()
+	defer t.mutex.Unlock()
+	if t.closed {
+		return nil, nil, net.ErrClosed
+	}
+	conn := t.peers[to.Address]
+	var otherNode error
+	if conn != nil {
+		otherNode = conn.checkPeer(to)
+		if otherNode == nil {
+			return conn, nil, nil
+		}
+	}
+	if attempt := t.dialling[to.Address]; attempt != nil {
+		return nil, attempt, nil
+	}
+	now := time.Now()
+	if otherNode != nil && !t.mayRedialOther(conn, now) {
+		return nil, nil, otherNode
+	}
+	if otherNode != nil {
+		t.redialledAt[to.Address] = now
+	}
+	return nil, t.startDial(to.Address, otherNode != nil), nil
+}
+
+// startDial starts a dial. The caller holds the mutex.
+func (t *Transport) startDial(address string, replaces bool) *dialAttempt {
+	attempt := &dialAttempt{replaces: replaces, done: make(chan struct{})}
+	t.dialling[address] = attempt
+	t.tasks.Add(1)
+	go t.dial(address, attempt)
+	return attempt
+}
+
 func (t *Transport) dial(address string, attempt *dialAttempt) {
 	defer t.tasks.Done()
 	ctx, cancel := context.WithTimeout(context.Background(), dialTimeout)
@@ -323,15 +356,12 @@
 // startDialled registers and starts a dialled connection; its first line is this node's hello.
 func (t *Transport) startDialled(raw net.Conn, peer Peer, replaces bool) (*connection, error) {
 	conn := newConnection(t, raw, peer)
+	conn.dialled = true
 	if !t.register(conn, replaces) {
 		_ = raw.Close()
 		return nil, net.ErrClosed
 	}
-	payload, err := json.Marshal(hello{Cluster: t.options.Cluster, NodeID: t.options.NodeID, Address: t.options.Address, Relays: t.options.Relays})
-	if err != nil {
-		return nil, err
-	}
-	conn.tryEnqueue(frame{Kind: helloKind, Payload: payload})
+	conn.sendHello()
 	conn.start()
 	return conn, nil
 }
@@ -379,7 +409,7 @@
 	return false
 }
 
-// OnDisconnect sets a function to be called when the last connection to a peer has closed. The peer's NodeID
+// OnDisconnect sets a function to be called when the last connection to an address has closed. The peer's NodeID
 // is set only if the peer had dialled. The function must not block.
 func (t *Transport) OnDisconnect(callback func(Peer)) {
 	t.mutex.Lock()
@@ -417,8 +447,8 @@
 	}
 	incoming := newConnection(t, conn, Peer{})
 	peerHello, err := incoming.readHello()
-	if err == nil && peerHello.Cluster != t.options.Cluster {
-		err = apierr.New(apierr.Forbidden, apierr.NotRun, "peer belongs to cluster %q", peerHello.Cluster)
+	if err == nil {
+		err = incoming.identify(peerHello)
 	}
 	if err != nil {
 		t.options.Logger.Emit(events.PeerRejected, events.F("remote", raw.RemoteAddr().String()), events.F("error", err))
@@ -432,6 +462,7 @@
 		_ = raw.Close()
 		return
 	}
+	incoming.sendHello()
 	incoming.start()
 }
 
--- a/internal/transport/transport_test.go
+++ b/internal/transport/transport_test.go
@@ -42,14 +42,14 @@
 func TestCallReturnsResponsesAndTypedErrors(t *testing.T) {
 	_, address := serve(t, Options{Cluster: "c", NodeID: "a"})
 	client, _ := serve(t, Options{Cluster: "c", NodeID: "b"})
-	response, err := Call[echo](t.Context(), client, address, "echo", echo{"hello"})
+	response, err := Call[echo](t.Context(), client, Peer{Address: address}, "echo", echo{"hello"})
 	assert.NilError(t, err)
 	assert.Equal(t, response.Text, "hello")
-	_, err = Call[echo](t.Context(), client, address, "refuse", echo{})
+	_, err = Call[echo](t.Context(), client, Peer{Address: address}, "refuse", echo{})
 	assert.Equal(t, apierr.From(err, apierr.Ran).RetryAfter, int64(1000))
-	_, err = Call[echo](t.Context(), client, address, "unknown", echo{})
+	_, err = Call[echo](t.Context(), client, Peer{Address: address}, "unknown", echo{})
 	assert.Assert(t, apierr.Is(err, apierr.NotFound))
-	_, err = Call[echo](t.Context(), client, "127.0.0.1:1", "echo", echo{})
+	_, err = Call[echo](t.Context(), client, Peer{Address: "127.0.0.1:1"}, "echo", echo{})
 	assert.Equal(t, apierr.From(err, apierr.Ran).Outcome, apierr.NotRun, "want NotRun as nothing was sent")
 }
 
@@ -57,10 +57,10 @@
 	_, target := serve(t, Options{Cluster: "c", NodeID: "a"})
 	_, relay := serve(t, Options{Cluster: "c", NodeID: "b"})
 	client, _ := serve(t, Options{Cluster: "c", NodeID: "d"})
-	response, err := CallVia[echo](t.Context(), client, relay, target, "echo", echo{"relayed"})
+	response, err := CallVia[echo](t.Context(), client, Peer{Address: relay}, Peer{Address: target}, "echo", echo{"relayed"})
 	assert.NilError(t, err)
 	assert.Equal(t, response.Text, "relayed")
-	_, err = CallVia[echo](t.Context(), client, relay, target, relayKind, echo{})
+	_, err = CallVia[echo](t.Context(), client, Peer{Address: relay}, Peer{Address: target}, relayKind, echo{})
 	assert.Assert(t, apierr.Is(err, apierr.InvalidRequest))
 }
 
@@ -103,7 +103,7 @@
 	}
 	_, address := serve(t, secured(folder, "c", "a"))
 	trusted, _ := serve(t, secured(folder, "c", "b"))
-	_, err := Call[echo](t.Context(), trusted, address, "echo", echo{"x"})
+	_, err := Call[echo](t.Context(), trusted, Peer{Address: address}, "echo", echo{"x"})
 	assert.NilError(t, err)
 	rejected := map[string]Options{
 		"foreign authority": secured(foreign, "c", "b"),
@@ -115,7 +115,7 @@
 			client, _ := serve(t, options)
 			ctx, cancel := context.WithTimeout(t.Context(), 20*time.Second)
 			defer cancel()
-			_, err := Call[echo](ctx, client, address, "echo", echo{"x"})
+			_, err := Call[echo](ctx, client, Peer{Address: address}, "echo", echo{"x"})
 			assert.Assert(t, apierr.Is(err, apierr.PeerUnreachable), "%v", err)
 		})
 	}
@@ -128,11 +128,11 @@
 		raw, err := (&net.Dialer{}).DialContext(ctx, "tcp", target)
 		return &writeDropper{Conn: raw, passes: 1}, err
 	}})
-	_, err := Call[echo](t.Context(), client, address, "echo", echo{"dropped"})
+	_, err := Call[echo](t.Context(), client, Peer{Address: address}, "echo", echo{"dropped"})
 	assert.Assert(t, apierr.Is(err, apierr.PeerUnreachable), "%v", err)
 	// The server may still use the broken connection to call the client; it has to close it and dial a new one.
 	poll.WaitOn(t, func(poll.LogT) poll.Result {
-		_, err := Call[echo](t.Context(), server, clientAddress, "echo", echo{"reverse"})
+		_, err := Call[echo](t.Context(), server, Peer{Address: clientAddress}, "echo", echo{"reverse"})
 		if err != nil {
 			return poll.Continue("%v", err)
 		}
--- a/internal/transport/truncated_reply_test.go
+++ b/internal/transport/truncated_reply_test.go
@@ -30,7 +30,7 @@
 	for name, reply := range replies {
 		t.Run(name, func(t *testing.T) {
 			client, _ := serve(t, Options{Cluster: "c", NodeID: "b"})
-			got, err := Call[echo](t.Context(), client, serveReply(t, reply), "echo", echo{"x"})
+			got, err := Call[echo](t.Context(), client, Peer{Address: serveReply(t, reply)}, "echo", echo{"x"})
 			assert.Equal(t, apierr.From(err, apierr.Ran).Outcome, apierr.OutcomeUnknown, "%v", err)
 			assert.Equal(t, got, echo{})
 		})
--- a/internal/turnstore/assignment.go
+++ b/internal/turnstore/assignment.go
@@ -40,6 +40,7 @@
 		return
 	}
 	r.sets.apply(record.ReplicaSet)
+	r.network.SetClusterID(r.sets.clusterID())
 	r.set = record.ReplicaSet
 	r.shard = record.ReplicaSet.Shard
 }
--- a/internal/turnstore/client.go
+++ b/internal/turnstore/client.go
@@ -136,8 +136,10 @@
 	if newer && !knewAllSets && c.sets.allKnown() {
 		close(c.setsKnown)
 	}
+	clusterID := c.sets.clusterID()
 	c.mutex.Unlock()
 	if newer {
+		c.network.SetClusterID(clusterID)
 		c.logger.Emit(events.ReplicaSetChanged, set.logFields()...)
 	}
 }
@@ -411,7 +413,7 @@
 }
 
 func (c *Client) callOpen(ctx context.Context, member Member, request openRequest, replies chan<- openReply) {
-	response, err := callWithRetry[openResponse](ctx, c.network, member.Address, openKind, request)
+	response, err := callWithRetry[openResponse](ctx, c.network, member.Peer(), openKind, request)
 	c.receiveLoad(response)
 	replies <- openReply{member: member, reserving: request.Reserve != nil, response: response, err: err}
 }
--- a/internal/turnstore/collector.go
+++ b/internal/turnstore/collector.go
@@ -43,8 +43,10 @@
 	if reply.err != nil {
 		return
 	}
-	if reply.response.Newer != nil {
-		c.newer = reply.response.Newer
+	if newer := reply.response.Newer; newer != nil {
+		if newer.Epoch > c.set.Epoch && newer.sameCluster(c.set) {
+			c.newer = newer
+		}
 		return
 	}
 	c.responded[reply.member.Name] = true
--- a/internal/turnstore/health_test.go
+++ b/internal/turnstore/health_test.go
@@ -73,7 +73,9 @@
 	c.store.listen(client.ApplySet)
 	ctx, stop := context.WithCancel(t.Context())
 	defer stop()
-	go network.RefreshRelays(ctx, func() []string { return []string{c.machines[0].address, c.machines[1].address} })
+	go network.RefreshRelays(ctx, func() []transport.Peer {
+		return []transport.Peer{{Address: c.machines[0].address}, {Address: c.machines[1].address}}
+	})
 	eventually(t, "turns can be opened before the partition", func() bool { return c.reserve(client, "before", 1000, 1) == nil })
 	eventually(t, "the relay is known", func() bool { return network.Relays() == 1 })
 
--- a/internal/turnstore/loadexchange.go
+++ b/internal/turnstore/loadexchange.go
@@ -66,7 +66,7 @@
 			ctx, cancel := context.WithTimeout(context.Background(), loadTimeout)
 			defer cancel()
 			// A lost report is replaced by the next one.
-			if response, err := transport.Call[openResponse](ctx, c.network, target.Address, openKind, request); err == nil {
+			if response, err := transport.Call[openResponse](ctx, c.network, target.Peer(), openKind, request); err == nil {
 				c.receiveLoad(response)
 			}
 		}()
--- a/internal/turnstore/membership.go
+++ b/internal/turnstore/membership.go
@@ -9,6 +9,7 @@
 	"time"
 
 	"github.com/cockroachdb/errors"
+	"github.com/google/uuid"
 
 	"github.com/mountstile/mountstile/internal/configstore"
 	"github.com/mountstile/mountstile/internal/events"
@@ -149,7 +150,9 @@
 // createInitialSets writes the sets of all shards in one transaction, unless another candidate has.
 func (r *Replica) createInitialSets(ctx context.Context, candidates []Member) error {
 	var writes []configstore.Write
+	clusterID := uuid.NewString()
 	for _, set := range initialSets(candidates, r.options.Size, r.options.Copies) {
+		set.ClusterID = clusterID
 		encoded, err := json.Marshal(set)
 		if err != nil {
 			return errors.Wrap(err, "encoding an initial replica set")
@@ -249,7 +252,7 @@
 	}
 	for _, member := range without(set.All(), r.options.Self.Name) {
 		callContext, cancel := context.WithTimeout(ctx, fenceTimeout)
-		response, err := transport.Call[fenceResponse](callContext, r.network, member.Address, fenceKind, fenceRequest{ReplicaSet: set})
+		response, err := transport.Call[fenceResponse](callContext, r.network, member.Peer(), fenceKind, fenceRequest{ReplicaSet: set})
 		cancel()
 		if err == nil && response.Epoch >= set.Epoch {
 			fenced[member.Name] = true
--- a/internal/turnstore/node.go
+++ b/internal/turnstore/node.go
@@ -63,22 +63,22 @@
 	return set.Epoch > 0 && !set.Has(n.options.Replica.Self.Name)
 }
 
-// peers returns the addresses of the replicas that read the store.
-func (n *Node) peers() []string {
-	var addresses []string
+// peers returns the replicas that read the store, or the seeds while no set is known.
+func (n *Node) peers() []transport.Peer {
+	var peers []transport.Peer
 	set := n.replica.setOf(0)
 	for _, member := range without(set.storeReaders(), n.options.Replica.Self.Name) {
-		addresses = append(addresses, member.Address)
+		peers = append(peers, member.Peer())
 	}
 	if set.Epoch > 0 {
-		return addresses
+		return peers
 	}
 	for _, seed := range n.options.Seeds() {
 		if seed != n.options.Replica.Self.Address {
-			addresses = append(addresses, seed)
+			peers = append(peers, transport.Peer{Address: seed})
 		}
 	}
-	return addresses
+	return peers
 }
 
 func (n *Node) apply(entry catalog.Entry) {
--- a/internal/turnstore/pull.go
+++ b/internal/turnstore/pull.go
@@ -214,7 +214,7 @@
 	r.mutex.Unlock()
 	callContext, cancel := context.WithTimeout(ctx, pullTimeout)
 	defer cancel()
-	response, err := transport.Call[digestResponse](callContext, r.network, member.Address, digestKind, request)
+	response, err := transport.Call[digestResponse](callContext, r.network, member.Peer(), digestKind, request)
 	if err == nil {
 		r.recordResponse(progress)
 		r.recordSparePulling(progress, response.SparePulling)
@@ -255,7 +255,7 @@
 		batch := keys[:min(len(keys), fetchKeys)]
 		keys = keys[len(batch):]
 		callContext, cancel := context.WithTimeout(ctx, pullTimeout)
-		response, err := transport.Call[fetchResponse](callContext, r.network, member.Address, fetchKind, fetchRequest{Keys: batch})
+		response, err := transport.Call[fetchResponse](callContext, r.network, member.Peer(), fetchKind, fetchRequest{Keys: batch})
 		cancel()
 		if err != nil {
 			return false
--- a/internal/turnstore/put.go
+++ b/internal/turnstore/put.go
@@ -77,7 +77,7 @@
 func (c *Client) putTo(member Member, request putRequest, results chan<- putResult) {
 	ctx, cancel := context.WithTimeout(context.Background(), putTimeout)
 	defer cancel()
-	response, err := callWithRetry[putResponse](ctx, c.network, member.Address, putKind, request)
+	response, err := callWithRetry[putResponse](ctx, c.network, member.Peer(), putKind, request)
 	results <- putResult{member: member, response: response, err: err}
 }
 
--- a/internal/turnstore/replica.go
+++ b/internal/turnstore/replica.go
@@ -234,12 +234,14 @@
 	first := newer && r.assignFirstShard()
 	own := newer && set.Shard == r.shard
 	if own {
-		r.set = set
+		r.set = r.sets[set.Shard]
 	}
+	clusterID := r.sets.clusterID()
 	r.mutex.Unlock()
 	if !newer {
 		return
 	}
+	r.network.SetClusterID(clusterID)
 	r.logger.Emit(events.ReplicaSetChanged, set.logFields()...)
 	if own || first {
 		r.triggerPull()
@@ -254,18 +256,26 @@
 	}
 }
 
-// checkEpoch returns the newer set if a request's epoch is old, and an error if this replica holds another shard. A
-// replica that does not know its shard yet accepts any: it is still in the shard under which its peers know it.
+// checkEpoch returns the newer set if a request's epoch is old, and an error if this replica does not hold the shard.
 func (r *Replica) checkEpoch(shard int, epoch int64) (*ReplicaSet, error) {
 	r.mutex.Lock()
 	defer r.mutex.Unlock()
 	if set := r.sets[shard]; epoch < set.Epoch {
 		return &set, nil
 	}
-	if r.shard != noShard && r.shard != shard {
-		return nil, apierr.New(apierr.TurnsUnavailable, apierr.NotRun, "the replica holds shard %d, not %d", r.shard, shard)
+	return nil, r.checkShard(shard)
+}
+
+// checkShard returns an error if this replica does not hold the shard, or does not know yet which one it holds: it can't
+// tell then whether the request comes from its own cluster. The caller holds the mutex.
+func (r *Replica) checkShard(shard int) error {
+	switch {
+	case r.shard == noShard:
+		return apierr.New(apierr.TurnsUnavailable, apierr.NotRun, "the replica does not know the replica sets yet")
+	case r.shard != shard:
+		return apierr.New(apierr.TurnsUnavailable, apierr.NotRun, "the replica holds shard %d, not %d", r.shard, shard)
 	}
-	return nil, nil
+	return nil
 }
 
 // append syncs the records that are not known yet to the log, then applies them.
@@ -388,8 +398,8 @@
 func (r *Replica) serveDigest(_ context.Context, _ transport.Peer, request digestRequest) (digestResponse, error) {
 	r.mutex.Lock()
 	defer r.mutex.Unlock()
-	if r.shard != noShard && r.shard != request.Shard {
-		return digestResponse{}, apierr.New(apierr.TurnsUnavailable, apierr.NotRun, "the replica holds shard %d, not %d", r.shard, request.Shard)
+	if err := r.checkShard(request.Shard); err != nil {
+		return digestResponse{}, err
 	}
 	now := time.Now()
 	if !r.set.Has(request.From) {
@@ -445,6 +455,12 @@
 
 // serveFence makes the replica reject older epochs, also after a restart.
 func (r *Replica) serveFence(_ context.Context, _ transport.Peer, request fenceRequest) (fenceResponse, error) {
+	r.mutex.Lock()
+	err := r.checkShard(request.ReplicaSet.Shard)
+	r.mutex.Unlock()
+	if err != nil {
+		return fenceResponse{}, err
+	}
 	r.ApplySet(request.ReplicaSet)
 	set := r.ReplicaSet()
 	if set.Shard != request.ReplicaSet.Shard {
--- a/internal/turnstore/retirement.go
+++ b/internal/turnstore/retirement.go
@@ -142,7 +142,7 @@
 			return false
 		}
 		callContext, cancel := context.WithTimeout(ctx, pullTimeout)
-		response, err := transport.Call[putResponse](callContext, r.network, member.Address, putKind, putRequest{Shard: set.Shard, Epoch: set.Epoch, Records: batch})
+		response, err := transport.Call[putResponse](callContext, r.network, member.Peer(), putKind, putRequest{Shard: set.Shard, Epoch: set.Epoch, Records: batch})
 		cancel()
 		if err != nil || response.Newer != nil {
 			return false
--- a/internal/turnstore/retry.go
+++ b/internal/turnstore/retry.go
@@ -24,7 +24,7 @@
 // survives the restart of a replica. Retries are safe because records are immutable and replicas ignore those that they
 // already hold. The request is sent again only after a failure or over a renewed connection: a replica that is merely
 // slow already has it, and duplicates would slow it down further.
-func callWithRetry[Response any](ctx context.Context, network *transport.Transport, address, kind string, request any) (Response, error) {
+func callWithRetry[Response any](ctx context.Context, network *transport.Transport, to transport.Peer, kind string, request any) (Response, error) {
 	type reply struct {
 		response Response
 		err      error
@@ -32,7 +32,7 @@
 	replies := make(chan reply, maxAttempts)
 	renewed := make(chan struct{}, maxAttempts)
 	send := func() {
-		response, err := transport.CallWithRelays[Response](ctx, network, address, kind, request, relayDelay)
+		response, err := transport.CallWithRelays[Response](ctx, network, to, kind, request, relayDelay)
 		replies <- reply{response, err}
 	}
 	delay := connectionCheckDelay
@@ -62,7 +62,7 @@
 		case <-timer.C:
 			since := sentAt
 			go func() {
-				if network.Redial(ctx, address, connectionCheckDelay, since) {
+				if network.Redial(ctx, to.Address, connectionCheckDelay, since) {
 					renewed <- struct{}{}
 				}
 			}()
@@ -77,7 +77,7 @@
 			}
 		case <-ctx.Done():
 			var zero Response
-			return zero, unavailable("no response from the node at %s: %s", address, ctx.Err())
+			return zero, unavailable("no response from node %s at %s: %s", to.NodeID, to.Address, ctx.Err())
 		}
 	}
 }
--- a/internal/turnstore/set.go
+++ b/internal/turnstore/set.go
@@ -1,6 +1,9 @@
 package turnstore
 
-import "github.com/mountstile/mountstile/internal/events"
+import (
+	"github.com/mountstile/mountstile/internal/events"
+	"github.com/mountstile/mountstile/internal/transport"
+)
 
 // Member is one replica of a set.
 type Member struct {
@@ -9,9 +12,15 @@
 	Zone    string `json:"zone,omitempty"`
 }
 
+// Peer returns the member as the recipient of messages.
+func (m Member) Peer() transport.Peer { return transport.Peer{NodeID: m.Name, Address: m.Address} }
+
 // ReplicaSet lists the replicas that hold the turns of one shard. While Next is not empty, the set is changing: writes
 // and reads need a quorum of both Members and Next.
 type ReplicaSet struct {
+	// ClusterID is drawn when the first sets are created, and the same in all of them. It distinguishes the replicas of
+	// this cluster from those of others. It is empty in a cluster whose sets were created by an earlier build.
+	ClusterID string `json:"cluster_id,omitempty"`
 	// Shard is the shard's number, from 0; Shards is the number of shards, where 0 means one.
 	Shard  int `json:"shard,omitempty"`
 	Shards int `json:"shards,omitempty"`
@@ -34,6 +43,11 @@
 	}
 }
 
+// sameCluster reports whether the sets may belong to one cluster.
+func (s ReplicaSet) sameCluster(other ReplicaSet) bool {
+	return s.ClusterID == "" || other.ClusterID == "" || s.ClusterID == other.ClusterID
+}
+
 // Changing reports whether a change of the set is pending.
 func (s ReplicaSet) Changing() bool { return len(s.Next) > 0 }
 
--- a/internal/turnstore/shard.go
+++ b/internal/turnstore/shard.go
@@ -84,15 +84,30 @@
 // sets holds the newest known replica sets by shard. It is not safe for concurrent use.
 type sets map[int]ReplicaSet
 
-// apply stores a set if it is newer than the known one of its shard, and reports whether it is.
+// apply stores a set if it is newer than the known one of its shard, and reports whether it is. A set of another cluster
+// is ignored. A set without a cluster ID gets the known one: replicas of earlier builds drop it when they change a set.
 func (s sets) apply(set ReplicaSet) bool {
-	if set.Epoch <= s[set.Shard].Epoch {
+	known := s.clusterID()
+	if !set.sameCluster(ReplicaSet{ClusterID: known}) || set.Epoch <= s[set.Shard].Epoch {
 		return false
 	}
+	if set.ClusterID == "" {
+		set.ClusterID = known
+	}
 	s[set.Shard] = set
 	return true
 }
 
+// clusterID returns the cluster's ID; empty if it is unknown.
+func (s sets) clusterID() string {
+	for _, set := range s {
+		if set.ClusterID != "" {
+			return set.ClusterID
+		}
+	}
+	return ""
+}
+
 // shards returns the number of shards; 0 while it is unknown.
 func (s sets) shards() int {
 	for _, set := range s {
