turnstore: an acknowledgement expires before a wiped replica can have caught up

Callers: a program generated more than its budget, or an acknowledged turn was lost with the next disk, after a storage machine had lost its disk and come back within the time of one write.

Cause: acknowledgements were counted by the member's name, without regard to what happened to its disk since. Member a stores a reservation and answers; a loses its disk, comes back, pulls from b and c, which have not got the reservation yet, and is complete after 0.1 s; then b stores it and answers, and the client counts a and b. Only b has it: a and c together grant the same tokens again. Writes kept acknowledgements over all their attempts.

Why this works: an acknowledgement counts for one second from when its request was sent, and a replica with an empty disk is complete only after it has pulled again one second after its start. If the old acknowledgement still counts when the quorum is reached, the other replicas have had the record before that pull, which then finds it: a read quorum and the rest of a write quorum intersect. Durations are measured on each machine by itself, so the time of day plays no part, and the messages don't change: older builds on the other side work as before.

Cost: a wiped replica counts for reads about one second later than before. A replica that joins a set is not delayed, as the fence of its change does the same for it. Ruled out: telling clients which disks are new (needs memory that survives a restart of the teller), and a new epoch for each lost disk (needs the store, which may be down).

--- a/internal/turnstore/assignment.go
+++ b/internal/turnstore/assignment.go
@@ -135,6 +135,7 @@
 	previous := r.shard
 	r.shard, r.set = set.Shard, set
 	r.state = conversation.New()
+	r.emptySince = time.Now()
 	r.handingOver = false
 	r.pullingSpare = ""
 	// Peers may have pulled from this replica before; a new incarnation makes them restart, since sequence numbers
--- a/internal/turnstore/client.go
+++ b/internal/turnstore/client.go
@@ -24,8 +24,8 @@
 	retryAfterUnavailable = 250 * time.Millisecond
 	// putRetryDelay precedes each retry of a write at the replicas that have not stored it.
 	putRetryDelay = 150 * time.Millisecond
-	// putTimeout bounds one write attempt.
-	putTimeout = 1500 * time.Millisecond
+	// putTimeout bounds one write attempt; a later acknowledgement would not count.
+	putTimeout = ackLifetime
 	// settleTimeout bounds the background write of a settled charge.
 	settleTimeout = 20 * time.Second
 	// maxSettling bounds concurrent settlements; charges beyond it stay at their reserved amount.
@@ -334,6 +334,7 @@
 	requestContext, stop := context.WithCancel(ctx)
 	defer stop()
 	collector := newOpenCollector(set)
+	startedAt := time.Now()
 	replies := c.sendOpen(requestContext, set, request)
 	hedge := time.NewTimer(textHedgeDelay)
 	defer hedge.Stop()
@@ -342,6 +343,9 @@
 		if collector.newer != nil {
 			return collector.newer, nil
 		}
+		if time.Since(startedAt) >= ackLifetime {
+			return nil, unavailable("the answers of the replicas have expired")
+		}
 		if done, err := collector.decide(params, opened, wantText); done {
 			if err == nil && wantText {
 				chain := collector.chain(params.Previous)
--- a/internal/turnstore/pull.go
+++ b/internal/turnstore/pull.go
@@ -284,7 +284,8 @@
 }
 
 // hasCaughtUp reports whether an incomplete replica now holds every acknowledged record: it has pulled from a read
-// quorum of complete members, or from all members.
+// quorum of complete members, or from all members, after the acknowledgements that it gave before it lost its records
+// have expired.
 func (r *Replica) hasCaughtUp() bool {
 	if r.folder.record().Complete {
 		return false
@@ -294,7 +295,7 @@
 	if r.set.Epoch == 0 {
 		return false
 	}
-	return r.pulledReadQuorum(time.Time{})
+	return r.pulledReadQuorum(r.emptySince.Add(ackLifetime))
 }
 
 // pulledReadQuorum reports whether this replica has pulled from a read quorum of complete members, or from all members,
--- a/internal/turnstore/replica.go
+++ b/internal/turnstore/replica.go
@@ -94,6 +94,8 @@
 	set  ReplicaSet
 	// shard is the shard that this replica holds, or noShard.
 	shard int
+	// emptySince is when this replica last started without all of its shard's records.
+	emptySince time.Time
 	// handingOver is set while the replica sends its records to the remaining members; it rejects writes meanwhile.
 	handingOver bool
 	// spareSeenAt is when a replica that is not a member last sent a request; pullingSpare is the last one that pulled,
@@ -131,6 +133,7 @@
 		sets:        make(sets),
 		candidates:  make(map[string]Member),
 		shard:       noShard,
+		emptySince:  time.Now(),
 
 		quorumContactSince: make(map[int]time.Time),
 		incarnation:        uuid.NewString(),
