Tests of replicas listen at addresses that nobody else takes

Cause: a test's machine took a port by listening on port 0 and closing it, and gave it back whenever it was killed, so that another test, of this package or of a parallel one, could listen there: in a trial with 70 ports for all clusters, a shard had too few candidates because a machine could not listen in time.

--- a/internal/turnstore/cluster_test.go
+++ b/internal/turnstore/cluster_test.go
@@ -20,6 +20,7 @@
 	"github.com/mountstile/mountstile/internal/configstore"
 	"github.com/mountstile/mountstile/internal/conversation"
 	"github.com/mountstile/mountstile/internal/events"
+	"github.com/mountstile/mountstile/internal/standin/loopback"
 	"github.com/mountstile/mountstile/internal/transport"
 )
 
@@ -176,7 +177,8 @@
 // testZones is the number of zones, to which machines are assigned in rotation.
 const testZones = 3
 
-// machine is the machine of a replica: its address and disk outlive its processes.
+// machine is the machine of a replica: its address and disk outlive its processes. Nobody else listens at the address while
+// the machine is down.
 type machine struct {
 	name     string
 	address  string
@@ -292,10 +294,8 @@
 
 // add starts a new machine with an empty disk.
 func (c *cluster) add(name string) *machine {
-	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	address, err := loopback.FreeAddress()
 	assert.NilError(c.t, err)
-	address := listener.Addr().String()
-	assert.NilError(c.t, listener.Close())
 	added := &machine{name: name, address: address, folder: memoryFolder(c.t), zone: fmt.Sprint("zone-", len(c.machines)%testZones)}
 	c.machinesMutex.Lock()
 	c.machines = append(c.machines, added)
--- a/test/process/harness_test.go
+++ b/test/process/harness_test.go
@@ -15,7 +15,6 @@
 	"path/filepath"
 	"strings"
 	"sync"
-	"sync/atomic"
 	"syscall"
 	"testing"
 	"time"
@@ -32,6 +31,7 @@
 	"github.com/mountstile/mountstile/internal/lab/runner"
 	"github.com/mountstile/mountstile/internal/resource"
 	"github.com/mountstile/mountstile/internal/settings"
+	"github.com/mountstile/mountstile/internal/standin/loopback"
 	"github.com/mountstile/mountstile/internal/standin/storeserver"
 )
 
@@ -64,41 +64,12 @@
 	os.Exit(code)
 }
 
-// hostCount counts the loopback addresses that this run has handed out.
-var hostCount atomic.Int64
-
-const (
-	// runNetworks is the number of /16 loopback networks. A run uses the network numbered by its process ID modulo runNetworks;
-	// concurrent runs with the same network start at different ports.
-	runNetworks = 100
-	// The ports from lowestPort on lie below Linux's ephemeral range (ip_local_port_range): an ephemeral port could be taken by a
-	// program that listens on all addresses before the process listens on it.
-	lowestPort = 12000
-	portCount  = 20000
-	// portTries is how many ports are tried, since other programs may use some of them.
-	portTries = 100
-)
-
-// freeAddress returns an address for a process to listen on. Each has its own loopback host, so that no other test or outgoing
-// connection can take the port before the process listens.
+// freeAddress returns an address for a process to listen on.
 func freeAddress(t *testing.T) string {
 	t.Helper()
-	number := hostCount.Add(1)
-	process := os.Getpid()
-	host := fmt.Sprintf("127.%d.%d.%d", 100+process%runNetworks, number/250, number%250+1)
-	var failure error
-	for try := range portTries {
-		port := lowestPort + (process/runNetworks+try)%portCount
-		listener, err := net.Listen("tcp", fmt.Sprintf("%s:%d", host, port))
-		if err != nil {
-			failure = err
-			continue
-		}
-		defer func() { _ = listener.Close() }()
-		return listener.Addr().String()
-	}
-	assert.NilError(t, failure)
-	return ""
+	address, err := loopback.FreeAddress()
+	assert.NilError(t, err)
+	return address
 }
 
 // daemon is one process of a test cluster.
