turnstore: a set of another cluster never replaces the known one

Callers: a gateway crashed (close of a closed channel) when it was told a set of another cluster and then one of its own.

Cause: a set counted for its epoch alone. Number of shards and cluster ID now tell sets of other clusters, also where sets were created by earlier builds, without an ID: the number of shards is fixed when a cluster starts.

TestSetOfAnotherClusterIsIgnored failed before.

--- a/internal/turnstore/identity_test.go
+++ b/internal/turnstore/identity_test.go
@@ -9,6 +9,8 @@
 
 	"github.com/mountstile/mountstile/internal/apierr"
 	"github.com/mountstile/mountstile/internal/conversation"
+	"github.com/mountstile/mountstile/internal/events"
+	"github.com/mountstile/mountstile/internal/transport"
 )
 
 // takeAddress starts a machine again at the address of another machine, which is down.
@@ -87,3 +89,36 @@
 	err := client.Put(ctx, "", []conversation.Record{{Turn: &conversation.Turn{ID: "a", Text: []byte("a"), RetentionMillis: 60_000}}})
 	assert.Assert(t, err != nil, "the write was acknowledged with one copy")
 }
+
+// A set of another cluster must not replace the known one, whether it differs in the cluster ID or, if that is unknown, in
+// the number of shards. Going back and forth between the two made the client panic.
+func TestSetOfAnotherClusterIsIgnored(t *testing.T) {
+	t.Parallel()
+	own := ReplicaSet{Epoch: 3, Members: []Member{{Name: "a"}}, Copies: 1, Size: 1}
+	identified := own
+	identified.ClusterID = "own"
+	otherID, otherShards := identified, own
+	otherID.Epoch, otherID.ClusterID = 9, "other"
+	otherShards.Epoch, otherShards.Shards = 9, 2
+	for _, test := range []struct{ own, foreign ReplicaSet }{{identified, otherID}, {own, otherShards}} {
+		network := transport.New(transport.Options{Cluster: "test", NodeID: "client", Logger: events.Discard()})
+		t.Cleanup(network.Close)
+		client := NewClient(ClientOptions{}, network, events.Discard())
+		client.ApplySet(test.own)
+		client.ApplySet(test.foreign)
+		assert.Equal(t, client.ReplicaSet().Epoch, test.own.Epoch)
+		next := test.own
+		next.Epoch = 10
+		client.ApplySet(next)
+		assert.Equal(t, client.ReplicaSet().Epoch, next.Epoch)
+	}
+}
+
+// A replica of an earlier build drops the cluster ID when it changes a set.
+func TestClusterIDOutlivesEarlierBuilds(t *testing.T) {
+	t.Parallel()
+	known := make(sets)
+	assert.Assert(t, known.apply(ReplicaSet{Epoch: 1, ClusterID: "own"}))
+	assert.Assert(t, known.apply(ReplicaSet{Epoch: 2}))
+	assert.Equal(t, known[0].ClusterID, "own")
+}
--- a/internal/turnstore/shard.go
+++ b/internal/turnstore/shard.go
@@ -87,17 +87,22 @@
 // apply stores a set if it is newer than the known one of its shard, and reports whether it is. A set of another cluster
 // is ignored. A set without a cluster ID gets the known one: replicas of earlier builds drop it when they change a set.
 func (s sets) apply(set ReplicaSet) bool {
-	known := s.clusterID()
-	if !set.sameCluster(ReplicaSet{ClusterID: known}) || set.Epoch <= s[set.Shard].Epoch {
+	if s.foreign(set) || set.Epoch <= s[set.Shard].Epoch {
 		return false
 	}
 	if set.ClusterID == "" {
-		set.ClusterID = known
+		set.ClusterID = s.clusterID()
 	}
 	s[set.Shard] = set
 	return true
 }
 
+// foreign reports whether a set belongs to another cluster. The number of shards never changes.
+func (s sets) foreign(set ReplicaSet) bool {
+	known := s.shards()
+	return !set.sameCluster(ReplicaSet{ClusterID: s.clusterID()}) || known > 0 && max(set.Shards, 1) != known
+}
+
 // clusterID returns the cluster's ID; empty if it is unknown.
 func (s sets) clusterID() string {
 	for _, set := range s {
