coordinator: a dispatch that may be committed keeps its slot

Callers: a call that could not be served was sent to an engine without a free slot and held for the first-token time (30 s) instead of refused after its queue time, then failed with an unknown outcome.

Cause: if the commit of a dispatch failed, the engine's slot was freed, although the dispatch may be in the log: the leader lost its leadership, the next one finds the call dispatched, and the gateway executes it. The owner then counts one call too few. The same release counted as a success of the engine, which it never was.

Change: a slot is freed at once only if the dispatch can't have been committed; else when the state machine shows that it was dropped, after 10 s at the latest, and by the ticket of its own reservation, so that a second reservation of the call is never freed.

TestOverloadIsRefused keeps its checks and also fails if a filling call ends early.

--- a/internal/control/control.go
+++ b/internal/control/control.go
@@ -216,6 +216,7 @@
 			return response, failure
 		}
 		if !apierr.Is(failure, apierr.PeerUnreachable) && !apierr.Is(failure, apierr.NotFound) {
+			response.Ticket = request.Ticket
 			return response, failure
 		}
 	}
--- a/internal/coordinator/server.go
+++ b/internal/coordinator/server.go
@@ -349,10 +349,11 @@
 		response.WaitedMillis = waited.Milliseconds()
 		return response, err
 	}
-	s.options.Release(decision.Engine, owner.ReleaseRequest{Engine: decision.Engine.Name, CallID: call.ID})
 	if err != nil {
+		s.releaseUnlessDispatched(uncertainDispatch{request: request, callID: call.ID, attempt: call.Attempt + 1, decision: decision}, err)
 		return BeginResponse{}, err
 	}
+	s.releaseDecision(call.ID, decision)
 	if result.Error.Code == apierr.HistoryConflict {
 		_ = s.failCall(ctx, request, call, result.Error)
 		return BeginResponse{Conflict: &result.Mark}, nil
--- a/internal/owner/engine_test.go
+++ b/internal/owner/engine_test.go
@@ -87,6 +87,29 @@
 	assert.Equal(t, queues.Loads()[0].Running, 1, "the call's other request keeps its slot")
 }
 
+// TestCallTakesOverItsSlot checks that a call that is placed again while its first reservation stands gets that slot, though the
+// engine is full, and that the cancellation of the first reservation doesn't free it.
+func TestCallTakesOverItsSlot(t *testing.T) {
+	queues := NewQueues(QueuesOptions{
+		Clock:       clock.Real{},
+		FindEngine:  func(name string) (resource.Engine, bool) { return resource.Engine{Name: name, Slots: 2}, true },
+		GatewayLost: func(string) bool { return false },
+		Logger:      events.Discard(),
+	})
+	reserve := func(call string, ticket uint64) bool {
+		response, err := queues.Reserve(t.Context(), ReserveRequest{Engine: "e", CallID: call, Ticket: ticket, CallMillis: 1000})
+		assert.NilError(t, err)
+		return response.Granted
+	}
+	assert.Assert(t, reserve("a", 1) && reserve("b", 2))
+	assert.Assert(t, !reserve("c", 3), "the engine is full")
+	assert.Assert(t, reserve("a", 4), "the call did not get its own slot")
+	queues.Release(ReleaseRequest{Engine: "e", CallID: "a", Ticket: 1})
+	assert.Assert(t, !reserve("c", 5), "the slot was freed by the cancellation of the first reservation")
+	queues.Release(ReleaseRequest{Engine: "e", CallID: "a", Ticket: 4})
+	assert.Assert(t, reserve("c", 6))
+}
+
 // TestIdleSharesAreUsed checks that a single tenant gets all slots, whatever its weight.
 func TestIdleSharesAreUsed(t *testing.T) {
 	state := newEngine(4)
--- a/internal/owner/owner.go
+++ b/internal/owner/owner.go
@@ -46,6 +46,8 @@
 // ReserveResponse holds the result of a ReserveRequest and the loads of all engines at the owner.
 type ReserveResponse struct {
 	Granted bool `json:"granted"`
+	// Ticket is that of the request. The requester fills it in.
+	Ticket uint64 `json:"-"`
 	// Queued is set if the call was queued.
 	Queued bool `json:"queued,omitempty"`
 	// Overloaded is set if the expected queue time exceeds WaitMillis, or the wait has timed out.
--- a/internal/owner/queues.go
+++ b/internal/owner/queues.go
@@ -87,7 +87,10 @@
 	if !state.accept(request.Ticket) {
 		return nil, q.response(false), nil
 	}
-	if len(state.queue) == 0 && len(state.running) < state.capacity(now) {
+	// A call whose dispatch got lost is placed again while its first reservation still stands: it takes over that slot.
+	capacity := state.capacity(now)
+	_, holdsSlot := state.running[request.CallID]
+	if holdsSlot && capacity > 0 || len(state.queue) == 0 && len(state.running) < capacity {
 		state.grant(request, now)
 		return nil, q.response(true), nil
 	}
--- a/internal/scheduler/reserve.go
+++ b/internal/scheduler/reserve.go
@@ -118,6 +118,7 @@
 	defer s.mutex.Unlock()
 	now := s.now()
 	if response.Granted {
+		decision.Ticket = response.Ticket
 		s.lastChosen[engine.Name] = now
 	}
 	for _, load := range response.Loads {
--- a/internal/scheduler/scheduler.go
+++ b/internal/scheduler/scheduler.go
@@ -80,9 +80,11 @@
 
 // Decision is the outcome of one placement, kept for operators.
 type Decision struct {
-	Call       string
-	At         time.Time
-	Engine     resource.Engine
+	Call   string
+	At     time.Time
+	Engine resource.Engine
+	// Ticket identifies the reservation on the engine; 0 if the Reserver doesn't set it.
+	Ticket     uint64
 	OwnerID    string
 	Candidates []Candidate
 	// Queued is set if the call waited in an engine's queue.
--- a/test/path/path_test.go
+++ b/test/path/path_test.go
@@ -415,10 +415,20 @@
 	defer client.Close()
 	hangCtx, release := context.WithCancel(t.Context())
 	var tasks sync.WaitGroup
+	// ended holds what the filling calls got: they hang until released, so any early end is a fault.
+	ended := make(chan error, 4)
 	for number := range 4 {
-		tasks.Go(func() { _, _ = client.Chat(hangCtx, system.APIURLs()[number%3], newCall("", 0, userMessage("hang"))) })
+		tasks.Go(func() {
+			_, err := client.Chat(hangCtx, system.APIURLs()[number%3], newCall("", 0, userMessage("hang")))
+			ended <- err
+		})
 	}
 	poll.WaitOn(t, func(poll.LogT) poll.Result {
+		select {
+		case err := <-ended:
+			return poll.Error(errors.Wrapf(err, "a call ended early with %d calls at the engine", len(system.Engines["m1"].Ledger())))
+		default:
+		}
 		if len(system.Engines["m1"].Ledger()) == 4 {
 			return poll.Success()
 		}
