turnstore: a replica is marked complete only in the shard with which it has caught up

Callers: none seen; by reading it would be lost turns and overrun budgets.

Cause: the pull loop decides that the replica has caught up and then saves it; the membership loop may move the replica to another shard in between, which empties it. It then counted as complete for a shard of which it holds nothing: the same fault as an acknowledgement of a wiped replica, an answer counted for what the replica was before.

Evidence: TestCatchUpOfFormerShardIsNotSaved shows the interleaving at the folder; before, saveComplete took no shard and the last check failed.

Change: the decision names its shard, and saving it for another one fails.

--- a/internal/turnstore/folder.go
+++ b/internal/turnstore/folder.go
@@ -98,9 +98,13 @@
 	return nil
 }
 
-func (f *folder) saveComplete() error {
+// saveComplete marks the replica as complete in a shard. It fails if the replica has moved to another shard meanwhile.
+func (f *folder) saveComplete(shard int) error {
 	f.mutex.Lock()
 	defer f.mutex.Unlock()
+	if f.stored.Assigned && f.stored.ReplicaSet.Shard != shard {
+		return errors.WithStack(errWrongShard{})
+	}
 	f.stored.Complete = true
 	if err := f.save(); err != nil {
 		f.stored.Complete = false
--- a/internal/turnstore/membership.go
+++ b/internal/turnstore/membership.go
@@ -229,7 +229,7 @@
 	if !ready {
 		return nil
 	}
-	if err := r.folder.saveComplete(); err != nil {
+	if err := r.folder.saveComplete(joint.Shard); err != nil {
 		return err
 	}
 	return r.replaceSet(ctx, joint, completedChange(joint))
--- a/internal/turnstore/pull.go
+++ b/internal/turnstore/pull.go
@@ -48,8 +48,8 @@
 	for round := 0; ctx.Err() == nil; round++ {
 		fast := r.needsFastPull()
 		r.startRound(ctx, &tasks, round, fast)
-		if r.hasCaughtUp() {
-			r.finishCatchUp()
+		if shard, done := r.caughtUpShard(); done {
+			r.finishCatchUp(shard)
 		}
 		interval := pullInterval
 		if fast {
@@ -283,19 +283,19 @@
 	progress.firstRequestAt = time.Now()
 }
 
-// hasCaughtUp reports whether an incomplete replica now holds every acknowledged record: it has pulled from a read
-// quorum of complete members, or from all members, after the acknowledgements that it gave before it lost its records
-// have expired.
-func (r *Replica) hasCaughtUp() bool {
+// caughtUpShard reports whether an incomplete replica now holds every acknowledged record of its shard: it has pulled from
+// a read quorum of complete members, or from all members, after the acknowledgements that it gave before it lost its
+// records have expired.
+func (r *Replica) caughtUpShard() (shard int, caughtUp bool) {
 	if r.folder.record().Complete {
-		return false
+		return noShard, false
 	}
 	r.mutex.Lock()
 	defer r.mutex.Unlock()
 	if r.set.Epoch == 0 {
-		return false
+		return noShard, false
 	}
-	return r.pulledReadQuorum(r.emptySince.Add(ackLifetime))
+	return r.shard, r.pulledReadQuorum(r.emptySince.Add(ackLifetime))
 }
 
 // pulledReadQuorum reports whether this replica has pulled from a read quorum of complete members, or from all members,
@@ -322,8 +322,8 @@
 	return count(others, pulledPeers) == len(others)
 }
 
-func (r *Replica) finishCatchUp() {
-	if err := r.folder.saveComplete(); err != nil {
+func (r *Replica) finishCatchUp(shard int) {
+	if err := r.folder.saveComplete(shard); err != nil {
 		r.logger.Emit(events.ReplicaLogFailed, events.F("error", err))
 		return
 	}
--- a/internal/turnstore/shard_test.go
+++ b/internal/turnstore/shard_test.go
@@ -228,6 +228,20 @@
 	assert.Assert(t, !opened.record().Complete, "the replica is complete in a shard of which it holds no records")
 }
 
+// A replica that moves to another shard while it finishes catching up with its former one must not count as complete in the
+// new one, of which it holds nothing.
+func TestCatchUpOfFormerShardIsNotSaved(t *testing.T) {
+	t.Parallel()
+	opened, err := openFolder(memoryFolder(t), false)
+	assert.NilError(t, err)
+	assert.NilError(t, opened.saveShard(ReplicaSet{Shard: 0, Shards: 2, Epoch: 1}))
+	assert.NilError(t, opened.saveShard(ReplicaSet{Shard: 1, Shards: 2, Epoch: 1}))
+	assert.Assert(t, opened.saveComplete(0) != nil)
+	assert.Assert(t, !opened.record().Complete)
+	assert.NilError(t, opened.saveComplete(1))
+	assert.Assert(t, opened.record().Complete)
+}
+
 // A member must not count another member as a spare: a retiring member would wait in vain for it to join.
 func TestMembersDoNotCountAsSpares(t *testing.T) {
 	t.Parallel()
