turnstore: a reservation is confirmed before it counts

Callers: a program generated more than its budget ("generated 420" of 400), without any failure: three turns of a program opened at the same time over links of unequal delay were all granted, 180 tokens of 120.

Cause: each replica lists the program's charges when it stores a reservation, and the client decided on the lists of the first write quorum, which are from different moments. Reservations see each other in a circle then: X sees Y, Y sees Z, Z sees X, and each misses one. Pairs always see each other, which is what the tests checked.

Evidence: a trace of a trial of TestRandomFaultsSharded (random faults, a tenth of the client's writes delayed by up to 0.5 s, programs shared by six writers; each opening logs its replicas and the number of charges it saw). Program 21: 1lu8 stored at replica-4 at 11.8165 and at replica-3 at 12.068, b3tw at replica-5 at 11.892 and replica-4 at 11.958, 1m9y at replicas 3 and 5 at 11.905: 1lu8 sees 1m9y but not b3tw, b3tw sees 1lu8 but not 1m9y, 1m9y sees b3tw but not 1lu8; seven of sixty tokens are granted, and no machine was down.

Why this works: a reservation counts once all members have stored it, or once a read quorum has listed the charges again after a write quorum had stored it. Take all granted reservations of a program. Among those that were confirmed, the last one to be stored lists all others that were, and every unconfirmed one that reached a replica before it did its second reading; the unconfirmed ones it misses stored themselves after that reading, so each of them lists everything, and the last of these at the replica that they reach last lists the rest. So one of them has counted all, within the budget.

Cost: if a member is slow or down, 8 ms and one more round trip for each reservation; the second request stores nothing.

--- a/internal/turnstore/client.go
+++ b/internal/turnstore/client.go
@@ -20,6 +20,9 @@
 	// textHedgeDelay is how long the nearest replica may take to return the text before the other replicas are asked
 	// for it.
 	textHedgeDelay = 25 * time.Millisecond
+	// confirmDelay is how long a reservation that a write quorum has stored waits for the other members before it is
+	// confirmed by a second request. It is longer than members in other zones usually take.
+	confirmDelay = 8 * time.Millisecond
 	// retryAfterUnavailable is the retry delay suggested to callers when there is no quorum.
 	retryAfterUnavailable = 250 * time.Millisecond
 	// putRetryDelay precedes each retry of a write at the replicas that have not stored it.
@@ -339,6 +342,8 @@
 	hedge := time.NewTimer(textHedgeDelay)
 	defer hedge.Stop()
 	hedged := false
+	confirming := &confirmation{client: c, set: set, request: request, replies: replies}
+	defer confirming.stop()
 	for {
 		if collector.newer != nil {
 			return collector.newer, nil
@@ -358,9 +363,14 @@
 			hedged = true
 			c.requestTextFromOthers(requestContext, set, params.Previous, replies)
 		}
+		if opened.Reserved && collector.stored() {
+			confirming.advance(requestContext, collector)
+		}
 		select {
 		case reply := <-replies:
 			collector.add(reply)
+		case <-confirming.due():
+			confirming.begin()
 		case <-hedge.C:
 			if !hedged && wantText {
 				hedged = true
@@ -375,10 +385,12 @@
 // openReply is one replica's response to an open request.
 type openReply struct {
 	member Member
-	// reserving reports that the request included the reservation: only such a response counts for the budget.
-	reserving bool
-	response  openResponse
-	err       error
+	// reserving reports that the request included the reservation: only such a response counts for the budget. confirming
+	// reports that it was sent after a write quorum had stored the reservation.
+	reserving  bool
+	confirming bool
+	response   openResponse
+	err        error
 }
 
 // sendOpen sends the request to all replicas, and asks only the nearest one for the text.
@@ -390,7 +402,7 @@
 		memberRequest := request
 		memberRequest.WithText = request.Previous != "" && member.Name == nearest
 		report.attachTo(&memberRequest, member)
-		go c.callOpen(ctx, member, memberRequest, replies)
+		go c.callOpen(ctx, member, memberRequest, false, replies)
 	}
 	c.sendLoad(report, set)
 	return replies
@@ -401,7 +413,7 @@
 	nearest := c.nearest(set)
 	for _, member := range set.All() {
 		if member.Name != nearest {
-			go c.callOpen(ctx, member, request, replies)
+			go c.callOpen(ctx, member, request, false, replies)
 		}
 	}
 }
@@ -416,10 +428,10 @@
 	return all[0].Name
 }
 
-func (c *Client) callOpen(ctx context.Context, member Member, request openRequest, replies chan<- openReply) {
+func (c *Client) callOpen(ctx context.Context, member Member, request openRequest, confirming bool, replies chan<- openReply) {
 	response, err := callWithRetry[openResponse](ctx, c.network, member.Peer(), openKind, request)
 	c.receiveLoad(response)
-	replies <- openReply{member: member, reserving: request.Reserve != nil, response: response, err: err}
+	replies <- openReply{member: member, reserving: request.Reserve != nil, confirming: confirming, response: response, err: err}
 }
 
 // callOpenAll yields the responses of all replicas until the context ends.
@@ -427,7 +439,7 @@
 	replies := make(chan openReply, responseBuffer)
 	members := set.All()
 	for _, member := range members {
-		go c.callOpen(ctx, member, request, replies)
+		go c.callOpen(ctx, member, request, false, replies)
 	}
 	return func(yield func(openReply) bool) {
 		for range members {
--- a/internal/turnstore/collector.go
+++ b/internal/turnstore/collector.go
@@ -16,6 +16,8 @@
 	// replicas among them, whose lists of charges can be relied on.
 	reserved         map[string]bool
 	reservedComplete map[string]bool
+	// confirmed holds the complete replicas that listed the charges after a write quorum had stored the reservation.
+	confirmed map[string]bool
 	// known reports that some replica has the previous turn, though perhaps not its text or its predecessors.
 	known    bool
 	turns    map[string]conversation.Turn
@@ -36,6 +38,7 @@
 		withText:  make(map[string]bool),
 
 		reservedComplete: make(map[string]bool),
+		confirmed:        make(map[string]bool),
 	}
 }
 
@@ -56,6 +59,7 @@
 	if reply.reserving {
 		c.reserved[reply.member.Name] = true
 		c.reservedComplete[reply.member.Name] = reply.response.Complete
+		c.confirmed[reply.member.Name] = c.confirmed[reply.member.Name] || reply.confirming && reply.response.Complete
 	}
 	c.known = c.known || reply.response.Known
 	if reply.response.Engine != "" {
@@ -102,13 +106,16 @@
 // decide reports whether the responses suffice. If so, it returns an error or fills opened, except for its previous
 // turns.
 func (c *openCollector) decide(params OpenParams, opened *OpenedTurn, wantText bool) (bool, error) {
-	if opened.Reserved && !(c.set.HasWriteQuorum(c.reserved) && c.set.HasReadQuorum(c.reservedComplete)) {
+	if opened.Reserved && !c.stored() {
 		return false, nil
 	}
 	if opened.Reserved && c.spent(opened.chargeID)+params.Most > params.Budget {
 		return true, apierr.New(apierr.BudgetExceeded, apierr.NotRun,
 			"the program's budget of %d tokens has no room for %d more", params.Budget, params.Most)
 	}
+	if opened.Reserved && !c.ordered() {
+		return false, nil
+	}
 	if opened.Engine == "" {
 		opened.Engine = c.engine
 	}
@@ -124,6 +131,20 @@
 	return false, nil
 }
 
+// stored reports whether a write quorum has stored the reservation and a read quorum has listed the charges.
+func (c *openCollector) stored() bool {
+	return c.set.HasWriteQuorum(c.reserved) && c.set.HasReadQuorum(c.reservedComplete)
+}
+
+// ordered reports whether the listed charges can be relied on. Replicas list them when they store the reservation, each at
+// another time, so that reservations of concurrent turns may see each other in a circle, and each of them may miss one. If
+// all members have stored the reservation, or a read quorum has listed the charges after a write quorum had stored it, then
+// of any such reservations the last one sees all others.
+func (c *openCollector) ordered() bool {
+	all := c.set.All()
+	return count(all, c.reservedComplete) == len(all) || c.set.HasReadQuorum(c.confirmed)
+}
+
 func noSuchTurn(id string) *apierr.Error {
 	return apierr.New(apierr.NoSuchTurn, apierr.NotRun, "there is no turn %q", id)
 }
