Logs tell an engine's software version and the attempt that a caller resumes

The version is translated from the engine's record and stands in 5xx and request lines; a request that takes a stream up names the attempt that began it. explain shows all attempts at a stream. Nothing is decided by these fields yet; TestReportOfAStreamOverSeveralAttempts covers the report.

--- a/internal/dispatch/dispatch.go
+++ b/internal/dispatch/dispatch.go
@@ -90,8 +90,9 @@
 
 // Trace records the placement of a call.
 type Trace struct {
-	// Engine is the ID of the last engine.
-	Engine string
+	// Engine is the ID of the last engine, Software the version of its software when it was chosen.
+	Engine   string
+	Software string
 	// Sends is the number of attempts, refused ones included.
 	Sends int
 	// EngineWait is the time spent waiting for a usable engine.
@@ -212,7 +213,7 @@
 			return progress.finalError(ctx, outcome, err)
 		}
 		d.logger.Emit(events.AttemptRetried, events.F("request", call.ID), events.F("engine", engine.ID()),
-			events.F("outcome", outcome.String()), events.F("error", err), events.F("sends", call.Trace.Sends))
+			events.F("software", call.Trace.Software), events.F("outcome", outcome.String()), events.F("error", err), events.F("sends", call.Trace.Sends))
 	}
 }
 
@@ -224,7 +225,7 @@
 	}
 	progress.resumeOn = nil
 	clock.Sleep(ctx, progress.resumeDelay())
-	switch d.registry.acquire(resumeOn) {
+	switch d.registry.acquire(resumeOn, &call.Trace) {
 	case present:
 		return resumeOn, nil
 	case draining:
--- a/internal/dispatch/engine.go
+++ b/internal/dispatch/engine.go
@@ -13,7 +13,10 @@
 	Service string `json:"service"`
 	Address string `json:"address"`
 	Zone    string `json:"zone"`
-	Slots   int    `json:"slots"`
+	// Software is the version of the engine's software; empty if the engine doesn't state one. Streams of different
+	// versions can't be joined.
+	Software string `json:"software,omitempty"`
+	Slots    int    `json:"slots"`
 	// Draining engines get no new work.
 	Draining bool `json:"draining,omitempty"`
 }
--- a/internal/dispatch/placement.go
+++ b/internal/dispatch/placement.go
@@ -96,6 +96,7 @@
 		}
 	}
 	trace.Engine = best.ID()
+	trace.Software = best.specification.Software
 	trace.Candidates = len(candidates)
 	trace.InFlight = best.inFlight
 	trace.Load = r.callsAt(now, best)
--- a/internal/dispatch/registry.go
+++ b/internal/dispatch/registry.go
@@ -97,7 +97,7 @@
 		engine.update(now, specification, entry.Revision, r.outage)
 	}
 	r.logger.Emit(events.EngineChanged, events.F("engine", id), events.F("service", specification.Service),
-		events.F("address", specification.Address), events.F("draining", specification.Draining),
+		events.F("address", specification.Address), events.F("software", specification.Software), events.F("draining", specification.Draining),
 		events.F("revision", entry.Revision))
 }
 
@@ -195,11 +195,12 @@
 func (r *Registry) Take(now time.Time, others load.Counts) { r.others.Take(now, others) }
 
 // acquire counts another call in flight at the engine that ran a stream, if the engine is still present.
-func (r *Registry) acquire(engine *Engine) presence {
+func (r *Registry) acquire(engine *Engine, trace *Trace) presence {
 	r.mutex.Lock()
 	defer r.mutex.Unlock()
 	found := engine.presence(time.Now(), r.outage)
 	if found == present {
+		trace.Software = engine.specification.Software
 		engine.inFlight++
 	}
 	return found
--- a/internal/dispatch/resume.go
+++ b/internal/dispatch/resume.go
@@ -12,7 +12,9 @@
 
 // Resumption is the result of an attempt to continue a stream.
 type Resumption struct {
-	Engine string
+	// Engine is the engine's ID, Software the version of its software.
+	Engine   string
+	Software string
 	// LastEvent is the event ID to continue after; empty for the start of the stream.
 	LastEvent string
 	// Status is the response's status code; 0 without a response.
@@ -32,7 +34,7 @@
 // newResumption returns the Resumption of an attempt that begins. ranBefore is set if an earlier attempt may have run
 // the call; if not, the attempt starts the stream and its result is not reported.
 func newResumption(call *Call, engine *Engine, ranBefore bool) *Resumption {
-	resumption := &Resumption{Engine: engine.ID()}
+	resumption := &Resumption{Engine: engine.ID(), Software: call.Trace.Software}
 	if call.Stream != nil {
 		resumption.LastEvent = call.Stream.LastEvent()
 		resumption.eventsBefore = call.Stream.Events()
--- a/internal/explain/explain.go
+++ b/internal/explain/explain.go
@@ -106,26 +106,50 @@
 }
 
 // Matches reports whether the line belongs to the request or program with the given ID, or to a request that continues the turn
-// with that ID.
+// or resumes the stream with that ID.
 func (l Line) Matches(id string) bool {
-	return l.text("request") == id || l.text("program") == id || l.text("previous") == id
+	return l.text("request") == id || l.text("program") == id || l.text("previous") == id || l.text("resumes") == id
+}
+
+// matchesAny reports whether the line matches any of the IDs.
+func (l Line) matchesAny(ids []string) bool { return slices.ContainsFunc(ids, l.Matches) }
+
+// streamAttempts returns the IDs of all attempts at the stream of a request: a caller may resume a stream at other gateways,
+// and names the attempt that began it. For other requests, and for programs, it returns the ID alone.
+func streamAttempts(lines []Line, id string) []string {
+	first := id
+	for _, line := range lines {
+		if resumes := line.text("resumes"); resumes != "" && line.text("request") == id {
+			first = resumes
+		}
+	}
+	ids := []string{first}
+	for _, line := range lines {
+		if attempt := line.text("request"); line.text("resumes") == first && !slices.Contains(ids, attempt) {
+			ids = append(ids, attempt)
+		}
+	}
+	return ids
 }
 
 // Report holds the log lines that concern one request or program.
 type Report struct {
 	id string
+	// ids are id and the other attempts at the same stream.
+	ids []string
 	// lines belong to the request or program; context are state changes around them. Both are sorted by time.
 	lines   []Line
 	context []Line
 }
 
-// NewReport selects the lines that concern the request or program with the given ID.
+// NewReport selects the lines that concern the request or program with the given ID. For an attempt to resume a stream, these
+// are the lines of all attempts at that stream.
 func NewReport(lines []Line, id string) Report {
-	report := Report{id: id}
+	report := Report{id: id, ids: streamAttempts(lines, id)}
 	handlers := make(map[string]bool)
 	engines := make(map[string]bool)
 	for _, line := range lines {
-		if !line.Matches(id) {
+		if !line.matchesAny(report.ids) {
 			continue
 		}
 		report.lines = append(report.lines, line)
@@ -139,7 +163,7 @@
 	from := report.begin().Add(-contextBefore)
 	until := report.lines[len(report.lines)-1].at.Add(contextAfter)
 	for _, line := range lines {
-		if line.at.Before(from) || line.at.After(until) || line.Matches(id) {
+		if line.at.Before(from) || line.at.After(until) || line.matchesAny(report.ids) {
 			continue
 		}
 		isContext := slices.Contains(contextEvents, line.event)
@@ -203,7 +227,7 @@
 	sortByTime(all)
 	for _, line := range all {
 		mark := " "
-		if line.Matches(r.id) {
+		if line.matchesAny(r.ids) {
 			mark = "*"
 		}
 		fmt.Fprintf(output, "%s %s %-22s %-24s %s\n", line.at.Format(reportTimeLayout), mark, line.nodes(), line.name, line.details())
--- a/internal/explain/explain_test.go
+++ b/internal/explain/explain_test.go
@@ -82,6 +82,25 @@
 	assert.Assert(t, strings.Contains(printed[3], "its stream was cut_by_engine after 2 events, read from 2 answers"), printed[3])
 }
 
+const resumedStreamLog = `{"event":604,"name":"request_failed","node":"g1","request":"r1","engine":"e1","software":"v1","stream":"cut_by_engine","events":2,"millis":300,"time":"2026-01-01T10:00:00.300Z"}
+{"event":516,"name":"stream_resumed","node":"g2","request":"r3","engine":"e3","software":"v1","last_event":"4","outcome":"succeeded","time":"2026-01-01T10:00:01.900Z"}
+{"event":604,"name":"request_ended","node":"g2","request":"r3","resumes":"r1","resume_after":"3","engine":"e3","software":"v1","millis":90,"time":"2026-01-01T10:00:02.000Z"}
+{"event":604,"name":"request_ended","node":"g3","request":"r2","resumes":"r1","resume_after":"2","engine":"e2","software":"v1","millis":50,"time":"2026-01-01T10:00:01.000Z"}
+`
+
+// The report on any attempt at a stream shows all of them, with the engine and software version of each.
+func TestReportOfAStreamOverSeveralAttempts(t *testing.T) {
+	lines, err := Read(strings.NewReader(resumedStreamLog), "gateways")
+	assert.NilError(t, err)
+	for _, id := range []string{"r1", "r2", "r3"} {
+		var text strings.Builder
+		NewReport(lines, id).Write(&text)
+		for _, expected := range []string{"request=r1", "request=r2", "request=r3", "engine=e1", "engine=e2", "engine=e3", "software=v1", "last_event=4"} {
+			assert.Assert(t, strings.Contains(text.String(), expected), "%s: %s is missing in %s", id, expected, text.String())
+		}
+	}
+}
+
 func TestUnknownRequest(t *testing.T) {
 	report := NewReport(readSample(t), "none")
 	assert.Assert(t, !report.Found())
--- a/internal/ingress/metrics.go
+++ b/internal/ingress/metrics.go
@@ -106,6 +106,9 @@
 		events.F("request", r.caller.ID), events.F("program", r.caller.Program), events.F("session", r.caller.Session),
 		events.F("previous", r.caller.Previous), events.F("patience_millis", r.caller.TimeLimit.Milliseconds()),
 	}
+	if r.caller.LastEvent != "" {
+		fields = append(fields, events.F("resumes", r.caller.Resumes), events.F("resume_after", r.caller.LastEvent))
+	}
 	if r.caller.HasProgramTimeLimit {
 		fields = append(fields, events.F("program_left_millis", r.caller.ProgramTimeLimit.Milliseconds()))
 	}
@@ -119,7 +122,7 @@
 func (r *request) placementFields() []events.Field {
 	trace := r.call.Trace
 	fields := []events.Field{
-		events.F("engine", trace.Engine), events.F("preferred", r.call.Placement.Preferred), events.F("sends", trace.Sends),
+		events.F("engine", trace.Engine), events.F("software", trace.Software), events.F("preferred", r.call.Placement.Preferred), events.F("sends", trace.Sends),
 		events.F("held_millis", trace.EngineWait.Milliseconds()), events.F("candidates", trace.Candidates),
 		events.F("in_flight", trace.InFlight), events.F("busy", math.Round(trace.Load)),
 		events.F("busy_age_millis", trace.LoadAge.Milliseconds()), events.F("pace", math.Round(trace.LatencyRatio*100)/100),
--- a/internal/ingress/server.go
+++ b/internal/ingress/server.go
@@ -54,6 +54,8 @@
 	Previous string
 	// LastEvent is the ID of the last event of this stream that the caller has; empty if it has none.
 	LastEvent string
+	// Resumes is the ID of the caller's attempt that brought the first event of this stream; empty if unknown.
+	Resumes string
 	// Prompt describes the parts of the prompt.
 	Prompt dispatch.Prompt
 }
--- a/internal/ingress/stream.go
+++ b/internal/ingress/stream.go
@@ -170,7 +170,7 @@
 		return
 	}
 	r.server.options.Logger.Emit(events.StreamResumed, events.F("request", r.caller.ID), events.F("engine", resumption.Engine),
-		events.F("last_event", resumption.LastEvent), events.F("status", resumption.Status), events.F("events", resumption.Events),
+		events.F("software", resumption.Software), events.F("last_event", resumption.LastEvent), events.F("status", resumption.Status), events.F("events", resumption.Events),
 		events.F("outcome", resumption.Outcome), events.F("error", resumption.Cause))
 }
 
