--- a/internal/ingress/harness_test.go
+++ b/internal/ingress/harness_test.go
@@ -35,7 +35,7 @@
 type testProtocol struct{}
 
 func (testProtocol) Caller(header http.Header) (Caller, error) {
-	caller := Caller{ID: header.Get("Call"), Program: header.Get("Program"), Previous: header.Get("Previous"), LastEvent: header.Get("After"), Budget: NoBudget}
+	caller := Caller{ID: header.Get("Call"), Program: header.Get("Program"), Previous: header.Get("Previous"), LastEvent: header.Get("After"), Resumes: header.Get("Resumes"), Budget: NoBudget}
 	if caller.ID == "" {
 		return caller, apierr.New(apierr.InvalidRequest, apierr.NotRun, "the Call header is missing")
 	}
@@ -76,8 +76,9 @@
 
 // testEngine serves calls with a script that controls the connection.
 type testEngine struct {
-	id   string
-	runs atomic.Int64
+	id            string
+	specification dispatch.EngineSpecification
+	runs          atomic.Int64
 }
 
 type engineCall struct {
@@ -204,6 +205,12 @@
 
 // engine starts an engine of the service "models".
 func (c *testCluster) engine(id string, script func(call *engineCall)) *testEngine {
+	c.t.Helper()
+	return c.engineOf(id, "", script)
+}
+
+// engineOf starts an engine with a version of its software.
+func (c *testCluster) engineOf(id, software string, script func(call *engineCall)) *testEngine {
 	c.t.Helper()
 	listener, err := net.Listen("tcp", "127.0.0.1:0")
 	assert.NilError(c.t, err)
@@ -218,7 +225,8 @@
 			go started.serve(connection, script)
 		}
 	}()
-	c.apply(catalog.EngineKind, id, dispatch.EngineSpecification{ID: id, Service: "models", Address: listener.Addr().String(), Zone: "a", Slots: 8})
+	started.specification = dispatch.EngineSpecification{ID: id, Service: "models", Address: listener.Addr().String(), Zone: "a", Software: software, Slots: 8}
+	c.apply(catalog.EngineKind, id, started.specification)
 	c.engines[id] = started
 	return started
 }
--- /dev/null
+++ b/internal/ingress/softwareversion_test.go
@@ -0,0 +1,171 @@
+package ingress
+
+import (
+	"bufio"
+	"context"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"regexp"
+	"slices"
+	"strings"
+	"testing"
+
+	"gotest.tools/v3/assert"
+
+	"github.com/mountstile/mountstile/internal/catalog"
+	"github.com/mountstile/mountstile/internal/dispatch"
+)
+
+// versionedStream sends the events after the caller's last one; their data names the version of the engine's software.
+func versionedStream(software string) func(call *engineCall) {
+	return func(call *engineCall) {
+		call.beginStream()
+		for id := call.nextEvent(); id <= 4; id++ {
+			call.versionedEvent(software, id)
+		}
+		call.endStream()
+	}
+}
+
+// pausingStream is like versionedStream, but a stream from the start stops after two events until its caller is gone.
+func pausingStream(software string) func(call *engineCall) {
+	return func(call *engineCall) {
+		if call.nextEvent() > 1 {
+			versionedStream(software)(call)
+			return
+		}
+		call.beginStream()
+		call.versionedEvent(software, 1)
+		call.versionedEvent(software, 2)
+		call.awaitClose()
+	}
+}
+
+// nextEvent returns the number of the event after the caller's last one.
+func (c *engineCall) nextEvent() int {
+	last := 0
+	_, _ = fmt.Sscan(c.request.Header.Get("After"), &last)
+	return last + 1
+}
+
+func (c *engineCall) versionedEvent(software string, id int) {
+	c.chunk(fmt.Sprintf("id: %d\ndata: %s\n\n", id, software))
+}
+
+// versionsIn returns the versions that wrote the events of a body, without duplicates.
+func versionsIn(body string) []string {
+	var versions []string
+	for _, match := range regexp.MustCompile(`data: (\S+)`).FindAllStringSubmatch(body, -1) {
+		if !slices.Contains(versions, match[1]) {
+			versions = append(versions, match[1])
+		}
+	}
+	return versions
+}
+
+// crashingEngineOf starts an engine that serves one call: it sends two events and, once crash is closed, stops listening
+// and resets the connection.
+func (c *testCluster) crashingEngineOf(id, software string, crash <-chan struct{}) {
+	c.t.Helper()
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	assert.NilError(c.t, err)
+	go func() {
+		connection, err := listener.Accept()
+		if err != nil {
+			return
+		}
+		request, err := http.ReadRequest(bufio.NewReader(connection))
+		if err != nil {
+			return
+		}
+		call := &engineCall{connection: connection, id: request.Header.Get("Call")}
+		call.beginStream()
+		call.versionedEvent(software, 1)
+		call.versionedEvent(software, 2)
+		<-crash
+		_ = listener.Close()
+		call.reset()
+	}()
+	c.apply(catalog.EngineKind, id, dispatch.EngineSpecification{ID: id, Service: "models", Address: listener.Addr().String(), Zone: "a", Software: software, Slots: 8})
+}
+
+// After the crash of its engine, a stream goes on at an engine of the same software version.
+func TestStreamKeepsSoftwareVersionAfterItsEngineCrashed(t *testing.T) {
+	t.Parallel()
+	for round := range 6 {
+		cluster := newTestCluster(t)
+		crash := make(chan struct{})
+		cluster.crashingEngineOf("crashing", "v1", crash)
+		id := fmt.Sprint("c", round)
+		response, err := cluster.startRequest(context.Background(), "/resume/", id, "")
+		assert.NilError(t, err)
+		for index := range 3 {
+			cluster.engineOf(fmt.Sprint("new", index), "v2", versionedStream("v2"))
+		}
+		cluster.engineOf("old", "v1", versionedStream("v1"))
+		close(crash)
+		body, err := io.ReadAll(response.Body)
+		_ = response.Body.Close()
+		assert.NilError(t, err)
+		assert.Equal(t, strings.Count(string(body), "id: "), 4, "%q", body)
+		assert.DeepEqual(t, versionsIn(string(body)), []string{"v1"})
+	}
+}
+
+// secondGateway returns another gateway that knows the same engines and replicas.
+func (c *testCluster) secondGateway() *testCluster {
+	c.t.Helper()
+	other := newTestCluster(c.t)
+	for _, engine := range c.engines {
+		other.apply(catalog.EngineKind, engine.id, engine.specification)
+	}
+	other.apply(catalog.ReplicaSetKind, "current", c.node.turns.ReplicaSet())
+	return other
+}
+
+// readTwoEvents begins a stream, reads two events and disconnects.
+func (c *testCluster) readTwoEvents(path, id string, headers ...string) string {
+	c.t.Helper()
+	ctx, leave := context.WithCancel(context.Background())
+	defer leave()
+	response, err := c.startRequest(ctx, path, id, "in", headers...)
+	assert.NilError(c.t, err)
+	defer response.Body.Close()
+	assert.Equal(c.t, response.StatusCode, http.StatusOK)
+	body := make([]byte, len("id: 1\ndata: v1\n\nid: 2\ndata: v1\n\n"))
+	_, err = io.ReadFull(response.Body, body)
+	assert.NilError(c.t, err)
+	return string(body)
+}
+
+// A caller that takes its stream up at another gateway gets the rest from the software version that began it, with and
+// without a budget, also in a chain of attempts.
+func TestStreamKeepsSoftwareVersionAtAnotherGateway(t *testing.T) {
+	t.Parallel()
+	cluster := newTestCluster(t)
+	cluster.withReplica()
+	for _, software := range []string{"v1", "v2"} {
+		for index := range 2 {
+			cluster.engineOf(fmt.Sprint(software, "-", index), software, pausingStream(software))
+		}
+	}
+	other := cluster.secondGateway()
+	began := make(map[string]int)
+	for number := range 24 {
+		first, second := fmt.Sprint("first", number), fmt.Sprint("second", number)
+		var headers []string
+		if number%2 == 0 {
+			headers = []string{"Program", fmt.Sprint("p", number), "Budget", "1000", "Most", "36"}
+		}
+		begun := cluster.readTwoEvents("/resume/", first, headers...)
+		rest := other.send("/resume/", second, "in", append(headers, "After", "2", "Resumes", first)...)
+		assert.NilError(t, rest.err)
+		assert.Equal(t, rest.status, http.StatusOK, rest.body)
+		assert.Equal(t, strings.Count(rest.body, "id: "), 2, rest.body)
+		assert.DeepEqual(t, versionsIn(rest.body), versionsIn(begun))
+		began[versionsIn(begun)[0]]++
+	}
+	assert.Assert(t, len(began) == 2, "only one version began streams: %v", began)
+}
