dispatch: a stream goes on only at the software version that sent its first event

What callers saw: after the crash of its engine, a stream of v1 was completed by an engine of v2, within one answer. Change: once a stream has an event, its call is pinned to the version of the engine that sent it. Pinned calls choose among the engines of that version only.

--- a/internal/dispatch/dispatch.go
+++ b/internal/dispatch/dispatch.go
@@ -31,6 +31,9 @@
 	maxAttempts = 6
 	// engineWaitTimeout is how long a call waits for a usable engine.
 	engineWaitTimeout = 60 * time.Millisecond
+	// pinnedWaitTimeout replaces engineWaitTimeout for calls that only engines of one software version can run, while any of
+	// these is present. It exceeds fullBackoff, and ends before callers give up a silent stream.
+	pinnedWaitTimeout = 400 * time.Millisecond
 	// engineWaitInterval is the polling interval of that wait.
 	engineWaitInterval = 10 * time.Millisecond
 	// noEngineRetryAfter is the Retry-After for callers if no engine was available.
@@ -225,7 +228,7 @@
 	}
 	progress.resumeOn = nil
 	clock.Sleep(ctx, progress.resumeDelay())
-	switch d.registry.acquire(resumeOn, &call.Trace) {
+	switch d.registry.acquire(resumeOn, call.Placement, &call.Trace) {
 	case present:
 		return resumeOn, nil
 	case draining:
@@ -241,13 +244,17 @@
 func (d *Dispatcher) waitForEngine(ctx context.Context, call *Call, progress *progress) (*Engine, error) {
 	startedAt := time.Now()
 	waitUntil := startedAt.Add(engineWaitTimeout)
+	if call.Placement.Pinned {
+		waitUntil = startedAt.Add(pinnedWaitTimeout)
+	}
 	defer func() { call.Trace.EngineWait += time.Since(startedAt) }()
 	for {
 		now := time.Now()
 		if engine := d.registry.choose(now, call.Placement, &call.Trace); engine != nil {
 			return engine, nil
 		}
-		if expired(ctx) || now.After(waitUntil) {
+		hopeless := call.Placement.Pinned && !d.registry.hasEngineFor(now, call.Placement)
+		if expired(ctx) || now.After(waitUntil) || hopeless {
 			return nil, progress.noEngineError(ctx)
 		}
 		clock.Sleep(ctx, engineWaitInterval)
--- a/internal/dispatch/engine.go
+++ b/internal/dispatch/engine.go
@@ -120,6 +120,11 @@
 	return e.recorded(now, last) && e.trusted(now) && !e.specification.Draining && e.breaker.allows(now) && !now.Before(e.fullUntil)
 }
 
+// mayContinue reports whether the engine may get the rest of a stream that no usable engine can continue.
+func (e *Engine) mayContinue(now time.Time, last outage) bool {
+	return e.presence(now, last) == present && !now.Before(e.fullUntil)
+}
+
 // usableAsFallback reports whether the engine may be used although its record was recently removed or has
 // recently reappeared. After an outage of the store, the records of all engines may have expired; they reappear
 // with the engines' next heartbeats.
--- a/internal/dispatch/placement.go
+++ b/internal/dispatch/placement.go
@@ -57,8 +57,15 @@
 	Prompt Prompt
 	// Excluded holds the IDs of engines that must not be used, such as those already tried.
 	Excluded map[string]bool
+	// Pinned restricts the call to engines whose software has the version Software. It is set for streams that have begun,
+	// since the output of different versions can't be joined.
+	Pinned   bool
+	Software string
 }
 
+// allows reports whether the call may run at an engine with a version of its software.
+func (p Placement) allows(software string) bool { return !p.Pinned || software == p.Software }
+
 // Prompt is the structure of a prompt. The zero value stands for an unknown prompt.
 type Prompt struct {
 	// SharedPrefix identifies the first part, which prompts of other programs also begin with.
@@ -108,6 +115,9 @@
 }
 
 func (r *Registry) candidates(now time.Time, placement Placement) []*Engine {
+	if placement.Pinned {
+		return r.pinnedCandidates(now, placement)
+	}
 	var usable, fallback []*Engine
 	for id, engine := range r.services[placement.Service] {
 		switch {
@@ -126,6 +136,37 @@
 	return usable
 }
 
+// pinnedCandidates returns the engines for a pinned call. If none is usable for new work, those that are present but failing
+// or not trusted are better than none: no other engine can continue the stream.
+func (r *Registry) pinnedCandidates(now time.Time, placement Placement) []*Engine {
+	var usable, present []*Engine
+	for id, engine := range r.services[placement.Service] {
+		switch {
+		case placement.Excluded[id] || !placement.allows(engine.specification.Software):
+		case engine.usable(now, r.outage):
+			usable = append(usable, engine)
+		case engine.mayContinue(now, r.outage):
+			present = append(present, engine)
+		}
+	}
+	if len(usable) > 0 {
+		return usable
+	}
+	return present
+}
+
+// hasEngineFor reports whether any engine that the placement allows is present, so that waiting for one may help.
+func (r *Registry) hasEngineFor(now time.Time, placement Placement) bool {
+	r.mutex.Lock()
+	defer r.mutex.Unlock()
+	for id, engine := range r.services[placement.Service] {
+		if !placement.Excluded[id] && placement.allows(engine.specification.Software) && engine.presence(now, r.outage) == present {
+			return true
+		}
+	}
+	return false
+}
+
 // candidateStats are the properties of all candidates that the cost of each depends on.
 type candidateStats struct {
 	// prefixEngines are the engines for prompts with the call's shared prefix; nil if it has none.
--- a/internal/dispatch/placement_test.go
+++ b/internal/dispatch/placement_test.go
@@ -124,6 +124,6 @@
 	registry := twelveEngines(t)
 	assert.Equal(t, len(registry.Report()), 0)
 	engine := registry.choose(time.Now(), Placement{Service: "s", Preferred: "e3", Affinity: "p"}, &Trace{})
-	registry.acquire(engine, &Trace{})
+	registry.acquire(engine, Placement{}, &Trace{})
 	assert.DeepEqual(t, registry.Report(), load.Counts{{Engine: load.KeyOf("e3"), Calls: 2}})
 }
--- a/internal/dispatch/progress.go
+++ b/internal/dispatch/progress.go
@@ -4,6 +4,7 @@
 	"context"
 	"io"
 	"net/http"
+	"strconv"
 	"time"
 
 	"github.com/cockroachdb/errors"
@@ -97,6 +98,7 @@
 func (p *progress) mayRetry(ctx context.Context, outcome attemptOutcome, engine *Engine, retries *retryBudget) bool {
 	p.attempts++
 	p.resetOnEvents()
+	p.pinSoftware()
 	if outcome == unknown || outcome == delivered {
 		p.ran = true
 	}
@@ -106,7 +108,7 @@
 	if p.call.Stream != nil && p.ran {
 		return p.mayResume(outcome, engine) && retries.spend()
 	}
-	p.call.Placement.Excluded[engine.ID()] = true
+	p.exclude(outcome, engine)
 	if outcome == unknown {
 		p.runs++
 		if !p.call.Route.Repeatable() || p.runs >= p.call.Route.Attempts() {
@@ -127,6 +129,24 @@
 	p.resumes = 0
 }
 
+// pinSoftware restricts a stream that has begun to the software version of the engine that sent its first event.
+func (p *progress) pinSoftware() {
+	if p.call.Stream == nil || p.call.Placement.Pinned || !p.call.Stream.Begun() {
+		return
+	}
+	p.call.Placement.Pinned = true
+	p.call.Placement.Software = p.call.Trace.Software
+}
+
+// exclude rules out an engine for the further attempts of a call that has not run. A pinned call may return to an engine that
+// was full or could not be reached, since few others can run it.
+func (p *progress) exclude(outcome attemptOutcome, engine *Engine) {
+	if p.call.Placement.Pinned && (outcome == refused || outcome == notSent) {
+		return
+	}
+	p.call.Placement.Excluded[engine.ID()] = true
+}
+
 // resumeDelay is the backoff before the next attempt to resume.
 func (p *progress) resumeDelay() time.Duration {
 	return resumeBackoff << max(p.resumes-1, 0)
@@ -167,10 +187,14 @@
 
 // noEngineError returns the error of a call for which no engine is available.
 func (p *progress) noEngineError(ctx context.Context) error {
+	reason := "no engine is available for the call"
+	if p.call.Placement.Pinned {
+		reason = "no engine with software version " + strconv.Quote(p.call.Placement.Software) + ", which began the stream, is available"
+	}
 	if p.ran {
-		return apierr.New(apierr.ExecutionUnknown, apierr.OutcomeUnknown, "no other engine is available for the call")
+		return apierr.New(apierr.ExecutionUnknown, apierr.OutcomeUnknown, "%s", reason)
 	}
-	return p.notRunError(ctx, "no engine is available for the call")
+	return p.notRunError(ctx, reason)
 }
 
 func (p *progress) notRunError(ctx context.Context, reason string) error {
--- a/internal/dispatch/registry.go
+++ b/internal/dispatch/registry.go
@@ -194,12 +194,17 @@
 // Take implements turnstore.LoadExchange. It replaces the calls in flight of other gateways.
 func (r *Registry) Take(now time.Time, others load.Counts) { r.others.Take(now, others) }
 
-// acquire counts another call in flight at the engine that ran a stream, if the engine is still present.
-func (r *Registry) acquire(engine *Engine, trace *Trace) presence {
+// acquire counts another call in flight at the engine that ran a stream, if the engine is still present. An engine that was
+// restarted with other software counts as absent.
+func (r *Registry) acquire(engine *Engine, placement Placement, trace *Trace) presence {
 	r.mutex.Lock()
 	defer r.mutex.Unlock()
+	if !placement.allows(engine.specification.Software) {
+		return absent
+	}
 	found := engine.presence(time.Now(), r.outage)
 	if found == present {
+		trace.Engine = engine.ID()
 		trace.Software = engine.specification.Software
 		engine.inFlight++
 	}
--- a/internal/dispatch/resume.go
+++ b/internal/dispatch/resume.go
@@ -6,6 +6,9 @@
 	LastEvent() string
 	// Events returns how many complete events the caller received.
 	Events() int
+	// Begun reports whether any event was received, so that only engines of the same software version can continue the
+	// stream.
+	Begun() bool
 	// Resumed receives the result of an attempt to continue the stream.
 	Resumed(resumption Resumption)
 }
--- /dev/null
+++ b/internal/dispatch/software_test.go
@@ -0,0 +1,117 @@
+package dispatch
+
+import (
+	"context"
+	"encoding/json"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"github.com/mountstile/mountstile/internal/catalog"
+	"github.com/mountstile/mountstile/internal/events"
+)
+
+// applySoftware applies a record of an engine with a version of its software.
+func applySoftware(t *testing.T, registry *Registry, id, software string, revision int64) {
+	t.Helper()
+	record, err := json.Marshal(EngineSpecification{ID: id, Service: "s", Address: "127.0.0.1:1", Zone: "a", Software: software})
+	assert.NilError(t, err)
+	registry.Apply(catalog.Entry{Key: catalog.Key(catalog.EngineKind, id), Revision: revision, Value: record})
+}
+
+// versionedRegistry has the engines "old" of version v1, and "new1" and "new2" of version v2.
+func versionedRegistry(t *testing.T) *Registry {
+	t.Helper()
+	registry := NewRegistry("a", noDial, events.Discard())
+	for id, software := range map[string]string{"old": "v1", "new1": "v2", "new2": "v2"} {
+		applySoftware(t, registry, id, software, 1)
+	}
+	return registry
+}
+
+// nextForPinned returns the engine that a stream begun by version v1 is sent to, and how long that took.
+func nextForPinned(t *testing.T, registry *Registry, software string, excluded ...string) (engine *Engine, took time.Duration, err error) {
+	t.Helper()
+	call := &Call{Route: resumableRoute(t, 1), Placement: Placement{Service: "s", Excluded: make(map[string]bool), Pinned: true, Software: software}}
+	for _, id := range excluded {
+		call.Placement.Excluded[id] = true
+	}
+	startedAt := time.Now()
+	engine, err = New(registry, nil, events.Discard()).nextEngine(context.Background(), call, &progress{call: call})
+	return engine, time.Since(startedAt), err
+}
+
+// The only engine of a version continues its streams, whatever keeps it from new work; engines of other versions never do.
+func TestStreamNeverLeavesItsSoftwareVersion(t *testing.T) {
+	for name, row := range map[string]struct {
+		change   func(engine *Engine)
+		excluded []string
+		found    bool
+		atOnce   bool
+	}{
+		"usable":   {change: func(*Engine) {}, found: true, atOnce: true},
+		"failing":  {change: func(engine *Engine) { engine.breaker.failed(time.Now(), true) }, found: true, atOnce: true},
+		"full":     {change: func(engine *Engine) { engine.fullUntil = time.Now().Add(fullBackoff) }, found: true},
+		"returned": {change: func(engine *Engine) { engine.returnedAt = time.Now() }, found: true, atOnce: true},
+		"drains":   {change: func(engine *Engine) { engine.drainingAt = time.Now(); engine.specification.Draining = true }, found: true, atOnce: true},
+		"has drained": {change: func(engine *Engine) {
+			engine.drainingAt = time.Now().Add(-2 * drainingGrace)
+			engine.specification.Draining = true
+		}, atOnce: true},
+		"removed":              {change: func(engine *Engine) { engine.removedAt = time.Now() }, found: true, atOnce: true},
+		"removed long ago":     {change: func(engine *Engine) { engine.removedAt = time.Now().Add(-2 * removedGrace) }, atOnce: true},
+		"gone":                 {change: func(*Engine) {}, excluded: []string{"old"}, atOnce: true},
+		"restarted as another": {change: func(engine *Engine) { engine.specification.Software = "v3" }, atOnce: true},
+	} {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			registry := versionedRegistry(t)
+			row.change(registry.byID["old"])
+			engine, took, err := nextForPinned(t, registry, "v1", row.excluded...)
+			assert.Equal(t, err == nil, row.found, "%v", err)
+			if row.found {
+				assert.Equal(t, engine.ID(), "old")
+			}
+			if row.atOnce {
+				assert.Assert(t, took < engineWaitTimeout, "decided after %s", took)
+			}
+			assert.Assert(t, took < pinnedWaitTimeout, "decided after %s", took)
+		})
+	}
+}
+
+// A usable engine of the version is preferred to one that fails.
+func TestUsableEngineOfTheVersionIsPreferred(t *testing.T) {
+	registry := versionedRegistry(t)
+	registry.byID["new1"].breaker.failed(time.Now(), true)
+	for range 10 {
+		engine, _, err := nextForPinned(t, registry, "v2")
+		assert.NilError(t, err)
+		assert.Equal(t, engine.ID(), "new2")
+	}
+}
+
+// Engines that state no version are of one version of their own.
+func TestEnginesWithoutSoftwareVersion(t *testing.T) {
+	registry := versionedRegistry(t)
+	_, _, err := nextForPinned(t, registry, "")
+	assert.Assert(t, err != nil)
+	applySoftware(t, registry, "plain", "", 1)
+	engine, _, err := nextForPinned(t, registry, "")
+	assert.NilError(t, err)
+	assert.Equal(t, engine.ID(), "plain")
+}
+
+// A stream is not resumed at its engine once that has a record of another software version under the same ID and address.
+func TestStreamIsNotResumedAtEngineWithNewSoftware(t *testing.T) {
+	registry := versionedRegistry(t)
+	old := registry.byID["old"]
+	applySoftware(t, registry, "other", "v1", 1)
+	applySoftware(t, registry, "old", "v2", 2)
+	assert.Equal(t, registry.byID["old"], old)
+	call := &Call{Route: resumableRoute(t, 1), Placement: Placement{Service: "s", Excluded: make(map[string]bool), Pinned: true, Software: "v1"}}
+	next, err := New(registry, nil, events.Discard()).nextEngine(context.Background(), call, &progress{call: call, ran: true, resumes: 1, resumeOn: old})
+	assert.NilError(t, err)
+	assert.Equal(t, next.ID(), "other")
+}
--- a/internal/eventstream/stream.go
+++ b/internal/eventstream/stream.go
@@ -143,6 +143,9 @@
 // EventsForwarded returns the number of whole events that were forwarded.
 func (s *Stream) EventsForwarded() int { return s.forwardedCount }
 
+// EventsReceived returns the number of whole events that were received, including those that the caller had before.
+func (s *Stream) EventsReceived() int { return s.receivedCount }
+
 // EventsStarted returns the number of events that were forwarded at least in part.
 func (s *Stream) EventsStarted() int {
 	if !s.options.Resumable && s.currentHead.isSuccess() && s.scanner.inEvent() {
--- a/internal/ingress/softwareversion_test.go
+++ b/internal/ingress/softwareversion_test.go
@@ -169,3 +169,86 @@
 	}
 	assert.Assert(t, len(began) == 2, "only one version began streams: %v", began)
 }
+
+// interruptions are what an engine does to a stream after two events, and to the attempts to resume it. Those that prove that
+// the engine does not run the call any more let the stream go on at another engine.
+var interruptions = map[string]struct {
+	resumed func(call *engineCall)
+	goesOn  bool
+}{
+	"misdirected":      {resumed: func(call *engineCall) { call.reply(http.StatusMisdirectedRequest, "") }, goesOn: true},
+	"full":             {resumed: func(call *engineCall) { call.writeHead("HTTP/1.1", 503, "Untouched: 1", "Content-Length: 0") }},
+	"fails":            {resumed: func(call *engineCall) { call.reply(http.StatusInternalServerError, "out of memory\n") }},
+	"breaks off again": {resumed: (*engineCall).reset},
+	"recovers":         {resumed: versionedStream("v1"), goesOn: true},
+}
+
+// Whatever an engine does after the first events of a stream, engines of another software version never continue it.
+func TestInterruptedStreamKeepsItsSoftwareVersion(t *testing.T) {
+	t.Parallel()
+	for name, interruption := range interruptions {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			cluster := newTestCluster(t)
+			proceed := make(chan struct{})
+			cluster.engineOf("first", "v1", func(call *engineCall) {
+				if call.nextEvent() > 1 {
+					interruption.resumed(call)
+					return
+				}
+				call.beginStream()
+				call.versionedEvent("v1", 1)
+				call.versionedEvent("v1", 2)
+				<-proceed
+				call.reset()
+			})
+			response, err := cluster.startRequest(context.Background(), "/resume/", "c1", "")
+			assert.NilError(t, err)
+			defer response.Body.Close()
+			for index := range 3 {
+				cluster.engineOf(fmt.Sprint("new", index), "v2", versionedStream("v2"))
+			}
+			cluster.engineOf("old", "v1", versionedStream("v1"))
+			close(proceed)
+			body, err := io.ReadAll(response.Body)
+			assert.DeepEqual(t, versionsIn(string(body)), []string{"v1"})
+			assert.Equal(t, err == nil, interruption.goesOn, "%q %v", body, err)
+			if interruption.goesOn {
+				assert.Equal(t, strings.Count(string(body), "id: "), 4, "%q", body)
+			}
+		})
+	}
+}
+
+// A stream belongs to the version that sent its first event, not to that of the engine that was tried first.
+func TestStreamBelongsToTheVersionOfItsFirstEvent(t *testing.T) {
+	t.Parallel()
+	cluster := newTestCluster(t)
+	tried, refuse, crash := make(chan struct{}, 1), make(chan struct{}), make(chan struct{})
+	refusing := cluster.engineOf("refusing", "v1", func(call *engineCall) {
+		tried <- struct{}{}
+		<-refuse
+		call.writeHead("HTTP/1.1", 503, "Untouched: 1", "Content-Length: 0")
+	})
+	responses := make(chan *http.Response, 1)
+	go func() {
+		response, err := cluster.startRequest(context.Background(), "/resume/", "c1", "")
+		assert.Check(t, err)
+		responses <- response
+	}()
+	<-tried
+	cluster.crashingEngineOf("crashing", "v2", crash)
+	close(refuse)
+	response := <-responses
+	defer response.Body.Close()
+	for index := range 3 {
+		cluster.engineOf(fmt.Sprint("old", index), "v1", versionedStream("v1"))
+	}
+	cluster.engineOf("new", "v2", versionedStream("v2"))
+	close(crash)
+	body, err := io.ReadAll(response.Body)
+	assert.NilError(t, err)
+	assert.Equal(t, refusing.runs.Load(), int64(1))
+	assert.Equal(t, strings.Count(string(body), "id: "), 4, "%q", body)
+	assert.DeepEqual(t, versionsIn(string(body)), []string{"v2"})
+}
--- a/internal/ingress/stream.go
+++ b/internal/ingress/stream.go
@@ -161,6 +161,9 @@
 // Events implements dispatch.Resumable.
 func (s *stream) Events() int { return s.sse.EventsForwarded() }
 
+// Begun implements dispatch.Resumable.
+func (s *stream) Begun() bool { return s.sse.EventsReceived() > 0 }
+
 // Resumed implements dispatch.Resumable.
 func (s *stream) Resumed(resumption dispatch.Resumption) {
 	r := s.request
