A caller's stream goes on only at the software version that began it

Cause: what a gateway knew of a stream ended with its answer; Resumes was read nowhere. Change: the service and software version that begin a stream are kept at the replicas, in the ID of a charge of its program, before the first event leaves. With a budget this takes no further message. A resumption reads it with its own open and is pinned to it; it is refused at once when no engine of it is known, or when nothing is recorded and several versions can have begun it. Replicas of every build keep IDs of charges unchanged, so that old and new builds read each other's records.

--- a/internal/apierr/apierr.go
+++ b/internal/apierr/apierr.go
@@ -55,6 +55,7 @@
 	NoSuchTurn           Code = "no_such_turn"
 	HeaderTooLarge       Code = "header_too_large"
 	TurnsUnavailable     Code = "turns_unavailable"
+	OriginUnknown        Code = "origin_unknown"
 	Internal             Code = "internal"
 )
 
@@ -88,6 +89,7 @@
 	NoSuchTurn:           http.StatusNotFound,
 	HeaderTooLarge:       http.StatusRequestHeaderFieldsTooLarge,
 	TurnsUnavailable:     http.StatusServiceUnavailable,
+	OriginUnknown:        http.StatusServiceUnavailable,
 	Internal:             http.StatusInternalServerError,
 }
 
--- a/internal/conversation/conversation.go
+++ b/internal/conversation/conversation.go
@@ -44,7 +44,7 @@
 // Charge is the number of tokens that a program is charged for one attempt at a turn.
 type Charge struct {
 	Program string `json:"program"`
-	// Turn is the charge's ID, unique within its program. Each attempt at a turn has its own.
+	// Turn is the charge's ID, unique within its program. Each attempt at a turn has its own. It may carry an Origin.
 	Turn   string `json:"turn"`
 	Tokens int64  `json:"tokens"`
 	// Settled marks a final charge; a reserved charge is the most that the turn may generate.
--- a/internal/dispatch/dispatch.go
+++ b/internal/dispatch/dispatch.go
@@ -205,6 +205,9 @@
 			return err
 		}
 		call.Trace.Sends++
+		if call.Stream != nil {
+			call.Stream.Placed(ctx, call.Trace.Software)
+		}
 		resumption := newResumption(call, engine, progress.ran)
 		outcome, err := d.attemptWithTimeout(ctx, call, engine, progress, resumption, consume)
 		d.registry.release(engine)
--- a/internal/dispatch/registry.go
+++ b/internal/dispatch/registry.go
@@ -4,6 +4,7 @@
 	"context"
 	"encoding/json"
 	"net"
+	"slices"
 	"sync"
 	"time"
 
@@ -168,6 +169,39 @@
 	return count
 }
 
+// SoftwareVersions returns the versions of the software of a service's engines, draining and recently removed ones included.
+func (r *Registry) SoftwareVersions(service string) []string {
+	r.mutex.Lock()
+	defer r.mutex.Unlock()
+	var versions []string
+	for _, engine := range r.services[service] {
+		if !slices.Contains(versions, engine.specification.Software) {
+			versions = append(versions, engine.specification.Software)
+		}
+	}
+	return versions
+}
+
+// LikelySoftware returns the version of the software of most engines of a service that may get new work.
+func (r *Registry) LikelySoftware(service string) string {
+	now := time.Now()
+	r.mutex.Lock()
+	defer r.mutex.Unlock()
+	counts := make(map[string]int)
+	likely := ""
+	for _, engine := range r.services[service] {
+		if !engine.usable(now, r.outage) {
+			continue
+		}
+		software := engine.specification.Software
+		counts[software]++
+		if counts[software] > counts[likely] || (counts[software] == counts[likely] && software > likely) {
+			likely = software
+		}
+	}
+	return likely
+}
+
 // RecordOutage records that the store was unavailable from since until now. Records removed in that time may have
 // expired only because engines could not renew them.
 func (r *Registry) RecordOutage(since time.Time) {
--- a/internal/dispatch/resume.go
+++ b/internal/dispatch/resume.go
@@ -1,5 +1,7 @@
 package dispatch
 
+import "context"
+
 // Resumable is a stream that another attempt can continue after an interruption.
 type Resumable interface {
 	// LastEvent returns the ID of the last event that the caller received; empty if there is none.
@@ -9,6 +11,8 @@
 	// Begun reports whether any event was received, so that only engines of the same software version can continue the
 	// stream.
 	Begun() bool
+	// Placed is called before each attempt with the software version of its engine.
+	Placed(ctx context.Context, software string)
 	// Resumed receives the result of an attempt to continue the stream.
 	Resumed(resumption Resumption)
 }
--- a/internal/ingress/metrics.go
+++ b/internal/ingress/metrics.go
@@ -22,6 +22,8 @@
 	// resumptions and streams count by outcome.
 	resumptions *prometheus.CounterVec
 	streams     *prometheus.CounterVec
+	// origins counts by how the software version of a stream was found, or whether it was recorded.
+	origins *prometheus.CounterVec
 }
 
 // NewMetrics creates the metrics and registers them.
@@ -53,7 +55,10 @@
 	metrics.streams = prometheus.NewCounterVec(prometheus.CounterOpts{
 		Name: "mountstile_streams_total", Help: "Streams by how they ended: whole, or cut and by whom.",
 	}, []string{"end"})
-	registerer.MustRegister(metrics.resumptions, metrics.streams)
+	metrics.origins = prometheus.NewCounterVec(prometheus.CounterOpts{
+		Name: "mountstile_stream_origins_total", Help: "Streams that callers take up, by how the software version that began them was found, and new ones whose version was not recorded.",
+	}, []string{"origin"})
+	registerer.MustRegister(metrics.resumptions, metrics.streams, metrics.origins)
 	registerer.MustRegister(metrics.requests, metrics.duration, metrics.firstEvent, metrics.reservationDuration, metrics.placements, metrics.droppedLines)
 	return metrics
 }
@@ -74,6 +79,9 @@
 	if r.reservation != nil {
 		fields = append(fields, events.F("open_millis", r.openDuration.Milliseconds()), events.F("ran_ahead", r.runAhead))
 	}
+	if r.originErr != nil {
+		fields = append(fields, events.F("origin_error", r.originErr))
+	}
 	if r.call != nil {
 		fields = append(fields, r.placementFields()...)
 	}
@@ -107,7 +115,7 @@
 		events.F("previous", r.caller.Previous), events.F("patience_millis", r.caller.TimeLimit.Milliseconds()),
 	}
 	if r.caller.LastEvent != "" {
-		fields = append(fields, events.F("resumes", r.caller.Resumes), events.F("resume_after", r.caller.LastEvent))
+		fields = append(fields, events.F("resumes", r.caller.Resumes), events.F("resume_after", r.caller.LastEvent), events.F("origin", r.resumption.origin))
 	}
 	if r.caller.HasProgramTimeLimit {
 		fields = append(fields, events.F("program_left_millis", r.caller.ProgramTimeLimit.Milliseconds()))
@@ -140,6 +148,7 @@
 	m.requests.WithLabelValues(r.service.Name, strconv.Itoa(status), reason).Inc()
 	m.duration.WithLabelValues(r.service.Name).Observe(took.Seconds())
 	m.observeTurn(r)
+	m.observeOrigin(r)
 	if r.outcome != nil {
 		m.streams.WithLabelValues(r.outcome.result).Inc()
 	}
@@ -176,6 +185,18 @@
 	m.placements.WithLabelValues(placement).Inc()
 }
 
+// originUnrecorded counts new streams of which replicas hold no origin.
+const originUnrecorded = "unrecorded"
+
+func (m *Metrics) observeOrigin(r *request) {
+	switch {
+	case r.resumption.origin != "":
+		m.origins.WithLabelValues(r.resumption.origin).Inc()
+	case r.originErr != nil:
+		m.origins.WithLabelValues(originUnrecorded).Inc()
+	}
+}
+
 func (m *Metrics) countDroppedLine() {
 	if m != nil {
 		m.droppedLines.Inc()
--- a/internal/ingress/reservation.go
+++ b/internal/ingress/reservation.go
@@ -22,6 +22,8 @@
 	done   chan struct{}
 	opened *turnstore.OpenedTurn
 	err    error
+	// originErr is why the origin of a stream that the caller resumes could not be read, though the turn may run.
+	originErr error
 	// duration is how long the reservation took.
 	duration time.Duration
 }
@@ -34,6 +36,9 @@
 	go func() {
 		pending.opened, pending.err = r.server.options.Turns.Open(ctx, opening)
 		pending.duration = time.Since(startedAt)
+		if pending.err != nil && !r.needsTurnStore() {
+			pending.opened, pending.err, pending.originErr = &turnstore.OpenedTurn{}, nil, pending.err
+		}
 		if pending.err != nil {
 			cancelCause(pending.err)
 		}
@@ -42,15 +47,24 @@
 	return pending
 }
 
-// openTurn reserves the budget and looks up the previous turns. If this takes longer than runAheadDelay, as after
+// needsTurnStore reports whether the turn can't run unless its tokens are reserved and its previous turns are found.
+func (r *request) needsTurnStore() bool { return r.caller.Budget != NoBudget || r.route.StoreTurns() }
+
+// openTurn reserves the budget, looks up the previous turns, and records or reads the origin of a resumable stream. If this takes longer than runAheadDelay, as after
 // replicas lost power, a repeatable turn runs in parallel with its reservation. Its events are
 // buffered until the reservation succeeds, so that the delays of engines and replicas overlap.
 func (r *request) openTurn(ctx context.Context, cancelCause context.CancelCauseFunc) error {
-	if r.route.Kind() != routing.Stream || (r.caller.Budget == NoBudget && !r.route.StoreTurns()) {
+	if r.route.Kind() != routing.Stream {
 		return nil
 	}
 	opening := turnstore.OpenParams{
-		Turn: r.caller.ID, Program: r.caller.Program, Budget: r.caller.Budget, Most: r.caller.Most,
+		Turn: r.caller.ID, Program: r.caller.Program, Budget: r.caller.Budget, Most: r.caller.Most, Stream: r.streamParams(),
+	}
+	if opening.Stream.Begins() {
+		r.origin = r.server.options.Turns.Origin(opening)
+	}
+	if !r.needsTurnStore() && !opening.Stream.Resumed() {
+		return nil
 	}
 	if r.route.StoreTurns() {
 		opening.Previous = r.caller.Previous
@@ -58,7 +72,7 @@
 	r.reservation = r.reserve(ctx, opening, cancelCause)
 	runAhead := time.NewTimer(runAheadDelay)
 	defer runAhead.Stop()
-	if r.canRunAhead() {
+	if r.canRunAhead(opening) {
 		select {
 		case <-r.reservation.done:
 		case <-runAhead.C:
@@ -71,9 +85,12 @@
 
 // canRunAhead reports whether the turn may be sent to an engine before its budget is reserved.
 // After a reservation has failed for lack of replicas, this one would probably fail too, and the
-// engine's work would be wasted.
-func (r *request) canRunAhead() bool {
-	return r.route.Repeatable() && !r.route.StoreTurns() && r.server.options.Turns.ShardHealthy(r.caller.Program)
+// engine's work would be wasted. A stream that the caller resumes waits, since its origin decides which engines may run it.
+func (r *request) canRunAhead(opening turnstore.OpenParams) bool {
+	if opening.Stream.Resumed() {
+		return false
+	}
+	return r.route.Repeatable() && !r.route.StoreTurns() && r.server.options.Turns.ShardHealthy(opening)
 }
 
 // awaitReservation waits until the reservation succeeds or fails. It ends with the request's
@@ -84,6 +101,9 @@
 	}
 	<-r.reservation.done
 	r.opened, r.openDuration = r.reservation.opened, r.reservation.duration
+	if r.reservation.originErr != nil {
+		r.originErr = r.reservation.originErr
+	}
 	return r.reservation.err
 }
 
--- a/internal/ingress/server.go
+++ b/internal/ingress/server.go
@@ -111,18 +111,26 @@
 	caller    Caller
 	route     *routing.Route
 	service   routing.ServiceSpecification
+	table     *routing.Table
 	version   int64
 	arrivedAt time.Time
 	body      []byte
 	// reservation may still be pending while the turn runs; nil for calls that need none.
 	reservation *reservation
 	opened      *turnstore.OpenedTurn
+	// origin records which software generates the stream; nil if no caller can need that.
+	origin *turnstore.StreamOrigin
 	// runAhead is set if the turn was sent to an engine before its reservation ended.
 	runAhead bool
 
+	// resumption is what is known of the stream that the caller resumes.
+	resumption resumption
+
 	// The following fields are for the log line and the metrics.
 	call         *dispatch.Call
 	openDuration time.Duration
+	// originErr is why the origin of the stream could not be recorded or read; nil unless the call runs without.
+	originErr    error
 	engine       string
 	status       int
 	firstEventAt time.Time
@@ -161,6 +169,10 @@
 	if err := r.openTurn(ctx, cancelCause); err != nil {
 		return err
 	}
+	if err := r.resolveResumption(); err != nil {
+		r.settle(0)
+		return err
+	}
 	err := r.reservationError(ctx, r.dispatch(ctx))
 	if ctx.Err() == nil {
 		return err
@@ -177,7 +189,7 @@
 	if table == nil {
 		return apierr.New(apierr.StoreUnavailable, apierr.NotRun, "no configuration is installed yet").WithRetryAfter(startupRetryAfter)
 	}
-	r.version = table.Version()
+	r.table, r.version = table, table.Version()
 	route, found := table.Match(r.incoming.Host, r.incoming.URL.Path)
 	if !found {
 		return apierr.New(apierr.NotFound, apierr.NotRun, "no route for %s%s", r.incoming.Host, r.incoming.URL.Path)
@@ -249,7 +261,7 @@
 		ID:        r.caller.ID,
 		Route:     r.route,
 		Priority:  r.route.Priority(),
-		Placement: dispatch.Placement{Service: r.service.Name},
+		Placement: dispatch.Placement{Service: r.service.Name, Pinned: r.resumption.pinned, Software: r.resumption.software},
 		Request: upstream.Request{
 			Method: r.incoming.Method, Target: r.incoming.RequestURI, Host: r.incoming.Host,
 			Header: upstream.EndToEndHeaders(r.incoming.Header), Body: r.upstreamBody(),
@@ -259,7 +271,7 @@
 	if r.route.Sticky() || r.route.StoreTurns() {
 		call.Placement.Affinity = r.affinity()
 		call.Placement.Prompt = r.caller.Prompt
-		call.Placement.EngineRecorded = r.reservation != nil
+		call.Placement.EngineRecorded = r.reservation != nil && r.needsTurnStore()
 	}
 	if r.opened != nil {
 		call.Placement.Preferred = r.opened.Engine
--- a/internal/ingress/softwareversion_test.go
+++ b/internal/ingress/softwareversion_test.go
@@ -11,11 +11,13 @@
 	"slices"
 	"strings"
 	"testing"
+	"time"
 
 	"gotest.tools/v3/assert"
 
 	"github.com/mountstile/mountstile/internal/catalog"
 	"github.com/mountstile/mountstile/internal/dispatch"
+	"github.com/mountstile/mountstile/internal/routing"
 )
 
 // versionedStream sends the events after the caller's last one; their data names the version of the engine's software.
@@ -144,13 +146,7 @@
 // without a budget, also in a chain of attempts.
 func TestStreamKeepsSoftwareVersionAtAnotherGateway(t *testing.T) {
 	t.Parallel()
-	cluster := newTestCluster(t)
-	cluster.withReplica()
-	for _, software := range []string{"v1", "v2"} {
-		for index := range 2 {
-			cluster.engineOf(fmt.Sprint(software, "-", index), software, pausingStream(software))
-		}
-	}
+	cluster := versionedCluster(t)
 	other := cluster.secondGateway()
 	began := make(map[string]int)
 	for number := range 24 {
@@ -224,6 +220,7 @@
 func TestStreamBelongsToTheVersionOfItsFirstEvent(t *testing.T) {
 	t.Parallel()
 	cluster := newTestCluster(t)
+	cluster.withReplica()
 	tried, refuse, crash := make(chan struct{}, 1), make(chan struct{}), make(chan struct{})
 	refusing := cluster.engineOf("refusing", "v1", func(call *engineCall) {
 		tried <- struct{}{}
@@ -252,3 +249,200 @@
 	assert.Equal(t, strings.Count(string(body), "id: "), 4, "%q", body)
 	assert.DeepEqual(t, versionsIn(string(body)), []string{"v2"})
 }
+
+// versionedCluster is a gateway with a replica and two engines each of versions v1 and v2, whose new streams pause after two
+// events.
+func versionedCluster(t *testing.T) *testCluster {
+	t.Helper()
+	cluster := newTestCluster(t)
+	cluster.withReplica()
+	for _, software := range []string{"v1", "v2"} {
+		for index := range 2 {
+			cluster.engineOf(fmt.Sprint(software, "-", index), software, pausingStream(software))
+		}
+	}
+	return cluster
+}
+
+// A chain of attempts at other gateways names the first attempt each time; the gateway of that one is gone.
+func TestChainOfAttemptsKeepsSoftwareVersion(t *testing.T) {
+	t.Parallel()
+	first := versionedCluster(t)
+	second, third := first.secondGateway(), first.secondGateway()
+	for number := range 8 {
+		id, program := fmt.Sprint("first", number), fmt.Sprint("p", number)
+		begun := first.readTwoEvents("/resume/", id, "Program", program, "Budget", "1000", "Most", "36")
+		for name, gateway := range map[string]*testCluster{"second": second, "third": third} {
+			rest := gateway.send("/resume/", fmt.Sprint(name, number), "in", "Program", program, "Budget", "1000", "Most", "36", "After", "3", "Resumes", id)
+			assert.Equal(t, rest.status, http.StatusOK, rest.body)
+			assert.DeepEqual(t, versionsIn(rest.body), versionsIn(begun))
+		}
+	}
+	first.frontServer.Close()
+	first.network.Close()
+	rest := third.send("/resume/", "late", "in", "Program", "p0", "Budget", "1000", "Most", "36", "After", "3", "Resumes", "first0")
+	assert.Equal(t, rest.status, http.StatusOK, rest.body)
+}
+
+// assertRefusedAtOnce checks that a resumption was refused as not run, without a time to come back, and reached no engine.
+func assertRefusedAtOnce(t *testing.T, cluster *testCluster, got reply, startedAt time.Time) {
+	t.Helper()
+	assert.NilError(t, got.err)
+	assert.Equal(t, got.status, http.StatusServiceUnavailable, got.body)
+	assert.Assert(t, time.Since(startedAt) < 300*time.Millisecond, "refused after %s", time.Since(startedAt))
+	for _, engine := range cluster.engines {
+		assert.Equal(t, engine.runs.Load(), int64(0), engine.id)
+	}
+}
+
+// A stream whose origin nobody recorded may have been begun by any version. It goes on only if there is just one.
+func TestStreamOfUnknownOrigin(t *testing.T) {
+	t.Parallel()
+	for _, headers := range [][]string{
+		{"After", "2"}, {"After", "2", "Resumes", "unknown"}, {"After", "2", "Resumes", "unknown", "Program", "p", "Budget", "1000", "Most", "36"},
+	} {
+		cluster := newTestCluster(t)
+		cluster.withReplica()
+		cluster.engineOf("old", "v1", versionedStream("v1"))
+		rest := cluster.send("/resume/", "c1", "in", headers...)
+		assert.Equal(t, rest.status, http.StatusOK, rest.body)
+		assert.DeepEqual(t, versionsIn(rest.body), []string{"v1"})
+		cluster.engines["old"].runs.Store(0)
+		cluster.engineOf("new", "v2", versionedStream("v2"))
+		startedAt := time.Now()
+		assertRefusedAtOnce(t, cluster, cluster.send("/resume/", "c2", "in", headers...), startedAt)
+	}
+}
+
+// Once the last engine of a version is gone, a resumption of its streams is refused at once, and takes no tokens.
+func TestStreamOfAVersionThatIsGone(t *testing.T) {
+	t.Parallel()
+	cluster := newTestCluster(t)
+	cluster.withReplica()
+	cluster.engineOf("old", "v1", pausingStream("v1"))
+	budget := []string{"Program", "p", "Budget", "80", "Most", "36"}
+	begun := cluster.readTwoEvents("/resume/", "first", budget...)
+	assert.DeepEqual(t, versionsIn(begun), []string{"v1"})
+	eventually(t, "the stream ends", func() bool { return cluster.node.server.Active() == 0 })
+	other := newTestCluster(t)
+	other.apply(catalog.ReplicaSetKind, "current", cluster.node.turns.ReplicaSet())
+	other.engineOf("new", "v2", versionedStream("v2"))
+	for number := range 4 {
+		startedAt := time.Now()
+		got := other.send("/resume/", fmt.Sprint("again", number), "in", append([]string{"After", "2", "Resumes", "first"}, budget...)...)
+		assertRefusedAtOnce(t, other, got, startedAt)
+		assert.Equal(t, got.header.Get("Retry-After"), "")
+	}
+	eventually(t, "the refused attempts have taken no tokens", func() bool {
+		return other.send("/resume/", "anew", "in", budget...).status == http.StatusOK
+	})
+}
+
+// Until it is recorded which version began a stream, its caller gets no event of it.
+func TestFirstEventWaitsForItsRecord(t *testing.T) {
+	t.Parallel()
+	cluster := newTestCluster(t)
+	start := cluster.withLateReplica()
+	ran := make(chan struct{}, 1)
+	cluster.engineOf("e", "v1", func(call *engineCall) {
+		ran <- struct{}{}
+		versionedStream("v1")(call)
+	})
+	replies := make(chan reply, 1)
+	go func() { replies <- cluster.send("/resume/", "c1", "in") }()
+	<-ran
+	assertPending(t, replies, "the caller got events before the origin was recorded")
+	start()
+	got := <-replies
+	assert.NilError(t, got.err)
+	assert.DeepEqual(t, versionsIn(got.body), []string{"v1"})
+}
+
+// Without replicas streams without a budget begin all the same; their origin is counted as not recorded.
+func TestStreamBeginsWithoutReplicas(t *testing.T) {
+	t.Parallel()
+	cluster := newTestCluster(t)
+	_ = cluster.withLateReplica()
+	cluster.engineOf("e", "v1", versionedStream("v1"))
+	got := cluster.send("/resume/", "c1", "in")
+	assert.NilError(t, got.err)
+	assert.Equal(t, got.status, http.StatusOK)
+	assert.DeepEqual(t, versionsIn(got.body), []string{"v1"})
+	assert.Assert(t, strings.Contains(cluster.logText(), "origin_error"))
+}
+
+// Two services may have equal version texts: a later attempt on a route that is split between them stays at the service that
+// began the stream.
+func TestResumedStreamStaysAtItsService(t *testing.T) {
+	t.Parallel()
+	split := func(cluster *testCluster) {
+		cluster.configure(2, func(specification *routing.Specification) {
+			specification.Services = append(specification.Services, routing.ServiceSpecification{Name: "others", MaxConnections: 400})
+			for index := range specification.Routes {
+				specification.Routes[index].Targets = []routing.TargetSpecification{{Service: "models", Weight: 1}, {Service: "others", Weight: 1}}
+			}
+		})
+	}
+	for _, software := range []string{"v1", ""} {
+		cluster := newTestCluster(t)
+		cluster.withReplica()
+		split(cluster)
+		cluster.engineOf("one", software, pausingStream("s1"))
+		other := cluster.engineOf("two", software, pausingStream("s2"))
+		other.specification.Service = "others"
+		cluster.apply(catalog.EngineKind, "two", other.specification)
+		gateway := cluster.secondGateway()
+		split(gateway)
+		for number := range 12 {
+			first := fmt.Sprint("first", number)
+			begun := cluster.readTwoEvents("/resume/", first)
+			rest := gateway.send("/resume/", fmt.Sprint("second", number), "in", "After", "2", "Resumes", first)
+			assert.Equal(t, rest.status, http.StatusOK, rest.body)
+			assert.DeepEqual(t, versionsIn(rest.body), versionsIn(begun))
+		}
+	}
+}
+
+// A turn that is asked for again from its start, because it is stored whole, comes from the version that began it.
+func TestStoredTurnIsResumedAtItsSoftwareVersion(t *testing.T) {
+	t.Parallel()
+	resumable := func(cluster *testCluster) {
+		cluster.configure(2, func(specification *routing.Specification) {
+			for index := range specification.Routes {
+				specification.Routes[index].Resumable = specification.Routes[index].Resumable || specification.Routes[index].Name == "kept"
+			}
+		})
+	}
+	cluster := newTestCluster(t)
+	cluster.withReplica()
+	resumable(cluster)
+	for _, software := range []string{"v1", "v2"} {
+		for index := range 2 {
+			cluster.engineOf(fmt.Sprint(software, "-", index), software, func(call *engineCall) {
+				call.beginStream()
+				for id := 1; id <= 4; id++ {
+					call.versionedEvent(software, id)
+					if id == 2 && strings.HasPrefix(call.id, "first") {
+						call.awaitClose()
+						return
+					}
+				}
+				call.endStream()
+			})
+		}
+	}
+	other := cluster.secondGateway()
+	resumable(other)
+	for number := range 12 {
+		first := fmt.Sprint("first", number)
+		headers := []string{"Program", fmt.Sprint("p", number), "Budget", "1000", "Most", "36"}
+		if number%3 == 0 {
+			headers = nil
+		}
+		begun := cluster.readTwoEvents("/kept/", first, headers...)
+		rest := other.send("/kept/", fmt.Sprint("second", number), "in", append(headers, "After", "2", "Resumes", first)...)
+		assert.Equal(t, rest.status, http.StatusOK, rest.body)
+		assert.Equal(t, strings.Count(rest.body, "id: "), 2, rest.body)
+		assert.DeepEqual(t, versionsIn(rest.body), versionsIn(begun))
+	}
+}
--- a/internal/ingress/stream.go
+++ b/internal/ingress/stream.go
@@ -164,6 +164,13 @@
 // Begun implements dispatch.Resumable.
 func (s *stream) Begun() bool { return s.sse.EventsReceived() > 0 }
 
+// Placed implements dispatch.Resumable.
+func (s *stream) Placed(ctx context.Context, software string) {
+	if s.request.origin != nil && !s.Begun() {
+		s.request.origin.Expect(ctx, conversation.WriterOf(s.request.service.Name, software))
+	}
+}
+
 // Resumed implements dispatch.Resumable.
 func (s *stream) Resumed(resumption dispatch.Resumption) {
 	r := s.request
@@ -195,6 +202,9 @@
 
 // write sends bytes to the caller and flushes them, after the head.
 func (s *stream) write(chunk []byte) error {
+	if err := s.awaitOrigin(); err != nil {
+		return err
+	}
 	if err := s.sendHead(); err != nil {
 		return err
 	}
--- a/internal/routing/routing.go
+++ b/internal/routing/routing.go
@@ -75,6 +75,15 @@
 	return targets[len(targets)-1].Service
 }
 
+// Services returns the names of the services that requests may go to.
+func (r *Route) Services() []string {
+	names := make([]string, 0, len(r.specification.Targets))
+	for _, target := range r.specification.Targets {
+		names = append(names, target.Service)
+	}
+	return names
+}
+
 func milliseconds(value float64) time.Duration {
 	return time.Duration(value * float64(time.Millisecond))
 }
--- a/internal/turnstore/client.go
+++ b/internal/turnstore/client.go
@@ -67,16 +67,67 @@
 	Budget int64
 	// Most is how many tokens this turn may generate.
 	Most int64
+	// Stream is set for streams that callers may resume at other gateways.
+	Stream StreamParams
 }
 
+// StreamParams describes the stream of a turn.
+type StreamParams struct {
+	// ID is the ID of the attempt that began the stream, which is the turn itself unless its caller resumes one; empty if
+	// the stream's origin is neither recorded nor read.
+	ID string
+	// Writer is the one that will probably begin the stream; zero if the caller resumes it.
+	Writer conversation.Writer
+}
+
+// Begins reports whether the turn begins the stream.
+func (p StreamParams) Begins() bool { return p.ID != "" && p.Writer != 0 }
+
+// Resumed reports whether the turn goes on with a stream that another attempt began.
+func (p StreamParams) Resumed() bool { return p.ID != "" && p.Writer == 0 }
+
+// streamProgramPrefix begins the name under which the origin of a stream without a program is kept.
+const streamProgramPrefix = "stream/"
+
+// chargedProgram returns the program that holds the turn's charge.
+func (p OpenParams) chargedProgram() string {
+	if p.Program == "" && p.Stream.ID != "" {
+		return streamProgramPrefix + p.Stream.ID
+	}
+	return p.Program
+}
+
+// budgeted reports whether the turn's tokens are reserved.
+func (p OpenParams) budgeted() bool { return p.Budget >= 0 && p.Program != "" }
+
+// charged reports whether the turn is opened with a charge. That reserves its tokens and, for a stream that begins, records
+// its origin along with them. A stream that is resumed needs one so that the charges of its program are returned.
+func (p OpenParams) charged() bool { return p.budgeted() || p.Stream.Resumed() }
+
+// newCharge returns a charge with a new ID.
+func (p OpenParams) newCharge() *conversation.Charge {
+	charge := &conversation.Charge{Program: p.chargedProgram(), Turn: newChargeID()}
+	if p.Stream.Begins() {
+		charge.Turn = conversation.NewOrigin(p.Stream.ID, 0, p.Stream.Writer).ChargeID(charge.Turn)
+	}
+	if p.budgeted() {
+		charge.Tokens = p.Most
+	}
+	return charge
+}
+
+func newChargeID() string { return strconv.FormatUint(rand.Uint64()>>(64-chargeIDBits), 36) }
+
 // OpenedTurn is a turn that may be sent to an engine.
 type OpenedTurn struct {
 	// Prefix is the concatenated text of all previous turns.
 	Prefix []byte
 	// Engine is the engine that ran the previous turn or another turn of the program; empty if unknown.
 	Engine string
-	// Reserved reports that a charge was reserved and must be settled.
+	// Reserved reports that tokens were reserved and must be settled.
 	Reserved bool
+	// Writer generated the first event of the stream that the caller resumes; zero if that is unknown.
+	Writer conversation.Writer
 	// program and chargeID identify the reservation. Each open draws a new charge ID: a caller that retries a rejected
 	// turn with the same turn ID must not match the settled charge of the rejection.
 	program  string
@@ -229,7 +280,7 @@
 // BudgetExceeded, NoSuchTurn or TurnsUnavailable.
 func (c *Client) Open(ctx context.Context, params OpenParams) (*OpenedTurn, error) {
 	startedAt := time.Now()
-	shard, err := c.awaitShard(ctx, params.Program)
+	shard, err := c.awaitShard(ctx, params.chargedProgram())
 	if err != nil {
 		return nil, err
 	}
@@ -241,19 +292,23 @@
 	openContext, cancel := context.WithDeadline(ctx, startedAt.Add(timeout))
 	defer cancel()
 	opened := &OpenedTurn{
-		Reserved: params.Budget >= 0 && params.Program != "",
-		program:  params.Program,
-		chargeID: strconv.FormatUint(rand.Uint64()>>(64-chargeIDBits), 36),
+		Reserved: params.budgeted(),
+		program:  params.chargedProgram(),
+	}
+	var charge *conversation.Charge
+	if params.charged() {
+		charge = params.newCharge()
+		opened.chargeID = charge.Turn
 	}
 	chain, cached := c.cache.chain(params.Previous)
 	if cached {
 		c.setChain(opened, chain, shard)
 	}
 	wantText := params.Previous != "" && !cached
-	if !opened.Reserved && !wantText {
+	if charge == nil && !wantText {
 		return opened, nil
 	}
-	err = c.openInShard(openContext, shard, params, opened, wantText)
+	err = c.openInShard(openContext, shard, params, charge, opened, wantText)
 	c.recordOpenResult(ctx, shard, err)
 	if wantText && apierr.Is(err, apierr.NoSuchTurn) {
 		err = c.openFromOtherShards(openContext, shard, params, opened)
@@ -315,10 +370,10 @@
 
 // openInShard opens a turn at the replicas of a shard. It starts over with the newer set whenever a replica returns
 // one.
-func (c *Client) openInShard(ctx context.Context, shard int, params OpenParams, opened *OpenedTurn, wantText bool) error {
+func (c *Client) openInShard(ctx context.Context, shard int, params OpenParams, charge *conversation.Charge, opened *OpenedTurn, wantText bool) error {
 	for {
 		set := c.setOf(shard)
-		newer, err := c.openOnce(ctx, set, params, opened, wantText)
+		newer, err := c.openOnce(ctx, set, params, charge, opened, wantText)
 		if newer == nil {
 			return err
 		}
@@ -326,14 +381,11 @@
 	}
 }
 
-func (c *Client) openOnce(ctx context.Context, set ReplicaSet, params OpenParams, opened *OpenedTurn, wantText bool) (*ReplicaSet, error) {
-	request := openRequest{Shard: set.Shard, Epoch: set.Epoch}
+func (c *Client) openOnce(ctx context.Context, set ReplicaSet, params OpenParams, charge *conversation.Charge, opened *OpenedTurn, wantText bool) (*ReplicaSet, error) {
+	request := openRequest{Shard: set.Shard, Epoch: set.Epoch, Reserve: charge}
 	if wantText {
 		request.Previous = params.Previous
 	}
-	if opened.Reserved {
-		request.Reserve = &conversation.Charge{Program: params.Program, Turn: opened.chargeID, Tokens: params.Most}
-	}
 	requestContext, stop := context.WithCancel(ctx)
 	defer stop()
 	collector := newOpenCollector(set)
@@ -363,7 +415,7 @@
 			hedged = true
 			c.requestTextFromOthers(requestContext, set, params.Previous, replies)
 		}
-		if opened.Reserved && collector.stored() {
+		if charge != nil && collector.stored() {
 			confirming.advance(requestContext, collector)
 		}
 		select {
--- a/internal/turnstore/collector.go
+++ b/internal/turnstore/collector.go
@@ -106,7 +106,7 @@
 // decide reports whether the responses suffice. If so, it returns an error or fills opened, except for its previous
 // turns.
 func (c *openCollector) decide(params OpenParams, opened *OpenedTurn, wantText bool) (bool, error) {
-	if opened.Reserved && !c.stored() {
+	if params.charged() && !c.stored() {
 		return false, nil
 	}
 	if opened.Reserved && c.spent(opened.chargeID)+params.Most > params.Budget {
@@ -116,6 +116,7 @@
 	if opened.Reserved && !c.ordered() {
 		return false, nil
 	}
+	opened.Writer = c.writer(params.Stream)
 	if opened.Engine == "" {
 		opened.Engine = c.engine
 	}
@@ -145,6 +146,18 @@
 	return count(all, c.reservedComplete) == len(all) || c.set.HasReadQuorum(c.confirmed)
 }
 
+// writer returns the recorded Writer of a stream that the caller resumes.
+func (c *openCollector) writer(stream StreamParams) conversation.Writer {
+	if !stream.Resumed() {
+		return 0
+	}
+	lookup := conversation.LookupOrigin(stream.ID)
+	for id := range c.charges {
+		lookup.Add(id)
+	}
+	return lookup.Writer()
+}
+
 func noSuchTurn(id string) *apierr.Error {
 	return apierr.New(apierr.NoSuchTurn, apierr.NotRun, "there is no turn %q", id)
 }
--- a/internal/turnstore/health.go
+++ b/internal/turnstore/health.go
@@ -90,10 +90,9 @@
 	return len(sets) == 0 || atLeastHalf(reachable, len(sets))
 }
 
-// ShardHealthy reports whether the last open in the program's shard found a quorum, or no turn has been opened there
-// yet.
-func (c *Client) ShardHealthy(program string) bool {
-	shard, _ := c.shardOf(program)
+// ShardHealthy reports whether the last open in the shard of a turn found a quorum, or no turn has been opened there yet.
+func (c *Client) ShardHealthy(params OpenParams) bool {
+	shard, _ := c.shardOf(params.chargedProgram())
 	return !c.shardHealth(shard).failing()
 }
 
--- a/internal/turnstore/health_test.go
+++ b/internal/turnstore/health_test.go
@@ -25,12 +25,12 @@
 	defer stop()
 	go client.ProbeLostShards(ctx)
 	assert.NilError(t, c.reserve(client, "one", 100, 1))
-	assert.Assert(t, client.Reachable() && client.ShardHealthy(""))
+	assert.Assert(t, client.Reachable() && client.ShardHealthy(OpenParams{}))
 	for _, m := range c.machines {
 		c.links.set(m.address, true)
 	}
 	assert.Assert(t, apierr.Is(c.reserve(client, "first", 100, 1), apierr.TurnsUnavailable))
-	assert.Assert(t, !client.ShardHealthy(""), "one failed open must make the shard unhealthy")
+	assert.Assert(t, !client.ShardHealthy(OpenParams{}), "one failed open must make the shard unhealthy")
 	eventually(t, "the client detects the loss", func() bool {
 		return apierr.Is(c.reserve(client, "two", 100, 1), apierr.TurnsUnavailable) && !client.Reachable()
 	})
@@ -42,7 +42,7 @@
 	}
 	eventually(t, "the client detects the recovery", client.Reachable)
 	assert.NilError(t, c.reserve(client, "four", 100, 1))
-	assert.Assert(t, client.ShardHealthy(""))
+	assert.Assert(t, client.ShardHealthy(OpenParams{}))
 }
 
 // A gateway that is cut off from all replicas continues through another gateway and stays ready.
--- a/internal/turnstore/othershards.go
+++ b/internal/turnstore/othershards.go
@@ -45,6 +45,6 @@
 // readChain reads a turn and its predecessors from one shard. The error is a NoSuchTurn or a TurnsUnavailable.
 func (c *Client) readChain(ctx context.Context, shard int, previous string) chainResult {
 	var opened OpenedTurn
-	err := c.openInShard(ctx, shard, OpenParams{Previous: previous, Budget: -1}, &opened, true)
+	err := c.openInShard(ctx, shard, OpenParams{Previous: previous, Budget: -1}, nil, &opened, true)
 	return chainResult{turns: opened.chain, err: err}
 }
