ingress: a resumption for which no engine of the version is known names a time to come back

A gateway may be the last to learn of a new version's engines; the caller's next attempt, 250 ms later, may find them. The refusal itself still comes at once.

--- a/internal/ingress/resumption.go
+++ b/internal/ingress/resumption.go
@@ -31,6 +31,9 @@
 	originUnknown = "unknown"
 )
 
+// goneRetryAfter is the Retry-After for streams of a version of which no engine is known.
+const goneRetryAfter = 250 * time.Millisecond
+
 // candidate is a service that the route allows and a version of its engines' software.
 type candidate struct{ service, software string }
 
@@ -98,7 +101,8 @@
 		}
 	}
 	r.resumption.origin = originGone
-	return apierr.New(apierr.NoEngine, apierr.NotRun, "no engine of the software version that began the stream %q is known", r.caller.Resumes)
+	// This gateway may be the last to learn of a new version's engines.
+	return apierr.New(apierr.NoEngine, apierr.NotRun, "no engine of the software version that began the stream %q is known", r.caller.Resumes).WithRetryAfter(goneRetryAfter)
 }
 
 func (r *request) pin(chosen candidate, origin string) {
