catalog: the value of a later build replaces that of an earlier one at the same revision

By reading: a gateway of this build that learns engines from a replica of the build before gets them without a software version, and kept that value after the replica was replaced, for entries are only replaced by a higher revision and an engine's record rarely changes. All its engines then seemed to be of one version. Entries now name the format of their translation; at the same revision the later format wins. Earlier builds ignore the field and send none. TestMergeTakesTheValueOfTheLaterBuild and TestSoftwareVersionIsLearnedFromALaterBuild.

--- a/internal/catalog/catalog.go
+++ b/internal/catalog/catalog.go
@@ -46,10 +46,22 @@
 	Key string `json:"k"`
 	// Revision orders the versions of an entry. It is assigned by the store.
 	Revision int64 `json:"r"`
+	// Format orders the values that builds translate one version of an item into: a later build may keep more of it. Builds
+	// that don't know the field send 0.
+	Format int `json:"t,omitempty"`
 	// Value is empty if the entry is a tombstone.
 	Value json.RawMessage `json:"v,omitempty"`
 }
 
+// newerThan reports whether the entry replaces another one of the same key. A node that got the value of an earlier build takes
+// that of a later one, though the item is the same.
+func (e Entry) newerThan(other Entry) bool {
+	if e.Revision != other.Revision {
+		return e.Revision > other.Revision
+	}
+	return e.Format > other.Format && !e.Removed() && !other.Removed()
+}
+
 // Removed reports whether the entry is a tombstone.
 func (e Entry) Removed() bool { return len(e.Value) == 0 }
 
@@ -87,10 +99,10 @@
 // NewState returns an empty State.
 func NewState() *State { return &State{entries: make(map[string]*record)} }
 
-// Merge stores an entry if its revision is newer than the stored one, and reports whether it did.
+// Merge stores an entry if it is newer than the stored one, and reports whether it did.
 func (s *State) Merge(now time.Time, entry Entry) bool {
 	stored := s.entries[entry.Key]
-	if stored != nil && stored.entry.Revision >= entry.Revision {
+	if stored != nil && !entry.newerThan(stored.entry) {
 		return false
 	}
 	if stored == nil {
--- a/internal/catalog/catalog_test.go
+++ b/internal/catalog/catalog_test.go
@@ -53,6 +53,26 @@
 	})
 }
 
+// A value that an earlier build translated is replaced by that of a later one, but never the other way round, and a removed entry
+// stays removed.
+func TestMergeTakesTheValueOfTheLaterBuild(t *testing.T) {
+	key := Key(EngineKind, "a")
+	earlier, later := entry(key, 3, "earlier"), entry(key, 3, "later")
+	later.Format = 1
+	for _, order := range [][]Entry{{earlier, later}, {later, earlier}, {later, earlier, later}} {
+		state := NewState()
+		for _, merged := range order {
+			state.Merge(time.Now(), merged)
+		}
+		latest, _ := state.Get(key)
+		assert.Equal(t, string(latest.Value), `"later"`)
+		assert.Assert(t, state.Merge(time.Now(), entry(key, 4, "changed")))
+	}
+	state := NewState()
+	state.Merge(time.Now(), entry(key, 3, ""))
+	assert.Assert(t, !state.Merge(time.Now(), later))
+}
+
 func TestRemoveMissing(t *testing.T) {
 	state := NewState()
 	now := time.Now()
--- a/internal/catalog/manager.go
+++ b/internal/catalog/manager.go
@@ -333,7 +333,8 @@
 func (m *Manager) superseded(entry Entry) bool {
 	m.mutex.Lock()
 	defer m.mutex.Unlock()
-	return m.state.Revision(entry.Key) > entry.Revision
+	latest, _ := m.state.Latest(entry.Key)
+	return latest.newerThan(entry)
 }
 
 // Synced implements Sink.
--- a/internal/dispatch/engine.go
+++ b/internal/dispatch/engine.go
@@ -7,6 +7,9 @@
 	"github.com/mountstile/mountstile/internal/upstream"
 )
 
+// EngineFormat is the catalog.Entry.Format of the specifications that this build translates: 1 added Software.
+const EngineFormat = 1
+
 // EngineSpecification is an engine's record in the catalog.
 type EngineSpecification struct {
 	ID      string `json:"id"`
@@ -27,6 +30,8 @@
 	loadKey       load.Key
 	// revision is the revision of the last applied record; records may arrive out of order.
 	revision int64
+	// format is the catalog.Entry.Format of that record.
+	format   int
 	pool     *upstream.Pool
 	inFlight int
 	// removedAt is when the record was removed; zero while it exists. returnedAt is when it reappeared.
--- a/internal/dispatch/registry.go
+++ b/internal/dispatch/registry.go
@@ -88,7 +88,7 @@
 	switch {
 	case engine == nil:
 		r.add(specification, entry.Revision)
-	case engine.revision >= entry.Revision:
+	case engine.revision > entry.Revision || (engine.revision == entry.Revision && engine.format >= entry.Format):
 		return
 	case engine.specification.Address != specification.Address || engine.specification.Service != specification.Service:
 		// State such as the breaker doesn't apply to the new address, and the old service must not use the engine.
@@ -97,6 +97,7 @@
 	default:
 		engine.update(now, specification, entry.Revision, r.outage)
 	}
+	r.byID[id].format = entry.Format
 	r.logger.Emit(events.EngineChanged, events.F("engine", id), events.F("service", specification.Service),
 		events.F("address", specification.Address), events.F("software", specification.Software), events.F("draining", specification.Draining),
 		events.F("revision", entry.Revision))
--- a/internal/dispatch/software_test.go
+++ b/internal/dispatch/software_test.go
@@ -115,3 +115,21 @@
 	assert.NilError(t, err)
 	assert.Equal(t, next.ID(), "other")
 }
+
+// A gateway that learned of an engine from a node of an earlier build, without its software version, learns that from a later
+// build at the same revision, and doesn't forget it again.
+func TestSoftwareVersionIsLearnedFromALaterBuild(t *testing.T) {
+	registry := NewRegistry("a", noDial, events.Discard())
+	apply := func(software string, format int) {
+		record, err := json.Marshal(EngineSpecification{ID: "e", Service: "s", Address: "127.0.0.1:1", Zone: "a", Software: software})
+		assert.NilError(t, err)
+		registry.Apply(catalog.Entry{Key: catalog.Key(catalog.EngineKind, "e"), Revision: 1, Format: format, Value: record})
+	}
+	apply("", 0)
+	assert.DeepEqual(t, registry.SoftwareVersions("s"), []string{""})
+	apply("v1", EngineFormat)
+	assert.DeepEqual(t, registry.SoftwareVersions("s"), []string{"v1"})
+	apply("", 0)
+	assert.DeepEqual(t, registry.SoftwareVersions("s"), []string{"v1"})
+	assert.Assert(t, registry.byID["e"].trusted(time.Now()))
+}
