dispatch: streams go before new calls at the few engines of their version

Cause: a pinned call competed with new calls for the slots of its version's engines though those could go elsewhere; a refusal kept it from a full engine for 150 ms; and the retry budget, which many interrupted streams share, was used up by refusals and by dials to engines that were gone. Change: while a pinned call waits, new calls of its gateway leave the engines of that version to it if there are others; it tries full engines every 50 ms within a wait of 500 ms over all attempts; attempts that gave an engine no work are not taken from the budget.

--- a/internal/dispatch/dispatch.go
+++ b/internal/dispatch/dispatch.go
@@ -32,8 +32,8 @@
 	// engineWaitTimeout is how long a call waits for a usable engine.
 	engineWaitTimeout = 60 * time.Millisecond
 	// pinnedWaitTimeout replaces engineWaitTimeout for calls that only engines of one software version can run, while any of
-	// these is present. It exceeds fullBackoff, and ends before callers give up a silent stream.
-	pinnedWaitTimeout = 400 * time.Millisecond
+	// these is present. It bounds all attempts since the last event, and ends before callers give up a silent stream.
+	pinnedWaitTimeout = 500 * time.Millisecond
 	// engineWaitInterval is the polling interval of that wait.
 	engineWaitInterval = 10 * time.Millisecond
 	// noEngineRetryAfter is the Retry-After for callers if no engine was available.
@@ -248,7 +248,9 @@
 	startedAt := time.Now()
 	waitUntil := startedAt.Add(engineWaitTimeout)
 	if call.Placement.Pinned {
-		waitUntil = startedAt.Add(pinnedWaitTimeout)
+		waitUntil = progress.pinnedWaitUntil(startedAt)
+		d.registry.beginWait(call.Placement)
+		defer d.registry.endWait(call.Placement)
 	}
 	defer func() { call.Trace.EngineWait += time.Since(startedAt) }()
 	for {
--- a/internal/dispatch/engine.go
+++ b/internal/dispatch/engine.go
@@ -128,7 +128,7 @@
 
 // mayContinue reports whether the engine may get the rest of a stream that no usable engine can continue.
 func (e *Engine) mayContinue(now time.Time, last outage) bool {
-	return e.presence(now, last) == present && !now.Before(e.fullUntil)
+	return e.presence(now, last) == present && !now.Before(e.fullUntil.Add(pinnedFullBackoff-fullBackoff))
 }
 
 // usableAsFallback reports whether the engine may be used although its record was recently removed or has
--- a/internal/dispatch/placement.go
+++ b/internal/dispatch/placement.go
@@ -119,16 +119,21 @@
 	if placement.Pinned {
 		return r.pinnedCandidates(now, placement)
 	}
-	var usable, fallback []*Engine
+	var usable, fallback, awaited []*Engine
 	for id, engine := range r.services[placement.Service] {
 		switch {
 		case placement.Excluded[id]:
+		case engine.usable(now, r.outage) && r.waiting[softwareKey{placement.Service, engine.specification.Software}] > 0:
+			awaited = append(awaited, engine)
 		case engine.usable(now, r.outage):
 			usable = append(usable, engine)
 		case engine.usableAsFallback(now):
 			fallback = append(fallback, engine)
 		}
 	}
+	if len(usable) == 0 {
+		usable = awaited
+	}
 	if len(fallback) > len(usable) {
 		// Engines that leave lose their records one by one. If most records are missing, the store was
 		// unavailable, and the few engines that still have one must not get all the work.
--- a/internal/dispatch/progress.go
+++ b/internal/dispatch/progress.go
@@ -75,6 +75,8 @@
 	// the stream had then.
 	resumes int
 	events  int
+	// waitUntil is until when a pinned call may wait for an engine; zero before it does.
+	waitUntil time.Time
 	// resumeOn is the engine that the next attempt must use; nil for any.
 	resumeOn *Engine
 }
@@ -98,6 +100,10 @@
 
 // mayRetry records a failed attempt and reports whether another one is allowed.
 func (p *progress) mayRetry(ctx context.Context, outcome attemptOutcome, engine *Engine, retries *retryBudget) bool {
+	if p.call.Placement.Pinned && !p.ran && outcome == refused {
+		// The wait for an engine bounds these attempts.
+		return !expired(ctx)
+	}
 	p.attempts++
 	p.resetOnEvents()
 	p.pinSoftware()
@@ -108,7 +114,7 @@
 		return false
 	}
 	if p.call.Stream != nil && p.ran {
-		return p.mayResume(outcome, engine) && retries.spend()
+		return p.mayResume(outcome, engine) && (p.costsNothing(outcome) || retries.spend())
 	}
 	p.exclude(outcome, engine)
 	if outcome == unknown {
@@ -117,7 +123,7 @@
 			return false
 		}
 	}
-	return retries.spend()
+	return p.costsNothing(outcome) || retries.spend()
 }
 
 // resetOnEvents resets the counts of attempts if the last attempt delivered events, so that a stream still completes on
@@ -127,6 +133,7 @@
 		return
 	}
 	p.events = p.call.Stream.Events()
+	p.waitUntil = time.Time{}
 	p.attempts = 0
 	p.resumes = 0
 }
@@ -140,10 +147,24 @@
 	p.call.Placement.Software = p.call.Trace.Software
 }
 
+// costsNothing reports whether a failed attempt of a pinned call gave its engine no work. It is not taken from the retry budget
+// then: no other engine can run the call, and many streams are interrupted at once when an engine crashes.
+func (p *progress) costsNothing(outcome attemptOutcome) bool {
+	return p.call.Placement.Pinned && (outcome == refused || outcome == gone)
+}
+
+// pinnedWaitUntil returns until when a pinned call may wait for an engine, over all its attempts.
+func (p *progress) pinnedWaitUntil(now time.Time) time.Time {
+	if p.waitUntil.IsZero() {
+		p.waitUntil = now.Add(pinnedWaitTimeout)
+	}
+	return p.waitUntil
+}
+
 // exclude rules out an engine for the further attempts of a call that has not run. A pinned call may return to an engine that
-// was full or could not be reached, since few others can run it.
+// could not be reached, since few others can run it.
 func (p *progress) exclude(outcome attemptOutcome, engine *Engine) {
-	if p.call.Placement.Pinned && (outcome == refused || outcome == notSent) {
+	if p.call.Placement.Pinned && outcome == notSent {
 		return
 	}
 	p.call.Placement.Excluded[engine.ID()] = true
--- a/internal/dispatch/registry.go
+++ b/internal/dispatch/registry.go
@@ -33,6 +33,8 @@
 	removedRetention = 30 * time.Second
 	// fullBackoff is how long an engine that refused a call for lack of capacity gets no calls of this gateway.
 	fullBackoff = 150 * time.Millisecond
+	// pinnedFullBackoff replaces fullBackoff for streams that no other engine can continue.
+	pinnedFullBackoff = 50 * time.Millisecond
 	// defaultConnections is the connection limit of services without a configured one.
 	defaultConnections = 16
 )
@@ -49,6 +51,8 @@
 	byID      map[string]*Engine
 	limits    map[string]int
 	baselines map[string]*latencyBaseline
+	// waiting counts the pinned calls that wait for an engine, by the software that they wait for.
+	waiting map[softwareKey]int
 	// outage is the most recent outage of the store.
 	outage outage
 	// others holds the calls in flight of other gateways.
@@ -65,6 +69,7 @@
 		byID:      make(map[string]*Engine),
 		limits:    make(map[string]int),
 		baselines: make(map[string]*latencyBaseline),
+		waiting:   make(map[softwareKey]int),
 		others:    load.NewView(),
 	}
 }
@@ -246,6 +251,27 @@
 	return found
 }
 
+// softwareKey identifies a version of a service's software.
+type softwareKey struct{ service, software string }
+
+// beginWait notes that a pinned call waits for an engine. New calls leave the engines of its version to it meanwhile, as long as
+// there are others.
+func (r *Registry) beginWait(placement Placement) {
+	r.mutex.Lock()
+	defer r.mutex.Unlock()
+	r.waiting[softwareKey{placement.Service, placement.Software}]++
+}
+
+// endWait undoes beginWait.
+func (r *Registry) endWait(placement Placement) {
+	key := softwareKey{placement.Service, placement.Software}
+	r.mutex.Lock()
+	defer r.mutex.Unlock()
+	if r.waiting[key]--; r.waiting[key] == 0 {
+		delete(r.waiting, key)
+	}
+}
+
 // release undoes choose or acquire at the end of an attempt.
 func (r *Registry) release(engine *Engine) {
 	r.mutex.Lock()
--- a/internal/dispatch/software_test.go
+++ b/internal/dispatch/software_test.go
@@ -133,3 +133,47 @@
 	assert.DeepEqual(t, registry.SoftwareVersions("s"), []string{"v1"})
 	assert.Assert(t, registry.byID["e"].trusted(time.Now()))
 }
+
+// While streams wait for the engines of a version, new calls leave these to them if there are others.
+func TestNewCallsLeaveAwaitedEnginesToStreams(t *testing.T) {
+	registry := versionedRegistry(t)
+	awaited := Placement{Service: "s", Pinned: true, Software: "v1"}
+	chosenOf := func() map[string]bool {
+		chosen := make(map[string]bool)
+		for range 30 {
+			engine := registry.choose(time.Now(), Placement{Service: "s"}, &Trace{})
+			chosen[engine.ID()] = true
+		}
+		return chosen
+	}
+	registry.beginWait(awaited)
+	registry.beginWait(awaited)
+	registry.endWait(awaited)
+	assert.DeepEqual(t, chosenOf(), map[string]bool{"new1": true, "new2": true})
+	for _, id := range []string{"new1", "new2"} {
+		registry.byID[id].breaker.failed(time.Now(), true)
+	}
+	assert.DeepEqual(t, chosenOf(), map[string]bool{"old": true})
+	registry.endWait(awaited)
+	assert.Equal(t, len(registry.waiting), 0)
+}
+
+// Attempts that gave an engine no work don't use up the retry budget of pinned calls, and refusals end with the wait.
+func TestRefusalsOfStreamsCostNoRetries(t *testing.T) {
+	registry := versionedRegistry(t)
+	retries := &retryBudget{}
+	call := &Call{Route: resumableRoute(t, 1), Placement: Placement{Service: "s", Excluded: make(map[string]bool), Pinned: true, Software: "v1"}}
+	progress := &progress{call: call}
+	for range 3 * maxAttempts {
+		assert.Assert(t, progress.mayRetry(context.Background(), refused, registry.byID["old"], retries))
+	}
+	assert.Assert(t, !call.Placement.Excluded["old"])
+	registry.byID["old"].fullUntil = time.Now().Add(time.Minute)
+	startedAt := time.Now()
+	_, err := New(registry, nil, events.Discard()).nextEngine(context.Background(), call, progress)
+	assert.Assert(t, err != nil)
+	assert.Assert(t, time.Since(startedAt) < 2*pinnedWaitTimeout)
+	assert.Assert(t, progress.mayRetry(context.Background(), gone, registry.byID["old"], retries))
+	call.Placement.Pinned = false
+	assert.Assert(t, !progress.mayRetry(context.Background(), refused, registry.byID["old"], retries))
+}
--- a/internal/ingress/harness_test.go
+++ b/internal/ingress/harness_test.go
@@ -79,6 +79,20 @@
 	id            string
 	specification dispatch.EngineSpecification
 	runs          atomic.Int64
+	listener      net.Listener
+
+	mutex       sync.Mutex
+	connections []net.Conn
+}
+
+// stop resets the engine's connections and closes its port.
+func (e *testEngine) stop() {
+	_ = e.listener.Close()
+	e.mutex.Lock()
+	defer e.mutex.Unlock()
+	for _, connection := range e.connections {
+		(&engineCall{connection: connection}).reset()
+	}
 }
 
 type engineCall struct {
@@ -215,7 +229,7 @@
 	listener, err := net.Listen("tcp", "127.0.0.1:0")
 	assert.NilError(c.t, err)
 	c.t.Cleanup(func() { _ = listener.Close() })
-	started := &testEngine{id: id}
+	started := &testEngine{id: id, listener: listener}
 	go func() {
 		for {
 			connection, err := listener.Accept()
@@ -233,6 +247,9 @@
 
 func (e *testEngine) serve(connection net.Conn, script func(call *engineCall)) {
 	defer connection.Close()
+	e.mutex.Lock()
+	e.connections = append(e.connections, connection)
+	e.mutex.Unlock()
 	reader := bufio.NewReader(connection)
 	for {
 		request, err := http.ReadRequest(reader)
--- a/internal/ingress/softwareversion_test.go
+++ b/internal/ingress/softwareversion_test.go
@@ -10,6 +10,8 @@
 	"regexp"
 	"slices"
 	"strings"
+	"sync"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -451,3 +453,80 @@
 		assert.DeepEqual(t, versionsIn(rest.body), versionsIn(begun))
 	}
 }
+
+// slottedEngine starts an engine that runs up to slots calls at once and refuses others. Streams from the start stop after two
+// events while paused is set.
+func (c *testCluster) slottedEngine(id, software string, slots int64, paused *atomic.Bool) *testEngine {
+	var running atomic.Int64
+	return c.engineOf(id, software, func(call *engineCall) {
+		defer running.Add(-1)
+		if running.Add(1) > slots {
+			call.writeHead("HTTP/1.1", 503, "Untouched: 1", "Content-Length: 0")
+			return
+		}
+		if call.nextEvent() == 1 && paused.Load() {
+			pausingStream(software)(call)
+			return
+		}
+		call.beginStream()
+		for id := call.nextEvent(); id <= 4; id++ {
+			call.versionedEvent(software, id)
+			<-time.After(20 * time.Millisecond)
+		}
+		call.endStream()
+	})
+}
+
+// When most engines of a version crash together with the gateway, the callers' streams go on at the few that are left, though
+// these have no free slots at times and new streams come as well.
+func TestStreamsGoOnAtTheFewEnginesOfTheirVersion(t *testing.T) {
+	t.Parallel()
+	const streams, slots = 48, 8
+	cluster := newTestCluster(t)
+	cluster.withReplica()
+	var paused atomic.Bool
+	paused.Store(true)
+	for _, software := range []string{"v1", "v2"} {
+		for index := range 6 {
+			cluster.slottedEngine(fmt.Sprint(software, "-", index), software, slots, &paused)
+		}
+	}
+	other := cluster.secondGateway()
+	headersOf := func(number int) []string {
+		if number%2 == 0 {
+			return nil
+		}
+		return []string{"Program", fmt.Sprint("p", number), "Budget", "1000", "Most", "36"}
+	}
+	begun := make([]string, streams)
+	for number := range streams {
+		begun[number] = cluster.readTwoEvents("/resume/", fmt.Sprint("first", number), headersOf(number)...)
+	}
+	paused.Store(false)
+	cluster.frontServer.CloseClientConnections()
+	cluster.network.Close()
+	for index := range 4 {
+		cluster.engines[fmt.Sprint("v1-", index)].stop()
+	}
+	var callers sync.WaitGroup
+	var begunAnew, wentOn atomic.Int64
+	for number := range streams {
+		callers.Go(func() {
+			if got := other.send("/resume/", fmt.Sprint("new", number), "in"); got.status == http.StatusOK && got.err == nil {
+				begunAnew.Add(1)
+			}
+		})
+		callers.Go(func() {
+			rest := other.send("/resume/", fmt.Sprint("second", number), "in", append(headersOf(number), "After", "2", "Resumes", fmt.Sprint("first", number))...)
+			if rest.status != http.StatusOK || rest.err != nil {
+				t.Logf("%d: %d %q %v", number, rest.status, rest.body, rest.err)
+				return
+			}
+			wentOn.Add(1)
+			assert.Check(t, slices.Equal(versionsIn(rest.body), versionsIn(begun[number])), "%q after %q", rest.body, begun[number])
+		})
+	}
+	callers.Wait()
+	assert.Assert(t, 2*wentOn.Load() >= begunAnew.Load(), "%d of %d streams went on, and %d new ones began", wentOn.Load(), streams, begunAnew.Load())
+	t.Logf("%d of %d streams went on, and %d new ones began", wentOn.Load(), streams, begunAnew.Load())
+}
