turnstore: streams without a program are kept under a hash of their ID

By reading: a caller may name any text in Resumes, and the lookup stores a charge for ten minutes under it; an ID of 16 KB would have been kept whole at every replica.

--- a/internal/turnstore/client.go
+++ b/internal/turnstore/client.go
@@ -7,6 +7,8 @@
 	"sync"
 	"time"
 
+	"github.com/cespare/xxhash/v2"
+
 	"github.com/mountstile/mountstile/internal/apierr"
 	"github.com/mountstile/mountstile/internal/conversation"
 	"github.com/mountstile/mountstile/internal/events"
@@ -87,13 +89,14 @@
 // Resumed reports whether the turn goes on with a stream that another attempt began.
 func (p StreamParams) Resumed() bool { return p.ID != "" && p.Writer == 0 }
 
-// streamProgramPrefix begins the name under which the origin of a stream without a program is kept.
+// streamProgramPrefix begins the name under which the origin of a stream without a program is kept. The rest is a hash, since
+// callers choose the IDs of their attempts, of any length.
 const streamProgramPrefix = "stream/"
 
 // chargedProgram returns the program that holds the turn's charge.
 func (p OpenParams) chargedProgram() string {
 	if p.Program == "" && p.Stream.ID != "" {
-		return streamProgramPrefix + p.Stream.ID
+		return streamProgramPrefix + strconv.FormatUint(xxhash.Sum64String(p.Stream.ID), 36)
 	}
 	return p.Program
 }
