--- a/internal/ingress/reservation.go
+++ b/internal/ingress/reservation.go
@@ -50,9 +50,10 @@
 // needsTurnStore reports whether the turn can't run unless its tokens are reserved and its previous turns are found.
 func (r *request) needsTurnStore() bool { return r.caller.Budget != NoBudget || r.route.StoreTurns() }
 
-// openTurn reserves the budget, looks up the previous turns, and records or reads the origin of a resumable stream. If this takes longer than runAheadDelay, as after
-// replicas lost power, a repeatable turn runs in parallel with its reservation. Its events are
-// buffered until the reservation succeeds, so that the delays of engines and replicas overlap.
+// openTurn reserves the budget, looks up the previous turns, and records or reads the origin of a
+// resumable stream. If this takes longer than runAheadDelay, as after replicas lost power, a repeatable
+// turn runs in parallel with its reservation. Its events are buffered until the reservation succeeds, so
+// that the delays of engines and replicas overlap.
 func (r *request) openTurn(ctx context.Context, cancelCause context.CancelCauseFunc) error {
 	if r.route.Kind() != routing.Stream {
 		return nil
@@ -85,7 +86,8 @@
 
 // canRunAhead reports whether the turn may be sent to an engine before its budget is reserved.
 // After a reservation has failed for lack of replicas, this one would probably fail too, and the
-// engine's work would be wasted: with two of four replicas lost, 526 turns of 57 gateways did so in a second. A stream that the caller resumes waits, since its origin decides which engines may run it.
+// engine's work would be wasted: with two of four replicas lost, 526 turns of 57 gateways did so in a
+// second. A stream that the caller resumes waits, since its origin decides which engines may run it.
 func (r *request) canRunAhead(opening turnstore.OpenParams) bool {
 	if opening.Stream.Resumed() {
 		return false
--- a/internal/turnstore/health.go
+++ b/internal/turnstore/health.go
@@ -92,7 +92,7 @@
 
 // ShardHealthy reports whether the last open in the shard of a turn found a quorum, or no turn has been opened there yet.
 func (c *Client) ShardHealthy(params OpenParams) bool {
-	shard, _ := c.shardOf(params.chargedProgram())
+	shard, _ := c.shardOf(params.shardKey())
 	return !c.shardHealth(shard).failing()
 }
 
