Node program: an answer goes on only at the software version that began it

Engines of a pool may now state the version of their software; the gateway keeps that of the engine which sent the first output, and the scheduler places the rest among its engines only. A gateway that follows a running answer and then takes the call over learns it with the answer. Messages gain optional fields only; engines without a version work as today.

--- a/internal/coordinator/messages.go
+++ b/internal/coordinator/messages.go
@@ -64,6 +64,8 @@
 	Undelivered bool `json:"undelivered,omitempty"`
 	// Avoid are the engines on which the call has failed.
 	Avoid []string `json:"avoid,omitempty"`
+	// Software is the software version of the engines that wrote the answer so far; nil if there is none.
+	Software *string `json:"software,omitempty"`
 	// Spent is the cost in tokens if the call ends without another attempt. It is set if the caller has received a part of the
 	// answer.
 	Spent int64 `json:"spent,omitempty"`
--- a/internal/coordinator/placement.go
+++ b/internal/coordinator/placement.go
@@ -16,6 +16,8 @@
 
 // priorAttempts holds the outcome of a call's earlier attempts for the placement of the next one.
 type priorAttempts struct {
+	// software restricts the placement to engines of this software version; nil allows all.
+	software *string
 	// avoid are the engines on which the call has failed.
 	avoid []string
 	// waited is the part of the call's MaxWait that is used up. It counts only until an engine has run the call.
@@ -24,7 +26,7 @@
 
 // priorAttempts returns the outcome of the attempts that preceded the retry.
 func (r RetryRequest) priorAttempts() priorAttempts {
-	return priorAttempts{avoid: r.Avoid, waited: time.Duration(r.WaitedMillis) * time.Millisecond}
+	return priorAttempts{software: r.Software, avoid: r.Avoid, waited: time.Duration(r.WaitedMillis) * time.Millisecond}
 }
 
 // place selects an engine for the next attempt of a call, and reserves a slot on it.
@@ -82,6 +84,7 @@
 func (s *Server) newSchedulerCall(request BeginRequest, call *program.Call, set *resource.Set, service *resource.Service, prior priorAttempts) scheduler.Call {
 	summary, _ := s.machine(request.Partition).Summary(request.Admit.Program)
 	schedulerCall := DescribeCall(request, call, summary, service, time.Now())
+	schedulerCall.Software = prior.software
 	schedulerCall.Avoid = prior.avoid
 	schedulerCall.MaxWait = max(0, schedulerCall.MaxWait-prior.waited)
 	if tenant, known := set.Tenant(request.Admit.Program.Tenant); known {
@@ -114,7 +117,7 @@
 	if !exists {
 		return response, apierr.New(apierr.NoEngine, apierr.OutcomeUnknown, "engine %q was removed", call.Engine)
 	}
-	response.Engine = &engine.Target{Name: found.Name, URL: found.URL, Pool: pool}
+	response.Engine = &engine.Target{Name: found.Name, URL: found.URL, Pool: pool, Software: found.Software}
 	if request.WantHistory {
 		response.History = s.machine(request.Partition).History(request.Admit.Program)
 	}
--- a/internal/engine/engine.go
+++ b/internal/engine/engine.go
@@ -15,6 +15,8 @@
 	Name string `json:"name"`
 	URL  string `json:"url"`
 	Pool string `json:"pool"`
+	// Software is the version of the engine's software; empty if it states none.
+	Software string `json:"software,omitempty"`
 }
 
 // Parameters holds the members of a caller's request that are forwarded unchanged, by name.
--- a/internal/gateway/answer_relay.go
+++ b/internal/gateway/answer_relay.go
@@ -31,6 +31,8 @@
 	Content string `json:"content,omitempty"`
 	// Deltas is the number of deltas that the engine has sent so far. Each has at least one token.
 	Deltas int64 `json:"pieces,omitempty"`
+	// Software is the software version of the engines that wrote the answer; nil before its first content.
+	Software *string `json:"software,omitempty"`
 	// Ended is set if the answer will not grow at this gateway.
 	Ended bool `json:"ended,omitempty"`
 }
@@ -40,8 +42,10 @@
 	id      uint64
 	content []byte
 	deltas  int64
-	ended   bool
-	changed chan struct{}
+	// software is the software version of the engines that wrote the content; nil if there is none.
+	software *string
+	ended    bool
+	changed  chan struct{}
 }
 
 // AnswerRelay streams the answer of a running call to repeats of the call at any gateway, from the start of the answer. It is safe
@@ -72,16 +76,16 @@
 	answer *runningAnswer
 }
 
-// publish starts the answer of a call with the content and deltas of its lost attempts, and ends the answer of an earlier
-// execution of the call.
-func (r *AnswerRelay) publish(callID, content string, deltas int64) *answerPublisher {
+// publish starts the answer of a call with the content, deltas and software version of its lost attempts, and ends the answer of
+// an earlier execution of the call.
+func (r *AnswerRelay) publish(callID, content string, deltas int64, software *string) *answerPublisher {
 	r.mutex.Lock()
 	defer r.mutex.Unlock()
 	if earlier := r.answers[callID]; earlier != nil {
 		earlier.end()
 	}
 	r.lastID++
-	answer := &runningAnswer{id: r.lastID, content: []byte(content), deltas: deltas, changed: make(chan struct{})}
+	answer := &runningAnswer{id: r.lastID, content: []byte(content), deltas: deltas, software: software, changed: make(chan struct{})}
 	r.answers[callID] = answer
 	return &answerPublisher{relay: r, callID: callID, answer: answer}
 }
@@ -94,8 +98,9 @@
 	}
 }
 
-// add appends the content of a delta and wakes the readers. It has no effect on an ended answer.
-func (p *answerPublisher) add(content string) {
+// add appends the content of a delta from an engine of a software version and wakes the readers. It has no effect on an ended
+// answer.
+func (p *answerPublisher) add(content string, software *string) {
 	if p == nil {
 		return
 	}
@@ -106,6 +111,7 @@
 	}
 	p.answer.content = append(p.answer.content, content...)
 	p.answer.deltas++
+	p.answer.software = software
 	close(p.answer.changed)
 	p.answer.changed = make(chan struct{})
 }
@@ -135,7 +141,7 @@
 	}
 	for {
 		r.mutex.Lock()
-		response := answerReadResponse{Found: true, Answer: answer.id, Ended: answer.ended, Deltas: answer.deltas}
+		response := answerReadResponse{Found: true, Answer: answer.id, Ended: answer.ended, Deltas: answer.deltas, Software: answer.software}
 		if request.Offset >= 0 && request.Offset < len(answer.content) {
 			response.Content = string(answer.content[request.Offset:])
 		}
@@ -156,14 +162,14 @@
 
 // follow reads a call's answer from the gateway that executes it, from the start, and calls deliver with each part. It returns
 // when the answer has ended, the gateway doesn't have it any more, the read fails, or deliver returns false.
-func (r *AnswerRelay) follow(ctx context.Context, gatewayID, callID string, deliver func(content string, deltas int64) bool) {
+func (r *AnswerRelay) follow(ctx context.Context, gatewayID, callID string, deliver func(part answerReadResponse) bool) {
 	request := answerReadRequest{CallID: callID}
 	for ctx.Err() == nil {
 		response, err := r.fetch(ctx, gatewayID, request)
 		if err != nil || !response.Found {
 			return
 		}
-		if response.Content != "" && !deliver(response.Content, response.Deltas) {
+		if response.Content != "" && !deliver(response) {
 			return
 		}
 		request.Answer = response.Answer
--- a/internal/gateway/chat_execution.go
+++ b/internal/gateway/chat_execution.go
@@ -28,6 +28,10 @@
 	// the first attempt.
 	publisher *answerPublisher
 
+	// software is the software version of the engines that wrote the answer so far; nil if that is not known or nothing was
+	// written.
+	software *string
+
 	// content and toolCalls are the answer so far, of all attempts.
 	content      strings.Builder
 	toolCalls    toolCallMerger
@@ -91,7 +95,8 @@
 	e.publisher.close()
 	e.publisher = nil
 	read := 0
-	e.gateway.options.AnswerRelay.follow(ctx, response.RunningAt, response.CallID, func(content string, deltas int64) bool {
+	e.gateway.options.AnswerRelay.follow(ctx, response.RunningAt, response.CallID, func(part answerReadResponse) bool {
+		content := part.Content
 		buffered := e.content.String()[min(read, e.content.Len()):]
 		read += len(content)
 		overlap := min(len(buffered), len(content))
@@ -101,7 +106,8 @@
 		}
 		if added := content[overlap:]; added != "" {
 			e.content.WriteString(added)
-			e.usage.follow(deltas)
+			e.usage.follow(part.Deltas)
+			e.software = part.Software
 			e.ensureWriter(w).addDelta(engine.Delta{Content: added})
 		}
 		return true
@@ -166,6 +172,10 @@
 		failed = false
 		return nil, e.retryRequest(response, true), nil
 	}
+	if !e.mayContinueAt(target) {
+		failed = false
+		return nil, e.retryRequest(response, true), nil
+	}
 	w.Header().Set(HeaderEngine, target.Name)
 	err := e.stream(ctx, w, target, response)
 	if err == nil {
@@ -210,6 +220,12 @@
 	return nil, e.retryRequest(response, false), nil
 }
 
+// mayContinueAt reports whether an engine has the software version that began the answer. A call that this gateway took over from
+// another one is placed without regard to that.
+func (e *chatExecution) mayContinueAt(target engine.Target) bool {
+	return e.software == nil || !e.hasStarted() || *e.software == target.Software
+}
+
 // hasStarted reports whether a part of the answer was received.
 func (e *chatExecution) hasStarted() bool { return e.content.Len() > 0 || e.toolCalls.hasStarted() }
 
@@ -224,13 +240,16 @@
 	if e.writer != nil && e.writer.hasStarted() {
 		request.Spent = e.usage.usage().Total()
 	}
+	if e.hasStarted() {
+		request.Software = e.software
+	}
 	return request
 }
 
 // stream forwards an engine's answer to the caller, except for its end, which must wait for the commit.
 func (e *chatExecution) stream(ctx context.Context, w http.ResponseWriter, target engine.Target, response coordinator.BeginResponse) error {
 	if e.publisher == nil && e.identity.idempotencyKey != "" {
-		e.publisher = e.gateway.options.AnswerRelay.publish(response.CallID, e.content.String(), e.usage.completion())
+		e.publisher = e.gateway.options.AnswerRelay.publish(response.CallID, e.content.String(), e.usage.completion(), e.software)
 	}
 	messages := append(response.History, e.request.Messages...)
 	e.usage.startAttempt(promptBytes(messages) / program.BytesPerToken)
@@ -273,6 +292,7 @@
 		stallTimer.reset()
 		if delta.Content != "" || len(delta.ToolCalls) > 0 {
 			e.stepTimer.RecordChunk(time.Now())
+			e.software = &target.Software
 			if e.writer == nil {
 				e.gateway.options.Metrics.firstToken.WithLabelValues(e.service).Observe(time.Since(e.started).Seconds())
 			}
@@ -295,7 +315,7 @@
 func (e *chatExecution) handleDelta(w http.ResponseWriter, delta engine.Delta) {
 	e.content.WriteString(delta.Content)
 	if delta.Content != "" {
-		e.publisher.add(delta.Content)
+		e.publisher.add(delta.Content, e.software)
 	}
 	e.toolCalls.add(delta.ToolCalls)
 	hasOutput := delta.Content != "" || len(delta.ToolCalls) > 0
--- a/internal/gateway/stream_test.go
+++ b/internal/gateway/stream_test.go
@@ -10,6 +10,7 @@
 	"github.com/prometheus/client_golang/prometheus"
 	"gotest.tools/v3/assert"
 
+	"github.com/mountstile/mountstile/internal/coordinator"
 	"github.com/mountstile/mountstile/internal/engine"
 	"github.com/mountstile/mountstile/internal/events"
 	"github.com/mountstile/mountstile/internal/membership"
@@ -51,12 +52,34 @@
 	network := transport.New(transport.Options{Cluster: "c", NodeID: "a", Logger: events.Discard()})
 	t.Cleanup(network.Close)
 	relay := NewAnswerRelay(network, membership.NewManager(membership.Member{ID: "a"}, nil, membership.DefaultOptions(), network, events.Discard()))
-	relay.publish("call", "", 0).add("first")
+	relay.publish("call", "", 0, nil).add("first", nil)
 	var got []string
-	relay.follow(t.Context(), "a", "call", func(content string, _ int64) bool {
-		got = append(got, content)
-		relay.publish("call", "", 0).add("another answer")
+	relay.follow(t.Context(), "a", "call", func(part answerReadResponse) bool {
+		got = append(got, part.Content)
+		relay.publish("call", "", 0, nil).add("another answer", nil)
 		return len(got) < 2
 	})
 	assert.DeepEqual(t, got, []string{"first"})
 }
+
+// TestFollowerLearnsTheSoftwareVersion checks that a follower which takes a call over knows which software version began the
+// answer, and sends its rest to no other.
+func TestFollowerLearnsTheSoftwareVersion(t *testing.T) {
+	network := transport.New(transport.Options{Cluster: "c", NodeID: "a", Logger: events.Discard()})
+	t.Cleanup(network.Close)
+	relay := NewAnswerRelay(network, membership.NewManager(membership.Member{ID: "a"}, nil, membership.DefaultOptions(), network, events.Discard()))
+	software := "v1"
+	publisher := relay.publish("call", "", 0, nil)
+	publisher.add("first", &software)
+	follower := &chatExecution{}
+	assert.Assert(t, follower.mayContinueAt(engine.Target{Software: "v2"}), "nothing has begun")
+	relay.follow(t.Context(), "a", "call", func(part answerReadResponse) bool {
+		follower.content.WriteString(part.Content)
+		follower.software = part.Software
+		return false
+	})
+	assert.Assert(t, follower.mayContinueAt(engine.Target{Software: "v1"}))
+	assert.Assert(t, !follower.mayContinueAt(engine.Target{Software: "v2"}))
+	retry := follower.withSpent(&coordinator.RetryRequest{})
+	assert.Equal(t, *retry.Software, "v1")
+}
--- a/internal/resource/resource.go
+++ b/internal/resource/resource.go
@@ -126,6 +126,9 @@
 	URL    string `json:"url" yaml:"url"`
 	Zone   string `json:"zone,omitempty" yaml:"zone"`
 	Region string `json:"region,omitempty" yaml:"region"`
+	// Software is the version of the engine's software; empty if it states none. An answer that one version began is not
+	// continued by another.
+	Software string `json:"software,omitempty" yaml:"software"`
 	// Slots is how many calls the engine can run concurrently.
 	Slots int `json:"slots,omitempty" yaml:"slots"`
 	// Draining engines get no new calls.
--- a/internal/scheduler/scheduler.go
+++ b/internal/scheduler/scheduler.go
@@ -54,6 +54,9 @@
 	UsedTokens   int64
 	Messages     int
 	AgeSeconds   float64
+	// Software restricts the call to engines of this software version; nil allows all. It is set for a call whose answer has
+	// begun, since the output of different versions can't be joined.
+	Software *string
 	// Avoid lists engines on which this call has failed.
 	Avoid []string
 	// MaxWait limits the time in queues; Timeout limits the execution.
@@ -61,6 +64,16 @@
 	Timeout time.Duration
 }
 
+// allowedPool returns the engines of a pool that the call's software version allows.
+func (c Call) allowedPool(pool *resource.Pool) *resource.Pool {
+	if c.Software == nil {
+		return pool
+	}
+	allowed := *pool
+	allowed.Engines = slices.DeleteFunc(slices.Clone(pool.Engines), func(engine resource.Engine) bool { return engine.Software != *c.Software })
+	return &allowed
+}
+
 // Candidate is an engine under consideration.
 type Candidate struct {
 	Engine resource.Engine
@@ -156,6 +169,10 @@
 	if err := s.checkAdmission(call, rules); err != nil {
 		return decision, err
 	}
+	pool = call.allowedPool(pool)
+	if call.Software != nil && len(pool.Engines) == 0 {
+		return decision, apierr.New(apierr.NoEngine, apierr.NotRun, "no engine of the pool has software version %q, which began the answer", *call.Software)
+	}
 	for {
 		ranked, rejected := s.rank(call, pool, rules, s.elapsedSince(started))
 		decision.Candidates = append(slices.Clone(ranked), rejected...)
--- a/internal/scheduler/scheduler_test.go
+++ b/internal/scheduler/scheduler_test.go
@@ -54,6 +54,31 @@
 	return rules
 }
 
+// TestCallKeepsItsSoftwareVersion checks that the rest of an answer is placed only at engines of the version that began it, also
+// if these are few in a large pool, and at once fails if there is none.
+func TestCallKeepsItsSoftwareVersion(t *testing.T) {
+	pool := poolOf(200)
+	free := make(map[string]bool)
+	for index := range pool.Engines {
+		pool.Engines[index].Software = "v2"
+		free[pool.Engines[index].Name] = true
+	}
+	pool.Engines[70].Software, pool.Engines[71].Software = "v1", ""
+	rules := compile(t, resource.Policy{})
+	place := func(software string) (Decision, error) {
+		call := Call{ID: "c", Software: &software, MaxWait: time.Second}
+		return newScheduler(&fakeReserver{free: free}).Place(t.Context(), call, pool, rules)
+	}
+	for software, name := range map[string]string{"v1": "e71", "": "e72"} {
+		decision, err := place(software)
+		assert.NilError(t, err)
+		assert.Equal(t, decision.Engine.Name, name)
+	}
+	_, err := place("v3")
+	assert.Assert(t, apierr.Is(err, apierr.NoEngine), "%v", err)
+	assert.Equal(t, len(pool.Engines), 200)
+}
+
 func TestPlace(t *testing.T) {
 	cases := map[string]struct {
 		fakeReserver fakeReserver
