coordinator: calls share one search for a partition's leader

What callers saw: 503 partition_unavailable, often outcome_unknown, after 10 s, from TestConcurrentRepeatsRunOnce and TestBudgetSharedBySubAgents in 14 and 24 processes (go test -race -c ./test/path, six tests).

Cause: each call searched for the leader by itself. It sent its whole request to one replica after the other, every 50 ms, for as long as none led. A refusal costs the replica as much as an admission: it is decoded, goes through the group's queue and is answered. Evidence, from counters in a scratch copy: one process alone on the machine, 240 calls, 6,634 requests "begin" received and 6,302 of them refused as not_leader, because nodes are ready before their partitions have elected leaders. Under load the refusals take the processor from the election.

Ruled out: a longer election timeout (30 ticks: 12 leaders lost in place of some hundreds in 24 processes, the failures stay); messages dropped for full queues (none counted, neither in groups nor in connections).

Now a partition's replicas are asked for their leader by one small request, which a replica without a leader answers once it has one, after 1 s at the latest. All calls of a node wait for this one lookup. Only the leader's own word counts.

--- a/internal/coordinator/client.go
+++ b/internal/coordinator/client.go
@@ -33,13 +33,22 @@
 
 	mutex   sync.Mutex
 	leaders map[uint32]string
+	// lookups holds the searches for a leader in progress, by partition.
+	lookups map[uint32]*leaderLookup
 	// relayUntil holds the replicas that can't be reached directly, and when to try a direct call again.
 	relayUntil map[string]time.Time
 }
 
 // NewClient returns a Client. It learns the leader of each partition from the replicas' responses.
 func NewClient(network *transport.Transport, members *membership.Manager, partitions *partition.Manager) *Client {
-	return &Client{transport: network, membership: members, partitions: partitions, leaders: make(map[uint32]string), relayUntil: make(map[string]time.Time)}
+	return &Client{
+		transport:  network,
+		membership: members,
+		partitions: partitions,
+		leaders:    make(map[uint32]string),
+		lookups:    make(map[uint32]*leaderLookup),
+		relayUntil: make(map[string]time.Time),
+	}
 }
 
 // Locate returns the partition of the programs under a root.
@@ -127,16 +136,6 @@
 	return c.leaders[id]
 }
 
-func (c *Client) setLeader(id uint32, replicaID string) {
-	c.mutex.Lock()
-	defer c.mutex.Unlock()
-	if replicaID == "" {
-		delete(c.leaders, id)
-		return
-	}
-	c.leaders[id] = replicaID
-}
-
 // peerOf returns the node that holds a replica. Any run of the node may answer: a request names its partition, and only
 // the partition's leader serves it.
 func (c *Client) peerOf(replicaID string) (transport.Peer, bool) {
@@ -144,50 +143,39 @@
 	return transport.Peer{Address: member.Address}, known && member.Usable()
 }
 
-// candidates returns the replicas to try, starting with the leader if it is known.
+// candidates returns the replicas of a partition.
 func (c *Client) candidates(id uint32) []string {
-	var result []string
-	if leader := c.leader(id); leader != "" {
-		result = append(result, leader)
-	}
 	for _, placement := range c.partitions.Placements() {
 		if placement.ID == id {
-			result = append(result, placement.Members...)
+			return placement.Members
 		}
 	}
-	return result
+	return nil
 }
 
 // route sends a request to the leader of a partition, and searches for the leader while it changes. All requests are
 // idempotent, so they may be sent again after a lost response.
 func route[Response any](ctx context.Context, c *Client, id uint32, kind string, request any, timeout time.Duration) (Response, error) {
 	deadline := time.Now().Add(routeTimeout)
-	var lastErr error
 	// mayHaveRun is set once a replica may have received the request, which may then still take effect.
 	mayHaveRun := false
 	for {
-		for _, replicaID := range c.candidates(id) {
-			response, err := callReplica[Response](ctx, c, replicaID, kind, request, timeout)
-			if err == nil {
-				c.setLeader(id, replicaID)
-				return response, nil
-			}
-			if !c.tryNextReplica(id, err) {
+		replicaID, err := c.findLeader(ctx, id)
+		if err == nil {
+			var response Response
+			response, err = callReplica[Response](ctx, c, replicaID, kind, request, timeout)
+			if err == nil || !isRoutingError(err) {
 				return response, err
 			}
-			lastErr = err
 			mayHaveRun = mayHaveRun || apierr.From(err, apierr.OutcomeUnknown).Outcome != apierr.NotRun
-			hasNewLeader := apierr.Is(err, apierr.NotLeader) && c.leader(id) != "" && c.leader(id) != replicaID
-			if hasNewLeader || time.Now().After(deadline) {
-				break
-			}
+			c.forgetLeader(id, replicaID, apierr.From(err, apierr.NotRun).Leader)
 		}
 		var zero Response
 		if ctx.Err() != nil {
 			return zero, apierr.New(apierr.Cancelled, apierr.OutcomeUnknown, "the caller cancelled the request")
 		}
 		if time.Now().After(deadline) {
-			return zero, unavailableError(id, mayHaveRun, lastErr)
+			return zero, unavailableError(id, mayHaveRun, err)
 		}
 		clock.Sleep(ctx, routeRetryInterval)
 	}
@@ -260,18 +248,9 @@
 	c.relayUntil[replicaID] = now.Add(relayDuration)
 }
 
-// tryNextReplica reports whether the request may succeed at another replica. It updates the cached leader from the error.
-func (c *Client) tryNextReplica(id uint32, err error) bool {
-	switch {
-	case apierr.Is(err, apierr.NotLeader):
-		c.setLeader(id, apierr.From(err, apierr.NotRun).Leader)
-		return true
-	case apierr.Is(err, apierr.PeerUnreachable), apierr.Is(err, apierr.RelayFailed), apierr.Is(err, apierr.PartitionUnavailable):
-		c.setLeader(id, "")
-		return true
-	default:
-		return false
-	}
+// isRoutingError reports whether a request may succeed at another replica, or at the same one later.
+func isRoutingError(err error) bool {
+	return apierr.Is(err, apierr.NotLeader) || apierr.Is(err, apierr.PeerUnreachable) || apierr.Is(err, apierr.RelayFailed) || apierr.Is(err, apierr.PartitionUnavailable)
 }
 
 func unavailableError(id uint32, mayHaveRun bool, lastErr error) error {
--- a/internal/coordinator/messages.go
+++ b/internal/coordinator/messages.go
@@ -20,6 +20,7 @@
 	programKind = "program"
 	listKind    = "programs"
 	explainKind = "explain"
+	leaderKind  = "leader"
 )
 
 // BeginRequest admits a call and requests an engine for it.
--- a/internal/coordinator/server.go
+++ b/internal/coordinator/server.go
@@ -119,6 +119,7 @@
 	transport.Handle(network, programKind, server.readProgram)
 	transport.Handle(network, listKind, server.listPrograms)
 	transport.Handle(network, explainKind, server.explain)
+	transport.Handle(network, leaderKind, server.awaitLeader)
 	return server
 }
 
--- a/internal/replica/group.go
+++ b/internal/replica/group.go
@@ -110,6 +110,10 @@
 	// messages and rejects proposals.
 	retired bool
 	status  atomic.Pointer[Status]
+
+	leaderMutex sync.Mutex
+	// leaderChange is closed when the status shows another leader or a failure.
+	leaderChange chan struct{}
 }
 
 func newGroup(host *Host, id uint32, machine StateMachine, stored StoredGroup) (*group, error) {
@@ -134,6 +138,7 @@
 		stopped:      make(chan struct{}),
 		waiters:      make(map[uint64]waiter),
 		membersIndex: stored.Snapshot.Index,
+		leaderChange: make(chan struct{}),
 	}
 	created.publishStatus()
 	return created, nil
@@ -354,6 +359,9 @@
 		status.Failed = g.failure.Error()
 	}
 	previous := g.status.Swap(status)
+	if previous != nil && (previous.Leader != status.Leader || previous.Failed != status.Failed) {
+		g.announceLeader()
+	}
 	if g.wasLeader && !isLeader {
 		g.failWaiters(errSuperseded())
 	}
@@ -366,6 +374,20 @@
 	}
 }
 
+// leaderChanged returns a channel that is closed when the status next shows another leader or a failure.
+func (g *group) leaderChanged() <-chan struct{} {
+	g.leaderMutex.Lock()
+	defer g.leaderMutex.Unlock()
+	return g.leaderChange
+}
+
+func (g *group) announceLeader() {
+	g.leaderMutex.Lock()
+	defer g.leaderMutex.Unlock()
+	close(g.leaderChange)
+	g.leaderChange = make(chan struct{})
+}
+
 // committedStatus returns status with the committed members. Another leader may still discard an
 // uncommitted change, so the replica that it removes must not be removed yet.
 func (g *group) committedStatus(status Status) Status {
--- a/internal/replica/host.go
+++ b/internal/replica/host.go
@@ -241,6 +241,29 @@
 	return *running.status.Load(), true
 }
 
+// AwaitLeader returns the status of a group once the replica knows the leader or has failed, or else when ctx is done. It returns
+// false if this node has no replica of the group.
+func (h *Host) AwaitLeader(ctx context.Context, id uint32) (Status, bool) {
+	running := h.get(id)
+	if running == nil {
+		return Status{}, false
+	}
+	for {
+		changed := running.leaderChanged()
+		status := *running.status.Load()
+		if status.Leader != "" || status.Failed != "" {
+			return status, true
+		}
+		select {
+		case <-changed:
+		case <-running.stopped:
+			return status, true
+		case <-ctx.Done():
+			return status, true
+		}
+	}
+}
+
 // Statuses returns the status of all groups, ordered by group.
 func (h *Host) Statuses() []Status {
 	var result []Status
