gateway: an engine's slot is freed before the answer is committed

What callers saw: 503 overloaded, "all engines are busy", from TestConcurrentRepeats- RunOnce in 14 processes (152 of 163 bad answers of three series), while the engines stood idle.

Cause: the slot of a call was freed after its answer, or its failure, had been committed. A commit waits for the partition's leader, up to 10 s while there is none, and under load for seconds; all that time the slot is occupied, and the owner, which takes the time between grant and release for the engine's service time, expects a longer queue than there is and refuses calls.

Now the slot is freed as soon as the engine has answered or failed. TestSlotIsFreeWhileAnswerIsCommitted failed before (the slot came free when the commit was given up, after 10 s) and passes, 2 of 2.

--- a/internal/gateway/application.go
+++ b/internal/gateway/application.go
@@ -136,23 +136,22 @@
 // sent again.
 func (e *applicationExecution) send(ctx context.Context, w http.ResponseWriter, response coordinator.BeginResponse, requestedAt time.Time) (*program.Answer, *coordinator.RetryRequest, error) {
 	target := *response.Engine
-	failed := true
-	defer func() { e.release(target, response.CallID, failed, 0) }()
 	if e.gateway.options.Pauses.PausedSince(requestedAt) {
-		failed = false
+		e.release(target, response.CallID, false, 0)
 		return nil, e.retry(response, true), nil
 	}
 	w.Header().Set(HeaderEngine, target.Name)
 	request := e.forwarded
 	request.CallID, request.Attempt = response.CallID, response.Attempt
 	received, err := e.gateway.options.Applications.Do(ctx, target, request)
+	abandoned := err != nil && ctx.Err() != nil
+	// A commit may have to wait for the partition's leader, so the slot is freed first.
+	e.release(target, response.CallID, err != nil && !abandoned, 0)
 	if err == nil {
-		failed = false
 		answer := program.Answer{Status: received.Status, Header: received.Header, Body: received.Body, Trailer: received.Trailer}
 		return e.commitAnswer(ctx, response, answer)
 	}
-	if ctx.Err() != nil {
-		failed = false
+	if abandoned {
 		return nil, nil, e.abandon(response.CallID, response.Attempt)
 	}
 	var tooLarge *engine.ErrResponseTooLarge
--- a/internal/gateway/chat_execution.go
+++ b/internal/gateway/chat_execution.go
@@ -162,40 +162,48 @@
 		stored.Count, HeaderHistory, historyDelta)
 }
 
-// attempt sends the call to one engine. It returns the committed answer, a RetryRequest, or a failure.
+// attempt sends the call to one engine. It returns the committed answer, a RetryRequest, or a failure. The engine's slot is freed
+// before anything is committed, because a commit may have to wait for the partition's leader.
 func (e *chatExecution) attempt(ctx context.Context, w http.ResponseWriter, response coordinator.BeginResponse, requestedAt time.Time) (*program.Answer, *coordinator.RetryRequest, error) {
 	target := *response.Engine
-	failed := true
 	e.stepTimer = engine.StepTimer{}
-	defer func() { e.release(target, response.CallID, failed, e.stepTimer.StepTime()) }()
-	if e.gateway.options.Pauses.PausedSince(requestedAt) {
-		failed = false
-		return nil, e.retryRequest(response, true), nil
-	}
-	if !e.mayContinueAt(target) {
-		failed = false
+	if e.gateway.options.Pauses.PausedSince(requestedAt) || !e.mayContinueAt(target) {
+		e.release(target, response.CallID, false, 0)
 		return nil, e.retryRequest(response, true), nil
 	}
 	w.Header().Set(HeaderEngine, target.Name)
 	err := e.stream(ctx, w, target, response)
-	if err == nil {
-		failed = false
+	abandoned := err != nil && ctx.Err() != nil
+	e.release(target, response.CallID, !abandoned && engineFailed(err), e.stepTimer.StepTime())
+	switch {
+	case err == nil:
 		return e.commit(ctx, response)
-	}
-	if ctx.Err() != nil {
-		failed = false
+	case abandoned:
 		return nil, nil, e.abandon(response.CallID, response.Attempt)
 	}
-	return e.handleFailure(ctx, response, err, &failed)
+	return e.handleFailure(ctx, response, err)
+}
+
+// engineFailed reports whether the error of an attempt counts as a failure of the engine. It doesn't if the engine refused the
+// request or has loaded another model.
+func engineFailed(err error) bool {
+	var noModel *engine.ErrModelNotLoaded
+	var refused *engine.ErrStatus
+	switch {
+	case err == nil, errors.As(err, &noModel):
+		return false
+	case errors.As(err, &refused):
+		return refused.Temporary()
+	}
+	return true
 }
 
-// handleFailure decides whether a failed attempt is retried. It sets *failed to false if the engine has not failed.
-func (e *chatExecution) handleFailure(ctx context.Context, response coordinator.BeginResponse, cause error, failed *bool) (*program.Answer, *coordinator.RetryRequest, error) {
+// handleFailure decides whether a failed attempt is retried.
+func (e *chatExecution) handleFailure(ctx context.Context, response coordinator.BeginResponse, cause error) (*program.Answer, *coordinator.RetryRequest, error) {
 	e.gateway.options.Metrics.retries.WithLabelValues(e.service).Inc()
 	var noModel *engine.ErrModelNotLoaded
 	if errors.As(cause, &noModel) {
 		// The engine is healthy and did not run the call: it has loaded another model since the placement.
-		*failed = false
 		return nil, e.withSpent(e.retryWithoutModel(response)), nil
 	}
 	e.avoid = append(e.avoid, response.Engine.Name)
@@ -205,7 +213,6 @@
 	case errors.As(cause, &undelivered):
 		return nil, e.retryRequest(response, true), nil
 	case errors.As(cause, &refused) && !refused.Temporary():
-		*failed = false
 		if e.hasStarted() {
 			// Another engine has accepted the request, so this one refuses only to resume the partial answer.
 			return nil, e.retryRequest(response, false), nil
