coordinator: a replica that no relay reaches is called directly again

Cause: when a connection is closed, its node is called through relays for 10 s, as long as a call searches for its leader. With three nodes, two closed connections leave no relay, and nothing tried the direct connection again, though a new one can be opened at once. Evidence: traces of calls that gave up, "peer_unreachable: connection closed | no relay is available | no relay is available | ..." until the end of the 10 s, right after a liveness check had closed connections with 150 to 240 pending calls and empty queues. A call that only found no relay was said to have an unknown outcome besides.

Now relays come first while the direct connection is distrusted, and the direct connection is tried if they don't reach the replica. The outcome is "not run" if neither way can have delivered the request. TestReplicaIsCalledDirectlyIfNoRelayIs- Available failed before.

--- a/internal/coordinator/client.go
+++ b/internal/coordinator/client.go
@@ -192,21 +192,48 @@
 		ctx, cancel = context.WithTimeout(ctx, timeout)
 		defer cancel()
 	}
-	if !c.needsRelay(replicaID) {
-		response, err := transport.Call[Response](ctx, c.transport, to, kind, request)
-		if !apierr.Is(err, apierr.PeerUnreachable) || ctx.Err() != nil {
-			return response, err
+	direct := func() (Response, error) { return transport.Call[Response](ctx, c.transport, to, kind, request) }
+	relayed := func() (Response, error) { return callViaRelay[Response](ctx, c, to, kind, request) }
+	if c.needsRelay(replicaID) {
+		// If no relay reaches the replica, the direct connection may work again.
+		return firstReachable(ctx, relayed, direct)
+	}
+	return firstReachable(ctx, func() (Response, error) {
+		response, err := direct()
+		if apierr.Is(err, apierr.PeerUnreachable) && ctx.Err() == nil {
+			c.startRelaying(replicaID)
 		}
-		c.startRelaying(replicaID)
+		return response, err
+	}, relayed)
+}
+
+// firstReachable tries a second way to a replica if the first one fails to reach it. The outcome is NotRun only if it is for both.
+func firstReachable[Response any](ctx context.Context, first, second func() (Response, error)) (Response, error) {
+	response, err := first()
+	if ctx.Err() != nil || !isUnreachable(err) {
+		return response, err
+	}
+	firstFailure := apierr.From(err, apierr.OutcomeUnknown)
+	response, err = second()
+	if err == nil || !isUnreachable(err) {
+		return response, err
 	}
-	return callViaRelay[Response](ctx, c, to, kind, request)
+	failure := *apierr.From(err, apierr.OutcomeUnknown)
+	if firstFailure.Outcome != apierr.NotRun {
+		failure.Outcome = firstFailure.Outcome
+	}
+	return response, &failure
+}
+
+func isUnreachable(err error) bool {
+	return apierr.Is(err, apierr.PeerUnreachable) || apierr.Is(err, apierr.RelayFailed)
 }
 
 // callViaRelay calls a replica through another node. Membership considers the replica alive, so the fault is probably on the
 // network path from this node.
 func callViaRelay[Response any](ctx context.Context, c *Client, to transport.Peer, kind string, request any) (Response, error) {
 	var zero Response
-	var lastErr error = apierr.New(apierr.PeerUnreachable, apierr.OutcomeUnknown, "no relay is available")
+	var failure error = apierr.New(apierr.PeerUnreachable, apierr.NotRun, "no relay is available")
 	view := c.membership.View()
 	tried := 0
 	for _, relay := range membership.Rank(view.Eligible(), view.Self.ID+to.Address) {
@@ -214,20 +241,23 @@
 			continue
 		}
 		response, err := transport.CallVia[Response](ctx, c.transport, relay.Peer(), to, kind, request)
-		if ctx.Err() != nil || !apierr.Is(err, apierr.PeerUnreachable) && !apierr.Is(err, apierr.RelayFailed) {
+		if ctx.Err() != nil || !isUnreachable(err) {
 			return response, err
 		}
 		if apierr.Is(err, apierr.PeerUnreachable) {
 			// The relay itself is unreachable, so it isn't used as a relay until it may be called directly again.
 			c.startRelaying(relay.ReplicaID)
 		}
-		lastErr = err
+		// Any relay that may have forwarded the request decides the outcome.
+		if tried == 0 || apierr.From(err, apierr.OutcomeUnknown).Outcome != apierr.NotRun {
+			failure = err
+		}
 		tried++
 		if tried == maxRelays {
 			break
 		}
 	}
-	return zero, lastErr
+	return zero, failure
 }
 
 func (c *Client) needsRelay(replicaID string) bool {
@@ -250,7 +280,7 @@
 
 // isRoutingError reports whether a request may succeed at another replica, or at the same one later.
 func isRoutingError(err error) bool {
-	return apierr.Is(err, apierr.NotLeader) || apierr.Is(err, apierr.PeerUnreachable) || apierr.Is(err, apierr.RelayFailed) || apierr.Is(err, apierr.PartitionUnavailable)
+	return apierr.Is(err, apierr.NotLeader) || apierr.Is(err, apierr.PartitionUnavailable) || isUnreachable(err)
 }
 
 func unavailableError(id uint32, mayHaveRun bool, lastErr error) error {
