coordinator: a call that was dispatched meanwhile is joined, not failed

Cause: a leader that loses its leadership while it commits a dispatch answers with an error, and the gateway sends the request to the next leader. That one may still see the call as admitted, because the dispatch is in its log but not committed yet. It places the call again; its own dispatch, or the failure of a placement, is then applied after the earlier dispatch and refused, and the refusal went to the caller.

Now the request joins the dispatch that was committed: for the same execution the gateway gets its engine, as if the first response had arrived.

--- a/internal/coordinator/server.go
+++ b/internal/coordinator/server.go
@@ -275,8 +275,12 @@
 			return BeginResponse{CallID: current.ID, RunningAt: current.Gateway}, nil
 		case current.State == program.Admitted:
 			if placeCtx, done := s.startPlacement(ctx, current.ID); done != nil {
-				defer done()
-				return s.placeAndDispatch(placeCtx, request, current, prior)
+				response, err := s.placeAndDispatch(placeCtx, request, current, prior)
+				done()
+				if !s.supersededPlacement(request, current, err) {
+					return response, err
+				}
+				continue
 			}
 		}
 		select {
@@ -293,6 +297,16 @@
 	}
 }
 
+// supersededPlacement reports whether a placement has failed because an earlier dispatch of the call was committed meanwhile, for
+// example that of a leader which lost its leadership before. The request then joins that dispatch.
+func (s *Server) supersededPlacement(request BeginRequest, placed *program.Call, err error) bool {
+	if !apierr.Is(err, apierr.Internal) {
+		return false
+	}
+	current, known := s.machine(request.Partition).Call(request.Admit.Program, placed.ID)
+	return known && current.State == program.Dispatching && current.Attempt > placed.Attempt
+}
+
 // startPlacement makes this request the only one that places a call on this node. It returns a nil done if another request is
 // placing the call.
 func (s *Server) startPlacement(ctx context.Context, callID string) (placeCtx context.Context, done func()) {
