coordinator: sequence_gap is committed, and not given while the predecessor waits

What callers saw: TestSequenceOrderAcrossGateways, 409 sequence_gap, "call 3 was requested before call 2", though call 2 was sent at the same time and was served.

Cause, from traces of all calls of the failed runs at 14 processes: the predecessor had arrived at the same leader and waited there for its own predecessor, or its admission was not committed yet, but each call's 2 s ran by themselves, so that a later call could give up first; each refused call then made a gap for the next. Some refusals came from a former leader, on which nothing can arrive any more: it looked at its leadership nowhere in that wait (call 1 was lost there with its leadership, calls 2, 3 and 5 were refused there 0.1 to 0.5 s later).

Now a call waits while an earlier one of its program waits at the same node; a node that loses its leadership sends its calls on, as not run; and a refusal is committed after the wait, which a former leader can't. The 2 s stay, for the earliest call that has arrived.

--- a/internal/coordinator/server.go
+++ b/internal/coordinator/server.go
@@ -80,8 +80,9 @@
 	decisionOrder []string
 	// releasing holds the cache releases in progress.
 	releasing map[program.HeldCache]bool
-	// checks has its own mutex.
-	checks *executionChecks
+	// checks and admissions have their own mutexes.
+	checks     *executionChecks
+	admissions *admissions
 }
 
 // errCancelled is the cancellation cause of a call whose caller has disconnected.
@@ -98,6 +99,7 @@
 		decisions:     make(map[string]scheduler.Decision),
 		releasing:     make(map[program.HeldCache]bool),
 		checks:        newExecutionChecks(),
+		admissions:    newAdmissions(),
 	}
 	network := options.Transport
 	transport.Handle(network, beginKind, func(ctx context.Context, _ transport.Peer, request BeginRequest) (BeginResponse, error) {
@@ -204,30 +206,74 @@
 	return response, admittedError(err)
 }
 
-// admitInOrder admits a call. A call that arrives before its predecessor waits for it up to sequenceGapTimeout.
+// admitInOrder admits a call. A call that arrives before its predecessor waits for it up to sequenceGapTimeout, and longer while
+// an earlier call of the program waits here, too. A refusal is committed after that time, so that a former leader, which does not
+// learn of the predecessor's arrival, can't refuse the call.
 func (s *Server) admitInOrder(ctx context.Context, request BeginRequest) (program.Result, error) {
+	key, sequence := request.Admit.Program, request.Admit.Sequence
 	machine := s.machine(request.Partition)
 	if machine == nil {
 		return program.Result{}, apierr.New(apierr.NotLeader, apierr.NotRun, "this node holds no replica of partition %d", request.Partition)
 	}
-	timer := time.NewTimer(sequenceGapTimeout)
-	defer timer.Stop()
+	defer s.admissions.add(key, sequence)()
+	expiry := time.NewTimer(sequenceGapTimeout)
+	defer expiry.Stop()
+	expired := false
 	for {
-		changed := machine.Watch(request.Admit.Program)
+		changed := machine.Watch(key)
 		result, err := s.propose(ctx, request.Partition, program.Command{Admit: &request.Admit})
 		if err != nil || result.Error == nil || result.Error.Code != apierr.SequenceGap {
 			return result, err
 		}
+		if expired && !s.admissions.hasBefore(key, sequence) {
+			return result, nil
+		}
+		timedOut, err := s.awaitPredecessor(ctx, request, changed, expiry)
+		if err != nil {
+			return program.Result{}, err
+		}
+		expired = expired || timedOut
+	}
+}
+
+// awaitPredecessor waits for a change of the program, or until expiry has fired and no earlier call of the program waits here.
+// timedOut reports whether expiry has fired.
+func (s *Server) awaitPredecessor(ctx context.Context, request BeginRequest, changed <-chan struct{}, expiry *time.Timer) (timedOut bool, err error) {
+	key, sequence := request.Admit.Program, request.Admit.Sequence
+	ticker := time.NewTicker(leadershipCheckInterval)
+	defer ticker.Stop()
+	for {
+		left := s.admissions.left(key)
+		if timedOut && !s.admissions.hasBefore(key, sequence) {
+			return timedOut, nil
+		}
 		select {
 		case <-changed:
-		case <-timer.C:
-			return result, nil
+			return timedOut, nil
+		case <-expiry.C:
+			timedOut = true
+		case <-left:
+		case <-ticker.C:
+			if err := s.checkRefusedLeadership(request.Partition); err != nil {
+				return timedOut, err
+			}
 		case <-ctx.Done():
-			return program.Result{}, errCancelled
+			return timedOut, errCancelled
 		}
 	}
 }
 
+// checkRefusedLeadership is checkLeadership for a call whose admission was refused, so that it has certainly not run.
+func (s *Server) checkRefusedLeadership(group uint32) error {
+	err := s.checkLeadership(group)
+	if err == nil {
+		return nil
+	}
+	refused := *apierr.From(err, apierr.NotRun)
+	refused.Outcome = apierr.NotRun
+	return &refused
+}
+
 // admittedError changes the outcome of routing errors to OutcomeUnknown once a call was admitted: it is in the log, and the next
 // leader may still place it for a repeat. Only a committed failure may be NotRun.
 func admittedError(err error) error {
--- a/internal/coordinator/superseded_test.go
+++ b/internal/coordinator/superseded_test.go
@@ -36,6 +36,7 @@
 	server.placements = make(map[string]context.CancelCauseFunc)
 	server.orphanedSince = make(map[string]time.Time)
 	server.checks = newExecutionChecks()
+	server.admissions = newAdmissions()
 	server.options.Limits = limit.NewLimiter(network, nil, server.options.Config)
 	server.options.Host = replica.NewHost(replica.Options{
 		ReplicaID: "n", Transport: network, Storage: replica.MemoryStorage{}, Logger: events.Discard(),
