coordinator: a call whose other attempt was lost meanwhile is placed again

The dispatch is refused for its number, and the call was failed with that refusal, which ends it for all its repeats.

Now a refusal for the number of the attempt fails nothing: the call is looked at again and placed as the next attempt, also after a retry.

--- a/internal/coordinator/server.go
+++ b/internal/coordinator/server.go
@@ -343,14 +343,14 @@
 	}
 }
 
-// supersededPlacement reports whether a placement has failed because an earlier dispatch of the call was committed meanwhile, for
-// example that of a leader which lost its leadership before. The request then joins that dispatch.
+// supersededPlacement reports whether a placement has failed because another attempt of the call was committed meanwhile, for
+// example that of a leader which lost its leadership before. The request then continues with the call as it is now.
 func (s *Server) supersededPlacement(request BeginRequest, placed *program.Call, err error) bool {
 	if !apierr.Is(err, apierr.Internal) {
 		return false
 	}
 	current, known := s.machine(request.Partition).Call(request.Admit.Program, placed.ID)
-	return known && current.State == program.Dispatching && current.Attempt > placed.Attempt
+	return known && current.Attempt > placed.Attempt
 }
 
 // startPlacement makes this request the only one that places a call on this node. It returns a nil done if another request is
@@ -415,6 +415,10 @@
 		return BeginResponse{}, err
 	}
 	s.releaseDecision(call.ID, decision)
+	if result.Error.Code == apierr.Internal {
+		// Another attempt was committed meanwhile, so the call must not be failed for this one.
+		return BeginResponse{}, result.Error
+	}
 	if result.Error.Code == apierr.HistoryConflict {
 		_ = s.failCall(ctx, request, call, result.Error)
 		return BeginResponse{Conflict: &result.Mark}, nil
@@ -515,7 +519,9 @@
 	}
 	if done != nil && result.Call.State == program.Admitted {
 		response, err := s.placeAndDispatch(placeCtx, begin, result.Call, request.priorAttempts())
-		return response, admittedError(err)
+		if !s.supersededPlacement(begin, result.Call, err) {
+			return response, admittedError(err)
+		}
 	}
 	if done != nil {
 		done()
