coordinator: a lookup takes the first leader that a replica names

Cause: the leader itself had to confirm that it leads. It was the slowest of the three replicas, its followers' answers counted for nothing, and the lookup ended after 2 s without a result.

Now a leader that a follower names is taken at once, unless it has just refused a request or couldn't be reached; then it must confirm it as before, so that calls don't go back and forth.

--- a/internal/coordinator/client.go
+++ b/internal/coordinator/client.go
@@ -33,6 +33,8 @@
 
 	mutex   sync.Mutex
 	leaders map[uint32]string
+	// refused holds the former leader that last refused a request or couldn't be reached, by partition, until another is found.
+	refused map[uint32]string
 	// lookups holds the searches for a leader in progress, by partition.
 	lookups map[uint32]*leaderLookup
 	// relayUntil holds the replicas that can't be reached directly, and when to try a direct call again.
@@ -46,6 +48,7 @@
 		membership: members,
 		partitions: partitions,
 		leaders:    make(map[uint32]string),
+		refused:    make(map[uint32]string),
 		lookups:    make(map[uint32]*leaderLookup),
 		relayUntil: make(map[string]time.Time),
 	}
--- a/internal/coordinator/leader.go
+++ b/internal/coordinator/leader.go
@@ -76,13 +76,17 @@
 func (c *Client) runLookup(id uint32, lookup *leaderLookup) {
 	ctx, cancel := context.WithTimeout(context.Background(), leaderLookupTimeout)
 	defer cancel()
-	lookup.leader, lookup.err = lookUpLeader(ctx, c.candidates(id), func(ctx context.Context, replicaID string) (LeaderResponse, error) {
+	c.mutex.Lock()
+	refused := c.refused[id]
+	c.mutex.Unlock()
+	lookup.leader, lookup.err = lookUpLeader(ctx, c.candidates(id), refused, func(ctx context.Context, replicaID string) (LeaderResponse, error) {
 		return callReplica[LeaderResponse](ctx, c, replicaID, leaderKind, LeaderRequest{Partition: id}, 0)
 	})
 	c.mutex.Lock()
 	delete(c.lookups, id)
 	if lookup.leader != "" {
 		c.leaders[id] = lookup.leader
+		delete(c.refused, id)
 	}
 	c.mutex.Unlock()
 	close(lookup.done)
@@ -95,9 +99,10 @@
 	err       error
 }
 
-// lookUpLeader asks all replicas of a partition at once. Only the leader itself can confirm that it leads. A replica of a build
-// without LeaderRequest can't confirm it, and is tried if no other replica leads.
-func lookUpLeader(ctx context.Context, replicas []string, request func(ctx context.Context, replicaID string) (LeaderResponse, error)) (string, error) {
+// lookUpLeader asks all replicas of a partition at once and returns the first leader that is named. A replica that has just refused
+// a request, or couldn't be reached, must confirm that it leads: its followers may not know yet that it doesn't. A replica of a
+// build without LeaderRequest can't confirm it, and is tried if no other replica leads.
+func lookUpLeader(ctx context.Context, replicas []string, refused string, request func(ctx context.Context, replicaID string) (LeaderResponse, error)) (string, error) {
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
 	var asked, unsupported, named []string
@@ -133,6 +138,8 @@
 			lastErr = answer.err
 		case answer.response.Leads:
 			return answer.replicaID, nil
+		case answer.response.Leader != "" && answer.response.Leader != refused:
+			return answer.response.Leader, nil
 		case answer.response.Leader != "":
 			named = append(named, answer.response.Leader)
 			ask(answer.response.Leader)
@@ -163,6 +170,7 @@
 		return
 	}
 	delete(c.leaders, id)
+	c.refused[id] = replicaID
 	if next != "" && next != replicaID {
 		c.leaders[id] = next
 	}
