gateway: a call that was never sent to an engine is reported as not run

What callers saw: 503 partition_unavailable, outcome_unknown, for calls that no engine has seen (8 of 9 messages of TestSequenceOrderAcrossGateways in 24 processes). Whoever mustn't run a call twice can't repeat it after that.

Cause: the outcome was that of the admission, which may be in a log. But only the gateway sends a call to an engine, and without an idempotency key no other request can ask for the same call. A gateway that gives up before it has an engine never sends it: the coordinator finds that no gateway executes the call and ends it.

Now such a call is reported as not run; one with a key stays unknown, because a repeat of it may have run at another gateway, and so does one that was sent. TestOutcomeOfUnavailablePartition failed before.

--- a/internal/gateway/execution.go
+++ b/internal/gateway/execution.go
@@ -47,9 +47,10 @@
 	defer e.holdExecution()()
 	requestedAt := time.Now()
 	response, err := admit(ctx)
+	sent := false
 	for {
 		if err != nil {
-			return nil, err
+			return nil, e.routingFailure(err, sent)
 		}
 		if response.RunningAt != "" {
 			if e.follow != nil {
@@ -68,6 +69,7 @@
 		// The call may have been admitted by an earlier request with the same key.
 		e.begin.Admit.CallID = response.CallID
 		w.Header().Set(HeaderCall, response.CallID)
+		sent = true
 		answer, retry, failure := try(ctx, w, response, requestedAt)
 		if retry == nil {
 			return answer, failure
@@ -80,6 +82,18 @@
 	}
 }
 
+// routingFailure returns the error of a request to the coordinator for the caller. A call without an idempotency key is sent to
+// engines by this gateway only. If the gateway gives up before it has got an engine, the call has not run, whether or not it was
+// admitted: the coordinator ends an admitted call that no gateway executes.
+func (e *execution) routingFailure(err error, sent bool) error {
+	if sent || e.identity.idempotencyKey != "" || !apierr.Is(err, apierr.PartitionUnavailable) {
+		return err
+	}
+	failure := *apierr.From(err, apierr.OutcomeUnknown)
+	failure.Outcome = apierr.NotRun
+	return &failure
+}
+
 // holdExecution keeps the execution in the set that coordinators check until release is called.
 func (e *execution) holdExecution() (release func()) {
 	return e.gateway.options.Executions.Hold(e.begin.Execution)
