configuration: an invalid policy is rejected before the store is asked

What callers saw: TestInvalidPolicyIsNotPublished, once: "/v3/kv/range ... context deadline exceeded" after 1.04 s in place of the error in the policy.

Cause: a change was checked only after the store's head and the document that it names had been read, so that a slow or absent store hid the reason, and the author was told to come back with the same broken policy. Whether a policy compiles doesn't depend on what the store holds. The stand-in store and the node share the processors of the test; the store's client waits 1 s for it.

Now the policies of a change are checked first. TestInvalidPolicyIsRejectedWithout- Store, which takes the store away, failed before (store_unavailable). What depends on other resources is checked after the read, as before.

--- a/internal/configuration/configuration_test.go
+++ b/internal/configuration/configuration_test.go
@@ -252,3 +252,17 @@
 	assert.ErrorContains(t, err, "score")
 	assert.Equal(t, manager.Current().Revision(), uint64(0))
 }
+
+// TestInvalidPolicyIsRejectedWithoutStore checks that the author of a policy that does not compile is told so although the store
+// can't be reached.
+func TestInvalidPolicyIsRejectedWithoutStore(t *testing.T) {
+	cluster := newTestCluster(t)
+	stopped := httptest.NewServer(cluster.store)
+	stopped.Close()
+	cluster.url = stopped.URL
+	manager := cluster.node("a", "z1", "")
+	_, err := manager.Publish(t.Context(), configuration.Change{ChangeID: "1", Upserts: []resource.Resource{
+		{Kind: resource.KindPolicy, Name: "broken", Policy: &resource.Policy{Score: "engine.lod"}},
+	}})
+	assert.ErrorContains(t, err, "score")
+}
--- a/internal/configuration/publish.go
+++ b/internal/configuration/publish.go
@@ -24,6 +24,9 @@
 // it reads the revisions back and looks for the change's ID; if the store stays unavailable, the error
 // says that the outcome is unknown. Errors: *apierr.Error, *resource.FieldError.
 func (m *Manager) Publish(ctx context.Context, change Change) (Document, error) {
+	if err := m.checkPolicies(change); err != nil {
+		return Document{}, err
+	}
 	for range publishAttempts {
 		document, err := m.publishOnce(ctx, change)
 		var conflict *configstore.ErrConflict
@@ -37,6 +40,25 @@
 	return Document{}, apierr.New(apierr.RevisionConflict, apierr.NotRun, "every attempt to publish the change failed because another change was committed first").WithRetryAfter(time.Second)
 }
 
+// checkPolicies rejects a change with a policy that can't be installed. That depends on the policy alone, so the change is rejected
+// with this reason although the store may be slow or down.
+func (m *Manager) checkPolicies(change Change) error {
+	if m.options.Check == nil {
+		return nil
+	}
+	var policies []resource.Resource
+	for _, item := range change.Upserts {
+		if item.Policy != nil {
+			policies = append(policies, item)
+		}
+	}
+	set, err := resource.NewSet(policies)
+	if err != nil {
+		return err
+	}
+	return m.options.Check(set)
+}
+
 func (m *Manager) publishOnce(ctx context.Context, change Change) (Document, error) {
 	// This must be read before the head: the store already holds a revision that is in force, so a head that is read later
 	// can be older only if the store was rolled back.
