coordinator: sequence_gap names a time to come back

A call that is refused because the call before it has not come can be sent again once that one has been; the refusal named no time, while that of a call whose predecessor did not end did. Both name a second now. The check is part of TestCallWaitsBehindWaitingPredecessor.

--- a/internal/coordinator/sequence_test.go
+++ b/internal/coordinator/sequence_test.go
@@ -66,6 +66,9 @@
 	case <-time.After(sequenceGapTimeout + sequenceGapTimeout/2):
 	}
 	done()
-	assert.Assert(t, apierr.Is(<-result, apierr.SequenceGap))
+	failure := apierr.From(<-result, apierr.Ran)
+	assert.Equal(t, failure.Code, apierr.SequenceGap)
+	assert.Equal(t, failure.Outcome, apierr.NotRun)
+	assert.Assert(t, failure.RetryAfter > 0)
 	assert.Equal(t, len(server.admissions.programs), 0)
 }
--- a/internal/coordinator/server.go
+++ b/internal/coordinator/server.go
@@ -25,7 +25,8 @@
 
 const (
 	// sequenceGapTimeout is how long a call waits for the arrival of its predecessor in the program's sequence.
-	sequenceGapTimeout = 2 * time.Second
+	sequenceGapTimeout    = 2 * time.Second
+	sequenceGapRetryAfter = time.Second
 	// leadershipCheckInterval is the interval at which requests that wait for a change check that this node still leads the
 	// partition.
 	leadershipCheckInterval = time.Second
@@ -226,6 +227,7 @@
 			return result, err
 		}
 		if expired && !s.admissions.hasBefore(key, sequence) {
+			result.Error = result.Error.WithRetryAfter(sequenceGapRetryAfter)
 			return result, nil
 		}
 		timedOut, err := s.awaitPredecessor(ctx, request, changed, expiry)
