coordinator: the log decides at once about slots of uncertain dispatches

What callers saw: 503 overloaded, "all engines are busy", from TestConcurrentRepeats- RunOnce in 14 processes, while the engines ran nothing.

Cause: a dispatch that is pending when its leader loses the leadership keeps its slot until the state machine shows what became of it, 10 s at the latest. If the next leader has dropped it, nothing ever shows that. Evidence: 12 to 14 dispatches of a process ended so, for 8 slots in all, in the runs that failed; engines with 4 of 4 slots taken for 10 s and no call finished.

Now such a proposal's error says, as soon as this replica applies an entry of a later leader, whether the log contains the command: terms never decrease along a log, so the first entry of a later term excludes all commands of earlier terms at its index and above. That entry is the next leader's no-op, which comes with the election. The slot of a dropped dispatch is freed then. A proposal in whose place another entry was committed is "not run" now, which it was not called before.

--- a/internal/coordinator/uncertain.go
+++ b/internal/coordinator/uncertain.go
@@ -3,9 +3,12 @@
 import (
 	"time"
 
+	"github.com/cockroachdb/errors"
+
 	"github.com/mountstile/mountstile/internal/apierr"
 	"github.com/mountstile/mountstile/internal/owner"
 	"github.com/mountstile/mountstile/internal/program"
+	"github.com/mountstile/mountstile/internal/replica"
 	"github.com/mountstile/mountstile/internal/scheduler"
 )
 
@@ -31,6 +34,8 @@
 	callID   string
 	attempt  int
 	decision scheduler.Decision
+	// applied receives whether the log contains the dispatch; nil or closed if that can't be known.
+	applied <-chan bool
 }
 
 // outcome returns what the state machine says about the dispatch. A dispatch counts as dropped, too, once its attempt has
@@ -51,11 +56,12 @@
 	return dispatchPending
 }
 
-// resolve waits until the state machine shows whether the dispatch was committed, for dispatchResolution at most, and
-// reports whether its slot is needed.
+// resolve waits until the log or the state machine shows whether the dispatch was committed, for limit at most, and reports whether
+// its slot is needed.
 func (d uncertainDispatch) resolve(machine *program.Machine, limit time.Duration) bool {
 	deadline := time.NewTimer(limit)
 	defer deadline.Stop()
+	applied := d.applied
 	for {
 		changed := machine.Watch(d.request.Admit.Program)
 		if outcome := d.outcome(machine); outcome != dispatchPending {
@@ -63,6 +69,11 @@
 		}
 		select {
 		case <-changed:
+		case inLog, known := <-applied:
+			if known && !inLog {
+				return false
+			}
+			applied = nil
 		case <-deadline.C:
 			return false
 		}
@@ -76,6 +87,10 @@
 		s.releaseDecision(uncertain.callID, uncertain.decision)
 		return
 	}
+	var lost *replica.ErrLeadershipLost
+	if errors.As(failure, &lost) {
+		uncertain.applied = lost.Applied()
+	}
 	machine := s.machine(uncertain.request.Partition)
 	go func() {
 		if !uncertain.resolve(machine, dispatchResolution) {
--- a/internal/coordinator/uncertain_test.go
+++ b/internal/coordinator/uncertain_test.go
@@ -81,3 +81,17 @@
 	_, machine, uncertain, _ := newUncertainDispatch(t)
 	assert.Assert(t, !uncertain.resolve(machine, 10*time.Millisecond))
 }
+
+// A dispatch that the log excludes frees its slot at once, and one that the log contains keeps it.
+func TestSlotFollowsLogOfUncertainDispatch(t *testing.T) {
+	_, machine, uncertain, _ := newUncertainDispatch(t)
+	applied := make(chan bool, 1)
+	applied <- false
+	uncertain.applied = applied
+	assert.Assert(t, !uncertain.resolve(machine, time.Hour))
+	applied <- true
+	needed := make(chan bool, 1)
+	go func() { needed <- uncertain.resolve(machine, time.Hour) }()
+	commitDispatch(t, machine, "e", "x")
+	assert.Assert(t, <-needed)
+}
--- a/internal/replica/group.go
+++ b/internal/replica/group.go
@@ -4,6 +4,7 @@
 
 import (
 	"context"
+	"math"
 	"math/rand/v2"
 	"sync"
 	"sync/atomic"
@@ -105,6 +106,7 @@
 	closeOnce sync.Once
 
 	waiters      map[uint64]waiter
+	fates        fates
 	membersIndex uint64
 	wasLeader    bool
 	failure      error
@@ -140,6 +142,7 @@
 		stop:         make(chan struct{}),
 		stopped:      make(chan struct{}),
 		waiters:      make(map[uint64]waiter),
+		fates:        make(fates),
 		membersIndex: stored.Snapshot.Index,
 		leaderChange: make(chan struct{}),
 	}
@@ -149,6 +152,7 @@
 
 func (g *group) run() {
 	defer close(g.stopped)
+	defer g.fates.forget(math.MaxUint64)
 	defer g.failWaiters(apierr.New(apierr.PartitionUnavailable, apierr.OutcomeUnknown, "the replica stopped before it applied the command"))
 	for {
 		select {
@@ -303,6 +307,7 @@
 		return
 	}
 	g.membersIndex = snapshot.Index
+	g.fates.forget(snapshot.Index)
 }
 
 func (g *group) apply(entries []consensus.Entry) {
@@ -315,6 +320,7 @@
 			g.membersIndex = entry.Index
 		}
 		g.resolveWaiter(entry, value)
+		g.fates.resolve(entry)
 	}
 }
 
@@ -334,7 +340,15 @@
 }
 
 func errSuperseded() error {
-	return apierr.New(apierr.NotLeader, apierr.OutcomeUnknown, "leadership changed while the proposal was pending")
+	return apierr.New(apierr.NotLeader, apierr.NotRun, "another command was committed in place of the proposal")
+}
+
+// loseLeadership fails the pending proposals. Their fate is known once the next leader has committed an entry.
+func (g *group) loseLeadership() {
+	for index, pending := range g.waiters {
+		delete(g.waiters, index)
+		pending.result <- proposalResult{err: newErrLeadershipLost(g.fates.add(index, pending.term))}
+	}
 }
 
 func (g *group) failWaiters(err error) {
@@ -384,7 +398,7 @@
 		g.announceLeader()
 	}
 	if g.wasLeader && !isLeader {
-		g.failWaiters(errSuperseded())
+		g.loseLeadership()
 	}
 	if isLeader && !g.wasLeader {
 		g.host.options.Logger.Emit(events.GroupLeader, events.F("partition", g.id), events.F("term", status.Term))
