coordinator: a refusal over a relay doesn't hide that the request may have run

If a connection closes with a request pending and a relay's answer is "not the leader", the outcome was that of the refusal, not run, though the closed connection may have delivered the request, which the next leader may find in its log. A caller with an idempotency key could be told "not run" for a call that runs.

Now the outcome stays unknown unless the second way serves the request. TestOutcomeOfTwoWaysToReplica has the case and failed before (not_run).

--- a/internal/coordinator/client.go
+++ b/internal/coordinator/client.go
@@ -210,7 +210,8 @@
 	}, relayed)
 }
 
-// firstReachable tries a second way to a replica if the first one fails to reach it. The outcome is NotRun only if it is for both.
+// firstReachable tries a second way to a replica if the first one fails to reach it. If no leader has served the request, the
+// outcome is NotRun only if it is for both ways.
 func firstReachable[Response any](ctx context.Context, first, second func() (Response, error)) (Response, error) {
 	response, err := first()
 	if ctx.Err() != nil || !isUnreachable(err) {
@@ -218,7 +219,7 @@
 	}
 	firstFailure := apierr.From(err, apierr.OutcomeUnknown)
 	response, err = second()
-	if err == nil || !isUnreachable(err) {
+	if !isRoutingError(err) {
 		return response, err
 	}
 	failure := *apierr.From(err, apierr.OutcomeUnknown)
--- a/internal/coordinator/client_test.go
+++ b/internal/coordinator/client_test.go
@@ -55,4 +55,12 @@
 		_, err := firstReachable(t.Context(), way(test.first), way(test.second))
 		assert.Equal(t, apierr.From(err, apierr.Ran).Outcome, test.expected, "%s, then %s", test.first, test.second)
 	}
+	refused := apierr.New(apierr.NotLeader, apierr.NotRun, "this node does not lead the partition")
+	refused.Leader = "other"
+	_, err := firstReachable(t.Context(), way(apierr.OutcomeUnknown), func() (int, error) { return 0, refused })
+	failure := apierr.From(err, apierr.Ran)
+	assert.Equal(t, failure.Outcome, apierr.OutcomeUnknown, "the request may have been delivered before the refusal")
+	assert.Equal(t, failure.Leader, "other")
+	_, err = firstReachable(t.Context(), way(apierr.OutcomeUnknown), func() (int, error) { return 0, nil })
+	assert.NilError(t, err)
 }
