dispatch, explain: which engines ended under a request, over all its attempts

The hypotheses could not be told apart by the logs: a broken attempt looked the same whether its engine had ended or only the connection, a safe call whose engines ended left no trace of that, and two attempts at one request had nothing in common.

- an engine counts as ended if its address refuses connections, belongs to another engine, or its record goes though it did not drain.
After a broken attempt that is not resumed at its engine, the engine is probed: over an idle connection if there is one, by a dial otherwise;
- engine_ended (518) names the engine, the proof and the requests that ran there;
- the lines of interrupted requests have the key of their content and the number of ends; mountstile_engine_ends_total counts them;
- explain shows all attempts with the same content, and the ends of engines under them.

Package fatal records the ends.

--- a/internal/apierr/apierr.go
+++ b/internal/apierr/apierr.go
@@ -56,6 +56,7 @@
 	HeaderTooLarge       Code = "header_too_large"
 	TurnsUnavailable     Code = "turns_unavailable"
 	OriginUnknown        Code = "origin_unknown"
+	EndsEngines          Code = "ends_engines"
 	Internal             Code = "internal"
 )
 
@@ -90,6 +91,7 @@
 	HeaderTooLarge:       http.StatusRequestHeaderFieldsTooLarge,
 	TurnsUnavailable:     http.StatusServiceUnavailable,
 	OriginUnknown:        http.StatusServiceUnavailable,
+	EndsEngines:          http.StatusBadGateway,
 	Internal:             http.StatusInternalServerError,
 }
 
--- a/internal/dispatch/dispatch.go
+++ b/internal/dispatch/dispatch.go
@@ -21,6 +21,7 @@
 	"github.com/mountstile/mountstile/internal/apierr"
 	"github.com/mountstile/mountstile/internal/clock"
 	"github.com/mountstile/mountstile/internal/events"
+	"github.com/mountstile/mountstile/internal/fatal"
 	"github.com/mountstile/mountstile/internal/routing"
 	"github.com/mountstile/mountstile/internal/upstream"
 )
@@ -89,6 +90,14 @@
 	Stream Resumable
 	// FromStart makes the first attempt begin at the stream's start, whatever position the caller requested.
 	FromStart bool
+	// Content returns the key of the call's content, which is equal for all attempts of its caller. The default is that of
+	// Request. It is called at most once.
+	Content func() fatal.Key
+
+	contentKey fatal.Key
+	// interrupted is set once a run was interrupted; unprobed is its engine until it is known whether it has ended.
+	interrupted bool
+	unprobed    *Engine
 }
 
 // Trace records the placement of a call.
@@ -108,6 +117,8 @@
 	Load         float64
 	LoadAge      time.Duration
 	LatencyRatio float64
+	// Ends is the number of engines that ended under the call's content, as far as it was looked up.
+	Ends int
 }
 
 // Attempt is an attempt whose response has begun.
@@ -196,6 +207,12 @@
 // Run runs a call on an engine and passes the response to consume, once for each attempt that gets one. The error is an
 // apierr.Error that tells whether the call ran, or the error of consume if no other attempt may follow.
 func (d *Dispatcher) Run(ctx context.Context, call *Call, consume func(*Attempt) error) error {
+	err := d.run(ctx, call, consume)
+	d.finishCall(call, err)
+	return err
+}
+
+func (d *Dispatcher) run(ctx context.Context, call *Call, consume func(*Attempt) error) error {
 	d.retries.earn()
 	progress := &progress{call: call}
 	call.Placement.Excluded = make(map[string]bool)
@@ -209,8 +226,11 @@
 			call.Stream.Placed(ctx, call.Trace.Software)
 		}
 		resumption := newResumption(call, engine, progress.ran)
+		sentAt := time.Now()
 		outcome, err := d.attemptWithTimeout(ctx, call, engine, progress, resumption, consume)
 		d.registry.release(engine)
+		d.recordInterruption(ctx, call, engine, sentAt, outcome, err)
+		d.recordEnd(call, engine, outcome)
 		resumption.report(call, outcome, err)
 		if outcome == succeeded {
 			return nil
@@ -218,6 +238,7 @@
 		if !progress.mayRetry(ctx, outcome, engine, d.retries) {
 			return progress.finalError(ctx, outcome, err)
 		}
+		d.startProbe(ctx, call, progress)
 		d.logger.Emit(events.AttemptRetried, events.F("request", call.ID), events.F("engine", engine.ID()),
 			events.F("software", call.Trace.Software), events.F("outcome", outcome.String()), events.F("error", err), events.F("sends", call.Trace.Sends))
 	}
--- a/internal/dispatch/registry.go
+++ b/internal/dispatch/registry.go
@@ -10,6 +10,7 @@
 
 	"github.com/mountstile/mountstile/internal/catalog"
 	"github.com/mountstile/mountstile/internal/events"
+	"github.com/mountstile/mountstile/internal/fatal"
 	"github.com/mountstile/mountstile/internal/load"
 	"github.com/mountstile/mountstile/internal/upstream"
 )
@@ -57,11 +58,13 @@
 	outage outage
 	// others holds the calls in flight of other gateways.
 	others *load.View
+	// ends records the ends of engines. It calls the registry: it must not be called with the mutex held.
+	ends *fatal.Tracker
 }
 
 // NewRegistry returns an empty Registry for a gateway in zone.
 func NewRegistry(zone string, dial func(ctx context.Context, address string) (net.Conn, error), logger *events.Logger) *Registry {
-	return &Registry{
+	registry := &Registry{
 		zone:      zone,
 		dial:      dial,
 		logger:    logger,
@@ -72,19 +75,21 @@
 		waiting:   make(map[softwareKey]int),
 		others:    load.NewView(),
 	}
+	registry.ends = fatal.NewTracker(registry)
+	return registry
 }
 
 // Apply updates the registry from an engine's changed catalog entry. Entries may arrive out of order.
 func (r *Registry) Apply(entry catalog.Entry) {
 	_, id := catalog.SplitKey(entry.Key)
 	now := time.Now()
-	r.mutex.Lock()
-	defer r.mutex.Unlock()
-	r.dropRemoved(now)
 	if entry.Removed() {
-		r.remove(now, id, entry.Revision)
+		r.applyRemoval(now, id, entry.Revision)
 		return
 	}
+	r.mutex.Lock()
+	defer r.mutex.Unlock()
+	r.dropRemoved(now)
 	var specification EngineSpecification
 	if json.Unmarshal(entry.Value, &specification) != nil || specification.ID != id {
 		return
@@ -123,14 +128,27 @@
 	members[specification.ID] = engine
 }
 
-func (r *Registry) remove(now time.Time, id string, revision int64) {
+func (r *Registry) applyRemoval(now time.Time, id string, revision int64) {
+	r.mutex.Lock()
+	r.dropRemoved(now)
+	removed := r.remove(now, id, revision)
+	leaving := removed != nil && removed.specification.Draining
+	r.mutex.Unlock()
+	if removed != nil && !leaving {
+		r.engineEnded(now, removed, proofRemoved)
+	}
+}
+
+// remove marks an engine as removed. It returns nil if that is not news.
+func (r *Registry) remove(now time.Time, id string, revision int64) *Engine {
 	engine := r.byID[id]
 	if engine == nil || !engine.removedAt.IsZero() || engine.revision >= revision {
-		return
+		return nil
 	}
 	engine.removedAt = now
 	engine.revision = revision
 	r.logger.Emit(events.EngineGone, events.F("engine", id), events.F("revision", revision))
+	return engine
 }
 
 func (r *Registry) dropRemoved(now time.Time) {
--- a/internal/events/events.go
+++ b/internal/events/events.go
@@ -84,6 +84,7 @@
 	StoreOutageEnded       ID = 515
 	StreamResumed          ID = 516
 	ModelRefuted           ID = 517
+	EngineEnded            ID = 518
 	CallFailed             ID = 601
 	CallRefused            ID = 602
 	RequestPanicked        ID = 603
@@ -179,6 +180,7 @@
 	{StoreOutageEnded, "store_outage_ended", logrus.InfoLevel, "the store is heard of again; records of engines that went meanwhile may come back"},
 	{StreamResumed, "stream_resumed", logrus.InfoLevel, "another run was to go on with a stream that had broken off; status, events and outcome tell what it brought"},
 	{ModelRefuted, "model_refuted", logrus.WarnLevel, "an engine had not the model that its record tells; it gets no calls of that model for a while"},
+	{EngineEnded, "engine_ended", logrus.InfoLevel, "an engine has ended; requests are those that this node ran there, a bounded number of them"},
 	{CallFailed, "call_failed", logrus.WarnLevel, "a call ended with a failure"},
 	{CallRefused, "call_refused", logrus.DebugLevel, "a call was refused as not run"},
 	{RequestPanicked, "request_panicked", logrus.ErrorLevel, "a request handler panicked; the request was failed"},
--- a/internal/explain/explain.go
+++ b/internal/explain/explain.go
@@ -58,7 +58,7 @@
 }
 
 // engineEvents report changes in a process's view of one engine.
-var engineEvents = []events.ID{events.EngineChanged, events.EngineGone, events.EngineBreakerOpen, events.EngineBreakerClosed}
+var engineEvents = []events.ID{events.EngineChanged, events.EngineGone, events.EngineBreakerOpen, events.EngineBreakerClosed, events.EngineEnded}
 
 // Read parses the JSON lines of a log. It skips text before the first brace of a line, such as the prefix of a
 // log collector, and lines that are not events.
@@ -108,12 +108,36 @@
 // Matches reports whether the line belongs to the request or program with the given ID, or to a request that continues the turn
 // or resumes the stream with that ID.
 func (l Line) Matches(id string) bool {
-	return l.text("request") == id || l.text("program") == id || l.text("previous") == id || l.text("resumes") == id
+	return l.text("request") == id || l.text("program") == id || l.text("previous") == id || l.text("resumes") == id || l.lists(id)
+}
+
+// lists reports whether the line is about several requests, among them the one with the given ID.
+func (l Line) lists(id string) bool {
+	var requests []string
+	return json.Unmarshal(l.fields["requests"], &requests) == nil && slices.Contains(requests, id)
 }
 
 // matchesAny reports whether the line matches any of the IDs.
 func (l Line) matchesAny(ids []string) bool { return slices.ContainsFunc(ids, l.Matches) }
 
+// attempts returns the IDs of all attempts at a request: those with the same content as far as engines ended under them, and those
+// at the same stream.
+func attempts(lines []Line, id string) []string {
+	ids := streamAttempts(lines, id)
+	contents := make(map[string]bool)
+	for _, line := range lines {
+		if content := line.text("content"); content != "" && slices.Contains(ids, line.text("request")) {
+			contents[content] = true
+		}
+	}
+	for _, line := range lines {
+		if attempt := line.text("request"); contents[line.text("content")] && !slices.Contains(ids, attempt) {
+			ids = append(ids, attempt)
+		}
+	}
+	return ids
+}
+
 // streamAttempts returns the IDs of all attempts at the stream of a request: a caller may resume a stream at other gateways,
 // and names the attempt that began it. For other requests, and for programs, it returns the ID alone.
 func streamAttempts(lines []Line, id string) []string {
@@ -145,7 +169,7 @@
 // NewReport selects the lines that concern the request or program with the given ID. For an attempt to resume a stream, these
 // are the lines of all attempts at that stream.
 func NewReport(lines []Line, id string) Report {
-	report := Report{id: id, ids: streamAttempts(lines, id)}
+	report := Report{id: id, ids: attempts(lines, id)}
 	handlers := make(map[string]bool)
 	engines := make(map[string]bool)
 	for _, line := range lines {
--- a/internal/explain/explain_test.go
+++ b/internal/explain/explain_test.go
@@ -120,3 +120,20 @@
 		NewReport(lines, "r1").Write(&printed)
 	})
 }
+
+const endsLog = `{"event":518,"name":"engine_ended","node":"g1","engine":"e1","proof":"refused","requests":["r1","x"],"time":"2026-01-01T10:00:00.100Z"}
+{"event":605,"name":"request_failed","node":"g1","request":"r1","engine":"e1","content":"k","engine_ends":1,"reason":"execution_unknown","millis":90,"time":"2026-01-01T10:00:00.150Z"}
+{"event":518,"name":"engine_ended","node":"g2","engine":"e2","proof":"refused","requests":["r2"],"time":"2026-01-01T10:00:00.400Z"}
+{"event":605,"name":"request_failed","node":"g2","request":"r2","engine":"e2","content":"k","engine_ends":2,"reason":"execution_unknown","millis":90,"time":"2026-01-01T10:00:00.450Z"}
+{"event":605,"name":"request_failed","node":"g2","request":"x","engine":"e1","content":"other","engine_ends":1,"reason":"execution_unknown","millis":90,"time":"2026-01-01T10:00:00.460Z"}
+`
+
+// The report on one attempt names the engines that ended under all attempts at the request, at any gateway.
+func TestReportNamesEnginesThatEndedUnderARequest(t *testing.T) {
+	lines, err := Read(strings.NewReader(endsLog), "ends")
+	assert.NilError(t, err)
+	report := NewReport(lines, "r2")
+	assert.Equal(t, len(report.lines), 4)
+	assert.DeepEqual(t, []string{report.lines[0].text("engine"), report.lines[2].text("engine")}, []string{"e1", "e2"})
+	assert.Equal(t, len(report.Causes()), 2)
+}
--- /dev/null
+++ b/internal/fatal/tracker.go
@@ -0,0 +1,219 @@
+package fatal
+
+import (
+	"slices"
+	"sync"
+	"time"
+)
+
+const (
+	// proofWindow is how long after an interruption a proof of the engine's end counts for it. Engines that end silently lose
+	// their records about a second later.
+	proofWindow = 2 * time.Second
+	// retention is how long ends under a request are remembered.
+	retention = 10 * time.Minute
+	// endRetention is how long ends of engines are remembered.
+	endRetention = time.Minute
+	// maxRequests and maxRunsPerRequest bound the memory; the oldest are dropped.
+	maxRequests       = 2048
+	maxRunsPerRequest = 8
+	// maxLoggedRequests bounds the request IDs that EngineEnded returns.
+	maxLoggedRequests = 16
+)
+
+// Run is a run of a request that was interrupted.
+type Run struct {
+	// Request is the ID of the caller's attempt, Engine that of the engine.
+	Request string
+	Engine  string
+	// Service is the engine's service, Software the version of its software.
+	Service  string
+	Software string
+	// SentAt is when the request was sent to the engine, BrokenAt when the run was interrupted.
+	SentAt   time.Time
+	BrokenAt time.Time
+}
+
+// run is a Run, or a run at another gateway.
+type run struct {
+	Run
+	// ended is set once it is proved that the engine ended.
+	ended bool
+	// report is the name of the report that shares this end; empty while it isn't shared.
+	report string
+	// chance is the probability of the end that another gateway reported; 0 for runs of this gateway.
+	chance float64
+}
+
+// Fleet is what is known of the engines.
+type Fleet interface {
+	// Engines returns the number of engines of a service that are present or recently were.
+	Engines(service string) int
+	// Serves reports whether any of them has this version of its software.
+	Serves(service, software string) bool
+}
+
+// request holds the interrupted runs of one request, oldest first.
+type request struct {
+	runs []run
+	// calls counts the calls with this content that were interrupted and are still in progress at this gateway.
+	calls  int
+	seenAt time.Time
+}
+
+// engineEnd is the end of one engine.
+type engineEnd struct {
+	service string
+	at      time.Time
+	// late is set if only the removal of the engine's record shows the end, which happened up to maxLapse before.
+	late bool
+}
+
+// Tracker records the ends of engines and the requests that they interrupted. All methods may be called concurrently.
+type Tracker struct {
+	fleet    Fleet
+	mutex    sync.Mutex
+	requests map[Key]*request
+	// ends are the last ends of engines, by the engine's ID.
+	ends map[string]engineEnd
+}
+
+// NewTracker returns an empty Tracker.
+func NewTracker(fleet Fleet) *Tracker {
+	return &Tracker{fleet: fleet, requests: make(map[Key]*request), ends: make(map[string]engineEnd)}
+}
+
+// Empty reports whether no request is known, so that no request can be fatal.
+func (t *Tracker) Empty() bool {
+	t.mutex.Lock()
+	defer t.mutex.Unlock()
+	return len(t.requests) == 0
+}
+
+// Interrupted records a run that was interrupted. first is set for the first one of a call, which must be followed by a call of
+// Completed or Failed when the call ends.
+func (t *Tracker) Interrupted(now time.Time, key Key, interrupted Run, first bool) {
+	t.mutex.Lock()
+	defer t.mutex.Unlock()
+	if first {
+		t.request(now, key).calls++
+	}
+	end, found := t.ends[interrupted.Engine]
+	ended := found && !end.at.Before(interrupted.SentAt) && now.Sub(end.at) <= proofWindow
+	t.addRun(now, key, run{Run: interrupted, ended: ended})
+}
+
+// Completed records that a run of the request was completed by its engine. It returns the names of the reports that share its ends
+// and have to be withdrawn.
+func (t *Tracker) Completed(key Key) (withdrawn []string) {
+	t.mutex.Lock()
+	defer t.mutex.Unlock()
+	known := t.requests[key]
+	if known == nil {
+		return nil
+	}
+	delete(t.requests, key)
+	for _, interrupted := range known.runs {
+		if interrupted.report != "" {
+			withdrawn = append(withdrawn, interrupted.report)
+		}
+	}
+	return withdrawn
+}
+
+// Failed records that a call that was interrupted has ended and was not completed.
+func (t *Tracker) Failed(key Key) {
+	t.mutex.Lock()
+	defer t.mutex.Unlock()
+	if known := t.requests[key]; known != nil && known.calls > 0 {
+		known.calls--
+	}
+}
+
+// addRun adds a run to a request. The caller holds the mutex.
+func (t *Tracker) addRun(now time.Time, key Key, added run) {
+	known := t.request(now, key)
+	known.runs = append(known.runs, added)
+	if len(known.runs) > maxRunsPerRequest {
+		known.runs = slices.Delete(known.runs, 0, 1)
+	}
+}
+
+// request returns the state of a request, which it creates if necessary. The caller holds the mutex.
+func (t *Tracker) request(now time.Time, key Key) *request {
+	known := t.requests[key]
+	if known == nil {
+		t.expire(now)
+		known = &request{}
+		t.requests[key] = known
+	}
+	known.seenAt = now
+	return known
+}
+
+// expire drops what is too old, and the oldest request if there are too many. The caller holds the mutex.
+func (t *Tracker) expire(now time.Time) {
+	var oldest Key
+	for key, known := range t.requests {
+		switch {
+		case known.calls > 0:
+		case now.Sub(known.seenAt) > retention:
+			delete(t.requests, key)
+		case oldest == "" || known.seenAt.Before(t.requests[oldest].seenAt):
+			oldest = key
+		}
+	}
+	if len(t.requests) >= maxRequests {
+		delete(t.requests, oldest)
+	}
+	for engine, end := range t.ends {
+		if now.Sub(end.at) > endRetention {
+			delete(t.ends, engine)
+		}
+	}
+}
+
+// EngineEnded records that an engine has ended. late means that the end may have been up to maxLapse before. It returns the
+// requests that are known to have run there, and whether the end was not known yet.
+func (t *Tracker) EngineEnded(now time.Time, engine, service string, late bool) (requests []string, isNew bool) {
+	t.mutex.Lock()
+	defer t.mutex.Unlock()
+	for _, known := range t.requests {
+		for index := range known.runs {
+			interrupted := &known.runs[index]
+			if interrupted.Engine != engine || interrupted.ended || now.Sub(interrupted.BrokenAt) > proofWindow {
+				continue
+			}
+			interrupted.ended = true
+			if len(requests) < maxLoggedRequests {
+				requests = append(requests, interrupted.Request)
+			}
+		}
+	}
+	last, found := t.ends[engine]
+	isNew = len(requests) > 0 || !found || now.Sub(last.at) > proofWindow
+	if isNew {
+		t.expire(now)
+		t.ends[engine] = engineEnd{service: service, at: now, late: late}
+	}
+	return requests, isNew
+}
+
+// Ends returns how many engines have ended under a request, and how many interruptions of it are not explained yet.
+func (t *Tracker) Ends(now time.Time, key Key) (ended, unexplained int) {
+	t.mutex.Lock()
+	defer t.mutex.Unlock()
+	known := t.requests[key]
+	if known == nil {
+		return 0, 0
+	}
+	for _, interrupted := range known.runs {
+		switch {
+		case interrupted.ended:
+			ended++
+		case now.Sub(interrupted.BrokenAt) <= proofWindow:
+			unexplained++
+		}
+	}
+	return ended, unexplained
+}
--- a/internal/ingress/metrics.go
+++ b/internal/ingress/metrics.go
@@ -24,6 +24,8 @@
 	streams     *prometheus.CounterVec
 	// origins counts by how the software version of a stream was found, or whether it was recorded.
 	origins *prometheus.CounterVec
+	// engineEnds counts requests by the number of engines that ended under them.
+	engineEnds *prometheus.CounterVec
 }
 
 // NewMetrics creates the metrics and registers them.
@@ -58,7 +60,10 @@
 	metrics.origins = prometheus.NewCounterVec(prometheus.CounterOpts{
 		Name: "mountstile_stream_origins_total", Help: "Streams that callers take up, by how the software version that began them was found, and new ones whose version was not recorded.",
 	}, []string{"origin"})
-	registerer.MustRegister(metrics.resumptions, metrics.streams, metrics.origins)
+	metrics.engineEnds = prometheus.NewCounterVec(prometheus.CounterOpts{
+		Name: "mountstile_engine_ends_total", Help: "Interrupted requests, by how many engines are known to have ended under their content.",
+	}, []string{"ends"})
+	registerer.MustRegister(metrics.engineEnds, metrics.resumptions, metrics.streams, metrics.origins)
 	registerer.MustRegister(metrics.requests, metrics.duration, metrics.firstEvent, metrics.reservationDuration, metrics.placements, metrics.droppedLines)
 	return metrics
 }
@@ -135,6 +140,9 @@
 		events.F("in_flight", trace.InFlight), events.F("busy", math.Round(trace.Load)),
 		events.F("busy_age_millis", trace.LoadAge.Milliseconds()), events.F("pace", math.Round(trace.LatencyRatio*100)/100),
 	}
+	if key, interrupted := r.call.Interrupted(); interrupted {
+		fields = append(fields, events.F("content", string(key)), events.F("engine_ends", trace.Ends))
+	}
 	if !r.firstEventAt.IsZero() {
 		fields = append(fields, events.F("first_millis", r.firstEventAt.Sub(r.arrivedAt).Milliseconds()))
 	}
@@ -149,6 +157,11 @@
 	m.duration.WithLabelValues(r.service.Name).Observe(took.Seconds())
 	m.observeTurn(r)
 	m.observeOrigin(r)
+	if r.call != nil {
+		if _, interrupted := r.call.Interrupted(); interrupted {
+			m.engineEnds.WithLabelValues(strconv.Itoa(r.call.Trace.Ends)).Inc()
+		}
+	}
 	if r.outcome != nil {
 		m.streams.WithLabelValues(r.outcome.result).Inc()
 	}
--- a/internal/ingress/server.go
+++ b/internal/ingress/server.go
@@ -27,6 +27,7 @@
 	"github.com/mountstile/mountstile/internal/apierr"
 	"github.com/mountstile/mountstile/internal/dispatch"
 	"github.com/mountstile/mountstile/internal/events"
+	"github.com/mountstile/mountstile/internal/fatal"
 	"github.com/mountstile/mountstile/internal/routing"
 	"github.com/mountstile/mountstile/internal/turnstore"
 	"github.com/mountstile/mountstile/internal/upstream"
@@ -56,8 +57,9 @@
 	LastEvent string
 	// Resumes is the ID of the caller's attempt that brought the first event of this stream; empty if unknown.
 	Resumes string
-	// Prompt describes the parts of the prompt.
-	Prompt dispatch.Prompt
+	// Prompt describes the parts of the prompt, PromptText is their description as the caller wrote it.
+	Prompt     dispatch.Prompt
+	PromptText string
 }
 
 // CallerProtocol parses callers' headers; it varies between platforms.
@@ -266,6 +268,7 @@
 			Method: r.incoming.Method, Target: r.incoming.RequestURI, Host: r.incoming.Host,
 			Header: upstream.EndToEndHeaders(r.incoming.Header), Body: r.upstreamBody(),
 		},
+		Content: r.content,
 	}
 	r.call = call
 	if r.route.Sticky() || r.route.StoreTurns() {
@@ -282,6 +285,11 @@
 	return r.relayBuffered(ctx, call)
 }
 
+// content returns the key of the request's content, without the IDs and limits that differ between attempts.
+func (r *request) content() fatal.Key {
+	return fatal.KeyOf(r.body, r.incoming.Method, r.incoming.Host, r.incoming.RequestURI, r.caller.Program, r.caller.Session, r.caller.Previous, r.caller.PromptText)
+}
+
 func (r *request) affinity() string {
 	if r.caller.Program != "" {
 		return r.caller.Program
--- a/internal/upstream/pool.go
+++ b/internal/upstream/pool.go
@@ -132,6 +132,21 @@
 	return newConnection(raw), nil
 }
 
+// Probe checks that the engine accepts connections. It opens one only if none is idle, and keeps it for later exchanges. At the
+// connection limit it does nothing.
+func (p *Pool) Probe(ctx context.Context) error {
+	connection, err := p.get(ctx)
+	var limit *ErrConnectionLimit
+	if errors.As(err, &limit) {
+		return nil
+	}
+	if err != nil {
+		return err
+	}
+	p.put(connection)
+	return nil
+}
+
 func (p *Pool) takeIdle() *Connection {
 	now := time.Now()
 	for {
