--- a/internal/catalog/catalog.go
+++ b/internal/catalog/catalog.go
@@ -77,6 +77,8 @@
 	entry     Entry
 	sequence  uint64
 	removedAt time.Time
+	// publishedAt is when an entry that a node published was merged; zero for entries from the store.
+	publishedAt time.Time
 }
 
 // State holds the newest version of each entry. It is not safe for concurrent use.
@@ -85,6 +87,8 @@
 	sequence uint64
 	// changes is the change log, oldest first. Superseded changes are removed lazily.
 	changes []change
+	// published is the number of entries that nodes published.
+	published int
 }
 
 // change records that an entry changed at a sequence number.
@@ -107,6 +111,13 @@
 	}
 	if stored == nil {
 		stored = &record{}
+		if entry.isPublished() {
+			if s.published >= maxPublished {
+				return false
+			}
+			s.published++
+			stored.publishedAt = now
+		}
 		s.entries[entry.Key] = stored
 	}
 	s.sequence++
@@ -139,10 +150,15 @@
 	return removed
 }
 
-// ExpireTombstones drops tombstones that are older than their TTL.
-func (s *State) ExpireTombstones(now time.Time) {
+// Expire drops tombstones and published entries that are older than their TTL.
+func (s *State) Expire(now time.Time) {
 	for key, stored := range s.entries {
-		if !stored.removedAt.IsZero() && now.Sub(stored.removedAt) > tombstoneTTL {
+		published := !stored.publishedAt.IsZero()
+		switch {
+		case published && now.Sub(stored.publishedAt) > publishedTTL:
+			s.published--
+			delete(s.entries, key)
+		case !published && !stored.removedAt.IsZero() && now.Sub(stored.removedAt) > tombstoneTTL:
 			delete(s.entries, key)
 		}
 	}
--- a/internal/catalog/catalog_test.go
+++ b/internal/catalog/catalog_test.go
@@ -88,7 +88,7 @@
 	_, found = state.Get("configuration/current")
 	assert.Assert(t, found)
 	assert.Assert(t, !state.Merge(now, entry("engine/a", 5, "old")), "an old version must not replace a tombstone")
-	state.ExpireTombstones(now.Add(2 * tombstoneTTL))
+	state.Expire(now.Add(2 * tombstoneTTL))
 	left, _ := state.Since(0, 100)
 	assert.Equal(t, len(left), 2)
 }
--- a/internal/catalog/manager.go
+++ b/internal/catalog/manager.go
@@ -143,6 +143,7 @@
 	}
 	transport.Handle(network, followKind, manager.serveFollow)
 	transport.Handle(network, fetchKind, manager.serveFetch)
+	transport.Handle(network, publishKind, manager.servePublish)
 	return manager
 }
 
@@ -177,7 +178,7 @@
 	m.mutex.Lock()
 	defer m.mutex.Unlock()
 	peers = m.withReferrals(now, peers)
-	m.state.ExpireTombstones(now)
+	m.state.Expire(now)
 	m.updateFollowCount(now, peers)
 	wanted := make(map[string]transport.Peer, len(peers))
 	for index, peer := range peers {
--- a/internal/catalog/missed_test.go
+++ b/internal/catalog/missed_test.go
@@ -110,6 +110,6 @@
 func (m *Manager) expireTombstones() {
 	m.mutex.Lock()
 	defer m.mutex.Unlock()
-	m.state.ExpireTombstones(time.Now().Add(2 * tombstoneTTL))
+	m.state.Expire(time.Now().Add(2 * tombstoneTTL))
 	m.lastResponseAt = m.lastResponseAt.Add(-2 * tombstoneTTL)
 }
--- /dev/null
+++ b/internal/catalog/publish.go
@@ -0,0 +1,133 @@
+package catalog
+
+import (
+	"context"
+	"encoding/json"
+	"strconv"
+	"time"
+
+	"github.com/cockroachdb/errors"
+
+	"github.com/mountstile/mountstile/internal/events"
+	"github.com/mountstile/mountstile/internal/transport"
+)
+
+// The kinds of entries that nodes publish. Unlike those of other kinds they don't come from the store, and each node drops them after
+// publishedTTL. Nodes of earlier builds keep them and pass them on.
+const (
+	// FatalRequestKind is the kind of entries that tell of engines that ended under a request. They never change, but may be
+	// withdrawn.
+	FatalRequestKind = "fatal"
+	// EngineEndKind is the kind of entries that tell of the last end of an engine. Each further end has the next revision.
+	EngineEndKind = "ended"
+)
+
+const (
+	publishKind = "catalog.publish"
+	// publishTimeout bounds the transfer of published entries to a peer.
+	publishTimeout = 500 * time.Millisecond
+	// publishedTTL is how long a node keeps a published entry.
+	publishedTTL = 10 * time.Minute
+	// maxPublished bounds the published entries of a catalog, maxPublishedBytes the value of each.
+	maxPublished      = 4096
+	maxPublishedBytes = 512
+)
+
+// publishedRevision is the revision of an entry of FatalRequestKind, withdrawnRevision that of its removal.
+const (
+	publishedRevision = 1
+	withdrawnRevision = 2
+)
+
+// ErrNotPublishable means that an entry may not be published.
+type ErrNotPublishable struct{ Key string }
+
+// Error implements error.
+func (e *ErrNotPublishable) Error() string {
+	return "catalog entry can't be published by a node: " + strconv.Quote(e.Key)
+}
+
+type publishRequest struct {
+	Entries []Entry `json:"e"`
+}
+
+type publishResponse struct{}
+
+// FatalRequest returns an entry of FatalRequestKind.
+func FatalRequest(name string, value []byte) Entry {
+	return Entry{Key: Key(FatalRequestKind, name), Revision: publishedRevision, Value: value}
+}
+
+// EngineEnd returns an entry of EngineEndKind that replaces the one that is known. Nodes that publish the same end at once publish the
+// same entry.
+func (m *Manager) EngineEnd(engine string) Entry {
+	key := Key(EngineEndKind, engine)
+	m.mutex.Lock()
+	defer m.mutex.Unlock()
+	return Entry{Key: key, Revision: m.state.Revision(key) + 1, Value: json.RawMessage("true")}
+}
+
+// Withdrawn returns the tombstone of an entry of FatalRequestKind.
+func Withdrawn(name string) Entry {
+	return Entry{Key: Key(FatalRequestKind, name), Revision: withdrawnRevision}
+}
+
+// Publish adds entries to this catalog and to those of some peers, from which all other nodes get them. It returns once the peers
+// have answered or publishTimeout has passed. The error is that of the last peer that failed, if all did.
+func (m *Manager) Publish(ctx context.Context, peers []transport.Peer, entries []Entry) error {
+	m.Apply(entries)
+	publishContext, cancel := context.WithTimeout(ctx, publishTimeout)
+	defer cancel()
+	results := make(chan error, len(peers))
+	for _, peer := range peers {
+		go func() {
+			_, err := transport.CallWithRelays[publishResponse](publishContext, m.network, peer, publishKind, publishRequest{Entries: entries}, publishTimeout/2)
+			results <- err
+		}()
+	}
+	var lastErr error
+	failed := 0
+	for range peers {
+		if err := <-results; err != nil {
+			lastErr = err
+			failed++
+		}
+	}
+	if failed < len(peers) {
+		return nil
+	}
+	return lastErr
+}
+
+// servePublish adds entries that another node publishes.
+func (m *Manager) servePublish(_ context.Context, from transport.Peer, request publishRequest) (publishResponse, error) {
+	for _, entry := range request.Entries {
+		if !entry.publishable() {
+			m.logger.Emit(events.PublishRejected, events.F("from", from.NodeID), events.F("key", entry.Key))
+			return publishResponse{}, errors.WithStack(&ErrNotPublishable{Key: entry.Key})
+		}
+	}
+	m.Apply(request.Entries)
+	return publishResponse{}, nil
+}
+
+// publishable reports whether a node may publish the entry.
+func (e Entry) publishable() bool {
+	kind, name := SplitKey(e.Key)
+	if name == "" || len(e.Key) > maxPublishedBytes || len(e.Value) > maxPublishedBytes {
+		return false
+	}
+	switch kind {
+	case FatalRequestKind:
+		return e.Revision == publishedRevision || (e.Revision == withdrawnRevision && e.Removed())
+	case EngineEndKind:
+		return e.Revision > 0 && !e.Removed()
+	}
+	return false
+}
+
+// isPublished reports whether the entry came from a node rather than from the store.
+func (e Entry) isPublished() bool {
+	kind, _ := SplitKey(e.Key)
+	return kind == FatalRequestKind || kind == EngineEndKind
+}
--- a/internal/dispatch/dispatch.go
+++ b/internal/dispatch/dispatch.go
@@ -95,9 +95,12 @@
 	Content func() fatal.Key
 
 	contentKey fatal.Key
+	beganAt    time.Time
 	// interrupted is set once a run was interrupted; unprobed is its engine until it is known whether it has ended.
 	interrupted bool
 	unprobed    *Engine
+	// judgedEnds is how many engines had ended under the call when it was judged last.
+	judgedEnds int
 }
 
 // Trace records the placement of a call.
@@ -214,9 +217,11 @@
 
 func (d *Dispatcher) run(ctx context.Context, call *Call, consume func(*Attempt) error) error {
 	d.retries.earn()
+	call.beganAt = time.Now()
 	progress := &progress{call: call}
 	call.Placement.Excluded = make(map[string]bool)
 	for {
+		d.isolate(call)
 		engine, err := d.nextEngine(ctx, call, progress)
 		if err != nil {
 			return err
@@ -228,13 +233,16 @@
 		resumption := newResumption(call, engine, progress.ran)
 		sentAt := time.Now()
 		outcome, err := d.attemptWithTimeout(ctx, call, engine, progress, resumption, consume)
-		d.registry.release(engine)
+		d.registry.release(engine, call.Placement.Isolated)
 		d.recordInterruption(ctx, call, engine, sentAt, outcome, err)
 		d.recordEnd(call, engine, outcome)
 		resumption.report(call, outcome, err)
 		if outcome == succeeded {
 			return nil
 		}
+		if outcome != delivered && d.endsEngines(ctx, call) {
+			return progress.endsEnginesError(call)
+		}
 		if !progress.mayRetry(ctx, outcome, engine, d.retries) {
 			return progress.finalError(ctx, outcome, err)
 		}
--- a/internal/dispatch/dispatch_test.go
+++ b/internal/dispatch/dispatch_test.go
@@ -41,8 +41,8 @@
 		first, second := one.choose(time.Now(), placement, &Trace{}), other.choose(time.Now(), placement, &Trace{})
 		assert.Equal(t, first.ID(), second.ID())
 		used[first.ID()] = true
-		one.release(first)
-		other.release(second)
+		one.release(first, false)
+		other.release(second, false)
 	}
 	assert.Assert(t, len(used) >= 5, "only %d engines are used", len(used))
 }
@@ -56,13 +56,13 @@
 	for index := range 200 {
 		placement := Placement{Service: "s", Affinity: fmt.Sprint("program ", index)}
 		first := one.choose(time.Now(), placement, &Trace{})
-		one.release(first)
+		one.release(first, false)
 		if first.Zone() == "a" {
 			sameZone++
 		}
 		placement.Preferred = first.ID()
 		followed := other.choose(time.Now(), placement, &Trace{})
-		other.release(followed)
+		other.release(followed, false)
 		assert.Equal(t, followed.ID(), first.ID())
 	}
 	assert.Assert(t, sameZone > 160, "%d of 200 prompts stay in the zone", sameZone)
@@ -95,7 +95,7 @@
 	for range 20 {
 		chosen := registry.choose(time.Now(), Placement{Service: "s"}, &Trace{})
 		assert.Equal(t, chosen.ID(), "e1")
-		registry.release(chosen)
+		registry.release(chosen, false)
 	}
 	registry.choose(time.Now(), Placement{Service: "s"}, &Trace{})
 	assert.Assert(t, registry.choose(time.Now(), Placement{Service: "s"}, &Trace{}).ID() != "e1", "a busier engine is chosen for its idle connection")
@@ -110,7 +110,7 @@
 		times := 0
 		for program := range 200 {
 			engine := registry.choose(now, Placement{Service: "s", Affinity: fmt.Sprint(program), EngineRecorded: true}, &Trace{})
-			registry.release(engine)
+			registry.release(engine, false)
 			if engine.ID() == "e1" {
 				times++
 			}
@@ -137,7 +137,7 @@
 	for _, id := range []string{"e0", "e1", "e2"} {
 		engine := registry.choose(time.Now(), Placement{Service: "s", Affinity: "p", Preferred: id}, &Trace{})
 		assert.Equal(t, engine.ID(), id)
-		registry.release(engine)
+		registry.release(engine, false)
 	}
 }
 
@@ -153,7 +153,7 @@
 	registry := registryOf(t, "a", "a", "a")
 	placement := Placement{Service: "s", Affinity: "p"}
 	home := registry.choose(time.Now(), placement, &Trace{})
-	registry.release(home)
+	registry.release(home, false)
 	other := registry.byID["e0"]
 	if other == home {
 		other = registry.byID["e1"]
@@ -166,7 +166,7 @@
 	}
 	now := time.Now()
 	assert.Equal(t, registry.choose(now, placement, &Trace{}), other)
-	registry.release(other)
+	registry.release(other, false)
 	assert.Equal(t, registry.choose(now.Add(5*ratioDecay), placement, &Trace{}), home)
 }
 
--- a/internal/dispatch/ends.go
+++ b/internal/dispatch/ends.go
@@ -27,12 +27,17 @@
 	proofReported endProof = "reported"
 )
 
+// isOwn reports whether only this gateway knows the proof.
+func (p endProof) isOwn() bool { return p == proofRefused || p == proofReplaced }
+
 const (
 	// probeDelay is how long after an interruption the engine is probed. A process that ends may close its connections shortly
 	// before its listener.
 	probeDelay = 5 * time.Millisecond
 	// probeTimeout bounds a probe.
 	probeTimeout = 250 * time.Millisecond
+	// newsDelay is how long a call waits for other gateways' news of ends before it is judged.
+	newsDelay = 30 * time.Millisecond
 )
 
 // Ends returns the tracker of the engines that ended.
@@ -67,17 +72,46 @@
 		r.logger.Emit(events.EngineEnded, events.F("engine", id), events.F("service", service), events.F("proof", string(proof)),
 			events.F("requests", requests))
 	}
+	news := EndNews{}
+	if isNew && proof.isOwn() {
+		news.Engine = id
+	}
+	r.shareEnds(now, news)
 }
 
+// EndNews is what other gateways have to know of ends of engines.
+type EndNews struct {
+	// Engine is the ID of an engine that has ended; empty if there is none.
+	Engine string
+	// Reports are ends of engines under requests, Withdrawn the names of earlier reports that don't count any more.
+	Reports   []fatal.Report
+	Withdrawn []string
+}
+
+// shareEnds sends news, with all reports that are due.
+func (r *Registry) shareEnds(now time.Time, news EndNews) {
+	reports, replaced := r.ends.Unshared(now)
+	news.Reports = reports
+	news.Withdrawn = append(news.Withdrawn, replaced...)
+	if news.Engine != "" || len(news.Reports) > 0 || len(news.Withdrawn) > 0 {
+		r.share(news)
+	}
+}
+
+// ShareEnds sets the function that sends news of ends to other gateways. It must not block, and must be set before any call is
+// dispatched.
+func (r *Registry) ShareEnds(share func(EndNews)) { r.share = share }
+
 // ApplyReport records that an engine ended under a request at another gateway.
-func (r *Registry) ApplyReport(report fatal.Report) {
-	now := time.Now()
-	r.ends.Apply(now, report)
+func (r *Registry) ApplyReport(report fatal.Report) { r.ends.Apply(time.Now(), report) }
+
+// ApplyEnd records that an engine has ended, as another gateway found out.
+func (r *Registry) ApplyEnd(id string) {
 	r.mutex.Lock()
-	engine := r.byID[report.Engine()]
+	engine := r.byID[id]
 	r.mutex.Unlock()
 	if engine != nil {
-		r.engineEnded(now, engine, proofReported)
+		r.engineEnded(time.Now(), engine, proofReported)
 	}
 }
 
@@ -124,8 +158,8 @@
 	now := time.Now()
 	first := !call.interrupted
 	call.interrupted = true
-	d.registry.ends.Interrupted(now, call.fingerprint(), fatal.Run{
-		Request: call.ID, Engine: engine.ID(), Service: call.Placement.Service, Software: call.Trace.Software, SentAt: sentAt, BrokenAt: now,
+	d.registry.ends.Interrupted(now, call.tracked(), fatal.Run{
+		Engine: engine.ID(), Service: call.Placement.Service, Software: call.Trace.Software, SentAt: sentAt, BrokenAt: now,
 	}, first)
 	if found == disconnection {
 		call.unprobed = engine
@@ -157,6 +191,64 @@
 	}
 }
 
+// EndsEngines reports whether the request of a call ends the engines that run it. content is called only if there may be any such
+// request.
+func (d *Dispatcher) EndsEngines(callID string, content func() fatal.Key) bool {
+	if d.registry.ends.Empty() {
+		return false
+	}
+	now := time.Now()
+	isFatal, _ := d.judge(now, fatal.Call{Key: content(), Request: callID, BeganAt: now})
+	return isFatal
+}
+
+// judge reports whether the request of a call ends the engines that run it. If that can't be told yet, it returns how long to withhold
+// the call before it is judged again.
+func (d *Dispatcher) judge(now time.Time, call fatal.Call) (isFatal bool, withhold time.Duration) {
+	verdict := d.registry.ends.Judge(now, call)
+	if verdict.New {
+		d.logger.Emit(events.RequestFatal, events.F("request", call.Request), events.F("content", string(call.Key)), events.F("engines", verdict.Engines),
+			events.F("chance", verdict.Chance))
+	}
+	return verdict.Fatal, verdict.Withhold
+}
+
+// isolatedEnds is from how many ends of engines under a call on it is isolated: the next one may show that the request is fatal.
+const isolatedEnds = 2
+
+// isolate sets whether the next attempt of the call is isolated.
+func (d *Dispatcher) isolate(call *Call) {
+	if call.Placement.Isolated || d.registry.ends.Empty() {
+		return
+	}
+	ends, _ := d.registry.ends.Ends(time.Now(), call.tracked())
+	call.Placement.Isolated = ends >= isolatedEnds
+}
+
+// endsEngines reports whether the call was interrupted and ends the engines that run it. If the last interruption decides that, it
+// probes the engine, and the call waits until the ends of other engines tell whether chance is an explanation.
+func (d *Dispatcher) endsEngines(ctx context.Context, call *Call) bool {
+	if !call.interrupted {
+		return false
+	}
+	ended, unexplained := d.registry.ends.Ends(time.Now(), call.tracked())
+	if engine := call.unprobed; engine != nil && ended+unexplained > isolatedEnds {
+		call.unprobed = nil
+		d.probe(ctx, engine)
+	}
+	if ended, _ = d.registry.ends.Ends(time.Now(), call.tracked()); ended <= max(isolatedEnds, call.judgedEnds) {
+		return false
+	}
+	call.judgedEnds = ended
+	clock.Sleep(ctx, newsDelay)
+	isFatal, withhold := d.judge(time.Now(), call.tracked())
+	if withhold > 0 {
+		clock.Sleep(ctx, withhold)
+		isFatal, _ = d.judge(time.Now(), call.tracked())
+	}
+	return isFatal
+}
+
 // startProbe probes the engine of the call's last interruption, unless the call is resumed there, which shows the same.
 func (d *Dispatcher) startProbe(ctx context.Context, call *Call, progress *progress) {
 	engine := call.unprobed
@@ -172,14 +264,17 @@
 	if !call.interrupted && d.registry.ends.Empty() {
 		return
 	}
-	key := call.fingerprint()
-	if err == nil {
-		d.registry.ends.Completed(key)
-	}
-	call.Trace.Ends, _ = d.registry.ends.Ends(time.Now(), key)
-	if call.interrupted {
-		d.registry.ends.Failed(key)
+	now := time.Now()
+	call.Trace.Ends, _ = d.registry.ends.Ends(now, call.tracked())
+	key := call.contentKey
+	var withdrawn []string
+	switch {
+	case err == nil:
+		withdrawn = d.registry.ends.Completed(key)
+	case call.interrupted:
+		d.registry.ends.Failed(call.tracked())
 	}
+	d.registry.shareEnds(now, EndNews{Withdrawn: withdrawn})
 	if engine := call.unprobed; engine != nil {
 		go d.probe(context.Background(), engine)
 	}
@@ -197,6 +292,11 @@
 	return c.contentKey
 }
 
+// tracked returns what the tracker of engines' ends needs to know of the call.
+func (c *Call) tracked() fatal.Call {
+	return fatal.Call{Key: c.fingerprint(), Request: c.ID, BeganAt: c.beganAt}
+}
+
 // Interrupted reports whether a run of the call was interrupted, and if so returns the key of its content.
 func (c *Call) Interrupted() (fatal.Key, bool) {
 	if !c.interrupted {
--- a/internal/dispatch/engine.go
+++ b/internal/dispatch/engine.go
@@ -34,6 +34,8 @@
 	format   int
 	pool     *upstream.Pool
 	inFlight int
+	// isolated is how many of the calls in flight are isolated; see Placement.
+	isolated int
 	// removedAt is when the record was removed; zero while it exists. returnedAt is when it reappeared.
 	removedAt  time.Time
 	returnedAt time.Time
@@ -54,6 +56,13 @@
 // Zone returns the availability zone in which the engine runs.
 func (e *Engine) Zone() string { return e.specification.Zone }
 
+// addIsolated adds to the number of isolated calls in flight if the call is isolated.
+func (e *Engine) addIsolated(isolated bool, count int) {
+	if isolated {
+		e.isolated += count
+	}
+}
+
 // outage is a period in which the store was unavailable.
 type outage struct{ since, until time.Time }
 
--- a/internal/dispatch/placement.go
+++ b/internal/dispatch/placement.go
@@ -62,6 +62,9 @@
 	// since the output of different versions can't be joined.
 	Pinned   bool
 	Software string
+	// Isolated keeps the call from engines that run another isolated call, if there are others, and chooses among the rest at
+	// random. If an engine ends, most likely only one of the calls that may have caused it is isolated.
+	Isolated bool
 }
 
 // allows reports whether the call may run at an engine with a version of its software.
@@ -92,16 +95,19 @@
 	r.mutex.Lock()
 	defer r.mutex.Unlock()
 	candidates := r.candidates(now, placement)
+	if placement.Isolated {
+		candidates = withoutIsolated(candidates)
+	}
 	if len(candidates) == 0 {
 		return nil
 	}
-	stats := r.candidateStatsOf(now, candidates, placement)
-	best := candidates[0]
-	bestCost := math.Inf(1)
-	for _, candidate := range candidates {
-		if cost := r.cost(now, candidate, placement, stats); cost < bestCost {
-			best, bestCost = candidate, cost
-		}
+	var best *Engine
+	if placement.Isolated {
+		// Calls that an engine's end interrupted at several gateways would otherwise meet again, and the next end would not tell
+		// them apart.
+		best = candidates[rand.N(len(candidates))]
+	} else {
+		best = r.cheapest(now, candidates, placement)
 	}
 	trace.Engine = best.ID()
 	trace.Software = best.specification.Software
@@ -111,10 +117,24 @@
 	trace.LoadAge, _ = r.others.Age(now)
 	trace.LatencyRatio = best.latencyRatio.at(now)
 	best.inFlight++
+	best.addIsolated(placement.Isolated, 1)
 	best.breaker.recordSent(now)
 	return best
 }
 
+// cheapest returns the candidate with the lowest cost.
+func (r *Registry) cheapest(now time.Time, candidates []*Engine, placement Placement) *Engine {
+	stats := r.candidateStatsOf(now, candidates, placement)
+	best := candidates[0]
+	bestCost := math.Inf(1)
+	for _, candidate := range candidates {
+		if cost := r.cost(now, candidate, placement, stats); cost < bestCost {
+			best, bestCost = candidate, cost
+		}
+	}
+	return best
+}
+
 func (r *Registry) candidates(now time.Time, placement Placement) []*Engine {
 	if placement.Pinned {
 		return r.pinnedCandidates(now, placement)
@@ -142,6 +162,20 @@
 	return usable
 }
 
+// withoutIsolated returns the engines that run no isolated call, or all if there are none.
+func withoutIsolated(engines []*Engine) []*Engine {
+	var others []*Engine
+	for _, engine := range engines {
+		if engine.isolated == 0 {
+			others = append(others, engine)
+		}
+	}
+	if len(others) == 0 {
+		return engines
+	}
+	return others
+}
+
 // pinnedCandidates returns the engines for a pinned call. If none is usable for new work, those that are present but failing
 // or not trusted are better than none: no other engine can continue the stream.
 func (r *Registry) pinnedCandidates(now time.Time, placement Placement) []*Engine {
--- a/internal/dispatch/placement_test.go
+++ b/internal/dispatch/placement_test.go
@@ -34,7 +34,7 @@
 		for program := range 40 {
 			placement := Placement{Service: "s", Affinity: fmt.Sprint(part, program), EngineRecorded: true, Prompt: longSharedPrompt(fmt.Sprint("part ", part))}
 			engine := registry.choose(now, placement, &Trace{})
-			registry.release(engine)
+			registry.release(engine, false)
 			used[engine.ID()] = true
 			all[engine.ID()] = true
 		}
@@ -50,7 +50,7 @@
 	for program := range 60 {
 		placement := Placement{Service: "s", Affinity: fmt.Sprint(program), Prompt: Prompt{SharedPrefix: "part", SharedTokens: 500, NewTokens: 1_000}}
 		engine := registry.choose(time.Now(), placement, &Trace{})
-		registry.release(engine)
+		registry.release(engine, false)
 		used[engine.ID()] = true
 	}
 	assert.Assert(t, len(used) >= 8, "only %d engines are used", len(used))
@@ -62,13 +62,13 @@
 	now := time.Now()
 	placement := Placement{Service: "s", Affinity: "program", EngineRecorded: true, Prompt: longSharedPrompt("part")}
 	idle := registry.choose(now, placement, &Trace{})
-	registry.release(idle)
+	registry.release(idle, false)
 	registry.Take(now, load.Counts{{Engine: load.KeyOf(idle.ID()), Calls: 30}})
 	chosen := func(at time.Time) int {
 		times := 0
 		for range 200 {
 			engine := registry.choose(at, placement, &Trace{})
-			registry.release(engine)
+			registry.release(engine, false)
 			if engine == idle {
 				times++
 			}
@@ -105,7 +105,7 @@
 	for calls, stay := range map[int]bool{0: true, 5: true, 40: false} {
 		registry.Take(now, load.Counts{{Engine: load.KeyOf("e5"), Calls: calls}})
 		engine := registry.choose(now, placement, &Trace{})
-		registry.release(engine)
+		registry.release(engine, false)
 		assert.Equal(t, engine.ID() == "e5", stay, "with %d calls of other gateways", calls)
 	}
 }
@@ -127,3 +127,19 @@
 	registry.acquire(engine, Placement{}, &Trace{})
 	assert.DeepEqual(t, registry.Report(), load.Counts{{Engine: load.KeyOf("e3"), Calls: 2}})
 }
+
+// Two isolated calls share an engine only if there is no other, and isolation ends with the call.
+func TestIsolatedCallsAreKeptApart(t *testing.T) {
+	registry := registryOf(t, "a", "a", "a", "a")
+	isolated := Placement{Service: "s", Isolated: true}
+	used := make(map[string]*Engine)
+	for range 3 {
+		engine := registry.choose(time.Now(), isolated, &Trace{})
+		used[engine.ID()] = engine
+	}
+	assert.Equal(t, len(used), 3)
+	assert.Assert(t, registry.choose(time.Now(), isolated, &Trace{}) != nil)
+	for _, engine := range used {
+		registry.release(engine, true)
+	}
+}
--- a/internal/dispatch/progress.go
+++ b/internal/dispatch/progress.go
@@ -148,7 +148,7 @@
 }
 
 // costsNothing reports whether a failed attempt of a pinned call gave its engine no work. It is not taken from the retry budget
-// then: no other engine can run the call, and many streams are interrupted at once when an engine crashes.
+// then, since no other engine can run the call.
 func (p *progress) costsNothing(outcome attemptOutcome) bool {
 	return p.call.Placement.Pinned && (outcome == refused || outcome == gone)
 }
@@ -208,6 +208,11 @@
 	return p.notRunError(ctx, cause.Error())
 }
 
+// endsEnginesError returns the error of a call that ends the engines that run it.
+func (p *progress) endsEnginesError(call *Call) error {
+	return apierr.New(apierr.EndsEngines, apierr.Ran, "engines end when they run this request; it was sent %d times", call.Trace.Sends)
+}
+
 // noEngineError returns the error of a call for which no engine is available.
 func (p *progress) noEngineError(ctx context.Context) error {
 	reason := "no engine is available for the call"
--- a/internal/dispatch/registry.go
+++ b/internal/dispatch/registry.go
@@ -60,6 +60,8 @@
 	others *load.View
 	// ends records the ends of engines. It calls the registry: it must not be called with the mutex held.
 	ends *fatal.Tracker
+	// share sends news of ends to other gateways. It must not block.
+	share func(EndNews)
 }
 
 // NewRegistry returns an empty Registry for a gateway in zone.
@@ -74,6 +76,7 @@
 		baselines: make(map[string]*latencyBaseline),
 		waiting:   make(map[softwareKey]int),
 		others:    load.NewView(),
+		share:     func(EndNews) {},
 	}
 	registry.ends = fatal.NewTracker(registry)
 	return registry
@@ -265,6 +268,7 @@
 		trace.Engine = engine.ID()
 		trace.Software = engine.specification.Software
 		engine.inFlight++
+		engine.addIsolated(placement.Isolated, 1)
 	}
 	return found
 }
@@ -291,10 +295,11 @@
 }
 
 // release undoes choose or acquire at the end of an attempt.
-func (r *Registry) release(engine *Engine) {
+func (r *Registry) release(engine *Engine, isolated bool) {
 	r.mutex.Lock()
 	defer r.mutex.Unlock()
 	engine.inFlight--
+	engine.addIsolated(isolated, -1)
 }
 
 func (r *Registry) markFull(engine *Engine) {
--- a/internal/events/events.go
+++ b/internal/events/events.go
@@ -45,6 +45,8 @@
 	StoreLost              ID = 313
 	RoutesInstalled        ID = 314
 	SettingsReloaded       ID = 315
+	PublishRejected        ID = 316
+	PublishFailed          ID = 317
 	PartitionTableMade     ID = 401
 	GroupStarted           ID = 402
 	GroupLeader            ID = 403
@@ -85,6 +87,8 @@
 	StreamResumed          ID = 516
 	ModelRefuted           ID = 517
 	EngineEnded            ID = 518
+	ReportInvalid          ID = 519
+	RequestFatal           ID = 520
 	CallFailed             ID = 601
 	CallRefused            ID = 602
 	RequestPanicked        ID = 603
@@ -141,6 +145,8 @@
 	{StoreLost, "store_lost", logrus.WarnLevel, "the store does not answer, or refuses this node"},
 	{RoutesInstalled, "routes_installed", logrus.InfoLevel, "a configuration of routes is in force on this node"},
 	{SettingsReloaded, "settings_reloaded", logrus.InfoLevel, "the settings file was read again"},
+	{PublishRejected, "publish_rejected", logrus.WarnLevel, "another node published a catalog entry that nodes may not publish"},
+	{PublishFailed, "publish_failed", logrus.WarnLevel, "no replica took the ends of engines that this node reports; other gateways don't know of them"},
 	{PartitionTableMade, "partition_table_made", logrus.InfoLevel, "the initial placement of partitions was committed in the store"},
 	{GroupStarted, "group_started", logrus.DebugLevel, "this node holds a replica of a partition"},
 	{GroupLeader, "group_leader", logrus.InfoLevel, "this node leads a partition"},
@@ -181,6 +187,8 @@
 	{StreamResumed, "stream_resumed", logrus.InfoLevel, "another run was to go on with a stream that had broken off; status, events and outcome tell what it brought"},
 	{ModelRefuted, "model_refuted", logrus.WarnLevel, "an engine had not the model that its record tells; it gets no calls of that model for a while"},
 	{EngineEnded, "engine_ended", logrus.InfoLevel, "an engine has ended; requests are those that this node ran there, a bounded number of them"},
+	{ReportInvalid, "report_invalid", logrus.WarnLevel, "a report of an engine's end could not be read or written"},
+	{RequestFatal, "request_fatal", logrus.WarnLevel, "a request ends the engines that run it and is not sent again; chance is the probability that they ended by themselves"},
 	{CallFailed, "call_failed", logrus.WarnLevel, "a call ended with a failure"},
 	{CallRefused, "call_refused", logrus.DebugLevel, "a call was refused as not run"},
 	{RequestPanicked, "request_panicked", logrus.ErrorLevel, "a request handler panicked; the request was failed"},
--- a/internal/fatal/evidence.go
+++ b/internal/fatal/evidence.go
@@ -1,82 +1,149 @@
 package fatal
 
 import (
+	"maps"
+	"math"
 	"slices"
 	"time"
 )
 
 const (
-	// minEnds is how many engines must have ended under a fatal request. maxEnds is how many are enough whatever else happened.
-	minEnds = 3
-	maxEnds = 8
-	// maxChance is the greatest probability of the ends under a fatal request if chance caused them.
-	maxChance = 1e-3
+	// minEnds is how many engines must have ended under a fatal request, minUnexplained how many of these not under another one that
+	// is known to be fatal. maxEnds is how many of the latter are enough whatever else happened.
+	minEnds        = 3
+	minUnexplained = 2
+	maxEnds        = 8
+	// certainChance is the greatest geometric mean of the probabilities that the engines ended by themselves with which a request
+	// certainly is fatal. Up to doubtfulChance it is so if no other engine ends from withholdTime before its last run until
+	// withholdTime after it.
+	certainChance  = 0.02
+	doubtfulChance = 0.25
+	withholdTime   = 100 * time.Millisecond
 	// baseRate is the assumed rate at which an engine ends by itself, per second, when no other engine does.
 	baseRate = 0.001
 	// rateWindow is the time before and after an end in which ends of other engines count for the rate.
 	rateWindow = 250 * time.Millisecond
 	// maxLapse is how long after the end of an engine its record may be removed.
 	maxLapse = 1200 * time.Millisecond
-	// minExposure is the shortest duration that a run counts with.
-	minExposure = time.Millisecond
-	// overlapTolerance is how much two runs may seem to overlap though one followed the other: reports arrive with a delay.
-	overlapTolerance = 30 * time.Millisecond
+	// minExposure is the shortest duration that a run counts with: a run may begin at an engine that has just ended.
+	minExposure = 10 * time.Millisecond
+	// overlapTolerance is how much two calls may seem to overlap though one followed the other: reports arrive with a delay.
+	overlapTolerance = 10 * time.Millisecond
+	// sameEndTolerance is how far apart two runs may be interrupted by the same end of an engine.
+	sameEndTolerance = 500 * time.Millisecond
 )
 
-// IsFatal reports whether a request ends the engines that run it.
-func (t *Tracker) IsFatal(now time.Time, key Key) bool {
+// Verdict tells whether a request ends the engines that run it, and why.
+type Verdict struct {
+	Fatal bool
+	// New is set if the request was not known to be fatal before.
+	New bool
+	// Engines are those that ended under the request, Chance is the probability that they all ended by themselves.
+	Engines []string
+	Chance  float64
+	// Withhold is how long the request should be withheld before it is judged again; 0 if that would tell nothing.
+	Withhold time.Duration
+}
+
+// Judge returns whether the request of a call ends the engines that run it.
+func (t *Tracker) Judge(now time.Time, call Call) Verdict {
 	t.mutex.Lock()
 	defer t.mutex.Unlock()
-	known := t.requests[key]
+	known := t.requests[call.Key]
 	if known == nil {
-		return false
+		return Verdict{}
 	}
-	sequence := t.sequential(now, known.runs)
-	if len(sequence) < minEnds {
-		return false
-	}
-	chance := 1.0
+	sequence := t.sequence(now, known.runs, call)
+	unexplained := t.unexplained(known, sequence)
+	verdict := Verdict{Chance: 1}
 	for _, ended := range sequence {
-		chance *= t.chance(now, ended, sequence)
+		verdict.Engines = append(verdict.Engines, ended.Engine)
+	}
+	for _, ended := range unexplained {
+		verdict.Chance *= t.chance(now, ended, sequence)
 	}
-	return chance < maxChance || len(sequence) >= maxEnds
+	if len(sequence) < minEnds || len(unexplained) < minUnexplained || t.covered(known, sequence) {
+		return verdict
+	}
+	mean := math.Pow(verdict.Chance, 1/float64(max(len(unexplained), minEnds)))
+	withheld := now.Sub(lastOf(sequence).BrokenAt)
+	switch {
+	case mean < certainChance, len(unexplained) >= maxEnds:
+		verdict.Fatal = true
+	case mean >= doubtfulChance:
+	case known.fatal:
+		verdict.Fatal = true
+	case withheld < withholdTime:
+		verdict.Withhold = withholdTime - withheld
+	default:
+		verdict.Fatal = !t.othersEnded(lastOf(sequence))
+	}
+	verdict.New = verdict.Fatal && !known.fatal
+	known.fatal = known.fatal || verdict.Fatal
+	return verdict
 }
 
-// sequential returns the runs that ended their engines and of which each began after the one before was interrupted. Several
-// callers may send the same content at once, and a failure of a rack then ends several engines under it. Ends at a version of the
-// software that is not in use any more don't count.
-func (t *Tracker) sequential(now time.Time, runs []run) []run {
-	var ended []run
+// sequence returns the runs that ended their engines, of the call and of earlier calls each of which failed before the next one began.
+// Ends at a version of the software that is not in use any more don't count.
+func (t *Tracker) sequence(now time.Time, runs []run, call Call) []run {
+	own := callHash(call.Request)
+	byCall := make(map[uint32][]run)
 	for _, candidate := range runs {
-		if candidate.ended && now.Sub(candidate.BrokenAt) <= retention && t.fleet.Serves(candidate.Service, candidate.Software) {
-			ended = append(ended, candidate)
+		counts := candidate.ended && (candidate.call == own || candidate.callFailed)
+		if counts && now.Sub(candidate.BrokenAt) <= retention && t.fleet.Serves(candidate.Service, candidate.Software) {
+			byCall[candidate.call] = append(byCall[candidate.call], candidate)
 		}
 	}
-	slices.SortStableFunc(ended, func(a, b run) int { return a.BrokenAt.Compare(b.BrokenAt) })
-	var sequence []run
-	for _, candidate := range ended {
-		if len(sequence) == 0 || !candidate.SentAt.Add(overlapTolerance).Before(sequence[len(sequence)-1].BrokenAt) {
-			sequence = append(sequence, candidate)
+	sequence := byCall[own]
+	delete(byCall, own)
+	earlier := slices.SortedFunc(maps.Values(byCall), func(a, b []run) int { return lastOf(b).BrokenAt.Compare(lastOf(a).BrokenAt) })
+	beganAt := call.BeganAt
+	for _, group := range earlier {
+		if lastOf(group).BrokenAt.After(beganAt.Add(overlapTolerance)) {
+			continue
 		}
+		sequence = append(sequence, group...)
+		beganAt = group[0].beganAt
 	}
 	return sequence
 }
 
+// lastOf returns the run that was interrupted last.
+func lastOf(runs []run) run {
+	return slices.MaxFunc(runs, func(a, b run) int { return a.BrokenAt.Compare(b.BrokenAt) })
+}
+
+// exposure returns how long a run took, or minExposure.
+func (r run) exposure() time.Duration { return max(r.BrokenAt.Sub(r.SentAt), minExposure) }
+
+// othersEnded reports whether other engines of the service have ended since shortly before the last run of a request. Those that ended
+// under another request that may be fatal don't count.
+func (t *Tracker) othersEnded(last run) bool {
+	for engine, end := range t.ends {
+		if end.service == last.Service && end.at.After(last.SentAt.Add(-withholdTime)) && engine != last.Engine && len(t.suspectsAt(engine, end.at, nil)) == 0 {
+			return true
+		}
+	}
+	return false
+}
+
 // chance returns the probability that the engine of a run ended by itself during the run, from the rate at which engines of its
 // service that did not run the request ended around that time.
 func (t *Tracker) chance(now time.Time, ended run, sequence []run) float64 {
-	others := 0
+	others, down := 0, 0
 	for engine, end := range t.ends {
-		under := slices.ContainsFunc(sequence, func(candidate run) bool { return candidate.Engine == engine })
-		if !under && end.service == ended.Service && end.near(ended.BrokenAt) {
+		if end.service != ended.Service || !end.near(ended.BrokenAt) {
+			continue
+		}
+		down++
+		if !slices.ContainsFunc(sequence, func(candidate run) bool { return candidate.Engine == engine }) {
 			others++
 		}
 	}
 	observed := rateWindow + min(max(now.Sub(ended.BrokenAt), 0), rateWindow)
-	engines := max(t.fleet.Engines(ended.Service), 1)
-	rate := max(float64(others)/(float64(engines)*observed.Seconds()), baseRate)
-	exposure := max(ended.BrokenAt.Sub(ended.SentAt), minExposure)
-	return min(max(rate*exposure.Seconds(), ended.chance), 1)
+	up := max(t.fleet.Engines(ended.Service)-down, 1)
+	rate := max(float64(others)/(float64(up)*observed.Seconds()), baseRate)
+	return min(max(rate*ended.exposure().Seconds(), ended.chance), 1)
 }
 
 // near reports whether the end may have happened around a time.
--- a/internal/fatal/fatal.go
+++ b/internal/fatal/fatal.go
@@ -8,17 +8,18 @@
 // not fatal.
 //
 // Requests are identified by a hash of their content, since each attempt of a caller has an ID of its own and may reach another
-// gateway. Gateways share the ends of engines under requests that failed.
+// gateway. Attempts with the same content count together only if one began after the other had ended: at the same time they belong
+// to several callers. Gateways share the ends of engines under requests that failed.
 //
 // Tracker is a state machine: it has no clock and does no I/O.
 //
 // Usage:
 //
 //	tracker := fatal.NewTracker()
-//	tracker.Interrupted(now, key, fatal.Run{Engine: "e1", SentAt: sentAt, BrokenAt: now, ...})
-//	tracker.EngineEnded(now, "e1", "models", "refused")
-//	if tracker.IsFatal(now, key, enginesInService) { ... don't send it again ... }
-//	tracker.Completed(key) // a run completed: the request is not fatal
+//	tracker.Interrupted(now, call, fatal.Run{Engine: "e1", SentAt: sentAt, BrokenAt: now, ...}, true)
+//	tracker.EngineEnded(now, "e1", "models", false)
+//	if tracker.Judge(now, call).Fatal { ... don't send it again ... }
+//	tracker.Completed(call.Key) // a run completed: the request is not fatal
 package fatal
 
 import (
--- a/internal/fatal/report.go
+++ b/internal/fatal/report.go
@@ -22,9 +22,19 @@
 	Engine   string `json:"e"`
 	Service  string `json:"s"`
 	Software string `json:"v,omitempty"`
-	// ExposureMicros is how long the run took, Chance the probability that the engine ended by itself meanwhile.
-	ExposureMicros int64   `json:"d"`
-	Chance         float64 `json:"p"`
+	// Call is a hash of the call's ID.
+	Call uint32 `json:"c"`
+	// The run was interrupted AgeMicros before the report, ExposureMicros after it was sent to the engine and CallMicros after the
+	// call began.
+	AgeMicros      int64 `json:"a,omitempty"`
+	ExposureMicros int64 `json:"d"`
+	CallMicros     int64 `json:"b"`
+	// Chance is the probability that the engine ended by itself meanwhile.
+	Chance float64 `json:"p"`
+	// Fatal is set if the request was found to be fatal.
+	Fatal bool `json:"f,omitempty"`
+	// Open is set if the call was still in progress.
+	Open bool `json:"o,omitempty"`
 }
 
 // ErrReport means that Name or the value under it is not a valid report.
@@ -42,8 +52,8 @@
 	// maxNameBytes and maxBodyBytes bound a report.
 	maxNameBytes = 64
 	maxBodyBytes = 512
-	// maxExposure is longer than any run.
-	maxExposure = 24 * time.Hour
+	// maxDuration is longer than any call.
+	maxDuration = 24 * time.Hour
 )
 
 // Name returns the report's name, which is unique.
@@ -68,35 +78,48 @@
 	if !found || key == "" || nonce == "" || len(name) > maxNameBytes || len(encoded) > maxBodyBytes {
 		return report, errors.WithStack(&ErrReport{Name: name})
 	}
-	if json.Unmarshal(encoded, &report.body) != nil || report.body.Engine == "" || report.body.ExposureMicros < 0 || report.body.ExposureMicros > maxExposure.Microseconds() {
+	if json.Unmarshal(encoded, &report.body) != nil || !report.body.valid() {
 		return report, errors.WithStack(&ErrReport{Name: name})
 	}
 	return report, nil
 }
 
-// Unshared returns reports of the ends that other gateways have to know and were not told yet: those under requests whose call
-// has failed here, which their callers may send again elsewhere, and those under requests that met more than one.
-func (t *Tracker) Unshared(now time.Time) []Report {
+func (b reportBody) valid() bool {
+	for _, micros := range []int64{b.AgeMicros, b.ExposureMicros, b.CallMicros} {
+		if micros < 0 || micros > maxDuration.Microseconds() {
+			return false
+		}
+	}
+	return b.Engine != ""
+}
+
+// Unshared returns reports of the ends that other gateways have to know and were not told yet: those under calls that have failed
+// here, which their callers may repeat elsewhere, and under calls that may be fatal. It also returns the names of earlier reports
+// that these replace.
+func (t *Tracker) Unshared(now time.Time) (reports []Report, replaced []string) {
 	t.mutex.Lock()
 	defer t.mutex.Unlock()
-	var reports []Report
 	for key, known := range t.requests {
-		if known.calls > 0 && known.ends() < 2 {
-			continue
-		}
+		suspected := known.suspectedRuns()
 		for index := range known.runs {
 			ended := &known.runs[index]
-			if !ended.ended || ended.report != "" {
+			if ended.open && ended.callFailed {
+				replaced = append(replaced, ended.report)
+				ended.report, ended.open = "", false
+			}
+			if !ended.ended || ended.report != "" || !(ended.callFailed || ranAt(suspected, ended.Engine, ended.BrokenAt)) {
 				continue
 			}
+			ended.open = !ended.callFailed
 			ended.report = string(key) + nameSeparator + strconv.FormatUint(rand.Uint64()>>(64-nonceBits), 36)
 			reports = append(reports, Report{key: key, name: ended.report, body: reportBody{
 				Engine: ended.Engine, Service: ended.Service, Software: ended.Software,
-				ExposureMicros: ended.BrokenAt.Sub(ended.SentAt).Microseconds(), Chance: t.chance(now, *ended, known.runs),
+				Call: ended.call, AgeMicros: max(now.Sub(ended.BrokenAt).Microseconds(), 0), ExposureMicros: ended.BrokenAt.Sub(ended.SentAt).Microseconds(),
+				CallMicros: ended.BrokenAt.Sub(ended.beganAt).Microseconds(), Chance: t.chance(now, *ended, known.runs), Fatal: known.fatal, Open: ended.open,
 			}})
 		}
 	}
-	return reports
+	return reports, replaced
 }
 
 // Apply records a report of another gateway. Reports that are known already, such as this gateway's own, are ignored.
@@ -106,13 +129,18 @@
 	if known := t.requests[report.key]; known != nil && known.shares(report.name) {
 		return
 	}
-	exposure := time.Duration(report.body.ExposureMicros) * time.Microsecond
+	body := report.body
+	brokenAt := now.Add(-time.Duration(body.AgeMicros) * time.Microsecond)
 	t.addRun(now, report.key, run{
 		Run: Run{
-			Engine: report.body.Engine, Service: report.body.Service, Software: report.body.Software, SentAt: now.Add(-exposure), BrokenAt: now,
+			Engine: body.Engine, Service: body.Service, Software: body.Software,
+			SentAt: brokenAt.Add(-time.Duration(body.ExposureMicros) * time.Microsecond), BrokenAt: brokenAt,
 		},
-		ended: true, report: report.name, chance: report.body.Chance,
+		call: body.Call, beganAt: brokenAt.Add(-time.Duration(body.CallMicros) * time.Microsecond),
+		callFailed: !body.Open, ended: true, report: report.name, chance: body.Chance,
 	})
+	known := t.requests[report.key]
+	known.fatal = known.fatal || body.Fatal
 }
 
 // Withdraw forgets an end that was shared by the report with this name, since a run of the request was completed.
@@ -145,14 +173,3 @@
 	}
 	return false
 }
-
-// ends returns how many engines have ended under the request.
-func (r *request) ends() int {
-	count := 0
-	for _, interrupted := range r.runs {
-		if interrupted.ended {
-			count++
-		}
-	}
-	return count
-}
--- a/internal/fatal/tracker.go
+++ b/internal/fatal/tracker.go
@@ -4,6 +4,8 @@
 	"slices"
 	"sync"
 	"time"
+
+	"github.com/cespare/xxhash/v2"
 )
 
 const (
@@ -15,18 +17,24 @@
 	// endRetention is how long ends of engines are remembered.
 	endRetention = time.Minute
 	// maxRequests and maxRunsPerRequest bound the memory; the oldest are dropped.
-	maxRequests       = 2048
-	maxRunsPerRequest = 8
+	maxRequests       = 1024
+	maxRunsPerRequest = 16
 	// maxLoggedRequests bounds the request IDs that EngineEnded returns.
 	maxLoggedRequests = 16
 )
 
+// Call is a caller's attempt at a request.
+type Call struct {
+	// Key is that of the request's content, Request the ID of the attempt.
+	Key     Key
+	Request string
+	BeganAt time.Time
+}
+
 // Run is a run of a request that was interrupted.
 type Run struct {
-	// Request is the ID of the caller's attempt, Engine that of the engine.
-	Request string
-	Engine  string
-	// Service is the engine's service, Software the version of its software.
+	// Engine is the engine's ID, Service its service, Software the version of its software.
+	Engine   string
 	Service  string
 	Software string
 	// SentAt is when the request was sent to the engine, BrokenAt when the run was interrupted.
@@ -34,13 +42,21 @@
 	BrokenAt time.Time
 }
 
-// run is a Run, or a run at another gateway.
+// run is a Run of a call at this gateway or another one.
 type run struct {
 	Run
+	// request is the ID of the call; empty if the call ran at another gateway. call is a hash of that ID.
+	request string
+	call    uint32
+	beganAt time.Time
+	// callFailed is set once the call has ended without an answer.
+	callFailed bool
 	// ended is set once it is proved that the engine ended.
 	ended bool
-	// report is the name of the report that shares this end; empty while it isn't shared.
+	// report is the name of the report that shares this end; empty while it isn't shared. open is set if it was shared while the
+	// call was in progress.
 	report string
+	open   bool
 	// chance is the probability of the end that another gateway reported; 0 for runs of this gateway.
 	chance float64
 }
@@ -59,6 +75,8 @@
 	// calls counts the calls with this content that were interrupted and are still in progress at this gateway.
 	calls  int
 	seenAt time.Time
+	// fatal is set once the request was found to be fatal, here or at another gateway.
+	fatal bool
 }
 
 // engineEnd is the end of one engine.
@@ -92,15 +110,15 @@
 
 // Interrupted records a run that was interrupted. first is set for the first one of a call, which must be followed by a call of
 // Completed or Failed when the call ends.
-func (t *Tracker) Interrupted(now time.Time, key Key, interrupted Run, first bool) {
+func (t *Tracker) Interrupted(now time.Time, call Call, interrupted Run, first bool) {
 	t.mutex.Lock()
 	defer t.mutex.Unlock()
 	if first {
-		t.request(now, key).calls++
+		t.request(now, call.Key).calls++
 	}
 	end, found := t.ends[interrupted.Engine]
 	ended := found && !end.at.Before(interrupted.SentAt) && now.Sub(end.at) <= proofWindow
-	t.addRun(now, key, run{Run: interrupted, ended: ended})
+	t.addRun(now, call.Key, run{Run: interrupted, request: call.Request, call: callHash(call.Request), beganAt: call.BeganAt, ended: ended})
 }
 
 // Completed records that a run of the request was completed by its engine. It returns the names of the reports that share its ends
@@ -122,11 +140,18 @@
 }
 
 // Failed records that a call that was interrupted has ended and was not completed.
-func (t *Tracker) Failed(key Key) {
+func (t *Tracker) Failed(call Call) {
 	t.mutex.Lock()
 	defer t.mutex.Unlock()
-	if known := t.requests[key]; known != nil && known.calls > 0 {
-		known.calls--
+	known := t.requests[call.Key]
+	if known == nil {
+		return
+	}
+	known.calls = max(known.calls-1, 0)
+	for index := range known.runs {
+		if known.runs[index].call == callHash(call.Request) {
+			known.runs[index].callFailed = true
+		}
 	}
 }
 
@@ -186,7 +211,7 @@
 			}
 			interrupted.ended = true
 			if len(requests) < maxLoggedRequests {
-				requests = append(requests, interrupted.Request)
+				requests = append(requests, interrupted.request)
 			}
 		}
 	}
@@ -199,21 +224,22 @@
 	return requests, isNew
 }
 
-// Ends returns how many engines have ended under a request, and how many interruptions of it are not explained yet.
-func (t *Tracker) Ends(now time.Time, key Key) (ended, unexplained int) {
+// Ends returns how many engines have ended under a call and those before it with its content, and how many interruptions of the call
+// may turn out to be such ends.
+func (t *Tracker) Ends(now time.Time, call Call) (ended, unexplained int) {
 	t.mutex.Lock()
 	defer t.mutex.Unlock()
-	known := t.requests[key]
+	known := t.requests[call.Key]
 	if known == nil {
 		return 0, 0
 	}
 	for _, interrupted := range known.runs {
-		switch {
-		case interrupted.ended:
-			ended++
-		case now.Sub(interrupted.BrokenAt) <= proofWindow:
+		if !interrupted.ended && interrupted.call == callHash(call.Request) && now.Sub(interrupted.BrokenAt) <= proofWindow {
 			unexplained++
 		}
 	}
-	return ended, unexplained
+	return len(t.sequence(now, known.runs, call)), unexplained
 }
+
+// callHash returns a hash of a call's ID, which only has to differ between calls with the same content.
+func callHash(request string) uint32 { return uint32(xxhash.Sum64String(request)) }
--- a/internal/ingress/node.go
+++ b/internal/ingress/node.go
@@ -12,6 +12,7 @@
 	"github.com/mountstile/mountstile/internal/catalog"
 	"github.com/mountstile/mountstile/internal/dispatch"
 	"github.com/mountstile/mountstile/internal/events"
+	"github.com/mountstile/mountstile/internal/fatal"
 	"github.com/mountstile/mountstile/internal/routing"
 	"github.com/mountstile/mountstile/internal/transport"
 	"github.com/mountstile/mountstile/internal/turnstore"
@@ -89,6 +90,7 @@
 		Peers: node.peers, MinFreshPeers: node.turns.Copies, Self: catalog.Endpoint{Zone: options.Zone}, Source: options.Source, StaleAfter: options.StaleAfter, OnChange: node.apply,
 		FirstStart: options.FirstStart, OnOutageEnd: registry.RecordOutage,
 	}, options.Network, options.Logger)
+	registry.ShareEnds(node.shareEnds)
 	node.server = New(Options{
 		Table: node.table.Load, RoutesReady: node.routesReady, CallerProtocol: options.CallerProtocol, Registry: node.registry, Turns: node.turns,
 		Dispatcher: dispatch.New(node.registry, options.Protocol, options.Logger), Logger: options.Logger, Metrics: options.Metrics,
@@ -138,11 +140,59 @@
 		if json.Unmarshal(entry.Value, &set) == nil {
 			n.turns.ApplySet(set)
 		}
+	case catalog.EngineEndKind:
+		_, id := catalog.SplitKey(entry.Key)
+		n.registry.ApplyEnd(id)
+	case catalog.FatalRequestKind:
+		n.applyReport(entry)
 	case catalog.ConfigurationKind:
 		n.applyConfiguration(entry)
 	}
 }
 
+// applyReport records that an engine ended under a request at another gateway, or that this no longer counts.
+func (n *Node) applyReport(entry catalog.Entry) {
+	_, name := catalog.SplitKey(entry.Key)
+	if entry.Removed() {
+		n.registry.Ends().Withdraw(name)
+		return
+	}
+	report, err := fatal.DecodeReport(name, entry.Value)
+	if err != nil {
+		n.options.Logger.Emit(events.ReportInvalid, events.F("error", err))
+		return
+	}
+	n.registry.ApplyReport(report)
+}
+
+// shareEnds publishes news of ends of engines. Each replica of the first shard gets them: all nodes follow these, directly or not.
+func (n *Node) shareEnds(news dispatch.EndNews) {
+	var entries []catalog.Entry
+	if news.Engine != "" {
+		entries = append(entries, n.catalog.EngineEnd(news.Engine))
+	}
+	for _, report := range news.Reports {
+		encoded, err := report.Encode()
+		if err != nil {
+			n.options.Logger.Emit(events.ReportInvalid, events.F("error", err))
+			continue
+		}
+		entries = append(entries, catalog.FatalRequest(report.Name(), encoded))
+	}
+	for _, name := range news.Withdrawn {
+		entries = append(entries, catalog.Withdrawn(name))
+	}
+	var replicas []transport.Peer
+	for _, member := range n.turns.ReplicaSet().All() {
+		replicas = append(replicas, member.Peer())
+	}
+	go func() {
+		if err := n.catalog.Publish(context.Background(), replicas, entries); err != nil {
+			n.options.Logger.Emit(events.PublishFailed, events.F("entries", len(entries)), events.F("error", err))
+		}
+	}()
+}
+
 // applyConfiguration installs a configuration unless a newer one is installed.
 func (n *Node) applyConfiguration(entry catalog.Entry) {
 	var specification routing.Specification
