dispatch: streams of an engine that ended don't use up the retries of others

Cause: each end of an engine interrupts all of its streams, and each of these took one retry for the resumption at the engine that is gone, and before its first event a second one when that was refused. A gateway saves 20 retries; three ends with six streams each use them up.

Change: a resumption that is refused by an engine that has ended returns what the stream has spent there. An engine that breaks its streams off but lives still costs retries. A stream can leave each engine only once, so the load is bounded by the number of engines that end.

--- a/internal/dispatch/progress.go
+++ b/internal/dispatch/progress.go
@@ -75,6 +75,8 @@
 	// the stream had then.
 	resumes int
 	events  int
+	// spent is how many retries the attempts to resume the stream at its engine have taken from the budget.
+	spent int
 	// waitUntil is until when a pinned call may wait for an engine; zero before it does.
 	waitUntil time.Time
 	// resumeOn is the engine that the next attempt must use; nil for any.
@@ -114,7 +116,7 @@
 		return false
 	}
 	if p.call.Stream != nil && p.ran {
-		return p.mayResume(outcome, engine) && (p.costsNothing(outcome) || retries.spend())
+		return p.mayResume(outcome, engine) && p.payForResumption(outcome, retries)
 	}
 	p.exclude(outcome, engine)
 	if outcome == unknown {
@@ -136,6 +138,25 @@
 	p.waitUntil = time.Time{}
 	p.attempts = 0
 	p.resumes = 0
+	p.spent = 0
+}
+
+// payForResumption takes a retry from the budget, or returns those that were taken if the engine has ended: a stream can leave each
+// engine only once, and the end of an engine interrupts all of its streams.
+func (p *progress) payForResumption(outcome attemptOutcome, retries *retryBudget) bool {
+	if outcome == gone {
+		retries.refund(p.spent)
+		p.spent = 0
+		return true
+	}
+	if p.costsNothing(outcome) {
+		return true
+	}
+	if !retries.spend() {
+		return false
+	}
+	p.spent++
+	return true
 }
 
 // pinSoftware restricts a stream that has begun to the software version of the engine that sent its first event.
--- a/internal/dispatch/retrybudget.go
+++ b/internal/dispatch/retrybudget.go
@@ -22,6 +22,13 @@
 	b.balance = min(b.balance+retriesPerCall, maxSavedRetries)
 }
 
+// refund returns retries that were spent.
+func (b *retryBudget) refund(count int) {
+	b.mutex.Lock()
+	defer b.mutex.Unlock()
+	b.balance = min(b.balance+float64(count), maxSavedRetries)
+}
+
 func (b *retryBudget) spend() bool {
 	b.mutex.Lock()
 	defer b.mutex.Unlock()
