fatal: an engine that lived after an interruption is not held against the request

Cause: a run that a faulty link or engine had cut off counted as the end of its engine if that ended within two seconds after, under whatever request; and one end counted for two runs at the same engine.

Change: a probe that finds the engine alive, and an answer of it to a later call, forget the earlier interruptions there. An end counts for the last interrupted run of a request at the engine only.

--- a/internal/dispatch/dispatch.go
+++ b/internal/dispatch/dispatch.go
@@ -235,7 +235,7 @@
 		outcome, err := d.attemptWithTimeout(ctx, call, engine, progress, resumption, consume)
 		d.registry.release(engine, call.Placement.Isolated)
 		d.recordInterruption(ctx, call, engine, sentAt, outcome, err)
-		d.recordEnd(call, engine, outcome)
+		d.recordEnd(call, engine, sentAt, outcome)
 		resumption.report(call, outcome, err)
 		if outcome == succeeded {
 			return nil
--- a/internal/dispatch/ends.go
+++ b/internal/dispatch/ends.go
@@ -166,9 +166,14 @@
 	}
 }
 
-// recordEnd records that the engine of an attempt has ended, if its outcome shows that.
-func (d *Dispatcher) recordEnd(call *Call, engine *Engine, outcome attemptOutcome) {
+// recordEnd records that the engine of an attempt has ended, or that it was alive, if the attempt's outcome shows that.
+func (d *Dispatcher) recordEnd(call *Call, engine *Engine, sentAt time.Time, outcome attemptOutcome) {
 	switch outcome {
+	case succeeded, refused:
+		if !d.registry.ends.Empty() {
+			d.registry.ends.EngineAlive(sentAt, engine.ID())
+		}
+		return
 	case gone:
 		d.registry.engineEnded(time.Now(), engine, proofRefused)
 	case misdirected:
@@ -186,8 +191,13 @@
 	probeContext, cancel := context.WithTimeout(ctx, probeTimeout)
 	defer cancel()
 	clock.Sleep(probeContext, probeDelay)
-	if err := engine.pool.Probe(probeContext); errors.Is(err, syscall.ECONNREFUSED) {
+	probedAt := time.Now()
+	alive, err := engine.pool.Probe(probeContext)
+	switch {
+	case errors.Is(err, syscall.ECONNREFUSED):
 		d.registry.engineEnded(time.Now(), engine, proofRefused)
+	case alive:
+		d.registry.ends.EngineAlive(probedAt, engine.ID())
 	}
 }
 
--- a/internal/fatal/fatal_test.go
+++ b/internal/fatal/fatal_test.go
@@ -117,6 +117,28 @@
 	assert.Assert(t, !s.Judge(s.now, call).Fatal)
 }
 
+// A run that was cut off by an engine that lived does not count when the engine ends soon afterwards, under whatever request.
+func TestEngineThatLivedIsNotHeldAgainstTheRequest(t *testing.T) {
+	for _, seenAlive := range []bool{false, true} {
+		s := newScene()
+		call := s.begin("k", "r1")
+		for number := range 3 {
+			engine := fmt.Sprint("e", number)
+			s.pass(20 * time.Millisecond)
+			s.interrupt(call, engine, 20*time.Millisecond, number == 0)
+			s.pass(20 * time.Millisecond)
+			if seenAlive {
+				s.EngineAlive(s.now, engine)
+			} else {
+				s.interrupt(call, engine, 10*time.Millisecond, false)
+			}
+			s.EngineEnded(s.now, engine, "models", false)
+		}
+		ended, _ := s.Ends(s.now, call)
+		assert.Equal(t, ended, map[bool]int{false: 3, true: 0}[seenAlive])
+	}
+}
+
 // A run that begins at an engine after it has restarted does not inherit its earlier end.
 func TestEarlierEndOfAnEngineIsNoProof(t *testing.T) {
 	s := newScene()
--- a/internal/fatal/tracker.go
+++ b/internal/fatal/tracker.go
@@ -204,15 +204,15 @@
 	t.mutex.Lock()
 	defer t.mutex.Unlock()
 	for _, known := range t.requests {
-		for index := range known.runs {
-			interrupted := &known.runs[index]
-			if interrupted.Engine != engine || interrupted.ended || now.Sub(interrupted.BrokenAt) > proofWindow {
-				continue
-			}
-			interrupted.ended = true
-			if len(requests) < maxLoggedRequests {
-				requests = append(requests, interrupted.request)
-			}
+		// Earlier runs at the engine did not end it: it has run the request again.
+		interrupted := known.lastPending(engine)
+		if interrupted == nil || now.Sub(interrupted.BrokenAt) > proofWindow {
+			continue
+		}
+		interrupted.ended = true
+		known.dropPending(engine, now)
+		if len(requests) < maxLoggedRequests {
+			requests = append(requests, interrupted.request)
 		}
 	}
 	last, found := t.ends[engine]
@@ -224,6 +224,32 @@
 	return requests, isNew
 }
 
+// EngineAlive records that an engine was alive at a time: runs that were interrupted there before did not end it.
+func (t *Tracker) EngineAlive(at time.Time, engine string) {
+	t.mutex.Lock()
+	defer t.mutex.Unlock()
+	for _, known := range t.requests {
+		known.dropPending(engine, at)
+	}
+}
+
+// lastPending returns the last interrupted run at an engine of which it is not known whether it ended the engine; nil if there is none.
+func (r *request) lastPending(engine string) *run {
+	for index := len(r.runs) - 1; index >= 0; index-- {
+		if r.runs[index].Engine == engine && !r.runs[index].ended {
+			return &r.runs[index]
+		}
+	}
+	return nil
+}
+
+// dropPending forgets the runs at an engine that were interrupted before a time and not proved to have ended it.
+func (r *request) dropPending(engine string, before time.Time) {
+	r.runs = slices.DeleteFunc(r.runs, func(interrupted run) bool {
+		return interrupted.Engine == engine && !interrupted.ended && interrupted.BrokenAt.Before(before)
+	})
+}
+
 // Ends returns how many engines have ended under a call and those before it with its content, and how many interruptions of the call
 // may turn out to be such ends.
 func (t *Tracker) Ends(now time.Time, call Call) (ended, unexplained int) {
--- a/internal/upstream/pool.go
+++ b/internal/upstream/pool.go
@@ -132,19 +132,19 @@
 	return newConnection(raw), nil
 }
 
-// Probe checks that the engine accepts connections. It opens one only if none is idle, and keeps it for later exchanges. At the
-// connection limit it does nothing.
-func (p *Pool) Probe(ctx context.Context) error {
+// Probe reports whether the engine accepts connections. It opens one only if none is idle, and keeps it for later exchanges. Without an
+// error, false means that the connection limit does not allow to find out.
+func (p *Pool) Probe(ctx context.Context) (alive bool, err error) {
 	connection, err := p.get(ctx)
 	var limit *ErrConnectionLimit
 	if errors.As(err, &limit) {
-		return nil
+		return false, nil
 	}
 	if err != nil {
-		return err
+		return false, err
 	}
 	p.put(connection)
-	return nil
+	return true, nil
 }
 
 func (p *Pool) takeIdle() *Connection {
