--- a/internal/emulator/completion.go
+++ b/internal/emulator/completion.go
@@ -23,6 +23,8 @@
 	faults    Faults
 	// fault is the fault injected into this run, if any.
 	fault runFault
+	// fatal is set if the prompt ends the engine.
+	fatal bool
 }
 
 func formatNumber(number int64) string { return strconv.FormatInt(number, 10) }
@@ -61,6 +63,7 @@
 	if c.failBeforeStream(w) {
 		return
 	}
+	c.crashAfter(0)
 	w.Header().Set("Content-Type", eventStreamType)
 	w.WriteHeader(http.StatusOK)
 	for {
@@ -76,6 +79,7 @@
 			if c.failDuringStream(w, progress.Token) {
 				return
 			}
+			c.crashAfter(progress.Token - 1)
 			c.send(w, chunk{Choices: []chunkChoice{{Delta: chunkDelta{Content: tokenText(c.promptHash, c.partialTokens+progress.Token)}}}})
 			if progress.Done {
 				c.finish(w, progress)
@@ -85,6 +89,15 @@
 	}
 }
 
+// crashAfter ends the engine if the prompt is fatal and as many tokens were sent as it takes. It does not return then.
+func (c *completion) crashAfter(tokens int) {
+	if !c.fatal || tokens < c.faults.FatalAfterTokens || c.server.crash == nil {
+		return
+	}
+	c.server.crash()
+	panic(http.ErrAbortHandler)
+}
+
 // injectTokenFaults applies the faults that occur after a number of tokens.
 func (c *completion) injectTokenFaults(w http.ResponseWriter, token int) {
 	if c.faults.GarbleAfterTokens > 0 && token > c.faults.GarbleAfterTokens {
--- a/internal/emulator/server.go
+++ b/internal/emulator/server.go
@@ -4,6 +4,7 @@
 	"context"
 	"encoding/json"
 	"net/http"
+	"strings"
 	"sync"
 	"time"
 
@@ -58,6 +59,9 @@
 	RefuseReleases bool `json:"refuse_releases,omitempty"`
 	// Runs injects faults into a fraction of the runs.
 	Runs RunFaults `json:"runs,omitzero"`
+	// FatalText ends the engine when it runs a prompt that contains this text, after FatalAfterTokens tokens of the run.
+	FatalText        string `json:"fatal_text,omitempty"`
+	FatalAfterTokens int    `json:"fatal_after_tokens,omitempty"`
 }
 
 // Stats holds the engine's counters.
@@ -89,8 +93,14 @@
 	loaded   loadedModel
 	// loads and refusedOrders are reported in Stats.
 	loads, refusedOrders int64
+	// crash ends the engine.
+	crash func()
 }
 
+// OnCrash sets the function that ends the engine, all of its connections and its listener, when it runs a fatal prompt. It must be set
+// before the engine serves requests.
+func (s *Server) OnCrash(crash func()) { s.crash = crash }
+
 // NewServer returns an idle engine with an empty cache.
 func NewServer(config Config) *Server {
 	server := &Server{
@@ -347,6 +357,7 @@
 		server: s, entry: entry, model: body.Model, promptHash: promptHash, partialTokens: partialTokens,
 		id: entry.Call + "/" + entry.Attempt + "/" + formatNumber(s.accepted), faults: s.faults, fault: fault,
 		promptTokens: countPromptTokens(text + partial), outputTokens: max(1, totalTokens-partialTokens),
+		fatal:     s.faults.FatalText != "" && strings.Contains(text, s.faults.FatalText),
 		truncated: body.MaxTokens > 0 && totalTokens-partialTokens >= body.MaxTokens,
 	}
 	c.progress = make(chan Progress, c.outputTokens)
--- a/internal/lab/cluster/cluster.go
+++ b/internal/lab/cluster/cluster.go
@@ -111,14 +111,20 @@
 
 // serve starts an HTTP server on a free loopback port and returns its URL.
 func (c *Cluster) serve(handler http.Handler) (string, error) {
+	address, _, err := c.serveUntil(handler)
+	return address, err
+}
+
+// serveUntil is like serve, and also returns a function that closes the listener and all connections.
+func (c *Cluster) serveUntil(handler http.Handler) (address string, end func(), err error) {
 	listener, err := net.Listen("tcp", listenAddress)
 	if err != nil {
-		return "", errors.Wrap(err, "listening")
+		return "", nil, errors.Wrap(err, "listening")
 	}
 	server := &http.Server{Handler: handler, ErrorLog: discardLogger()}
 	c.servers = append(c.servers, server)
 	c.tasks.Go(func() { _ = server.Serve(listener) })
-	return "http://" + listener.Addr().String(), nil
+	return "http://" + listener.Addr().String(), func() { _ = server.Close() }, nil
 }
 
 // startEngines loads the resources and starts an emulator for each engine of their pools.
@@ -156,18 +162,18 @@
 }
 
 func (c *Cluster) startEngine(ctx context.Context, target *resource.Engine, application bool) error {
-	var handler http.Handler
 	if application {
 		created := &emulator.Application{}
 		c.Applications[target.Name] = created
-		handler = created
-	} else {
-		created := emulator.NewServer(c.options.Engine)
-		c.Engines[target.Name] = created
-		c.tasks.Go(func() { created.Run(ctx) })
-		handler = created
+		address, err := c.serve(created)
+		target.URL = address
+		return err
 	}
-	address, err := c.serve(handler)
+	created := emulator.NewServer(c.options.Engine)
+	c.Engines[target.Name] = created
+	c.tasks.Go(func() { created.Run(ctx) })
+	address, end, err := c.serveUntil(created)
+	created.OnCrash(end)
 	target.URL = address
 	return err
 }
