fatal: an engine ends under all calls that it ran, and what proved to be no end is forgotten

A run is passed over only if the engine has run the request again after it. TestEngineEndsUnderAllCallsThatItRuns and TestRequestsWithoutEndsAreForgotten fail without it.

--- a/internal/fatal/fatal_test.go
+++ b/internal/fatal/fatal_test.go
@@ -139,6 +139,34 @@
 	}
 }
 
+// An engine that ends while it runs several calls with the same content ends under each of them.
+func TestEngineEndsUnderAllCallsThatItRuns(t *testing.T) {
+	s := newScene()
+	one, other := s.begin("k", "r1"), s.begin("k", "r2")
+	s.pass(20 * time.Millisecond)
+	s.interrupt(one, "e", 20*time.Millisecond, true)
+	s.pass(time.Millisecond)
+	s.interrupt(other, "e", 15*time.Millisecond, true)
+	requests, isNew := s.EngineEnded(s.now, "e", "models", false)
+	assert.DeepEqual(t, requests, []string{"r1", "r2"})
+	assert.Assert(t, isNew)
+	for _, call := range []Call{one, other} {
+		ended, _ := s.Ends(s.now, call)
+		assert.Equal(t, ended, 1)
+	}
+}
+
+// Interruptions that turn out to be no ends leave nothing behind.
+func TestRequestsWithoutEndsAreForgotten(t *testing.T) {
+	s := newScene()
+	call := s.begin("k", "r1")
+	s.interrupt(call, "e", time.Millisecond, true)
+	s.Failed(call)
+	s.pass(time.Millisecond)
+	s.EngineAlive(s.now, "e")
+	assert.Assert(t, s.Empty())
+}
+
 // A run that begins at an engine after it has restarted does not inherit its earlier end.
 func TestEarlierEndOfAnEngineIsNoProof(t *testing.T) {
 	s := newScene()
--- a/internal/fatal/tracker.go
+++ b/internal/fatal/tracker.go
@@ -203,17 +203,13 @@
 func (t *Tracker) EngineEnded(now time.Time, engine, service string, late bool) (requests []string, isNew bool) {
 	t.mutex.Lock()
 	defer t.mutex.Unlock()
-	for _, known := range t.requests {
-		// Earlier runs at the engine did not end it: it has run the request again.
-		interrupted := known.lastPending(engine)
-		if interrupted == nil || now.Sub(interrupted.BrokenAt) > proofWindow {
-			continue
-		}
-		interrupted.ended = true
-		known.dropPending(engine, now)
-		if len(requests) < maxLoggedRequests {
-			requests = append(requests, interrupted.request)
+	for key, known := range t.requests {
+		for _, request := range known.proveEnd(now, engine) {
+			if len(requests) < maxLoggedRequests {
+				requests = append(requests, request)
+			}
 		}
+		t.dropIfIdle(key, known)
 	}
 	last, found := t.ends[engine]
 	isNew = len(requests) > 0 || !found || now.Sub(last.at) > proofWindow
@@ -228,25 +224,46 @@
 func (t *Tracker) EngineAlive(at time.Time, engine string) {
 	t.mutex.Lock()
 	defer t.mutex.Unlock()
-	for _, known := range t.requests {
+	for key, known := range t.requests {
 		known.dropPending(engine, at)
+		t.dropIfIdle(key, known)
 	}
 }
 
-// lastPending returns the last interrupted run at an engine of which it is not known whether it ended the engine; nil if there is none.
-func (r *request) lastPending(engine string) *run {
-	for index := len(r.runs) - 1; index >= 0; index-- {
-		if r.runs[index].Engine == engine && !r.runs[index].ended {
-			return &r.runs[index]
+// dropIfIdle forgets a request without interrupted runs and calls in progress. The caller holds the mutex.
+func (t *Tracker) dropIfIdle(key Key, known *request) {
+	if len(known.runs) == 0 && known.calls == 0 {
+		delete(t.requests, key)
+	}
+}
+
+// proveEnd records that an engine has ended, and returns the calls whose runs that explains. A run does not count if the engine has run
+// the request again after it.
+func (r *request) proveEnd(now time.Time, engine string) (calls []string) {
+	var lastSentAt time.Time
+	for _, interrupted := range r.runs {
+		if interrupted.pendingAt(engine) && interrupted.SentAt.After(lastSentAt) {
+			lastSentAt = interrupted.SentAt
+		}
+	}
+	r.dropPending(engine, lastSentAt)
+	r.dropPending(engine, now.Add(-proofWindow))
+	for index := range r.runs {
+		if r.runs[index].pendingAt(engine) {
+			r.runs[index].ended = true
+			calls = append(calls, r.runs[index].request)
 		}
 	}
-	return nil
+	return calls
 }
 
+// pendingAt reports whether the run was interrupted at an engine of which it is not known yet whether it ended.
+func (r run) pendingAt(engine string) bool { return r.Engine == engine && !r.ended }
+
 // dropPending forgets the runs at an engine that were interrupted before a time and not proved to have ended it.
 func (r *request) dropPending(engine string, before time.Time) {
 	r.runs = slices.DeleteFunc(r.runs, func(interrupted run) bool {
-		return interrupted.Engine == engine && !interrupted.ended && interrupted.BrokenAt.Before(before)
+		return interrupted.pendingAt(engine) && interrupted.BrokenAt.Before(before)
 	})
 }
 
