fatal: calls of several callers with the same content don't add up when they overlap

Eight callers send streams with the same content; the engines ended under three of their calls, one after the other.

Cause: overlapping calls were passed over one by one, and those left formed a sequence. Now one overlap shows that several callers send the content, and only the runs of the call itself count.

--- a/internal/fatal/evidence.go
+++ b/internal/fatal/evidence.go
@@ -84,7 +84,8 @@
 }
 
 // sequence returns the runs that ended their engines, of the call and of earlier calls each of which failed before the next one began.
-// Ends at a version of the software that is not in use any more don't count.
+// If two of these calls overlap, several callers send the same content, and only the runs of the call itself are returned. Ends at a
+// version of the software that is not in use any more don't count.
 func (t *Tracker) sequence(now time.Time, runs []run, call Call) []run {
 	own := callHash(call.Request)
 	byCall := make(map[uint32][]run)
@@ -97,15 +98,16 @@
 	sequence := byCall[own]
 	delete(byCall, own)
 	earlier := slices.SortedFunc(maps.Values(byCall), func(a, b []run) int { return lastOf(b).BrokenAt.Compare(lastOf(a).BrokenAt) })
+	chain := slices.Clone(sequence)
 	beganAt := call.BeganAt
 	for _, group := range earlier {
 		if lastOf(group).BrokenAt.After(beganAt.Add(overlapTolerance)) {
-			continue
+			return sequence
 		}
-		sequence = append(sequence, group...)
+		chain = append(chain, group...)
 		beganAt = group[0].beganAt
 	}
-	return sequence
+	return chain
 }
 
 // lastOf returns the run that was interrupted last.
--- a/internal/fatal/fatal_test.go
+++ b/internal/fatal/fatal_test.go
@@ -210,6 +210,29 @@
 	}
 }
 
+// Callers that send the same content one after the other, some of them at once, don't add up either.
+func TestOverlappingCallsShowThatContentIsShared(t *testing.T) {
+	s := newScene()
+	for number := range 4 {
+		call := s.begin("k", fmt.Sprint("r", number))
+		var overlapping Call
+		if number == 1 {
+			overlapping = s.begin("k", "overlapping")
+		}
+		s.end(call, fmt.Sprint("e", number), 50*time.Millisecond, true)
+		if number == 1 {
+			s.interrupt(overlapping, "e1", 50*time.Millisecond, true)
+			s.Failed(overlapping)
+		}
+		s.Failed(call)
+		s.pass(100 * time.Millisecond)
+	}
+	assert.Assert(t, !s.Judge(s.now, s.begin("k", "next")).Fatal)
+	call := s.begin("k", "alone")
+	s.endThree(call, 50*time.Millisecond)
+	assert.Assert(t, s.Judge(s.now, call).Fatal, "one call alone ended three engines")
+}
+
 // share passes all news of a tracker to another one, after encoding.
 func (s *scene) share(t *testing.T, other *scene) {
 	t.Helper()
