transport: a message can't precede the hello of a new connection

TestPublishedEntriesReachAllNodes got "connection closed" from its first publication, 10 ms after its nodes started.

Cause: a dialled connection was registered before its hello was queued. A task that found it in between queued its message first, and the peer closes a connection whose first line is no hello. All calls on it fail with an unknown outcome. It happens when several tasks call a peer for the first time or while a connection is replaced, not only in this test.

Ruled out: a second dial, a reused port, the liveness check.

--- a/internal/transport/transport.go
+++ b/internal/transport/transport.go
@@ -353,15 +353,20 @@
 	return secured, nil
 }
 
-// startDialled registers and starts a dialled connection; its first line is this node's hello.
+// startDialled registers and starts a dialled connection. Its hello is queued before other tasks can use the connection,
+// because the peer closes connections whose first line is something else.
 func (t *Transport) startDialled(raw net.Conn, peer Peer, replaces bool) (*connection, error) {
 	conn := newConnection(t, raw, peer)
 	conn.dialled = true
+	sent := t.self()
+	conn.sendHello()
 	if !t.register(conn, replaces) {
 		_ = raw.Close()
 		return nil, net.ErrClosed
 	}
-	conn.sendHello()
+	if t.self() != sent {
+		conn.sendHello()
+	}
 	conn.start()
 	return conn, nil
 }
