fatal: a verdict among other ends waits for other fatal requests to show

What callers saw: with three fatal requests at once, one ended a fourth engine; ordinary streams that met the same three engines as a fatal request were refused (TestFatalRequestsAmongOtherEnds, known red).

Cause, from the logs of eight failures: after the third end the gateway looked once, 100 ms later, whether other engines had ended. Those that ended under other fatal requests, which had met two engines until then, made a doubtful request go on. They also raised the rate at which engines seem to end by themselves. Requests with three ends explained each other's ends, so that at the tail of many ends none was left unexplained. And two requests at the same three engines were both refused.

Now a doubtful request is judged again until 300 ms after the end, ends under requests known to be fatal don't count for the rate, an end is explained only by a request known to be fatal or one that explains two ends alone, from a mean probability of 0.05 on no other engine may have ended for 250 ms, and of two requests at the same engines the one with the shorter runs is fatal. A request known to be fatal is not let off by the latter.

The three new unit tests fail before.

--- a/internal/dispatch/ends.go
+++ b/internal/dispatch/ends.go
@@ -252,9 +252,9 @@
 	call.judgedEnds = ended
 	clock.Sleep(ctx, newsDelay)
 	isFatal, withhold := d.judge(time.Now(), call.tracked())
-	if withhold > 0 {
+	for withhold > 0 && ctx.Err() == nil {
 		clock.Sleep(ctx, withhold)
-		isFatal, _ = d.judge(time.Now(), call.tracked())
+		isFatal, withhold = d.judge(time.Now(), call.tracked())
 	}
 	return isFatal
 }
--- a/internal/fatal/evidence.go
+++ b/internal/fatal/evidence.go
@@ -13,12 +13,16 @@
 	minEnds        = 3
 	minUnexplained = 2
 	maxEnds        = 8
-	// certainChance is the greatest geometric mean of the probabilities that the engines ended by themselves with which a request
-	// certainly is fatal. Up to doubtfulChance it is so if no other engine ends from withholdTime before its last run until
-	// withholdTime after it.
-	certainChance  = 0.02
-	doubtfulChance = 0.25
-	withholdTime   = 100 * time.Millisecond
+	// The geometric mean of the probabilities that the engines ended by themselves decides: a request is fatal below certainChance.
+	// Below doubtfulChance it is so if no other engine ends until withholdTime after its last run, nor has ended since shortly before
+	// that run, which is withholdTime below likelyChance and rateWindow above. If others have ended, it is judged again after each
+	// withholdTime until maxWithholdTime: these may have ended under other fatal requests, under which fewer than minEnds engines have
+	// ended until then.
+	certainChance   = 0.02
+	likelyChance    = 0.05
+	doubtfulChance  = 0.25
+	withholdTime    = 100 * time.Millisecond
+	maxWithholdTime = 3 * withholdTime
 	// baseRate is the assumed rate at which an engine ends by itself, per second, when no other engine does.
 	baseRate = 0.001
 	// rateWindow is the time before and after an end in which ends of other engines count for the rate.
@@ -62,7 +66,10 @@
 	for _, ended := range unexplained {
 		verdict.Chance *= t.chance(now, ended, sequence)
 	}
-	if len(sequence) < minEnds || len(unexplained) < minUnexplained || t.covered(known, sequence) {
+	if len(sequence) < minEnds || len(unexplained) < minUnexplained {
+		return verdict
+	}
+	if !known.fatal && (t.covered(known, sequence) || t.outweighed(call.Key, sequence)) {
 		return verdict
 	}
 	mean := math.Pow(verdict.Chance, 1/float64(max(len(unexplained), minEnds)))
@@ -75,8 +82,10 @@
 		verdict.Fatal = true
 	case withheld < withholdTime:
 		verdict.Withhold = withholdTime - withheld
-	default:
-		verdict.Fatal = !t.othersEnded(lastOf(sequence))
+	case !t.othersEnded(sequence, lookBack(mean)):
+		verdict.Fatal = true
+	case withheld < maxWithholdTime:
+		verdict.Withhold = min(withholdTime, maxWithholdTime-withheld)
 	}
 	verdict.New = verdict.Fatal && !known.fatal
 	if verdict.New {
@@ -121,19 +130,34 @@
 // exposure returns how long a run took, or minExposure.
 func (r run) exposure() time.Duration { return max(r.BrokenAt.Sub(r.SentAt), minExposure) }
 
-// othersEnded reports whether other engines of the service have ended since shortly before the last run of a request. Those that ended
-// under another request that may be fatal don't count.
-func (t *Tracker) othersEnded(last run) bool {
+// lookBack returns for how long before the last run of a request no other engine may have ended.
+func lookBack(meanChance float64) time.Duration {
+	if meanChance < likelyChance {
+		return withholdTime
+	}
+	return rateWindow
+}
+
+// othersEnded reports whether engines of the service that did not run a request have ended since some time before its last run. Those
+// that ended under another request that probably is fatal don't count.
+func (t *Tracker) othersEnded(sequence []run, before time.Duration) bool {
+	last := lastOf(sequence)
 	for engine, end := range t.ends {
-		if end.service == last.Service && end.at.After(last.SentAt.Add(-withholdTime)) && engine != last.Engine && len(t.suspectsAt(engine, end.at, nil)) == 0 {
+		isRecent := end.service == last.Service && end.at.After(last.SentAt.Add(-before))
+		if isRecent && !ranOn(sequence, engine) && !t.probablyExplained(engine, end.at) {
 			return true
 		}
 	}
 	return false
 }
 
+// ranOn reports whether any of the runs was at an engine.
+func ranOn(runs []run, engine string) bool {
+	return slices.ContainsFunc(runs, func(candidate run) bool { return candidate.Engine == engine })
+}
+
 // chance returns the probability that the engine of a run ended by itself during the run, from the rate at which engines of its
-// service that did not run the request ended around that time.
+// service that did not run the request ended around that time. Those that ended under requests known to be fatal don't count.
 func (t *Tracker) chance(now time.Time, ended run, sequence []run) float64 {
 	others, down := 0, 0
 	for engine, end := range t.ends {
@@ -141,7 +165,7 @@
 			continue
 		}
 		down++
-		if !slices.ContainsFunc(sequence, func(candidate run) bool { return candidate.Engine == engine }) {
+		if !ranOn(sequence, engine) && !t.explained(engine, end.at) {
 			others++
 		}
 	}
--- a/internal/fatal/fatal_test.go
+++ b/internal/fatal/fatal_test.go
@@ -64,10 +64,10 @@
 	}
 }
 
-// judgeWithheld judges a call, again after it was withheld if that is asked for.
+// judgeWithheld judges a call, again each time it was withheld for as long as is asked for.
 func (s *scene) judgeWithheld(call Call) bool {
 	verdict := s.Judge(s.now, call)
-	if verdict.Withhold > 0 {
+	for verdict.Withhold > 0 {
 		s.pass(verdict.Withhold)
 		verdict = s.Judge(s.now, call)
 	}
@@ -420,6 +420,75 @@
 	}
 }
 
+// Of two requests that ran at the same engines, the one that ended them sooner is fatal; which is judged first makes no difference.
+func TestRequestThatRanLongerAtTheSameEnginesIsNotFatal(t *testing.T) {
+	for _, victimFirst := range []bool{false, true} {
+		s := newScene()
+		culprit, victim := s.begin("culprit", "c"), s.begin("victim", "v")
+		for number := range 3 {
+			s.pass(40 * time.Millisecond)
+			shared := fmt.Sprint("shared", number)
+			s.interrupt(culprit, shared, 10*time.Millisecond, number == 0)
+			s.interrupt(victim, shared, 30*time.Millisecond, number == 0)
+			s.EngineEnded(s.now, shared, "models", false)
+		}
+		if victimFirst {
+			assert.Assert(t, !s.judgeWithheld(victim))
+		}
+		assert.Assert(t, s.judgeWithheld(culprit))
+		assert.Assert(t, !s.judgeWithheld(victim))
+		s.pass(40 * time.Millisecond)
+		s.end(victim, "one more", 30*time.Millisecond, false)
+		assert.Assert(t, !s.judgeWithheld(victim))
+	}
+}
+
+// While other engines end, a request is judged again until it shows whether these end under fatal requests, too.
+func TestRequestIsJudgedAgainUntilOtherEndsAreExplained(t *testing.T) {
+	for _, explained := range []bool{true, false} {
+		s := newScene()
+		call, other := s.begin("k", "r1"), s.begin("other", "r2")
+		for number := range 3 {
+			s.pass(60 * time.Millisecond)
+			s.interrupt(call, fmt.Sprint("e", number), 60*time.Millisecond, number == 0)
+			s.EngineEnded(s.now, fmt.Sprint("e", number), "models", false)
+			s.EngineEnded(s.now, fmt.Sprint("f", number), "models", false)
+			if explained && number < 2 {
+				s.interrupt(other, fmt.Sprint("f", number), 60*time.Millisecond, number == 0)
+			}
+		}
+		brokenAt := s.now
+		verdict := s.Judge(s.now, call)
+		assert.Assert(t, !verdict.Fatal && verdict.Withhold == withholdTime, "%+v", verdict)
+		s.pass(verdict.Withhold)
+		verdict = s.Judge(s.now, call)
+		assert.Assert(t, !verdict.Fatal && verdict.Withhold == withholdTime, "%+v", verdict)
+		if explained {
+			s.Interrupted(s.now, other, Run{Engine: "f2", Service: "models", Software: "v1", SentAt: brokenAt.Add(-60 * time.Millisecond), BrokenAt: brokenAt}, false)
+		}
+		s.pass(verdict.Withhold)
+		assert.Equal(t, s.judgeWithheld(call), explained)
+		assert.Equal(t, s.Judge(s.now, call).Withhold, time.Duration(0))
+	}
+}
+
+// Ends under fatal requests don't make it more likely that engines end by themselves.
+func TestEndsUnderFatalRequestsDoNotRaiseTheRate(t *testing.T) {
+	s := newScene()
+	call := s.begin("k", "r1")
+	s.endThree(call, 60*time.Millisecond)
+	alone := s.Judge(s.now, call).Chance
+	s = newScene()
+	for name := range 3 {
+		culprit := s.begin(Key(fmt.Sprint("c", name)), fmt.Sprint("c", name))
+		s.endThree(culprit, 10*time.Millisecond)
+		assert.Assert(t, s.judgeWithheld(culprit))
+	}
+	call = s.begin("k", "r1")
+	s.endThree(call, 60*time.Millisecond)
+	assert.Equal(t, s.Judge(s.now, call).Chance, alone)
+}
+
 func TestInvalidReportsAreRejected(t *testing.T) {
 	valid := `{"e":"e1","s":"models","d":5,"b":6,"p":0.1,"c":7,"unknown":true}`
 	_, err := DecodeReport("key/nonce", []byte(valid))
--- a/internal/fatal/suspects.go
+++ b/internal/fatal/suspects.go
@@ -39,16 +39,56 @@
 			return false
 		}
 		for _, other := range others {
-			explainsMore = explainsMore || t.explainsAlone(other)
+			explainsMore = explainsMore || t.explainsAlone(other) > 0
 		}
 	}
 	return explainsMore
 }
 
-// explainsAlone reports whether an engine has ended under a request and no other one that may be fatal.
-func (t *Tracker) explainsAlone(known *request) bool {
-	return slices.ContainsFunc(known.suspectedRuns(), func(ended run) bool {
-		return ended.ended && len(t.suspectsAt(ended.Engine, ended.BrokenAt, known)) == 0
+// outweighed reports whether all engines that ended under a request also ended under another one that may be fatal, whose runs there
+// were shorter in total. One of the two explains these ends, and a fatal request tends to end its engine sooner than another event does.
+func (t *Tracker) outweighed(key Key, sequence []run) bool {
+	for otherKey, other := range t.requests {
+		if otherKey == key {
+			continue
+		}
+		own, others, shared := sharedExposure(sequence, other.suspectedRuns())
+		if shared == len(sequence) && (others < own || (others == own && otherKey < key)) {
+			return true
+		}
+	}
+	return false
+}
+
+// sharedExposure returns how many engines ended under the runs of both requests, and how long these runs took in total.
+func sharedExposure(runs, others []run) (own, other time.Duration, shared int) {
+	for _, ended := range runs {
+		index := slices.IndexFunc(others, func(cause run) bool { return cause.explains(ended.Engine, ended.BrokenAt) })
+		if index >= 0 {
+			shared++
+			own += ended.exposure()
+			other += others[index].exposure()
+		}
+	}
+	return own, other, shared
+}
+
+// explainsAlone returns how many engines have ended under a request and no other one that may be fatal.
+func (t *Tracker) explainsAlone(known *request) int {
+	count := 0
+	for _, ended := range known.suspectedRuns() {
+		if ended.ended && len(t.suspectsAt(ended.Engine, ended.BrokenAt, known)) == 0 {
+			count++
+		}
+	}
+	return count
+}
+
+// probablyExplained reports whether an engine that ended at a time did so under a request that is known to be fatal or explains
+// minUnexplained ends alone.
+func (t *Tracker) probablyExplained(engine string, at time.Time) bool {
+	return slices.ContainsFunc(t.suspectsAt(engine, at, nil), func(known *request) bool {
+		return known.fatal || t.explainsAlone(known) >= minUnexplained
 	})
 }
 
@@ -86,7 +126,10 @@
 
 // ranAt reports whether an engine ended at a time under one of the runs.
 func ranAt(runs []run, engine string, at time.Time) bool {
-	return slices.ContainsFunc(runs, func(cause run) bool {
-		return cause.ended && cause.Engine == engine && cause.BrokenAt.Sub(at).Abs() < sameEndTolerance
-	})
+	return slices.ContainsFunc(runs, func(cause run) bool { return cause.explains(engine, at) })
+}
+
+// explains reports whether an engine that ended at a time did so under the run.
+func (r run) explains(engine string, at time.Time) bool {
+	return r.ended && r.Engine == engine && r.BrokenAt.Sub(at).Abs() < sameEndTolerance
 }
