--- a/test/path/resume_test.go
+++ b/test/path/resume_test.go
@@ -249,14 +249,23 @@
 	server := &scriptedServer{scripts: scripts, offsets: make(map[string][]int)}
 	listener := httptest.NewServer(server)
 	t.Cleanup(listener.Close)
-	var resources []resource.Resource
+	pools := make(map[string][]resource.Engine)
 	for model := range scripts {
-		pool := &resource.Pool{}
 		for number := range scriptedEngines {
-			pool.Engines = append(pool.Engines, resource.Engine{Name: fmt.Sprintf("%s-%d", model, number), URL: listener.URL, Slots: 4})
+			pools[model] = append(pools[model], resource.Engine{Name: fmt.Sprintf("%s-%d", model, number), URL: listener.URL, Slots: 4})
 		}
+	}
+	applyModels(t, system, pools)
+	return scriptedCluster{Cluster: system, server: server}
+}
+
+// applyModels publishes a pool with these engines and a service for each model, and waits until they are in force.
+func applyModels(t *testing.T, system *cluster.Cluster, pools map[string][]resource.Engine) {
+	t.Helper()
+	var resources []resource.Resource
+	for model, engines := range pools {
 		resources = append(resources,
-			resource.Resource{Kind: resource.KindPool, Name: model, Pool: pool},
+			resource.Resource{Kind: resource.KindPool, Name: model, Pool: &resource.Pool{Engines: engines}},
 			resource.Resource{Kind: resource.KindService, Name: model, Service: &resource.Service{
 				Type: resource.ServiceModel, Pool: model, Models: []string{model}, Tenants: []string{"school"}, MaxTokens: scriptedMaxTokens,
 			}})
@@ -268,7 +277,6 @@
 	result, err := system.Admin.Apply(ctx, content, adminclient.Change{})
 	assert.NilError(t, err)
 	assert.NilError(t, system.Admin.WaitInForce(ctx, result.Revision))
-	return scriptedCluster{Cluster: system, server: server}
 }
 
 // callResult is what the caller of a scripted model received; text is the whole body, content that of the answer.
--- a/test/path/software_test.go
+++ b/test/path/software_test.go
@@ -1,7 +1,6 @@
 package path_test
 
 import (
-	"context"
 	"fmt"
 	"net/http"
 	"net/http/httptest"
@@ -11,7 +10,6 @@
 
 	"gotest.tools/v3/assert"
 
-	"github.com/mountstile/mountstile/internal/adminclient"
 	"github.com/mountstile/mountstile/internal/engine"
 	"github.com/mountstile/mountstile/internal/resource"
 )
@@ -42,27 +40,15 @@
 // applySoftware publishes a pool and a service for each model, with count engines of each version.
 func applySoftware(t *testing.T, system scriptedCluster, urls map[string]string, counts map[string]int, models []string) {
 	t.Helper()
-	var resources []resource.Resource
+	pools := make(map[string][]resource.Engine)
 	for _, model := range models {
-		pool := &resource.Pool{}
 		for software, count := range counts {
 			for number := range count {
-				pool.Engines = append(pool.Engines, resource.Engine{Name: fmt.Sprintf("%s-%s-%d", model, software, number), URL: urls[software], Software: software, Slots: 4})
+				pools[model] = append(pools[model], resource.Engine{Name: fmt.Sprintf("%s-%s-%d", model, software, number), URL: urls[software], Software: software, Slots: 4})
 			}
 		}
-		resources = append(resources,
-			resource.Resource{Kind: resource.KindPool, Name: model, Pool: pool},
-			resource.Resource{Kind: resource.KindService, Name: model, Service: &resource.Service{
-				Type: resource.ServiceModel, Pool: model, Models: []string{model}, Tenants: []string{"school"}, MaxTokens: scriptedMaxTokens,
-			}})
 	}
-	content, err := resource.Encode(resources)
-	assert.NilError(t, err)
-	ctx, cancel := context.WithTimeout(t.Context(), waitTimeout)
-	defer cancel()
-	result, err := system.Admin.Apply(ctx, content, adminclient.Change{})
-	assert.NilError(t, err)
-	assert.NilError(t, system.Admin.WaitInForce(ctx, result.Revision))
+	applyModels(t, system.Cluster, pools)
 }
 
 // TestAnswerKeepsSoftwareVersion checks that an answer that broke off goes on at engines of the software version that began
