Review case 2: after large inputs a replica that lost its disk never catches up

48 kept turns with inputs of 1,000,000 bytes are answered (the operator's limit is 4,194,304). A storage machine loses its disk and comes back; its pulls ask for 64 records at a time, whose one line exceeds the transport's 16 MiB, and are repeated for good. After the next lost disk every turn is refused.

Command: review/build.sh, then review/2/run.sh; with TROUBLE=0 without lost disks.

--- a/review/platform/large.go
+++ b/review/platform/large.go
@@ -1,6 +1,7 @@
 package main
 
 import (
+	"fmt"
 	"net/http"
 	"os"
 	"path/filepath"
@@ -9,8 +10,15 @@
 	"time"
 )
 
-// largeBytes is the size of the inputs of the large turns, within the operator's limit of 4,194,304.
-const largeBytes = 3_500_000
+const (
+	// largeBytes is the size of the inputs of large turns; the operator's limit is 4,194,304.
+	largeBytes = 1_000_000
+	// largeClients clients ask for largeTurns large turns each, at the start.
+	largeClients, largeTurns = 6, 8
+	// largeTime is how long they may take, leastLarge how many must be served at least.
+	largeTime  = 30 * time.Second
+	leastLarge = 40
+)
 
 // wipe kills a replica, removes its disk and starts it again.
 func wipe(victim *process, away time.Duration, seen *record) error {
@@ -24,66 +32,63 @@
 	return victim.start()
 }
 
-// runLarge stores turns with large inputs, and then has two storage machines lose their disks, one long after the other.
+// runLarge stores turns with large inputs, and then has two storage machines lose their disks, one after the other.
 func runLarge(deployment *system, trouble bool, seen *record) ([]string, error) {
 	engines, _, _, err := prepare(deployment, 5, 1)
 	if err != nil {
 		return nil, err
 	}
 	defer engines.close()
-	text := make([]byte, largeBytes)
-	for index := range text {
-		text[index] = 'a' + byte(index%26)
-	}
-	var mutex sync.Mutex
-	var tries []turnTry
-	var over atomic.Bool
-	var tasks sync.WaitGroup
-	for client := range 6 {
-		tasks.Go(func() {
-			previous := ""
-			for turn := 0; !over.Load(); turn++ {
-				gateway := deployment.gateways[(client+turn)%len(deployment.gateways)]
-				one := turnTry{at: time.Now(), previous: previous, got: askForTurn(gateway, previous)}
-				seen.addAt(one.at, "sent     %s turn to %s previous %q", one.got.id, gateway.name, previous)
-				seen.add("answered %s status %d whole %v", one.got.id, one.got.status, one.got.whole)
-				mutex.Lock()
-				tries = append(tries, one)
-				mutex.Unlock()
-				if one.got.status == http.StatusOK && one.got.whole {
-					previous = one.got.id
-				}
-				if turn%4 == 3 && one.got.status == http.StatusOK {
-					previous = ""
-				}
-				time.Sleep(200 * time.Millisecond)
-			}
-		})
-	}
-	time.Sleep(2 * time.Second)
-	for number := range 40 {
-		got := send(deployment.gateways[number%3].front, call{
-			method: http.MethodPost, path: chatPath + "4b", body: text, timeLimit: 4 * time.Second,
-			header: map[string]string{headerProgram: newID()[:8], headerSession: "s", headerProgramEnd: "8000", headerBudget: "2304", headerUsage: "300,288", "Model": "m"},
-		})
-		seen.add("answered %s large turn status %d whole %v err %v", got.id, got.status, got.whole, got.err)
-		time.Sleep(50 * time.Millisecond)
+	small := startTurns(deployment, 6, seen)
+	if err := storeLargeTurns(deployment, seen); err != nil {
+		return nil, err
 	}
+	const away, between = time.Second, 12 * time.Second
 	if trouble {
-		if err := wipe(deployment.replicas[0], time.Second, seen); err != nil {
+		if err := wipe(deployment.replicas[0], away, seen); err != nil {
 			return nil, err
 		}
 	}
-	time.Sleep(10 * time.Second)
+	time.Sleep(between)
+	deployment.store.put("op/config", configuration(2))
 	faultAt := time.Now()
 	if trouble {
-		if err := wipe(deployment.replicas[1], time.Second, seen); err != nil {
+		if err := wipe(deployment.replicas[1], away, seen); err != nil {
 			return nil, err
 		}
 	}
-	backAt := time.Now()
+	recoveredAt := time.Now().Add(12 * time.Second)
 	time.Sleep(20 * time.Second)
-	over.Store(true)
+	tries := small.stop()
+	engines.writeRuns(seen)
+	return checkRecover(tries, engines.log.all(), faultAt, recoveredAt, seen), nil
+}
+
+// storeLargeTurns asks for the large turns and waits until they are answered.
+func storeLargeTurns(deployment *system, seen *record) error {
+	text := make([]byte, largeBytes)
+	for index := range text {
+		text[index] = 'a' + byte(index%26)
+	}
+	var served atomic.Int64
+	until := time.Now().Add(largeTime)
+	var tasks sync.WaitGroup
+	for client := range largeClients {
+		tasks.Go(func() {
+			for turn, left := 0, largeTurns; left > 0 && time.Now().Before(until); turn++ {
+				gateway := deployment.gateways[(client+turn)%len(deployment.gateways)]
+				got := askForTurn(gateway, "", text)
+				seen.add("answered %s turn with an input of %d bytes at %s: status %d whole %v", got.id, largeBytes, gateway.name, got.status, got.whole)
+				if got.status == http.StatusOK && got.whole {
+					served.Add(1)
+					left--
+				}
+			}
+		})
+	}
 	tasks.Wait()
-	return checkRecover(tries, engines.log.all(), faultAt, backAt.Add(12*time.Second), seen), nil
+	if served.Load() < leastLarge {
+		return fmt.Errorf("only %d large turns were served", served.Load())
+	}
+	return nil
 }
--- a/review/platform/main.go
+++ b/review/platform/main.go
@@ -79,6 +79,7 @@
 	"order":   {runOrder, 9, 3},
 	"recover": {runRecover, 3, 3},
 	"large":   {runLarge, 3, 3},
+	"route":   {runRoute, 3, 3},
 }
 
 func main() {
--- a/review/platform/recover.go
+++ b/review/platform/recover.go
@@ -25,35 +25,10 @@
 		return nil, err
 	}
 	defer engines.close()
-	var mutex sync.Mutex
-	var tries []turnTry
-	var over atomic.Bool
-	var tasks sync.WaitGroup
-	for client := range 9 {
-		tasks.Go(func() {
-			previous := ""
-			for turn := 0; !over.Load(); turn++ {
-				gateway := deployment.gateways[(client+turn)%len(deployment.gateways)]
-				one := turnTry{at: time.Now(), previous: previous, got: askForTurn(gateway, previous)}
-				seen.addAt(one.at, "sent     %s turn to %s previous %q", one.got.id, gateway.name, previous)
-				seen.add("answered %s status %d whole %v", one.got.id, one.got.status, one.got.whole)
-				mutex.Lock()
-				tries = append(tries, one)
-				mutex.Unlock()
-				if one.got.status == http.StatusOK && one.got.whole {
-					previous = one.got.id
-				}
-				if turn%4 == 3 && one.got.status == http.StatusOK {
-					previous = ""
-				}
-				time.Sleep(200 * time.Millisecond)
-			}
-		})
-	}
+	turns := startTurns(deployment, 9, seen)
 	time.Sleep(8 * time.Second)
 	if trouble {
 		if err := restartInPlace(engines, models, seen); err != nil {
-			over.Store(true)
 			return nil, err
 		}
 	} else {
@@ -76,8 +51,7 @@
 	seen.add("final    %s is back", victim.name)
 	const recovery, measured = 12 * time.Second, 8 * time.Second
 	time.Sleep(recovery + measured)
-	over.Store(true)
-	tasks.Wait()
+	tries := turns.stop()
 	engines.writeRuns(seen)
 	return checkRecover(tries, engines.log.all(), faultAt, backAt.Add(recovery), seen), nil
 }
@@ -104,10 +78,53 @@
 	return nil
 }
 
-func askForTurn(gateway *process, previous string) result {
+// turnClients are clients that ask for turns, four in a line, until they are stopped.
+type turnClients struct {
+	over  atomic.Bool
+	tasks sync.WaitGroup
+	mutex sync.Mutex
+	tries []turnTry
+}
+
+func startTurns(deployment *system, clients int, seen *record) *turnClients {
+	started := &turnClients{}
+	for client := range clients {
+		started.tasks.Go(func() { started.run(deployment, client, seen) })
+	}
+	return started
+}
+
+func (c *turnClients) run(deployment *system, client int, seen *record) {
+	previous := ""
+	for turn := 0; !c.over.Load(); turn++ {
+		gateway := deployment.gateways[(client+turn)%len(deployment.gateways)]
+		one := turnTry{at: time.Now(), previous: previous, got: askForTurn(gateway, previous, []byte("and then"))}
+		seen.addAt(one.at, "sent     %s turn to %s previous %q", one.got.id, gateway.name, previous)
+		seen.add("answered %s status %d whole %v", one.got.id, one.got.status, one.got.whole)
+		c.mutex.Lock()
+		c.tries = append(c.tries, one)
+		c.mutex.Unlock()
+		if one.got.status == http.StatusOK && one.got.whole {
+			previous = one.got.id
+			if turn%4 == 3 {
+				previous = ""
+			}
+		}
+		time.Sleep(200 * time.Millisecond)
+	}
+}
+
+// stop ends the clients and returns all their attempts.
+func (c *turnClients) stop() []turnTry {
+	c.over.Store(true)
+	c.tasks.Wait()
+	return c.tries
+}
+
+func askForTurn(gateway *process, previous string, input []byte) result {
 	program := newID()[:8]
 	attempt := call{
-		method: http.MethodPost, path: chatPath + "4b", body: []byte("and then"), timeLimit: 4 * time.Second,
+		method: http.MethodPost, path: chatPath + "4b", body: input, timeLimit: 4 * time.Second,
 		header: map[string]string{
 			headerProgram: program, headerSession: program, headerProgramEnd: "8000", headerBudget: "2304", headerUsage: "300,288", "Model": "m",
 		},
