turnstore: a replica that lacks records says what it waits for

Event 423 names, every 5 s while a replica lacks records or a place in its set, each other member as silent, incomplete, pulling or pulled, and what fetching has cost: records, time of requests, time until they were synced. Event 413 has the same sums and the time since the replica was empty, also when a new replica joins. The gauge mountstile_replica_waiting_seconds can be alerted on.

--- a/internal/events/events.go
+++ b/internal/events/events.go
@@ -69,6 +69,7 @@
 	ReplicasLost           ID = 420
 	ReplicasRegained       ID = 421
 	ReplicaShardChanged    ID = 422
+	ReplicaWaiting         ID = 423
 	CacheReleased          ID = 501
 	CacheReleaseFailed     ID = 502
 	EngineBreakerOpen      ID = 503
@@ -169,6 +170,7 @@
 	{ReplicasLost, "replicas_lost", logrus.WarnLevel, "too few replicas answer this gateway; it is not ready and refuses turns soon"},
 	{ReplicasRegained, "replicas_regained", logrus.InfoLevel, "enough replicas answer this gateway again"},
 	{ReplicaShardChanged, "replica_shard_changed", logrus.InfoLevel, "this spare holds another shard from now on, for that one lacks a member"},
+	{ReplicaWaiting, "replica_waiting", logrus.WarnLevel, "this replica has lacked records, or a place in its set, for long; the fields name what it waits for"},
 	{CacheReleased, "cache_released", logrus.DebugLevel, "an engine confirmed that it holds no cache of an ended program"},
 	{CacheReleaseFailed, "cache_release_failed", logrus.WarnLevel, "an engine did not confirm a release; it is tried again"},
 	{EngineBreakerOpen, "engine_breaker_open", logrus.WarnLevel, "an engine failed repeatedly and gets no work for a while"},
--- a/internal/explain/explain.go
+++ b/internal/explain/explain.go
@@ -53,7 +53,7 @@
 var contextEvents = []events.ID{
 	events.NodeStarting, events.NodeReady, events.NodeStopping, events.NodeStopped, events.RoutesInstalled, events.ConfigRejected,
 	events.StoreLost, events.StoreReached, events.CatalogPeerLost, events.CatalogPeerReached, events.CatalogSourceStarted,
-	events.ReplicaSetChanged, events.ReplicaSetStep, events.ReplicaOpened, events.ReplicaComplete, events.ReplicaLogFailed,
+	events.ReplicaSetChanged, events.ReplicaSetStep, events.ReplicaOpened, events.ReplicaComplete, events.ReplicaWaiting, events.ReplicaLogFailed,
 	events.ReplicaRetiring,
 }
 
--- a/internal/turnstore/membership.go
+++ b/internal/turnstore/membership.go
@@ -232,6 +232,7 @@
 	if err := r.folder.saveComplete(joint.Shard); err != nil {
 		return err
 	}
+	r.logComplete()
 	return r.replaceSet(ctx, joint, completedChange(joint))
 }
 
--- a/internal/turnstore/metrics.go
+++ b/internal/turnstore/metrics.go
@@ -45,6 +45,9 @@
 	gauge("mountstile_replica_text_bytes", "Bytes of the texts of turns, on disk or in memory.", func() float64 { return float64(replica.texts.size()) })
 	gauge("mountstile_replica_set_epoch", "Epoch of the newest replica set that is known.", func() float64 { return float64(replica.ReplicaSet().Epoch) })
 	gauge("mountstile_replica_shard", "Shard whose turns the replica holds; -1 while it knows none.", func() float64 { return float64(replica.shardNumber()) })
+	gauge("mountstile_replica_waiting_seconds", "How long the replica has lacked records or a place in its set; 0 if it doesn't.", func() float64 {
+		return replica.waitingFor(time.Now()).Seconds()
+	})
 	gauge("mountstile_replica_complete", "1 if the replica has everything that its peers have.", func() float64 {
 		if replica.folder.record().Complete {
 			return 1
--- a/internal/turnstore/pull.go
+++ b/internal/turnstore/pull.go
@@ -45,8 +45,10 @@
 func (r *Replica) pullLoop(ctx context.Context) {
 	var tasks sync.WaitGroup
 	defer tasks.Wait()
+	waiting := waitLog{replica: r}
 	for round := 0; ctx.Err() == nil; round++ {
 		fast := r.needsFastPull()
+		waiting.update(time.Now(), fast)
 		r.startRound(ctx, &tasks, round, fast)
 		if shard, done := r.caughtUpShard(); done {
 			r.finishCatchUp(shard)
@@ -254,6 +256,7 @@
 	for len(keys) > 0 {
 		batch := keys[:min(len(keys), fetchKeys)]
 		keys = keys[len(batch):]
+		requestedAt := time.Now()
 		callContext, cancel := context.WithTimeout(ctx, pullTimeout)
 		response, err := transport.Call[fetchResponse](callContext, r.network, member.Peer(), fetchKind, fetchRequest{Keys: batch})
 		cancel()
@@ -261,7 +264,10 @@
 			return false
 		}
 		r.recordResponse(progress)
-		if r.appendPulled(ctx, progress, response.Records) != nil {
+		receivedAt := time.Now()
+		err = r.appendPulled(ctx, progress, response.Records)
+		r.countFetched(len(response.Records), receivedAt.Sub(requestedAt), time.Since(receivedAt))
+		if err != nil {
 			return false
 		}
 	}
@@ -327,6 +333,14 @@
 		r.logger.Emit(events.ReplicaLogFailed, events.F("error", err))
 		return
 	}
+	r.logComplete()
+}
+
+func (r *Replica) logComplete() {
 	held := r.size()
-	r.logger.Emit(events.ReplicaComplete, events.F("turns", held.turns), events.F("programs", held.programs), events.F("bytes", r.texts.size()))
+	r.mutex.Lock()
+	emptySince, fetched := r.emptySince, r.fetched
+	r.mutex.Unlock()
+	r.logger.Emit(events.ReplicaComplete, append(fetched.logFields(), events.F("turns", held.turns), events.F("programs", held.programs), events.F("bytes", r.texts.size()),
+		events.F("millis", time.Since(emptySince).Milliseconds()))...)
 }
--- a/internal/turnstore/replica.go
+++ b/internal/turnstore/replica.go
@@ -96,6 +96,9 @@
 	shard int
 	// emptySince is when this replica last started without all of its shard's records.
 	emptySince time.Time
+	fetched    fetchStats
+	// waitingSince is since when this replica has lacked records or a place in its set; zero if it doesn't.
+	waitingSince time.Time
 	// handingOver is set while the replica sends its records to the remaining members; it rejects writes meanwhile.
 	handingOver bool
 	// spareSeenAt is when a replica that is not a member last sent a request; pullingSpare is the last one that pulled,
