turnstore: an empty replica fetches each record once, several batches at a time

Cause: an empty replica asked every peer for the same keys, and per peer one batch of 64 records after the other: request, then sync, then the next request. Then finishJoin waited for the lost member: 1 s for the fence, up to 1.5 s for its pull.

Ruled out: the load of the sources (7 ms a request in the middle of bursts), digests that begin anew (one incarnation), the removed member's silence (2.5 s, over before).

Fix: passes of several peers claim keys, so that each is fetched from one; four batches a peer are under way, whose writes share a sync; the number of records in a batch follows their size, so that a message stays small. fence and finishJoin stop waiting for a member that leaves once they have what they need. No message changes.

--- a/internal/turnstore/cluster_test.go
+++ b/internal/turnstore/cluster_test.go
@@ -243,6 +243,9 @@
 	client        *Client
 	started       bool
 	size          int
+	// fetchDelay is how long replicas take to answer a fetch; served counts the records that they return.
+	fetchDelay atomic.Int64
+	served     atomic.Int64
 }
 
 // isRetiring reports whether the named machine is being retired.
@@ -319,6 +322,12 @@
 		},
 	}, network, events.Discard())
 	assert.NilError(c.t, err)
+	transport.Handle(network, fetchKind, func(ctx context.Context, from transport.Peer, request fetchRequest) (fetchResponse, error) {
+		time.Sleep(time.Duration(c.fetchDelay.Load()))
+		response, err := replica.serveFetch(ctx, from, request)
+		c.served.Add(int64(len(response.Records)))
+		return response, err
+	})
 	c.store.listen(replica.ApplySet)
 	c.store.listenForCandidates(replica.ApplyCandidate)
 	var listener net.Listener
--- a/internal/turnstore/membership.go
+++ b/internal/turnstore/membership.go
@@ -222,11 +222,7 @@
 		return nil
 	}
 	fencedAt := time.Now()
-	r.pullAll(ctx)
-	r.mutex.Lock()
-	ready := r.pulledReadQuorum(fencedAt)
-	r.mutex.Unlock()
-	if !ready {
+	if !r.pullUntil(ctx, r.others(), func() bool { return r.pulledReadQuorum(fencedAt) }) {
 		return nil
 	}
 	if err := r.folder.saveComplete(joint.Shard); err != nil {
@@ -247,19 +243,42 @@
 
 // fence distributes a set to so many members that no write of an older epoch can reach a quorum.
 func (r *Replica) fence(ctx context.Context, set ReplicaSet) bool {
+	return set.HasReadQuorum(r.fenceMembers(ctx, set))
+}
+
+// fenceMembers distributes a set to all members and returns those that reject older epochs from now on. It does not wait
+// for the members that leave once a read quorum and all members of Next have responded: they may be lost.
+func (r *Replica) fenceMembers(ctx context.Context, set ReplicaSet) map[string]bool {
+	type result struct {
+		name   string
+		fenced bool
+	}
 	fenced := map[string]bool{}
 	if r.folder.saveSet(set) == nil {
 		fenced[r.options.Self.Name] = true
 	}
-	for _, member := range without(set.All(), r.options.Self.Name) {
-		callContext, cancel := context.WithTimeout(ctx, fenceTimeout)
-		response, err := transport.Call[fenceResponse](callContext, r.network, member.Peer(), fenceKind, fenceRequest{ReplicaSet: set})
-		cancel()
-		if err == nil && response.Epoch >= set.Epoch {
-			fenced[member.Name] = true
+	members := without(set.All(), r.options.Self.Name)
+	results := make(chan result, len(members))
+	for _, member := range members {
+		go func() { results <- result{member.Name, r.fenceMember(ctx, set, member)} }()
+	}
+	pending := without(set.Next, r.options.Self.Name)
+	for range members {
+		if len(pending) == 0 && set.HasReadQuorum(fenced) {
+			break
 		}
+		answer := <-results
+		fenced[answer.name] = answer.fenced
+		pending = without(pending, answer.name)
 	}
-	return set.HasReadQuorum(fenced)
+	return fenced
+}
+
+func (r *Replica) fenceMember(ctx context.Context, set ReplicaSet, member Member) bool {
+	callContext, cancel := context.WithTimeout(ctx, fenceTimeout)
+	defer cancel()
+	response, err := transport.Call[fenceResponse](callContext, r.network, member.Peer(), fenceKind, fenceRequest{ReplicaSet: set})
+	return err == nil && response.Epoch >= set.Epoch
 }
 
 // abortChange aborts a change whose initiator is lost. Writes made during the change were stored in the old set, too.
@@ -361,7 +380,7 @@
 // timedOut reports whether a peer has been silent for memberTimeout despite requests. The caller holds the mutex.
 func (r *Replica) timedOut(name string) bool {
 	progress := r.peers[name]
-	if progress == nil || progress.appending || time.Since(progress.lastRequestAt) > memberTimeout {
+	if progress == nil || progress.appending > 0 || time.Since(progress.lastRequestAt) > memberTimeout {
 		return false
 	}
 	lastContact := progress.lastResponseAt
--- a/internal/turnstore/pull.go
+++ b/internal/turnstore/pull.go
@@ -28,8 +28,10 @@
 	complete bool
 	// inFlight is set while a request of the pull loop is pending.
 	inFlight bool
-	// appending is set while pulled records wait for this replica's own disk.
-	appending bool
+	// appending counts the batches of pulled records that wait for this replica's own disk.
+	appending int
+	// fetchLimit is how many records to request from the peer at once; 0 before the first response.
+	fetchLimit int
 	// lastResponseAt is when the peer last responded; firstRequestAt is the start of the current series of requests.
 	lastResponseAt time.Time
 	firstRequestAt time.Time
@@ -80,17 +82,31 @@
 
 func (r *Replica) others() []Member { return without(r.ReplicaSet().All(), r.options.Self.Name) }
 
-// pullAll pulls from all other members and returns when all have responded or failed.
-func (r *Replica) pullAll(ctx context.Context) {
+// pullUntil pulls from the given members at once until enough, which is called with the mutex locked, holds, and reports
+// whether it does. It does not wait for further members, which may be lost.
+func (r *Replica) pullUntil(ctx context.Context, members []Member, enough func() bool) bool {
+	pullContext, cancel := context.WithCancel(ctx)
 	var tasks sync.WaitGroup
-	for _, member := range r.others() {
+	defer tasks.Wait()
+	defer cancel()
+	pulled := make(chan struct{}, len(members))
+	for _, member := range members {
 		tasks.Add(1)
 		go func() {
 			defer tasks.Done()
-			r.pullFrom(ctx, member)
+			r.pullFrom(pullContext, member)
+			pulled <- struct{}{}
 		}()
 	}
-	tasks.Wait()
+	for pending := len(members); ; pending-- {
+		r.mutex.Lock()
+		done := enough()
+		r.mutex.Unlock()
+		if done || pending == 0 {
+			return done
+		}
+		<-pulled
+	}
 }
 
 // startRound pulls from all other members if fast is set, or else from one, and sends heartbeats to the rest. Members
@@ -183,7 +199,8 @@
 		r.mutex.Lock()
 		progress.incarnation = response.Incarnation
 		progress.sequence = response.Sequence
-		if reachedEnd {
+		// Pulls from one peer may overlap.
+		if reachedEnd && requestedAt.After(progress.caughtUpAt) {
 			progress.caughtUpAt = requestedAt
 			progress.complete = response.Complete
 		}
@@ -250,45 +267,6 @@
 	return missing
 }
 
-// fetch requests records from a peer and reports whether all requests succeeded and what they returned is synced. A
-// peer leaves out records that it no longer holds.
-func (r *Replica) fetch(ctx context.Context, member Member, progress *peerProgress, keys []conversation.Key) bool {
-	for len(keys) > 0 {
-		batch := keys[:min(len(keys), fetchKeys)]
-		keys = keys[len(batch):]
-		requestedAt := time.Now()
-		callContext, cancel := context.WithTimeout(ctx, pullTimeout)
-		response, err := transport.Call[fetchResponse](callContext, r.network, member.Peer(), fetchKind, fetchRequest{Keys: batch})
-		cancel()
-		if err != nil {
-			return false
-		}
-		r.recordResponse(progress)
-		receivedAt := time.Now()
-		err = r.appendPulled(ctx, progress, response.Records)
-		r.countFetched(len(response.Records), receivedAt.Sub(requestedAt), time.Since(receivedAt))
-		if err != nil {
-			return false
-		}
-	}
-	return true
-}
-
-// appendPulled writes records from a peer. The peer is not contacted meanwhile, so its silence counts from the end of
-// the write.
-func (r *Replica) appendPulled(ctx context.Context, progress *peerProgress, records []conversation.Record) error {
-	r.setAppending(progress, true)
-	defer r.setAppending(progress, false)
-	return r.append(ctx, records)
-}
-
-func (r *Replica) setAppending(progress *peerProgress, appending bool) {
-	r.mutex.Lock()
-	defer r.mutex.Unlock()
-	progress.appending = appending
-	progress.firstRequestAt = time.Now()
-}
-
 // caughtUpShard reports whether an incomplete replica now holds every acknowledged record of its shard: it has pulled from
 // a read quorum of complete members, or from all members, after the acknowledgements that it gave before it lost its
 // records have expired.
--- a/internal/turnstore/replica.go
+++ b/internal/turnstore/replica.go
@@ -34,9 +34,8 @@
 const (
 	// expireInterval is how often expired records are dropped.
 	expireInterval = 5 * time.Second
-	// digestKeys and fetchKeys bound the keys in one response.
+	// digestKeys bounds the keys in one response.
 	digestKeys = 2000
-	fetchKeys  = 64
 	// failureLogsPerSecond limits the log lines about failed writes.
 	failureLogsPerSecond = 20
 )
@@ -107,6 +106,7 @@
 	pullingSpare  string
 	sparePulledAt time.Time
 	peers         map[string]*peerProgress
+	claims        *fetchClaims
 	pullNow       chan struct{}
 
 	// failureLogLimiter limits the log lines about failed writes: a stalled disk rejects hundreds a second.
@@ -130,6 +130,7 @@
 		logger:      logger,
 		state:       conversation.New(),
 		peers:       make(map[string]*peerProgress),
+		claims:      newFetchClaims(),
 		texts:       newTexts(options.TextBytes),
 		loadReports: load.NewAggregator(),
 		pullNow:     make(chan struct{}, 1),
