turnstore: a spare that lacks records removes a lost member before it can take its place

Cause: a wait in a circle. The lost member A counted until the new replica D had joined; D joined only after it had pulled from a read quorum of complete members, B and C; B, emptied, was complete only after it had pulled from a read quorum, C and A, or from all.

Fix: a spare that isn't ready when a member has timed out takes it out of the set at once, down to as many members as a record needs copies. The members that stay have nearly everything: the spare fences the old epoch and asks them (turns.sync) to pull from each other, which takes as long as what they lack. From then on each record is on all of them, so that one that loses its disk finds all at the others, and the spare needs only one of them. That doesn't depend on how much there is to fetch. Members that are incomplete don't count: the lost one may be the only holder of what they acknowledged (TestEvictionNeedsCompleteMembers). An eviction that isn't done after 2 s is aborted, by any replica. A member of an earlier build refuses turns.sync: the eviction is aborted and the spare joins as before; an earlier build that finds itself as the changer takes the change back.

--- a/internal/events/events.go
+++ b/internal/events/events.go
@@ -70,6 +70,7 @@
 	ReplicasRegained       ID = 421
 	ReplicaShardChanged    ID = 422
 	ReplicaWaiting         ID = 423
+	ReplicaEvicting        ID = 424
 	CacheReleased          ID = 501
 	CacheReleaseFailed     ID = 502
 	EngineBreakerOpen      ID = 503
@@ -171,6 +172,7 @@
 	{ReplicasRegained, "replicas_regained", logrus.InfoLevel, "enough replicas answer this gateway again"},
 	{ReplicaShardChanged, "replica_shard_changed", logrus.InfoLevel, "this spare holds another shard from now on, for that one lacks a member"},
 	{ReplicaWaiting, "replica_waiting", logrus.WarnLevel, "this replica has lacked records, or a place in its set, for long; the fields name what it waits for"},
+	{ReplicaEvicting, "replica_evicting", logrus.WarnLevel, "this spare removes a lost member from the set, for it can't take its place before it holds all records"},
 	{CacheReleased, "cache_released", logrus.DebugLevel, "an engine confirmed that it holds no cache of an ended program"},
 	{CacheReleaseFailed, "cache_release_failed", logrus.WarnLevel, "an engine did not confirm a release; it is tried again"},
 	{EngineBreakerOpen, "engine_breaker_open", logrus.WarnLevel, "an engine failed repeatedly and gets no work for a while"},
--- a/internal/explain/explain.go
+++ b/internal/explain/explain.go
@@ -54,7 +54,7 @@
 	events.NodeStarting, events.NodeReady, events.NodeStopping, events.NodeStopped, events.RoutesInstalled, events.ConfigRejected,
 	events.StoreLost, events.StoreReached, events.CatalogPeerLost, events.CatalogPeerReached, events.CatalogSourceStarted,
 	events.ReplicaSetChanged, events.ReplicaSetStep, events.ReplicaOpened, events.ReplicaComplete, events.ReplicaWaiting, events.ReplicaLogFailed,
-	events.ReplicaRetiring,
+	events.ReplicaRetiring, events.ReplicaEvicting,
 }
 
 // engineEvents report changes in a process's view of one engine.
--- a/internal/turnstore/assignment.go
+++ b/internal/turnstore/assignment.go
@@ -90,7 +90,7 @@
 // shardToJoin returns another shard that lacks a member, and whether this spare's jitter has passed so that it may move
 // there.
 func (r *Replica) shardToJoin(own ReplicaSet) (ReplicaSet, bool) {
-	if r.needsSpare(own) {
+	if r.needsSpare(own) || own.Changing() && own.ChangedBy == r.options.Self.Name {
 		return ReplicaSet{}, false
 	}
 	for _, set := range r.otherSets(own.Shard) {
--- a/internal/turnstore/membership.go
+++ b/internal/turnstore/membership.go
@@ -86,6 +86,8 @@
 		return r.bootstrap(ctx, state)
 	case retiring:
 		return r.retire(ctx, set)
+	case set.isEviction() && set.ChangedBy == self:
+		return r.finishEviction(ctx, set)
 	case set.Changing() && set.ChangedBy == self && !contains(set.Next, self):
 		// This replica was leaving, but its retirement was withdrawn, or it restarted and does not know of it yet.
 		return r.cancelRetirement(ctx, set)
@@ -177,15 +179,19 @@
 	return candidates[0].Name == r.options.Self.Name || unchangedFor > candidateTimeout
 }
 
-// join makes this replica a member once it has caught up: it replaces a lost or retiring member, or fills a vacancy. A
+// join makes this replica a member once it has caught up: it replaces a lost or retiring member, or fills a vacancy. Until
+// it has caught up, it only removes a lost member. A
 // retiring member is replaced before it leaves, so that the set, and with it the fault tolerance, never shrinks.
 func (r *Replica) join(ctx context.Context, set ReplicaSet, startedAt time.Time) error {
 	r.mutex.Lock()
 	ready := r.pulledReadQuorum(startedAt)
 	r.mutex.Unlock()
-	if !ready || r.quorumContactFor(set) == 0 {
+	if r.quorumContactFor(set) == 0 {
 		return nil
 	}
+	if !ready {
+		return r.evict(ctx, set)
+	}
 	next := set.Members
 	if timedOut := r.timedOutMember(set.Members); timedOut != "" && r.quorumContactFor(set) > memberTimeout {
 		next = without(next, timedOut)
@@ -283,6 +289,9 @@
 
 // abortChange aborts a change whose initiator is lost. Writes made during the change were stored in the old set, too.
 func (r *Replica) abortChange(ctx context.Context, set ReplicaSet) error {
+	if set.isEviction() {
+		return r.abortLateEviction(ctx, set)
+	}
 	r.mutex.Lock()
 	timedOut := r.timedOut(set.ChangedBy)
 	r.mutex.Unlock()
--- a/internal/turnstore/messages.go
+++ b/internal/turnstore/messages.go
@@ -12,6 +12,7 @@
 	digestKind = "turns.digest"
 	fetchKind  = "turns.fetch"
 	fenceKind  = "turns.fence"
+	syncKind   = "turns.sync"
 )
 
 // openRequest reserves a turn's tokens and reads the turn before it.
@@ -95,3 +96,16 @@
 	Epoch    int64 `json:"e"`
 	Complete bool  `json:"c"`
 }
+
+// syncRequest asks a member to pull from the named members now. Replicas of earlier builds reject it.
+type syncRequest struct {
+	Shard   int      `json:"s,omitempty"`
+	Epoch   int64    `json:"e"`
+	Sources []string `json:"m"`
+}
+
+type syncResponse struct {
+	// Synchronized reports that the replica, which is complete and knows the request's epoch, has pulled all records of the
+	// sources, which were complete.
+	Synchronized bool `json:"y"`
+}
--- a/internal/turnstore/replica.go
+++ b/internal/turnstore/replica.go
@@ -91,6 +91,8 @@
 	// sets holds the replica sets of all shards; set is the one of this replica's shard.
 	sets sets
 	set  ReplicaSet
+	// setAppliedAt is when set was last replaced by a newer one.
+	setAppliedAt time.Time
 	// shard is the shard that this replica holds, or noShard.
 	shard int
 	// emptySince is when this replica last started without all of its shard's records.
@@ -117,6 +119,8 @@
 	quorumContactSince map[int]time.Time
 	// move is the shard that this replica may move to. Only the membership loop uses it.
 	move pendingMove
+	// nextEvictionAt is the earliest time of the next eviction by this replica. Only the membership loop uses it.
+	nextEvictionAt time.Time
 	// retirementStartedAt is when this replica's retirement was reported to the operator; zero if it wasn't. Only the
 	// membership loop uses it.
 	retirementStartedAt time.Time
@@ -172,6 +176,7 @@
 	transport.Handle(network, digestKind, instrument(options.Metrics, digestKind, replica.serveDigest))
 	transport.Handle(network, fetchKind, instrument(options.Metrics, fetchKind, replica.serveFetch))
 	transport.Handle(network, fenceKind, instrument(options.Metrics, fenceKind, replica.serveFence))
+	transport.Handle(network, syncKind, instrument(options.Metrics, syncKind, replica.serveSync))
 	return replica, nil
 }
 
@@ -242,6 +247,7 @@
 	own := newer && set.Shard == r.shard
 	if own {
 		r.set = r.sets[set.Shard]
+		r.setAppliedAt = time.Now()
 	}
 	clusterID := r.sets.clusterID()
 	r.mutex.Unlock()
