turnstore: two members of one set are evicted in a row

A spare waited 10 s after each eviction, not only after an aborted one, so that of a set of five the second of two lost members kept its place for as long. A replica that restarts while a member is evicted counted the eviction as late and aborted it at once: now it counts from the restart.

--- a/internal/turnstore/assignment.go
+++ b/internal/turnstore/assignment.go
@@ -42,6 +42,7 @@
 	r.sets.apply(record.ReplicaSet)
 	r.network.SetClusterID(r.sets.clusterID())
 	r.set = record.ReplicaSet
+	r.setAppliedAt = time.Now()
 	r.shard = record.ReplicaSet.Shard
 }
 
--- a/internal/turnstore/eviction.go
+++ b/internal/turnstore/eviction.go
@@ -49,10 +49,14 @@
 // other, then makes them the only ones. If that takes too long, it aborts the change.
 func (r *Replica) finishEviction(ctx context.Context, joint ReplicaSet) error {
 	fenced := r.fenceMembers(ctx, joint)
-	if joint.HasReadQuorum(fenced) && r.synchronize(ctx, joint, fenced) {
-		return r.replaceSet(ctx, joint, completedChange(joint))
+	if !joint.HasReadQuorum(fenced) || !r.synchronize(ctx, joint, fenced) {
+		return r.abortLateEviction(ctx, joint)
 	}
-	return r.abortLateEviction(ctx, joint)
+	if err := r.replaceSet(ctx, joint, completedChange(joint)); err != nil {
+		return err
+	}
+	r.nextEvictionAt = time.Time{}
+	return nil
 }
 
 // abortLateEviction aborts an eviction that has taken too long, for its spare may be lost, or a member can't synchronize.
@@ -66,9 +70,9 @@
 	return r.replaceSet(ctx, joint, abortedChange(joint))
 }
 
-// synchronize makes the fenced members that remain pull from each other, and reports whether each acknowledged record of
-// an older epoch is then on a write quorum of the next set: fenced members accept no more of them, and if those that have
-// synchronized are a read quorum of the old set, each is on one of them, and so on all.
+// synchronize makes the fenced members that remain, which are a read quorum, pull from each other. It reports whether each
+// acknowledged record of an older epoch is then on a write quorum of the next set: fenced members accept no more of them,
+// and each is on one of these members at least, and so on all.
 func (r *Replica) synchronize(ctx context.Context, joint ReplicaSet, fenced map[string]bool) bool {
 	var members []Member
 	var names []string
@@ -88,7 +92,7 @@
 		all = <-results && all
 	}
 	next := ReplicaSet{Members: joint.Next, Copies: joint.Copies}
-	return all && joint.HasReadQuorum(fenced) && next.HasWriteQuorum(fenced)
+	return all && next.HasWriteQuorum(fenced)
 }
 
 func (r *Replica) requestSync(ctx context.Context, member Member, request syncRequest) bool {
