turnstore: a handover's messages are bounded in bytes

A member that an operator retires never leaves if 32 of its turns don't fit into a message of 16 MiB: the message is refused each time.

Now a message holds 256 KiB of texts, or one turn.

--- a/internal/turnstore/retirement.go
+++ b/internal/turnstore/retirement.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"slices"
 	"time"
 
 	"github.com/mountstile/mountstile/internal/conversation"
@@ -11,8 +10,10 @@
 )
 
 const (
-	// handoverBatch bounds the records in one handover message.
-	handoverBatch = 32
+	// maxHandoverRecords and maxHandoverBytes bound the records in one handover message and their texts, in bytes. A message has
+	// one record at least.
+	maxHandoverRecords = 32
+	maxHandoverBytes   = 256 << 10
 	// spareJoinTimeout is how long a retiring member waits to be replaced, as long as there is a live spare. Spares
 	// pull several times a second while a member retires, and join within a few seconds.
 	spareJoinTimeout = 5 * time.Second
@@ -129,18 +130,11 @@
 
 func (r *Replica) sendRecords(ctx context.Context, set ReplicaSet, member Member, records []conversation.Record) bool {
 	for len(records) > 0 {
-		batch := slices.Clone(records[:min(len(records), handoverBatch)])
-		records = records[len(batch):]
-		// Load the texts into copies, so that only one batch of them is in memory at a time.
-		for index, record := range batch {
-			if record.Turn != nil {
-				turn := *record.Turn
-				batch[index].Turn = &turn
-			}
-		}
-		if r.loadTexts(batch) != nil {
+		batch, err := r.handoverBatch(records)
+		if err != nil {
 			return false
 		}
+		records = records[len(batch):]
 		callContext, cancel := context.WithTimeout(ctx, pullTimeout)
 		response, err := transport.Call[putResponse](callContext, r.network, member.Peer(), putKind, putRequest{Shard: set.Shard, Epoch: set.Epoch, Records: batch})
 		cancel()
@@ -150,3 +144,27 @@
 	}
 	return true
 }
+
+// handoverBatch returns the first records for one message. Their texts are loaded into copies, so that only one batch of
+// them is in memory at a time.
+func (r *Replica) handoverBatch(records []conversation.Record) ([]conversation.Record, error) {
+	var batch []conversation.Record
+	size := 0
+	for _, record := range records[:min(len(records), maxHandoverRecords)] {
+		if record.Turn != nil {
+			turn := *record.Turn
+			record.Turn = &turn
+		}
+		if err := r.loadTexts([]conversation.Record{record}); err != nil {
+			return nil, err
+		}
+		if record.Turn != nil {
+			size += len(record.Turn.Text)
+		}
+		if size > maxHandoverBytes && len(batch) > 0 {
+			break
+		}
+		batch = append(batch, record)
+	}
+	return batch, nil
+}
