turnstore: a member that is slow to fetch its records after a disk loss leaves the set

Cause: the same circle. The empty member B is complete once it has pulled from a read quorum of complete members; of C and the lost D only C is there. The new replica isn't ready for the same reason, and D can't be evicted, since B doesn't count.

Evidence: TestReplacementWhileEmptyMemberFetches failed on the code before ("timeout hit after 15s: all replicas are complete members").

Fix: a member that has lacked records for 3.5 s, while all others are there, leaves the set as a lost one is evicted: the others pull from each other first, so that each record is on both. It joins again once it has everything, for which it needs one of them only.

--- a/internal/events/events.go
+++ b/internal/events/events.go
@@ -172,7 +172,7 @@
 	{ReplicasRegained, "replicas_regained", logrus.InfoLevel, "enough replicas answer this gateway again"},
 	{ReplicaShardChanged, "replica_shard_changed", logrus.InfoLevel, "this spare holds another shard from now on, for that one lacks a member"},
 	{ReplicaWaiting, "replica_waiting", logrus.WarnLevel, "this replica has lacked records, or a place in its set, for long; the fields name what it waits for"},
-	{ReplicaEvicting, "replica_evicting", logrus.WarnLevel, "this spare removes a lost member from the set, for it can't take its place before it holds all records"},
+	{ReplicaEvicting, "replica_evicting", logrus.WarnLevel, "a lost member, or this one if it is empty, leaves the set, for its place can't be taken before all records are fetched"},
 	{CacheReleased, "cache_released", logrus.DebugLevel, "an engine confirmed that it holds no cache of an ended program"},
 	{CacheReleaseFailed, "cache_release_failed", logrus.WarnLevel, "an engine did not confirm a release; it is tried again"},
 	{EngineBreakerOpen, "engine_breaker_open", logrus.WarnLevel, "an engine failed repeatedly and gets no work for a while"},
--- a/internal/turnstore/eviction.go
+++ b/internal/turnstore/eviction.go
@@ -13,39 +13,68 @@
 // replica may need long to fetch them, and if another member loses its disk meanwhile, that member, the lost one and the
 // new one would wait for each other. So a spare that isn't ready to join removes the lost member first. The remaining
 // members hold nearly all records already: each pulls what it lacks from the others, and from then on each record is on
-// all of them.
+// all of them. A member that lost its disk and needs long to fetch its records leaves the set in the same way, and joins
+// again as a spare does.
 
 const (
 	// evictionTimeout is how long an eviction may take before it is aborted.
 	evictionTimeout = 2 * time.Second
 	// evictionDelay is how long a spare that is ready to join may take to replace a lost member.
 	evictionDelay = 300 * time.Millisecond
-	// evictionInterval is the delay before a spare tries again to evict a member after an eviction was aborted.
+	// emptyMemberTimeout is how long a member may lack records before it leaves the set.
+	emptyMemberTimeout = 3500 * time.Millisecond
+	// evictionInterval is the delay before a replica tries again after an eviction was aborted.
 	evictionInterval = 10 * time.Second
 )
 
-// isEviction reports whether a change removes a member on behalf of a spare, which is not in the set itself.
+// isEviction reports whether a change removes a lost member on behalf of a spare, which is not in the set itself.
 func (s ReplicaSet) isEviction() bool { return s.Changing() && !s.Has(s.ChangedBy) }
 
-// evict begins to remove a member that has timed out. The set must keep as many members as a record needs copies.
+// evict begins to remove a member that has timed out.
 func (r *Replica) evict(ctx context.Context, set ReplicaSet) error {
 	lost := r.timedOutMember(set.Members)
-	if lost == "" || len(set.Members) <= set.Copies || r.quorumContactFor(set) <= memberTimeout+evictionDelay || time.Now().Before(r.nextEvictionAt) {
+	if lost == "" || r.quorumContactFor(set) <= memberTimeout+evictionDelay {
+		return nil
+	}
+	return r.beginEviction(ctx, set, lost)
+}
+
+// leave begins to remove this replica, which lacks records, if all other members are there to pull from each other.
+func (r *Replica) leave(ctx context.Context, set ReplicaSet) error {
+	if !r.hasContactWithAll(set.Members) {
+		return nil
+	}
+	return r.beginEviction(ctx, set, r.options.Self.Name)
+}
+
+// emptyFor returns how long this replica has lacked records; 0 if it is complete.
+func (r *Replica) emptyFor() time.Duration {
+	if r.folder.record().Complete {
+		return 0
+	}
+	r.mutex.Lock()
+	defer r.mutex.Unlock()
+	return time.Since(r.emptySince)
+}
+
+// beginEviction begins to remove a member. The set must keep as many members as a record needs copies.
+func (r *Replica) beginEviction(ctx context.Context, set ReplicaSet, leaving string) error {
+	if len(set.Members) <= set.Copies || time.Now().Before(r.nextEvictionAt) {
 		return nil
 	}
 	joint := set
 	joint.Epoch++
-	joint.Next = without(set.Members, lost)
+	joint.Next = without(set.Members, leaving)
 	joint.ChangedBy = r.options.Self.Name
 	if err := r.replaceSet(ctx, set, joint); err != nil {
 		return err
 	}
 	r.nextEvictionAt = time.Now().Add(evictionInterval)
-	r.logger.Emit(events.ReplicaEvicting, events.F("lost", lost), events.F("epoch", joint.Epoch), events.F("turns", r.size().turns))
+	r.logger.Emit(events.ReplicaEvicting, events.F("leaving", leaving), events.F("epoch", joint.Epoch), events.F("turns", r.size().turns))
 	return r.finishEviction(ctx, joint)
 }
 
-// finishEviction completes this spare's eviction: it fences the old epoch, lets the remaining members pull from each
+// finishEviction completes an eviction that this replica began: it fences the old epoch, lets the remaining members pull from each
 // other, then makes them the only ones. If that takes too long, it aborts the change.
 func (r *Replica) finishEviction(ctx context.Context, joint ReplicaSet) error {
 	fenced := r.fenceMembers(ctx, joint)
--- a/internal/turnstore/eviction_test.go
+++ b/internal/turnstore/eviction_test.go
@@ -50,6 +50,36 @@
 	}
 }
 
+// A member loses its disk, and another one is replaced while it still fetches records: the empty one, the lost one and the
+// new one must not wait for each other.
+func TestReplacementWhileEmptyMemberFetches(t *testing.T) {
+	t.Parallel()
+	const turns = 4000
+	c := newCluster(t, 3)
+	c.putMany(turns)
+	c.fetchDelay.Store(int64(time.Second))
+	wiped := c.machines[1]
+	c.wipe(wiped)
+	c.start(wiped)
+	timer := time.NewTimer(catchUpTarget)
+	defer timer.Stop()
+	<-timer.C
+	assert.Assert(t, !wiped.complete(), "the empty member has fetched all records already")
+	c.replace(c.machines[0])
+	c.fetchDelay.Store(0)
+	eventually(t, "all replicas are complete members", func() bool {
+		set := c.store.set()
+		for _, m := range c.machines {
+			if !set.Has(m.name) || !m.complete() || m.turns() != turns {
+				return false
+			}
+		}
+		return !set.Changing() && len(set.Members) == 3
+	})
+	_, err := c.read("never")
+	assert.Assert(t, apierr.Is(err, apierr.NoSuchTurn), "%v", err)
+}
+
 // evicted reports whether the set has lost a member and is not changing.
 func (c *cluster) evicted(lost string) bool {
 	set := c.store.set()
--- a/internal/turnstore/membership.go
+++ b/internal/turnstore/membership.go
@@ -86,7 +86,7 @@
 		return r.bootstrap(ctx, state)
 	case retiring:
 		return r.retire(ctx, set)
-	case set.isEviction() && set.ChangedBy == self:
+	case set.Changing() && set.ChangedBy == self && !contains(set.Next, self) && (set.isEviction() || !r.folder.record().Complete):
 		return r.finishEviction(ctx, set)
 	case set.Changing() && set.ChangedBy == self && !contains(set.Next, self):
 		// This replica was leaving, but its retirement was withdrawn, or it restarted and does not know of it yet.
@@ -99,6 +99,8 @@
 		return r.join(ctx, set, state.startedAt)
 	case r.addressChanged(set):
 		return r.updateAddress(ctx, set)
+	case r.emptyFor() > emptyMemberTimeout:
+		return r.leave(ctx, set)
 	}
 	return nil
 }
