turnstore: an empty member that is retired leaves its records on enough members

Callers: none seen; found by reading retire() for the case before. A member that lost its disk and is retired before it has fetched its records handed over what it had, which is nothing of what it had acknowledged. A record that only it and one other member had stored was then on one disk of the two that remain, whose read quorum is one: the other one could answer that there is no such turn.

Fix: while it lacks records it leaves as in an eviction: the others pull from each other first.

--- a/internal/turnstore/retirement.go
+++ b/internal/turnstore/retirement.go
@@ -34,6 +34,9 @@
 	if set.Changing() && set.ChangedBy != self {
 		return r.abortChange(ctx, set)
 	}
+	if !r.folder.record().Complete {
+		return r.retireEmpty(ctx, set)
+	}
 	timedOut := r.timedOutMember(set.Members) != ""
 	if set.Changing() && timedOut {
 		return r.cancelRetirement(ctx, set)
@@ -57,6 +60,18 @@
 	return r.finishRetirement(ctx, set)
 }
 
+// retireEmpty makes this replica leave while it lacks records. It has nothing to hand over in place of those that it lost,
+// so the other members pull from each other first.
+func (r *Replica) retireEmpty(ctx context.Context, set ReplicaSet) error {
+	if set.Changing() {
+		return r.finishEviction(ctx, set)
+	}
+	if err := r.reportRetirementStarted(ctx, set); err != nil {
+		return err
+	}
+	return r.leave(ctx, set)
+}
+
 // spareExpected reports whether a spare is likely to replace this replica soon.
 func (r *Replica) spareExpected() bool {
 	r.mutex.Lock()
--- a/internal/turnstore/retirement_test.go
+++ b/internal/turnstore/retirement_test.go
@@ -209,3 +209,22 @@
 		return minMembers
 	}
 }
+
+// A member that lost its disk may be retired before it has fetched its records: what it had acknowledged must be on
+// enough of the others first.
+func TestRetirementOfEmptyMember(t *testing.T) {
+	t.Parallel()
+	c := newCluster(t, 3)
+	retiring, behind := c.machines[0], c.machines[2]
+	c.kill(behind)
+	c.put("a", "")
+	// Stop the client's background writes, or the third machine would receive the record when it is back.
+	c.client.network.Close()
+	c.fetchDelay.Store(int64(pullTimeout - 100*time.Millisecond))
+	c.wipe(retiring)
+	c.start(behind)
+	c.start(retiring)
+	retiring.retiring.Store(true)
+	eventually(t, "the machine is retired", retiring.retired.Load)
+	assert.Assert(t, behind.process.replica.holdsTurn("a"), "only one copy of the turn is left")
+}
