turnstore: a pull fails if the peer has restarted since it listed its keys

Callers: none seen; found by reading the change for answers that are counted without knowing who gave them. They would have seen a kept turn reported as unknown, or a budget exceeded.

Cause: a pull is a list of keys and then fetches, and a fetch leaves out what the peer no longer holds. A peer that loses its disk in between, and is back before the fetch is sent, leaves out everything. The pull counted as one from a complete peer.

Fix: a fetch names the incarnation of the replica that answers. If it isn't the one that listed the keys, the pull is begun anew. A replica of an earlier build names none, which is taken as before; the field is one that it ignores. The test cluster's delay ends with its request, in place of a bare sleep.

--- a/internal/turnstore/catchup_test.go
+++ b/internal/turnstore/catchup_test.go
@@ -9,6 +9,8 @@
 	"gotest.tools/v3/assert"
 
 	"github.com/mountstile/mountstile/internal/conversation"
+	"github.com/mountstile/mountstile/internal/events"
+	"github.com/mountstile/mountstile/internal/transport"
 )
 
 // catchUpTarget is the time from the start of a new machine until the loss of another one must be tolerated.
@@ -64,3 +66,31 @@
 	assert.Equal(t, newcomer.turns(), turns)
 	assert.Assert(t, c.served.Load()-served <= turns*11/10, "%d records were fetched", c.served.Load()-served)
 }
+
+// A peer loses its disk between the list of its keys and the fetch: what it leaves out then does not count as pulled.
+func TestPullFromPeerThatLosesItsDiskDoesNotCount(t *testing.T) {
+	t.Parallel()
+	c := newCluster(t, 3)
+	c.put("a", "")
+	source := c.machines[0]
+	eventually(t, "the source has the turn", func() bool { return source.turns() == 1 })
+	listed := source.process.replica
+	network := transport.New(transport.Options{Cluster: "test", NodeID: "puller", Logger: events.Discard()})
+	t.Cleanup(network.Close)
+	puller, err := NewReplica(ReplicaOptions{Self: Member{Name: "puller"}, Folder: memoryFolder(t), Copies: 2, Size: 3}, network, events.Discard())
+	assert.NilError(t, err)
+	puller.ApplySet(c.store.set())
+	member := Member{Name: source.name, Address: source.address}
+	progress := puller.progressOf(member)
+	digest, err := puller.requestDigest(t.Context(), 0, member, progress, false)
+	assert.NilError(t, err)
+	assert.Assert(t, digest.Complete && len(digest.Keys) == 1)
+	c.wipe(source)
+	// The empty replica must not catch up before the fetch.
+	for _, m := range c.machines[1:] {
+		c.kill(m)
+	}
+	c.start(source)
+	assert.Assert(t, source.process.replica != listed)
+	assert.Assert(t, !puller.fetch(t.Context(), member, digest.Incarnation, progress, digest.Keys), "an empty peer's answer counts as a pull")
+}
--- a/internal/turnstore/cluster_test.go
+++ b/internal/turnstore/cluster_test.go
@@ -17,6 +17,7 @@
 	"gotest.tools/v3/assert"
 	"gotest.tools/v3/poll"
 
+	"github.com/mountstile/mountstile/internal/clock"
 	"github.com/mountstile/mountstile/internal/configstore"
 	"github.com/mountstile/mountstile/internal/conversation"
 	"github.com/mountstile/mountstile/internal/events"
@@ -323,7 +324,7 @@
 	}, network, events.Discard())
 	assert.NilError(c.t, err)
 	transport.Handle(network, fetchKind, func(ctx context.Context, from transport.Peer, request fetchRequest) (fetchResponse, error) {
-		time.Sleep(time.Duration(c.fetchDelay.Load()))
+		clock.Sleep(ctx, time.Duration(c.fetchDelay.Load()))
 		response, err := replica.serveFetch(ctx, from, request)
 		c.served.Add(int64(len(response.Records)))
 		return response, err
--- a/internal/turnstore/fetch.go
+++ b/internal/turnstore/fetch.go
@@ -63,9 +63,11 @@
 // fetchPass fetches records from one peer in several batches at a time. A key that another pass has claimed is
 // deferred: once it is released, it is held, or this pass fetches it.
 type fetchPass struct {
-	replica  *Replica
-	member   Member
-	progress *peerProgress
+	replica *Replica
+	member  Member
+	// incarnation is the peer's when it listed the keys.
+	incarnation string
+	progress    *peerProgress
 
 	mutex    sync.Mutex
 	keys     []conversation.Key
@@ -74,12 +76,13 @@
 }
 
 // fetch requests records from a peer and reports whether the replica now holds and has synced all of them. A peer
-// leaves out records that it no longer holds.
-func (r *Replica) fetch(ctx context.Context, member Member, progress *peerProgress, keys []conversation.Key) bool {
+// leaves out records that it no longer holds. If the peer has restarted since it listed the keys, the fetch fails: it may
+// have lost its disk, and then leaves out records that it has acknowledged.
+func (r *Replica) fetch(ctx context.Context, member Member, incarnation string, progress *peerProgress, keys []conversation.Key) bool {
 	if len(keys) == 0 {
 		return true
 	}
-	pass := &fetchPass{replica: r, member: member, progress: progress, keys: keys}
+	pass := &fetchPass{replica: r, member: member, incarnation: incarnation, progress: progress, keys: keys}
 	var workers sync.WaitGroup
 	for range min(fetchConcurrency, len(keys)) {
 		workers.Add(1)
@@ -159,7 +162,7 @@
 	response, err := transport.Call[fetchResponse](callContext, r.network, p.member.Peer(), fetchKind, fetchRequest{Keys: batch})
 	cancel()
 	r.adjustFetchLimit(p.progress, len(batch), response.Records, err)
-	if err != nil {
+	if err != nil || response.Incarnation != "" && response.Incarnation != p.incarnation {
 		return false
 	}
 	r.recordResponse(p.progress)
--- a/internal/turnstore/messages.go
+++ b/internal/turnstore/messages.go
@@ -85,7 +85,9 @@
 }
 
 type fetchResponse struct {
-	Records []conversation.Record `json:"r"`
+	// Incarnation is that of the replica; empty from replicas of earlier builds.
+	Incarnation string                `json:"i,omitempty"`
+	Records     []conversation.Record `json:"r"`
 }
 
 type fenceRequest struct {
--- a/internal/turnstore/pull.go
+++ b/internal/turnstore/pull.go
@@ -192,7 +192,7 @@
 		if response.ReplicaSet != nil {
 			r.ApplySet(*response.ReplicaSet)
 		}
-		if !r.fetch(ctx, member, progress, r.missing(response.Keys)) {
+		if !r.fetch(ctx, member, response.Incarnation, progress, r.missing(response.Keys)) {
 			return
 		}
 		reachedEnd := len(response.Keys) < digestKeys
--- a/internal/turnstore/replica.go
+++ b/internal/turnstore/replica.go
@@ -439,7 +439,7 @@
 
 func (r *Replica) serveFetch(_ context.Context, _ transport.Peer, request fetchRequest) (fetchResponse, error) {
 	r.mutex.Lock()
-	var response fetchResponse
+	response := fetchResponse{Incarnation: r.incarnation}
 	for _, key := range request.Keys[:min(len(request.Keys), fetchKeys)] {
 		if record, found := r.state.Record(key); found {
 			response.Records = append(response.Records, record)
