turnstore: an empty member doesn't keep a lost one in the set

Cause: an eviction asked all members that it had fenced to pull from each other, and an empty one can't; an empty member left only while all others were there, and the lost one wasn't. So each kept the other in the set, and with the third disk a read quorum of complete members was gone.

Evidence: TestEvictionBesideEmptyMember failed on ("timeout hit after 15s: all replicas are complete members").

Fix: only members that answer the fence as complete take part. They must be a read quorum of the old set and a write quorum of the next one, which is all that the argument needs. An eviction begins only if a read quorum of complete members has answered of late, so that a state in which it can't succeed doesn't change the epoch every 10 s.

--- a/internal/turnstore/eviction.go
+++ b/internal/turnstore/eviction.go
@@ -39,11 +39,8 @@
 	return r.beginEviction(ctx, set, lost)
 }
 
-// leave begins to remove this replica, which lacks records, if all other members are there to pull from each other.
+// leave begins to remove this replica, which lacks records.
 func (r *Replica) leave(ctx context.Context, set ReplicaSet) error {
-	if !r.hasContactWithAll(set.Members) {
-		return nil
-	}
 	return r.beginEviction(ctx, set, r.options.Self.Name)
 }
 
@@ -57,9 +54,10 @@
 	return time.Since(r.emptySince)
 }
 
-// beginEviction begins to remove a member. The set must keep as many members as a record needs copies.
+// beginEviction begins to remove a member if enough of the others are there and complete. The set must keep as many members
+// as a record needs copies.
 func (r *Replica) beginEviction(ctx context.Context, set ReplicaSet, leaving string) error {
-	if len(set.Members) <= set.Copies || time.Now().Before(r.nextEvictionAt) {
+	if len(set.Members) <= set.Copies || time.Now().Before(r.nextEvictionAt) || !r.hasCompleteQuorum(set) {
 		return nil
 	}
 	joint := set
@@ -74,11 +72,23 @@
 	return r.finishEviction(ctx, joint)
 }
 
+// hasCompleteQuorum reports whether a read quorum of other members responded recently and said that they are complete.
+func (r *Replica) hasCompleteQuorum(set ReplicaSet) bool {
+	r.mutex.Lock()
+	defer r.mutex.Unlock()
+	complete := make(map[string]bool)
+	for _, member := range set.Members {
+		progress := r.peers[member.Name]
+		complete[member.Name] = progress != nil && progress.reportedComplete && time.Since(progress.lastResponseAt) < contactWindow
+	}
+	return count(set.Members, complete) >= set.readQuorum(set.Members)
+}
+
 // finishEviction completes an eviction that this replica began: it fences the old epoch, lets the remaining members pull from each
 // other, then makes them the only ones. If that takes too long, it aborts the change.
 func (r *Replica) finishEviction(ctx context.Context, joint ReplicaSet) error {
-	fenced := r.fenceMembers(ctx, joint)
-	if !joint.HasReadQuorum(fenced) || !r.synchronize(ctx, joint, fenced) {
+	_, complete := r.fenceMembers(ctx, joint)
+	if !joint.HasReadQuorum(complete) || !r.synchronize(ctx, joint, complete) {
 		return r.abortLateEviction(ctx, joint)
 	}
 	if err := r.replaceSet(ctx, joint, completedChange(joint)); err != nil {
@@ -99,14 +109,14 @@
 	return r.replaceSet(ctx, joint, abortedChange(joint))
 }
 
-// synchronize makes the fenced members that remain, which are a read quorum, pull from each other. It reports whether each
-// acknowledged record of an older epoch is then on a write quorum of the next set: fenced members accept no more of them,
-// and each is on one of these members at least, and so on all.
-func (r *Replica) synchronize(ctx context.Context, joint ReplicaSet, fenced map[string]bool) bool {
+// synchronize makes those members that remain, are fenced and complete pull from each other. They must be a read quorum. It
+// reports whether each acknowledged record of an older epoch is then on a write quorum of the next set: fenced members
+// accept no more of them, and each is on one of these members at least, and so on all.
+func (r *Replica) synchronize(ctx context.Context, joint ReplicaSet, complete map[string]bool) bool {
 	var members []Member
 	var names []string
 	for _, member := range joint.Next {
-		if fenced[member.Name] {
+		if complete[member.Name] {
 			members = append(members, member)
 			names = append(names, member.Name)
 		}
@@ -121,7 +131,7 @@
 		all = <-results && all
 	}
 	next := ReplicaSet{Members: joint.Next, Copies: joint.Copies}
-	return all && next.HasWriteQuorum(fenced)
+	return all && next.HasWriteQuorum(complete)
 }
 
 func (r *Replica) requestSync(ctx context.Context, member Member, request syncRequest) bool {
--- a/internal/turnstore/eviction_test.go
+++ b/internal/turnstore/eviction_test.go
@@ -245,6 +245,35 @@
 	assert.Assert(t, apierr.Is(err, apierr.NoSuchTurn), "%v", err)
 }
 
+// Of five members one is lost and one is empty, and while they are being replaced another one loses its disk: the empty
+// ones must not keep the lost one in the set, or all of them wait for each other.
+func TestEvictionBesideEmptyMember(t *testing.T) {
+	t.Parallel()
+	const turns = 4000
+	c := newCluster(t, 5)
+	c.putMany(turns)
+	c.fetchDelay.Store(int64(time.Second))
+	first, second := c.machines[1], c.machines[2]
+	c.wipe(first)
+	c.start(first)
+	c.replace(c.machines[0])
+	assert.Assert(t, !first.complete(), "the empty member has fetched all records already")
+	c.wipe(second)
+	c.start(second)
+	c.fetchDelay.Store(0)
+	eventually(t, "all replicas are complete members", func() bool {
+		set := c.store.set()
+		for _, m := range c.machines {
+			if !set.Has(m.name) || !m.complete() || m.turns() != turns {
+				return false
+			}
+		}
+		return !set.Changing() && len(set.Members) == 5
+	})
+	_, err := c.read("never")
+	assert.Assert(t, apierr.Is(err, apierr.NoSuchTurn), "%v", err)
+}
+
 func (r *Replica) holdsTurn(id string) bool {
 	r.mutex.Lock()
 	defer r.mutex.Unlock()
--- a/internal/turnstore/membership.go
+++ b/internal/turnstore/membership.go
@@ -251,24 +251,31 @@
 
 // fence distributes a set to so many members that no write of an older epoch can reach a quorum.
 func (r *Replica) fence(ctx context.Context, set ReplicaSet) bool {
-	return set.HasReadQuorum(r.fenceMembers(ctx, set))
+	fenced, _ := r.fenceMembers(ctx, set)
+	return set.HasReadQuorum(fenced)
 }
 
-// fenceMembers distributes a set to all members and returns those that reject older epochs from now on. It does not wait
-// for the members that leave once a read quorum and all members of Next have responded: they may be lost.
-func (r *Replica) fenceMembers(ctx context.Context, set ReplicaSet) map[string]bool {
+// fenceMembers distributes a set to all members. It returns those that reject older epochs from now on and, of these,
+// those that are complete. It does not wait for the members that leave once a read quorum and all members of Next have
+// responded: they may be lost.
+func (r *Replica) fenceMembers(ctx context.Context, set ReplicaSet) (fenced, complete map[string]bool) {
 	type result struct {
-		name   string
-		fenced bool
+		name             string
+		fenced, complete bool
 	}
-	fenced := map[string]bool{}
+	fenced, complete = make(map[string]bool), make(map[string]bool)
 	if r.folder.saveSet(set) == nil {
 		fenced[r.options.Self.Name] = true
+		complete[r.options.Self.Name] = r.folder.record().Complete
 	}
 	members := without(set.All(), r.options.Self.Name)
 	results := make(chan result, len(members))
 	for _, member := range members {
-		go func() { results <- result{member.Name, r.fenceMember(ctx, set, member)} }()
+		go func() {
+			response, err := r.fenceMember(ctx, set, member)
+			holds := err == nil && response.Epoch >= set.Epoch
+			results <- result{name: member.Name, fenced: holds, complete: holds && response.Complete}
+		}()
 	}
 	pending := without(set.Next, r.options.Self.Name)
 	for range members {
@@ -276,17 +283,16 @@
 			break
 		}
 		answer := <-results
-		fenced[answer.name] = answer.fenced
+		fenced[answer.name], complete[answer.name] = answer.fenced, answer.complete
 		pending = without(pending, answer.name)
 	}
-	return fenced
+	return fenced, complete
 }
 
-func (r *Replica) fenceMember(ctx context.Context, set ReplicaSet, member Member) bool {
+func (r *Replica) fenceMember(ctx context.Context, set ReplicaSet, member Member) (fenceResponse, error) {
 	callContext, cancel := context.WithTimeout(ctx, fenceTimeout)
 	defer cancel()
-	response, err := transport.Call[fenceResponse](callContext, r.network, member.Peer(), fenceKind, fenceRequest{ReplicaSet: set})
-	return err == nil && response.Epoch >= set.Epoch
+	return transport.Call[fenceResponse](callContext, r.network, member.Peer(), fenceKind, fenceRequest{ReplicaSet: set})
 }
 
 // abortChange aborts a change whose initiator is lost. Writes made during the change were stored in the old set, too.
--- a/internal/turnstore/pull.go
+++ b/internal/turnstore/pull.go
@@ -35,6 +35,8 @@
 	// lastResponseAt is when the peer last responded; firstRequestAt is the start of the current series of requests.
 	lastResponseAt time.Time
 	firstRequestAt time.Time
+	// reportedComplete is whether the peer last reported that it is complete, in a pull or a heartbeat.
+	reportedComplete bool
 	// sparePulling is whether the peer last reported that a spare pulls from it.
 	sparePulling bool
 	// lastRequestAt is when the peer was last contacted. A former member is not contacted, so its silence counts only
@@ -236,7 +238,7 @@
 	response, err := transport.Call[digestResponse](callContext, r.network, member.Peer(), digestKind, request)
 	if err == nil {
 		r.recordResponse(progress)
-		r.recordSparePulling(progress, response.SparePulling)
+		r.recordReport(progress, response)
 	}
 	return response, err
 }
@@ -249,10 +251,12 @@
 	progress.lastResponseAt = time.Now()
 }
 
-func (r *Replica) recordSparePulling(progress *peerProgress, sparePulling bool) {
+// recordReport notes what a peer says of itself.
+func (r *Replica) recordReport(progress *peerProgress, response digestResponse) {
 	r.mutex.Lock()
 	defer r.mutex.Unlock()
-	progress.sparePulling = sparePulling
+	progress.sparePulling = response.SparePulling
+	progress.reportedComplete = response.Complete
 }
 
 func (r *Replica) missing(keys []conversation.Key) []conversation.Key {
