--- a/internal/turnstore/eviction_test.go
+++ b/internal/turnstore/eviction_test.go
@@ -35,17 +35,7 @@
 			})
 			c.put("later", "turn-0")
 			c.fetchDelay.Store(0)
-			eventually(t, "all replicas are complete members", func() bool {
-				set := c.store.set()
-				for _, m := range c.machines {
-					if !set.Has(m.name) || !m.complete() || m.turns() != turns+1 {
-						return false
-					}
-				}
-				return !set.Changing() && len(set.Members) == 3
-			})
-			_, err := c.read("never")
-			assert.Assert(t, apierr.Is(err, apierr.NoSuchTurn), "%v", err)
+			c.awaitFullSet(turns + 1)
 		})
 	}
 }
@@ -67,17 +57,62 @@
 	assert.Assert(t, !wiped.complete(), "the empty member has fetched all records already")
 	c.replace(c.machines[0])
 	c.fetchDelay.Store(0)
-	eventually(t, "all replicas are complete members", func() bool {
+	c.awaitFullSet(turns)
+}
+
+// The new replica is itself replaced while it fetches, and then another member loses its disk.
+func TestNewcomerIsReplacedWhileItFetches(t *testing.T) {
+	t.Parallel()
+	const turns = 4000
+	c := newCluster(t, 3)
+	c.putMany(turns)
+	c.fetchDelay.Store(int64(time.Second))
+	newcomer := c.replace(c.machines[0])
+	assert.Assert(t, newcomer.turns() < turns, "the new replica has fetched all records already")
+	c.kill(newcomer)
+	c.remove(newcomer)
+	c.add("second newcomer")
+	wiped := c.machines[0]
+	c.wipe(wiped)
+	c.start(wiped)
+	c.fetchDelay.Store(0)
+	c.awaitFullSet(turns)
+}
+
+// One member after the other loses its disk, each as soon as that must be tolerated.
+func TestDisksAreLostOneAfterTheOther(t *testing.T) {
+	t.Parallel()
+	const turns = 4000
+	c := newCluster(t, 3)
+	c.putMany(turns)
+	c.fetchDelay.Store(int64(time.Second))
+	for _, wiped := range c.machines[:2] {
+		c.wipe(wiped)
+		c.start(wiped)
+		timer := time.NewTimer(catchUpTarget)
+		<-timer.C
+		assert.Assert(t, !wiped.complete(), "the empty member has fetched all records already")
+		_, err := c.read("never")
+		assert.Assert(t, apierr.Is(err, apierr.NoSuchTurn), "%v", err)
+	}
+	c.fetchDelay.Store(0)
+	c.awaitFullSet(turns)
+}
+
+// awaitFullSet waits until all machines are complete members that hold the turns, and checks that reads are certain.
+func (c *cluster) awaitFullSet(turns int) {
+	c.t.Helper()
+	eventually(c.t, "all replicas are complete members", func() bool {
 		set := c.store.set()
 		for _, m := range c.machines {
 			if !set.Has(m.name) || !m.complete() || m.turns() != turns {
 				return false
 			}
 		}
-		return !set.Changing() && len(set.Members) == 3
+		return !set.Changing() && len(set.Members) == c.size
 	})
 	_, err := c.read("never")
-	assert.Assert(t, apierr.Is(err, apierr.NoSuchTurn), "%v", err)
+	assert.Assert(c.t, apierr.Is(err, apierr.NoSuchTurn), "%v", err)
 }
 
 // evicted reports whether the set has lost a member and is not changing.
@@ -261,17 +296,7 @@
 	c.wipe(second)
 	c.start(second)
 	c.fetchDelay.Store(0)
-	eventually(t, "all replicas are complete members", func() bool {
-		set := c.store.set()
-		for _, m := range c.machines {
-			if !set.Has(m.name) || !m.complete() || m.turns() != turns {
-				return false
-			}
-		}
-		return !set.Changing() && len(set.Members) == 5
-	})
-	_, err := c.read("never")
-	assert.Assert(t, apierr.Is(err, apierr.NoSuchTurn), "%v", err)
+	c.awaitFullSet(turns)
 }
 
 func (r *Replica) holdsTurn(id string) bool {
