--- a/review/standins/platform/caller.go
+++ b/review/standins/platform/caller.go
@@ -26,8 +26,8 @@
 	// turnTries is how often a program sends a failed turn, with retries attempts at each.
 	turnTries    = 3
 	attemptCount = 2
-	// essayShare is the share of programs whose turns may be resumed, and bring their whole prompt.
-	essayShare = 0.25
+	// usualEssayShare is the usual share of programs whose turns may be resumed.
+	usualEssayShare = 0.25
 )
 
 // result is the end of one client attempt.
@@ -42,6 +42,8 @@
 	// reused is set if the attempt used a kept connection.
 	reused bool
 	body   string
+	// limit is how long the client waits.
+	limit time.Duration
 	// wait is the answer's Retry-After.
 	wait time.Duration
 	err  error
@@ -60,10 +62,12 @@
 	transports map[*process]*http.Transport
 	running    sync.WaitGroup
 	programs   int
+	// essayShare is the share of programs whose turns may be resumed, and bring their whole prompt.
+	essayShare float64
 }
 
 func newClients(served *fleet) *clients {
-	return &clients{fleet: served, record: served.record, transports: make(map[*process]*http.Transport)}
+	return &clients{fleet: served, record: served.record, transports: make(map[*process]*http.Transport), essayShare: usualEssayShare}
 }
 
 // transport returns the kept connections to a gateway. A request is given to the transport once only.
@@ -100,7 +104,7 @@
 func (c *clients) runProgram() {
 	program := newID()
 	kind := "dialogue"
-	if rand.Float64() < essayShare {
+	if rand.Float64() < c.essayShare {
 		kind = "essay"
 	}
 	previous := ""
@@ -192,7 +196,7 @@
 // send makes one attempt.
 func (c *clients) send(program, kind, previous string, body []byte, limit time.Duration, fresh bool) result {
 	gateway := c.fleet.entry()
-	sent := result{id: newID(), kind: kind, gateway: gateway, sentAt: time.Now()}
+	sent := result{id: newID(), kind: kind, gateway: gateway, sentAt: time.Now(), limit: limit}
 	ctx, cancel := context.WithTimeout(context.Background(), limit+50*time.Millisecond)
 	defer cancel()
 	method := http.MethodPost
--- a/review/standins/platform/engine.go
+++ b/review/standins/platform/engine.go
@@ -1,12 +1,14 @@
 package main
 
 import (
+	"context"
 	"fmt"
 	"io"
 	"net"
 	"net/http"
 	"strconv"
 	"sync"
+	"sync/atomic"
 	"time"
 )
 
@@ -27,21 +29,19 @@
 	id, service, zone, version string
 	slots                      int
 	model                      bool
-	// longer is the number of events of a turn if it isn't eventCount.
-	longer  int
-	address string
-	store   *store
-	record  *record
+	address                    string
+	store                      *store
+	record                     *record
 	// spoil may answer a request, which counts as run, in place of the engine; nil for sound answers.
 	spoil func(writer http.ResponseWriter, request *http.Request) bool
+	// full is set while the engine is out of memory.
+	full atomic.Bool
 	// ledger learns of each run.
 	ledger *ledger
 
 	mutex    sync.Mutex
 	server   *http.Server
 	busy     int
-	runs     int
-	draining bool
 	born     int64
 	sequence int64
 	stopped  chan struct{}
@@ -60,7 +60,7 @@
 	e.mutex.Lock()
 	defer e.mutex.Unlock()
 	e.address = listener.Addr().String()
-	e.busy, e.draining, e.sequence = 0, false, 0
+	e.busy, e.sequence = 0, 0
 	e.born = time.Now().UnixMilli()
 	e.stopped = make(chan struct{})
 	e.server = &http.Server{Handler: e}
@@ -86,26 +86,13 @@
 func (e *engine) publish() {
 	e.mutex.Lock()
 	defer e.mutex.Unlock()
-	state := "ready"
-	if e.draining {
-		state = "draining"
-	}
 	e.sequence++
 	e.store.put("servers/"+e.id, map[string]any{
-		"service": e.service, "address": e.address, "zone": e.zone, "version": e.version, "slots": e.slots, "state": state,
+		"service": e.service, "address": e.address, "zone": e.zone, "version": e.version, "slots": e.slots, "state": "ready",
 		"cold_left_ms": 0, "sequence": e.sequence, "born": e.born,
 	})
 }
 
-// drain says that the engine is about to leave.
-func (e *engine) drain() {
-	e.mutex.Lock()
-	e.draining = true
-	e.mutex.Unlock()
-	e.publish()
-	e.record.write("engine %s: draining", e.id)
-}
-
 // stop ends the engine. Its entry goes.
 func (e *engine) stop() {
 	e.mutex.Lock()
@@ -129,7 +116,6 @@
 		return false
 	}
 	e.busy++
-	e.runs++
 	return true
 }
 
@@ -139,13 +125,6 @@
 	e.busy--
 }
 
-// runCount returns how many requests the engine has run.
-func (e *engine) runCount() int {
-	e.mutex.Lock()
-	defer e.mutex.Unlock()
-	return e.runs
-}
-
 // ServeHTTP implements http.Handler.
 func (e *engine) ServeHTTP(writer http.ResponseWriter, request *http.Request) {
 	if request.URL.Path == "/healthz" {
@@ -175,6 +154,8 @@
 		return
 	}
 	defer e.freeSlot()
+	request, cancel := withDeadline(request)
+	defer cancel()
 	e.record.write("engine %s: runs %s, %d bytes", e.id, id, len(body))
 	e.ledger.add(id, e.id)
 	if e.spoil != nil && e.spoil(writer, request) {
@@ -185,14 +166,25 @@
 		e.stream(writer, request)
 		return
 	}
-	if pause(request, plainWork) {
-		_, _ = io.WriteString(writer, plainBody(id))
+	if !pause(request, plainWork) {
+		panic(http.ErrAbortHandler)
 	}
+	_, _ = io.WriteString(writer, plainBody(id))
+}
+
+// withDeadline returns the request with the deadline that its caller gave, at which the engine ceases work.
+func withDeadline(request *http.Request) (*http.Request, context.CancelFunc) {
+	millis, err := strconv.ParseInt(request.Header.Get("Deadline-Ms"), 10, 64)
+	if err != nil {
+		return request, func() {}
+	}
+	ctx, cancel := context.WithTimeout(request.Context(), time.Duration(millis)*time.Millisecond)
+	return request.WithContext(ctx), cancel
 }
 
 func plainBody(id string) string { return "the answer to " + id }
 
-// pause waits and reports whether the caller is still there.
+// pause waits and reports whether the caller is still there and the deadline has not passed.
 func pause(request *http.Request, duration time.Duration) bool {
 	select {
 	case <-time.After(duration):
@@ -202,17 +194,18 @@
 	}
 }
 
+// stream sends the events after the last one that the caller has. It breaks the answer off if the caller is gone or the deadline
+// has passed.
 func (e *engine) stream(writer http.ResponseWriter, request *http.Request) {
 	writer.Header().Set("Content-Type", "text/event-stream")
 	last, _ := strconv.Atoi(request.Header.Get("Last-Event-Id"))
-	if !pause(request, firstEventDelay) {
-		return
-	}
-	for number := last + 1; number <= eventCount; number++ {
+	working := pause(request, firstEventDelay)
+	for number := last + 1; working && number <= eventCount; number++ {
 		_, _ = fmt.Fprintf(writer, "id: %d\ndata: %s says %d\n\n", number, e.version, number)
-		if http.NewResponseController(writer).Flush() != nil || !pause(request, eventInterval) {
-			return
-		}
+		working = http.NewResponseController(writer).Flush() == nil && pause(request, eventInterval) && e.preempt(request, number)
+	}
+	if !working {
+		panic(http.ErrAbortHandler)
 	}
 }
 
--- a/review/standins/platform/fleet.go
+++ b/review/standins/platform/fleet.go
@@ -430,17 +430,3 @@
 	})
 	f.record.write("operator: configuration %d acknowledged at revision %d", f.version, revision)
 }
-
-// clearFolder removes what is in a folder.
-func clearFolder(folder string) error {
-	entries, err := os.ReadDir(folder)
-	if err != nil {
-		return err
-	}
-	for _, entry := range entries {
-		if err := os.RemoveAll(filepath.Join(folder, entry.Name())); err != nil {
-			return err
-		}
-	}
-	return nil
-}
--- a/review/standins/platform/main.go
+++ b/review/standins/platform/main.go
@@ -29,7 +29,7 @@
 var scenarios = map[string]scenario{
 	"endless-heads": playEndlessHeads,
 	"first-start":   playFirstStart,
-	"same-id":       playSameID,
+	"silence":       playSilence,
 }
 
 func main() {
