dispatch: an engine that started again under its ID is another one

Cause: a record without the draining flag was taken for a delayed one, whatever life of the engine it came from; the time of the start in the record was not read. Breaker, latency and connections of the earlier life were believed, too.

Format 2 makes nodes take the new translation of a record that they have. An unplanned restart proves the end of the earlier life.

--- a/internal/dispatch/ends.go
+++ b/internal/dispatch/ends.go
@@ -23,6 +23,8 @@
 	proofReplaced endProof = "replaced"
 	// proofRemoved means that the engine's record was removed though it did not drain.
 	proofRemoved endProof = "removed"
+	// proofRestarted means that the engine started again under its ID though it did not drain.
+	proofRestarted endProof = "restarted"
 	// proofReported means that another gateway reported the end.
 	proofReported endProof = "reported"
 )
@@ -67,7 +69,7 @@
 	r.mutex.Lock()
 	id, service := engine.ID(), engine.specification.Service
 	r.mutex.Unlock()
-	requests, isNew := r.ends.EngineEnded(now, id, service, proof == proofRemoved)
+	requests, isNew := r.ends.EngineEnded(now, id, service, proof == proofRemoved || proof == proofRestarted)
 	if isNew {
 		r.logger.Emit(events.EngineEnded, events.F("engine", id), events.F("service", service), events.F("proof", string(proof)),
 			events.F("requests", requests))
--- a/internal/dispatch/engine.go
+++ b/internal/dispatch/engine.go
@@ -7,8 +7,8 @@
 	"github.com/mountstile/mountstile/internal/upstream"
 )
 
-// EngineFormat is the catalog.Entry.Format of the specifications that this build translates: 1 added Software.
-const EngineFormat = 1
+// EngineFormat is the catalog.Entry.Format of the specifications that this build translates: 1 added Software, 2 StartedMillis.
+const EngineFormat = 2
 
 // EngineSpecification is an engine's record in the catalog.
 type EngineSpecification struct {
@@ -22,6 +22,32 @@
 	Slots    int    `json:"slots"`
 	// Draining engines get no new work.
 	Draining bool `json:"draining,omitempty"`
+	// StartedMillis is when the engine started, in Unix milliseconds by its own clock. An engine that starts again under its ID
+	// has another one. It is 0 if the engine doesn't state it, or if an older build translated the record.
+	StartedMillis int64 `json:"started_ms,omitempty"`
+}
+
+// life tells how the life of an engine that a record describes relates to the known one.
+type life int
+
+const (
+	sameLife life = iota
+	newerLife
+	// earlierLife records were delayed, or the engine's clock was set back before it started again.
+	earlierLife
+)
+
+// life compares the start of a record that is newer in the store. A record without a start is taken for one of the known life.
+func (s EngineSpecification) life(known EngineSpecification) life {
+	switch {
+	case s.StartedMillis == known.StartedMillis, s.StartedMillis == 0:
+		return sameLife
+	case s.StartedMillis > known.StartedMillis && known.StartedMillis > 0:
+		return newerLife
+	case known.StartedMillis == 0:
+		return sameLife
+	}
+	return earlierLife
 }
 
 // Engine is the state that this gateway keeps of one engine. The Registry's mutex guards its fields.
@@ -40,14 +66,16 @@
 	removedAt  time.Time
 	returnedAt time.Time
 	// drainingAt is when the engine began to drain; zero before.
-	drainingAt   time.Time
+	drainingAt time.Time
+	// replaced is set when the engine isn't part of the registry any more.
+	replaced     bool
 	breaker      breaker
 	latencyRatio latencyRatio
 	// fullUntil is when an engine that refused a call gets calls again.
 	fullUntil time.Time
 }
 
-// ID returns the engine's identifier; a restarted engine has a new one.
+// ID returns the engine's identifier. A restarted engine may have the same one.
 func (e *Engine) ID() string { return e.specification.ID }
 
 // Address returns the host and port where the engine listens.
@@ -76,6 +104,7 @@
 // An engine whose record reappears after an outage is trusted at once.
 func (e *Engine) update(now time.Time, specification EngineSpecification, revision int64, last outage) {
 	specification.Draining = specification.Draining || e.specification.Draining
+	specification.StartedMillis = max(specification.StartedMillis, e.specification.StartedMillis)
 	if !e.specification.Draining {
 		e.drainingAt = drainingSince(now, specification)
 	}
@@ -122,7 +151,7 @@
 
 func (e *Engine) presence(now time.Time, last outage) presence {
 	switch {
-	case !e.recorded(now, last) && now.Sub(e.removedAt) > removedGrace:
+	case e.replaced, !e.recorded(now, last) && now.Sub(e.removedAt) > removedGrace:
 		return absent
 	case !e.drainingAt.IsZero() && now.Sub(e.drainingAt) > drainingGrace:
 		return draining
--- a/internal/dispatch/registry.go
+++ b/internal/dispatch/registry.go
@@ -90,19 +90,38 @@
 		r.applyRemoval(now, id, entry.Revision)
 		return
 	}
-	r.mutex.Lock()
-	defer r.mutex.Unlock()
-	r.dropRemoved(now)
 	var specification EngineSpecification
 	if json.Unmarshal(entry.Value, &specification) != nil || specification.ID != id {
 		return
 	}
+	if ended := r.applyRecord(now, id, specification, entry); ended != nil {
+		r.engineEnded(now, ended, proofRestarted)
+	}
+}
+
+// applyRecord applies an engine's record. It returns the engine's earlier life if the record shows that it ended unplanned.
+func (r *Registry) applyRecord(now time.Time, id string, specification EngineSpecification, entry catalog.Entry) (ended *Engine) {
+	r.mutex.Lock()
+	defer r.mutex.Unlock()
+	r.dropRemoved(now)
 	engine := r.byID[id]
 	switch {
 	case engine == nil:
 		r.add(specification, entry.Revision)
 	case engine.revision > entry.Revision || (engine.revision == entry.Revision && engine.format >= entry.Format):
-		return
+		return nil
+	case specification.life(engine.specification) != sameLife:
+		// Nothing that is known of an earlier life applies: neither its breaker nor its connections nor that it drained.
+		r.drop(engine)
+		r.add(specification, entry.Revision)
+		if specification.life(engine.specification) == earlierLife {
+			// If the record is a delayed one, the engine's next one replaces it.
+			r.byID[id].returnedAt = now
+		} else if !engine.specification.Draining && engine.removedAt.IsZero() {
+			ended = engine
+		}
+		r.logger.Emit(events.EngineRestarted, events.F("engine", id), events.F("started_before", engine.specification.StartedMillis),
+			events.F("started", specification.StartedMillis), events.F("software_before", engine.specification.Software), events.F("software", specification.Software))
 	case engine.specification.Address != specification.Address || engine.specification.Service != specification.Service:
 		// State such as the breaker doesn't apply to the new address, and the old service must not use the engine.
 		r.drop(engine)
@@ -114,6 +133,7 @@
 	r.logger.Emit(events.EngineChanged, events.F("engine", id), events.F("service", specification.Service),
 		events.F("address", specification.Address), events.F("software", specification.Software), events.F("draining", specification.Draining),
 		events.F("revision", entry.Revision))
+	return ended
 }
 
 func (r *Registry) add(specification EngineSpecification, revision int64) {
@@ -165,6 +185,7 @@
 
 // drop deletes an engine. Calls in flight are not interrupted.
 func (r *Registry) drop(engine *Engine) {
+	engine.replaced = true
 	engine.pool.Close()
 	delete(r.byID, engine.ID())
 	delete(r.services[engine.specification.Service], engine.ID())
--- a/internal/events/events.go
+++ b/internal/events/events.go
@@ -91,6 +91,7 @@
 	EngineEnded            ID = 518
 	ReportInvalid          ID = 519
 	RequestFatal           ID = 520
+	EngineRestarted        ID = 521
 	CallFailed             ID = 601
 	CallRefused            ID = 602
 	RequestPanicked        ID = 603
@@ -193,6 +194,7 @@
 	{EngineEnded, "engine_ended", logrus.InfoLevel, "an engine has ended; requests are those that this node ran there, a bounded number of them"},
 	{ReportInvalid, "report_invalid", logrus.WarnLevel, "a report of an engine's end could not be read or written"},
 	{RequestFatal, "request_fatal", logrus.WarnLevel, "a request ends the engines that run it and is not sent again; chance is the probability that they ended by themselves"},
+	{EngineRestarted, "engine_restarted", logrus.InfoLevel, "an engine started again under its ID; what was known of its earlier life does not apply"},
 	{CallFailed, "call_failed", logrus.WarnLevel, "a call ended with a failure"},
 	{CallRefused, "call_refused", logrus.DebugLevel, "a call was refused as not run"},
 	{RequestPanicked, "request_panicked", logrus.ErrorLevel, "a request handler panicked; the request was failed"},
