turnstore: any replica creates the first sets if the store has none

What callers saw: all replicas ended in the first second or so of the very first start (killed, stopped, or by SIGHUP before its handler was there) and came back: no gateway got ready, and no request was ever served.

Cause: only a replica that was told to bootstrap created the first sets, and only such a start made a new disk complete. It creates them more than 0.8 s after its start; if it ended before, nobody did.

Why this works: a replica without a set reads the sets' key from the store, which is linearizable. If it is absent, no set was ever created and no record was ever acknowledged, so any replica may register as a candidate and create the sets; the transaction still requires that the key is absent, so two creators can't both succeed. Whether a disk is complete follows from its identity, no longer from the flag alone: candidates register with it, the sets carry it, and a disk is complete if its first set names it. A replica that has lost its disk since has another identity and catches up. A candidate with another disk or address replaces its record. A set that is there after all, or whose creation was answered by a conflict, is applied.

Builds side by side: the field is left out by an earlier build and ignored by it. A disk of a set without identities is complete as before, or catches up.

Sight: event 425 and two gauges tell what a replica without a set waits for.

--- a/internal/events/events.go
+++ b/internal/events/events.go
@@ -71,6 +71,7 @@
 	ReplicaShardChanged    ID = 422
 	ReplicaWaiting         ID = 423
 	ReplicaEvicting        ID = 424
+	ReplicaWithoutSet      ID = 425
 	CacheReleased          ID = 501
 	CacheReleaseFailed     ID = 502
 	EngineBreakerOpen      ID = 503
@@ -173,6 +174,7 @@
 	{ReplicaShardChanged, "replica_shard_changed", logrus.InfoLevel, "this spare holds another shard from now on, for that one lacks a member"},
 	{ReplicaWaiting, "replica_waiting", logrus.WarnLevel, "this replica has lacked records, or a place in its set, for long; the fields name what it waits for"},
 	{ReplicaEvicting, "replica_evicting", logrus.WarnLevel, "a lost member, or this one if it is empty, leaves the set, for its place can't be taken before all records are fetched"},
+	{ReplicaWithoutSet, "replica_without_set", logrus.InfoLevel, "this replica knows no replica set; waits_for names what it waits for before the first sets are created"},
 	{CacheReleased, "cache_released", logrus.DebugLevel, "an engine confirmed that it holds no cache of an ended program"},
 	{CacheReleaseFailed, "cache_release_failed", logrus.WarnLevel, "an engine did not confirm a release; it is tried again"},
 	{EngineBreakerOpen, "engine_breaker_open", logrus.WarnLevel, "an engine failed repeatedly and gets no work for a while"},
--- a/internal/turnstore/cluster_test.go
+++ b/internal/turnstore/cluster_test.go
@@ -40,8 +40,8 @@
 	onSet    []func(ReplicaSet)
 	// onCandidate is called for each replica that registers for bootstrap.
 	onCandidate []func(Member)
-	// swaps counts attempted writes.
-	swaps int
+	// swaps counts attempted writes, refused the calls while the store was down.
+	swaps, refused int
 }
 
 type storeDown struct{}
@@ -55,6 +55,7 @@
 	s.mutex.Lock()
 	defer s.mutex.Unlock()
 	if s.down {
+		s.refused++
 		return configstore.Entry{}, &configstore.ErrUnavailable{Operation: "get", Cause: storeDown{}}
 	}
 	return s.entries[key], nil
@@ -63,6 +64,7 @@
 func (s *memoryStore) CompareAndSwap(_ context.Context, key string, revision int64, writes []configstore.Write) error {
 	s.mutex.Lock()
 	if s.down {
+		s.refused++
 		s.mutex.Unlock()
 		return &configstore.ErrUnavailable{Operation: "write", Cause: storeDown{}}
 	}
@@ -91,6 +93,12 @@
 	s.down = down
 }
 
+func (s *memoryStore) refusals() int {
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
+	return s.refused
+}
+
 func (s *memoryStore) set() ReplicaSet { return s.setOf(0) }
 
 func (s *memoryStore) setOf(shard int) ReplicaSet {
--- a/internal/turnstore/folder.go
+++ b/internal/turnstore/folder.go
@@ -83,12 +83,17 @@
 	return nil
 }
 
-// saveShard persists the shard assignment. A replica that moves from another shard is no longer complete.
+// saveShard persists the shard assignment. A replica that moves from another shard is no longer complete. A disk that is
+// named by its first set has been in the set since there were records, so it is complete.
 func (f *folder) saveShard(set ReplicaSet) error {
 	f.mutex.Lock()
 	defer f.mutex.Unlock()
 	previous := f.stored
-	f.stored.Complete = previous.Complete && (!previous.Assigned || previous.ReplicaSet.Shard == set.Shard)
+	if previous.Assigned {
+		f.stored.Complete = previous.Complete && previous.ReplicaSet.Shard == set.Shard
+	} else {
+		f.stored.Complete = previous.Complete || set.namesDisk(previous.Identity)
+	}
 	f.stored.Assigned = true
 	f.stored.ReplicaSet = set
 	if err := f.save(); err != nil {
--- a/internal/turnstore/membership.go
+++ b/internal/turnstore/membership.go
@@ -1,15 +1,11 @@
 package turnstore
 
 import (
-	"cmp"
 	"context"
 	"encoding/json"
-	"maps"
-	"slices"
 	"time"
 
 	"github.com/cockroachdb/errors"
-	"github.com/google/uuid"
 
 	"github.com/mountstile/mountstile/internal/configstore"
 	"github.com/mountstile/mountstile/internal/events"
@@ -28,35 +24,19 @@
 	contactWindow = 1400 * time.Millisecond
 	// storeTimeout bounds one call to the configuration store.
 	storeTimeout = time.Second
-	// candidateQuietPeriod is how long the list of candidates must be unchanged before the first sets are created.
-	candidateQuietPeriod = 800 * time.Millisecond
-	// candidateTimeout is how long the candidates wait for more if there are only ReplicaOptions.Copies of them, the
-	// minimum, and how long the others leave it to the first candidate to create the sets.
-	candidateTimeout = 4 * time.Second
-	// bootstrapInterval is the delay between attempts to create the first sets.
-	bootstrapInterval = time.Second
-	fenceTimeout      = time.Second
+	fenceTimeout = time.Second
 )
 
-// bootstrapState tracks the candidates that this replica has seen.
-type bootstrapState struct {
-	startedAt time.Time
-	changedAt time.Time
-	count     int
-	// nextAttemptAt is the earliest time of the next attempt to create the first sets.
-	nextAttemptAt time.Time
-}
-
 // membershipLoop changes the replica set when this replica must join, leave or abort another's change.
 func (r *Replica) membershipLoop(ctx context.Context) {
-	now := time.Now()
-	state := &bootstrapState{startedAt: now, changedAt: now}
+	state := newBootstrapState(time.Now())
 	ticker := time.NewTicker(membershipInterval)
 	defer ticker.Stop()
 	for {
 		select {
 		case <-ctx.Done():
 			return
+		case <-r.shardAssigned:
 		case <-ticker.C:
 		}
 		if err := r.membershipStep(ctx, state); err != nil {
@@ -80,9 +60,6 @@
 	}
 	switch {
 	case set.Epoch == 0:
-		if !r.options.FirstStart {
-			return nil
-		}
 		return r.bootstrap(ctx, state)
 	case retiring:
 		return r.retire(ctx, set)
@@ -105,82 +82,6 @@
 	return nil
 }
 
-// bootstrap creates the first sets from all replicas that started with the system. Each candidate writes its own
-// key, because concurrent updates of one shared list would conflict with each other: with 36 candidates they took 7.8 s.
-func (r *Replica) bootstrap(ctx context.Context, state *bootstrapState) error {
-	now := time.Now()
-	candidates := r.listCandidates()
-	if !contains(candidates, r.options.Self.Name) {
-		return r.registerCandidate(ctx)
-	}
-	if len(candidates) != state.count {
-		state.count = len(candidates)
-		state.changedAt = now
-	}
-	if now.Before(state.nextAttemptAt) || !r.mayBootstrap(now, state, candidates) {
-		return nil
-	}
-	state.nextAttemptAt = now.Add(bootstrapInterval)
-	return r.createInitialSets(ctx, candidates)
-}
-
-// ApplyCandidate adds a replica that started with the system to the candidates for the first sets.
-func (r *Replica) ApplyCandidate(candidate Member) {
-	r.mutex.Lock()
-	defer r.mutex.Unlock()
-	r.candidates[candidate.Name] = candidate
-}
-
-// listCandidates returns the known candidates, sorted by name.
-func (r *Replica) listCandidates() []Member {
-	r.mutex.Lock()
-	defer r.mutex.Unlock()
-	sorted := slices.Collect(maps.Values(r.candidates))
-	slices.SortFunc(sorted, func(a, b Member) int { return cmp.Compare(a.Name, b.Name) })
-	return sorted
-}
-
-// registerCandidate writes this replica's candidate key. A conflict means that an earlier attempt succeeded.
-func (r *Replica) registerCandidate(ctx context.Context) error {
-	err := r.compareAndSwap(ctx, r.options.CandidatesKey+"/"+r.options.Self.Name, 0, r.options.Self)
-	var conflict *configstore.ErrConflict
-	if err != nil && !errors.As(err, &conflict) {
-		return err
-	}
-	r.ApplyCandidate(r.options.Self)
-	return nil
-}
-
-// createInitialSets writes the sets of all shards in one transaction, unless another candidate has.
-func (r *Replica) createInitialSets(ctx context.Context, candidates []Member) error {
-	var writes []configstore.Write
-	clusterID := uuid.NewString()
-	for _, set := range initialSets(candidates, r.options.Size, r.options.Copies) {
-		set.ClusterID = clusterID
-		encoded, err := json.Marshal(set)
-		if err != nil {
-			return errors.Wrap(err, "encoding an initial replica set")
-		}
-		writes = append(writes, configstore.Write{Key: setKey(r.options.SetKey, set.Shard), Value: encoded})
-	}
-	callContext, cancel := context.WithTimeout(ctx, storeTimeout)
-	defer cancel()
-	return r.options.Store.CompareAndSwap(callContext, r.options.SetKey, 0, writes)
-}
-
-// mayBootstrap reports whether this replica may create the first sets. The first candidate does so; the others wait
-// longer, and create them only if the first one seems lost.
-func (r *Replica) mayBootstrap(now time.Time, state *bootstrapState, candidates []Member) bool {
-	unchangedFor := now.Sub(state.changedAt)
-	if len(candidates) < r.options.Copies || unchangedFor < candidateQuietPeriod {
-		return false
-	}
-	if len(candidates) == r.options.Copies && now.Sub(state.startedAt) < candidateTimeout {
-		return false
-	}
-	return candidates[0].Name == r.options.Self.Name || unchangedFor > candidateTimeout
-}
-
 // join makes this replica a member once it has caught up: it replaces a lost or retiring member, or fills a vacancy. Until
 // it has caught up, it only removes a lost member. A
 // retiring member is replaced before it leaves, so that the set, and with it the fault tolerance, never shrinks.
--- a/internal/turnstore/metrics.go
+++ b/internal/turnstore/metrics.go
@@ -48,14 +48,27 @@
 	gauge("mountstile_replica_waiting_seconds", "How long the replica has lacked records or a place in its set; 0 if it doesn't.", func() float64 {
 		return replica.waitingFor(time.Now()).Seconds()
 	})
+	gauge("mountstile_replica_candidates", "Replicas that are known to have started before there were replica sets.", func() float64 {
+		return float64(len(replica.listCandidates()))
+	})
+	for _, waiting := range bootstrapWaits {
+		m.registerer.MustRegister(prometheus.NewGaugeFunc(prometheus.GaugeOpts{
+			Name: "mountstile_replica_without_set", Help: "1 if the replica knows no replica set and waits for this before the first sets are created.",
+			ConstLabels: prometheus.Labels{"waits_for": string(waiting)},
+		}, func() float64 { return oneIf(replica.bootstrapWaitsFor(waiting)) }))
+	}
 	gauge("mountstile_replica_complete", "1 if the replica has everything that its peers have.", func() float64 {
-		if replica.folder.record().Complete {
-			return 1
-		}
-		return 0
+		return oneIf(replica.folder.record().Complete)
 	})
 }
 
+func oneIf(condition bool) float64 {
+	if condition {
+		return 1
+	}
+	return 0
+}
+
 func (r *Replica) shardNumber() int {
 	r.mutex.Lock()
 	defer r.mutex.Unlock()
--- a/internal/turnstore/replica.go
+++ b/internal/turnstore/replica.go
@@ -44,7 +44,7 @@
 type ReplicaOptions struct {
 	Self   Member
 	Folder string
-	// FirstStart is true only at the first start of the whole system, when the first sets are created.
+	// FirstStart is true only at the first start of the whole system, when an empty disk lacks no records.
 	FirstStart bool
 	// Copies is how many disks must sync a record: one more than may be lost at once.
 	Copies int
@@ -53,7 +53,7 @@
 	// the nearest member of a shard and replaces a member that is lost.
 	Size int
 	// Store holds the replica sets: the first shard's under SetKey, the others' under SetKey, a slash and the shard's
-	// number. Each replica that starts with the system registers under CandidatesKey, a slash and its name.
+	// number. Each replica that starts before there are sets registers under CandidatesKey, a slash and its name.
 	Store         configstore.Store
 	SetKey        string
 	CandidatesKey string
@@ -86,8 +86,10 @@
 
 	mutex sync.Mutex
 	state *conversation.State
-	// candidates are the replicas that started with the system, by name.
+	// candidates are the replicas that started before there were sets, by name.
 	candidates map[string]Member
+	// bootstrapWaiting is what this replica waits for while there are no sets.
+	bootstrapWaiting bootstrapWait
 	// sets holds the replica sets of all shards; set is the one of this replica's shard.
 	sets sets
 	set  ReplicaSet
@@ -110,6 +112,8 @@
 	peers         map[string]*peerProgress
 	claims        *fetchClaims
 	pullNow       chan struct{}
+	// shardAssigned wakes the membership loop when the replica learns its first shard.
+	shardAssigned chan struct{}
 
 	// failureLogLimiter limits the log lines about failed writes: a stalled disk rejects hundreds a second.
 	failureLogLimiter *rate.Limiter
@@ -143,6 +147,7 @@
 		shard:       noShard,
 		emptySince:  time.Now(),
 
+		shardAssigned:      make(chan struct{}, 1),
 		quorumContactSince: make(map[int]time.Time),
 		incarnation:        uuid.NewString(),
 		failureLogLimiter:  rate.NewLimiter(failureLogsPerSecond, failureLogsPerSecond),
@@ -256,6 +261,9 @@
 	}
 	r.network.SetClusterID(clusterID)
 	r.logger.Emit(events.ReplicaSetChanged, set.logFields()...)
+	if first {
+		r.shardAssigned <- struct{}{}
+	}
 	if own || first {
 		r.triggerPull()
 	}
--- a/internal/turnstore/set.go
+++ b/internal/turnstore/set.go
@@ -1,6 +1,8 @@
 package turnstore
 
 import (
+	"slices"
+
 	"github.com/mountstile/mountstile/internal/events"
 	"github.com/mountstile/mountstile/internal/transport"
 )
@@ -10,6 +12,9 @@
 	Name    string `json:"name"`
 	Address string `json:"address"`
 	Zone    string `json:"zone,omitempty"`
+	// Identity is that of the replica's disk (see folderRecord) in a candidate's record and in the first sets; a member that
+	// joined later has none, and neither have those of earlier builds.
+	Identity string `json:"identity,omitempty"`
 }
 
 // Peer returns the member as the recipient of messages.
@@ -65,6 +70,11 @@
 // Has reports whether a replica is in Members or Next.
 func (s ReplicaSet) Has(name string) bool { return contains(s.Members, name) || contains(s.Next, name) }
 
+// namesDisk reports whether a member has been in the set since it was created, with the disk of the given identity.
+func (s ReplicaSet) namesDisk(identity string) bool {
+	return slices.ContainsFunc(s.Members, func(member Member) bool { return member.Identity == identity })
+}
+
 // firstOfZone reports whether a member is the first of its zone.
 func (s ReplicaSet) firstOfZone(member Member) bool {
 	for _, other := range s.All() {
