turnstore: the first set gets its full size although few replicas registered

What callers saw: nothing yet; found while interrupted starts were tried. If a replica started only after the others had created the first set without it (they wait 4 s), the set kept two members for good, the other replica stayed a spare, and the loss of one member stopped writes until it was replaced.

Cause: initialSets took the number of candidates for the size of the set if it was smaller than the configured one.

Evidence: TestLateReplicaJoinsSmallFirstSet failed before: "timeout hit after 15s: the replica set has its members".

Why this works: the set has its configured size and a vacancy, which the late replica fills as after an eviction.

--- a/internal/turnstore/bootstrap_test.go
+++ b/internal/turnstore/bootstrap_test.go
@@ -247,3 +247,15 @@
 	assert.Equal(t, len(c.store.candidates()), 3)
 	assert.Equal(t, replica.setOf(0).Epoch, c.store.set().Epoch)
 }
+
+// If a replica starts only after the others have created the first set without it, the set must still get its full size.
+func TestLateReplicaJoinsSmallFirstSet(t *testing.T) {
+	t.Parallel()
+	c := newUnstartedCluster(t)
+	c.start(c.machines[0])
+	c.start(c.machines[1])
+	eventually(t, "the first set has two members", func() bool { return len(c.store.set().Members) == 2 })
+	c.started = true
+	c.start(c.machines[2])
+	c.checkServes(3)
+}
--- a/internal/turnstore/shard.go
+++ b/internal/turnstore/shard.go
@@ -34,8 +34,11 @@
 // initialSets distributes the candidates over shards of size members each. Members are taken from each zone in
 // rotation, so that the members of a set, and the remaining spares, are spread over as many zones as possible.
 func initialSets(candidates []Member, size, copies int) []ReplicaSet {
-	if size <= 0 || size >= len(candidates) {
-		return []ReplicaSet{{Epoch: 1, Members: candidates, Copies: copies, Size: len(candidates)}}
+	if size <= 0 {
+		size = len(candidates)
+	}
+	if size >= len(candidates) {
+		return []ReplicaSet{{Epoch: 1, Members: candidates, Copies: copies, Size: size}}
 	}
 	shards := shardCount(len(candidates), size)
 	ordered := interleaveZones(candidates)
