ingress: don't take what a gateway doesn't know of a stream's origin for known

Callers saw: streams that broke off when all gateways were killed were taken up, answered 200 and ran to the end, but the first part came from engines of one software version and the rest from another.

Cause: if the origin of a stream could not be read, the one version that the gateway knew was taken for it ("only one version can have begun the stream"). A gateway that has just started knows only the engines that serve now. Likewise a version was forgotten at once when its last engine started again under its ID with other software, or was dropped.

Evidence, on the code before: - TestStreamIsNotJoinedAfterARestartWithoutReplicas/without_a_budget: "200 (got.status int) != 503 ... id: 3 data: v2" - TestUnrecordedStreamIsNotJoinedAfterItsEngineWasReplaced: the same - TestStreamGoesOnWithoutReplicasAtAGatewayThatSawItsVersion: its three cases that must be refused were answered 200

Fix: without a record that could be read, a version is inferred only at a gateway whose catalog has been in sync with the store, without a pause, for longer than a stream that is resumed now can exist (30 s or twice the route's timeout), and which knew one version in that time. Others refuse with a true 503 and a Retry-After of when replicas may be back, so that the caller goes on then. The registry remembers versions for 10 minutes after they left, as long as records of origins are kept. A read quorum that has no record still lets a stream go on at the only known version, as before.

--- a/internal/catalog/manager.go
+++ b/internal/catalog/manager.go
@@ -98,6 +98,8 @@
 	// syncedAt is the last time at which this catalog is known to have been in sync with the store, directly or
 	// through a peer.
 	syncedAt time.Time
+	// inSyncSince is the first sync after which none was later than StaleAfter after the one before.
+	inSyncSince time.Time
 	// lastResponseAt is the time of the last response from a peer or the store.
 	lastResponseAt time.Time
 	// mustList is set if removals may have been missed whose tombstones have expired on the peers. Only a listing
@@ -353,7 +355,12 @@
 	if !at.After(m.syncedAt) {
 		return
 	}
-	if before := m.syncedAt; m.options.OnOutageEnd != nil && !before.IsZero() && at.Sub(before) > m.options.StaleAfter {
+	before := m.syncedAt
+	interrupted := at.Sub(before) > m.options.StaleAfter
+	if before.IsZero() || interrupted {
+		m.inSyncSince = at
+	}
+	if m.options.OnOutageEnd != nil && !before.IsZero() && interrupted {
 		m.options.OnOutageEnd(before)
 	}
 	m.syncedAt = at
@@ -371,6 +378,17 @@
 	return time.Since(m.syncedAt)
 }
 
+// InSyncSince returns since when the catalog has been in sync with the store without a pause longer than StaleAfter; the zero
+// time if it is not in sync now. Entries that existed only earlier may never have been seen.
+func (m *Manager) InSyncSince() time.Time {
+	m.mutex.Lock()
+	defer m.mutex.Unlock()
+	if time.Since(m.syncedAt) > m.options.StaleAfter {
+		return time.Time{}
+	}
+	return m.inSyncSince
+}
+
 // Get returns the entry with a key unless it was removed.
 func (m *Manager) Get(key string) (Entry, bool) {
 	m.mutex.Lock()
--- a/internal/catalog/mirrors_test.go
+++ b/internal/catalog/mirrors_test.go
@@ -259,3 +259,18 @@
 	manager.recordSync(now.Add(4 * time.Second))
 	assert.DeepEqual(t, outages, []time.Time{now.Add(900 * time.Millisecond)})
 }
+
+// A gap in the contact with the store ends the time for which all entries were seen.
+func TestInSyncSinceTheLastGap(t *testing.T) {
+	manager := &Manager{options: Options{StaleAfter: time.Minute}, synced: make(chan struct{})}
+	assert.Assert(t, manager.InSyncSince().IsZero())
+	now := time.Now()
+	for _, age := range []time.Duration{10 * time.Minute, 8 * time.Minute, 7*time.Minute + 30*time.Second} {
+		manager.recordSync(now.Add(-age))
+	}
+	assert.Assert(t, manager.InSyncSince().IsZero(), "out of sync")
+	for _, age := range []time.Duration{40 * time.Second, 20 * time.Second} {
+		manager.recordSync(now.Add(-age))
+	}
+	assert.Assert(t, manager.InSyncSince().Equal(now.Add(-40*time.Second)))
+}
--- a/internal/dispatch/registry.go
+++ b/internal/dispatch/registry.go
@@ -32,6 +32,8 @@
 	drainingGrace = 1200 * time.Millisecond
 	// removedRetention is how long an engine without a record is kept.
 	removedRetention = 30 * time.Second
+	// SoftwareRetention is how long a version of a service's software is known after its last engine was dropped.
+	SoftwareRetention = 10 * time.Minute
 	// fullBackoff is how long an engine that refused a call for lack of capacity gets no calls of this gateway.
 	fullBackoff = 150 * time.Millisecond
 	// pinnedFullBackoff replaces fullBackoff for streams that no other engine can continue.
@@ -54,6 +56,8 @@
 	baselines map[string]*latencyBaseline
 	// waiting counts the pinned calls that wait for an engine, by the software that they wait for.
 	waiting map[softwareKey]int
+	// left holds when engines of a software version were last known, for those that were dropped or replaced since.
+	left map[softwareKey]time.Time
 	// outage is the most recent outage of the store.
 	outage outage
 	// others holds the calls in flight of other gateways.
@@ -75,6 +79,7 @@
 		limits:    make(map[string]int),
 		baselines: make(map[string]*latencyBaseline),
 		waiting:   make(map[softwareKey]int),
+		left:      make(map[softwareKey]time.Time),
 		others:    load.NewView(),
 		share:     func(EndNews) {},
 	}
@@ -108,6 +113,10 @@
 		r.drop(engine)
 		r.add(specification, entry.Revision)
 	default:
+		// An entry of the same revision in a later format tells more of the same software.
+		if engine.revision < entry.Revision && engine.specification.Software != specification.Software {
+			r.noteLeft(now, engine)
+		}
 		engine.update(now, specification, entry.Revision, r.outage)
 	}
 	r.byID[id].format = entry.Format
@@ -166,6 +175,7 @@
 // drop deletes an engine. Calls in flight are not interrupted.
 func (r *Registry) drop(engine *Engine) {
 	engine.pool.Close()
+	r.noteLeft(time.Now(), engine)
 	delete(r.byID, engine.ID())
 	delete(r.services[engine.specification.Service], engine.ID())
 }
@@ -209,6 +219,30 @@
 	return versions
 }
 
+// SoftwareVersionsSince is like SoftwareVersions, but includes the versions of all engines that were known at since or later.
+// Versions that left more than SoftwareRetention ago may be missing.
+func (r *Registry) SoftwareVersionsSince(service string, since time.Time) []string {
+	versions := r.SoftwareVersions(service)
+	r.mutex.Lock()
+	defer r.mutex.Unlock()
+	for key, leftAt := range r.left {
+		if key.service == service && !leftAt.Before(since) && !slices.Contains(versions, key.software) {
+			versions = append(versions, key.software)
+		}
+	}
+	return versions
+}
+
+// noteLeft records the software version of an engine that is dropped or has other software now.
+func (r *Registry) noteLeft(now time.Time, engine *Engine) {
+	r.left[softwareKey{engine.specification.Service, engine.specification.Software}] = now
+	for key, leftAt := range r.left {
+		if now.Sub(leftAt) > SoftwareRetention {
+			delete(r.left, key)
+		}
+	}
+}
+
 // LikelySoftware returns the version of the software of most engines of a service that may get new work.
 func (r *Registry) LikelySoftware(service string) string {
 	now := time.Now()
--- a/internal/dispatch/software_test.go
+++ b/internal/dispatch/software_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"encoding/json"
+	"slices"
 	"testing"
 	"time"
 
@@ -177,3 +178,23 @@
 	call.Placement.Pinned = false
 	assert.Assert(t, !progress.mayRetry(context.Background(), refused, registry.byID["old"], retries))
 }
+
+// A version is known for a while after its last engine was dropped or restarted with other software.
+func TestSoftwareVersionsThatLeftAreKnown(t *testing.T) {
+	registry := NewRegistry("a", noDial, events.Discard())
+	before := time.Now()
+	applySoftware(t, registry, "e", "v1", 1)
+	applySoftware(t, registry, "e", "v2", 2)
+	registry.drop(registry.byID["e"])
+	applySoftware(t, registry, "f", "v3", 3)
+	versions := registry.SoftwareVersionsSince("s", before)
+	slices.Sort(versions)
+	assert.DeepEqual(t, versions, []string{"v1", "v2", "v3"})
+	assert.DeepEqual(t, registry.SoftwareVersionsSince("s", time.Now().Add(time.Second)), []string{"v3"})
+	assert.DeepEqual(t, registry.SoftwareVersionsSince("other", before), []string(nil))
+	for key := range registry.left {
+		registry.left[key] = before.Add(-2 * SoftwareRetention)
+	}
+	registry.drop(registry.byID["f"])
+	assert.Equal(t, len(registry.left), 1)
+}
--- a/internal/ingress/node.go
+++ b/internal/ingress/node.go
@@ -94,7 +94,7 @@
 	node.server = New(Options{
 		Table: node.table.Load, RoutesReady: node.routesReady, CallerProtocol: options.CallerProtocol, Registry: node.registry, Turns: node.turns,
 		Dispatcher: dispatch.New(node.registry, options.Protocol, options.Logger), Logger: options.Logger, Metrics: options.Metrics,
-		CatalogAge: node.catalog.Age,
+		CatalogAge: node.catalog.Age, CatalogInSyncSince: node.catalog.InSyncSince,
 	})
 	return node
 }
--- a/internal/ingress/resumption.go
+++ b/internal/ingress/resumption.go
@@ -23,11 +23,13 @@
 const (
 	// originRecorded means that the version was recorded when the stream began.
 	originRecorded = "recorded"
-	// originOnlyVersion means that nothing was recorded, but only one version can have begun the stream.
+	// originOnlyVersion means that no record was found, and that all engines that this gateway has known since the stream can
+	// have begun are of one version.
 	originOnlyVersion = "only_version"
 	// originGone means that no engine of the recorded version is known.
 	originGone = "gone"
-	// originUnknown means that nothing was recorded, and any of several versions can have begun the stream.
+	// originUnknown means that no record was found or could be read, and that any of several versions, or one that this gateway
+	// has never known, can have begun the stream.
 	originUnknown = "unknown"
 )
 
@@ -74,14 +76,12 @@
 	if !r.resumesStream() {
 		return nil
 	}
-	candidates := r.candidates()
 	if r.opened != nil && r.opened.Writer != 0 {
-		return r.pinToWriter(candidates)
+		return r.pinToWriter(r.candidates())
 	}
-	switch len(candidates) {
-	case 0:
-		return nil
-	case 1:
+	now := time.Now()
+	candidates := r.candidatesSince(now.Add(-r.originHorizon()))
+	if len(candidates) == 1 && r.mayInferOrigin(now) {
 		r.pin(candidates[0], originOnlyVersion)
 		return nil
 	}
@@ -89,7 +89,36 @@
 	if r.originErr != nil {
 		return r.originErr
 	}
-	return apierr.New(apierr.OriginUnknown, apierr.NotRun, "it is not known which of %d software versions began the stream %q", len(candidates), r.caller.Resumes)
+	return apierr.New(apierr.OriginUnknown, apierr.NotRun, "it is not known which of %d software versions began the stream %q", len(candidates), r.caller.Resumes).WithRetryAfter(goneRetryAfter)
+}
+
+// mayInferOrigin reports whether a stream without a known origin was begun by one of the versions that this gateway knows. If
+// the records could not be read, that takes a gateway that has seen all engines come and go for as long as the stream may exist.
+func (r *request) mayInferOrigin(now time.Time) bool {
+	if r.originErr == nil {
+		return true
+	}
+	horizon := r.originHorizon()
+	since := r.server.options.CatalogInSyncSince()
+	return !since.IsZero() && now.Sub(since) >= horizon && horizon <= dispatch.SoftwareRetention
+}
+
+// minOriginHorizon is the least age of a stream that is reckoned with.
+const minOriginHorizon = 30 * time.Second
+
+// originHorizon is how long ago a stream may have begun that a caller resumes now. Callers resume within their time limit, which
+// an attempt may use up and which is no longer than the route's.
+func (r *request) originHorizon() time.Duration { return max(minOriginHorizon, 2*r.route.Timeout()) }
+
+// candidatesSince returns all services and versions that can have begun a stream since then.
+func (r *request) candidatesSince(since time.Time) []candidate {
+	var all []candidate
+	for _, service := range r.route.Services() {
+		for _, software := range r.server.options.Registry.SoftwareVersionsSince(service, since) {
+			all = append(all, candidate{service, software})
+		}
+	}
+	return all
 }
 
 // pinToWriter restricts the call to the candidate that the record names.
--- a/internal/ingress/server.go
+++ b/internal/ingress/server.go
@@ -86,6 +86,9 @@
 	Metrics        *Metrics
 	// CatalogAge returns the maximum age of the node's configuration and engine records.
 	CatalogAge func() time.Duration
+	// CatalogInSyncSince returns since when the node has known all engine records without a pause; the zero time if it
+	// does not know them now.
+	CatalogInSyncSince func() time.Time
 }
 
 // Server is an http.Handler for callers' requests.
--- a/internal/ingress/softwareversion_test.go
+++ b/internal/ingress/softwareversion_test.go
@@ -530,3 +530,86 @@
 	assert.Assert(t, 2*wentOn.Load() >= begunAnew.Load(), "%d of %d streams went on, and %d new ones began", wentOn.Load(), streams, begunAnew.Load())
 	t.Logf("%d of %d streams went on, and %d new ones began", wentOn.Load(), streams, begunAnew.Load())
 }
+
+// restartedGateway is a gateway that has just started: it knows the replicas and the engines that serve now, but none that left.
+func (c *testCluster) restartedGateway() *testCluster {
+	c.t.Helper()
+	other := newTestCluster(c.t)
+	other.apply(catalog.ReplicaSetKind, "current", c.node.turns.ReplicaSet())
+	return other
+}
+
+// programHeaders are the headers of a turn with a budget.
+var programHeaders = []string{"Program", "p", "Budget", "1000", "Most", "36"}
+
+// A gateway that has just started can't read the origin of a stream, and knows only the engines of a newer version.
+func TestStreamIsNotJoinedAfterARestartWithoutReplicas(t *testing.T) {
+	t.Parallel()
+	for name, headers := range map[string][]string{"without a budget": nil, "with a budget": programHeaders} {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			cluster := newTestCluster(t)
+			start := cluster.withLateReplica()
+			other := cluster.restartedGateway()
+			other.engineOf("new", "v2", versionedStream("v2"))
+			got := other.send("/resume/", "second", "in", append(headers, "After", "2", "Resumes", "first")...)
+			assert.Equal(t, got.status, http.StatusServiceUnavailable, got.body)
+			assert.Assert(t, got.header.Get("Retry-After") != "")
+			assert.Equal(t, other.engines["new"].runs.Load(), int64(0))
+			start()
+			eventually(t, "a stream that nobody recorded goes on once the replicas say so", func() bool {
+				return other.send("/resume/", "third", "in", append(headers, "After", "2", "Resumes", "first")...).status == http.StatusOK
+			})
+		})
+	}
+}
+
+// An engine that restarted under its ID with other software has replaced a version that this gateway knew.
+func TestUnrecordedStreamIsNotJoinedAfterItsEngineWasReplaced(t *testing.T) {
+	t.Parallel()
+	cluster := newTestCluster(t)
+	cluster.withReplica()
+	engine := cluster.engineOf("engine", "v1", versionedStream("v2"))
+	engine.specification.Software = "v2"
+	cluster.apply(catalog.EngineKind, "engine", engine.specification)
+	startedAt := time.Now()
+	assertRefusedAtOnce(t, cluster, cluster.send("/resume/", "second", "in", "After", "2", "Resumes", "first"), startedAt)
+}
+
+// While no replica can be reached, streams go on at a gateway that has seen all engines since they can have begun, as long as
+// these were of one version.
+func TestStreamGoesOnWithoutReplicasAtAGatewayThatSawItsVersion(t *testing.T) {
+	t.Parallel()
+	for name, row := range map[string]struct {
+		inSyncFor time.Duration
+		replaced  bool
+		status    int
+	}{
+		"one version":                 {inSyncFor: 2 * minOriginHorizon, status: http.StatusOK},
+		"another version has left":    {inSyncFor: 2 * minOriginHorizon, replaced: true, status: http.StatusServiceUnavailable},
+		"started later than a stream": {inSyncFor: minOriginHorizon - 5*time.Second, status: http.StatusServiceUnavailable},
+		"not in sync":                 {status: http.StatusServiceUnavailable},
+	} {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			cluster := newTestCluster(t)
+			_ = cluster.withLateReplica()
+			startedAt := time.Now()
+			cluster.node.server.options.CatalogInSyncSince = func() time.Time {
+				if row.inSyncFor == 0 {
+					return time.Time{}
+				}
+				return startedAt.Add(-row.inSyncFor)
+			}
+			engine := cluster.engineOf("engine", "v1", versionedStream("v2"))
+			if row.replaced {
+				engine.specification.Software = "v2"
+				cluster.apply(catalog.EngineKind, "engine", engine.specification)
+			}
+			got := cluster.send("/resume/", "second", "in", "After", "2", "Resumes", "first")
+			assert.NilError(t, got.err)
+			assert.Equal(t, got.status, row.status, got.body)
+			assert.Equal(t, engine.runs.Load() > 0, row.status == http.StatusOK)
+		})
+	}
+}
