ingress: record and read origins whatever engines a gateway knows

Callers saw: the same joined streams (two software versions in one text, all answers 200) though all replicas served, with and without a budget, when a stream began or was resumed at a gateway that did not know the engines yet.

Cause: whether there is an origin to record or to read was decided by the engines known when the request came. A gateway that has just started has routes before it has engines: it recorded nothing for a stream that then began at an engine of v1, and read nothing for one that it then sent to v2. The same held for a stream of engines that state no version, once all engines state one.

Fix: a resumption always reads, and a stream is always ready to be recorded; the version of the engine that it is placed at decides whether that is worth a message. Without one nothing changes where no engine states a version and routes have one service: no message, no wait.

--- a/internal/ingress/resumption.go
+++ b/internal/ingress/resumption.go
@@ -42,10 +42,10 @@
 // resumesStream reports whether the caller takes up a stream.
 func (r *request) resumesStream() bool { return r.route.Repeatable() && r.caller.LastEvent != "" }
 
-// streamParams returns what has to be recorded or read of the origin of the stream. There is nothing to record if all engines
-// belong to one service and state no version of their software.
+// streamParams returns what has to be recorded or read of the origin of the stream. It does not depend on the engines that this
+// gateway knows: it may not know yet those that run the stream, or not any more those that began it.
 func (r *request) streamParams() turnstore.StreamParams {
-	if !r.route.Repeatable() || !originMatters(r.candidates()) {
+	if !r.route.Repeatable() {
 		return turnstore.StreamParams{}
 	}
 	if r.resumesStream() {
@@ -66,7 +66,13 @@
 	return all
 }
 
-func originMatters(candidates []candidate) bool {
+// originMatters reports whether the origin of a stream at an engine with this software version is to be recorded. It is not worth
+// a message if all known engines belong to one service and state no version.
+func (r *request) originMatters(software string) bool {
+	if software != "" || r.caller.Budget != NoBudget {
+		return true
+	}
+	candidates := r.candidates()
 	return len(candidates) > 1 || (len(candidates) == 1 && candidates[0].software != "")
 }
 
--- a/internal/ingress/softwareversion_test.go
+++ b/internal/ingress/softwareversion_test.go
@@ -564,6 +564,71 @@
 	}
 }
 
+// A gateway that has just started gets a stream before it knows any engine, and then learns of engines of a newer version.
+func TestStreamIsNotJoinedBeforeEnginesAreKnown(t *testing.T) {
+	t.Parallel()
+	for name, headers := range map[string][]string{"without a budget": nil, "with a budget": programHeaders} {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			cluster := newTestCluster(t)
+			cluster.withReplica()
+			cluster.engineOf("old", "v1", pausingStream("v1"))
+			cluster.readTwoEvents("/resume/", "first", headers...)
+			other := cluster.restartedGateway()
+			replies := make(chan reply, 1)
+			go func() {
+				replies <- other.send("/resume/", "second", "in", append(headers, "After", "2", "Resumes", "first")...)
+			}()
+			eventually(t, "the request has arrived", func() bool { return other.node.server.Active() > 0 || len(replies) > 0 })
+			other.engineOf("new", "v2", versionedStream("v2"))
+			got := <-replies
+			assert.NilError(t, got.err)
+			assert.Equal(t, got.status, http.StatusServiceUnavailable, got.body)
+			assert.Equal(t, other.engines["new"].runs.Load(), int64(0))
+		})
+	}
+}
+
+// A stream that begins at a gateway before that knows any engine can be resumed only at the version that began it.
+func TestOriginIsRecordedThoughNoEngineWasKnown(t *testing.T) {
+	t.Parallel()
+	for name, headers := range map[string][]string{"without a budget": nil, "with a budget": programHeaders} {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			cluster := newTestCluster(t)
+			cluster.withReplica()
+			begun := make(chan string, 1)
+			go func() { begun <- cluster.readTwoEvents("/resume/", "first", headers...) }()
+			eventually(t, "the request has arrived", func() bool { return cluster.node.server.Active() > 0 })
+			cluster.engineOf("old", "v1", pausingStream("v1"))
+			assert.DeepEqual(t, versionsIn(<-begun), []string{"v1"})
+			other := cluster.restartedGateway()
+			other.engineOf("new", "v2", versionedStream("v2"))
+			got := other.send("/resume/", "second", "in", append(headers, "After", "2", "Resumes", "first")...)
+			assert.Equal(t, got.status, http.StatusServiceUnavailable, got.body)
+			assert.Equal(t, other.engines["new"].runs.Load(), int64(0))
+		})
+	}
+}
+
+// A stream of engines that state no version is not taken up by those of a version that replaced them all.
+func TestStreamWithoutVersionIsNotJoinedWithAVersion(t *testing.T) {
+	t.Parallel()
+	cluster := newTestCluster(t)
+	cluster.withReplica()
+	cluster.engineOf("plain", "", pausingStream("plain"))
+	cluster.readTwoEvents("/resume/", "first", programHeaders...)
+	other := cluster.restartedGateway()
+	other.engineOf("new", "v2", versionedStream("v2"))
+	got := other.send("/resume/", "second", "in", append(programHeaders, "After", "2", "Resumes", "first")...)
+	assert.Equal(t, got.status, http.StatusServiceUnavailable, got.body)
+	assert.Equal(t, other.engines["new"].runs.Load(), int64(0))
+	other.engineOf("plain", "", versionedStream("plain"))
+	got = other.send("/resume/", "third", "in", append(programHeaders, "After", "2", "Resumes", "first")...)
+	assert.Equal(t, got.status, http.StatusOK, got.body)
+	assert.DeepEqual(t, versionsIn(got.body), []string{"plain"})
+}
+
 // An engine that restarted under its ID with other software has replaced a version that this gateway knew.
 func TestUnrecordedStreamIsNotJoinedAfterItsEngineWasReplaced(t *testing.T) {
 	t.Parallel()
--- a/internal/ingress/stream.go
+++ b/internal/ingress/stream.go
@@ -166,7 +166,7 @@
 
 // Placed implements dispatch.Resumable.
 func (s *stream) Placed(ctx context.Context, software string) {
-	if s.request.origin != nil && !s.Begun() {
+	if s.request.origin != nil && !s.Begun() && s.request.originMatters(software) {
 		s.request.origin.Expect(ctx, conversation.WriterOf(s.request.service.Name, software))
 	}
 }
