turnstore: tell records of a stream that contradict each other from none

Callers saw: if two attempts under one ID recorded two versions of software for a stream, a gateway that knew only one version joined it to that one, as if nothing were recorded.

Cause: a lookup returned the zero Writer both for no record and for contradicting ones.

Evidence: TestStreamWithContradictingRecordsIsNotJoined without the check: "200 (got.status int) != 503 ... id: 3 data: v2".

Fix: the opened turn says that its records are unclear, and no version is inferred then.

--- a/internal/conversation/origin.go
+++ b/internal/conversation/origin.go
@@ -98,6 +98,9 @@
 	}
 }
 
+// Unclear reports whether the newest origins contradict each other.
+func (l *OriginLookup) Unclear() bool { return l.unclear }
+
 // Writer returns the Writer of the newest origin; zero if there is none or if two contradict each other.
 func (l *OriginLookup) Writer() Writer {
 	if l.unclear {
--- a/internal/ingress/resumption.go
+++ b/internal/ingress/resumption.go
@@ -101,6 +101,9 @@
 // mayInferOrigin reports whether a stream without a known origin was begun by one of the versions that this gateway knows. If
 // the records could not be read, that takes a gateway that has seen all engines come and go for as long as the stream may exist.
 func (r *request) mayInferOrigin(now time.Time) bool {
+	if r.opened != nil && r.opened.WriterUnclear {
+		return false
+	}
 	if r.originErr == nil {
 		return true
 	}
--- a/internal/ingress/softwareversion_test.go
+++ b/internal/ingress/softwareversion_test.go
@@ -678,3 +678,19 @@
 		})
 	}
 }
+
+// Two attempts under one ID recorded two versions for the stream: neither is known to have begun it.
+func TestStreamWithContradictingRecordsIsNotJoined(t *testing.T) {
+	t.Parallel()
+	cluster := newTestCluster(t)
+	cluster.withReplica()
+	for _, software := range []string{"v1", "v2"} {
+		gateway := cluster.restartedGateway()
+		gateway.engineOf(software, software, pausingStream(software))
+		gateway.readTwoEvents("/resume/", "first", programHeaders...)
+	}
+	other := cluster.restartedGateway()
+	other.engineOf("new", "v2", versionedStream("v2"))
+	startedAt := time.Now()
+	assertRefusedAtOnce(t, other, other.send("/resume/", "second", "in", append(programHeaders, "After", "2", "Resumes", "first")...), startedAt)
+}
--- a/internal/turnstore/client.go
+++ b/internal/turnstore/client.go
@@ -63,6 +63,8 @@
 	Reserved bool
 	// Writer generated the first event of the stream that the caller resumes; zero if that is unknown.
 	Writer conversation.Writer
+	// WriterUnclear reports that the records of the stream contradict each other.
+	WriterUnclear bool
 	// program and chargeID identify the reservation. Each open draws a new charge ID: a caller that retries a rejected
 	// turn with the same turn ID must not match the settled charge of the rejection.
 	program  string
--- a/internal/turnstore/collector.go
+++ b/internal/turnstore/collector.go
@@ -116,7 +116,7 @@
 	if opened.Reserved && !c.ordered() {
 		return false, nil
 	}
-	opened.Writer = c.writer(params.Stream)
+	opened.Writer, opened.WriterUnclear = c.writer(params.Stream)
 	if opened.Engine == "" {
 		opened.Engine = c.engine
 	}
@@ -146,16 +146,16 @@
 	return count(all, c.reservedComplete) == len(all) || c.set.HasReadQuorum(c.confirmed)
 }
 
-// writer returns the recorded Writer of a stream that the caller resumes.
-func (c *openCollector) writer(stream StreamParams) conversation.Writer {
+// writer returns the recorded Writer of a stream that the caller resumes, and whether the records contradict each other.
+func (c *openCollector) writer(stream StreamParams) (conversation.Writer, bool) {
 	if !stream.Resumed() {
-		return 0
+		return 0, false
 	}
 	lookup := conversation.LookupOrigin(stream.ID)
 	for id := range c.charges {
 		lookup.Add(id)
 	}
-	return lookup.Writer()
+	return lookup.Writer(), lookup.Unclear()
 }
 
 func noSuchTurn(id string) *apierr.Error {
