turnstore: go on recording the origin of a stream while it runs

Callers saw: a stream without a budget that began while no replica could be reached was never recorded, though the replicas came back long before it broke off. It could not be resumed at another gateway, or was taken for one of the only version that this one knew.

Fix: a record that could not be written is written again a second later, for as long as the stream runs, unless a newer one is expected. It costs nothing while replicas answer. A stream that still begins and breaks off within the outage stays unrecorded.

--- a/internal/turnstore/origin.go
+++ b/internal/turnstore/origin.go
@@ -4,7 +4,9 @@
 	"context"
 	"math/rand/v2"
 	"sync"
+	"time"
 
+	"github.com/mountstile/mountstile/internal/clock"
 	"github.com/mountstile/mountstile/internal/conversation"
 )
 
@@ -50,13 +52,22 @@
 	o.done = done
 	id := conversation.NewOrigin(o.params.Stream.ID, o.revision, writer).ChargeID(rand.Uint32())
 	charge := conversation.Charge{Program: o.params.chargedProgram(), Turn: id, Settled: true}
+	revision := o.revision
 	go func() {
-		defer close(done)
 		<-previous
-		o.write(ctx, charge)
+		recorded := o.write(ctx, revision, charge)
+		close(done)
+		for !recorded && ctx.Err() == nil {
+			clock.Sleep(ctx, originRetryInterval)
+			recorded = o.write(ctx, revision, charge)
+		}
 	}()
 }
 
+// originRetryInterval is the pause before a record that could not be written is written again, for as long as the stream runs. The
+// stream may go on without the record, but its caller can't resume it at another gateway.
+const originRetryInterval = time.Second
+
 // Moved reports whether the stream was expected from more than one Writer. The record of the last one must not be missing
 // then, since that of another one may be stored.
 func (o *StreamOrigin) Moved() bool {
@@ -65,13 +76,18 @@
 	return o.revision > 0
 }
 
-func (o *StreamOrigin) write(ctx context.Context, charge conversation.Charge) {
+// write records a revision and reports whether that succeeded, or is not needed any more since there is a newer one.
+func (o *StreamOrigin) write(ctx context.Context, revision int, charge conversation.Charge) bool {
 	writeContext, cancel := context.WithTimeout(ctx, openTimeout)
 	defer cancel()
 	err := o.client.Put(writeContext, charge.Program, []conversation.Record{{Charge: &charge}})
 	o.mutex.Lock()
 	defer o.mutex.Unlock()
+	if o.revision != revision {
+		return true
+	}
 	o.err = err
+	return err == nil
 }
 
 // Await waits until the expected Writer is recorded or the context ends. The error is an apierr.Error with the code
--- a/internal/turnstore/origin_test.go
+++ b/internal/turnstore/origin_test.go
@@ -113,3 +113,38 @@
 	}
 	assert.Assert(t, c.reserve(c.client, "late", 40, 1) != nil, "40 tokens are reserved")
 }
+
+// A stream that begins while no replica can be reached is recorded once they are back, as long as it runs. An earlier expectation
+// that is still to be recorded doesn't change the state of a later one.
+func TestOriginIsRecordedAfterReplicasWereAway(t *testing.T) {
+	t.Parallel()
+	ctx, cancel := context.WithTimeout(context.Background(), 4*testTimeout)
+	defer cancel()
+	c := newCluster(t, 3)
+	for _, machine := range c.machines {
+		c.kill(machine)
+	}
+	v1, v2 := conversation.WriterOf("s", "v1"), conversation.WriterOf("s", "v2")
+	streams := map[streamCase][]conversation.Writer{
+		{id: "stays", budget: -1}: {v1},
+		{id: "moves", budget: -1}: {v1, v2},
+	}
+	for stream, writers := range streams {
+		origin := c.client.Origin(stream.params(writers[0]))
+		for _, writer := range writers {
+			origin.Expect(ctx, writer)
+		}
+		assert.Assert(t, origin.Await(ctx) != nil, "nothing was recorded")
+	}
+	for _, machine := range c.machines {
+		c.start(machine)
+	}
+	for stream, writers := range streams {
+		params := stream.params(0)
+		params.Turn = "again"
+		eventually(t, stream.id+" is recorded", func() bool {
+			opened, err := c.client.Open(ctx, params)
+			return err == nil && opened.Writer == writers[len(writers)-1]
+		})
+	}
+}
