A start waits for its settings, ports and data folder

Callers saw a process that ended at its start, again at each restart: nothing else could be reached in its place.

Cause: main returned the first error of reading the settings file, opening a listener or opening the data folder. A settings file is half written for a moment, a port is held by the predecessor that still ends or by an outgoing connection that drew it, and a disk refuses for a while. A file in the data folder whose name only resembles a segment's ended each start. Listeners for metrics and relays were tried once and then missing until the next start, though relays are advertised.

A replica that waits for its folder isn't reachable, as if it were down. The log skips files that are no segments.

--- a/internal/events/events.go
+++ b/internal/events/events.go
@@ -24,6 +24,7 @@
 	MachineLeaving         ID = 107
 	MachineListFailed      ID = 108
 	IdentityInUse          ID = 109
+	SettingsAwaited        ID = 115
 	MemberAlive            ID = 201
 	MemberSuspect          ID = 202
 	MemberDead             ID = 203
@@ -122,10 +123,11 @@
 	{NodeStopping, "node_stopping", logrus.InfoLevel, "a planned stop began; new calls are refused and leadership moves"},
 	{NodeStopped, "node_stopped", logrus.InfoLevel, "the node has stopped"},
 	{PlainTransport, "plain_transport", logrus.WarnLevel, "traffic between nodes is neither encrypted nor authenticated"},
-	{ListenerFailed, "listener_failed", logrus.ErrorLevel, "a listener ended with an error"},
+	{ListenerFailed, "listener_failed", logrus.ErrorLevel, "a listener could not be opened, or ended with an error"},
 	{MachineLeaving, "machine_leaving", logrus.InfoLevel, "the platform's list says that this machine leaves; a planned stop begins"},
 	{MachineListFailed, "machine_list_failed", logrus.DebugLevel, "the platform's machine list could not be read; it is a hint only"},
 	{IdentityInUse, "identity_in_use", logrus.ErrorLevel, "another live node has the replica identity of this data folder; this node waits with its replicas"},
+	{SettingsAwaited, "settings_awaited", logrus.WarnLevel, "the settings file is missing or invalid; the process waits for a valid one"},
 	{MemberAlive, "member_alive", logrus.InfoLevel, "a member joined or came back"},
 	{MemberSuspect, "member_suspect", logrus.InfoLevel, "a member did not answer direct and indirect probes"},
 	{MemberDead, "member_dead", logrus.WarnLevel, "a suspected member did not refute in time and counts as dead"},
--- a/internal/turnlog/turnlog.go
+++ b/internal/turnlog/turnlog.go
@@ -128,9 +128,11 @@
 	}
 	slices.Sort(names)
 	for _, name := range names {
-		if _, err := fmt.Sscanf(filepath.Base(name), segmentPattern, &log.number); err != nil {
-			return nil, wrapError("parse segment name "+name, err)
+		number, valid := segmentNumber(name)
+		if !valid {
+			continue
 		}
+		log.number = number
 		size, err := replaySegment(name, log.number, options.Replay)
 		if err != nil {
 			return nil, err
@@ -141,6 +143,14 @@
 	return log, nil
 }
 
+// segmentNumber returns the number of the segment with a file name, and false if the file is no segment.
+func segmentNumber(name string) (int, bool) {
+	var number int
+	base := filepath.Base(name)
+	_, err := fmt.Sscanf(base, segmentPattern, &number)
+	return number, err == nil && base == fmt.Sprintf(segmentPattern, number)
+}
+
 // Append writes records and returns once they are synced and applied: after the sync and before any other write, Run
 // calls apply with the position of each record. From then on IsLive may be called for these records at any time.
 // After an error, the records may or may not be in the log. If the disk hangs and the queue is full, Append
--- a/internal/turnstore/node.go
+++ b/internal/turnstore/node.go
@@ -7,6 +7,7 @@
 
 	"github.com/mountstile/mountstile/internal/catalog"
 	"github.com/mountstile/mountstile/internal/events"
+	"github.com/mountstile/mountstile/internal/startup"
 	"github.com/mountstile/mountstile/internal/transport"
 )
 
@@ -49,6 +50,18 @@
 	return node, nil
 }
 
+// AwaitNode is like NewNode, but waits while the data folder can't be opened. The error is the context's.
+func AwaitNode(ctx context.Context, options NodeOptions) (*Node, error) {
+	var node *Node
+	err := startup.Retry(ctx, func() (err error) {
+		node, err = NewNode(options)
+		return err
+	}, func(err error) {
+		options.Logger.Emit(events.StorageFailed, events.F("folder", options.Replica.Folder), events.F("error", err))
+	})
+	return node, err
+}
+
 // readsStore reports whether this replica reads the configuration store. Calls to the store are expensive, so only a
 // few members read it: one more than may be lost at once. While the set is unknown, all replicas read it.
 func (n *Node) readsStore() bool {
