--- a/internal/events/queue.go
+++ b/internal/events/queue.go
@@ -4,11 +4,15 @@
 	"io"
 	"sync"
 	"sync/atomic"
+	"time"
 )
 
 // queueCapacity is the maximum number of lines that wait to be written.
 const queueCapacity = 2048
 
+// closeTimeout limits how long Close waits for an output that nobody reads.
+const closeTimeout = 200 * time.Millisecond
+
 // QueuedWriter writes lines in the background. A line is dropped and counted if the queue is full, so that
 // logging never delays a request.
 type QueuedWriter struct {
@@ -40,11 +44,20 @@
 // Dropped returns how many lines were dropped so far.
 func (w *QueuedWriter) Dropped() int64 { return w.dropped.Load() }
 
-// Close writes the queued lines and stops. Lines written after Close are lost.
+// Close writes the queued lines and stops. Lines written after Close, or not written within closeTimeout, are lost.
 func (w *QueuedWriter) Close() {
 	w.closeOnce.Do(func() {
-		w.lines <- nil
-		<-w.done
+		timer := time.NewTimer(closeTimeout)
+		defer timer.Stop()
+		select {
+		case w.lines <- nil:
+		case <-timer.C:
+			return
+		}
+		select {
+		case <-w.done:
+		case <-timer.C:
+		}
 	})
 }
 
