A replica set that can't be used is refused where it is decoded

Callers saw every gateway and replica end by a panic, again after each start, while the store held such a set.

Cause: a set with an epoch was taken as it came, from the store or a peer. Without members, Client.nearest indexed an empty slice in a goroutine of a request; negative copies made storeReaders slice out of range; a shard outside the number of shards made all shards count as known though the set of the first was missing.

Fix: ReplicaSet checks itself when it is decoded, so one rule holds for the store, messages and the data folder. A set without an epoch means none, as before, and stays valid. A rejected one is logged (config_rejected).

--- a/internal/ingress/node.go
+++ b/internal/ingress/node.go
@@ -136,10 +136,7 @@
 	case catalog.EngineKind:
 		n.registry.Apply(entry)
 	case catalog.ReplicaSetKind:
-		var set turnstore.ReplicaSet
-		if json.Unmarshal(entry.Value, &set) == nil {
-			n.turns.ApplySet(set)
-		}
+		n.applySet(entry)
 	case catalog.EngineEndKind:
 		_, id := catalog.SplitKey(entry.Key)
 		n.registry.ApplyEnd(id)
@@ -150,6 +147,18 @@
 	}
 }
 
+func (n *Node) applySet(entry catalog.Entry) {
+	if entry.Removed() {
+		return
+	}
+	var set turnstore.ReplicaSet
+	if err := json.Unmarshal(entry.Value, &set); err != nil {
+		n.options.Logger.Emit(events.ConfigRejected, events.F("key", entry.Key), events.F("revision", entry.Revision), events.F("error", err))
+		return
+	}
+	n.turns.ApplySet(set)
+}
+
 // applyReport records that an engine ended under a request at another gateway, or that this no longer counts.
 func (n *Node) applyReport(entry catalog.Entry) {
 	_, name := catalog.SplitKey(entry.Key)
--- a/internal/turnstore/node.go
+++ b/internal/turnstore/node.go
@@ -97,10 +97,7 @@
 func (n *Node) apply(entry catalog.Entry) {
 	switch kind, _ := catalog.SplitKey(entry.Key); kind {
 	case catalog.ReplicaSetKind:
-		var set ReplicaSet
-		if json.Unmarshal(entry.Value, &set) == nil && set.Epoch > 0 {
-			n.replica.ApplySet(set)
-		}
+		n.applySet(entry)
 	case catalog.CandidateKind:
 		var candidate Member
 		if json.Unmarshal(entry.Value, &candidate) == nil && candidate.Name != "" {
@@ -109,6 +106,20 @@
 	}
 }
 
+func (n *Node) applySet(entry catalog.Entry) {
+	if entry.Removed() {
+		return
+	}
+	var set ReplicaSet
+	if err := json.Unmarshal(entry.Value, &set); err != nil {
+		n.options.Logger.Emit(events.ConfigRejected, events.F("key", entry.Key), events.F("revision", entry.Revision), events.F("error", err))
+		return
+	}
+	if set.Epoch > 0 {
+		n.replica.ApplySet(set)
+	}
+}
+
 // Run runs the catalog and the replica until the context ends.
 func (n *Node) Run(ctx context.Context) {
 	go n.catalog.Run(ctx)
--- a/internal/turnstore/set.go
+++ b/internal/turnstore/set.go
@@ -1,6 +1,11 @@
 package turnstore
 
 import (
+	"encoding/json"
+	"fmt"
+
+	"github.com/cockroachdb/errors"
+
 	"github.com/mountstile/mountstile/internal/events"
 	"github.com/mountstile/mountstile/internal/transport"
 )
@@ -36,6 +41,42 @@
 	Size int `json:"size"`
 }
 
+// ErrReplicaSet means that a replica set can't be used.
+type ErrReplicaSet struct{ Set ReplicaSet }
+
+// Error implements error.
+func (e *ErrReplicaSet) Error() string {
+	return fmt.Sprintf("replica set of epoch %d is invalid: shard %d of %d, %d members, %d copies",
+		e.Set.Epoch, e.Set.Shard, max(e.Set.Shards, 1), len(e.Set.Members), e.Set.Copies)
+}
+
+// UnmarshalJSON implements json.Unmarshaler. A set with an epoch must be usable, for it may come from another writer; the error
+// is an *ErrReplicaSet if it isn't.
+func (s *ReplicaSet) UnmarshalJSON(data []byte) error {
+	type plain ReplicaSet
+	var decoded plain
+	if err := json.Unmarshal(data, &decoded); err != nil {
+		return errors.Wrap(err, "decoding a replica set")
+	}
+	if set := ReplicaSet(decoded); set.Epoch != 0 && !set.valid() {
+		return errors.WithStack(&ErrReplicaSet{Set: set})
+	}
+	*s = ReplicaSet(decoded)
+	return nil
+}
+
+func (s ReplicaSet) valid() bool {
+	if s.Copies < 1 || len(s.Members) == 0 || s.Shard < 0 || s.Shard >= max(s.Shards, 1) {
+		return false
+	}
+	for _, member := range s.All() {
+		if member.Name == "" || member.Address == "" {
+			return false
+		}
+	}
+	return true
+}
+
 // logFields returns the set's fields for log events.
 func (s ReplicaSet) logFields() []events.Field {
 	return []events.Field{
