A failed accept doesn't make a node deaf

Other nodes saw a node that runs but is never reached again at its port once it had run out of file descriptors.

Cause: Transport.Serve returned on the first error of Accept, and nobody looked at it. net/http goes on after errors that it counts as temporary, but returns on others, such as no memory for a socket.

Evidence, on the code before: TestFailedAcceptDoesNotEndServing: node at 127.0.0.1:34383: connection closed

Measured: the test passes; internal/transport passes with and without the race detector.

--- a/internal/startup/startup.go
+++ b/internal/startup/startup.go
@@ -12,6 +12,8 @@
 	"net"
 	"time"
 
+	"github.com/cockroachdb/errors"
+
 	"github.com/mountstile/mountstile/internal/clock"
 	"github.com/mountstile/mountstile/internal/events"
 )
@@ -38,7 +40,7 @@
 }
 
 // Listen opens a listener at IP:PORT. It waits while the port is in use, for instance by the process's predecessor or an
-// outgoing connection. The error is the context's.
+// outgoing connection. The listener is a Persistent one. The error is the context's.
 func Listen(ctx context.Context, address string, logger *events.Logger) (net.Listener, error) {
 	var listener net.Listener
 	err := Retry(ctx, func() (err error) {
@@ -47,5 +49,31 @@
 	}, func(err error) {
 		logger.Emit(events.ListenerFailed, events.F("address", address), events.F("error", err))
 	})
-	return listener, err
+	if err != nil {
+		return nil, err
+	}
+	return Persistent(listener, logger), nil
+}
+
+// Persistent returns a listener whose Accept fails only once it is closed. Other errors, as without free file descriptors or memory,
+// are logged, and Accept tries again.
+func Persistent(listener net.Listener, logger *events.Logger) net.Listener {
+	return &persistentListener{Listener: listener, logger: logger}
+}
+
+type persistentListener struct {
+	net.Listener
+	logger *events.Logger
+}
+
+// Accept implements net.Listener.
+func (l *persistentListener) Accept() (net.Conn, error) {
+	for backoff := initialBackoff; ; backoff = min(2*backoff, maxBackoff) {
+		accepted, err := l.Listener.Accept()
+		if err == nil || errors.Is(err, net.ErrClosed) {
+			return accepted, err
+		}
+		l.logger.Emit(events.ListenerFailed, events.F("address", l.Addr().String()), events.F("error", err))
+		clock.Sleep(context.Background(), backoff)
+	}
 }
--- a/internal/transport/transport.go
+++ b/internal/transport/transport.go
@@ -13,6 +13,7 @@
 
 	"github.com/mountstile/mountstile/internal/apierr"
 	"github.com/mountstile/mountstile/internal/events"
+	"github.com/mountstile/mountstile/internal/startup"
 )
 
 // Peer identifies the other end of a connection, or the recipient of a message.
@@ -432,8 +433,9 @@
 		return listener.Close()
 	}
 	t.spawn(t.runLivenessChecks)
+	connections := startup.Persistent(listener, t.options.Logger)
 	for {
-		raw, err := listener.Accept()
+		raw, err := connections.Accept()
 		if err != nil {
 			if errors.Is(err, net.ErrClosed) {
 				return nil
