transport: messages of all peers together stay within a memory budget

What callers saw: a gateway or replica whose peers, or strangers at its peer port, send long lines grows until it is ended, with all its requests. Cause: a line had a limit (16 MiB), the sum over connections, running handlers, replies and queued lines had none; connections had no number; counters kept each kind of message that a peer makes up; one response over the limit of a line closed its connection with all requests on it.

Why it works: a line longer than 1 KiB reserves memory before its buffer grows, and what its message occupies until it is answered; lines to be sent reserve theirs until they are written. Without memory the line is discarded while it is read, a request is answered Overloaded and NotRun, a reply is reported as Overloaded with an unknown outcome, the connection stays. Nothing waits for memory, and replies that are waited for may use the part that requests may not, so nodes do not block each other. Without a budget (nil) nothing is refused. Messages on the wire are unchanged.

A handler of large responses calls ReserveResponse before it loads them.

--- a/internal/events/events.go
+++ b/internal/events/events.go
@@ -105,6 +105,7 @@
 	CertificatesReloaded   ID = 803
 	PeerWayChanged         ID = 804
 	MessageMisdirected     ID = 805
+	PeerMessageRefused     ID = 806
 )
 
 // Event is an entry of the catalogue: an event's number, name, level and log message.
@@ -207,6 +208,7 @@
 	{CertificatesReloaded, "certificates_reloaded", logrus.InfoLevel, "node certificates were read again"},
 	{PeerWayChanged, "peer_way_changed", logrus.InfoLevel, "a peer that can't be reached directly was reached through a relay, or directly again if none is named"},
 	{MessageMisdirected, "message_misdirected", logrus.WarnLevel, "a message for another node was refused; one line for each connection"},
+	{PeerMessageRefused, "peer_message_refused", logrus.WarnLevel, "messages of peers were discarded because the memory for them is in use; at most one line a second"},
 }
 
 var byID = func() map[ID]Event {
--- a/internal/membudget/membudget.go
+++ b/internal/membudget/membudget.go
@@ -68,12 +68,18 @@
 // Open returns an empty reservation. The place names what is read, for errors and metrics.
 func (b *Budget) Open(place string) *Reservation { return &Reservation{budget: b, place: place} }
 
+// OpenPreferred returns an empty reservation that may use the whole budget at any size: for bytes that let others be
+// released.
+func (b *Budget) OpenPreferred(place string) *Reservation {
+	return &Reservation{budget: b, place: place, preferred: true}
+}
+
 // grow takes bytes for a reservation that holds held bytes already.
-func (b *Budget) grow(place string, held, bytes int64) error {
+func (b *Budget) grow(place string, held, bytes int64, preferred bool) error {
 	b.mutex.Lock()
 	defer b.mutex.Unlock()
 	limit := b.limit
-	if held+bytes > smallBytes {
+	if !preferred && held+bytes > smallBytes {
 		limit -= limit / smallShareDivisor
 	}
 	if b.used+bytes > limit {
@@ -95,8 +101,9 @@
 // Reservation is the part of a Budget that one call holds. It must be released once, after the last use of the bytes. It may
 // be grown and released by different goroutines. A nil Reservation has no limit.
 type Reservation struct {
-	budget *Budget
-	place  string
+	budget    *Budget
+	place     string
+	preferred bool
 
 	mutex    sync.Mutex
 	held     int64
@@ -113,7 +120,7 @@
 	if r.released {
 		return errors.AssertionFailedf("a released reservation of a %s grows by %d bytes", r.place, bytes)
 	}
-	if err := r.budget.grow(r.place, r.held, bytes); err != nil {
+	if err := r.budget.grow(r.place, r.held, bytes, r.preferred); err != nil {
 		return err
 	}
 	r.held += bytes
--- a/internal/transport/connection.go
+++ b/internal/transport/connection.go
@@ -13,6 +13,7 @@
 
 	"github.com/mountstile/mountstile/internal/apierr"
 	"github.com/mountstile/mountstile/internal/events"
+	"github.com/mountstile/mountstile/internal/membudget"
 )
 
 // errConnectionClosed means that the connection was closed before the reply arrived.
@@ -26,6 +27,8 @@
 type outgoingLine struct {
 	kind string
 	line []byte
+	// reservation is released once the line is written.
+	reservation *membudget.Reservation
 }
 
 // connection is one TCP connection. It carries requests, replies and one-way messages in both directions.
@@ -50,6 +53,8 @@
 	// which the connection was created.
 	lastReceived atomic.Int64
 	openedAt     time.Time
+	// memory is what an accepted connection occupies; nil for others.
+	memory *membudget.Reservation
 
 	mutex sync.Mutex
 	// pending holds the requests sent to the peer that have no reply yet.
@@ -104,6 +109,7 @@
 	c.closeOnce.Do(func() {
 		close(c.done)
 		_ = c.raw.Close()
+		c.memory.Release()
 		c.transport.unregister(c)
 	})
 }
@@ -141,10 +147,23 @@
 	}
 }
 
-func (c *connection) removePending(id uint64) {
+// removePending forgets a request. A reply that nobody has taken is dropped.
+func (c *connection) removePending(id uint64, replies <-chan frame) {
 	c.mutex.Lock()
 	delete(c.pending, id)
 	c.mutex.Unlock()
+	select {
+	case reply := <-replies:
+		reply.reservation.Release()
+	default:
+	}
+}
+
+// awaits reports whether a request is pending.
+func (c *connection) awaits(id uint64) bool {
+	c.mutex.Lock()
+	defer c.mutex.Unlock()
+	return c.pending[id] != nil
 }
 
 func encodeLine(outgoing frame) (outgoingLine, error) {
@@ -152,23 +171,39 @@
 	if err != nil {
 		return outgoingLine{}, err
 	}
-	kind := outgoing.Kind
-	return outgoingLine{kind: kind, line: append(line, '\n')}, nil
+	if len(line) >= MaxLineBytes {
+		return outgoingLine{}, &ErrLineTooLong{Limit: MaxLineBytes}
+	}
+	return outgoingLine{kind: outgoing.Kind, line: append(line, '\n')}, nil
 }
 
-func (c *connection) enqueue(ctx context.Context, outgoing frame) error {
+// enqueue encodes and queues a message. The reservation is released once it is written, or after an error.
+func (c *connection) enqueue(ctx context.Context, outgoing frame, reservation *membudget.Reservation) error {
 	line, err := encodeLine(outgoing)
+	if err == nil {
+		line.reservation = reservation
+		err = c.enqueueLine(ctx, line)
+	}
 	if err != nil {
-		return err
+		reservation.Release()
 	}
+	return err
+}
+
+func (c *connection) enqueueLine(ctx context.Context, line outgoingLine) error {
 	select {
 	case c.queue <- line:
-		return nil
 	case <-c.done:
 		return errConnectionClosed
 	case <-ctx.Done():
 		return ctx.Err()
 	}
+	select {
+	case <-c.done:
+		c.drainQueue()
+	default:
+	}
+	return nil
 }
 
 func (c *connection) tryEnqueue(outgoing frame) {
@@ -186,6 +221,7 @@
 // writeLoop writes queued lines and flushes when the queue is empty.
 func (c *connection) writeLoop() {
 	defer c.transport.tasks.Done()
+	defer c.drainQueue()
 	defer c.close()
 	writer := bufio.NewWriterSize(c.raw, connectionBufferBytes)
 	for {
@@ -203,7 +239,9 @@
 
 func (c *connection) writeBatch(writer *bufio.Writer, line outgoingLine) bool {
 	for {
-		if _, err := writer.Write(line.line); err != nil {
+		_, err := writer.Write(line.line)
+		line.reservation.Release()
+		if err != nil {
 			return false
 		}
 		c.transport.traffic.countSent(line.kind, len(line.line))
@@ -220,20 +258,21 @@
 	defer c.close()
 	for {
 		_ = c.raw.SetReadDeadline(time.Now().Add(idleTimeout))
-		line, err := readLine(c.reader, MaxLineBytes)
+		incoming, size, err := c.readMessage()
 		if err != nil {
 			c.reportReadError(err)
 			return
 		}
 		c.markReceived()
-		incoming, err := decodeFrame(line)
-		if err != nil {
-			c.transport.options.Logger.Emit(events.PeerRejected, events.F("peer", c.peer.Address), events.F("error", err))
-			return
+		c.transport.traffic.countReceived(incoming.Kind, size, c.transport.handles(incoming.Kind))
+		if incoming.refused != nil {
+			c.refuseForMemory(incoming)
+			continue
 		}
-		c.transport.traffic.countReceived(incoming.Kind, len(line))
 		if incoming.Kind == helloKind {
-			if err := c.handleHello(incoming); err != nil {
+			err := c.handleHello(incoming)
+			incoming.reservation.Release()
+			if err != nil {
 				c.transport.options.Logger.Emit(events.PeerRejected, events.F("peer", c.peer.Address), events.F("error", err))
 				return
 			}
@@ -245,8 +284,12 @@
 
 func (c *connection) reportReadError(err error) {
 	var tooLong *ErrLineTooLong
-	if errors.As(err, &tooLong) {
+	var malformed *errMalformedLine
+	switch {
+	case errors.As(err, &tooLong):
 		c.transport.options.Logger.Emit(events.PeerLineTooLong, events.F("peer", c.peer.Address))
+	case errors.As(err, &malformed):
+		c.transport.options.Logger.Emit(events.PeerRejected, events.F("peer", c.peer.Address), events.F("error", err))
 	}
 }
 
@@ -254,12 +297,14 @@
 	switch {
 	case incoming.Kind == livenessKind:
 		c.handleLiveness(incoming)
+		incoming.reservation.Release()
 		return
 	case incoming.Reply:
 		c.deliverReply(incoming)
 		return
 	}
 	if err := c.transport.checkRecipient(incoming); err != nil {
+		incoming.reservation.Release()
 		c.refuse(incoming, err)
 		return
 	}
@@ -267,6 +312,7 @@
 		c.serveRequest(incoming)
 		return
 	}
+	defer incoming.reservation.Release()
 	if handler := c.transport.oneWay[incoming.Kind]; handler != nil {
 		handler(c.sender(), incoming.Payload)
 	}
@@ -274,19 +320,29 @@
 
 func (c *connection) deliverReply(incoming frame) {
 	c.mutex.Lock()
+	defer c.mutex.Unlock()
 	request := c.pending[incoming.ID]
-	delete(c.pending, incoming.ID)
-	c.mutex.Unlock()
-	if request != nil {
-		request.replies <- incoming
+	if request == nil {
+		incoming.reservation.Release()
+		return
 	}
+	delete(c.pending, incoming.ID)
+	// The channel has room for the only reply. Sent under the mutex, it is there for removePending.
+	request.replies <- incoming
 }
 
 // serveRequest runs a request's handler in a task. It blocks the reader while maxConcurrentHandlers are running.
 func (c *connection) serveRequest(incoming frame) {
+	if err := incoming.reservation.Grow(handlerBytes); err != nil {
+		incoming.reservation.Release()
+		incoming.refused = err
+		c.refuseForMemory(incoming)
+		return
+	}
 	select {
 	case c.handlerSlots <- struct{}{}:
 	case <-c.done:
+		incoming.reservation.Release()
 		return
 	}
 	c.setServing(incoming.ID, true)
@@ -302,10 +358,20 @@
 			case <-ctx.Done():
 			}
 		}()
-		_ = c.enqueue(ctx, c.runHandler(ctx, incoming))
+		c.sendReply(ctx, c.runHandler(ctx, incoming), incoming.reservation)
 	})
 }
 
+// sendReply queues a reply, or in place of one that is too long an error.
+func (c *connection) sendReply(ctx context.Context, reply frame, reservation *membudget.Reservation) {
+	err := c.enqueue(ctx, reply, reservation)
+	var tooLong *ErrLineTooLong
+	if errors.As(err, &tooLong) {
+		failure := apierr.New(apierr.BodyTooLarge, apierr.OutcomeUnknown, "the response to %s exceeds %d bytes", reply.Kind, tooLong.Limit)
+		_ = c.enqueue(ctx, frame{Kind: reply.Kind, ID: reply.ID, Reply: true, Error: failure}, nil)
+	}
+}
+
 func (c *connection) runHandler(ctx context.Context, incoming frame) frame {
 	reply := frame{Kind: incoming.Kind, ID: incoming.ID, Reply: true}
 	handler := c.transport.handlers[incoming.Kind]
@@ -313,7 +379,8 @@
 		reply.Error = apierr.New(apierr.NotFound, apierr.NotRun, "this node does not serve %q", incoming.Kind)
 		return reply
 	}
-	response, err := handler(ctx, c.sender(), incoming.Payload)
+	memory := &served{reservation: incoming.reservation}
+	response, err := handler(context.WithValue(ctx, reservationKey{}, memory), c.sender(), incoming.Payload)
 	if err != nil {
 		reply.Error = apierr.From(err, apierr.OutcomeUnknown)
 		return reply
@@ -322,5 +389,8 @@
 	if err != nil {
 		reply.Error = apierr.New(apierr.Internal, apierr.OutcomeUnknown, "encoding the response: %s", err)
 	}
+	if err := memory.reserveEncoded(len(reply.Payload)); err != nil {
+		reply.Payload, reply.Error = nil, apierr.New(apierr.Overloaded, apierr.OutcomeUnknown, "%s", err)
+	}
 	return reply
 }
--- a/internal/transport/frame.go
+++ b/internal/transport/frame.go
@@ -10,6 +10,7 @@
 	"github.com/cockroachdb/errors"
 
 	"github.com/mountstile/mountstile/internal/apierr"
+	"github.com/mountstile/mountstile/internal/membudget"
 )
 
 // frame is one line. A frame with an ID is a request or the reply to it; a frame without one is a one-way message.
@@ -23,6 +24,9 @@
 	// the recipient, or doesn't know them.
 	To        string `json:"t,omitempty"`
 	ClusterID string `json:"c,omitempty"`
+	// reservation is the memory of a received message; refused is set if there was none, and the payload was discarded.
+	reservation *membudget.Reservation
+	refused     error
 }
 
 // hello is the payload of the first frame of each connection, in both directions.
@@ -52,6 +56,14 @@
 // Error implements error.
 func (e *ErrLineTooLong) Error() string { return "line from a node exceeds the size limit" }
 
+// errMalformedLine means that a peer sent a line that is no message.
+type errMalformedLine struct{ cause error }
+
+// Error implements error.
+func (e *errMalformedLine) Error() string {
+	return "line from a node is no message: " + e.cause.Error()
+}
+
 // readLine returns the next line, including its newline. It buffers no more than limit bytes.
 func readLine(reader *bufio.Reader, limit int) ([]byte, error) {
 	var line []byte
--- a/internal/transport/relay_client.go
+++ b/internal/transport/relay_client.go
@@ -110,26 +110,24 @@
 	if err != nil {
 		return response, err
 	}
-	if err := json.Unmarshal(result, &response); err != nil {
-		return response, apierr.New(apierr.Internal, apierr.OutcomeUnknown, "decoding the response to %s: %s", kind, err)
-	}
-	return response, nil
+	return decodeReply[Response](result, kind)
 }
 
 // routeResult is the result of a request over one route.
 type routeResult struct {
 	// relay is empty for the direct route.
-	relay   string
-	payload json.RawMessage
-	err     error
+	relay string
+	reply frame
+	err   error
 }
 
 // fromPeer reports whether the result, which may be an error, was returned by the peer itself.
 func (r routeResult) fromPeer() bool {
-	return r.err == nil || (!apierr.Is(r.err, apierr.PeerUnreachable) && !apierr.Is(r.err, apierr.RelayFailed))
+	var notSent *errNotSent
+	return r.err == nil || (!apierr.Is(r.err, apierr.PeerUnreachable) && !apierr.Is(r.err, apierr.RelayFailed) && !errors.As(r.err, &notSent))
 }
 
-func (t *Transport) callWithRelays(ctx context.Context, to Peer, kind string, payload json.RawMessage, relayDelay time.Duration) (json.RawMessage, error) {
+func (t *Transport) callWithRelays(ctx context.Context, to Peer, kind string, payload json.RawMessage, relayDelay time.Duration) (frame, error) {
 	relays, viaRelay := t.relayRoutes.routesTo(to.Address)
 	if len(relays) == 0 {
 		return t.call(ctx, to, kind, payload)
@@ -140,6 +138,7 @@
 		transport: t, ctx: callContext, to: to, kind: kind, payload: payload, relays: relays,
 		startedAt: time.Now(), results: make(chan routeResult, len(relays)+1),
 	}
+	defer relayed.drop()
 	relayed.sendDirect()
 	if viaRelay {
 		relayed.startRelays()
@@ -164,7 +163,7 @@
 }
 
 // wait returns the first result from the peer, or the last error once all routes have failed.
-func (c *relayedCall) wait(relayDelay time.Duration) (json.RawMessage, error) {
+func (c *relayedCall) wait(relayDelay time.Duration) (frame, error) {
 	timer := time.NewTimer(relayDelay)
 	defer timer.Stop()
 	var last error
@@ -174,7 +173,7 @@
 			c.pending--
 			if result.fromPeer() {
 				c.transport.recordRoute(c.to.Address, result.relay, c.kind)
-				return result.payload, result.err
+				return result.reply, result.err
 			}
 			last = result.err
 			c.handleFailure(result)
@@ -182,13 +181,27 @@
 			c.handleDelay()
 			timer.Reset(max(relayDelay, minRelayDelay))
 		case <-c.ctx.Done():
-			return nil, unreachable(c.to.Address, apierr.OutcomeUnknown, c.ctx.Err())
+			return frame{}, unreachable(c.to.Address, apierr.OutcomeUnknown, c.ctx.Err())
 		}
 	}
 	if c.usingRelays {
-		return nil, unreachable(c.to.Address, apierr.OutcomeUnknown, last)
+		return frame{}, unreachable(c.to.Address, apierr.OutcomeUnknown, last)
+	}
+	return frame{}, last
+}
+
+// drop releases the memory of the replies that are not needed.
+func (c *relayedCall) drop() {
+	pending := c.pending
+	if pending == 0 {
+		return
 	}
-	return nil, last
+	go func() {
+		for range pending {
+			result := <-c.results
+			result.reply.reservation.Release()
+		}
+	}()
 }
 
 // handleFailure tries the next route after one has failed.
@@ -223,8 +236,8 @@
 func (c *relayedCall) sendDirect() {
 	c.pending++
 	go func() {
-		result, err := c.transport.call(c.ctx, c.to, c.kind, c.payload)
-		c.results <- routeResult{payload: result, err: err}
+		reply, err := c.transport.call(c.ctx, c.to, c.kind, c.payload)
+		c.results <- routeResult{reply: reply, err: err}
 	}()
 }
 
@@ -245,8 +258,12 @@
 	if deadline, limited := ctx.Deadline(); limited {
 		request.TimeoutMillis = max(time.Until(deadline).Milliseconds(), 1)
 	}
-	result, err := Call[json.RawMessage](ctx, t, Peer{Address: relay}, relayKind, request)
-	return routeResult{relay: relay, payload: result, err: err}
+	encoded, err := json.Marshal(request)
+	if err != nil {
+		return routeResult{relay: relay, err: errors.Wrapf(err, "encoding %s", relayKind)}
+	}
+	reply, err := t.call(ctx, Peer{Address: relay}, relayKind, encoded)
+	return routeResult{relay: relay, reply: reply, err: err}
 }
 
 // silentSince reports whether nothing at all has arrived from a peer since the given time.
--- a/internal/transport/relay_server.go
+++ b/internal/transport/relay_server.go
@@ -51,5 +51,12 @@
 		failure.Code = apierr.RelayFailed
 		return nil, &failure
 	}
-	return reply, err
+	if err != nil {
+		return nil, err
+	}
+	defer reply.reservation.Release()
+	if err := ReserveResponse(ctx, int64(len(reply.Payload))); err != nil {
+		return nil, apierr.New(apierr.Overloaded, apierr.OutcomeUnknown, "%s", err)
+	}
+	return reply.Payload, nil
 }
--- a/internal/transport/traffic.go
+++ b/internal/transport/traffic.go
@@ -17,6 +17,9 @@
 	sentMessages, sentBytes, receivedMessages, receivedBytes atomic.Int64
 }
 
+// otherKinds is the name of all kinds that this node doesn't know.
+const otherKinds = "other"
+
 // Traffic counts messages and payload bytes by kind; TLS and TCP overhead is not included.
 type Traffic struct {
 	kinds   sync.Map // message kind (string) to *kindCounters
@@ -39,7 +42,12 @@
 	counters.sentBytes.Add(int64(bytes))
 }
 
-func (t *Traffic) countReceived(kind string, bytes int) {
+// countReceived counts a received message. Peers may send any kind: those that this node neither handles nor has sent are
+// counted together.
+func (t *Traffic) countReceived(kind string, bytes int, handled bool) {
+	if _, sent := t.kinds.Load(kind); !sent && !handled {
+		kind = otherKinds
+	}
 	counters := t.counters(kind)
 	counters.receivedMessages.Add(1)
 	counters.receivedBytes.Add(int64(bytes))
--- a/internal/transport/transport.go
+++ b/internal/transport/transport.go
@@ -10,9 +10,11 @@
 	"time"
 
 	"github.com/cockroachdb/errors"
+	"golang.org/x/time/rate"
 
 	"github.com/mountstile/mountstile/internal/apierr"
 	"github.com/mountstile/mountstile/internal/events"
+	"github.com/mountstile/mountstile/internal/membudget"
 )
 
 // Peer identifies the other end of a connection, or the recipient of a message.
@@ -39,6 +41,8 @@
 	ServerTLS *tls.Config
 	ClientTLS *tls.Config
 	Logger    *events.Logger
+	// Memory bounds the messages of all peers together; nil means no limit.
+	Memory *membudget.Budget
 	// Relays announces to peers that this node forwards requests for nodes that can't reach a peer directly.
 	Relays bool
 	// Dial replaces the TCP dialler if it is set.
@@ -85,6 +89,8 @@
 	// clusterID is nil while it is unknown.
 	clusterID   atomic.Pointer[string]
 	relayRoutes relayRoutes
+	// refusalLogs limits the log lines about messages refused for want of memory.
+	refusalLogs *rate.Limiter
 }
 
 type dialAttempt struct {
@@ -108,7 +114,8 @@
 
 		redialledAt: make(map[string]time.Time),
 
-		stopped: make(chan struct{}),
+		stopped:     make(chan struct{}),
+		refusalLogs: rate.NewLimiter(rate.Every(time.Second), 1),
 	}
 	Handle(created, relayKind, created.forwardRequest)
 	Handle(created, relaysKind, created.listRelays)
@@ -169,6 +176,11 @@
 	}
 }
 
+// handles reports whether this node handles messages of a kind.
+func (t *Transport) handles(kind string) bool {
+	return kind == helloKind || kind == livenessKind || t.handlers[kind] != nil || t.oneWay[kind] != nil
+}
+
 // Call sends a request and waits for the response, which is from the given peer: a node that has another ID refuses the
 // request. A failure to reach the peer has the code PeerUnreachable; its outcome is NotRun only if the peer can't have
 // received the request.
@@ -182,7 +194,14 @@
 	if err != nil {
 		return response, err
 	}
-	if err := json.Unmarshal(reply, &response); err != nil {
+	return decodeReply[Response](reply, kind)
+}
+
+// decodeReply decodes a reply and releases its memory.
+func decodeReply[Response any](reply frame, kind string) (Response, error) {
+	defer reply.reservation.Release()
+	var response Response
+	if err := json.Unmarshal(reply.Payload, &response); err != nil {
 		return response, apierr.New(apierr.Internal, apierr.OutcomeUnknown, "decoding the response to %s: %s", kind, err)
 	}
 	return response, nil
@@ -192,35 +211,61 @@
 	return apierr.New(apierr.PeerUnreachable, outcome, "node at %s: %s", address, err)
 }
 
-func (t *Transport) call(ctx context.Context, to Peer, kind string, payload json.RawMessage) (json.RawMessage, error) {
+// call sends a request and returns the reply, whose reservation the caller releases.
+func (t *Transport) call(ctx context.Context, to Peer, kind string, payload json.RawMessage) (frame, error) {
 	address := to.Address
 	conn, err := t.connect(ctx, to)
 	if err != nil {
-		return nil, unreachable(address, apierr.NotRun, err)
+		return frame{}, unreachable(address, apierr.NotRun, err)
+	}
+	reservation, err := t.reserveRequest(len(payload))
+	if err != nil {
+		return frame{}, err
 	}
 	id := t.nextID.Add(1)
 	replies := conn.addPending(id)
-	defer conn.removePending(id)
-	if err := conn.enqueue(ctx, conn.addressed(to, frame{Kind: kind, ID: id, Payload: payload})); err != nil {
-		return nil, unreachable(address, apierr.NotRun, err)
+	defer conn.removePending(id, replies)
+	err = conn.enqueue(ctx, conn.addressed(to, frame{Kind: kind, ID: id, Payload: payload}), reservation)
+	var tooLong *ErrLineTooLong
+	switch {
+	case errors.As(err, &tooLong):
+		return frame{}, apierr.New(apierr.BodyTooLarge, apierr.NotRun, "the request %s to %s exceeds %d bytes", kind, address, tooLong.Limit)
+	case err != nil:
+		return frame{}, unreachable(address, apierr.NotRun, err)
 	}
 	conn.markQueued(id)
 	select {
 	case reply := <-replies:
-		if reply.Error != nil {
-			return nil, reply.Error
-		}
-		if err := conn.checkPeer(to); err != nil {
-			return nil, unreachable(address, apierr.OutcomeUnknown, err)
+		err := conn.checkPeer(to)
+		switch {
+		case reply.Error != nil:
+			err = reply.Error
+		case err != nil:
+			err = unreachable(address, apierr.OutcomeUnknown, err)
+		default:
+			return reply, nil
 		}
-		return reply.Payload, nil
+		reply.reservation.Release()
+		return frame{}, err
 	case <-conn.done:
-		return nil, unreachable(address, apierr.OutcomeUnknown, errConnectionClosed)
+		return frame{}, unreachable(address, apierr.OutcomeUnknown, errConnectionClosed)
 	case <-ctx.Done():
-		return nil, unreachable(address, apierr.OutcomeUnknown, ctx.Err())
+		return frame{}, unreachable(address, apierr.OutcomeUnknown, ctx.Err())
 	}
 }
 
+// reserveRequest reserves memory for a request's line until it is written.
+func (t *Transport) reserveRequest(size int) (*membudget.Reservation, error) {
+	if size <= uncountedBytes {
+		return nil, nil
+	}
+	reservation := t.options.Memory.Open(requestPlace)
+	if err := reservation.Grow(responseFactor * int64(size)); err != nil {
+		return nil, errors.WithStack(&errNotSent{cause: overloaded(err)})
+	}
+	return reservation, nil
+}
+
 // Send queues a one-way message without blocking. The message is dropped if the peer can't be reached or its queue
 // is full.
 func (t *Transport) Send(to Peer, kind string, message any) {
@@ -445,12 +490,18 @@
 }
 
 func (t *Transport) accept(raw net.Conn) {
+	memory := t.options.Memory.Open(connectionPlace)
+	if err := memory.Grow(connectionBytes); err != nil {
+		_ = raw.Close()
+		return
+	}
 	_ = raw.SetDeadline(time.Now().Add(helloTimeout))
 	conn := raw
 	if t.options.ServerTLS != nil {
 		conn = tls.Server(raw, t.options.ServerTLS)
 	}
 	incoming := newConnection(t, conn, Peer{})
+	incoming.memory = memory
 	peerHello, err := incoming.readHello()
 	if err == nil {
 		err = incoming.identify(peerHello)
@@ -458,6 +509,7 @@
 	if err != nil {
 		t.options.Logger.Emit(events.PeerRejected, events.F("remote", raw.RemoteAddr().String()), events.F("error", err))
 		_ = raw.Close()
+		memory.Release()
 		return
 	}
 	_ = raw.SetDeadline(time.Time{})
@@ -465,6 +517,7 @@
 	incoming.canRelay = peerHello.Relays && peerHello.Address != ""
 	if !t.register(incoming, false) {
 		_ = raw.Close()
+		memory.Release()
 		return
 	}
 	incoming.sendHello()
