--- a/internal/conversation/text_test.go
+++ b/internal/conversation/text_test.go
@@ -1,7 +1,9 @@
 package conversation
 
 import (
+	"bytes"
 	"encoding/json"
+	"strings"
 	"testing"
 
 	"github.com/cockroachdb/errors"
@@ -36,3 +38,17 @@
 	assert.Assert(t, json.Unmarshal([]byte(`"+!"`), &text) != nil)
 	assert.Assert(t, json.Unmarshal([]byte(`7`), &text) != nil)
 }
+
+// Guards against texts that JSON escapes to several times their size, so that no message has room for them.
+func TestEncodedTextIsAtMostAThirdLonger(t *testing.T) {
+	const size = 1 << 10
+	for _, char := range []string{"x", "<", "&", "\x01", "\n", "\"", "\\", "é", "\xff"} {
+		text := Text(strings.Repeat(char, size))
+		encoded, err := json.Marshal(text)
+		assert.NilError(t, err)
+		assert.Assert(t, len(encoded) <= len(text)*4/3+8, "%d bytes of %q for %d", len(encoded), char, len(text))
+		var decoded Text
+		assert.NilError(t, json.Unmarshal(encoded, &decoded))
+		assert.Assert(t, bytes.Equal(decoded, text))
+	}
+}
