turnlog: records that wait for the disk are bounded in bytes

What callers saw: replicas ended for memory while their disk was behind ("too many appends are waiting for the disk"). Cause: the queue was bounded to 256 appends of any size, a write joined all of them into one more copy that grew by doubling, and compaction held twice the size of that write once more. A caller that gives up leaves its records in the queue.

Evidence: TestAppendsThatWaitForTheDiskAreBoundedInBytes failed before: "100 MiB wait for a limit of 8 MiB".

Why it works: bytes count from Append until they are written, whoever waits for them; an append over the bound is refused at once, a single larger one is taken when nothing else waits. A write takes 2 MiB of queued records, in a buffer of their size, and compaction rewrites as much at a time. IsQueueFull tells callers that the records will not be written. Files are unchanged.

--- a/internal/turnlog/compact.go
+++ b/internal/turnlog/compact.go
@@ -23,6 +23,7 @@
 		return
 	}
 	var live [][]byte
+	liveBytes := 0
 	ended := false
 	for read := 0; read < stepBytes && !ended; {
 		payload, err := readFrame(l.compacting.reader)
@@ -33,7 +34,16 @@
 		read += len(payload) + frameHeaderBytes
 		if l.options.IsLive == nil || l.options.IsLive(payload) {
 			live = append(live, payload)
+			liveBytes += len(payload)
 		}
+		if liveBytes < maxWriteBytes {
+			continue
+		}
+		if !l.rewrite(live) {
+			l.endCompaction()
+			return
+		}
+		live, liveBytes = nil, 0
 	}
 	if len(live) > 0 && !l.rewrite(live) {
 		l.endCompaction()
--- a/internal/turnlog/frame.go
+++ b/internal/turnlog/frame.go
@@ -42,6 +42,15 @@
 	return payload, nil
 }
 
+// frameBytes returns the size of the frames of records.
+func frameBytes(payloads [][]byte) int64 {
+	size := int64(0)
+	for _, payload := range payloads {
+		size += frameHeaderBytes + int64(len(payload))
+	}
+	return size
+}
+
 func appendFrame(buffer, payload []byte) []byte {
 	buffer = binary.LittleEndian.AppendUint32(buffer, uint32(len(payload)))
 	buffer = binary.LittleEndian.AppendUint32(buffer, crc32.Checksum(payload, castagnoli))
--- a/internal/turnlog/turnlog.go
+++ b/internal/turnlog/turnlog.go
@@ -23,6 +23,7 @@
 	"os"
 	"path/filepath"
 	"slices"
+	"sync/atomic"
 	"syscall"
 
 	"github.com/cockroachdb/errors"
@@ -31,9 +32,12 @@
 const (
 	segmentPattern = "turns-%08d.log"
 	segmentGlob    = "turns-*.log"
-	// maxQueuedAppends bounds the appends that wait for the disk, and so the memory of the requests
-	// behind them. All queued appends are written together.
+	// maxQueuedAppends bounds the appends that wait for the disk, and so the memory of the requests behind them.
 	maxQueuedAppends = 256
+	// defaultQueuedBytes is the default of Options.QueuedBytes.
+	defaultQueuedBytes = 32 << 20
+	// maxWriteBytes is the size at which no further records are added to a write.
+	maxWriteBytes = 2 << 20
 	// segmentBytes is the size at which a segment is closed and a new one is started.
 	segmentBytes = 4 << 20
 	// defaultCompactionThreshold is the default of Options.CompactionThreshold, in bytes.
@@ -59,6 +63,9 @@
 // Error implements error.
 func (errQueueFull) Error() string { return "too many appends are waiting for the disk" }
 
+// IsQueueFull reports whether an append failed because the disk does not keep up. Its records will not be written.
+func IsQueueFull(err error) bool { return errors.Is(err, errQueueFull{}) }
+
 // wrapError returns an *ErrLog, or nil if there is no cause.
 func wrapError(operation string, cause error) error {
 	if cause == nil {
@@ -80,10 +87,13 @@
 	// CompactionThreshold is the size of the log, in bytes, from which old segments are compacted. The default
 	// is 64 MiB.
 	CompactionThreshold int64
+	// QueuedBytes bounds the records that wait for the disk; a single append may be larger. The default is 32 MiB.
+	QueuedBytes int64
 }
 
 type appendRequest struct {
 	payloads [][]byte
+	bytes    int64
 	apply    func(positions []Position)
 	done     chan error
 }
@@ -99,6 +109,8 @@
 type Log struct {
 	options Options
 	queue   chan appendRequest
+	// queuedBytes is the size of the records that are queued or being written.
+	queuedBytes atomic.Int64
 
 	// The fields up to compacting are accessed only by Run once the log is open.
 
@@ -122,6 +134,9 @@
 	if log.compactionThreshold == 0 {
 		log.compactionThreshold = defaultCompactionThreshold
 	}
+	if log.options.QueuedBytes == 0 {
+		log.options.QueuedBytes = defaultQueuedBytes
+	}
 	names, err := filepath.Glob(filepath.Join(options.Folder, segmentGlob))
 	if err != nil {
 		return nil, wrapError("list", err)
@@ -146,10 +161,8 @@
 // After an error, the records may or may not be in the log. If the disk hangs and the queue is full, Append
 // fails at once, because queued appends take memory and other replicas have the records.
 func (l *Log) Append(ctx context.Context, payloads [][]byte, apply func(positions []Position)) error {
-	request := appendRequest{payloads: payloads, apply: apply, done: make(chan error, 1)}
-	select {
-	case l.queue <- request:
-	default:
+	request := appendRequest{payloads: payloads, bytes: frameBytes(payloads), apply: apply, done: make(chan error, 1)}
+	if !l.enqueue(request) {
 		return wrapError("append", errQueueFull{})
 	}
 	select {
@@ -160,6 +173,20 @@
 	}
 }
 
+// enqueue queues an append unless the queue is full. The bytes count until they are written, also if the caller has gone.
+func (l *Log) enqueue(request appendRequest) bool {
+	queued := l.queuedBytes.Add(request.bytes)
+	if queued <= l.options.QueuedBytes || queued == request.bytes {
+		select {
+		case l.queue <- request:
+			return true
+		default:
+		}
+	}
+	l.queuedBytes.Add(-request.bytes)
+	return false
+}
+
 // Queued returns the number of appends that wait for the disk.
 func (l *Log) Queued() int { return len(l.queue) }
 
@@ -178,10 +205,13 @@
 	}
 }
 
-// takeQueued returns first and all other queued appends.
+// takeQueued returns first and the queued appends that fit into the same write.
 func (l *Log) takeQueued(first appendRequest) []appendRequest {
 	batch := []appendRequest{first}
-	for {
+	for size := first.bytes; ; size += batch[len(batch)-1].bytes {
+		if size >= maxWriteBytes {
+			return batch
+		}
 		select {
 		case next := <-l.queue:
 			batch = append(batch, next)
@@ -203,6 +233,7 @@
 			request.apply(positions[:len(request.payloads)])
 			positions = positions[len(request.payloads):]
 		}
+		l.queuedBytes.Add(-request.bytes)
 		request.done <- err
 	}
 	return written
@@ -214,7 +245,7 @@
 		return nil, 0, err
 	}
 	current := &l.segments[len(l.segments)-1]
-	var buffer []byte
+	buffer := make([]byte, 0, frameBytes(payloads))
 	for _, payload := range payloads {
 		positions = append(positions, Position{segment: current.number, offset: current.bytes + int64(len(buffer)), length: len(payload)})
 		buffer = appendFrame(buffer, payload)
--- a/internal/turnlog/turnlog_test.go
+++ b/internal/turnlog/turnlog_test.go
@@ -272,3 +272,41 @@
 		assert.Assert(t, size <= int64(len(content)))
 	})
 }
+
+// Guards against records that pile up in memory while the disk hangs.
+func TestAppendsThatWaitForTheDiskAreBoundedInBytes(t *testing.T) {
+	const limit, size, appends = 8 << 20, 1 << 20, 100
+	log, err := Open(Options{Folder: t.TempDir(), Replay: func([]byte, Position) {}, QueuedBytes: limit})
+	assert.NilError(t, err)
+	// Without Run, nothing is taken from the queue, as while a write hangs. The callers have gone, the records have not.
+	gone, cancel := context.WithCancel(context.Background())
+	cancel()
+	refused := 0
+	for range appends {
+		err := log.Append(gone, [][]byte{make([]byte, size)}, func([]Position) {})
+		assert.Assert(t, err != nil)
+		if IsQueueFull(err) {
+			refused++
+		}
+	}
+	assert.Assert(t, len(log.queue)*size <= limit, "%d MiB wait for a limit of %d MiB", len(log.queue)*size>>20, limit>>20)
+	assert.Equal(t, refused+len(log.queue), appends)
+}
+
+// Guards against a record larger than the limit that is never stored, and against a count that is not returned.
+func TestAppendLargerThanTheQueueIsWritten(t *testing.T) {
+	log, err := Open(Options{Folder: t.TempDir(), Replay: func([]byte, Position) {}, QueuedBytes: 1 << 20})
+	assert.NilError(t, err)
+	ctx, cancel := context.WithCancel(context.Background())
+	done := make(chan struct{})
+	go func() {
+		log.Run(ctx)
+		close(done)
+	}()
+	for range 3 {
+		assert.NilError(t, log.Append(ctx, [][]byte{make([]byte, 4<<20)}, func([]Position) {}))
+	}
+	cancel()
+	<-done
+	assert.Equal(t, log.queuedBytes.Load(), int64(0))
+}
