turnstore: responses, fetches and opened turns with large texts stay within memory

What callers saw: replicas ended for memory while others caught up or conversations of large turns were opened; a chain or a batch over the limit of a line closed the connection between two nodes, with all requests on it, and was asked for again. Cause: a fetch loads up to 64 texts of any size (16 before the first size is known, 4 at a time for each peer), an open the whole chain; an append refused by a full queue had an unknown outcome; a gateway kept the texts of all opened turns.

Why it works: a replica reserves the size of the texts before it loads them. A fetch that does not fit is refused as not run, and its requester halves the batch, as it does after any failure; records are never left out, since that means that they are gone. An open names the turn as known with its text missing, which is how unreadable texts are told, so that nobody concludes NoSuchTurn and a reservation holds. Batches of one record are fetched one after the other. A refused append is Overloaded and NotRun. A gateway with a budget reserves the texts of an opened turn until its request ends, or refuses the turn as not run. Messages are unchanged.

--- a/internal/turnstore/client.go
+++ b/internal/turnstore/client.go
@@ -9,6 +9,7 @@
 	"github.com/mountstile/mountstile/internal/conversation"
 	"github.com/mountstile/mountstile/internal/events"
 	"github.com/mountstile/mountstile/internal/load"
+	"github.com/mountstile/mountstile/internal/membudget"
 	"github.com/mountstile/mountstile/internal/transport"
 )
 
@@ -41,6 +42,8 @@
 	Zone string
 	// CacheBytes bounds the texts of cached turns.
 	CacheBytes int64
+	// Memory bounds the texts of all opened turns together; nil means no limit.
+	Memory *membudget.Budget
 	// Load is exchanged with the replicas in open requests; nil disables the exchange.
 	Load LoadExchange
 }
@@ -241,13 +244,16 @@
 	}
 	wantText := params.Previous != "" && !cached
 	if charge == nil && !wantText {
-		return opened, nil
+		return opened, c.reserveTexts(ctx, opened)
 	}
 	err = c.openInShard(openContext, shard, params, charge, opened, wantText)
 	c.recordOpenResult(ctx, shard, err)
 	if wantText && apierr.Is(err, apierr.NoSuchTurn) {
 		err = c.openFromOtherShards(openContext, shard, params, opened)
 	}
+	if err == nil {
+		err = c.reserveTexts(ctx, opened)
+	}
 	if err != nil && opened.Reserved {
 		c.Settle(opened, 0, "")
 	}
@@ -257,6 +263,22 @@
 	return opened, nil
 }
 
+// textsPlace is the place of opened turns in the memory budget.
+const textsPlace = "previous turns"
+
+// reserveTexts reserves memory for the texts of an opened turn, once as turns and once joined, until the context ends.
+func (c *Client) reserveTexts(ctx context.Context, opened *OpenedTurn) error {
+	if c.options.Memory == nil || len(opened.Prefix) == 0 || ctx.Done() == nil {
+		return nil
+	}
+	reservation := c.options.Memory.Open(textsPlace)
+	if err := reservation.Grow(2 * int64(len(opened.Prefix))); err != nil {
+		return unavailable("%s", err)
+	}
+	context.AfterFunc(ctx, reservation.Release)
+	return nil
+}
+
 // recordOpenResult updates the shard's health. An open that its caller canceled is not counted as a failure.
 func (c *Client) recordOpenResult(ctx context.Context, shard int, err error) {
 	switch {
--- a/internal/turnstore/cluster_test.go
+++ b/internal/turnstore/cluster_test.go
@@ -21,6 +21,7 @@
 	"github.com/mountstile/mountstile/internal/configstore"
 	"github.com/mountstile/mountstile/internal/conversation"
 	"github.com/mountstile/mountstile/internal/events"
+	"github.com/mountstile/mountstile/internal/membudget"
 	"github.com/mountstile/mountstile/internal/standin/loopback"
 	"github.com/mountstile/mountstile/internal/transport"
 )
@@ -247,6 +248,8 @@
 	// fetchDelay is how long replicas take to answer a fetch; served counts the records that they return.
 	fetchDelay atomic.Int64
 	served     atomic.Int64
+	// memoryBytes is the memory budget of replicas started from now on; 0 means no limit.
+	memoryBytes int64
 }
 
 // isRetiring reports whether the named machine is being retired.
@@ -308,10 +311,18 @@
 	return added
 }
 
+func (c *cluster) newBudget() *membudget.Budget {
+	if c.memoryBytes == 0 {
+		return nil
+	}
+	return membudget.New(c.memoryBytes, nil)
+}
+
 func (c *cluster) start(m *machine) {
 	c.t.Helper()
 	network := transport.New(transport.Options{
 		Cluster: "test", NodeID: m.name, Address: m.address, Logger: events.Discard(), Dial: c.links.dialFrom(m.address),
+		Memory: c.newBudget(),
 	})
 	replica, err := NewReplica(ReplicaOptions{
 		Self: Member{Name: m.name, Address: m.address, Zone: m.zone}, Folder: m.folder, FirstStart: !c.started, Copies: max(2, (c.size+1)/2), Size: c.size,
--- a/internal/turnstore/fetch.go
+++ b/internal/turnstore/fetch.go
@@ -154,9 +154,18 @@
 	return batch, len(p.deferred) > 0
 }
 
-// fetchBatch fetches and appends one batch.
+// fetchBatch fetches and appends one batch. Batches of one record, whose size is not bounded like that of others, are fetched
+// one after the other.
 func (p *fetchPass) fetchBatch(ctx context.Context, batch []conversation.Key) bool {
 	r := p.replica
+	if len(batch) == 1 {
+		select {
+		case r.largeFetch <- struct{}{}:
+			defer func() { <-r.largeFetch }()
+		case <-ctx.Done():
+			return false
+		}
+	}
 	requestedAt := time.Now()
 	callContext, cancel := context.WithTimeout(ctx, pullTimeout)
 	response, err := transport.Call[fetchResponse](callContext, r.network, p.member.Peer(), fetchKind, fetchRequest{Keys: batch})
--- a/internal/turnstore/replica.go
+++ b/internal/turnstore/replica.go
@@ -36,6 +36,8 @@
 	expireInterval = 5 * time.Second
 	// digestKeys bounds the keys in one response.
 	digestKeys = 2000
+	// maxResponseTextBytes bounds the texts in a response of several records, which has to fit into a message.
+	maxResponseTextBytes = transport.MaxLineBytes / 2
 	// failureLogsPerSecond limits the log lines about failed writes.
 	failureLogsPerSecond = 20
 )
@@ -62,6 +64,8 @@
 	// LogBytes is the log size, in bytes, above which the log is compacted; 0 means the default of package
 	// turnlog.
 	LogBytes int64
+	// QueuedBytes bounds the records that wait for the disk; 0 means the default of package turnlog.
+	QueuedBytes int64
 	// IsRetiring reports whether the operator is retiring the named replica; ReportRetirement reports to the operator
 	// that the retirement of this replica has started, or that it is done.
 	IsRetiring       func(name string) bool
@@ -109,7 +113,9 @@
 	sparePulledAt time.Time
 	peers         map[string]*peerProgress
 	claims        *fetchClaims
-	pullNow       chan struct{}
+	// largeFetch has room for one fetch of a record that is as large as a batch.
+	largeFetch chan struct{}
+	pullNow    chan struct{}
 
 	// failureLogLimiter limits the log lines about failed writes: a stalled disk rejects hundreds a second.
 	failureLogLimiter *rate.Limiter
@@ -135,6 +141,7 @@
 		state:       conversation.New(),
 		peers:       make(map[string]*peerProgress),
 		claims:      newFetchClaims(),
+		largeFetch:  make(chan struct{}, 1),
 		texts:       newTexts(options.TextBytes),
 		loadReports: load.NewAggregator(),
 		pullNow:     make(chan struct{}, 1),
@@ -155,7 +162,7 @@
 	replica.restoreShard(opened.record())
 	now := time.Now()
 	replica.log, err = turnlog.Open(turnlog.Options{
-		Folder: options.Folder, CompactionThreshold: options.LogBytes,
+		Folder: options.Folder, CompactionThreshold: options.LogBytes, QueuedBytes: options.QueuedBytes,
 		IsLive: replica.needed, OnMove: replica.moved,
 		Replay: func(payload []byte, at turnlog.Position) {
 			if record, valid := decodeRecord(payload); valid {
@@ -308,6 +315,9 @@
 	if err != nil && ctx.Err() == nil && r.failureLogLimiter.Allow() {
 		r.logger.Emit(events.ReplicaLogFailed, events.F("error", err), events.F("records", len(unknown)))
 	}
+	if turnlog.IsQueueFull(err) {
+		return apierr.New(apierr.Overloaded, apierr.NotRun, "%s", err)
+	}
 	return err
 }
 
@@ -362,6 +372,11 @@
 		}
 	}
 	response := r.buildOpenResponse(request)
+	if err := r.reserveChain(ctx, response.Chain); err != nil {
+		r.logTextsOmitted(request.Previous, err)
+		response.Chain, response.Missing = nil, request.Previous
+		return response, nil
+	}
 	for index := range response.Chain {
 		text, err := r.texts.get(response.Chain[index].ID)
 		if err != nil {
@@ -375,6 +390,22 @@
 	return response, nil
 }
 
+// reserveChain reserves memory for the texts of turns.
+func (r *Replica) reserveChain(ctx context.Context, chain []conversation.Turn) error {
+	size := int64(0)
+	for _, turn := range chain {
+		size += r.texts.sizeOf(turn.ID)
+	}
+	return transport.ReserveResponse(ctx, size)
+}
+
+// logTextsOmitted logs that a response names the previous turn as known and leaves out its text.
+func (r *Replica) logTextsOmitted(turn string, cause error) {
+	if r.failureLogLimiter.Allow() {
+		r.logger.Emit(events.ReplicaLogFailed, events.F("error", cause), events.F("turn", turn))
+	}
+}
+
 // buildOpenResponse returns the response without the texts of the turns.
 func (r *Replica) buildOpenResponse(request openRequest) openResponse {
 	r.mutex.Lock()
@@ -437,7 +468,7 @@
 	return response, nil
 }
 
-func (r *Replica) serveFetch(_ context.Context, _ transport.Peer, request fetchRequest) (fetchResponse, error) {
+func (r *Replica) serveFetch(ctx context.Context, _ transport.Peer, request fetchRequest) (fetchResponse, error) {
 	r.mutex.Lock()
 	response := fetchResponse{Incarnation: r.incarnation}
 	for _, key := range request.Keys[:min(len(request.Keys), fetchKeys)] {
@@ -446,9 +477,27 @@
 		}
 	}
 	r.mutex.Unlock()
+	if err := r.reserveTexts(ctx, response.Records); err != nil {
+		return fetchResponse{}, err
+	}
 	return response, r.loadTexts(response.Records)
 }
 
+// reserveTexts reserves memory for the texts of a response. The error makes the requester ask for fewer records: it would
+// take a response without some of them for complete.
+func (r *Replica) reserveTexts(ctx context.Context, records []conversation.Record) error {
+	size := int64(0)
+	for _, record := range records {
+		if record.Turn != nil {
+			size += r.texts.sizeOf(record.Turn.ID)
+		}
+	}
+	if size > maxResponseTextBytes && len(records) > 1 {
+		return apierr.New(apierr.Overloaded, apierr.NotRun, "%d records have %d bytes of text", len(records), size)
+	}
+	return transport.ReserveResponse(ctx, size)
+}
+
 // loadTexts fills in the texts of turns. An unreadable record is an error, because the requester would take a response
 // without it for complete.
 func (r *Replica) loadTexts(records []conversation.Record) error {
--- a/internal/turnstore/texts.go
+++ b/internal/turnstore/texts.go
@@ -103,6 +103,16 @@
 	t.resident, t.total = 0, 0
 }
 
+// sizeOf returns the size of a turn's text in bytes; 0 if none is stored.
+func (t *texts) sizeOf(turn string) int64 {
+	t.mutex.Lock()
+	defer t.mutex.Unlock()
+	if entry := t.entries[turn]; entry != nil {
+		return entry.bytes
+	}
+	return 0
+}
+
 // size returns the total size of all texts, on disk or in memory, in bytes.
 func (t *texts) size() int64 {
 	t.mutex.Lock()
