ingress: reserve memory for request bodies before they are read

Cause: each body has a limit of its own, their sum has none. They were read with io.ReadAll, whose buffers double, and copied once more to be sent. Nothing bounded the time of a body either, so that its memory was held until the caller went away. Large bodies are sent without a copy.

--- /dev/null
+++ b/internal/ingress/memory_test.go
@@ -0,0 +1,106 @@
+package ingress
+
+import (
+	"bufio"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"net/http/httptest"
+	"strings"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"github.com/mountstile/mountstile/internal/events"
+	"github.com/mountstile/mountstile/internal/membudget"
+	"github.com/mountstile/mountstile/internal/routing"
+	"github.com/mountstile/mountstile/internal/transport"
+	"github.com/mountstile/mountstile/internal/upstream"
+)
+
+const testBodyBytes = 1 << 20
+
+// newTestClusterWithMemory returns a cluster whose gateway has a memory budget of bytes.
+func newTestClusterWithMemory(t *testing.T, bytes int64) (*testCluster, *membudget.Budget) {
+	t.Helper()
+	budget := membudget.New(bytes, nil)
+	cluster := &testCluster{t: t, engines: make(map[string]*testEngine), logs: &strings.Builder{}}
+	logger := events.NewLogger(lockedWriter{&cluster.mutex, cluster.logs}, 4, "gateway")
+	cluster.network = transport.New(transport.Options{Cluster: "test", NodeID: "gateway", Logger: events.Discard()})
+	t.Cleanup(cluster.network.Close)
+	cluster.node = NewNode(NodeOptions{
+		Zone: "a", CallerProtocol: testProtocol{}, Protocol: testProtocol{}, Dial: upstream.Dialer(time.Second, time.Second),
+		CacheBytes: 1 << 20, Seeds: func() []string { return nil }, Network: cluster.network, Logger: logger, Memory: budget,
+	})
+	cluster.frontServer = httptest.NewUnstartedServer(nil)
+	cluster.frontServer.Config = cluster.node.NewHTTPServer()
+	cluster.frontServer.Start()
+	t.Cleanup(cluster.frontServer.Close)
+	cluster.configure(1, func(specification *routing.Specification) { specification.Limits.BodyBytes = 4 * testBodyBytes })
+	return cluster, budget
+}
+
+// holdBody sends a request without the last byte of its body.
+func (c *testCluster) holdBody(id string, size int) net.Conn {
+	c.t.Helper()
+	connection, err := net.Dial("tcp", c.frontServer.Listener.Addr().String())
+	assert.NilError(c.t, err)
+	c.t.Cleanup(func() { _ = connection.Close() })
+	_, err = fmt.Fprintf(connection, "POST /safe/x HTTP/1.1\r\nHost: h\r\nCall: %s\r\nContent-Length: %d\r\n\r\n", id, size)
+	assert.NilError(c.t, err)
+	go func() { _, _ = io.WriteString(connection, strings.Repeat("x", size-1)) }()
+	return connection
+}
+
+// Guards against a gateway whose callers' bodies together exceed its memory.
+func TestBodiesBeyondTheMemoryBudgetAreRefused(t *testing.T) {
+	cluster, budget := newTestClusterWithMemory(t, 8*testBodyBytes)
+	engine := cluster.engine("e", func(call *engineCall) { call.reply(http.StatusOK, "done") })
+	held := make([]net.Conn, 5)
+	for index := range held {
+		held[index] = cluster.holdBody(fmt.Sprint("held-", index), testBodyBytes)
+	}
+	eventually(t, "the bodies are reserved", func() bool { return budget.Used() >= int64(len(held))*testBodyBytes })
+	refused := cluster.holdBody("refused", testBodyBytes)
+	assert.NilError(t, refused.SetReadDeadline(time.Now().Add(time.Second)))
+	response, err := http.ReadResponse(bufio.NewReader(refused), nil)
+	assert.NilError(t, err)
+	assert.Equal(t, response.StatusCode, http.StatusServiceUnavailable)
+	assert.Assert(t, response.Header.Get("Retry-After") != "" && response.Close)
+	assert.Equal(t, engine.runs.Load(), int64(0))
+	assert.Equal(t, cluster.send("/safe/x", "small", "small").status, http.StatusOK)
+	for _, connection := range held {
+		_, err := io.WriteString(connection, "x")
+		assert.NilError(t, err)
+		response, err := http.ReadResponse(bufio.NewReader(connection), nil)
+		assert.NilError(t, err)
+		assert.Equal(t, response.StatusCode, http.StatusOK)
+	}
+	eventually(t, "nothing is reserved any more", func() bool { return budget.Used() == 0 })
+}
+
+// Guards against a caller that never completes its body and keeps the memory that is reserved for it.
+func TestBodyThatDoesNotArriveEndsAtTheDeadline(t *testing.T) {
+	cluster, budget := newTestClusterWithMemory(t, 8*testBodyBytes)
+	cluster.configure(2, func(specification *routing.Specification) { specification.Routes[0].TimeoutMillis = 100 })
+	held := cluster.holdBody("held", 600)
+	assert.NilError(t, held.SetReadDeadline(time.Now().Add(2*time.Second)))
+	response, err := http.ReadResponse(bufio.NewReader(held), nil)
+	assert.NilError(t, err)
+	assert.Equal(t, response.StatusCode, http.StatusServiceUnavailable)
+	eventually(t, "nothing is reserved any more", func() bool { return budget.Used() == 0 })
+}
+
+// Guards against a read deadline that outlives the body and ends the request while its engine works.
+func TestSlowResponseAfterABodyIsServed(t *testing.T) {
+	cluster, _ := newTestClusterWithMemory(t, 8*testBodyBytes)
+	release := make(chan struct{})
+	cluster.engine("e", func(call *engineCall) {
+		<-release
+		call.reply(http.StatusOK, fmt.Sprint(len(call.body)))
+	})
+	time.AfterFunc(300*time.Millisecond, func() { close(release) })
+	assert.Equal(t, cluster.send("/unsafe/x", "slow", strings.Repeat("x", 2*testBodyBytes)).body, fmt.Sprint(2*testBodyBytes))
+}
--- a/internal/ingress/node.go
+++ b/internal/ingress/node.go
@@ -13,6 +13,7 @@
 	"github.com/mountstile/mountstile/internal/dispatch"
 	"github.com/mountstile/mountstile/internal/events"
 	"github.com/mountstile/mountstile/internal/fatal"
+	"github.com/mountstile/mountstile/internal/membudget"
 	"github.com/mountstile/mountstile/internal/routing"
 	"github.com/mountstile/mountstile/internal/transport"
 	"github.com/mountstile/mountstile/internal/turnstore"
@@ -57,6 +58,8 @@
 	Network *transport.Transport
 	Logger  *events.Logger
 	Metrics *Metrics
+	// Memory bounds what callers and engines make the gateway hold; nil for no bound.
+	Memory *membudget.Budget
 }
 
 // Node is a gateway: it gets routes, engines and replicas from the catalog and serves callers.
@@ -94,7 +97,7 @@
 	node.server = New(Options{
 		Table: node.table.Load, RoutesReady: node.routesReady, CallerProtocol: options.CallerProtocol, Registry: node.registry, Turns: node.turns,
 		Dispatcher: dispatch.New(node.registry, options.Protocol, options.Logger), Logger: options.Logger, Metrics: options.Metrics,
-		CatalogAge: node.catalog.Age,
+		CatalogAge: node.catalog.Age, Memory: options.Memory,
 	})
 	return node
 }
--- a/internal/ingress/server.go
+++ b/internal/ingress/server.go
@@ -18,6 +18,7 @@
 	"io"
 	"math/rand/v2"
 	"net/http"
+	"os"
 	"strconv"
 	"sync/atomic"
 	"time"
@@ -28,6 +29,7 @@
 	"github.com/mountstile/mountstile/internal/dispatch"
 	"github.com/mountstile/mountstile/internal/events"
 	"github.com/mountstile/mountstile/internal/fatal"
+	"github.com/mountstile/mountstile/internal/membudget"
 	"github.com/mountstile/mountstile/internal/routing"
 	"github.com/mountstile/mountstile/internal/turnstore"
 	"github.com/mountstile/mountstile/internal/upstream"
@@ -86,6 +88,8 @@
 	Metrics        *Metrics
 	// CatalogAge returns the maximum age of the node's configuration and engine records.
 	CatalogAge func() time.Duration
+	// Memory bounds the bodies, responses and streams that are held at the same time; nil for no bound.
+	Memory *membudget.Budget
 }
 
 // Server is an http.Handler for callers' requests.
@@ -117,6 +121,8 @@
 	version   int64
 	arrivedAt time.Time
 	body      []byte
+	// memory is reserved for the body.
+	memory *membudget.Reservation
 	// reservation may still be pending while the turn runs; nil for calls that need none.
 	reservation *reservation
 	opened      *turnstore.OpenedTurn
@@ -145,7 +151,8 @@
 func (s *Server) ServeHTTP(writer http.ResponseWriter, req *http.Request) {
 	s.active.Add(1)
 	defer s.active.Add(-1)
-	current := &request{server: s, writer: writer, incoming: req, arrivedAt: time.Now()}
+	current := &request{server: s, writer: writer, incoming: req, arrivedAt: time.Now(), memory: s.options.Memory.Open("request body")}
+	defer current.memory.Release()
 	if s.draining.Load() {
 		writer.Header().Set("Connection", "close")
 	}
@@ -190,6 +197,10 @@
 
 // prepare finds the route and reads the request.
 func (r *request) prepare() error {
+	if r.incoming.ContentLength != 0 {
+		// Applies if the request is refused: the server then discards the rest of a small body.
+		_ = http.NewResponseController(r.writer).SetReadDeadline(r.arrivedAt.Add(bodyPauseTimeout))
+	}
 	table := r.awaitRoutes()
 	if table == nil {
 		return apierr.New(apierr.StoreUnavailable, apierr.NotRun, "no configuration is installed yet").WithRetryAfter(startupRetryAfter)
@@ -224,17 +235,40 @@
 	if r.incoming.ContentLength > limit {
 		return errBodyTooLarge(limit)
 	}
-	body, err := io.ReadAll(io.LimitReader(r.incoming.Body, limit+1))
-	if err != nil {
-		return apierr.New(apierr.InvalidRequest, apierr.NotRun, "reading the request body: %s", err)
+	if r.incoming.ContentLength == 0 {
+		return nil
 	}
-	if int64(len(body)) > limit {
+	if err := r.memory.Grow(r.incoming.ContentLength); err != nil {
+		return r.errNoMemory(err)
+	}
+	body, err := membudget.ReadAll(&bodyReader{body: r.incoming.Body, connection: http.NewResponseController(r.writer), deadline: r.deadline()}, limit, r.memory)
+	var tooLarge *membudget.ErrTooLarge
+	var exhausted *membudget.ErrExhausted
+	switch {
+	case errors.As(err, &tooLarge):
 		return errBodyTooLarge(limit)
+	case errors.As(err, &exhausted):
+		return r.errNoMemory(err)
+	case errors.Is(err, os.ErrDeadlineExceeded):
+		r.writer.Header().Set("Connection", "close")
+		return apierr.New(apierr.DeadlineExceeded, apierr.NotRun, "the request body did not arrive in time").WithRetryAfter(memoryRetryAfter)
+	case err != nil:
+		return apierr.New(apierr.InvalidRequest, apierr.NotRun, "reading the request body: %s", err)
 	}
 	r.body = body
 	return nil
 }
 
+// memoryRetryAfter is the Retry-After of a request for whose body there is no memory.
+const memoryRetryAfter = time.Second
+
+// errNoMemory returns the error of a request whose body can't be held. Its connection is closed, since the rest of the body
+// would have to be read first.
+func (r *request) errNoMemory(cause error) error {
+	r.writer.Header().Set("Connection", "close")
+	return apierr.New(apierr.Overloaded, apierr.NotRun, "%s", cause).WithRetryAfter(memoryRetryAfter)
+}
+
 // defaultBodyBytes is the limit of a request body if none is configured.
 const defaultBodyBytes = 8 << 20
 
@@ -269,7 +303,7 @@
 		Placement: dispatch.Placement{Service: r.service.Name, Pinned: r.resumption.pinned, Software: r.resumption.software},
 		Request: upstream.Request{
 			Method: r.incoming.Method, Target: r.incoming.RequestURI, Host: r.incoming.Host,
-			Header: upstream.EndToEndHeaders(r.incoming.Header), Body: r.upstreamBody(),
+			Header: upstream.EndToEndHeaders(r.incoming.Header), BodyPrefix: r.previousText(), Body: r.body,
 		},
 		Content: r.content,
 	}
@@ -300,13 +334,12 @@
 	return r.caller.Prompt.SharedPrefix
 }
 
-// upstreamBody returns the request body for the engine: the text of the previous turns followed by
-// the caller's body.
-func (r *request) upstreamBody() []byte {
-	if r.opened == nil || len(r.opened.Prefix) == 0 {
-		return r.body
+// previousText returns the text of the previous turns, which precedes the caller's body.
+func (r *request) previousText() []byte {
+	if r.opened == nil {
+		return nil
 	}
-	return append(r.opened.Prefix[:len(r.opened.Prefix):len(r.opened.Prefix)], r.body...)
+	return r.opened.Prefix
 }
 
 // statusOf returns the HTTP status for an error. Callers rely on 503 to mean that the request was
--- a/internal/membudget/read.go
+++ b/internal/membudget/read.go
@@ -10,6 +10,9 @@
 // minReadBytes is the size of the first buffer of ReadAll.
 const minReadBytes = 4 << 10
 
+// maxDoubledBytes is the size up to which a buffer for expected bytes is doubled.
+const maxDoubledBytes = 64 << 10
+
 // ErrTooLarge means that a reader has more than Limit bytes.
 type ErrTooLarge struct{ Limit int64 }
 
@@ -17,8 +20,8 @@
 func (e *ErrTooLarge) Error() string { return fmt.Sprintf("more than %d bytes", e.Limit) }
 
 // ReadAll reads to the end, up to limit bytes. What the reservation holds at the call is taken for the bytes to come; it
-// grows if there are more. The buffer grows with the bytes that arrive, whatever the reservation holds. The error is an
-// ErrTooLarge, an ErrExhausted or one of the reader.
+// grows if there are more. The buffer grows with the bytes that arrive, and from maxDoubledBytes on to the whole reservation at once, since
+// each larger buffer leaves a copy for the garbage collector. The error is an ErrTooLarge, an ErrExhausted or one of the reader.
 func ReadAll(reader io.Reader, limit int64, reservation *Reservation) ([]byte, error) {
 	expected := reservation.Held()
 	reserved := expected
@@ -48,11 +51,11 @@
 	}
 }
 
-// growTo returns the next size of a buffer: twice as large, but no larger than what is expected or allowed, with a byte more in which
-// the reader tells its end.
+// growTo returns the next size of a buffer: twice as large or the expected size, but no larger than what is expected or allowed, with a
+// byte more in which the reader tells its end.
 func growTo(size, expected, limit int64) int64 {
 	next := 2 * size
-	if size <= expected && next > expected {
+	if size <= expected && (next > expected || next > maxDoubledBytes) {
 		next = expected + 1
 	}
 	return min(next, limit+1)
--- a/internal/upstream/connection.go
+++ b/internal/upstream/connection.go
@@ -3,7 +3,6 @@
 import (
 	"bufio"
 	"context"
-	"io"
 	"net"
 	"net/http"
 	"sync/atomic"
@@ -29,10 +28,15 @@
 	return &Connection{raw: raw, reader: bufio.NewReaderSize(raw, readBufferBytes), lastUsedAt: time.Now()}
 }
 
-// Write implements io.Writer. It counts the write before it, since a part may be sent even if the write fails.
-func (c *Connection) Write(data []byte) (int, error) {
+// write sends the parts of a request. It counts the write before it, since a part may be sent even if the write fails.
+func (c *Connection) write(parts net.Buffers) error {
 	c.writes.Add(1)
-	return c.raw.Write(data)
+	if len(parts) == 1 {
+		_, err := c.raw.Write(parts[0])
+		return err
+	}
+	_, err := parts.WriteTo(c.raw)
+	return err
 }
 
 func (c *Connection) close() { _ = c.raw.Close() }
@@ -108,5 +112,3 @@
 func closeOnDone(ctx context.Context, connection *Connection) func() bool {
 	return context.AfterFunc(ctx, connection.close)
 }
-
-var _ io.Writer = (*Connection)(nil)
--- a/internal/upstream/send.go
+++ b/internal/upstream/send.go
@@ -3,6 +3,7 @@
 import (
 	"bytes"
 	"context"
+	"net"
 	"net/http"
 	"strconv"
 
@@ -16,7 +17,9 @@
 	Target string
 	Host   string
 	Header http.Header
-	Body   []byte
+	// BodyPrefix is sent before Body, as a part of it.
+	BodyPrefix []byte
+	Body       []byte
 }
 
 // hopByHopHeaders are never forwarded. They apply to a single connection (RFC 9110, 7.6.1), except for Expect, which
@@ -42,17 +45,30 @@
 	return copied
 }
 
-func (r *Request) encode() []byte {
+// maxCopiedBodyBytes is the size up to which a body is copied, so that it is sent together with the head.
+const maxCopiedBodyBytes = 16 << 10
+
+func (r *Request) bodyBytes() int { return len(r.BodyPrefix) + len(r.Body) }
+
+// encode returns the parts of the encoded request. Those of a large body are not copied.
+func (r *Request) encode() net.Buffers {
 	var buffer bytes.Buffer
-	buffer.Grow(len(r.Body) + 1024)
+	copies := r.bodyBytes() <= maxCopiedBodyBytes
+	if copies {
+		buffer.Grow(r.bodyBytes() + 1024)
+	}
 	buffer.WriteString(r.Method + " " + r.Target + " HTTP/1.1\r\nHost: " + r.Host + "\r\n")
 	_ = r.Header.Write(&buffer)
-	if len(r.Body) > 0 || (r.Method != http.MethodGet && r.Method != http.MethodHead) {
-		buffer.WriteString("Content-Length: " + strconv.Itoa(len(r.Body)) + "\r\n")
+	if r.bodyBytes() > 0 || (r.Method != http.MethodGet && r.Method != http.MethodHead) {
+		buffer.WriteString("Content-Length: " + strconv.Itoa(r.bodyBytes()) + "\r\n")
 	}
 	buffer.WriteString("\r\n")
-	buffer.Write(r.Body)
-	return buffer.Bytes()
+	if copies {
+		buffer.Write(r.BodyPrefix)
+		buffer.Write(r.Body)
+		return net.Buffers{buffer.Bytes()}
+	}
+	return net.Buffers{buffer.Bytes(), r.BodyPrefix, r.Body}
 }
 
 // Send writes a request and reads the status and headers of its response. The connection is closed when the
@@ -67,8 +83,7 @@
 	connection.writes.Store(0)
 	encoded := request.encode()
 	go func() {
-		_, writeErr := connection.Write(encoded)
-		exchange.written <- writeErr
+		exchange.written <- connection.write(encoded)
 	}()
 	exchange.response, err = readHead(connection, request.Method)
 	if err != nil {
