upstream: bound the bytes and the time of responses' heads

Cause: readHead called http.ReadResponse on the connection, which reads lines of any length and any number of headers and informational responses, until the deadline of the call. Fix: the bytes of a head are counted as they are received, over all informational responses (64 KiB, 16 responses), and take from the memory budget beyond the read buffer; a head has a second from its first byte to its end. Beyond these it is no response: the connection is closed, and the call may have run. Bodies of refusals are discarded for at most 50 ms, so that a trickled one doesn't keep the call from the next engine.

--- a/internal/dispatch/dispatch.go
+++ b/internal/dispatch/dispatch.go
@@ -331,7 +331,7 @@
 	switch d.protocol.Classify(exchange.Response(), call.ID) {
 	case Refused:
 		d.registry.markFull(engine)
-		d.drainRefusal(exchange)
+		exchange.Discard(maxRefusalBytes)
 		return refused, errRefused
 	case Misdirected:
 		d.registry.markMisdirected(engine)
@@ -393,15 +393,6 @@
 	return delivered, err
 }
 
-// drainRefusal reads the body of a refusal so that the connection can be reused.
-func (d *Dispatcher) drainRefusal(exchange *upstream.Exchange) {
-	if response := exchange.Response(); response.ContentLength >= 0 && response.ContentLength <= maxRefusalBytes {
-		if discardBody(response) == nil {
-			exchange.Finish()
-		}
-	}
-}
-
 // withRetryAfter sets the Retry-After of an error for a call that did not run.
 func withRetryAfter(failure *apierr.Error) *apierr.Error {
 	return failure.WithRetryAfter(noEngineRetryAfter)
--- a/internal/dispatch/progress.go
+++ b/internal/dispatch/progress.go
@@ -2,8 +2,6 @@
 
 import (
 	"context"
-	"io"
-	"net/http"
 	"strconv"
 	"time"
 
@@ -252,8 +250,3 @@
 	}
 	return withRetryAfter(apierr.New(apierr.NoEngine, apierr.NotRun, "%s", reason))
 }
-
-func discardBody(response *http.Response) error {
-	_, err := io.Copy(io.Discard, io.LimitReader(response.Body, maxRefusalBytes))
-	return err
-}
--- a/internal/dispatch/registry.go
+++ b/internal/dispatch/registry.go
@@ -12,6 +12,7 @@
 	"github.com/mountstile/mountstile/internal/events"
 	"github.com/mountstile/mountstile/internal/fatal"
 	"github.com/mountstile/mountstile/internal/load"
+	"github.com/mountstile/mountstile/internal/membudget"
 	"github.com/mountstile/mountstile/internal/upstream"
 )
 
@@ -45,6 +46,7 @@
 type Registry struct {
 	zone   string
 	dial   func(ctx context.Context, address string) (net.Conn, error)
+	memory *membudget.Budget
 	logger *events.Logger
 
 	mutex     sync.Mutex
@@ -82,6 +84,9 @@
 	return registry
 }
 
+// SetMemory sets the budget for responses' heads. It must be called before Apply.
+func (r *Registry) SetMemory(memory *membudget.Budget) { r.memory = memory }
+
 // Apply updates the registry from an engine's changed catalog entry. Entries may arrive out of order.
 func (r *Registry) Apply(entry catalog.Entry) {
 	_, id := catalog.SplitKey(entry.Key)
@@ -122,6 +127,7 @@
 		limit = defaultConnections
 	}
 	engine := &Engine{drainingAt: drainingSince(time.Now(), specification), specification: specification, loadKey: load.KeyOf(specification.ID), revision: revision, pool: upstream.NewPool(specification.Address, limit, r.dial)}
+	engine.pool.SetMemory(r.memory)
 	r.byID[specification.ID] = engine
 	members := r.services[specification.Service]
 	if members == nil {
--- a/internal/ingress/node.go
+++ b/internal/ingress/node.go
@@ -83,6 +83,7 @@
 // NewNode returns a Node with an empty catalog.
 func NewNode(options NodeOptions) *Node {
 	registry := dispatch.NewRegistry(options.Zone, options.Dial, options.Logger)
+	registry.SetMemory(options.Memory)
 	node := &Node{
 		options:  options,
 		registry: registry,
--- a/internal/upstream/connection.go
+++ b/internal/upstream/connection.go
@@ -3,6 +3,7 @@
 import (
 	"bufio"
 	"context"
+	"io"
 	"net"
 	"net/http"
 	"sync/atomic"
@@ -15,6 +16,7 @@
 // next bytes may not belong to the next exchange.
 type Connection struct {
 	raw    net.Conn
+	source source
 	reader *bufio.Reader
 	// writes counts the writes of the current request; 0 proves that nothing of it reached the engine.
 	writes atomic.Int64
@@ -25,16 +27,21 @@
 }
 
 func newConnection(raw net.Conn) *Connection {
-	return &Connection{raw: raw, reader: bufio.NewReaderSize(raw, readBufferBytes), lastUsedAt: time.Now()}
+	connection := &Connection{raw: raw, source: source{raw: raw}, lastUsedAt: time.Now()}
+	connection.reader = bufio.NewReaderSize(&connection.source, readBufferBytes)
+	return connection
 }
 
-// write sends the parts of a request. It counts the write before it, since a part may be sent even if the write fails.
-func (c *Connection) write(parts net.Buffers) error {
+// write sends a request. It counts the write before it, since a part may be sent even if the write fails.
+func (c *Connection) write(encoded []byte, body net.Buffers) error {
 	c.writes.Add(1)
-	if len(parts) == 1 {
-		_, err := c.raw.Write(parts[0])
+	if _, err := c.raw.Write(encoded); err != nil || len(body) == 0 {
 		return err
 	}
+	return c.writeBody(body)
+}
+
+func (c *Connection) writeBody(parts net.Buffers) error {
 	_, err := parts.WriteTo(c.raw)
 	return err
 }
@@ -95,6 +102,19 @@
 	}
 }
 
+// Discard ends an exchange whose body is of no use. The connection returns to the pool if the rest of the body has at most limit
+// bytes and arrives within discardTimeout, and is closed otherwise.
+func (e *Exchange) Discard(limit int64) {
+	defer e.Abort()
+	if e.response.ContentLength < 0 || e.response.ContentLength > limit || e.connection.raw.SetReadDeadline(time.Now().Add(discardTimeout)) != nil {
+		return
+	}
+	if _, err := io.Copy(io.Discard, e.response.Body); err != nil || e.connection.raw.SetReadDeadline(time.Time{}) != nil {
+		return
+	}
+	e.Finish()
+}
+
 // Abort ends an exchange and closes its connection, so that the engine cancels the request. It does nothing
 // after Finish.
 func (e *Exchange) Abort() {
--- /dev/null
+++ b/internal/upstream/head.go
@@ -0,0 +1,132 @@
+package upstream
+
+import (
+	"fmt"
+	"net"
+	"net/http"
+	"time"
+
+	"github.com/cockroachdb/errors"
+
+	"github.com/mountstile/mountstile/internal/membudget"
+)
+
+const (
+	// maxHeadBytes bounds the status line and headers of a response together with its informational responses.
+	maxHeadBytes = 64 << 10
+	// maxInformationalResponses bounds the number of informational responses.
+	maxInformationalResponses = 16
+	// headTimeout is how long a head may take from its first byte to its end.
+	headTimeout = time.Second
+	// headMemoryFactor is the memory of a parsed head in relation to its bytes.
+	headMemoryFactor = 4
+)
+
+// ErrHeadTooLarge means that the head of a response has more than maxHeadBytes.
+type ErrHeadTooLarge struct{}
+
+// Error implements error.
+func (*ErrHeadTooLarge) Error() string {
+	return fmt.Sprintf("the head of the response exceeds %d bytes", maxHeadBytes)
+}
+
+// ErrInformationalResponses means that a response follows too many informational ones.
+type ErrInformationalResponses struct{}
+
+// Error implements error.
+func (*ErrInformationalResponses) Error() string {
+	return fmt.Sprintf("more than %d informational responses", maxInformationalResponses)
+}
+
+// source reads from a connection. While it reads a head, it bounds its bytes and its time.
+type source struct {
+	raw net.Conn
+	// inHead is set while a head is read; begun is set once a part of it was received.
+	inHead, begun bool
+	// timed is set while the connection has a read deadline.
+	timed bool
+	// headBytes is the number of bytes that were received since the request was sent.
+	headBytes int
+	budget    *membudget.Budget
+	// memory is reserved from the budget for a head that exceeds the read buffer; nil for others.
+	memory *membudget.Reservation
+}
+
+// Read implements io.Reader.
+func (s *source) Read(buffer []byte) (int, error) {
+	if !s.inHead {
+		return s.raw.Read(buffer)
+	}
+	if s.begun {
+		if err := s.continueHead(); err != nil {
+			return 0, err
+		}
+	}
+	read, err := s.raw.Read(buffer)
+	s.begun = s.begun || read > 0
+	s.headBytes += read
+	return read, err
+}
+
+// continueHead prepares to read more of a head of which a part was received.
+func (s *source) continueHead() error {
+	if s.headBytes >= maxHeadBytes {
+		return errors.WithStack(&ErrHeadTooLarge{})
+	}
+	if s.memory == nil {
+		s.memory = s.budget.Open("response head")
+	}
+	if err := s.memory.Grow(readBufferBytes * headMemoryFactor); err != nil {
+		return err
+	}
+	if s.timed {
+		return nil
+	}
+	s.timed = true
+	return s.raw.SetReadDeadline(time.Now().Add(headTimeout))
+}
+
+// beginHead prepares to read a head. The buffered bytes are a part of it.
+func (s *source) beginHead(buffered int) {
+	s.inHead = true
+	s.begun = buffered > 0
+	s.removeDeadline()
+}
+
+// endHead ends the bounds of a head, for the body that follows.
+func (s *source) endHead() {
+	s.inHead = false
+	s.headBytes = 0
+	s.memory.Release()
+	s.memory = nil
+	s.removeDeadline()
+}
+
+// removeDeadline does nothing on a closed connection, whose next read fails.
+func (s *source) removeDeadline() {
+	if s.timed {
+		s.timed = false
+		_ = s.raw.SetReadDeadline(time.Time{})
+	}
+}
+
+// readHead reads the status and headers of the final response and skips informational responses.
+func readHead(connection *Connection, method string) (*http.Response, error) {
+	source := &connection.source
+	defer source.endHead()
+	for informational := 0; informational <= maxInformationalResponses; informational++ {
+		source.beginHead(connection.reader.Buffered())
+		response, err := http.ReadResponse(connection.reader, &http.Request{Method: method})
+		if err != nil {
+			return nil, err
+		}
+		if response.StatusCode == http.StatusSwitchingProtocols {
+			// The request had no Upgrade header, and what follows is not HTTP.
+			return nil, errors.WithStack(&ErrProtocolSwitched{})
+		}
+		if response.StatusCode >= http.StatusOK {
+			return response, nil
+		}
+	}
+	return nil, errors.WithStack(&ErrInformationalResponses{})
+}
--- a/internal/upstream/pool.go
+++ b/internal/upstream/pool.go
@@ -18,6 +18,8 @@
 	"time"
 
 	"github.com/cockroachdb/errors"
+
+	"github.com/mountstile/mountstile/internal/membudget"
 )
 
 const (
@@ -25,6 +27,8 @@
 	defaultIdleTimeout = 4 * time.Second
 	// writeDrainTimeout is how long Finish waits for the rest of a request to be written after an early response.
 	writeDrainTimeout = 50 * time.Millisecond
+	// discardTimeout is how long Discard waits for the rest of a body.
+	discardTimeout = 50 * time.Millisecond
 )
 
 // ErrExchange means that no response was received.
@@ -61,6 +65,7 @@
 type Pool struct {
 	address string
 	dial    func(ctx context.Context, address string) (net.Conn, error)
+	memory  *membudget.Budget
 
 	mutex sync.Mutex
 	limit int
@@ -76,6 +81,9 @@
 	return &Pool{address: address, limit: max(limit, 1), dial: dial}
 }
 
+// SetMemory sets the budget for heads of responses. It must be called before Send.
+func (p *Pool) SetMemory(memory *membudget.Budget) { p.memory = memory }
+
 // Opened returns the number of connections dialed since the pool was created, including failed dials.
 func (p *Pool) Opened() int64 {
 	p.mutex.Lock()
@@ -129,7 +137,9 @@
 		p.connectionClosed(nil)
 		return nil, err
 	}
-	return newConnection(raw), nil
+	connection := newConnection(raw)
+	connection.source.budget = p.memory
+	return connection, nil
 }
 
 // Probe reports whether the engine accepts connections. It opens one only if none is idle, and keeps it for later exchanges. Without an
--- a/internal/upstream/send.go
+++ b/internal/upstream/send.go
@@ -50,25 +50,35 @@
 
 func (r *Request) bodyBytes() int { return len(r.BodyPrefix) + len(r.Body) }
 
-// encode returns the parts of the encoded request. Those of a large body are not copied.
-func (r *Request) encode() net.Buffers {
+func (r *Request) isLarge() bool { return r.bodyBytes() > maxCopiedBodyBytes }
+
+// encode returns the encoded request, without the body if it is large.
+func (r *Request) encode() []byte {
 	var buffer bytes.Buffer
-	copies := r.bodyBytes() <= maxCopiedBodyBytes
-	if copies {
-		buffer.Grow(r.bodyBytes() + 1024)
+	copied := 0
+	if !r.isLarge() {
+		copied = r.bodyBytes()
 	}
+	buffer.Grow(copied + 1024)
 	buffer.WriteString(r.Method + " " + r.Target + " HTTP/1.1\r\nHost: " + r.Host + "\r\n")
 	_ = r.Header.Write(&buffer)
 	if r.bodyBytes() > 0 || (r.Method != http.MethodGet && r.Method != http.MethodHead) {
 		buffer.WriteString("Content-Length: " + strconv.Itoa(r.bodyBytes()) + "\r\n")
 	}
 	buffer.WriteString("\r\n")
-	if copies {
+	if !r.isLarge() {
 		buffer.Write(r.BodyPrefix)
 		buffer.Write(r.Body)
-		return net.Buffers{buffer.Bytes()}
 	}
-	return net.Buffers{buffer.Bytes(), r.BodyPrefix, r.Body}
+	return buffer.Bytes()
+}
+
+// largeBody returns the parts of a large body, which encode leaves out.
+func (r *Request) largeBody() net.Buffers {
+	if !r.isLarge() {
+		return nil
+	}
+	return net.Buffers{r.BodyPrefix, r.Body}
 }
 
 // Send writes a request and reads the status and headers of its response. The connection is closed when the
@@ -81,9 +91,9 @@
 	exchange := &Exchange{pool: p, connection: connection, written: make(chan error, 1)}
 	exchange.cancelCloseOnDone = closeOnDone(ctx, connection)
 	connection.writes.Store(0)
-	encoded := request.encode()
+	encoded, body := request.encode(), request.largeBody()
 	go func() {
-		exchange.written <- connection.write(encoded)
+		exchange.written <- connection.write(encoded, body)
 	}()
 	exchange.response, err = readHead(connection, request.Method)
 	if err != nil {
@@ -92,20 +102,3 @@
 	}
 	return exchange, nil
 }
-
-// readHead reads the status and headers of the final response and skips informational responses.
-func readHead(connection *Connection, method string) (*http.Response, error) {
-	for {
-		response, err := http.ReadResponse(connection.reader, &http.Request{Method: method})
-		if err != nil {
-			return nil, err
-		}
-		if response.StatusCode == http.StatusSwitchingProtocols {
-			// The request had no Upgrade header, and what follows is not HTTP.
-			return nil, &ErrProtocolSwitched{}
-		}
-		if response.StatusCode >= http.StatusOK {
-			return response, nil
-		}
-	}
-}
