ingress: reserve memory for responses, and count only events as a stream's progress

What callers saw: engines that never end a body, a line or a block of comments drove a gateway of 200 MB to 387 MB, and a stream whose engine sent bytes but no event was held until its deadline. Cause: each buffered response and each event has a limit of 16 MiB, their sum had none; an event is held in up to four buffers. The timer of silent streams was reset by any byte. Fix: buffered responses, events and collected outputs are taken from the memory budget, as announced or as they grow. A response that can't be held is unknown to its caller (502, never 503), and not the engine's fault. Only an event, or 64 KiB more of one, resets the timer of a silent stream; 256 KiB of comments, retry fields and blank lines without an event end the attempt, and the stream goes on as after any interruption. An interrupted stream frees its buffers. Evidence: on the sources before, 8 of 10 cases of TestStreamOfBytesWithoutEventsIsResumed fail with 'unexpected EOF' after 4 s, and TestResponsesBeyondTheMemoryBudgetAreNotServed with 200 in place of 502. All pass now, also with -race. TestStreamOfLongEventsIsServed passes before and after.

--- a/internal/eventstream/scanner.go
+++ b/internal/eventstream/scanner.go
@@ -25,6 +25,9 @@
 	hasFields bool
 	// size is the number of bytes received for the current event.
 	size int
+	// idleBytes is the number of bytes of complete lines since the last event with data that belong to no event: comments,
+	// retry fields and blank lines.
+	idleBytes int
 	// sawLine is set after the first line of the body, which may begin with a byte order mark.
 	sawLine bool
 }
@@ -80,12 +83,25 @@
 		line = bytes.TrimPrefix(line, []byte(byteOrderMark))
 		s.sawLine = true
 	}
+	received := len(s.line)
 	s.line = s.line[:0]
-	if len(line) == 0 {
-		return true
+	if len(line) > 0 {
+		s.parseField(line, received)
+		return false
 	}
-	s.parseField(line)
-	return false
+	s.idleBytes += received
+	if s.event.hasData {
+		s.idleBytes = 0
+	}
+	return true
+}
+
+// idle returns the number of bytes since the last event with data that belong to no event.
+func (s *scanner) idle() int {
+	if len(s.line) > 0 && s.line[0] == ':' {
+		return s.idleBytes + len(s.line)
+	}
+	return s.idleBytes
 }
 
 // finishBody handles the end of the body and reports whether a trailing CR completed an event.
@@ -93,13 +109,14 @@
 	return s.endsWithCR() && s.finishLine()
 }
 
-// parseField parses one line of an event.
-func (s *scanner) parseField(line []byte) {
+// parseField parses one line of an event, which was received as the given number of bytes.
+func (s *scanner) parseField(line []byte, received int) {
 	name, value, _ := bytes.Cut(line, []byte{':'})
-	if len(name) == 0 {
+	if len(name) == 0 || string(name) == retryField {
+		s.idleBytes += received
 		return
 	}
-	s.hasFields = s.hasFields || string(name) != retryField
+	s.hasFields = true
 	value = bytes.TrimPrefix(value, []byte{' '})
 	switch string(name) {
 	case "id":
@@ -126,6 +143,7 @@
 // resetBody prepares for a new body.
 func (s *scanner) resetBody() {
 	s.resetEvent()
+	s.idleBytes = 0
 	s.sawLine = false
 }
 
--- a/internal/eventstream/stream.go
+++ b/internal/eventstream/stream.go
@@ -29,6 +29,8 @@
 //	if stream.State() == eventstream.Complete { ... the caller has the whole response ... }
 package eventstream
 
+import "github.com/mountstile/mountstile/internal/membudget"
+
 // State is the state of a Stream.
 type State int
 
@@ -56,6 +58,16 @@
 	MediaType = "text/event-stream"
 	// maxBufferedBytes bounds what is buffered of one attempt: an incomplete event or an error body.
 	maxBufferedBytes = 16 << 20
+	// maxIdleBytes bounds the bytes between two events of a resumable stream.
+	maxIdleBytes = 256 << 10
+	// progressBytes is how much of an event that is not complete counts as progress.
+	progressBytes = 64 << 10
+	// An event is held up to eventCopies times: its current line, its data, its bytes and the output.
+	eventCopies = 4
+	// outputCopies allows for the growth of the collected output.
+	outputCopies = 2
+	// reserveBytes is the unit of reservations; less than that is not reserved.
+	reserveBytes = 64 << 10
 )
 
 // Options configures a Stream.
@@ -74,6 +86,8 @@
 	// VersionField is the event field that announces a new version of the weights; empty if there
 	// is none.
 	VersionField string
+	// Memory is grown for what is buffered; nil for no bound.
+	Memory *membudget.Reservation
 }
 
 // Head holds the relevant parts of the head of an attempt's response.
@@ -112,6 +126,8 @@
 	ids       idOrder
 	version   string
 	output    []byte
+	// reserved is what was taken from options.Memory, in bytes.
+	reserved int
 	// skipping is set while the received events are ones that the caller already has.
 	skipping bool
 	// incompatible is set once no attempt can continue what the caller has.
@@ -210,8 +226,11 @@
 // Feed takes a part of the current attempt's body and returns the bytes to forward now, also
 // together with an error; they are valid until the next call. After an ErrCorrupt the rest of the
 // attempt can't be used; an ErrMismatch means that it is incompatible with the events that the
-// caller has.
+// caller has, a membudget.ErrExhausted that there is no memory for the chunk.
 func (s *Stream) Feed(chunk []byte) ([]byte, error) {
+	if err := s.reserve(len(chunk)); err != nil {
+		return nil, err
+	}
 	switch {
 	case !s.currentHead.isSuccess() && s.options.Resumable:
 		return nil, s.buffer(chunk)
@@ -224,6 +243,40 @@
 	return s.forwardEvents(chunk)
 }
 
+// reserve takes the memory for a chunk.
+func (s *Stream) reserve(chunkBytes int) error {
+	needed := eventCopies*(max(s.scanner.size, len(s.buffered))+chunkBytes) + outputCopies*len(s.output)
+	if needed <= max(s.reserved, reserveBytes) {
+		return nil
+	}
+	needed += reserveBytes
+	if err := s.options.Memory.Grow(int64(needed - s.reserved)); err != nil {
+		return err
+	}
+	s.reserved = needed
+	return nil
+}
+
+// releaseBuffers frees the buffers of an attempt that had large ones.
+func (s *Stream) releaseBuffers() {
+	kept := min(s.reserved, outputCopies*len(s.output))
+	if s.reserved == kept {
+		return
+	}
+	s.buffered, s.result, s.scanner.line, s.scanner.event.data = nil, nil, nil, nil
+	s.options.Memory.Shrink(int64(s.reserved - kept))
+	s.reserved = kept
+}
+
+// Progress changes when an event or a further part of progressBytes of one was received. Comments and retry fields don't count.
+func (s *Stream) Progress() int {
+	ofEvent := max(s.scanner.size-s.scanner.idle(), 0)
+	if !s.currentHead.isSuccess() {
+		ofEvent = len(s.buffered)
+	}
+	return s.receivedCount + ofEvent/progressBytes
+}
+
 // buffer appends bytes that can't be forwarded yet.
 func (s *Stream) buffer(chunk []byte) error {
 	if len(s.buffered)+len(chunk) > maxBufferedBytes {
@@ -266,6 +319,9 @@
 			return s.result, err
 		}
 	}
+	if s.scanner.idle() > maxIdleBytes {
+		return s.result, &ErrCorrupt{Reason: "too many bytes without an event"}
+	}
 	return s.result, nil
 }
 
@@ -394,6 +450,7 @@
 	s.buffered = s.buffered[:0]
 	if s.options.Resumable {
 		s.scanner.resetBody()
+		s.releaseBuffers()
 	}
 	if s.state == Forwarding || s.state == Resuming {
 		s.state = Interrupted
--- a/internal/ingress/memory_test.go
+++ b/internal/ingress/memory_test.go
@@ -104,3 +104,88 @@
 	time.AfterFunc(300*time.Millisecond, func() { close(release) })
 	assert.Equal(t, cluster.send("/unsafe/x", "slow", strings.Repeat("x", 2*testBodyBytes)).body, fmt.Sprint(2*testBodyBytes))
 }
+
+// Guards against buffered responses that together exceed the memory, and against a 503, which would say that they did not run.
+func TestResponsesBeyondTheMemoryBudgetAreNotServed(t *testing.T) {
+	for _, announced := range []bool{true, false} {
+		cluster, budget := newTestClusterWithMemory(t, 8*testBodyBytes)
+		body := strings.Repeat("x", 7*testBodyBytes)
+		engine := cluster.engine("e", func(call *engineCall) {
+			switch {
+			case call.body == "small":
+				call.reply(http.StatusOK, "done")
+			case announced:
+				call.reply(http.StatusOK, body)
+			default:
+				call.write("HTTP/1.1 200 OK\r\nCall: %s\r\nSeal: s\r\nTransfer-Encoding: chunked\r\n\r\n", call.id)
+				call.chunk(body)
+				call.endStream()
+			}
+		})
+		assert.Equal(t, cluster.send("/unsafe/x", "large", "large").status, http.StatusBadGateway)
+		assert.Equal(t, engine.runs.Load(), int64(1))
+		assert.Equal(t, cluster.send("/unsafe/x", "small", "small").status, http.StatusOK)
+		eventually(t, "nothing is reserved any more", func() bool { return budget.Used() == 0 })
+	}
+}
+
+// Guards against a stream that never ends an event or never begins one: it is continued at an engine that does.
+func TestStreamOfBytesWithoutEventsIsResumed(t *testing.T) {
+	for name, part := range map[string]string{"comments": ": x\n\n", "comment lines": ": x\n", "one line": "x", "retry fields": "retry: 1\n\n", "blank lines": "\n"} {
+		for _, pieceBytes := range []int{1, 16 << 10} {
+			t.Run(fmt.Sprintf("%s of %d bytes", name, pieceBytes), func(t *testing.T) {
+				t.Parallel()
+				cluster, budget := newTestClusterWithMemory(t, 8*testBodyBytes)
+				piece := strings.Repeat(part, max(pieceBytes/len(part), 1))
+				cluster.engine("e", func(call *engineCall) {
+					call.beginStream()
+					if call.number > 1 {
+						call.event(2)
+						call.endStream()
+						return
+					}
+					call.event(1)
+					if part == "x" {
+						call.chunk("data: ")
+					}
+					for sendUntilClosed(call, piece, pieceBytes == 1) {
+					}
+				})
+				startedAt := time.Now()
+				got := cluster.send("/resume/x", "r", "x")
+				assert.NilError(t, got.err)
+				assert.Assert(t, strings.HasSuffix(got.body, "id: 2\ndata: e2\n\n"), "%.200q", got.body)
+				assert.Assert(t, time.Since(startedAt) < 2*time.Second)
+				eventually(t, "nothing is reserved any more", func() bool { return budget.Used() == 0 })
+			})
+		}
+	}
+}
+
+// sendUntilClosed sends a piece and reports whether the connection is still open. Slow pieces are followed by a pause.
+func sendUntilClosed(call *engineCall, piece string, slow bool) bool {
+	if slow {
+		<-time.NewTimer(100 * time.Millisecond).C
+	}
+	_, err := fmt.Fprintf(call.connection, "%x\r\n%s\r\n", len(piece), piece)
+	return err == nil
+}
+
+// Guards against bounds that end the streams of sound engines.
+func TestStreamOfLongEventsIsServed(t *testing.T) {
+	cluster, budget := newTestClusterWithMemory(t, 64*testBodyBytes)
+	data := strings.Repeat("x", 3*testBodyBytes)
+	cluster.engine("e", func(call *engineCall) {
+		call.beginStream()
+		for id := range 4 {
+			call.chunk(fmt.Sprintf(": hello\n\nid: %d\ndata: %s\n\n", id+1, data))
+		}
+		call.endStream()
+	})
+	for _, path := range []string{"/resume/x", "/stream/x"} {
+		got := cluster.send(path, "r", "x")
+		assert.NilError(t, got.err)
+		assert.Equal(t, strings.Count(got.body, data), 4)
+	}
+	eventually(t, "nothing is reserved any more", func() bool { return budget.Used() == 0 })
+}
--- a/internal/ingress/relay.go
+++ b/internal/ingress/relay.go
@@ -2,35 +2,28 @@
 
 import (
 	"context"
-	"io"
 	"net/http"
 	"strconv"
 	"time"
 
+	"github.com/cockroachdb/errors"
+
 	"github.com/mountstile/mountstile/internal/dispatch"
+	"github.com/mountstile/mountstile/internal/membudget"
 	"github.com/mountstile/mountstile/internal/upstream"
 )
 
 // maxBufferedResponseBytes bounds a response that is buffered until it is complete.
 const maxBufferedResponseBytes = 16 << 20
 
-// errResponseTooLarge means that a response exceeds maxBufferedResponseBytes.
-type errResponseTooLarge struct{}
-
-// Error implements error.
-func (errResponseTooLarge) Error() string { return "the response exceeds the buffer limit" }
-
 // relayBuffered reads the complete response before the caller gets any of it, so that the call can
 // be retried if it ends early.
 func (r *request) relayBuffered(ctx context.Context, call *dispatch.Call) error {
 	return r.server.options.Dispatcher.Run(ctx, call, func(attempt *dispatch.Attempt) error {
 		response := attempt.Response()
-		body, err := io.ReadAll(io.LimitReader(response.Body, maxBufferedResponseBytes+1))
-		if err == nil && len(body) > maxBufferedResponseBytes {
-			err = errResponseTooLarge{}
-		}
+		body, err := r.readResponse(response)
 		if err != nil {
-			return dispatch.ResponseError(false, err)
+			return err
 		}
 		r.server.options.Registry.Observe(attempt.Engine(), "route "+r.route.Name(), time.Since(attempt.SentAt()))
 		r.setHead(attempt)
@@ -43,6 +36,44 @@
 	})
 }
 
+// readResponse reads the body of a response.
+func (r *request) readResponse(response *http.Response) ([]byte, error) {
+	if response.ContentLength > maxBufferedResponseBytes {
+		return nil, dispatch.ResponseError(false, errors.WithStack(&membudget.ErrTooLarge{Limit: maxBufferedResponseBytes}))
+	}
+	// An earlier attempt may have reserved some.
+	r.response.Shrink(r.response.Held())
+	if err := r.response.Grow(r.bodyBytes(response)); err != nil {
+		return nil, responseMemoryError(false, err)
+	}
+	body, err := membudget.ReadAll(response.Body, maxBufferedResponseBytes, r.response)
+	if exhausted := responseMemoryError(false, err); exhausted != nil {
+		return nil, exhausted
+	}
+	if err != nil {
+		return nil, dispatch.ResponseError(false, err)
+	}
+	return body, nil
+}
+
+// bodyBytes returns the announced size of a response's body; 0 if it is unknown or has none.
+func (r *request) bodyBytes(response *http.Response) int64 {
+	if r.incoming.Method == http.MethodHead {
+		return 0
+	}
+	return response.ContentLength
+}
+
+// responseMemoryError returns the error of an attempt whose response can't be held, and nil if that isn't the cause. The engine
+// is not at fault, and a further attempt may find memory.
+func responseMemoryError(delivered bool, cause error) error {
+	var exhausted *membudget.ErrExhausted
+	if !errors.As(cause, &exhausted) {
+		return nil
+	}
+	return dispatch.MismatchError(delivered, cause)
+}
+
 // setHead records the start of the response and copies the engine's headers.
 func (r *request) setHead(attempt *dispatch.Attempt) {
 	r.engine = attempt.Engine().ID()
--- a/internal/ingress/server.go
+++ b/internal/ingress/server.go
@@ -121,8 +121,8 @@
 	version   int64
 	arrivedAt time.Time
 	body      []byte
-	// memory is reserved for the body.
-	memory *membudget.Reservation
+	// memory is reserved for the body, response for what is buffered of the response.
+	memory, response *membudget.Reservation
 	// reservation may still be pending while the turn runs; nil for calls that need none.
 	reservation *reservation
 	opened      *turnstore.OpenedTurn
@@ -151,8 +151,9 @@
 func (s *Server) ServeHTTP(writer http.ResponseWriter, req *http.Request) {
 	s.active.Add(1)
 	defer s.active.Add(-1)
-	current := &request{server: s, writer: writer, incoming: req, arrivedAt: time.Now(), memory: s.options.Memory.Open("request body")}
+	current := &request{server: s, writer: writer, incoming: req, arrivedAt: time.Now(), memory: s.options.Memory.Open("request body"), response: s.options.Memory.Open("response")}
 	defer current.memory.Release()
+	defer current.response.Release()
 	if s.draining.Load() {
 		writer.Header().Set("Connection", "close")
 	}
--- a/internal/ingress/stall.go
+++ b/internal/ingress/stall.go
@@ -13,12 +13,15 @@
 	nextEventTimeout  = 700 * time.Millisecond
 )
 
-// stallTimer abandons an attempt whose stream is silent for too long. It does nothing on routes
-// that can't be resumed, where a retry is not possible.
+// stallTimer abandons an attempt whose stream brings no event for too long, whatever other bytes it brings. It does nothing on
+// routes that can't be resumed, where a retry is not possible.
 type stallTimer struct {
-	timer   *time.Timer
-	mutex   sync.Mutex
-	stopped bool
+	timer *time.Timer
+	// expiresAt is when the timer fires unless it is paused; remaining is the time left while it is paused.
+	expiresAt time.Time
+	remaining time.Duration
+	mutex     sync.Mutex
+	stopped   bool
 }
 
 func (s *stream) startStallTimer() *stallTimer {
@@ -31,6 +34,7 @@
 	if s.request.headSent {
 		timeout = nextEventTimeout
 	}
+	stall.expiresAt = time.Now().Add(timeout)
 	stall.timer = time.AfterFunc(timeout, func() {
 		stall.mutex.Lock()
 		defer stall.mutex.Unlock()
@@ -45,14 +49,20 @@
 func (t *stallTimer) pause() {
 	if t.timer != nil {
 		t.timer.Stop()
+		t.remaining = time.Until(t.expiresAt)
 	}
 }
 
-// reset restarts the timer after received bytes.
-func (t *stallTimer) reset() {
-	if t.timer != nil {
-		t.timer.Reset(nextEventTimeout)
+// resume continues after pause; after progress the whole time is available again.
+func (t *stallTimer) resume(progressed bool) {
+	if t.timer == nil {
+		return
+	}
+	if progressed {
+		t.remaining = nextEventTimeout
 	}
+	t.expiresAt = time.Now().Add(t.remaining)
+	t.timer.Reset(t.remaining)
 }
 
 // stop ends the timer; the attempt is not abandoned after it has returned.
--- a/internal/ingress/stream.go
+++ b/internal/ingress/stream.go
@@ -46,7 +46,7 @@
 	call.FromStart = r.route.Repeatable() && r.route.StoreTurns() && r.caller.LastEvent != ""
 	s := &stream{request: r, sse: eventstream.New(eventstream.Options{
 		Resumable: r.route.Repeatable(), KeepOutput: r.route.StoreTurns(), LastEvent: r.caller.LastEvent, FromStart: call.FromStart,
-		VersionField: versionField,
+		VersionField: versionField, Memory: r.response,
 	})}
 	if r.route.Repeatable() {
 		call.Stream = s
@@ -86,10 +86,11 @@
 		read, err := response.Body.Read(buffer)
 		if read > 0 {
 			stall.pause()
+			before := s.sse.Progress()
 			if failure := s.forward(buffer[:read]); failure != nil {
 				return failure
 			}
-			stall.reset()
+			stall.resume(s.sse.Progress() != before)
 		}
 		if errors.Is(err, io.EOF) {
 			return s.finish()
@@ -152,6 +153,9 @@
 	if errors.As(cause, &mismatch) {
 		return dispatch.MismatchError(!s.sse.CanResume(), cause)
 	}
+	if err := responseMemoryError(!s.sse.CanResume(), cause); err != nil {
+		return err
+	}
 	return dispatch.ResponseError(!s.sse.CanResume(), cause)
 }
 
@@ -244,6 +248,10 @@
 func (s *stream) storeTurn() error {
 	r := s.request
 	output := s.sse.Output()
+	if err := r.response.Grow(int64(len(r.body) + len(output))); err != nil {
+		r.settle(s.generatedTokens())
+		return apierr.New(apierr.Overloaded, apierr.Ran, "the turn was not stored: %s", err)
+	}
 	text := make([]byte, 0, len(r.body)+len(output))
 	text = append(append(text, r.body...), output...)
 	records := []conversation.Record{{Turn: &conversation.Turn{
