--- a/internal/ingress/node.go
+++ b/internal/ingress/node.go
@@ -13,6 +13,7 @@
 	"github.com/mountstile/mountstile/internal/dispatch"
 	"github.com/mountstile/mountstile/internal/events"
 	"github.com/mountstile/mountstile/internal/fatal"
+	"github.com/mountstile/mountstile/internal/membudget"
 	"github.com/mountstile/mountstile/internal/routing"
 	"github.com/mountstile/mountstile/internal/transport"
 	"github.com/mountstile/mountstile/internal/turnstore"
@@ -57,6 +58,8 @@
 	Network *transport.Transport
 	Logger  *events.Logger
 	Metrics *Metrics
+	// Memory bounds what callers and engines make the gateway hold; nil for no bound.
+	Memory *membudget.Budget
 }
 
 // Node is a gateway: it gets routes, engines and replicas from the catalog and serves callers.
@@ -80,6 +83,7 @@
 // NewNode returns a Node with an empty catalog.
 func NewNode(options NodeOptions) *Node {
 	registry := dispatch.NewRegistry(options.Zone, options.Dial, options.Logger)
+	registry.SetMemory(options.Memory)
 	node := &Node{
 		options:  options,
 		registry: registry,
@@ -94,7 +98,7 @@
 	node.server = New(Options{
 		Table: node.table.Load, RoutesReady: node.routesReady, CallerProtocol: options.CallerProtocol, Registry: node.registry, Turns: node.turns,
 		Dispatcher: dispatch.New(node.registry, options.Protocol, options.Logger), Logger: options.Logger, Metrics: options.Metrics,
-		CatalogAge: node.catalog.Age, CatalogInSyncSince: node.catalog.InSyncSince,
+		CatalogAge: node.catalog.Age, CatalogInSyncSince: node.catalog.InSyncSince, Memory: options.Memory,
 	})
 	return node
 }
