partition: a restarted region reads its table although nodes are missing

Cause: the number of nodes that the first table needs was also required before the table, which had long been created, was read from the store.

Evidence: TestFullRestartWithOneNodeLostServes failed before: "timeout hit after 1m0s: waiting for node 0 to be ready".

Why this works: the proposers read the store first; only a region without a table waits for its nodes.

Result: the test passes, with TestProgramsSurviveFullRestart and TestZoneLost in 29 s.

--- a/internal/partition/manager.go
+++ b/internal/partition/manager.go
@@ -201,7 +201,7 @@
 	}
 }
 
-// ensureTable commits the first table of the region once it has enough nodes.
+// ensureTable publishes the region's table from the store, or commits the first one once the region has enough nodes.
 func (m *Manager) ensureTable(ctx context.Context) {
 	view := m.options.Membership.View()
 	region := view.Self.Region
@@ -209,7 +209,7 @@
 		return
 	}
 	inRegion := slices.DeleteFunc(view.Eligible(), func(member membership.Member) bool { return member.Region != region })
-	if len(inRegion) < m.options.InitialNodes || !isTableProposer(inRegion, view.Self.ID) {
+	if !isTableProposer(inRegion, view.Self.ID) {
 		return
 	}
 	ctx, cancel := context.WithTimeout(ctx, storeTimeout)
@@ -219,7 +219,9 @@
 		m.options.Logger.Emit(events.ConfigStoreFailed, events.F("error", err))
 		return
 	}
-	m.publishTable(table)
+	if table != nil {
+		m.publishTable(table)
+	}
 }
 
 func isTableProposer(members []membership.Member, id string) bool {
@@ -232,7 +234,8 @@
 	return false
 }
 
-// commitTable writes a table to the store, or returns the one that the store already has.
+// commitTable returns the table that the store has or, if it has none, writes one. It returns nil if there are too few
+// members for a first table.
 func (m *Manager) commitTable(ctx context.Context, region string, members []membership.Member) (*Table, error) {
 	key := storePrefix + region
 	entry, err := m.options.Store.Get(ctx, key)
@@ -242,6 +245,9 @@
 	if entry.Revision > 0 {
 		return decodeTable(entry.Value)
 	}
+	if len(members) < m.options.InitialNodes {
+		return nil, nil
+	}
 	table := NewTable(region, m.options.Partitions, members)
 	encoded, err := json.Marshal(table)
 	if err != nil {
