--- a/internal/turnstore/bootstrap_test.go
+++ b/internal/turnstore/bootstrap_test.go
@@ -259,3 +259,29 @@
 	c.start(c.machines[2])
 	c.checkServes(3)
 }
+
+// A machine that is lost or retired before the first set exists must be replaced by the one that was started for it.
+func TestMachineReplacedDuringFirstStart(t *testing.T) {
+	t.Parallel()
+	for _, retires := range []bool{false, true} {
+		t.Run(map[bool]string{false: "lost", true: "retired"}[retires], func(t *testing.T) {
+			t.Parallel()
+			c := newUnstartedCluster(t)
+			c.startAll()
+			eventually(t, "the candidates have registered", func() bool { return len(c.store.candidates()) == 3 })
+			assert.Equal(t, c.store.set().Epoch, int64(0), "the test was too slow")
+			leaving := c.machines[0]
+			leaving.retiring.Store(retires)
+			if !retires {
+				c.kill(leaving)
+			}
+			c.started = true
+			c.add("newcomer")
+			eventually(t, "the newcomer has taken the place", func() bool {
+				set := c.store.set()
+				return set.Has("newcomer") && !set.Has(leaving.name) && !set.Changing() && len(set.Members) == 3
+			})
+			c.checkServes(3)
+		})
+	}
+}
