ingress: let streams go on without replicas after short gaps of the catalog

Cause: any gap between two syncs longer than the age at which the catalog is stale (1.4 s) ended the time for which a gateway has seen all engines. Such gaps of 1.6 to 2.2 s came by themselves on a busy machine, and with the pause of the replicas that the catalog is followed from.

Fix: only a gap above 5 s does. Engines that appear within a gap are there after it; a stale catalog still infers nothing, since a new version may have come meanwhile. The removal of an engine whose record never came, which is all that a catalog shows of one that lived within a gap, rules an inference out.

--- a/internal/catalog/manager.go
+++ b/internal/catalog/manager.go
@@ -98,7 +98,7 @@
 	// syncedAt is the last time at which this catalog is known to have been in sync with the store, directly or
 	// through a peer.
 	syncedAt time.Time
-	// inSyncSince is the first sync after which none was later than StaleAfter after the one before.
+	// inSyncSince is the first sync after which no gap was long enough to hide an entry.
 	inSyncSince time.Time
 	// lastResponseAt is the time of the last response from a peer or the store.
 	lastResponseAt time.Time
@@ -356,11 +356,11 @@
 		return
 	}
 	before := m.syncedAt
-	interrupted := at.Sub(before) > m.options.StaleAfter
-	if before.IsZero() || interrupted {
+	gap := at.Sub(before)
+	if before.IsZero() || gap > max(m.options.StaleAfter, maxHistoryGap) {
 		m.inSyncSince = at
 	}
-	if m.options.OnOutageEnd != nil && !before.IsZero() && interrupted {
+	if m.options.OnOutageEnd != nil && !before.IsZero() && gap > m.options.StaleAfter {
 		m.options.OnOutageEnd(before)
 	}
 	m.syncedAt = at
@@ -378,8 +378,12 @@
 	return time.Since(m.syncedAt)
 }
 
-// InSyncSince returns since when the catalog has been in sync with the store without a pause longer than StaleAfter; the zero
-// time if it is not in sync now. Entries that existed only earlier may never have been seen.
+// maxHistoryGap is the longest gap between two syncs after which the catalog's history is still taken as complete. Entries that
+// were added within it are there after it, unless they were removed again.
+const maxHistoryGap = 5 * time.Second
+
+// InSyncSince returns since when the catalog has seen all entries that existed for longer than maxHistoryGap; the zero time if it
+// was not in sync with the store within StaleAfter.
 func (m *Manager) InSyncSince() time.Time {
 	m.mutex.Lock()
 	defer m.mutex.Unlock()
--- a/internal/catalog/mirrors_test.go
+++ b/internal/catalog/mirrors_test.go
@@ -274,3 +274,15 @@
 	}
 	assert.Assert(t, manager.InSyncSince().Equal(now.Add(-40*time.Second)))
 }
+
+// A gap too short to hide an entry for long leaves the history complete, though the catalog was stale meanwhile.
+func TestInSyncSinceIgnoresShortGaps(t *testing.T) {
+	manager := &Manager{options: Options{StaleAfter: time.Second}, synced: make(chan struct{})}
+	now := time.Now()
+	for _, age := range []time.Duration{20 * time.Second, 12 * time.Second, 8 * time.Second, 4 * time.Second} {
+		manager.recordSync(now.Add(-age))
+	}
+	assert.Assert(t, manager.InSyncSince().IsZero(), "out of sync")
+	manager.recordSync(now)
+	assert.Assert(t, manager.InSyncSince().Equal(now.Add(-12*time.Second)))
+}
--- a/internal/dispatch/registry.go
+++ b/internal/dispatch/registry.go
@@ -58,6 +58,8 @@
 	waiting map[softwareKey]int
 	// left holds when engines of a software version were last known, for those that were dropped or replaced since.
 	left map[softwareKey]time.Time
+	// unknownLeftAt is the last time that the removal of an engine came whose record had never come.
+	unknownLeftAt time.Time
 	// outage is the most recent outage of the store.
 	outage outage
 	// others holds the calls in flight of other gateways.
@@ -154,6 +156,9 @@
 // remove marks an engine as removed. It returns nil if that is not news.
 func (r *Registry) remove(now time.Time, id string, revision int64) *Engine {
 	engine := r.byID[id]
+	if engine == nil {
+		r.unknownLeftAt = now
+	}
 	if engine == nil || !engine.removedAt.IsZero() || engine.revision >= revision {
 		return nil
 	}
@@ -233,6 +238,13 @@
 	return versions
 }
 
+// UnknownEngineLeft reports whether an engine left since then whose software version is not known.
+func (r *Registry) UnknownEngineLeft(since time.Time) bool {
+	r.mutex.Lock()
+	defer r.mutex.Unlock()
+	return !r.unknownLeftAt.Before(since)
+}
+
 // noteLeft records the software version of an engine that is dropped or has other software now.
 func (r *Registry) noteLeft(now time.Time, engine *Engine) {
 	r.left[softwareKey{engine.specification.Service, engine.specification.Software}] = now
--- a/internal/ingress/resumption.go
+++ b/internal/ingress/resumption.go
@@ -109,7 +109,10 @@
 	}
 	horizon := r.originHorizon()
 	since := r.server.options.CatalogInSyncSince()
-	return !since.IsZero() && now.Sub(since) >= horizon && horizon <= dispatch.SoftwareRetention
+	if since.IsZero() || now.Sub(since) < horizon || horizon > dispatch.SoftwareRetention {
+		return false
+	}
+	return !r.server.options.Registry.UnknownEngineLeft(now.Add(-horizon))
 }
 
 // minOriginHorizon is the least age of a stream that is reckoned with.
--- a/internal/ingress/server.go
+++ b/internal/ingress/server.go
@@ -86,8 +86,8 @@
 	Metrics        *Metrics
 	// CatalogAge returns the maximum age of the node's configuration and engine records.
 	CatalogAge func() time.Duration
-	// CatalogInSyncSince returns since when the node has known all engine records without a pause; the zero time if it
-	// does not know them now.
+	// CatalogInSyncSince returns since when the node has seen all engine records; the zero time if it does not know the
+	// present ones.
 	CatalogInSyncSince func() time.Time
 }
 
--- a/internal/ingress/softwareversion_test.go
+++ b/internal/ingress/softwareversion_test.go
@@ -648,10 +648,12 @@
 	for name, row := range map[string]struct {
 		inSyncFor time.Duration
 		replaced  bool
+		unknown   bool
 		status    int
 	}{
 		"one version":                 {inSyncFor: 2 * minOriginHorizon, status: http.StatusOK},
 		"another version has left":    {inSyncFor: 2 * minOriginHorizon, replaced: true, status: http.StatusServiceUnavailable},
+		"an unknown engine has left":  {inSyncFor: 2 * minOriginHorizon, unknown: true, status: http.StatusServiceUnavailable},
 		"started later than a stream": {inSyncFor: minOriginHorizon - 5*time.Second, status: http.StatusServiceUnavailable},
 		"not in sync":                 {status: http.StatusServiceUnavailable},
 	} {
@@ -671,6 +673,10 @@
 				engine.specification.Software = "v2"
 				cluster.apply(catalog.EngineKind, "engine", engine.specification)
 			}
+			if row.unknown {
+				cluster.revision++
+				cluster.node.apply(catalog.Entry{Key: catalog.Key(catalog.EngineKind, "unknown"), Revision: cluster.revision})
+			}
 			got := cluster.send("/resume/", "second", "in", "After", "2", "Resumes", "first")
 			assert.NilError(t, got.err)
 			assert.Equal(t, got.status, row.status, got.body)
