--- a/internal/standin/loopback/loopback.go
+++ b/internal/standin/loopback/loopback.go
@@ -33,6 +33,9 @@
 // hostCount counts the hosts that this process has handed out.
 var hostCount atomic.Int64
 
+// portCounter makes the addresses of one host differ.
+var portCounter atomic.Int64
+
 // Host returns a loopback host that no other call returns, in this process or a concurrent one of another network.
 func Host() string {
 	number := hostCount.Add(1)
@@ -40,11 +43,14 @@
 }
 
 // FreeAddress returns a free address on a host of its own, so that no other test or outgoing connection takes the port.
-func FreeAddress() (string, error) {
-	host := Host()
+func FreeAddress() (string, error) { return FreeAddressAt(Host()) }
+
+// FreeAddressAt returns a free address on a host that Host returned, which differs from those of earlier calls.
+func FreeAddressAt(host string) (string, error) {
 	var failure error
+	first := os.Getpid()/networkCount + int(portCounter.Add(1))
 	for try := range portTries {
-		port := lowestPort + (os.Getpid()/networkCount+try)%portCount
+		port := lowestPort + (first+try)%portCount
 		listener, err := net.Listen("tcp", fmt.Sprintf("%s:%d", host, port))
 		if err != nil {
 			failure = err
