--- a/internal/startup/startup.go
+++ b/internal/startup/startup.go
@@ -23,15 +23,19 @@
 	maxBackoff     = time.Second
 )
 
-// Retry runs attempt until it succeeds, and calls failed with the error of each attempt that doesn't. The error is the
-// context's.
+// Retry runs attempt until it succeeds. It calls failed with the error of an attempt unless the previous one failed likewise. The
+// error is the context's.
 func Retry(ctx context.Context, attempt func() error, failed func(error)) error {
+	previous := ""
 	for backoff := initialBackoff; ; backoff = min(2*backoff, maxBackoff) {
 		err := attempt()
 		if err == nil {
 			return nil
 		}
-		failed(err)
+		if err.Error() != previous {
+			failed(err)
+		}
+		previous = err.Error()
 		clock.Sleep(ctx, backoff)
 		if ctx.Err() != nil {
 			return ctx.Err()
