ingress: close waiting connections for new ones, and reserve memory for callers' heads

Cause: nothing limited callers' connections but the descriptors of the process; net/http then backs off for up to a second. At the limit a new connection takes the place of the one that has waited longest for its caller: idle, or with an incomplete head or body. The bytes of heads are reserved as they arrive. Evidence: TestWaitingConnectionsGiveWayToNewOnes and TestHeadsBeyondTheMemoryBudgetAreRefused; they need the new listener and could not be run on the sources before.

--- a/internal/ingress/abort.go
+++ b/internal/ingress/abort.go
@@ -11,9 +11,6 @@
 
 // contextWithConnection is the http.Server.ConnContext that stores the caller's connection.
 func contextWithConnection(ctx context.Context, connection net.Conn) context.Context {
-	if wrapped, ok := connection.(*callerConnection); ok {
-		connection = wrapped.Conn
-	}
 	return context.WithValue(ctx, connectionKey{}, connection)
 }
 
@@ -31,8 +28,19 @@
 	if r.incoming.ProtoAtLeast(1, 1) {
 		return
 	}
-	if connection, ok := r.incoming.Context().Value(connectionKey{}).(*net.TCPConn); ok {
+	raw := r.incoming.Context().Value(connectionKey{})
+	if wrapped, ok := raw.(*callerConnection); ok {
+		raw = wrapped.Conn
+	}
+	if connection, ok := raw.(*net.TCPConn); ok {
 		// This fails only if the connection is closed already.
 		_ = connection.SetLinger(seconds)
 	}
 }
+
+// setWaiting records whether the request's connection waits for its caller.
+func (r *request) setWaiting(waiting bool) {
+	if connection, ok := r.incoming.Context().Value(connectionKey{}).(*callerConnection); ok {
+		r.server.connections.setWaiting(connection, waiting)
+	}
+}
--- a/internal/ingress/body.go
+++ b/internal/ingress/body.go
@@ -17,6 +17,8 @@
 	body       io.Reader
 	connection *http.ResponseController
 	deadline   time.Time
+	// waiting records whether the connection waits for its caller.
+	waiting func(bool)
 }
 
 // Read implements io.Reader.
@@ -27,7 +29,9 @@
 	}
 	// This fails only if the connection is closed already, or is not one, as in tests.
 	_ = r.connection.SetReadDeadline(deadline)
+	r.waiting(true)
 	read, err := r.body.Read(buffer)
+	r.waiting(false)
 	if errors.Is(err, io.EOF) {
 		// The server now watches the connection for the caller's disconnection.
 		_ = r.connection.SetReadDeadline(time.Time{})
--- a/internal/ingress/malformed.go
+++ b/internal/ingress/malformed.go
@@ -31,18 +31,19 @@
 	server *Server
 }
 
-// Accept implements net.Listener.
+// Accept implements net.Listener. It closes connections beyond the limit, whose requests are not read.
 func (l *listener) Accept() (net.Conn, error) {
-	accepted, err := l.Listener.Accept()
-	if err != nil {
-		return nil, err
+	for {
+		accepted, err := l.Listener.Accept()
+		if err != nil {
+			return nil, err
+		}
+		connection := &callerConnection{Conn: accepted, server: l.server, head: l.server.options.Memory.Open("request head"), inHead: true}
+		if l.server.connections.admit(connection) {
+			return connection, nil
+		}
+		_ = accepted.Close()
 	}
-	return &callerConnection{Conn: accepted, server: l.server}, nil
-}
-
-type callerConnection struct {
-	net.Conn
-	server *Server
 }
 
 // Write implements net.Conn.
--- a/internal/ingress/memory_test.go
+++ b/internal/ingress/memory_test.go
@@ -7,6 +7,7 @@
 	"net"
 	"net/http"
 	"net/http/httptest"
+	"os"
 	"strings"
 	"testing"
 	"time"
@@ -189,3 +190,78 @@
 	}
 	eventually(t, "nothing is reserved any more", func() bool { return budget.Used() == 0 })
 }
+
+// serveCallers serves callers through the node's own listener and returns its address.
+func (c *testCluster) serveCallers() string {
+	inner, err := net.Listen("tcp", "127.0.0.1:0")
+	assert.NilError(c.t, err)
+	server := c.node.NewHTTPServer()
+	go func() { _ = server.Serve(c.node.Listener(inner)) }()
+	c.t.Cleanup(func() { _ = server.Close() })
+	return inner.Addr().String()
+}
+
+// dial opens a connection and sends a part of a request.
+func (c *testCluster) dial(address, part string) net.Conn {
+	c.t.Helper()
+	connection, err := net.Dial("tcp", address)
+	assert.NilError(c.t, err)
+	c.t.Cleanup(func() { _ = connection.Close() })
+	_, err = io.WriteString(connection, part)
+	assert.NilError(c.t, err)
+	return connection
+}
+
+// Guards against connections that wait for their callers and use up all descriptors.
+func TestWaitingConnectionsGiveWayToNewOnes(t *testing.T) {
+	const limit = 16
+	body := "POST /safe/x HTTP/1.1\r\nHost: h\r\nCall: c\r\nContent-Length: 10\r\n\r\nhalf"
+	whole := "GET /safe/x HTTP/1.1\r\nHost: h\r\nCall: c\r\n\r\n"
+	for name, part := range map[string]string{"silent": "", "half a head": body[:30], "half a body": body, "idle": whole} {
+		t.Run(name, func(t *testing.T) {
+			cluster, _ := newTestClusterWithMemory(t, 8*testBodyBytes)
+			cluster.node.server.connections.limit = limit
+			cluster.engine("e", func(call *engineCall) { call.reply(http.StatusOK, "done") })
+			address := cluster.serveCallers()
+			for range limit {
+				cluster.dial(address, part)
+			}
+			connections := cluster.node.server.connections
+			eventually(t, "all wait", func() bool {
+				connections.mutex.Lock()
+				defer connections.mutex.Unlock()
+				return connections.waiting.Len() == limit && connections.count == limit
+			})
+			<-time.NewTimer(2 * minEvictionWait).C
+			for range limit / 2 {
+				response, err := http.ReadResponse(bufio.NewReader(cluster.dial(address, whole)), nil)
+				assert.NilError(t, err)
+				assert.Equal(t, response.StatusCode, http.StatusOK)
+			}
+		})
+	}
+}
+
+// Guards against heads of callers that together exceed the memory.
+func TestHeadsBeyondTheMemoryBudgetAreRefused(t *testing.T) {
+	cluster, budget := newTestClusterWithMemory(t, 1<<20)
+	address := cluster.serveCallers()
+	half := "GET /safe/x HTTP/1.1\r\nHost: h\r\nCall: c\r\nX: " + strings.Repeat("x", 40<<10)
+	held := make([]net.Conn, 64)
+	for index := range held {
+		held[index] = cluster.dial(address, half)
+	}
+	refused := 0
+	for _, connection := range held {
+		_ = connection.SetReadDeadline(time.Now().Add(20 * time.Millisecond))
+		if _, err := connection.Read(make([]byte, 1)); err == nil || !os.IsTimeout(err) {
+			refused++
+		}
+	}
+	assert.Assert(t, refused >= len(held)-(1<<20)/(40<<10), "%d are refused", refused)
+	assert.Assert(t, budget.Used() <= 1<<20)
+	for _, connection := range held {
+		_ = connection.Close()
+	}
+	eventually(t, "nothing is reserved any more", func() bool { return budget.Used() == 0 })
+}
--- a/internal/ingress/node.go
+++ b/internal/ingress/node.go
@@ -60,6 +60,8 @@
 	Metrics *Metrics
 	// Memory bounds what callers and engines make the gateway hold; nil for no bound.
 	Memory *membudget.Budget
+	// MaxConnections is the maximum number of callers' connections; 0 for no limit.
+	MaxConnections int
 }
 
 // Node is a gateway: it gets routes, engines and replicas from the catalog and serves callers.
@@ -98,7 +100,7 @@
 	node.server = New(Options{
 		Table: node.table.Load, RoutesReady: node.routesReady, CallerProtocol: options.CallerProtocol, Registry: node.registry, Turns: node.turns,
 		Dispatcher: dispatch.New(node.registry, options.Protocol, options.Logger), Logger: options.Logger, Metrics: options.Metrics,
-		CatalogAge: node.catalog.Age, Memory: options.Memory,
+		CatalogAge: node.catalog.Age, Memory: options.Memory, MaxConnections: options.MaxConnections,
 	})
 	return node
 }
@@ -273,7 +275,7 @@
 func (n *Node) NewHTTPServer() *http.Server {
 	return &http.Server{
 		Handler: n.server, ReadHeaderTimeout: headerTimeout, IdleTimeout: idleTimeout, MaxHeaderBytes: maxHeaderBytes,
-		ConnContext: contextWithConnection,
+		ConnContext: contextWithConnection, ConnState: n.server.connectionStateChanged,
 	}
 }
 
--- a/internal/ingress/server.go
+++ b/internal/ingress/server.go
@@ -90,6 +90,8 @@
 	CatalogAge func() time.Duration
 	// Memory bounds the bodies, responses and streams that are held at the same time; nil for no bound.
 	Memory *membudget.Budget
+	// MaxConnections is the maximum number of callers' connections; 0 for no limit.
+	MaxConnections int
 }
 
 // Server is an http.Handler for callers' requests.
@@ -98,10 +100,14 @@
 	draining atomic.Bool
 	active   atomic.Int64
 	logLimit *logLimiter
+	// connections are those of Listener.
+	connections *connections
 }
 
 // New returns a Server.
-func New(options Options) *Server { return &Server{options: options, logLimit: newLogLimiter()} }
+func New(options Options) *Server {
+	return &Server{options: options, logLimit: newLogLimiter(), connections: &connections{limit: options.MaxConnections}}
+}
 
 // Drain makes each further response close its connection.
 func (s *Server) Drain() { s.draining.Store(true) }
@@ -242,7 +248,7 @@
 	if err := r.memory.Grow(r.incoming.ContentLength); err != nil {
 		return r.errNoMemory(err)
 	}
-	body, err := membudget.ReadAll(&bodyReader{body: r.incoming.Body, connection: http.NewResponseController(r.writer), deadline: r.deadline()}, limit, r.memory)
+	body, err := membudget.ReadAll(&bodyReader{body: r.incoming.Body, connection: http.NewResponseController(r.writer), deadline: r.deadline(), waiting: r.setWaiting}, limit, r.memory)
 	var tooLarge *membudget.ErrTooLarge
 	var exhausted *membudget.ErrExhausted
 	switch {
