eventstream: double large buffers, and reserve for their growth

Cause: append lets large buffers grow by a quarter at a time, so that a line without end leaves five times its size as garbage, and a fourfold reservation did not cover the copies. Fix: buffers beyond 64 KiB double; an event is reserved sixfold, a response of unknown length with the copy that its growth leaves.

--- a/internal/eventstream/scanner.go
+++ b/internal/eventstream/scanner.go
@@ -66,10 +66,22 @@
 
 // appendPart appends bytes to the current line.
 func (s *scanner) appendPart(part []byte) {
-	s.line = append(s.line, part...)
+	s.line = appendLarge(s.line, part)
 	s.size += len(part)
 }
 
+// appendLarge is like append, but doubles large buffers, too: append lets them grow in small steps, each of which leaves a copy for the
+// garbage collector.
+func appendLarge(buffer, part []byte) []byte {
+	size := len(buffer) + len(part)
+	if size > cap(buffer) && size > reserveBytes {
+		larger := make([]byte, len(buffer), max(2*cap(buffer), size))
+		copy(larger, buffer)
+		buffer = larger
+	}
+	return append(buffer, part...)
+}
+
 // endsWithCR reports whether the current line ends with a carriage return.
 func (s *scanner) endsWithCR() bool {
 	return len(s.line) > 0 && s.line[len(s.line)-1] == '\r'
@@ -125,7 +137,7 @@
 		if s.event.hasData {
 			s.event.data = append(s.event.data, '\n')
 		}
-		s.event.data = append(s.event.data, value...)
+		s.event.data = appendLarge(s.event.data, value)
 		s.event.hasData = true
 	case s.versionField:
 		s.event.version = string(value)
--- a/internal/eventstream/stream.go
+++ b/internal/eventstream/stream.go
@@ -62,8 +62,9 @@
 	maxIdleBytes = 256 << 10
 	// progressBytes is how much of an event that is not complete counts as progress.
 	progressBytes = 64 << 10
-	// An event is held up to eventCopies times: its current line, its data, its bytes and the output.
-	eventCopies = 4
+	// An event is held up to four times: its current line, its data, its bytes and what is forwarded. eventCopies allows for the
+	// growth of these buffers.
+	eventCopies = 6
 	// outputCopies allows for the growth of the collected output.
 	outputCopies = 2
 	// reserveBytes is the unit of reservations; less than that is not reserved.
@@ -282,7 +283,7 @@
 	if len(s.buffered)+len(chunk) > maxBufferedBytes {
 		return &ErrCorrupt{Reason: "an event or an error body exceeds the buffer limit"}
 	}
-	s.buffered = append(s.buffered, chunk...)
+	s.buffered = appendLarge(s.buffered, chunk)
 	return nil
 }
 
@@ -341,7 +342,7 @@
 		// are forwarded at once. A continuation is not confirmed before its first event; until then
 		// they stay buffered.
 		s.state = Forwarding
-		s.result = append(s.result, s.buffered...)
+		s.result = appendLarge(s.result, s.buffered)
 	default:
 		return nil
 	}
--- a/internal/membudget/read.go
+++ b/internal/membudget/read.go
@@ -21,7 +21,7 @@
 
 // ReadAll reads to the end, up to limit bytes. What the reservation holds at the call is taken for the bytes to come; it
 // grows if there are more. The buffer grows with the bytes that arrive, and from maxDoubledBytes on to the whole reservation at once, since
-// each larger buffer leaves a copy for the garbage collector. The error is an ErrTooLarge, an ErrExhausted or one of the reader.
+// each larger buffer leaves a copy for the garbage collector. Where more arrives than was expected, the copy is reserved as well. The error is an ErrTooLarge, an ErrExhausted or one of the reader.
 func ReadAll(reader io.Reader, limit int64, reservation *Reservation) ([]byte, error) {
 	expected := reservation.Held()
 	reserved := expected
@@ -29,10 +29,14 @@
 	for {
 		if len(buffer) == cap(buffer) {
 			size := growTo(int64(cap(buffer)), expected, limit)
-			if err := reservation.Grow(size - reserved); err != nil {
+			needed := size
+			if size > expected+1 {
+				needed += int64(cap(buffer))
+			}
+			if err := reservation.Grow(needed - reserved); err != nil {
 				return nil, err
 			}
-			reserved = max(reserved, size)
+			reserved = max(reserved, needed)
 			larger := make([]byte, len(buffer), size)
 			copy(larger, buffer)
 			buffer = larger
