--- a/internal/ingress/connections.go
+++ b/internal/ingress/connections.go
@@ -57,7 +57,6 @@
 	}
 	c.waiting.Remove(first)
 	evicted.waiting = nil
-	evicted.evicted = true
 	// This fails only if the connection is closed already.
 	_ = evicted.Conn.SetReadDeadline(time.Now())
 	return true
@@ -71,7 +70,7 @@
 		c.waiting.Remove(connection.waiting)
 		connection.waiting = nil
 	}
-	if waiting && !connection.evicted && !connection.closed {
+	if waiting && !connection.closed {
 		connection.waiting = c.waiting.PushBack(connection)
 		connection.waitingSince = time.Now()
 	}
@@ -97,9 +96,9 @@
 
 	// The following fields belong to connections and are guarded by its mutex. waiting is nil unless the connection waits for
 	// its caller.
-	waiting         *list.Element
-	waitingSince    time.Time
-	evicted, closed bool
+	waiting      *list.Element
+	waitingSince time.Time
+	closed       bool
 
 	headMutex sync.Mutex
 	inHead    bool
