--- a/internal/ingress/node.go
+++ b/internal/ingress/node.go
@@ -89,7 +89,7 @@
 	node := &Node{
 		options:  options,
 		registry: registry,
-		turns: turnstore.NewClient(turnstore.ClientOptions{Zone: options.Zone, CacheBytes: options.CacheBytes, Load: registry},
+		turns: turnstore.NewClient(turnstore.ClientOptions{Zone: options.Zone, CacheBytes: options.CacheBytes, Memory: options.Memory, Load: registry},
 			options.Network, options.Logger),
 	}
 	node.catalog = catalog.NewManager(catalog.Options{
