--- a/internal/turnstore/bootstrap_test.go
+++ b/internal/turnstore/bootstrap_test.go
@@ -172,7 +172,7 @@
 func setWithIdentity(epoch int64, shard int, identity string) ReplicaSet {
 	return ReplicaSet{
 		Epoch: epoch, Shard: shard, Shards: 2, Copies: 2, Size: 3,
-		Members: []Member{{Name: "a", Identity: identity}, {Name: "b"}, {Name: "c"}},
+		Members: []Member{{Name: "a", Address: "127.0.0.1:1", Identity: identity}, {Name: "b", Address: "127.0.0.1:2"}, {Name: "c", Address: "127.0.0.1:3"}},
 	}
 }
 
