--- a/internal/eventstream/scanner.go
+++ b/internal/eventstream/scanner.go
@@ -73,15 +73,19 @@
 // appendLarge is like append, but doubles large buffers, too: append lets them grow in small steps, each of which leaves a copy for the
 // garbage collector.
 func appendLarge(buffer, part []byte) []byte {
-	size := len(buffer) + len(part)
-	if size > cap(buffer) && size > reserveBytes {
-		larger := make([]byte, len(buffer), max(2*cap(buffer), size))
-		copy(larger, buffer)
-		buffer = larger
+	if size := len(buffer) + len(part); size > cap(buffer) && size > reserveBytes {
+		buffer = double(buffer, size)
 	}
 	return append(buffer, part...)
 }
 
+// double copies a buffer to one of twice the capacity, or of the size if that is larger.
+func double(buffer []byte, size int) []byte {
+	larger := make([]byte, len(buffer), max(2*cap(buffer), size))
+	copy(larger, buffer)
+	return larger
+}
+
 // endsWithCR reports whether the current line ends with a carriage return.
 func (s *scanner) endsWithCR() bool {
 	return len(s.line) > 0 && s.line[len(s.line)-1] == '\r'
@@ -95,25 +99,25 @@
 		line = bytes.TrimPrefix(line, []byte(byteOrderMark))
 		s.sawLine = true
 	}
-	received := len(s.line)
 	s.line = s.line[:0]
-	if len(line) > 0 {
-		s.parseField(line, received)
+	switch {
+	case len(line) > 0:
+		s.parseField(line)
 		return false
-	}
-	s.idleBytes += received
-	if s.event.hasData {
+	case s.event.hasData:
 		s.idleBytes = 0
+	default:
+		s.idleBytes++
 	}
 	return true
 }
 
-// idle returns the number of bytes since the last event with data that belong to no event.
+// idle returns the number of bytes since the last event with data that belong to no event, including an incomplete comment.
 func (s *scanner) idle() int {
-	if len(s.line) > 0 && s.line[0] == ':' {
-		return s.idleBytes + len(s.line)
+	if len(s.line) == 0 || s.line[0] != ':' {
+		return s.idleBytes
 	}
-	return s.idleBytes
+	return s.idleBytes + len(s.line)
 }
 
 // finishBody handles the end of the body and reports whether a trailing CR completed an event.
@@ -121,11 +125,11 @@
 	return s.endsWithCR() && s.finishLine()
 }
 
-// parseField parses one line of an event, which was received as the given number of bytes.
-func (s *scanner) parseField(line []byte, received int) {
+// parseField parses one line of an event.
+func (s *scanner) parseField(line []byte) {
 	name, value, _ := bytes.Cut(line, []byte{':'})
-	if len(name) == 0 || string(name) == retryField {
-		s.idleBytes += received
+	if len(name) == 0 || (!s.hasFields && string(name) == retryField) {
+		s.idleBytes += len(line) + 1
 		return
 	}
 	s.hasFields = true
--- a/internal/eventstream/stream.go
+++ b/internal/eventstream/stream.go
@@ -229,8 +229,10 @@
 // attempt can't be used; an ErrMismatch means that it is incompatible with the events that the
 // caller has, a membudget.ErrExhausted that there is no memory for the chunk.
 func (s *Stream) Feed(chunk []byte) ([]byte, error) {
-	if err := s.reserve(len(chunk)); err != nil {
-		return nil, err
+	if s.scanner.size+len(s.buffered)+len(s.output)+len(chunk) > reserveBytes/eventCopies {
+		if err := s.reserve(len(chunk)); err != nil {
+			return nil, err
+		}
 	}
 	switch {
 	case !s.currentHead.isSuccess() && s.options.Resumable:
@@ -250,7 +252,10 @@
 	if needed <= max(s.reserved, reserveBytes) {
 		return nil
 	}
-	needed += reserveBytes
+	return s.growReservation(needed + reserveBytes)
+}
+
+func (s *Stream) growReservation(needed int) error {
 	if err := s.options.Memory.Grow(int64(needed - s.reserved)); err != nil {
 		return err
 	}
