ingress: a body that begins like a short status line doesn't panic

A write that begins with "HTTP/1.1 4" was taken for a refusal by net/http and cut at a fixed offset: a shorter first line panicked, which aborted the caller's response (net/http recovers in its own task). An engine's body can begin so. Found by reading; TestBodyThatBeginsLikeAStatusLineIsWritten failed before: "slice bounds out of range [12:10]".

--- a/internal/ingress/malformed.go
+++ b/internal/ingress/malformed.go
@@ -48,12 +48,18 @@
 
 // Write implements net.Conn.
 func (c *callerConnection) Write(data []byte) (int, error) {
-	if bytes.HasPrefix(data, clientErrorPrefix) && !bytes.Contains(data, dateHeader) {
+	if isServerRefusal(data) {
 		c.server.logMalformed(c.Conn, data)
 	}
 	return c.Conn.Write(data)
 }
 
+// isServerRefusal reports whether net/http wrote the response. Bytes of a body may begin like one.
+func isServerRefusal(data []byte) bool {
+	line, _, complete := bytes.Cut(data, []byte("\r\n"))
+	return complete && len(line) >= statusEnd && bytes.HasPrefix(line, clientErrorPrefix) && !bytes.Contains(data, dateHeader)
+}
+
 func (s *Server) logMalformed(connection net.Conn, response []byte) {
 	if !s.logLimit.allow(true) {
 		s.options.Metrics.countDroppedLine()
--- a/internal/ingress/malformed_test.go
+++ b/internal/ingress/malformed_test.go
@@ -55,3 +55,16 @@
 	assert.Assert(t, strings.Contains(log.Text(), `"status":431`), log.Text())
 	assert.Assert(t, !strings.Contains(log.Text(), `"status":404`), log.Text())
 }
+
+// Guards against a body that begins like a short status line and ends the exchange with a panic.
+func TestBodyThatBeginsLikeAStatusLineIsWritten(t *testing.T) {
+	near, far := net.Pipe()
+	t.Cleanup(func() { _ = near.Close() })
+	go func() { _, _ = io.Copy(io.Discard, far) }()
+	connection := &callerConnection{Conn: near, server: New(Options{Logger: events.Discard()})}
+	for _, body := range []string{"HTTP/1.1 4", "HTTP/1.1 4\r\n", "HTTP/1.1 40\r\nx", "HTTP/1.1 404"} {
+		written, err := connection.Write([]byte(body))
+		assert.NilError(t, err)
+		assert.Equal(t, written, len(body))
+	}
+}
