ingress: slow events of sound engines are served, and forwarded events hold no memory

Cause: the reservation for an event was returned only after an interruption, and less than 64 KiB of an event did not count as progress. Now the memory is returned once the event is forwarded, reservations are rounded to 16 KiB, and any part of an event is progress, for up to 1.6 s without a whole event or 64 KiB of one, so that trickled bytes without end are still left.

--- a/internal/eventstream/stream.go
+++ b/internal/eventstream/stream.go
@@ -67,8 +67,9 @@
 	eventCopies = 6
 	// outputCopies allows for the growth of the collected output.
 	outputCopies = 2
-	// reserveBytes is the unit of reservations; less than that is not reserved.
-	reserveBytes = 64 << 10
+	// reserveBytes is what a stream may hold without a reservation, reserveStepBytes the unit of reservations.
+	reserveBytes     = 64 << 10
+	reserveStepBytes = 16 << 10
 )
 
 // Options configures a Stream.
@@ -252,7 +253,7 @@
 	if needed <= max(s.reserved, reserveBytes) {
 		return nil
 	}
-	return s.growReservation(needed + reserveBytes)
+	return s.growReservation(needed + reserveStepBytes)
 }
 
 func (s *Stream) growReservation(needed int) error {
@@ -263,6 +264,13 @@
 	return nil
 }
 
+// ReleaseForwarded frees the memory of large events that were forwarded. The bytes that Feed returned are not valid any more.
+func (s *Stream) ReleaseForwarded() {
+	if s.scanner.size == 0 && len(s.buffered) == 0 {
+		s.releaseBuffers()
+	}
+}
+
 // releaseBuffers frees the buffers of an attempt that had large ones.
 func (s *Stream) releaseBuffers() {
 	kept := min(s.reserved, outputCopies*len(s.output))
@@ -275,12 +283,14 @@
 }
 
 // Progress changes when an event or a further part of progressBytes of one was received. Comments and retry fields don't count.
-func (s *Stream) Progress() int {
-	ofEvent := max(s.scanner.size-s.scanner.idle(), 0)
+func (s *Stream) Progress() int { return s.receivedCount + s.PartialBytes()/progressBytes }
+
+// PartialBytes returns the received bytes of an event that is not complete, without comments and retry fields.
+func (s *Stream) PartialBytes() int {
 	if !s.currentHead.isSuccess() {
-		ofEvent = len(s.buffered)
+		return len(s.buffered)
 	}
-	return s.receivedCount + ofEvent/progressBytes
+	return max(s.scanner.size-s.scanner.idle(), 0)
 }
 
 // buffer appends bytes that can't be forwarded yet.
--- a/internal/ingress/stall.go
+++ b/internal/ingress/stall.go
@@ -11,6 +11,9 @@
 	// event means that the engine has lost the call or hangs.
 	firstEventTimeout = 1500 * time.Millisecond
 	nextEventTimeout  = 700 * time.Millisecond
+	// maxEventTime is how long a resumable stream may go without a whole event while parts of one arrive. Callers give up
+	// a stream that pauses for 2 s.
+	maxEventTime = 1600 * time.Millisecond
 )
 
 // stallTimer abandons an attempt whose stream brings no event for too long, whatever other bytes it brings. It does nothing on
@@ -20,8 +23,11 @@
 	// expiresAt is when the timer fires unless it is paused; remaining is the time left while it is paused.
 	expiresAt time.Time
 	remaining time.Duration
-	mutex     sync.Mutex
-	stopped   bool
+	// progressedAt is when the last event arrived, or the attempt began.
+	progressedAt time.Time
+	pausedAt     time.Time
+	mutex        sync.Mutex
+	stopped      bool
 }
 
 func (s *stream) startStallTimer() *stallTimer {
@@ -34,7 +40,8 @@
 	if s.request.headSent {
 		timeout = nextEventTimeout
 	}
-	stall.expiresAt = time.Now().Add(timeout)
+	stall.progressedAt = time.Now()
+	stall.expiresAt = stall.progressedAt.Add(timeout)
 	stall.timer = time.AfterFunc(timeout, func() {
 		stall.mutex.Lock()
 		defer stall.mutex.Unlock()
@@ -49,19 +56,27 @@
 func (t *stallTimer) pause() {
 	if t.timer != nil {
 		t.timer.Stop()
-		t.remaining = time.Until(t.expiresAt)
+		t.pausedAt = time.Now()
+		t.remaining = t.expiresAt.Sub(t.pausedAt)
 	}
 }
 
-// resume continues after pause; after progress the whole time is available again.
-func (t *stallTimer) resume(progressed bool) {
+// resume continues after pause. After progress the whole time is available again; after a part of an event as well, but not
+// beyond maxEventTime.
+func (t *stallTimer) resume(progressed, partly bool) {
 	if t.timer == nil {
 		return
 	}
-	if progressed {
+	now := time.Now()
+	t.progressedAt = t.progressedAt.Add(now.Sub(t.pausedAt))
+	switch {
+	case progressed:
+		t.progressedAt = now
 		t.remaining = nextEventTimeout
+	case partly:
+		t.remaining = max(t.remaining, min(nextEventTimeout, t.progressedAt.Add(maxEventTime).Sub(now)))
 	}
-	t.expiresAt = time.Now().Add(t.remaining)
+	t.expiresAt = now.Add(t.remaining)
 	t.timer.Reset(t.remaining)
 }
 
--- a/internal/ingress/stream.go
+++ b/internal/ingress/stream.go
@@ -86,11 +86,11 @@
 		read, err := response.Body.Read(buffer)
 		if read > 0 {
 			stall.pause()
-			before := s.sse.Progress()
+			before, partBefore := s.sse.Progress(), s.sse.PartialBytes()
 			if failure := s.forward(buffer[:read]); failure != nil {
 				return failure
 			}
-			stall.resume(s.sse.Progress() != before)
+			stall.resume(s.sse.Progress() != before, s.sse.PartialBytes() != partBefore)
 		}
 		if errors.Is(err, io.EOF) {
 			return s.finish()
@@ -121,6 +121,7 @@
 		if err := s.write(output); err != nil {
 			return err
 		}
+		s.sse.ReleaseForwarded()
 	}
 	if feedErr != nil {
 		return s.interrupt(feedErr)
