dispatch: a gateway without memory for a head blames no engine; a delayed record proves no end

By reading, in review: an exhausted budget while a response's head is read counted as a failure of the engine and could open its breaker; after a delayed record of an earlier life, the next record of the present one counted as an end under its requests.

--- a/internal/dispatch/dispatch.go
+++ b/internal/dispatch/dispatch.go
@@ -22,6 +22,7 @@
 	"github.com/mountstile/mountstile/internal/clock"
 	"github.com/mountstile/mountstile/internal/events"
 	"github.com/mountstile/mountstile/internal/fatal"
+	"github.com/mountstile/mountstile/internal/membudget"
 	"github.com/mountstile/mountstile/internal/routing"
 	"github.com/mountstile/mountstile/internal/upstream"
 )
@@ -356,7 +357,11 @@
 	var failed *upstream.ErrExchange
 	sent := errors.As(err, &failed) && failed.Sent
 	var limit *upstream.ErrConnectionLimit
+	var exhausted *membudget.ErrExhausted
 	switch {
+	case sent && errors.As(err, &exhausted):
+		// This gateway has no memory for the head, which tells nothing of the engine.
+		return unknown, err
 	case errors.As(err, &limit):
 		d.registry.markFull(engine)
 		return refused, err
--- a/internal/dispatch/registry.go
+++ b/internal/dispatch/registry.go
@@ -129,7 +129,7 @@
 		if specification.life(engine.specification) == earlierLife {
 			// If the record is a delayed one, the engine's next one replaces it.
 			r.byID[id].returnedAt = now
-		} else if !engine.specification.Draining && engine.removedAt.IsZero() {
+		} else if !engine.specification.Draining && engine.removedAt.IsZero() && engine.returnedAt.IsZero() {
 			ended = engine
 		}
 		r.logger.Emit(events.EngineRestarted, events.F("engine", id), events.F("started_before", engine.specification.StartedMillis),
