--- a/internal/ingress/server.go
+++ b/internal/ingress/server.go
@@ -248,8 +248,10 @@
 	if r.incoming.ContentLength == 0 {
 		return nil
 	}
-	if err := r.memory.Grow(r.incoming.ContentLength); err != nil {
-		return r.errNoMemory(err)
+	if r.incoming.ContentLength > membudget.SmallBytes {
+		if err := r.memory.Grow(r.incoming.ContentLength); err != nil {
+			return r.errNoMemory(err)
+		}
 	}
 	body, err := membudget.ReadAll(&bodyReader{body: r.incoming.Body, connection: http.NewResponseController(r.writer), deadline: r.deadline(), waiting: r.setWaiting}, limit, r.memory)
 	var tooLarge *membudget.ErrTooLarge
--- a/internal/membudget/membudget.go
+++ b/internal/membudget/membudget.go
@@ -22,8 +22,8 @@
 )
 
 const (
-	// smallBytes is the size up to which a reservation may use the whole budget.
-	smallBytes = 64 << 10
+	// SmallBytes is the size up to which a reservation may use the whole budget.
+	SmallBytes = 64 << 10
 	// smallShareDivisor is the fraction of the budget, as 1/n, that only small reservations may use, so that small
 	// calls succeed while large ones are refused.
 	smallShareDivisor = 4
@@ -79,7 +79,7 @@
 	b.mutex.Lock()
 	defer b.mutex.Unlock()
 	limit := b.limit
-	if !preferred && held+bytes > smallBytes {
+	if !preferred && held+bytes > SmallBytes {
 		limit -= limit / smallShareDivisor
 	}
 	if b.used+bytes > limit {
--- a/internal/membudget/membudget_test.go
+++ b/internal/membudget/membudget_test.go
@@ -16,14 +16,14 @@
 	budget := New(8<<20, nil)
 	large := budget.Open("large")
 	assert.NilError(t, large.Grow(6<<20))
-	err := budget.Open("large").Grow(smallBytes + 1)
+	err := budget.Open("large").Grow(SmallBytes + 1)
 	var exhausted *ErrExhausted
 	assert.Assert(t, errors.As(err, &exhausted))
 	assert.Equal(t, exhausted.Limit, int64(6<<20))
 	var small []*Reservation
-	for range 2 << 20 / smallBytes {
+	for range 2 << 20 / SmallBytes {
 		reservation := budget.Open("small")
-		assert.NilError(t, reservation.Grow(smallBytes))
+		assert.NilError(t, reservation.Grow(SmallBytes))
 		small = append(small, reservation)
 	}
 	assert.Assert(t, errors.As(budget.Open("small").Grow(1), &exhausted))
