--- a/internal/ingress/softwareversion_test.go
+++ b/internal/ingress/softwareversion_test.go
@@ -20,6 +20,7 @@
 	"github.com/mountstile/mountstile/internal/catalog"
 	"github.com/mountstile/mountstile/internal/dispatch"
 	"github.com/mountstile/mountstile/internal/routing"
+	"github.com/mountstile/mountstile/internal/turnstore"
 )
 
 // versionedStream sends the events after the caller's last one; their data names the version of the engine's software.
@@ -702,3 +703,23 @@
 	assert.Equal(t, got.status, http.StatusServiceUnavailable, got.body)
 	assert.Equal(t, other.engines["new"].runs.Load(), int64(0))
 }
+
+// Guards against a stream whose record was never written, which a gateway that has just started joins with the only version it knows.
+func TestUnrecordedStreamIsNotJoinedAfterARestart(t *testing.T) {
+	first := newTestCluster(t)
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	assert.NilError(t, err)
+	absent := turnstore.Member{Name: "replica", Address: listener.Addr().String(), Zone: "a"}
+	assert.NilError(t, listener.Close())
+	first.apply(catalog.ReplicaSetKind, "current", turnstore.ReplicaSet{Epoch: 1, Members: []turnstore.Member{absent}, Copies: 1, Size: 1})
+	first.engineOf("old", "v1", pausingStream("v1"))
+	begun := first.readTwoEvents("/resume/", "first")
+	first.frontServer.CloseClientConnections()
+	assert.DeepEqual(t, versionsIn(begun), []string{"v1"})
+
+	restarted := newTestCluster(t)
+	restarted.withReplica()
+	restarted.engineOf("new", "v2", versionedStream("v2"))
+	got := restarted.send("/resume/", "second", "in", "After", "2", "Resumes", "first")
+	assert.Assert(t, got.status != http.StatusOK, "the stream went on at %q", versionsIn(got.body))
+}
