--- a/internal/catalog/manager.go
+++ b/internal/catalog/manager.go
@@ -70,6 +70,11 @@
 	// StaleAfter is the age from which a catalog is not fresh any more. It must cover the time for which the store
 	// holds a watch, and network delays.
 	StaleAfter time.Duration
+	// Neighbours returns gateways that this node reaches without the replicas. Nil means none.
+	Neighbours func() []transport.Peer
+	// ShareReportsFrom is how many ends of engines under a content this node must know to share them with its followers: most
+	// requests that an end interrupts meet no other one.
+	ShareReportsFrom int
 	// OnChange is called with changed entries, one at a time. The revisions of an entry are strictly increasing and end
 	// with the newest; superseded ones may be skipped. It must not block or modify the Manager.
 	OnChange func(Entry)
@@ -92,6 +97,9 @@
 
 	mutex sync.Mutex
 	state *State
+	board *board
+	// silentUntil is until when replicas are taken for silent.
+	silentUntil time.Time
 	// changed is closed at the next change, synced at the next sync with the store.
 	changed chan struct{}
 	synced  chan struct{}
@@ -133,6 +141,7 @@
 		logger:    logger,
 		identity:  rand.Uint64() >> 1,
 		state:     NewState(),
+		board:     newBoard(),
 		changed:   make(chan struct{}),
 		synced:    make(chan struct{}),
 		followers: make(map[string]*follower),
--- a/internal/catalog/publish.go
+++ b/internal/catalog/publish.go
@@ -4,6 +4,7 @@
 	"context"
 	"encoding/json"
 	"strconv"
+	"strings"
 	"time"
 
 	"github.com/cockroachdb/errors"
@@ -47,11 +48,26 @@
 	return "catalog entry can't be published by a node: " + strconv.Quote(e.Key)
 }
 
+// publishRequest tells a node of entries. Builds that don't know the other fields ignore them and keep all entries in their catalog.
 type publishRequest struct {
-	Entries []Entry `json:"e"`
+	Entries []Entry `json:"e,omitempty"`
+	// Content, if set, asks for what is known of a content. Begun and Finished are runs of it that the sender begins and has finished.
+	Content  string `json:"c,omitempty"`
+	Begun    string `json:"b,omitempty"`
+	Finished string `json:"d,omitempty"`
+	// Lasting are the runs of Content that are in progress at the sender.
+	Lasting LastingRuns `json:"l,omitzero"`
+	// Forward asks a gateway to pass entries on to its neighbours if they are new to it.
+	Forward bool `json:"w,omitempty"`
 }
 
-type publishResponse struct{}
+// publishResponse has what the node knew of a content before the request.
+type publishResponse struct {
+	Entries []Entry  `json:"e,omitempty"`
+	Open    []string `json:"o,omitempty"`
+	// Lasting are the runs in progress at other nodes than the sender of the request.
+	Lasting LastingRuns `json:"l,omitzero"`
+}
 
 // FatalRequest returns an entry of FatalRequestKind.
 func FatalRequest(name string, value []byte) Entry {
@@ -75,7 +91,8 @@
 // Publish adds entries to this catalog and to those of some peers, from which all other nodes get them. It returns once the peers
 // have answered or publishTimeout has passed. The error is that of the last peer that failed, if all did.
 func (m *Manager) Publish(ctx context.Context, peers []transport.Peer, entries []Entry) error {
-	m.Apply(entries)
+	_, news := m.recordPublished(m.network.NodeID(), publishRequest{Entries: entries})
+	m.Apply(news.shared)
 	publishContext, cancel := context.WithTimeout(ctx, publishTimeout)
 	defer cancel()
 	results := make(chan error, len(peers))
@@ -99,7 +116,7 @@
 	return lastErr
 }
 
-// servePublish adds entries that another node publishes.
+// servePublish adds entries that another node publishes, and returns what is known of the content that it asks for.
 func (m *Manager) servePublish(_ context.Context, from transport.Peer, request publishRequest) (publishResponse, error) {
 	for _, entry := range request.Entries {
 		if !entry.publishable() {
@@ -107,8 +124,72 @@
 			return publishResponse{}, errors.WithStack(&ErrNotPublishable{Key: entry.Key})
 		}
 	}
-	m.Apply(request.Entries)
-	return publishResponse{}, nil
+	response, news := m.recordPublished(from.NodeID, request)
+	m.Apply(news.shared)
+	if request.Forward && len(news.changed) > 0 {
+		go m.forward(from, news.changed)
+	}
+	return response, nil
+}
+
+// publishedNews are entries that were published to this node.
+type publishedNews struct {
+	// changed are those that were new, shared those that followers have to know.
+	changed, shared []Entry
+}
+
+// recordPublished puts entries and runs of a node on the board.
+func (m *Manager) recordPublished(from string, request publishRequest) (publishResponse, publishedNews) {
+	now := time.Now()
+	m.mutex.Lock()
+	defer m.mutex.Unlock()
+	var response publishResponse
+	if request.Content != "" {
+		response.Entries, _ = m.board.entries(request.Content)
+		response.Open = m.board.openRuns(now, request.Content)
+		response.Lasting = m.board.lastingElsewhere(now, request.Content, from)
+	}
+	var news publishedNews
+	for _, entry := range request.Entries {
+		if kind, _ := SplitKey(entry.Key); kind != FatalRequestKind {
+			news.shared = append(news.shared, entry)
+			continue
+		}
+		content := contentOf(entry.Key)
+		if m.board.record(now, content, entry) {
+			news.changed = append(news.changed, entry)
+		}
+		if known, valid := m.board.entries(content); valid >= m.options.ShareReportsFrom || m.sharesAny(known) {
+			news.shared = append(news.shared, known...)
+		}
+	}
+	if request.Content != "" {
+		m.board.noteLasting(now, request.Content, from, request.Lasting)
+		m.board.finish(request.Content, request.Finished)
+		if request.Begun != "" {
+			m.board.begin(now, request.Content, request.Begun)
+		}
+	}
+	return response, news
+}
+
+// contentOf returns the content of an entry of FatalRequestKind: its name up to the last slash.
+func contentOf(key string) string {
+	_, name := SplitKey(key)
+	if index := strings.LastIndexByte(name, '/'); index >= 0 {
+		return name[:index]
+	}
+	return name
+}
+
+// sharesAny reports whether followers know any of the entries. The caller holds the mutex.
+func (m *Manager) sharesAny(entries []Entry) bool {
+	for _, entry := range entries {
+		if m.state.Revision(entry.Key) > 0 {
+			return true
+		}
+	}
+	return false
 }
 
 // publishable reports whether a node may publish the entry.
--- a/internal/dispatch/dispatch.go
+++ b/internal/dispatch/dispatch.go
@@ -13,6 +13,7 @@
 import (
 	"context"
 	"net/http"
+	"sync"
 	"syscall"
 	"time"
 
@@ -95,13 +96,21 @@
 	// Request. It is called at most once.
 	Content func() fatal.Key
 
-	contentKey fatal.Key
-	beganAt    time.Time
-	// interrupted is set once a run was interrupted; unprobed is its engine until it is known whether it has ended.
+	contentOnce sync.Once
+	contentKey  fatal.Key
+	beganAt     time.Time
+	// interrupted is set once a run was interrupted, the last one at brokenAt; unprobed is its engine until that was probed.
 	interrupted bool
+	brokenAt    time.Time
 	unprobed    *Engine
 	// judgedEnds is how many engines had ended under the call when it was judged last.
 	judgedEnds int
+	// openRun is the name under which other nodes know the run in progress; empty if they don't.
+	openRun string
+	// awaitedProof is how long the call has waited for proofs of ends.
+	awaitedProof time.Duration
+	// connectedAt is when the connection of the last attempt was opened; zero if there was no response.
+	connectedAt time.Time
 }
 
 // Trace records the placement of a call.
@@ -201,18 +210,21 @@
 	protocol Protocol
 	logger   *events.Logger
 	retries  *retryBudget
+	running  runningCalls
 }
 
 // New returns a Dispatcher that chooses among the registry's engines.
 func New(registry *Registry, protocol Protocol, logger *events.Logger) *Dispatcher {
-	return &Dispatcher{registry: registry, protocol: protocol, logger: logger, retries: newRetryBudget()}
+	dispatcher := &Dispatcher{registry: registry, protocol: protocol, logger: logger, retries: newRetryBudget()}
+	registry.ends.ObserveRuns(dispatcher.running.sentAt)
+	return dispatcher
 }
 
 // Run runs a call on an engine and passes the response to consume, once for each attempt that gets one. The error is an
 // apierr.Error that tells whether the call ran, or the error of consume if no other attempt may follow.
 func (d *Dispatcher) Run(ctx context.Context, call *Call, consume func(*Attempt) error) error {
 	err := d.run(ctx, call, consume)
-	d.finishCall(call, err)
+	d.finishCall(ctx, call, err)
 	return err
 }
 
@@ -222,6 +234,9 @@
 	progress := &progress{call: call}
 	call.Placement.Excluded = make(map[string]bool)
 	for {
+		if d.admit(ctx, call) {
+			return progress.endsEnginesError(call)
+		}
 		d.isolate(call)
 		engine, err := d.nextEngine(ctx, call, progress)
 		if err != nil {
@@ -233,21 +248,26 @@
 		}
 		resumption := newResumption(call, engine, progress.ran)
 		sentAt := time.Now()
+		d.running.add(call, sentAt)
 		outcome, err := d.attemptWithTimeout(ctx, call, engine, progress, resumption, consume)
+		d.running.remove(call)
 		d.registry.release(engine, call.Placement.Isolated)
 		d.recordInterruption(ctx, call, engine, sentAt, outcome, err)
-		d.recordEnd(call, engine, sentAt, outcome)
+		d.recordEnd(call, engine, outcome)
 		resumption.report(call, outcome, err)
 		if outcome == succeeded {
 			return nil
 		}
-		if outcome != delivered && d.endsEngines(ctx, call) {
-			return progress.endsEnginesError(call)
-		}
+		ended := d.prove(ctx, call, outcome)
 		if !progress.mayRetry(ctx, outcome, engine, d.retries) {
+			if outcome != delivered && d.knownFatal(call) {
+				return progress.endsEnginesError(call)
+			}
 			return progress.finalError(ctx, outcome, err)
 		}
-		d.startProbe(ctx, call, progress)
+		if ended {
+			progress.leave(engine, d.retries)
+		}
 		d.logger.Emit(events.AttemptRetried, events.F("request", call.ID), events.F("engine", engine.ID()),
 			events.F("software", call.Trace.Software), events.F("outcome", outcome.String()), events.F("error", err), events.F("sends", call.Trace.Sends))
 	}
@@ -314,6 +334,7 @@
 
 // attempt sends a call once and sets resumption.Status.
 func (d *Dispatcher) attempt(ctx context.Context, call *Call, engine *Engine, resumption *Resumption, consume func(*Attempt) error) (attemptOutcome, error) {
+	call.connectedAt = time.Time{}
 	request := call.Request
 	request.Header = call.Request.Header.Clone()
 	sentAt := time.Now()
@@ -328,6 +349,7 @@
 		return d.sendFailed(ctx, engine, err)
 	}
 	defer exchange.Abort()
+	call.connectedAt = exchange.OpenedAt()
 	resumption.Status = exchange.Response().StatusCode
 	switch d.protocol.Classify(exchange.Response(), call.ID) {
 	case Refused:
--- a/internal/dispatch/ends.go
+++ b/internal/dispatch/ends.go
@@ -12,6 +12,7 @@
 	"github.com/mountstile/mountstile/internal/clock"
 	"github.com/mountstile/mountstile/internal/events"
 	"github.com/mountstile/mountstile/internal/fatal"
+	"github.com/mountstile/mountstile/internal/upstream"
 )
 
 // endProof is how the end of an engine was proved.
@@ -36,10 +37,12 @@
 	// probeDelay is how long after an interruption the engine is probed. A process that ends may close its connections shortly
 	// before its listener.
 	probeDelay = 5 * time.Millisecond
+	// surviveDelay is how much longer another connection must stay open to show that the engine has not ended.
+	surviveDelay = 20 * time.Millisecond
 	// probeTimeout bounds a probe.
 	probeTimeout = 250 * time.Millisecond
-	// newsDelay is how long a call waits for other gateways' news of ends before it is judged.
-	newsDelay = 30 * time.Millisecond
+	// proveTimeout is how long a call waits for the probe of its engine.
+	proveTimeout = 60 * time.Millisecond
 )
 
 // Ends returns the tracker of the engines that ended.
@@ -69,7 +72,7 @@
 	r.mutex.Lock()
 	id, service := engine.ID(), engine.specification.Service
 	r.mutex.Unlock()
-	requests, isNew := r.ends.EngineEnded(now, id, service, proof == proofRemoved || proof == proofRestarted)
+	requests, isNew := r.proveEnd(now, id, service, proof)
 	if isNew {
 		r.logger.Emit(events.EngineEnded, events.F("engine", id), events.F("service", service), events.F("proof", string(proof)),
 			events.F("requests", requests))
@@ -81,6 +84,26 @@
 	r.shareEnds(now, news)
 }
 
+func (r *Registry) proveEnd(now time.Time, id, service string, proof endProof) (requests []string, isNew bool) {
+	if proof == proofRestarted {
+		return r.ends.EngineRestarted(now, id, service)
+	}
+	return r.ends.EngineEnded(now, id, service, proof == proofRemoved)
+}
+
+// engineAccepted records that an engine accepted a connection at a time. Where records don't state starts, that counts as a sign of life:
+// nothing would ever show that the engine has started again.
+func (r *Registry) engineAccepted(at time.Time, engine *Engine) {
+	r.mutex.Lock()
+	statesStart := engine.format >= startFormat
+	r.mutex.Unlock()
+	if statesStart {
+		r.ends.EngineAccepted(at, engine.ID())
+		return
+	}
+	r.ends.EngineAlive(at, engine.ID())
+}
+
 // EndNews is what other gateways have to know of ends of engines.
 type EndNews struct {
 	// Engine is the ID of an engine that has ended; empty if there is none.
@@ -90,6 +113,25 @@
 	Withdrawn []string
 }
 
+// RunNews is what other nodes have to know of the runs of a request.
+type RunNews struct {
+	Content fatal.Key
+	// Reports are all known ends of engines under it.
+	Reports []fatal.Report
+	// Begun and Finished are the names of runs that begin and that have finished; empty if there is none.
+	Begun    string
+	Finished string
+	// Lasting are the runs in progress at this node.
+	Lasting fatal.Lasting
+}
+
+// RunFindings are what other nodes tell of the runs of a request: the names of those that they have begun and not finished, and those
+// that are in progress.
+type RunFindings struct {
+	Open    []string
+	Lasting fatal.Lasting
+}
+
 // shareEnds sends news, with all reports that are due.
 func (r *Registry) shareEnds(now time.Time, news EndNews) {
 	reports, replaced := r.ends.Unshared(now)
@@ -104,6 +146,12 @@
 // dispatched.
 func (r *Registry) ShareEnds(share func(EndNews)) { r.share = share }
 
+// ExchangeRuns sets the function that tells other nodes of the runs of a request, applies the ends that they report of it, and returns what
+// else they tell. It must return soon, and must be set before any call is dispatched.
+func (r *Registry) ExchangeRuns(exchange func(context.Context, RunNews) RunFindings) {
+	r.exchange = exchange
+}
+
 // ApplyReport records that an engine ended under a request at another gateway.
 func (r *Registry) ApplyReport(report fatal.Report) { r.ends.Apply(time.Now(), report) }
 
@@ -153,27 +201,46 @@
 // recordInterruption records that a run of the call was interrupted, if it was. An engine that leaves as planned tells nothing of
 // the requests that it runs.
 func (d *Dispatcher) recordInterruption(ctx context.Context, call *Call, engine *Engine, sentAt time.Time, outcome attemptOutcome, err error) {
-	found := interruptionOf(ctx, outcome, err)
-	if found == notInterrupted || d.registry.leaving(engine) {
+	if outcome == succeeded || outcome == refused {
+		return
+	}
+	if d.registry.leaving(engine) {
 		return
 	}
 	now := time.Now()
+	interrupted := fatal.Run{Engine: engine.ID(), Service: call.Placement.Service, Software: call.Trace.Software, SentAt: sentAt, BrokenAt: now}
+	found := interruptionOf(ctx, outcome, err)
+	if found == notInterrupted {
+		if wasAbandoned(ctx, outcome, err) {
+			d.registry.ends.Abandoned(call.tracked(), interrupted)
+		}
+		return
+	}
 	first := !call.interrupted
-	call.interrupted = true
-	d.registry.ends.Interrupted(now, call.tracked(), fatal.Run{
-		Engine: engine.ID(), Service: call.Placement.Service, Software: call.Trace.Software, SentAt: sentAt, BrokenAt: now,
-	}, first)
+	call.interrupted, call.brokenAt = true, now
+	d.registry.ends.Interrupted(now, call.tracked(), interrupted, first)
+	time.AfterFunc(sweepDelay, func() { d.registry.ends.Sweep(time.Now()) })
 	if found == disconnection {
 		call.unprobed = engine
 	}
 }
 
+// sweepDelay is how long after an interruption those are forgotten that no end explains.
+const sweepDelay = 3 * time.Second
+
+// wasAbandoned reports whether the caller left, or its time was over, while an engine ran the call.
+func wasAbandoned(ctx context.Context, outcome attemptOutcome, err error) bool {
+	var callerGone *ErrCallerGone
+	return (outcome == unknown || outcome == delivered) && (ctx.Err() != nil || errors.As(err, &callerGone))
+}
+
 // recordEnd records that the engine of an attempt has ended, or that it was alive, if the attempt's outcome shows that.
-func (d *Dispatcher) recordEnd(call *Call, engine *Engine, sentAt time.Time, outcome attemptOutcome) {
+func (d *Dispatcher) recordEnd(call *Call, engine *Engine, outcome attemptOutcome) {
 	switch outcome {
 	case succeeded, refused:
-		if !d.registry.ends.Empty() {
-			d.registry.ends.EngineAlive(sentAt, engine.ID())
+		if !call.connectedAt.IsZero() && !d.registry.ends.Empty() {
+			d.registry.ends.EngineLived(call.connectedAt, time.Now(), engine.ID())
+			d.registry.engineAccepted(call.connectedAt, engine)
 		}
 		return
 	case gone:
@@ -188,19 +255,50 @@
 	}
 }
 
-// probe finds out whether the engine of the call's last interruption has ended.
-func (d *Dispatcher) probe(ctx context.Context, engine *Engine) {
+// probe finds out whether an engine has ended since a time, and reports whether it has.
+func (d *Dispatcher) probe(ctx context.Context, engine *Engine, since time.Time) (ended bool) {
 	probeContext, cancel := context.WithTimeout(ctx, probeTimeout)
 	defer cancel()
 	clock.Sleep(probeContext, probeDelay)
+	if engine.pool.Survives(since) {
+		// A process that ends closes its connections one after the other.
+		clock.Sleep(probeContext, surviveDelay)
+	}
 	probedAt := time.Now()
-	alive, err := engine.pool.Probe(probeContext)
+	liveness, err := engine.pool.Probe(probeContext, since)
 	switch {
 	case errors.Is(err, syscall.ECONNREFUSED):
 		d.registry.engineEnded(time.Now(), engine, proofRefused)
-	case alive:
+		return true
+	case liveness == upstream.Surviving:
 		d.registry.ends.EngineAlive(probedAt, engine.ID())
+	case liveness == upstream.Accepting:
+		d.registry.engineAccepted(probedAt, engine)
+	}
+	return false
+}
+
+// prove probes the engine of the call's last interruption, and reports whether it was found soon that it has ended.
+func (d *Dispatcher) prove(ctx context.Context, call *Call, outcome attemptOutcome) (ended bool) {
+	engine := call.unprobed
+	if engine == nil {
+		return false
+	}
+	call.unprobed = nil
+	result := make(chan bool, 1)
+	brokenAt := call.brokenAt
+	go func() { result <- d.probe(context.WithoutCancel(ctx), engine, brokenAt) }()
+	if outcome == delivered {
+		return false
+	}
+	timer := time.NewTimer(proveTimeout)
+	defer timer.Stop()
+	select {
+	case ended = <-result:
+	case <-timer.C:
+	case <-ctx.Done():
 	}
+	return ended
 }
 
 // EndsEngines reports whether the request of a call ends the engines that run it. content is called only if there may be any such
@@ -237,70 +335,38 @@
 	call.Placement.Isolated = ends >= isolatedEnds
 }
 
-// endsEngines reports whether the call was interrupted and ends the engines that run it. If the last interruption decides that, it
-// probes the engine, and the call waits until the ends of other engines tell whether chance is an explanation.
-func (d *Dispatcher) endsEngines(ctx context.Context, call *Call) bool {
-	if !call.interrupted {
-		return false
-	}
-	ended, unexplained := d.registry.ends.Ends(time.Now(), call.tracked())
-	if engine := call.unprobed; engine != nil && ended+unexplained > isolatedEnds {
-		call.unprobed = nil
-		d.probe(ctx, engine)
-	}
-	if ended, _ = d.registry.ends.Ends(time.Now(), call.tracked()); ended <= max(isolatedEnds, call.judgedEnds) {
-		return false
-	}
-	call.judgedEnds = ended
-	clock.Sleep(ctx, newsDelay)
-	isFatal, withhold := d.judge(time.Now(), call.tracked())
-	for withhold > 0 && ctx.Err() == nil {
-		clock.Sleep(ctx, withhold)
-		isFatal, withhold = d.judge(time.Now(), call.tracked())
-	}
-	return isFatal
-}
-
-// startProbe probes the engine of the call's last interruption, unless the call is resumed there, which shows the same.
-func (d *Dispatcher) startProbe(ctx context.Context, call *Call, progress *progress) {
-	engine := call.unprobed
-	if engine == nil || progress.resumeOn == engine {
-		return
-	}
-	call.unprobed = nil
-	go d.probe(context.WithoutCancel(ctx), engine)
-}
-
-// finishCall records the end of a call that was interrupted, or whose content other calls with an interruption had.
-func (d *Dispatcher) finishCall(call *Call, err error) {
+// finishCall records the end of a call that was interrupted, or whose content other calls with an interruption had. Other nodes know of
+// the ends under a call that failed before its caller does.
+func (d *Dispatcher) finishCall(ctx context.Context, call *Call, err error) {
 	if !call.interrupted && d.registry.ends.Empty() {
 		return
 	}
 	now := time.Now()
 	call.Trace.Ends, _ = d.registry.ends.Ends(now, call.tracked())
-	key := call.contentKey
 	var withdrawn []string
 	switch {
 	case err == nil:
-		withdrawn = d.registry.ends.Completed(key)
+		withdrawn = d.registry.ends.Completed(call.fingerprint())
 	case call.interrupted:
 		d.registry.ends.Failed(call.tracked())
 	}
 	d.registry.shareEnds(now, EndNews{Withdrawn: withdrawn})
-	if engine := call.unprobed; engine != nil {
-		go d.probe(context.Background(), engine)
+	if err != nil && call.interrupted {
+		d.tell(ctx, call, "")
+		return
 	}
+	d.finishRun(ctx, call)
 }
 
-// fingerprint returns the key of the call's content.
+// fingerprint returns the key of the call's content. It may be called concurrently.
 func (c *Call) fingerprint() fatal.Key {
-	switch {
-	case c.contentKey != "":
-	case c.Content != nil:
-		c.contentKey = c.Content()
-	default:
+	c.contentOnce.Do(func() {
+		if c.Content != nil {
+			c.contentKey = c.Content()
+			return
+		}
 		c.contentKey = fatal.KeyOf(c.Request.Body, c.Request.Method, c.Request.Host, c.Request.Target)
-	}
+	})
 	return c.contentKey
 }
 
--- a/internal/dispatch/engine.go
+++ b/internal/dispatch/engine.go
@@ -10,6 +10,9 @@
 // EngineFormat is the catalog.Entry.Format of the specifications that this build translates: 1 added Software, 2 StartedMillis.
 const EngineFormat = 2
 
+// startFormat is the first format whose specifications state StartedMillis if the record does.
+const startFormat = 2
+
 // EngineSpecification is an engine's record in the catalog.
 type EngineSpecification struct {
 	ID      string `json:"id"`
@@ -37,15 +40,16 @@
 	earlierLife
 )
 
-// life compares the start of a record that is newer in the store. A record without a start is taken for one of the known life.
-func (s EngineSpecification) life(known EngineSpecification) life {
+// life compares the start of a record that is newer in the store. A record without a start is taken for one of the known life. A start where
+// none was known is that of a newer life, unless the known record was translated by a build that left it out.
+func (s EngineSpecification) life(known EngineSpecification, knownFormat int) life {
 	switch {
 	case s.StartedMillis == known.StartedMillis, s.StartedMillis == 0:
 		return sameLife
-	case s.StartedMillis > known.StartedMillis && known.StartedMillis > 0:
-		return newerLife
-	case known.StartedMillis == 0:
+	case known.StartedMillis == 0 && knownFormat < startFormat:
 		return sameLife
+	case s.StartedMillis > known.StartedMillis:
+		return newerLife
 	}
 	return earlierLife
 }
--- a/internal/dispatch/life_test.go
+++ b/internal/dispatch/life_test.go
@@ -91,3 +91,14 @@
 	applyLife(t, registry, 3, EngineFormat, startedAt(2000, false))
 	assert.Assert(t, usableNow(registry), "the same record in a newer format tells the start")
 }
+
+// Guards against ends that are not seen because the record of the engine's earlier life stated no start.
+func TestFirstStatedStartIsANewLife(t *testing.T) {
+	for _, format := range []int{EngineFormat - 1, EngineFormat} {
+		registry := NewRegistry("a", noDial, events.Discard())
+		applyLife(t, registry, 1, format, startedAt(0, false))
+		earlier := registry.byID["e0"]
+		applyLife(t, registry, 2, EngineFormat, startedAt(1000, false))
+		assert.Equal(t, registry.byID["e0"] != earlier, format == EngineFormat, "format %d", format)
+	}
+}
--- a/internal/dispatch/progress.go
+++ b/internal/dispatch/progress.go
@@ -157,6 +157,14 @@
 	return true
 }
 
+// leave rules out an engine that was proved to have ended. It is nobody's fault and costs no retry.
+func (p *progress) leave(engine *Engine, retries *retryBudget) {
+	p.call.Placement.Excluded[engine.ID()] = true
+	p.resumeOn = nil
+	retries.refund(p.spent)
+	p.spent = 0
+}
+
 // pinSoftware restricts a stream that has begun to the software version of the engine that sent its first event.
 func (p *progress) pinSoftware() {
 	if p.call.Stream == nil || p.call.Placement.Pinned || !p.call.Stream.Begun() {
--- a/internal/dispatch/registry.go
+++ b/internal/dispatch/registry.go
@@ -70,6 +70,8 @@
 	ends *fatal.Tracker
 	// share sends news of ends to other gateways. It must not block.
 	share func(EndNews)
+	// exchange tells other nodes of the runs of a request and returns what they tell.
+	exchange func(context.Context, RunNews) RunFindings
 }
 
 // NewRegistry returns an empty Registry for a gateway in zone.
@@ -86,6 +88,7 @@
 		left:      make(map[softwareKey]time.Time),
 		others:    load.NewView(),
 		share:     func(EndNews) {},
+		exchange:  func(context.Context, RunNews) RunFindings { return RunFindings{} },
 	}
 	registry.ends = fatal.NewTracker(registry)
 	return registry
@@ -122,11 +125,11 @@
 		r.add(specification, entry.Revision)
 	case engine.revision > entry.Revision || (engine.revision == entry.Revision && engine.format >= entry.Format):
 		return nil
-	case specification.life(engine.specification) != sameLife:
+	case specification.life(engine.specification, engine.format) != sameLife:
 		// Nothing that is known of an earlier life applies: neither its breaker nor its connections nor that it drained.
 		r.drop(engine)
 		r.add(specification, entry.Revision)
-		if specification.life(engine.specification) == earlierLife {
+		if specification.life(engine.specification, engine.format) == earlierLife {
 			// If the record is a delayed one, the engine's next one replaces it.
 			r.byID[id].returnedAt = now
 		} else if !engine.specification.Draining && engine.removedAt.IsZero() && engine.returnedAt.IsZero() {
--- a/internal/events/events.go
+++ b/internal/events/events.go
@@ -94,6 +94,7 @@
 	ReportInvalid          ID = 519
 	RequestFatal           ID = 520
 	EngineRestarted        ID = 521
+	RunHeld                ID = 522
 	CallFailed             ID = 601
 	CallRefused            ID = 602
 	RequestPanicked        ID = 603
@@ -200,6 +201,7 @@
 	{ReportInvalid, "report_invalid", logrus.WarnLevel, "a report of an engine's end could not be read or written"},
 	{RequestFatal, "request_fatal", logrus.WarnLevel, "a request ends the engines that run it and is not sent again; chance is the probability that they ended by themselves"},
 	{EngineRestarted, "engine_restarted", logrus.InfoLevel, "an engine started again under its ID; what was known of its earlier life does not apply"},
+	{RunHeld, "run_held", logrus.InfoLevel, "a call is held before its next run because engines have ended under its content; ended are proved, possible not yet, open are runs of it at other nodes"},
 	{CallFailed, "call_failed", logrus.WarnLevel, "a call ended with a failure"},
 	{CallRefused, "call_refused", logrus.DebugLevel, "a call was refused as not run"},
 	{RequestPanicked, "request_panicked", logrus.ErrorLevel, "a request handler panicked; the request was failed"},
--- a/internal/fatal/evidence.go
+++ b/internal/fatal/evidence.go
@@ -1,7 +1,6 @@
 package fatal
 
 import (
-	"maps"
 	"math"
 	"slices"
 	"time"
@@ -31,8 +30,12 @@
 	maxLapse = 1200 * time.Millisecond
 	// minExposure is the shortest duration that a run counts with: a run may begin at an engine that has just ended.
 	minExposure = 10 * time.Millisecond
-	// overlapTolerance is how much two calls may seem to overlap though one followed the other: reports arrive with a delay.
-	overlapTolerance = 10 * time.Millisecond
+	// minLastingRatio is by how much a run must outlast those whose engines ended to show that the request does not always end them.
+	minLastingRatio = 1.25
+	// minSharedChance is the probability of as many ends under shared content above which it only met them.
+	minSharedChance = 0.05
+	// minLife is the least time between two ends of an engine that starts again.
+	minLife = 40 * time.Millisecond
 	// sameEndTolerance is how far apart two runs may be interrupted by the same end of an engine.
 	sameEndTolerance = 500 * time.Millisecond
 )
@@ -57,7 +60,7 @@
 	if known == nil {
 		return Verdict{}
 	}
-	sequence := t.sequence(now, known.runs, call)
+	sequence := t.endedRuns(now, known.runs)
 	unexplained := t.unexplained(known, sequence)
 	verdict := Verdict{Chance: 1}
 	for _, ended := range sequence {
@@ -75,6 +78,7 @@
 	mean := math.Pow(verdict.Chance, 1/float64(max(len(unexplained), minEnds)))
 	withheld := now.Sub(lastOf(sequence).BrokenAt)
 	switch {
+	case !known.fatal && t.isShared(now, call, known, sequence):
 	case mean < certainChance, len(unexplained) >= maxEnds:
 		verdict.Fatal = true
 	case mean >= doubtfulChance:
@@ -95,31 +99,99 @@
 	return verdict
 }
 
-// sequence returns the runs that ended their engines, of the call and of earlier calls each of which failed before the next one began.
-// If two of these calls overlap, several callers send the same content, and only the runs of the call itself are returned. Ends at a
-// version of the software that is not in use any more don't count.
-func (t *Tracker) sequence(now time.Time, runs []run, call Call) []run {
-	own := callHash(call.Request)
-	byCall := make(map[uint32][]run)
+// endedRuns returns the runs that ended their engines, of all calls of a request, oldest first and one for each end. Ends at a version of the
+// software that is not in use any more don't count.
+func (t *Tracker) endedRuns(now time.Time, runs []run) (ended []run) {
 	for _, candidate := range runs {
-		counts := candidate.ended && (candidate.call == own || candidate.callFailed)
-		if counts && now.Sub(candidate.BrokenAt) <= retention && t.fleet.Serves(candidate.Service, candidate.Software) {
-			byCall[candidate.call] = append(byCall[candidate.call], candidate)
+		if candidate.ended && now.Sub(candidate.BrokenAt) <= retention && t.fleet.Serves(candidate.Service, candidate.Software) {
+			ended = append(ended, candidate)
 		}
 	}
-	sequence := byCall[own]
-	delete(byCall, own)
-	earlier := slices.SortedFunc(maps.Values(byCall), func(a, b []run) int { return lastOf(b).BrokenAt.Compare(lastOf(a).BrokenAt) })
-	chain := slices.Clone(sequence)
-	beganAt := call.BeganAt
-	for _, group := range earlier {
-		if lastOf(group).BrokenAt.After(beganAt.Add(overlapTolerance)) {
-			return sequence
+	slices.SortStableFunc(ended, func(a, b run) int { return a.BrokenAt.Compare(b.BrokenAt) })
+	distinct := ended[:0]
+	for _, candidate := range ended {
+		if !slices.ContainsFunc(distinct, candidate.sharesEnd) {
+			distinct = append(distinct, candidate)
 		}
-		chain = append(chain, group...)
-		beganAt = group[0].beganAt
 	}
-	return chain
+	return distinct
+}
+
+// sharesEnd reports whether one end of an engine interrupted both runs.
+func (r run) sharesEnd(other run) bool {
+	apart := r.BrokenAt.Sub(other.BrokenAt).Abs()
+	overlap := r.call != other.call && r.SentAt.Before(other.BrokenAt) && other.SentAt.Before(r.BrokenAt)
+	return r.Engine == other.Engine && (apart < minLife || (overlap && apart < sameEndTolerance))
+}
+
+// isShared reports whether other runs of a request are in progress, one of them for longer than most of those whose engines ended, and no more
+// engines have ended than any request would meet that runs for as long in total: each end within that time may have come to each engine. A
+// request that ends its engines ends them sooner.
+func (t *Tracker) isShared(now time.Time, call Call, known *request, ended []run) bool {
+	lasting := t.lasting(now, call.Key, call.Request).add(known.lastingElsewhere(now))
+	if lasting.Count == 0 || len(ended) == 0 {
+		return false
+	}
+	exposures := make([]time.Duration, 0, len(ended))
+	first, exposure := now.Add(-lasting.Longest), lasting.Total
+	for _, run := range ended {
+		exposures = append(exposures, run.exposure())
+		exposure += run.exposure()
+		first = earlier(first, run.SentAt)
+	}
+	slices.Sort(exposures)
+	if float64(lasting.Longest) < minLastingRatio*float64(exposures[len(exposures)/2]) {
+		return false
+	}
+	rate := float64(t.endsSince(first, ended[0].Service)) / float64(max(t.fleet.Engines(ended[0].Service), 1)) / max(now.Sub(first), minExposure).Seconds()
+	return poissonTail(len(ended), rate*exposure.Seconds()) >= minSharedChance
+}
+
+// lastingTTL is how long a report of runs in progress at other nodes is used.
+const lastingTTL = 300 * time.Millisecond
+
+func (r *request) lastingElsewhere(now time.Time) Lasting {
+	if now.Sub(r.elsewhereAt) > lastingTTL {
+		return Lasting{}
+	}
+	return r.elsewhere
+}
+
+// Shared reports whether the engines that ended under the request of a call are explained by its other runs that go on: it is popular and
+// met them.
+func (t *Tracker) Shared(now time.Time, call Call) bool {
+	t.mutex.Lock()
+	defer t.mutex.Unlock()
+	known := t.requests[call.Key]
+	return known != nil && t.isShared(now, call, known, t.endedRuns(now, known.runs))
+}
+
+func earlier(a, b time.Time) time.Time {
+	if b.Before(a) {
+		return b
+	}
+	return a
+}
+
+// endsSince returns how many engines of a service have ended since a time.
+func (t *Tracker) endsSince(since time.Time, service string) int {
+	count := 0
+	for _, end := range t.ends {
+		if end.service == service && !end.at.Before(since) {
+			count++
+		}
+	}
+	return count
+}
+
+// poissonTail returns the probability of count events or more where mean are expected.
+func poissonTail(count int, mean float64) float64 {
+	term, below := math.Exp(-mean), 0.0
+	for number := range count {
+		below += term
+		term *= mean / float64(number+1)
+	}
+	return 1 - below
 }
 
 // lastOf returns the run that was interrupted last.
@@ -130,6 +202,23 @@
 // exposure returns how long a run took, or minExposure.
 func (r run) exposure() time.Duration { return max(r.BrokenAt.Sub(r.SentAt), minExposure) }
 
+// Calm returns how long ago the last engine of a service ended, other than under a request or under one that is known to be fatal.
+func (t *Tracker) Calm(now time.Time, key Key, service string) time.Duration {
+	t.mutex.Lock()
+	defer t.mutex.Unlock()
+	var own []run
+	if known := t.requests[key]; known != nil {
+		own = known.runs
+	}
+	calm := endRetention
+	for engine, end := range t.ends {
+		if end.service == service && !ranOn(own, engine) && !t.explained(engine, end.at) {
+			calm = min(calm, now.Sub(end.at))
+		}
+	}
+	return calm
+}
+
 // lookBack returns for how long before the last run of a request no other engine may have ended.
 func lookBack(meanChance float64) time.Duration {
 	if meanChance < likelyChance {
--- a/internal/fatal/report.go
+++ b/internal/fatal/report.go
@@ -93,37 +93,56 @@
 	return b.Engine != ""
 }
 
-// Unshared returns reports of the ends that other gateways have to know and were not told yet: those under calls that have failed
-// here, which their callers may repeat elsewhere, and under calls that may be fatal. It also returns the names of earlier reports
-// that these replace.
+// Unshared returns reports of the ends that other gateways were not told yet. It also returns the names of earlier reports that these
+// replace: builds that count an end only once its call has failed read Open.
 func (t *Tracker) Unshared(now time.Time) (reports []Report, replaced []string) {
 	t.mutex.Lock()
 	defer t.mutex.Unlock()
 	for key := range t.changed {
 		known := t.requests[key]
-		suspected := known.suspectedRuns()
 		for index := range known.runs {
 			ended := &known.runs[index]
 			if ended.open && ended.callFailed {
 				replaced = append(replaced, ended.report)
 				ended.report, ended.open = "", false
 			}
-			if !ended.ended || ended.report != "" || !(ended.callFailed || ranAt(suspected, ended.Engine, ended.BrokenAt)) {
+			if !ended.ended || ended.report != "" {
 				continue
 			}
 			ended.open = !ended.callFailed
 			ended.report = string(key) + nameSeparator + strconv.FormatUint(rand.Uint64()>>(64-nonceBits), 36)
-			reports = append(reports, Report{key: key, name: ended.report, body: reportBody{
-				Engine: ended.Engine, Service: ended.Service, Software: ended.Software,
-				Call: ended.call, AgeMicros: max(now.Sub(ended.BrokenAt).Microseconds(), 0), ExposureMicros: ended.BrokenAt.Sub(ended.SentAt).Microseconds(),
-				CallMicros: ended.BrokenAt.Sub(ended.beganAt).Microseconds(), Chance: t.chance(now, *ended, known.runs), Fatal: known.fatal, Open: ended.open,
-			}})
+			reports = append(reports, t.report(now, key, known, *ended))
 		}
 	}
 	clear(t.changed)
 	return reports, replaced
 }
 
+// Reports returns reports of all ends under a request that were shared, here or by other gateways: those who were told may have forgotten.
+func (t *Tracker) Reports(now time.Time, key Key) (reports []Report) {
+	t.mutex.Lock()
+	defer t.mutex.Unlock()
+	known := t.requests[key]
+	if known == nil {
+		return nil
+	}
+	for _, ended := range known.runs {
+		if ended.ended && ended.report != "" {
+			reports = append(reports, t.report(now, key, known, ended))
+		}
+	}
+	return reports
+}
+
+// report returns the report of an end. The caller holds the mutex.
+func (t *Tracker) report(now time.Time, key Key, known *request, ended run) Report {
+	return Report{key: key, name: ended.report, body: reportBody{
+		Engine: ended.Engine, Service: ended.Service, Software: ended.Software,
+		Call: ended.call, AgeMicros: max(now.Sub(ended.BrokenAt).Microseconds(), 0), ExposureMicros: ended.BrokenAt.Sub(ended.SentAt).Microseconds(),
+		CallMicros: ended.BrokenAt.Sub(ended.beganAt).Microseconds(), Chance: t.chance(now, ended, known.runs), Fatal: known.fatal, Open: ended.open,
+	}}
+}
+
 // Apply records a report of another gateway. Reports that are known already, such as this gateway's own, are ignored.
 func (t *Tracker) Apply(now time.Time, report Report) {
 	t.mutex.Lock()
--- a/internal/fatal/suspects.go
+++ b/internal/fatal/suspects.go
@@ -129,7 +129,11 @@
 	return slices.ContainsFunc(runs, func(cause run) bool { return cause.explains(engine, at) })
 }
 
-// explains reports whether an engine that ended at a time did so under the run.
+// explains reports whether an engine that ended at a time did so under the run. An engine that starts again may end under another one soon.
 func (r run) explains(engine string, at time.Time) bool {
-	return r.ended && r.Engine == engine && r.BrokenAt.Sub(at).Abs() < sameEndTolerance
+	if !r.ended || r.Engine != engine {
+		return false
+	}
+	early, late := r.BrokenAt.Sub(at), at.Sub(r.BrokenAt)
+	return late < minLife && early < sameEndTolerance && at.After(r.SentAt.Add(-minLife))
 }
--- a/internal/fatal/tracker.go
+++ b/internal/fatal/tracker.go
@@ -21,6 +21,9 @@
 	maxRunsPerRequest = 16
 	// maxLoggedRequests bounds the request IDs that EngineEnded returns.
 	maxLoggedRequests = 16
+	// maxAbandoned bounds the runs that callers have left, abandonWindow is how long after that their engine may end under them.
+	maxAbandoned  = 256
+	abandonWindow = 300 * time.Millisecond
 )
 
 // Call is a caller's attempt at a request.
@@ -53,6 +56,8 @@
 	callFailed bool
 	// ended is set once it is proved that the engine ended.
 	ended bool
+	// accepted is set if the engine accepted a connection after the interruption: either it lives or it has started again.
+	accepted bool
 	// report is the name of the report that shares this end; empty while it isn't shared. open is set if it was shared while the
 	// call was in progress.
 	report string
@@ -77,6 +82,9 @@
 	seenAt time.Time
 	// fatal is set once the request was found to be fatal, here or at another gateway.
 	fatal bool
+	// elsewhere are the runs in progress at other gateways, as they were reported at elsewhereAt.
+	elsewhere   Lasting
+	elsewhereAt time.Time
 }
 
 // engineEnd is the end of one engine.
@@ -89,7 +97,9 @@
 
 // Tracker records the ends of engines and the requests that they interrupted. All methods may be called concurrently.
 type Tracker struct {
-	fleet    Fleet
+	fleet Fleet
+	// observe returns when the runs of a request that are in progress at this gateway were sent, without those of one call.
+	observe  func(key Key, except string) []time.Time
 	mutex    sync.Mutex
 	requests map[Key]*request
 	// ends are the last ends of engines, by the engine's ID.
@@ -98,6 +108,14 @@
 	pending map[string]keySet
 	// changed are the requests that Unshared has to look at.
 	changed keySet
+	// abandoned are the last runs that callers have left, oldest first.
+	abandoned []abandonedRun
+}
+
+// abandonedRun is a run that its caller has left.
+type abandonedRun struct {
+	run
+	key Key
 }
 
 type keySet map[Key]struct{}
@@ -107,6 +125,47 @@
 	return &Tracker{
 		fleet: fleet, requests: make(map[Key]*request), ends: make(map[string]engineEnd),
 		pending: make(map[string]keySet), changed: make(keySet),
+		observe: func(Key, string) []time.Time { return nil },
+	}
+}
+
+// ObserveRuns sets the function that returns when the runs of a request that are in progress at this gateway were sent, without those of
+// one call. It is called with the Tracker locked, and must be set before any other method is called.
+func (t *Tracker) ObserveRuns(observe func(key Key, except string) []time.Time) { t.observe = observe }
+
+// Lasting are runs of a request that are in progress: their number, for how long in total, and the longest.
+type Lasting struct {
+	Count          int
+	Total, Longest time.Duration
+}
+
+func (l Lasting) add(other Lasting) Lasting {
+	return Lasting{Count: l.Count + other.Count, Total: l.Total + other.Total, Longest: max(l.Longest, other.Longest)}
+}
+
+// Lasting returns the runs of a request that are in progress at this gateway.
+func (t *Tracker) Lasting(now time.Time, key Key) Lasting {
+	t.mutex.Lock()
+	defer t.mutex.Unlock()
+	return t.lasting(now, key, "")
+}
+
+// lasting returns the runs of a request that are in progress at this gateway, without those of one call.
+func (t *Tracker) lasting(now time.Time, key Key, except string) Lasting {
+	var sum Lasting
+	for _, sentAt := range t.observe(key, except) {
+		duration := max(now.Sub(sentAt), 0)
+		sum = sum.add(Lasting{Count: 1, Total: duration, Longest: duration})
+	}
+	return sum
+}
+
+// LastingElsewhere records the runs of a request that are in progress at other gateways.
+func (t *Tracker) LastingElsewhere(now time.Time, key Key, runs Lasting) {
+	t.mutex.Lock()
+	defer t.mutex.Unlock()
+	if known := t.requests[key]; known != nil {
+		known.elsewhere, known.elsewhereAt = runs, now
 	}
 }
 
@@ -117,6 +176,14 @@
 	return len(t.requests) == 0
 }
 
+// Known reports whether any run of a request is known that may have ended its engine.
+func (t *Tracker) Known(key Key) bool {
+	t.mutex.Lock()
+	defer t.mutex.Unlock()
+	known := t.requests[key]
+	return known != nil && len(known.runs) > 0
+}
+
 // Interrupted records a run that was interrupted. first is set for the first one of a call, which must be followed by a call of
 // Completed or Failed when the call ends.
 func (t *Tracker) Interrupted(now time.Time, call Call, interrupted Run, first bool) {
@@ -130,6 +197,56 @@
 	t.addRun(now, call.Key, run{Run: interrupted, request: call.Request, call: callHash(call.Request), beganAt: call.BeganAt, ended: ended})
 }
 
+// Abandoned records that a caller has left a run: an engine that ends shortly afterwards may have ended under it. Nothing else needs to be
+// recorded of the call.
+func (t *Tracker) Abandoned(call Call, left Run) {
+	t.mutex.Lock()
+	defer t.mutex.Unlock()
+	if len(t.abandoned) >= maxAbandoned {
+		t.abandoned = slices.Delete(t.abandoned, 0, 1)
+	}
+	t.abandoned = append(t.abandoned, abandonedRun{key: call.Key, run: run{
+		Run: left, request: call.Request, call: callHash(call.Request), beganAt: call.BeganAt, callFailed: true, ended: true,
+	}})
+}
+
+// claimAbandoned records the end of an engine for the runs there that callers have just left. The caller holds the mutex.
+func (t *Tracker) claimAbandoned(now time.Time, engine string, late bool) (requests []string) {
+	window := abandonWindow
+	if late {
+		window += maxLapse
+	}
+	kept := t.abandoned[:0]
+	for _, left := range t.abandoned {
+		switch {
+		case now.Sub(left.BrokenAt) > abandonWindow+maxLapse:
+		case left.Engine != engine || now.Sub(left.BrokenAt) > window:
+			kept = append(kept, left)
+		default:
+			t.addRun(now, left.key, left.run)
+			requests = append(requests, left.request)
+		}
+	}
+	t.abandoned = kept
+	return requests
+}
+
+// Sweep forgets interruptions that are too old to be explained by an end of their engine.
+func (t *Tracker) Sweep(now time.Time) {
+	t.mutex.Lock()
+	defer t.mutex.Unlock()
+	for engine, keys := range t.pending {
+		for key := range keys {
+			known := t.requests[key]
+			known.dropPending(engine, now.Add(-proofWindow))
+			if !known.isPendingAt(engine) {
+				t.removePending(engine, key)
+			}
+			t.dropIfIdle(key, known)
+		}
+	}
+}
+
 // Completed records that a run of the request was completed by its engine. It returns the names of the reports that share its ends
 // and have to be withdrawn.
 func (t *Tracker) Completed(key Key) (withdrawn []string) {
@@ -222,17 +339,36 @@
 func (t *Tracker) EngineEnded(now time.Time, engine, service string, late bool) (requests []string, isNew bool) {
 	t.mutex.Lock()
 	defer t.mutex.Unlock()
+	requests = t.provePending(now, engine, (*request).proveEnd)
+	return t.noteEnd(now, engine, service, late, requests)
+}
+
+// EngineRestarted is like EngineEnded for an engine that has started again under its ID. Runs after which it accepted connections count,
+// too: each may have ended a life of it.
+func (t *Tracker) EngineRestarted(now time.Time, engine, service string) (requests []string, isNew bool) {
+	t.mutex.Lock()
+	defer t.mutex.Unlock()
+	requests = t.provePending(now, engine, (*request).proveRestart)
+	return t.noteEnd(now, engine, service, true, requests)
+}
+
+// provePending proves the end of an engine for all requests with pending runs there, and returns their calls. The caller holds the mutex.
+func (t *Tracker) provePending(now time.Time, engine string, prove func(*request, time.Time, string) []string) (requests []string) {
 	for key := range t.pending[engine] {
 		known := t.requests[key]
-		for _, request := range known.proveEnd(now, engine) {
-			if len(requests) < maxLoggedRequests {
-				requests = append(requests, request)
-			}
-		}
+		requests = append(requests, prove(known, now, engine)...)
 		t.changed[key] = struct{}{}
 		t.dropIfIdle(key, known)
 	}
 	delete(t.pending, engine)
+	return requests
+}
+
+// noteEnd records the end of an engine. It returns the requests that it ran, a bounded number of them, and whether the end was not known
+// yet. The caller holds the mutex.
+func (t *Tracker) noteEnd(now time.Time, engine, service string, late bool, proved []string) (requests []string, isNew bool) {
+	requests = append(proved, t.claimAbandoned(now, engine, late)...)
+	requests = requests[:min(len(requests), maxLoggedRequests)]
 	last, found := t.ends[engine]
 	isNew = len(requests) > 0 || !found || now.Sub(last.at) > proofWindow
 	if isNew {
@@ -242,13 +378,34 @@
 	return requests, isNew
 }
 
-// EngineAlive records that an engine was alive at a time: runs that were interrupted there before did not end it.
-func (t *Tracker) EngineAlive(at time.Time, engine string) {
+// EngineAccepted records that an engine accepted a connection at a time. If it ended under the runs that were interrupted there before, it
+// has started again.
+func (t *Tracker) EngineAccepted(at time.Time, engine string) {
 	t.mutex.Lock()
 	defer t.mutex.Unlock()
 	for key := range t.pending[engine] {
 		known := t.requests[key]
-		known.dropPending(engine, at)
+		for index := range known.runs {
+			interrupted := &known.runs[index]
+			interrupted.accepted = interrupted.accepted || (interrupted.pendingAt(engine) && interrupted.BrokenAt.Before(at))
+		}
+	}
+}
+
+// EngineAlive records that an engine was alive at a time, and had not started again since: runs that were interrupted there before did not
+// end it.
+func (t *Tracker) EngineAlive(at time.Time, engine string) { t.EngineLived(time.Time{}, at, engine) }
+
+// EngineLived records that the same life of an engine lasted from one time to another: runs that were interrupted there in between did not
+// end it.
+func (t *Tracker) EngineLived(from, until time.Time, engine string) {
+	t.mutex.Lock()
+	defer t.mutex.Unlock()
+	for key := range t.pending[engine] {
+		known := t.requests[key]
+		known.runs = slices.DeleteFunc(known.runs, func(interrupted run) bool {
+			return interrupted.pendingAt(engine) && interrupted.BrokenAt.Before(until) && interrupted.BrokenAt.After(from)
+		})
 		if !known.isPendingAt(engine) {
 			t.removePending(engine, key)
 		}
@@ -280,9 +437,16 @@
 	}
 }
 
+// proveRestart records that an engine has ended and started again, and returns the calls whose runs that explains.
+func (r *request) proveRestart(now time.Time, engine string) (calls []string) {
+	r.dropPending(engine, now.Add(-proofWindow))
+	return r.endPending(engine)
+}
+
 // proveEnd records that an engine has ended, and returns the calls whose runs that explains. A run does not count if the engine has run
-// the request again after it.
+// the request again after it, or accepted connections.
 func (r *request) proveEnd(now time.Time, engine string) (calls []string) {
+	r.runs = slices.DeleteFunc(r.runs, func(interrupted run) bool { return interrupted.pendingAt(engine) && interrupted.accepted })
 	var lastSentAt time.Time
 	for _, interrupted := range r.runs {
 		if interrupted.pendingAt(engine) && interrupted.SentAt.After(lastSentAt) {
@@ -291,6 +455,11 @@
 	}
 	r.dropPending(engine, lastSentAt)
 	r.dropPending(engine, now.Add(-proofWindow))
+	return r.endPending(engine)
+}
+
+// endPending marks the pending runs at an engine as ended and returns their calls.
+func (r *request) endPending(engine string) (calls []string) {
 	for index := range r.runs {
 		if r.runs[index].pendingAt(engine) {
 			r.runs[index].ended = true
@@ -315,8 +484,8 @@
 	})
 }
 
-// Ends returns how many engines have ended under a call and those before it with its content, and how many interruptions of the call
-// may turn out to be such ends.
+// Ends returns how many engines have ended under the request of a call, over all its calls, and how many interruptions of the call may
+// turn out to be such ends.
 func (t *Tracker) Ends(now time.Time, call Call) (ended, unexplained int) {
 	t.mutex.Lock()
 	defer t.mutex.Unlock()
@@ -324,12 +493,33 @@
 	if known == nil {
 		return 0, 0
 	}
-	for _, interrupted := range known.runs {
-		if !interrupted.ended && interrupted.call == callHash(call.Request) && now.Sub(interrupted.BrokenAt) <= proofWindow {
-			unexplained++
+	own := callHash(call.Request)
+	unexplained = known.countPending(now.Add(-proofWindow), func(interrupted run) bool { return interrupted.call == own })
+	return len(t.endedRuns(now, known.runs)), unexplained
+}
+
+// Risk returns how many engines have ended under a request, and how many may have: those whose runs were interrupted at this gateway not
+// longer ago than a time, and that were not seen alive.
+func (t *Tracker) Risk(now time.Time, key Key, proofTime time.Duration) (ended, possible int) {
+	t.mutex.Lock()
+	defer t.mutex.Unlock()
+	known := t.requests[key]
+	if known == nil {
+		return 0, 0
+	}
+	possible = known.countPending(now.Add(-proofTime), func(run) bool { return true })
+	return len(t.endedRuns(now, known.runs)), possible
+}
+
+// countPending counts the runs that were interrupted after a time and may have ended their engines.
+func (r *request) countPending(after time.Time, counts func(run) bool) int {
+	count := 0
+	for _, interrupted := range r.runs {
+		if !interrupted.ended && interrupted.BrokenAt.After(after) && counts(interrupted) {
+			count++
 		}
 	}
-	return len(t.sequence(now, known.runs, call)), unexplained
+	return count
 }
 
 // callHash returns a hash of a call's ID, which only has to differ between calls with the same content.
--- a/internal/ingress/node.go
+++ b/internal/ingress/node.go
@@ -94,9 +94,10 @@
 	}
 	node.catalog = catalog.NewManager(catalog.Options{
 		Peers: node.peers, MinFreshPeers: node.turns.Copies, Self: catalog.Endpoint{Zone: options.Zone}, Source: options.Source, StaleAfter: options.StaleAfter, OnChange: node.apply,
-		FirstStart: options.FirstStart, OnOutageEnd: registry.RecordOutage,
+		FirstStart: options.FirstStart, OnOutageEnd: registry.RecordOutage, Neighbours: options.Network.Neighbours,
 	}, options.Network, options.Logger)
 	registry.ShareEnds(node.shareEnds)
+	registry.ExchangeRuns(node.exchangeRuns)
 	node.server = New(Options{
 		Table: node.table.Load, RoutesReady: node.routesReady, CallerProtocol: options.CallerProtocol, Registry: node.registry, Turns: node.turns,
 		Dispatcher: dispatch.New(node.registry, options.Protocol, options.Logger), Logger: options.Logger, Metrics: options.Metrics,
@@ -183,32 +184,51 @@
 
 // shareEnds publishes news of ends of engines. Each replica of the first shard gets them: all nodes follow these, directly or not.
 func (n *Node) shareEnds(news dispatch.EndNews) {
-	var entries []catalog.Entry
+	entries := n.encodeReports(news.Reports)
 	if news.Engine != "" {
 		entries = append(entries, n.catalog.EngineEnd(news.Engine))
 	}
-	for _, report := range news.Reports {
-		encoded, err := report.Encode()
-		if err != nil {
-			n.options.Logger.Emit(events.ReportInvalid, events.F("error", err))
-			continue
-		}
-		entries = append(entries, catalog.FatalRequest(report.Name(), encoded))
-	}
 	for _, name := range news.Withdrawn {
 		entries = append(entries, catalog.Withdrawn(name))
 	}
-	var replicas []transport.Peer
-	for _, member := range n.turns.ReplicaSet().All() {
-		replicas = append(replicas, member.Peer())
-	}
 	go func() {
-		if err := n.catalog.Publish(context.Background(), replicas, entries); err != nil {
+		if err := n.catalog.Publish(context.Background(), n.endReplicas(), entries); err != nil {
 			n.options.Logger.Emit(events.PublishFailed, events.F("entries", len(entries)), events.F("error", err))
 		}
 	}()
 }
 
+// exchangeRuns tells the replicas of the first shard, or other gateways, of the runs of a request.
+func (n *Node) exchangeRuns(ctx context.Context, news dispatch.RunNews) dispatch.RunFindings {
+	found := n.catalog.Exchange(ctx, n.endReplicas(), catalog.Evidence{
+		Content: string(news.Content), Entries: n.encodeReports(news.Reports), Begun: news.Begun, Finished: news.Finished,
+		Lasting: catalog.LastingRuns{Count: news.Lasting.Count, TotalMillis: news.Lasting.Total.Milliseconds(), LongestMillis: news.Lasting.Longest.Milliseconds()},
+	})
+	return dispatch.RunFindings{Open: found.Open, Lasting: fatal.Lasting{
+		Count: found.Lasting.Count, Total: time.Duration(found.Lasting.TotalMillis) * time.Millisecond, Longest: time.Duration(found.Lasting.LongestMillis) * time.Millisecond,
+	}}
+}
+
+// endReplicas returns the replicas that are told of ends of engines.
+func (n *Node) endReplicas() (replicas []transport.Peer) {
+	for _, member := range n.turns.ReplicaSet().All() {
+		replicas = append(replicas, member.Peer())
+	}
+	return replicas
+}
+
+func (n *Node) encodeReports(reports []fatal.Report) (entries []catalog.Entry) {
+	for _, report := range reports {
+		encoded, err := report.Encode()
+		if err != nil {
+			n.options.Logger.Emit(events.ReportInvalid, events.F("error", err))
+			continue
+		}
+		entries = append(entries, catalog.FatalRequest(report.Name(), encoded))
+	}
+	return entries
+}
+
 // applyConfiguration installs a configuration unless a newer one is installed.
 func (n *Node) applyConfiguration(entry catalog.Entry) {
 	var specification routing.Specification
--- a/internal/transport/relay_client.go
+++ b/internal/transport/relay_client.go
@@ -24,7 +24,10 @@
 	maxRelays = 8
 	// relayRefreshInterval is the interval at which the list of relays is refreshed, because nodes join and leave.
 	relayRefreshInterval = 5 * time.Second
-	relayRefreshTimeout  = time.Second
+	// firstRelayRefresh is the interval after the first fetch, which may come before others are known. It doubles up to
+	// relayRefreshInterval.
+	firstRelayRefresh   = 100 * time.Millisecond
+	relayRefreshTimeout = time.Second
 	// initialRelays is how many relays are tried in parallel while none is known to work.
 	initialRelays = 2
 	// minRelayDelay is the minimum time before the next relay is tried. It covers opening a connection and a relayed
@@ -67,12 +70,11 @@
 // RefreshRelays fetches the list of relays from peers at intervals until the context ends. The previous list is kept
 // if no peer returns one.
 func (t *Transport) RefreshRelays(ctx context.Context, peers func() []Peer) {
-	for {
-		found := t.fetchRelays(ctx, peers())
-		wait := relayRefreshInterval
-		if !found {
-			wait = relayRefreshTimeout
+	for wait := firstRelayRefresh; ; wait = min(2*wait, relayRefreshInterval) {
+		if !t.fetchRelays(ctx, peers()) {
+			wait = min(wait, relayRefreshTimeout)
 		}
+		t.meetRelays(ctx)
 		select {
 		case <-ctx.Done():
 			return
@@ -81,6 +83,38 @@
 	}
 }
 
+// meetRelays opens connections to the relays, so that they know this node before they need it.
+func (t *Transport) meetRelays(ctx context.Context) {
+	t.relayRoutes.mutex.Lock()
+	relays := slices.Clone(t.relayRoutes.relays)
+	t.relayRoutes.mutex.Unlock()
+	for _, relay := range relays {
+		t.spawn(func() {
+			dialContext, cancel := context.WithTimeout(ctx, relayRefreshTimeout)
+			defer cancel()
+			// A relay that can't be reached now is dialled again at the next refresh.
+			_, _ = t.connect(dialContext, Peer{Address: relay})
+		})
+	}
+}
+
+// Neighbours returns the nodes that forward requests and can be reached without others: the known relays, and those that are connected.
+func (t *Transport) Neighbours() []Peer {
+	t.relayRoutes.mutex.Lock()
+	addresses := slices.Clone(t.relayRoutes.relays)
+	t.relayRoutes.mutex.Unlock()
+	for _, conn := range t.openConnections() {
+		if conn.canRelay && !slices.Contains(addresses, conn.peer.Address) {
+			addresses = append(addresses, conn.peer.Address)
+		}
+	}
+	var neighbours []Peer
+	for _, address := range addresses {
+		neighbours = append(neighbours, Peer{Address: address})
+	}
+	return neighbours
+}
+
 // fetchRelays tries the peers in order until one returns relays, and reports whether one did.
 func (t *Transport) fetchRelays(ctx context.Context, peers []Peer) bool {
 	for _, peer := range peers {
--- a/internal/upstream/connection.go
+++ b/internal/upstream/connection.go
@@ -24,10 +24,14 @@
 	// keep-alive timeout, in which case defaultIdleTimeout applies.
 	idleDeadline time.Time
 	lastUsedAt   time.Time
+	openedAt     time.Time
+	// responded is set once a response has begun on the connection.
+	responded atomic.Bool
 }
 
 func newConnection(raw net.Conn) *Connection {
-	connection := &Connection{raw: raw, source: source{raw: raw}, lastUsedAt: time.Now()}
+	now := time.Now()
+	connection := &Connection{raw: raw, source: source{raw: raw}, lastUsedAt: now, openedAt: now}
 	connection.reader = bufio.NewReaderSize(&connection.source, readBufferBytes)
 	return connection
 }
@@ -69,6 +73,9 @@
 	finished          bool
 }
 
+// OpenedAt returns when the connection was opened.
+func (e *Exchange) OpenedAt() time.Time { return e.connection.openedAt }
+
 // Response returns the response; its body is read from the connection.
 func (e *Exchange) Response() *http.Response { return e.response }
 
--- a/internal/upstream/pool.go
+++ b/internal/upstream/pool.go
@@ -70,6 +70,8 @@
 	mutex sync.Mutex
 	limit int
 	idle  []*Connection
+	// open are all connections, those in use included.
+	open map[*Connection]struct{}
 	// openCount is the number of connections that are open or being dialed; openedTotal counts all dials so far.
 	openCount   int
 	openedTotal int64
@@ -78,7 +80,7 @@
 
 // NewPool returns a Pool of at most limit connections. A limit below 1 counts as 1.
 func NewPool(address string, limit int, dial func(ctx context.Context, address string) (net.Conn, error)) *Pool {
-	return &Pool{address: address, limit: max(limit, 1), dial: dial}
+	return &Pool{address: address, limit: max(limit, 1), dial: dial, open: make(map[*Connection]struct{})}
 }
 
 // SetMemory sets the budget for heads of responses. It must be called before Send.
@@ -113,6 +115,7 @@
 	p.closed = true
 	for _, connection := range p.idle {
 		connection.close()
+		delete(p.open, connection)
 	}
 	p.openCount -= len(p.idle)
 	p.idle = nil
@@ -139,22 +142,53 @@
 	}
 	connection := newConnection(raw)
 	connection.source.budget = p.memory
+	p.mutex.Lock()
+	p.open[connection] = struct{}{}
+	p.mutex.Unlock()
 	return connection, nil
 }
 
-// Probe reports whether the engine accepts connections. It opens one only if none is idle, and keeps it for later exchanges. Without an
-// error, false means that the connection limit does not allow to find out.
-func (p *Pool) Probe(ctx context.Context) (alive bool, err error) {
+// Liveness is what a probe tells of an engine.
+type Liveness int
+
+const (
+	// LivenessUnknown means that the connection limit does not allow to find out.
+	LivenessUnknown Liveness = iota
+	// Accepting means that the engine accepts connections. It may have started again.
+	Accepting
+	// Surviving means that the engine has not ended since the time that the probe is about.
+	Surviving
+)
+
+// Probe finds out whether the engine has ended since a time. A connection over which it had responded before shows that it has not;
+// without one, Probe opens a connection and keeps it for later exchanges. The error is that of the dial.
+func (p *Pool) Probe(ctx context.Context, since time.Time) (Liveness, error) {
+	if p.Survives(since) {
+		return Surviving, nil
+	}
 	connection, err := p.get(ctx)
 	var limit *ErrConnectionLimit
 	if errors.As(err, &limit) {
-		return false, nil
+		return LivenessUnknown, nil
 	}
 	if err != nil {
-		return false, err
+		return LivenessUnknown, err
 	}
 	p.put(connection)
-	return true, nil
+	return Accepting, nil
+}
+
+// Survives reports whether a connection over which the engine had responded is still open that was opened before a time. A listening
+// socket accepts connections for a process that has ended, so those without a response show nothing.
+func (p *Pool) Survives(since time.Time) bool {
+	p.mutex.Lock()
+	defer p.mutex.Unlock()
+	for connection := range p.open {
+		if connection.responded.Load() && connection.openedAt.Before(since) && isOpen(connection.raw) {
+			return true
+		}
+	}
+	return false
 }
 
 func (p *Pool) takeIdle() *Connection {
@@ -183,14 +217,16 @@
 	if p.closed || p.openCount > p.limit {
 		connection.close()
 		p.openCount--
+		delete(p.open, connection)
 		return
 	}
 	p.idle = append(p.idle, connection)
 }
 
-// connectionClosed records that a connection no longer counts towards the limit.
-func (p *Pool) connectionClosed(*Connection) {
+// connectionClosed records that a connection no longer counts towards the limit. It is nil if its dial failed.
+func (p *Pool) connectionClosed(connection *Connection) {
 	p.mutex.Lock()
 	defer p.mutex.Unlock()
 	p.openCount--
+	delete(p.open, connection)
 }
--- a/internal/upstream/send.go
+++ b/internal/upstream/send.go
@@ -100,5 +100,6 @@
 		exchange.Abort()
 		return nil, errors.WithStack(&ErrExchange{Sent: connection.writes.Load() > 0, cause: err})
 	}
+	connection.responded.Store(true)
 	return exchange, nil
 }
--- a/internal/upstream/socket.go
+++ b/internal/upstream/socket.go
@@ -47,10 +47,32 @@
 	}
 	open := false
 	err = rawConnection.Read(func(fd uintptr) bool {
-		var one [1]byte
-		_, _, peekErr := syscall.Recvfrom(int(fd), one[:], syscall.MSG_PEEK|syscall.MSG_DONTWAIT)
-		open = peekErr == syscall.EAGAIN
+		open = wouldBlock(fd)
 		return true
 	})
 	return err == nil && open
 }
+
+// isOpen reports, without blocking, whether the peer has neither closed nor reset the connection, also while it is read. Data that
+// was not read yet may precede a close, so that a connection with some counts as closed.
+func isOpen(raw net.Conn) bool {
+	connection, ok := raw.(syscall.Conn)
+	if !ok {
+		return false
+	}
+	rawConnection, err := connection.SyscallConn()
+	if err != nil {
+		return false
+	}
+	open := false
+	// Control, unlike Read, doesn't wait for a pending read.
+	err = rawConnection.Control(func(fd uintptr) { open = wouldBlock(fd) })
+	return err == nil && open
+}
+
+// wouldBlock reports whether a read of the socket would wait.
+func wouldBlock(fd uintptr) bool {
+	var one [1]byte
+	_, _, err := syscall.Recvfrom(int(fd), one[:], syscall.MSG_PEEK|syscall.MSG_DONTWAIT)
+	return err == syscall.EAGAIN
+}
