Content that engines complete all the time is not taken for fatal when it meets their ends

Cause: a report of an end under a call that failed stays for ten minutes, and completions at gateways that don't know of it withdraw nothing, so that three of them add up beside thousands of completions. Each gateway now remembers the contents that it has seen completed, by the software version of the engine, and ends at that version don't count under them. TestContentThatWasCompletedIsNotFatalForThatSoftware failed before.

A completed call computes its key now, once and without a message (a hash of the body).

--- a/internal/dispatch/dispatch.go
+++ b/internal/dispatch/dispatch.go
@@ -111,6 +111,8 @@
 	awaitedProof time.Duration
 	// connectedAt is when the connection of the last attempt was opened; zero if there was no response.
 	connectedAt time.Time
+	// status is that of the last response; 0 if there was none.
+	status int
 }
 
 // Trace records the placement of a call.
@@ -334,7 +336,7 @@
 
 // attempt sends a call once and sets resumption.Status.
 func (d *Dispatcher) attempt(ctx context.Context, call *Call, engine *Engine, resumption *Resumption, consume func(*Attempt) error) (attemptOutcome, error) {
-	call.connectedAt = time.Time{}
+	call.connectedAt, call.status = time.Time{}, 0
 	request := call.Request
 	request.Header = call.Request.Header.Clone()
 	sentAt := time.Now()
@@ -349,7 +351,7 @@
 		return d.sendFailed(ctx, engine, err)
 	}
 	defer exchange.Abort()
-	call.connectedAt = exchange.OpenedAt()
+	call.connectedAt, call.status = exchange.OpenedAt(), exchange.Response().StatusCode
 	resumption.Status = exchange.Response().StatusCode
 	switch d.protocol.Classify(exchange.Response(), call.ID) {
 	case Refused:
--- a/internal/dispatch/ends.go
+++ b/internal/dispatch/ends.go
@@ -4,6 +4,7 @@
 	"context"
 	"io"
 	"net"
+	"net/http"
 	"syscall"
 	"time"
 
@@ -338,10 +339,13 @@
 // finishCall records the end of a call that was interrupted, or whose content other calls with an interruption had. Other nodes know of
 // the ends under a call that failed before its caller does.
 func (d *Dispatcher) finishCall(ctx context.Context, call *Call, err error) {
+	now := time.Now()
+	if err == nil && call.status < http.StatusInternalServerError {
+		d.registry.ends.Sound(now, call.fingerprint(), call.Trace.Software)
+	}
 	if !call.interrupted && d.registry.ends.Empty() {
 		return
 	}
-	now := time.Now()
 	call.Trace.Ends, _ = d.registry.ends.Ends(now, call.tracked())
 	var withdrawn []string
 	switch {
--- a/internal/fatal/fatal_test.go
+++ b/internal/fatal/fatal_test.go
@@ -313,6 +313,40 @@
 	assert.DeepEqual(t, verdict.Engines, []string{"e0", "e1", "e2"})
 }
 
+// Popular content that engines of a version complete all the time is not fatal for them, however often it meets their ends, and may be for
+// another version.
+func TestContentThatWasCompletedIsNotFatalForThatSoftware(t *testing.T) {
+	s := newScene()
+	s.fleet.versions = []string{"v1", "v2"}
+	s.Sound(s.now, "k", "v1")
+	call := s.begin("k", "r1")
+	s.endThree(call, 50*time.Millisecond)
+	assert.Assert(t, !s.Known("k"))
+	assert.Assert(t, !s.judgeWithheld(call))
+	s.Failed(call)
+	for number := range 3 {
+		s.pass(50 * time.Millisecond)
+		engine := fmt.Sprint("other version ", number)
+		s.Interrupted(s.now, call, Run{Engine: engine, Service: "models", Software: "v2", SentAt: s.now.Add(-20 * time.Millisecond), BrokenAt: s.now}, number == 0)
+		s.EngineEnded(s.now, engine, "models", false)
+	}
+	assert.Assert(t, s.judgeWithheld(call))
+}
+
+// What is known of completed requests is bounded and expires.
+func TestSoundRequestsAreForgotten(t *testing.T) {
+	var sound soundRequests
+	now := time.Date(2026, 1, 1, 0, 0, 0, 0, time.UTC)
+	for number := range 3 * maxSound {
+		sound.add(now, soundKey{Key(fmt.Sprint("k", number)), "v"})
+	}
+	assert.Assert(t, len(sound.young)+len(sound.old) <= 2*maxSound)
+	last := soundKey{Key(fmt.Sprint("k", 3*maxSound-1)), "v"}
+	assert.Assert(t, sound.has(now.Add(soundRetention/2), last))
+	assert.Assert(t, sound.has(now.Add(soundRetention), last))
+	assert.Assert(t, !sound.has(now.Add(2*soundRetention), last))
+}
+
 // Interruptions that nothing explains are forgotten.
 func TestUnexplainedInterruptionsAreForgotten(t *testing.T) {
 	s := newScene()
--- a/internal/fatal/report.go
+++ b/internal/fatal/report.go
@@ -160,8 +160,9 @@
 		call: body.Call, beganAt: brokenAt.Add(-time.Duration(body.CallMicros) * time.Microsecond),
 		callFailed: !body.Open, ended: true, report: report.name, chance: body.Chance,
 	})
-	known := t.requests[report.key]
-	known.fatal = known.fatal || body.Fatal
+	if known := t.requests[report.key]; known != nil {
+		known.fatal = known.fatal || body.Fatal
+	}
 }
 
 // Withdraw forgets an end that was shared by the report with this name, since a run of the request was completed.
--- a/internal/fatal/tracker.go
+++ b/internal/fatal/tracker.go
@@ -110,6 +110,7 @@
 	changed keySet
 	// abandoned are the last runs that callers have left, oldest first.
 	abandoned []abandonedRun
+	sound     soundRequests
 }
 
 // abandonedRun is a run that its caller has left.
@@ -189,7 +190,7 @@
 func (t *Tracker) Interrupted(now time.Time, call Call, interrupted Run, first bool) {
 	t.mutex.Lock()
 	defer t.mutex.Unlock()
-	if first {
+	if first && !t.sound.has(now, soundKey{call.Key, interrupted.Software}) {
 		t.request(now, call.Key).calls++
 	}
 	end, found := t.ends[interrupted.Engine]
@@ -197,6 +198,14 @@
 	t.addRun(now, call.Key, run{Run: interrupted, request: call.Request, call: callHash(call.Request), beganAt: call.BeganAt, ended: ended})
 }
 
+// Sound records that a run of a request was completed by an engine with a version of the software: engines of that version that end under other
+// runs of the request don't end because of it.
+func (t *Tracker) Sound(now time.Time, key Key, software string) {
+	t.mutex.Lock()
+	defer t.mutex.Unlock()
+	t.sound.add(now, soundKey{key, software})
+}
+
 // Abandoned records that a caller has left a run: an engine that ends shortly afterwards may have ended under it. Nothing else needs to be
 // recorded of the call.
 func (t *Tracker) Abandoned(call Call, left Run) {
@@ -285,6 +294,9 @@
 
 // addRun adds a run to a request. The caller holds the mutex.
 func (t *Tracker) addRun(now time.Time, key Key, added run) {
+	if t.sound.has(now, soundKey{key, added.Software}) {
+		return
+	}
 	known := t.request(now, key)
 	known.runs = append(known.runs, added)
 	if len(known.runs) > maxRunsPerRequest {
