A response that states no end is not taken for whole

A head that was cut is refused already; one that ends early but in order, such as by a blank line, left a body that only the connection's end delimits, and the gateway added the length of what had arrived.

Failed before: five cases of TestTruncatedResponseIsNotForwardedAsComplete on five routes each, three of TestTruncatedApplicationResponseIsError. TestResponseWithoutLengthEndsWithItsConnection took an unannounced end for whole; it has a row for each form now.

--- a/internal/engine/application.go
+++ b/internal/engine/application.go
@@ -82,6 +82,9 @@
 		return nil, err
 	}
 	defer func() { _ = response.Body.Close() }()
+	if isUnframed(response) {
+		return nil, &ErrInterrupted{Cause: errUnframed}
+	}
 	body, err := io.ReadAll(io.LimitReader(response.Body, MaxResponseBytes+1))
 	if err != nil {
 		return nil, &ErrInterrupted{Cause: err}
@@ -93,6 +96,14 @@
 	return &ApplicationResponse{Status: response.StatusCode, Header: response.Header, Trailer: response.Trailer, Body: body}, nil
 }
 
+// errUnframed means that the end of a response can't be told from its truncation.
+var errUnframed = errors.New("the response has neither a length nor chunks")
+
+// isUnframed reports whether only the end of its connection ends a response.
+func isUnframed(response *http.Response) bool {
+	return response.Body != http.NoBody && response.ContentLength < 0 && len(response.TransferEncoding) == 0
+}
+
 func buildApplicationRequest(ctx context.Context, target Target, request ApplicationRequest) (*http.Request, error) {
 	base, err := url.Parse(target.URL)
 	if err != nil {
--- a/internal/engine/truncated_response_test.go
+++ b/internal/engine/truncated_response_test.go
@@ -47,6 +47,9 @@
 		"partial chunk":              header + "Transfer-Encoding: chunked\r\n\r\na\r\nhello",
 		"no last chunk":              header + "Transfer-Encoding: chunked\r\n\r\n5\r\nhello\r\n",
 		"unterminated trailers":      header + "Transfer-Encoding: chunked\r\nTrailer: X-Sum\r\n\r\n5\r\nhello\r\n0\r\nX-Sum: 1\r\n",
+		"no length":                  header + "\r\nhello",
+		"head of bare line feeds":    "HTTP/1.1 200 OK\nContent-Type: text/plain\n\nhello",
+		"no length, HTTP/1.0":        "HTTP/1.0 200 OK\r\n\r\nhello",
 		"partial body with HTTP/1.0": "HTTP/1.0 200 OK\r\nContent-Length: 10\r\n\r\nhello",
 	}
 	for name, response := range responses {
--- a/internal/ingress/buffered_test.go
+++ b/internal/ingress/buffered_test.go
@@ -45,6 +45,7 @@
 		"chunks, truncated chunk":           {"HTTP/1.1", chunks, wholeChunk[:9], closes, false},
 		"no length":                         {"HTTP/1.1", none, complete, closes, true},
 		"no length, reset":                  {"HTTP/1.1", none, half, resets, false},
+		"no length, no announced close":     {"HTTP/1.1", nil, complete, closes, false},
 		"HTTP/1.0 without a length":         {"HTTP/1.0", nil, complete, closes, true},
 		"HTTP/1.0, reset":                   {"HTTP/1.0", nil, half, resets, false},
 	} {
--- a/internal/ingress/framing_test.go
+++ b/internal/ingress/framing_test.go
@@ -28,8 +28,14 @@
 		call.reset()
 	},
 	"HTTP/1.0 without length, reset": func(call *engineCall) { call.writeHead("HTTP/1.0", 200); call.write("part"); call.reset() },
-	"within the head":                func(call *engineCall) { call.write("HTTP/1.1 200 OK\r\nCall: %s\r\nSeal: s\r\n", call.id) },
-	"invalid length":                 func(call *engineCall) { call.writeHead("HTTP/1.1", 200, "Content-Length: 4x"); call.write("part") },
+	"head without its length lines":  func(call *engineCall) { call.writeHead("HTTP/1.1", 200); call.write("part") },
+	"head without lines or body":     func(call *engineCall) { call.write("HTTP/1.1 200 OK\r\nCall: %s\r\nSeal: s\r\n\r\n", call.id) },
+	"head of bare line feeds":        func(call *engineCall) { call.write("HTTP/1.1 200 OK\nCall: %s\nSeal: s\n\npart", call.id) },
+	"length cut within its digits": func(call *engineCall) {
+		call.write("HTTP/1.1 200 OK\r\nCall: %s\r\nSeal: s\r\nContent-Length:\r\n\r\npart", call.id)
+	},
+	"within the head": func(call *engineCall) { call.write("HTTP/1.1 200 OK\r\nCall: %s\r\nSeal: s\r\n", call.id) },
+	"invalid length":  func(call *engineCall) { call.writeHead("HTTP/1.1", 200, "Content-Length: 4x"); call.write("part") },
 	"conflicting lengths": func(call *engineCall) {
 		call.writeHead("HTTP/1.1", 200, "Content-Length: 4", "Content-Length: 9")
 		call.write("part")
--- a/internal/upstream/head.go
+++ b/internal/upstream/head.go
@@ -1,9 +1,12 @@
 package upstream
 
 import (
+	"bytes"
 	"fmt"
+	"io"
 	"net"
 	"net/http"
+	"strings"
 	"time"
 
 	"github.com/cockroachdb/errors"
@@ -18,6 +21,8 @@
 	maxInformationalResponses = 16
 	// headTimeout is how long a head may take from its first byte to its end.
 	headTimeout = time.Second
+	// maxStartBytes is the number of bytes in which the announcement is looked for that a response ends with its connection.
+	maxStartBytes = 2 << 10
 	// headMemoryFactor is the memory of a parsed head in relation to its bytes.
 	headMemoryFactor = 4
 )
@@ -48,6 +53,8 @@
 	// headBytes is the number of bytes that were received since the request was sent.
 	headBytes int
 	budget    *membudget.Budget
+	// start are the first bytes that were received since the request was sent.
+	start []byte
 	// memory is reserved from the budget for a head that exceeds the read buffer; nil for others.
 	memory *membudget.Reservation
 }
@@ -63,6 +70,7 @@
 		}
 	}
 	read, err := s.raw.Read(buffer)
+	s.start = append(s.start, buffer[:min(read, maxStartBytes-len(s.start))]...)
 	s.begun = s.begun || read > 0
 	s.headBytes += read
 	return read, err
@@ -97,6 +105,7 @@
 func (s *source) endHead() {
 	s.inHead = false
 	s.headBytes = 0
+	s.start = s.start[:0]
 	s.memory.Release()
 	s.memory = nil
 	s.removeDeadline()
@@ -125,8 +134,73 @@
 			return nil, errors.WithStack(&ErrProtocolSwitched{})
 		}
 		if response.StatusCode >= http.StatusOK {
+			requireFraming(response, source.start, informational)
 			return response, nil
 		}
 	}
 	return nil, errors.WithStack(&ErrInformationalResponses{})
 }
+
+// ErrUnframed means that the end of a response can't be told from its truncation: it states no length and has no chunks, and does not say that
+// the end of the connection ends it, as one whose head was cut.
+type ErrUnframed struct{}
+
+// Error implements error.
+func (*ErrUnframed) Error() string {
+	return "the response states neither a length nor that its connection ends with it"
+}
+
+// Unwrap returns io.ErrUnexpectedEOF.
+func (*ErrUnframed) Unwrap() error { return io.ErrUnexpectedEOF }
+
+// requireFraming makes the end of a response's body an error if nothing in the head says how it ends. Servers that end a response with its
+// connection announce that (RFC 9112, 9.6); HTTP/1.0 knows nothing else. start are the first bytes that were received, which begin with some
+// informational responses.
+func requireFraming(response *http.Response, start []byte, informational int) {
+	if response.Body == http.NoBody || response.ContentLength >= 0 || len(response.TransferEncoding) > 0 || !response.ProtoAtLeast(1, 1) {
+		return
+	}
+	if !announcesClose(start, informational) {
+		response.Body = &unframedBody{ReadCloser: response.Body}
+	}
+}
+
+// announcesClose reports whether the head that follows some informational responses has the connection option close, which net/http removes
+// from the headers.
+func announcesClose(start []byte, informational int) bool {
+	for line := range bytes.Lines(start) {
+		line = bytes.TrimSpace(line)
+		name, value, _ := bytes.Cut(line, []byte(":"))
+		switch {
+		case len(line) == 0 && informational == 0:
+			return false
+		case len(line) == 0:
+			informational--
+		case informational == 0 && bytes.EqualFold(name, []byte("Connection")) && hasOption(value, "close"):
+			return true
+		}
+	}
+	return false
+}
+
+// hasOption reports whether a list of connection options has one.
+func hasOption(options []byte, wanted string) bool {
+	for option := range bytes.SplitSeq(options, []byte(",")) {
+		if strings.EqualFold(string(bytes.TrimSpace(option)), wanted) {
+			return true
+		}
+	}
+	return false
+}
+
+// unframedBody is a body whose end is not its whole end.
+type unframedBody struct{ io.ReadCloser }
+
+// Read implements io.Reader. In place of io.EOF it returns an *ErrUnframed.
+func (b *unframedBody) Read(buffer []byte) (int, error) {
+	read, err := b.ReadCloser.Read(buffer)
+	if errors.Is(err, io.EOF) {
+		err = errors.WithStack(&ErrUnframed{})
+	}
+	return read, err
+}
--- a/internal/upstream/head_test.go
+++ b/internal/upstream/head_test.go
@@ -185,3 +185,23 @@
 	assert.Assert(t, time.Since(startedAt) < time.Second)
 	assert.Equal(t, pool.openCount, 0)
 }
+
+// Only the announcement in the head of the response itself says that the connection ends its body.
+func TestAnnouncedCloseIsThatOfTheFinalHead(t *testing.T) {
+	const hints = "HTTP/1.1 103 Early Hints\r\nConnection: close\r\n\r\n"
+	for _, row := range []struct {
+		start         string
+		informational int
+		announced     bool
+	}{
+		{"HTTP/1.1 200 OK\r\nA: b\r\nconnection: Keep-Alive, CLOSE\r\n\r\n", 0, true},
+		{"HTTP/1.1 200 OK\nConnection: close\n\n", 0, true},
+		{"HTTP/1.1 200 OK\r\nConnection: keep-alive\r\n\r\nConnection: close\r\n", 0, false},
+		{"HTTP/1.1 200 OK\r\nX-Connection: close\r\n\r\n", 0, false},
+		{hints + "HTTP/1.1 200 OK\r\n\r\n", 1, false},
+		{hints + "HTTP/1.1 200 OK\r\nConnection: close\r\n\r\n", 1, true},
+		{"", 0, false},
+	} {
+		assert.Equal(t, announcesClose([]byte(row.start), row.informational), row.announced, "%q", row.start)
+	}
+}
--- a/internal/upstream/upstream_test.go
+++ b/internal/upstream/upstream_test.go
@@ -258,22 +258,36 @@
 	}
 }
 
+// A response without a length is whole if it announces that it ends with its connection, and that is closed in order. One that does not
+// announce it may be what is left of a head that was cut.
 func TestResponseWithoutLengthEndsWithItsConnection(t *testing.T) {
-	server := startEngine(t, func(connection net.Conn, reader *bufio.Reader, number int64) {
-		if _, _, err := readRequest(reader); err != nil {
-			return
-		}
-		reply(connection, "HTTP/1.1 200 OK\r\n\r\nall of it")
-		if number == 2 {
-			_ = connection.(*net.TCPConn).SetLinger(0) // close with a reset
+	for _, row := range []struct {
+		head         string
+		reset, whole bool
+	}{
+		{"HTTP/1.1 200 OK\r\nConnection: close\r\n", false, true},
+		{"HTTP/1.1 200 OK\r\nConnection: close\r\n", true, false},
+		{"HTTP/1.1 200 OK\r\nConnection: keep-alive\r\n", false, false},
+		{"HTTP/1.1 200 OK\r\n", false, false},
+		{"HTTP/1.1 200 OK\r\n", true, false},
+		{"HTTP/1.0 200 OK\r\n", false, true},
+		{"HTTP/1.0 200 OK\r\n", true, false},
+	} {
+		server := startEngine(t, func(connection net.Conn, reader *bufio.Reader, _ int64) {
+			if _, _, err := readRequest(reader); err != nil {
+				return
+			}
+			reply(connection, "%s\r\nall of it", row.head)
+			if row.reset {
+				_ = connection.(*net.TCPConn).SetLinger(0)
+			}
+		})
+		body, err := sendAndReadBody(t, server.pool(1), post(""))
+		assert.Equal(t, err == nil, row.whole, "%+v: %v", row, err)
+		if row.whole {
+			assert.Equal(t, body, "all of it")
 		}
-	})
-	pool := server.pool(1)
-	body, err := sendAndReadBody(t, pool, post(""))
-	assert.NilError(t, err)
-	assert.Equal(t, body, "all of it")
-	_, err = sendAndReadBody(t, pool, post(""))
-	assert.Assert(t, err != nil, "a response that ended with a reset is not complete")
+	}
 }
 
 func TestInformationalResponsesAreSkipped(t *testing.T) {
