An interrupted run is announced at once, and a probe asks the engine for its start

A gateway now tells other nodes of an interrupted run before its probe, and they wait for it as for any run in progress.

--- a/internal/dispatch/admission.go
+++ b/internal/dispatch/admission.go
@@ -121,6 +121,16 @@
 	return found.Open
 }
 
+// announceRun tells other nodes, without a wait, that a run of the call was interrupted of which it is not known yet whether it ended its engine,
+// unless they know of the run.
+func (d *Dispatcher) announceRun(ctx context.Context, call *Call) {
+	if call.openRun != "" || !d.registry.ends.Known(call.fingerprint()) {
+		return
+	}
+	call.openRun = newRunName()
+	go d.registry.exchange(context.WithoutCancel(ctx), RunNews{Content: call.fingerprint(), Begun: call.openRun})
+}
+
 // finishRun tells other nodes, without a wait, that the run that the call has begun is not in progress any more.
 func (d *Dispatcher) finishRun(ctx context.Context, call *Call) {
 	if call.openRun == "" {
--- a/internal/dispatch/dispatch.go
+++ b/internal/dispatch/dispatch.go
@@ -66,6 +66,14 @@
 	Classify(response *http.Response, callID string) ResponseClass
 }
 
+// StartReporter is implemented by a Protocol whose engines tell when they started.
+type StartReporter interface {
+	// StartRequest returns the method and the target of the request for it.
+	StartRequest() (method, target string)
+	// StartedMillis returns when the engine started, from a response; 0 if that does not tell. See EngineSpecification.
+	StartedMillis(status int, body []byte) int64
+}
+
 // AttemptInfo describes an attempt to a Protocol.
 type AttemptInfo struct {
 	Engine string
--- a/internal/dispatch/ends.go
+++ b/internal/dispatch/ends.go
@@ -10,10 +10,8 @@
 
 	"github.com/cockroachdb/errors"
 
-	"github.com/mountstile/mountstile/internal/clock"
 	"github.com/mountstile/mountstile/internal/events"
 	"github.com/mountstile/mountstile/internal/fatal"
-	"github.com/mountstile/mountstile/internal/upstream"
 )
 
 // endProof is how the end of an engine was proved.
@@ -27,24 +25,14 @@
 	proofRemoved endProof = "removed"
 	// proofRestarted means that the engine started again under its ID though it did not drain.
 	proofRestarted endProof = "restarted"
+	// proofReborn means that the engine told a probe a later start than the one of its record.
+	proofReborn endProof = "reborn"
 	// proofReported means that another gateway reported the end.
 	proofReported endProof = "reported"
 )
 
 // isOwn reports whether only this gateway knows the proof.
-func (p endProof) isOwn() bool { return p == proofRefused || p == proofReplaced }
-
-const (
-	// probeDelay is how long after an interruption the engine is probed. A process that ends may close its connections shortly
-	// before its listener.
-	probeDelay = 5 * time.Millisecond
-	// surviveDelay is how much longer another connection must stay open to show that the engine has not ended.
-	surviveDelay = 20 * time.Millisecond
-	// probeTimeout bounds a probe.
-	probeTimeout = 250 * time.Millisecond
-	// proveTimeout is how long a call waits for the probe of its engine.
-	proveTimeout = 60 * time.Millisecond
-)
+func (p endProof) isOwn() bool { return p == proofRefused || p == proofReplaced || p == proofReborn }
 
 // Ends returns the tracker of the engines that ended.
 func (r *Registry) Ends() *fatal.Tracker { return r.ends }
@@ -86,8 +74,11 @@
 }
 
 func (r *Registry) proveEnd(now time.Time, id, service string, proof endProof) (requests []string, isNew bool) {
-	if proof == proofRestarted {
-		return r.ends.EngineRestarted(now, id, service)
+	switch proof {
+	case proofRestarted:
+		return r.ends.EngineRestarted(now, id, service, false)
+	case proofReborn:
+		return r.ends.EngineRestarted(now, id, service, true)
 	}
 	return r.ends.EngineEnded(now, id, service, proof == proofRemoved)
 }
@@ -223,6 +214,7 @@
 	time.AfterFunc(sweepDelay, func() { d.registry.ends.Sweep(time.Now()) })
 	if found == disconnection {
 		call.unprobed = engine
+		d.announceRun(ctx, call)
 	}
 }
 
@@ -256,52 +248,6 @@
 	}
 }
 
-// probe finds out whether an engine has ended since a time, and reports whether it has.
-func (d *Dispatcher) probe(ctx context.Context, engine *Engine, since time.Time) (ended bool) {
-	probeContext, cancel := context.WithTimeout(ctx, probeTimeout)
-	defer cancel()
-	clock.Sleep(probeContext, probeDelay)
-	if engine.pool.Survives(since) {
-		// A process that ends closes its connections one after the other.
-		clock.Sleep(probeContext, surviveDelay)
-	}
-	probedAt := time.Now()
-	liveness, err := engine.pool.Probe(probeContext, since)
-	switch {
-	case errors.Is(err, syscall.ECONNREFUSED):
-		d.registry.engineEnded(time.Now(), engine, proofRefused)
-		return true
-	case liveness == upstream.Surviving:
-		d.registry.ends.EngineAlive(probedAt, engine.ID())
-	case liveness == upstream.Accepting:
-		d.registry.engineAccepted(probedAt, engine)
-	}
-	return false
-}
-
-// prove probes the engine of the call's last interruption, and reports whether it was found soon that it has ended.
-func (d *Dispatcher) prove(ctx context.Context, call *Call, outcome attemptOutcome) (ended bool) {
-	engine := call.unprobed
-	if engine == nil {
-		return false
-	}
-	call.unprobed = nil
-	result := make(chan bool, 1)
-	brokenAt := call.brokenAt
-	go func() { result <- d.probe(context.WithoutCancel(ctx), engine, brokenAt) }()
-	if outcome == delivered {
-		return false
-	}
-	timer := time.NewTimer(proveTimeout)
-	defer timer.Stop()
-	select {
-	case ended = <-result:
-	case <-timer.C:
-	case <-ctx.Done():
-	}
-	return ended
-}
-
 // EndsEngines reports whether the request of a call ends the engines that run it. content is called only if there may be any such
 // request.
 func (d *Dispatcher) EndsEngines(callID string, content func() fatal.Key) bool {
--- a/internal/dispatch/engine.go
+++ b/internal/dispatch/engine.go
@@ -75,6 +75,8 @@
 	replaced     bool
 	breaker      breaker
 	latencyRatio latencyRatio
+	// probedStart is the start of the newest life that a probe has met; 0 if none has.
+	probedStart int64
 	// fullUntil is when an engine that refused a call gets calls again.
 	fullUntil time.Time
 }
--- /dev/null
+++ b/internal/dispatch/probe.go
@@ -0,0 +1,157 @@
+package dispatch
+
+import (
+	"context"
+	"io"
+	"net/http"
+	"syscall"
+	"time"
+
+	"github.com/cockroachdb/errors"
+
+	"github.com/mountstile/mountstile/internal/clock"
+	"github.com/mountstile/mountstile/internal/upstream"
+)
+
+const (
+	// probeDelay is how long after an interruption the engine is probed. A process that ends may close its connections shortly
+	// before its listener.
+	probeDelay = 5 * time.Millisecond
+	// probeInterval is the time until the next probe, and how much longer another connection must stay open to show that the engine has
+	// not ended. maxProbes bounds the probes after an interruption.
+	probeInterval = 15 * time.Millisecond
+	maxProbes     = 4
+	// probeTimeout bounds a probe, proveTimeout how long a call waits for it.
+	probeTimeout = 250 * time.Millisecond
+	proveTimeout = 80 * time.Millisecond
+	// maxStartBytes bounds a response that tells when an engine started.
+	maxStartBytes = 64 << 10
+)
+
+// prove probes the engine of the call's last interruption, and reports whether it was found soon that it has ended.
+func (d *Dispatcher) prove(ctx context.Context, call *Call, outcome attemptOutcome) (ended bool) {
+	engine := call.unprobed
+	if engine == nil {
+		return false
+	}
+	call.unprobed = nil
+	result := make(chan bool, 1)
+	brokenAt := call.brokenAt
+	go func() { result <- d.probe(context.WithoutCancel(ctx), engine, brokenAt) }()
+	if outcome == delivered {
+		return false
+	}
+	timer := time.NewTimer(proveTimeout)
+	defer timer.Stop()
+	select {
+	case ended = <-result:
+	case <-timer.C:
+	case <-ctx.Done():
+	}
+	return ended
+}
+
+// probe finds out whether an engine has ended since a time, and reports whether it has. A connection that is refused proves that; one over which
+// the engine had responded, and that is still open, proves that it has not. Otherwise the engine's start decides, for a listening socket may
+// outlive its process.
+func (d *Dispatcher) probe(ctx context.Context, engine *Engine, since time.Time) (ended bool) {
+	probeContext, cancel := context.WithTimeout(ctx, probeTimeout)
+	defer cancel()
+	clock.Sleep(probeContext, probeDelay)
+	for range maxProbes {
+		if engine.pool.Survives(since) {
+			// A process that ends closes its connections one after the other.
+			clock.Sleep(probeContext, probeInterval)
+		}
+		found, probedAt := d.probeOnce(probeContext, engine, since), time.Now()
+		switch found {
+		case engineGone:
+			d.registry.engineEnded(probedAt, engine, proofRefused)
+			return true
+		case engineReborn:
+			d.registry.engineEnded(probedAt, engine, proofReborn)
+			return true
+		case engineSame:
+			d.registry.ends.EngineAlive(probedAt, engine.ID())
+			return false
+		case engineAnswers:
+			d.registry.engineAccepted(probedAt, engine)
+			return false
+		}
+		clock.Sleep(probeContext, probeInterval)
+	}
+	return false
+}
+
+// probeResult is what one probe tells of an engine.
+type probeResult int
+
+const (
+	// probeFailed tells nothing: the connection was cut, as by a process that ends, or there is no response.
+	probeFailed probeResult = iota
+	// engineGone means that nothing listens, engineReborn that the engine has started again.
+	engineGone
+	engineReborn
+	// engineSame means that the same life goes on, engineAnswers that some life does.
+	engineSame
+	engineAnswers
+)
+
+func (d *Dispatcher) probeOnce(ctx context.Context, engine *Engine, since time.Time) probeResult {
+	liveness, err := engine.pool.Probe(ctx, since)
+	switch {
+	case errors.Is(err, syscall.ECONNREFUSED):
+		return engineGone
+	case liveness == upstream.Surviving:
+		return engineSame
+	case liveness != upstream.Accepting:
+		return probeFailed
+	}
+	reporter, ok := d.protocol.(StartReporter)
+	if !ok {
+		return engineAnswers
+	}
+	started, err := requestStart(ctx, reporter, engine)
+	switch {
+	case errors.Is(err, syscall.ECONNREFUSED):
+		return engineGone
+	case err != nil:
+		return probeFailed
+	case started == 0:
+		return engineAnswers
+	}
+	return map[life]probeResult{sameLife: engineSame, newerLife: engineReborn, earlierLife: engineAnswers}[d.registry.noteStart(engine, started)]
+}
+
+func requestStart(ctx context.Context, reporter StartReporter, engine *Engine) (startedMillis int64, err error) {
+	method, target := reporter.StartRequest()
+	exchange, err := engine.pool.Send(ctx, &upstream.Request{Method: method, Target: target, Host: engine.Address(), Header: make(http.Header)})
+	if err != nil {
+		return 0, err
+	}
+	defer exchange.Abort()
+	body, err := io.ReadAll(io.LimitReader(exchange.Response().Body, maxStartBytes))
+	if err != nil {
+		return 0, err
+	}
+	if len(body) < maxStartBytes {
+		exchange.Finish()
+	}
+	return reporter.StartedMillis(exchange.Response().StatusCode, body), nil
+}
+
+// noteStart compares a start that an engine tells with the newest one that is known of it, and remembers it. An engine whose record states no
+// start is taken for one of an unknown life.
+func (r *Registry) noteStart(engine *Engine, startedMillis int64) life {
+	r.mutex.Lock()
+	defer r.mutex.Unlock()
+	known := max(engine.specification.StartedMillis, engine.probedStart)
+	switch {
+	case known == 0 || startedMillis < known:
+		return earlierLife
+	case startedMillis == known:
+		return sameLife
+	}
+	engine.probedStart = startedMillis
+	return newerLife
+}
--- a/internal/dispatch/registry.go
+++ b/internal/dispatch/registry.go
@@ -132,7 +132,7 @@
 		if specification.life(engine.specification, engine.format) == earlierLife {
 			// If the record is a delayed one, the engine's next one replaces it.
 			r.byID[id].returnedAt = now
-		} else if !engine.specification.Draining && engine.removedAt.IsZero() && engine.returnedAt.IsZero() {
+		} else if !engine.specification.Draining && engine.removedAt.IsZero() && engine.returnedAt.IsZero() && engine.probedStart != specification.StartedMillis {
 			ended = engine
 		}
 		r.logger.Emit(events.EngineRestarted, events.F("engine", id), events.F("started_before", engine.specification.StartedMillis),
--- a/internal/fatal/fatal_test.go
+++ b/internal/fatal/fatal_test.go
@@ -258,9 +258,22 @@
 	assert.Assert(t, s.Judge(s.now, s.begin("k", "next")).Fatal)
 }
 
-// Runs after which the engine accepted connections count if it has started again, and only then.
+// Runs after which the engine accepted connections count if it has started again, and only then: one for each new life that its record
+// tells of, all if a probe has followed each of them.
 func TestRestartedEngineEndedUnderRunsThatWereFollowedByConnections(t *testing.T) {
-	for _, restarted := range []bool{true, false} {
+	for _, row := range []struct {
+		prove    func(s *scene)
+		expected int
+	}{
+		{func(s *scene) { s.EngineEnded(s.now, "e", "models", false) }, 0},
+		{func(s *scene) { s.EngineRestarted(s.now, "e", "models", true) }, 3},
+		{func(s *scene) { s.EngineRestarted(s.now, "e", "models", false) }, 1},
+		{func(s *scene) {
+			for range 3 {
+				s.EngineRestarted(s.now, "e", "models", false)
+			}
+		}, 3},
+	} {
 		s := newScene()
 		call := s.begin("k", "r1")
 		for number := range 3 {
@@ -271,12 +284,10 @@
 		}
 		ended, possible := s.Risk(s.now, "k", proofWindow)
 		assert.DeepEqual(t, []int{ended, possible}, []int{0, 3})
-		if restarted {
-			s.EngineRestarted(s.now, "e", "models")
-		} else {
-			s.EngineEnded(s.now, "e", "models", false)
-		}
-		assert.Equal(t, s.Judge(s.now, call).Fatal, restarted)
+		row.prove(s)
+		ended, _ = s.Risk(s.now, "k", proofWindow)
+		assert.Equal(t, ended, row.expected)
+		assert.Equal(t, s.Judge(s.now, call).Fatal, row.expected == 3)
 	}
 }
 
--- a/internal/fatal/tracker.go
+++ b/internal/fatal/tracker.go
@@ -355,12 +355,16 @@
 	return t.noteEnd(now, engine, service, late, requests)
 }
 
-// EngineRestarted is like EngineEnded for an engine that has started again under its ID. Runs after which it accepted connections count,
-// too: each may have ended a life of it.
-func (t *Tracker) EngineRestarted(now time.Time, engine, service string) (requests []string, isNew bool) {
+// EngineRestarted is like EngineEnded for an engine that has started again under its ID, also if it accepted connections since. probed is set
+// if a probe that followed each interruption shows that: all that are pending then belong to the life that has ended. Otherwise one end
+// explains one of them.
+func (t *Tracker) EngineRestarted(now time.Time, engine, service string, probed bool) (requests []string, isNew bool) {
 	t.mutex.Lock()
 	defer t.mutex.Unlock()
-	requests = t.provePending(now, engine, (*request).proveRestart)
+	requests = t.provePending(now, engine, func(known *request, now time.Time, engine string) []string {
+		return known.proveRestart(now, engine, probed)
+	})
+	t.keepPending(engine)
 	return t.noteEnd(now, engine, service, true, requests)
 }
 
@@ -376,6 +380,18 @@
 	return requests
 }
 
+// keepPending indexes the requests with runs that are still pending at an engine. The caller holds the mutex.
+func (t *Tracker) keepPending(engine string) {
+	for key, known := range t.requests {
+		if known.isPendingAt(engine) {
+			if t.pending[engine] == nil {
+				t.pending[engine] = make(keySet)
+			}
+			t.pending[engine][key] = struct{}{}
+		}
+	}
+}
+
 // noteEnd records the end of an engine. It returns the requests that it ran, a bounded number of them, and whether the end was not known
 // yet. The caller holds the mutex.
 func (t *Tracker) noteEnd(now time.Time, engine, service string, late bool, proved []string) (requests []string, isNew bool) {
@@ -450,9 +466,21 @@
 }
 
 // proveRestart records that an engine has ended and started again, and returns the calls whose runs that explains.
-func (r *request) proveRestart(now time.Time, engine string) (calls []string) {
+func (r *request) proveRestart(now time.Time, engine string, probed bool) (calls []string) {
 	r.dropPending(engine, now.Add(-proofWindow))
-	return r.endPending(engine)
+	if probed {
+		return r.endPending(engine)
+	}
+	counted := make(map[uint32]bool)
+	for index := range r.runs {
+		interrupted := &r.runs[index]
+		if interrupted.pendingAt(engine) && !counted[interrupted.call] {
+			counted[interrupted.call] = true
+			interrupted.ended = true
+			calls = append(calls, interrupted.request)
+		}
+	}
+	return calls
 }
 
 // proveEnd records that an engine has ended, and returns the calls whose runs that explains. A run does not count if the engine has run
