node program: a call stops after three engines have ended under it, over all nodes

Callers that sent a call to three nodes ended 7 and 8 engines with it (TestFatalCallStopsAfterThreeEngines, each run). The node program counted attempts in one call only.

--- a/internal/gateway/application.go
+++ b/internal/gateway/application.go
@@ -11,6 +11,7 @@
 	"github.com/mountstile/mountstile/internal/apierr"
 	"github.com/mountstile/mountstile/internal/coordinator"
 	"github.com/mountstile/mountstile/internal/engine"
+	"github.com/mountstile/mountstile/internal/fatal"
 	"github.com/mountstile/mountstile/internal/program"
 	"github.com/mountstile/mountstile/internal/resource"
 )
@@ -75,6 +76,9 @@
 		forwarded: forwardedRequest(r, body, ident),
 	}
 	call.begin = call.beginRequest(r, partitionID, caller.tenant, body)
+	call.contentKey = func() fatal.Key {
+		return contentOfCall(caller.name, name, program.HistoryMark{}, r.Method, r.URL.RequestURI(), body)
+	}
 	return call, nil
 }
 
@@ -143,10 +147,12 @@
 	w.Header().Set(HeaderEngine, target.Name)
 	request := e.forwarded
 	request.CallID, request.Attempt = response.CallID, response.Attempt
+	sentAt := time.Now()
 	received, err := e.gateway.options.Applications.Do(ctx, target, request)
 	abandoned := err != nil && ctx.Err() != nil
 	// A commit may have to wait for the partition's leader, so the slot is freed first.
 	e.release(target, response.CallID, err != nil && !abandoned, 0)
+	e.attempted(ctx, target, sentAt, err)
 	if err == nil {
 		answer := program.Answer{Status: received.Status, Header: received.Header, Body: received.Body, Trailer: received.Trailer}
 		return e.commitAnswer(ctx, response, answer)
--- a/internal/gateway/chat.go
+++ b/internal/gateway/chat.go
@@ -8,6 +8,7 @@
 	"github.com/mountstile/mountstile/internal/apierr"
 	"github.com/mountstile/mountstile/internal/coordinator"
 	"github.com/mountstile/mountstile/internal/engine"
+	"github.com/mountstile/mountstile/internal/fatal"
 	"github.com/mountstile/mountstile/internal/program"
 	"github.com/mountstile/mountstile/internal/resource"
 )
@@ -137,6 +138,9 @@
 		request:   request,
 	}
 	execution.begin = execution.beginRequest(partitionID, caller.tenant, bodyHash(body))
+	execution.contentKey = func() fatal.Key {
+		return contentOfCall(caller.name, name, execution.begin.Admit.Base, request.Model, request.MaxTokens, request.Messages, request.Parameters)
+	}
 	return execution, nil
 }
 
--- a/internal/gateway/chat_execution.go
+++ b/internal/gateway/chat_execution.go
@@ -172,9 +172,11 @@
 		return nil, e.retryRequest(response, true), nil
 	}
 	w.Header().Set(HeaderEngine, target.Name)
+	sentAt := time.Now()
 	err := e.stream(ctx, w, target, response)
 	abandoned := err != nil && ctx.Err() != nil
 	e.release(target, response.CallID, !abandoned && engineFailed(err), e.stepTimer.StepTime())
+	e.attempted(ctx, target, sentAt, err)
 	switch {
 	case err == nil:
 		return e.commit(ctx, response)
--- a/internal/gateway/execution.go
+++ b/internal/gateway/execution.go
@@ -9,6 +9,7 @@
 	"github.com/mountstile/mountstile/internal/coordinator"
 	"github.com/mountstile/mountstile/internal/engine"
 	"github.com/mountstile/mountstile/internal/events"
+	"github.com/mountstile/mountstile/internal/fatal"
 	"github.com/mountstile/mountstile/internal/owner"
 	"github.com/mountstile/mountstile/internal/program"
 	"github.com/mountstile/mountstile/internal/resource"
@@ -29,6 +30,11 @@
 	joined bool
 	// avoid are the engines on which the call has failed.
 	avoid []string
+	// contentKey returns the key of the call's content. ends follows the ends of engines under the call, from the first attempt on.
+	contentKey func() fatal.Key
+	ends       *callEnds
+	// lastSoftware is the software version of the last engine.
+	lastSoftware string
 	// refusals counts the attempts that were refused because the engine had not loaded the model.
 	refusals int
 }
@@ -45,6 +51,14 @@
 // runAttempts admits a call and makes attempts until one is committed or the coordinator refuses another.
 func (e *execution) runAttempts(ctx context.Context, w http.ResponseWriter, admit func(context.Context) (coordinator.BeginResponse, error), try attempt) (*program.Answer, error) {
 	defer e.holdExecution()()
+	answer, err := e.attemptUntilDone(ctx, w, admit, try)
+	if e.ends != nil {
+		e.ends.ended(ctx, e.lastSoftware, err == nil && !e.joined)
+	}
+	return answer, err
+}
+
+func (e *execution) attemptUntilDone(ctx context.Context, w http.ResponseWriter, admit func(context.Context) (coordinator.BeginResponse, error), try attempt) (*program.Answer, error) {
 	requestedAt := time.Now()
 	response, err := admit(ctx)
 	sent := false
@@ -69,6 +83,9 @@
 		// The call may have been admitted by an earlier request with the same key.
 		e.begin.Admit.CallID = response.CallID
 		w.Header().Set(HeaderCall, response.CallID)
+		if e.endsItsEngines(ctx, response) {
+			return nil, e.endsEngines(ctx, response)
+		}
 		sent = true
 		answer, retry, failure := try(ctx, w, response, requestedAt)
 		if retry == nil {
@@ -82,6 +99,25 @@
 	}
 }
 
+// endsItsEngines reports whether the call ends the engines that run it.
+func (e *execution) endsItsEngines(ctx context.Context, response coordinator.BeginResponse) bool {
+	if e.gateway.options.Ends == nil {
+		return false
+	}
+	if e.ends == nil {
+		e.ends = e.gateway.options.Ends.follow(response.CallID, e.contentKey())
+	}
+	e.lastSoftware = response.Engine.Software
+	return e.ends.admit(ctx)
+}
+
+// attempted records the result of an attempt that began at a time.
+func (e *execution) attempted(ctx context.Context, target engine.Target, sentAt time.Time, err error) {
+	if e.ends != nil {
+		e.ends.attempted(ctx, target, sentAt, err)
+	}
+}
+
 // routingFailure returns the error of a request to the coordinator for the caller. A call without an idempotency key is sent to
 // engines by this gateway only. If the gateway gives up before it has got an engine, the call has not run, whether or not it was
 // admitted: the coordinator ends an admitted call that no gateway executes.
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -62,8 +62,10 @@
 	Pauses       *PauseDetector
 	AnswerRelay  *AnswerRelay
 	Executions   *coordinator.Executions
-	Metrics      *Metrics
-	Logger       *events.Logger
+	// Ends knows the engines that ended under calls; nil to send calls on whatever ended.
+	Ends    *EngineEnds
+	Metrics *Metrics
+	Logger  *events.Logger
 	// MaxBodyBytes is the maximum size of a request body.
 	MaxBodyBytes int64
 }
