Streams don't go to an engine of which only an earlier life is known

Cause: a proved end of an engine closed a breaker at most; what answered next was taken for the life that the record describes. A life that has ended is marked now, and streams neither begin nor go on at that engine until its record tells of another start or a probe finds the same one; other calls are not held up, and streams go there if there is nothing else. The news of an end names the life (its start), so that late news doesn't mark the next one; builds that don't know it read the key only, and their news marks nothing.

TestStreamsWaitForTheRecordOfAnEngineThatEnded.

--- a/internal/catalog/publish.go
+++ b/internal/catalog/publish.go
@@ -75,12 +75,21 @@
 }
 
 // EngineEnd returns an entry of EngineEndKind that replaces the one that is known. Nodes that publish the same end at once publish the
-// same entry.
-func (m *Manager) EngineEnd(engine string) Entry {
+// same entry. startedMillis tells which life has ended; builds that don't know it read the key only.
+func (m *Manager) EngineEnd(engine string, startedMillis int64) Entry {
 	key := Key(EngineEndKind, engine)
 	m.mutex.Lock()
 	defer m.mutex.Unlock()
-	return Entry{Key: key, Revision: m.state.Revision(key) + 1, Value: json.RawMessage("true")}
+	return Entry{Key: key, Revision: m.state.Revision(key) + 1, Value: json.RawMessage(strconv.FormatInt(startedMillis, 10))}
+}
+
+// EndedLife returns which life an entry of EngineEndKind tells of: the start of the engine, or 0 if a build has published it that does not
+// tell.
+func EndedLife(entry Entry) (startedMillis int64) {
+	if json.Unmarshal(entry.Value, &startedMillis) != nil {
+		return 0
+	}
+	return startedMillis
 }
 
 // Withdrawn returns the tombstone of an entry of FatalRequestKind.
--- a/internal/catalog/publish_test.go
+++ b/internal/catalog/publish_test.go
@@ -41,11 +41,11 @@
 // Nodes that publish the same end of an engine at once publish the same entry; the next end is another one.
 func TestEndsOfAnEngineHaveRisingRevisions(t *testing.T) {
 	node := startNode(t, false, func() []transport.Peer { return nil })
-	first := node.manager.EngineEnd("e1")
-	assert.DeepEqual(t, node.manager.EngineEnd("e1"), first)
+	first := node.manager.EngineEnd("e1", 0)
+	assert.DeepEqual(t, node.manager.EngineEnd("e1", 0), first)
 	node.manager.Apply([]Entry{first})
-	assert.Equal(t, node.manager.EngineEnd("e1").Revision, first.Revision+1)
-	assert.Equal(t, node.manager.EngineEnd("e2").Revision, first.Revision)
+	assert.Equal(t, node.manager.EngineEnd("e1", 0).Revision, first.Revision+1)
+	assert.Equal(t, node.manager.EngineEnd("e2", 0).Revision, first.Revision)
 }
 
 // A node can't publish entries of the kinds that come from the store, nor large ones.
--- a/internal/dispatch/ends.go
+++ b/internal/dispatch/ends.go
@@ -29,6 +29,8 @@
 	proofReborn endProof = "reborn"
 	// proofReported means that another gateway reported the end.
 	proofReported endProof = "reported"
+	// proofReportedUnnamed is the same without the life that has ended: it may be an earlier one.
+	proofReportedUnnamed endProof = "reported_unnamed"
 )
 
 // isOwn reports whether only this gateway knows the proof.
@@ -59,7 +61,10 @@
 // engineEnded records that an engine has ended.
 func (r *Registry) engineEnded(now time.Time, engine *Engine, proof endProof) {
 	r.mutex.Lock()
-	id, service := engine.ID(), engine.specification.Service
+	id, service, started := engine.ID(), engine.specification.Service, engine.specification.StartedMillis
+	if started > 0 && (proof == proofRefused || proof == proofReborn || proof == proofReported) {
+		engine.lifeEndedAt = now
+	}
 	r.mutex.Unlock()
 	requests, isNew := r.proveEnd(now, id, service, proof)
 	if isNew {
@@ -68,7 +73,7 @@
 	}
 	news := EndNews{}
 	if isNew && proof.isOwn() {
-		news.Engine = id
+		news.Engine, news.StartedMillis = id, started
 	}
 	r.shareEnds(now, news)
 }
@@ -98,8 +103,10 @@
 
 // EndNews is what other gateways have to know of ends of engines.
 type EndNews struct {
-	// Engine is the ID of an engine that has ended; empty if there is none.
-	Engine string
+	// Engine is the ID of an engine that has ended; empty if there is none. StartedMillis is the start of the life that has ended; see
+	// EngineSpecification.
+	Engine        string
+	StartedMillis int64
 	// Reports are ends of engines under requests, Withdrawn the names of earlier reports that don't count any more.
 	Reports   []fatal.Report
 	Withdrawn []string
@@ -147,14 +154,21 @@
 // ApplyReport records that an engine ended under a request at another gateway.
 func (r *Registry) ApplyReport(report fatal.Report) { r.ends.Apply(time.Now(), report) }
 
-// ApplyEnd records that an engine has ended, as another gateway found out.
-func (r *Registry) ApplyEnd(id string) {
+// ApplyEnd records that a life of an engine has ended, as another gateway found out. startedMillis is 0 if that is a build that does not
+// tell which.
+func (r *Registry) ApplyEnd(id string, startedMillis int64) {
 	r.mutex.Lock()
 	engine := r.byID[id]
+	isOther := engine != nil && startedMillis > 0 && engine.specification.StartedMillis != startedMillis
 	r.mutex.Unlock()
-	if engine != nil {
-		r.engineEnded(time.Now(), engine, proofReported)
+	if engine == nil || isOther {
+		return
+	}
+	proof := proofReported
+	if startedMillis == 0 {
+		proof = proofReportedUnnamed
 	}
+	r.engineEnded(time.Now(), engine, proof)
 }
 
 // leaving reports whether an engine ends as planned.
@@ -237,7 +251,7 @@
 		}
 		return
 	case gone:
-		d.registry.engineEnded(time.Now(), engine, proofRefused)
+		d.engineRefused(engine)
 	case misdirected:
 		d.registry.engineEnded(time.Now(), engine, proofReplaced)
 	default:
--- a/internal/dispatch/ends_test.go
+++ b/internal/dispatch/ends_test.go
@@ -30,14 +30,14 @@
 		"refused":  func(d *Dispatcher, call *Call) { d.recordEnd(call, d.registry.byID["e0"], gone) },
 		"replaced": func(d *Dispatcher, call *Call) { d.recordEnd(call, d.registry.byID["e0"], misdirected) },
 		"removed":  func(d *Dispatcher, _ *Call) { applyEngine(t, d.registry, "e0", 10, false) },
-		"reported": func(d *Dispatcher, _ *Call) { d.registry.ApplyEnd("e0") },
+		"reported": func(d *Dispatcher, _ *Call) { d.registry.ApplyEnd("e0", 0) },
 	} {
 		dispatcher, call := interruptedCall(t, registryOf(t, "a", "a", "a"), "e0")
 		ended, unexplained := dispatcher.registry.ends.Ends(time.Now(), call.tracked())
 		assert.DeepEqual(t, []int{ended, unexplained}, []int{0, 1})
 		dispatcher.recordEnd(call, dispatcher.registry.byID["e1"], gone)
 		dispatcher.recordEnd(call, dispatcher.registry.byID["e1"], refused)
-		dispatcher.registry.ApplyEnd("unknown")
+		dispatcher.registry.ApplyEnd("unknown", 0)
 		prove(dispatcher, call)
 		ended, unexplained = dispatcher.registry.ends.Ends(time.Now(), call.tracked())
 		assert.DeepEqual(t, []int{ended, unexplained}, []int{1, 0})
@@ -116,7 +116,7 @@
 	assert.Equal(t, shared[0].Engine, "e0")
 	first := shared[0].Reports[0]
 	assert.Equal(t, first.Engine(), "e0")
-	registry.ApplyEnd("e1")
+	registry.ApplyEnd("e1", 0)
 	assert.Equal(t, len(shared), 1, "an end that was reported is reported again")
 	// Builds that count an end only once its call has failed get another report then.
 	dispatcher.finishCall(t.Context(), call, errInvalid)
--- a/internal/dispatch/engine.go
+++ b/internal/dispatch/engine.go
@@ -77,6 +77,9 @@
 	latencyRatio latencyRatio
 	// probedStart is the start of the newest life that a probe has met; 0 if none has.
 	probedStart int64
+	// lifeEndedAt is when it was found that the life that the record describes has ended; zero unless it was. Whatever answers at the
+	// address since may have other software.
+	lifeEndedAt time.Time
 	// fullUntil is when an engine that refused a call gets calls again.
 	fullUntil time.Time
 }
@@ -165,6 +168,14 @@
 	return present
 }
 
+// unknownLifeTTL is how long an engine whose known life has ended counts as one of another life, unless its record or a probe decides before.
+const unknownLifeTTL = 30 * time.Second
+
+// softwareUnknown reports whether the engine may run other software than its record states.
+func (e *Engine) softwareUnknown(now time.Time) bool {
+	return !e.lifeEndedAt.IsZero() && now.Sub(e.lifeEndedAt) < unknownLifeTTL
+}
+
 // usable reports whether the engine may get new work.
 func (e *Engine) usable(now time.Time, last outage) bool {
 	return e.recorded(now, last) && e.trusted(now) && !e.specification.Draining && e.breaker.allows(now) && !now.Before(e.fullUntil)
--- a/internal/dispatch/life_test.go
+++ b/internal/dispatch/life_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"encoding/json"
+	"slices"
 	"testing"
 	"time"
 
@@ -102,3 +103,45 @@
 		assert.Equal(t, registry.byID["e0"] != earlier, format == EngineFormat, "format %d", format)
 	}
 }
+
+// Guards against streams that begin or go on at an engine that started again with other software, of which its record does not tell yet.
+func TestStreamsWaitForTheRecordOfAnEngineThatEnded(t *testing.T) {
+	registry := NewRegistry("a", noDial, events.Discard())
+	applyLife(t, registry, 10, EngineFormat, startedAt(1000, false))
+	other := EngineSpecification{ID: "e1", Service: "s", Address: "127.0.0.1:2", Zone: "a", Software: "v1", Slots: 8, StartedMillis: 5}
+	value, err := json.Marshal(other)
+	assert.NilError(t, err)
+	registry.Apply(catalog.Entry{Key: catalog.Key(catalog.EngineKind, "e1"), Revision: 10, Format: EngineFormat, Value: value})
+	stream := Placement{Service: "s", SoftwareMatters: true}
+	pinned := Placement{Service: "s", SoftwareMatters: true, Pinned: true, Software: "v1"}
+	chosen := func(placement Placement) (ids []string) {
+		registry.mutex.Lock()
+		defer registry.mutex.Unlock()
+		for _, engine := range registry.candidates(time.Now(), placement) {
+			ids = append(ids, engine.ID())
+		}
+		slices.Sort(ids)
+		return ids
+	}
+	assert.DeepEqual(t, chosen(stream), []string{"e0", "e1"})
+
+	earlier := registry.byID["e0"]
+	registry.engineEnded(time.Now(), earlier, proofRefused)
+	assert.DeepEqual(t, chosen(stream), []string{"e1"})
+	assert.DeepEqual(t, chosen(pinned), []string{"e1"})
+	// Other calls go to either.
+	assert.DeepEqual(t, chosen(Placement{Service: "s"}), []string{"e0", "e1"})
+	assert.Equal(t, registry.acquire(earlier, pinned, &Trace{}), absent)
+	assert.Equal(t, registry.noteStart(earlier, 1000), sameLife)
+	// A probe has shown that the same life goes on.
+	assert.DeepEqual(t, chosen(stream), []string{"e0", "e1"})
+
+	registry.ApplyEnd("e0", 999)
+	// News of an earlier life.
+	assert.DeepEqual(t, chosen(stream), []string{"e0", "e1"})
+	registry.ApplyEnd("e0", 1000)
+	assert.DeepEqual(t, chosen(stream), []string{"e1"})
+	applyLife(t, registry, 11, EngineFormat, startedAt(2000, false))
+	// Its record tells of the next life.
+	assert.DeepEqual(t, chosen(stream), []string{"e0", "e1"})
+}
--- a/internal/dispatch/placement.go
+++ b/internal/dispatch/placement.go
@@ -62,6 +62,9 @@
 	// since the output of different versions can't be joined.
 	Pinned   bool
 	Software string
+	// SoftwareMatters is set for streams, which only engines of one software version can continue. They don't go to an engine of which it
+	// is not known.
+	SoftwareMatters bool
 	// Isolated keeps the call from engines that run another isolated call, if there are others, and chooses among the rest at
 	// random. If an engine ends, most likely only one of the calls that may have caused it is isolated.
 	Isolated bool
@@ -70,6 +73,11 @@
 // allows reports whether the call may run at an engine with a version of its software.
 func (p Placement) allows(software string) bool { return !p.Pinned || software == p.Software }
 
+// allowsEngine reports whether the call may run at an engine, as far as its software is known.
+func (p Placement) allowsEngine(now time.Time, engine *Engine) bool {
+	return p.allows(engine.specification.Software) && !(p.SoftwareMatters && engine.softwareUnknown(now))
+}
+
 // Prompt is the structure of a prompt. The zero value stands for an unknown prompt.
 type Prompt struct {
 	// SharedPrefix identifies the first part, which prompts of other programs also begin with.
@@ -139,10 +147,14 @@
 	if placement.Pinned {
 		return r.pinnedCandidates(now, placement)
 	}
-	var usable, fallback, awaited []*Engine
+	var usable, fallback, awaited, unknown []*Engine
 	for id, engine := range r.services[placement.Service] {
 		switch {
 		case placement.Excluded[id]:
+		case !placement.allowsEngine(now, engine):
+			if engine.usable(now, r.outage) {
+				unknown = append(unknown, engine)
+			}
 		case engine.usable(now, r.outage) && r.waiting[softwareKey{placement.Service, engine.specification.Software}] > 0:
 			awaited = append(awaited, engine)
 		case engine.usable(now, r.outage):
@@ -154,6 +166,9 @@
 	if len(usable) == 0 {
 		usable = awaited
 	}
+	if len(usable)+len(fallback) == 0 {
+		return unknown
+	}
 	if len(fallback) > len(usable) {
 		// Engines that leave lose their records one by one. If most records are missing, the store was
 		// unavailable, and the few engines that still have one must not get all the work.
@@ -182,7 +197,7 @@
 	var usable, present []*Engine
 	for id, engine := range r.services[placement.Service] {
 		switch {
-		case placement.Excluded[id] || !placement.allows(engine.specification.Software):
+		case placement.Excluded[id] || !placement.allowsEngine(now, engine):
 		case engine.usable(now, r.outage):
 			usable = append(usable, engine)
 		case engine.mayContinue(now, r.outage):
@@ -200,7 +215,7 @@
 	r.mutex.Lock()
 	defer r.mutex.Unlock()
 	for id, engine := range r.services[placement.Service] {
-		if !placement.Excluded[id] && placement.allows(engine.specification.Software) && engine.presence(now, r.outage) == present {
+		if !placement.Excluded[id] && placement.allowsEngine(now, engine) && engine.presence(now, r.outage) == present {
 			return true
 		}
 	}
--- a/internal/dispatch/probe.go
+++ b/internal/dispatch/probe.go
@@ -24,6 +24,8 @@
 	// probeTimeout bounds a probe, proveTimeout how long a call waits for it.
 	probeTimeout = 250 * time.Millisecond
 	proveTimeout = 80 * time.Millisecond
+	// reprobeInterval is the time between probes of an engine whose known life seems to have ended.
+	reprobeInterval = time.Second
 	// maxStartBytes bounds a response that tells when an engine started.
 	maxStartBytes = 64 << 10
 )
@@ -66,7 +68,7 @@
 		found, probedAt := d.probeOnce(probeContext, engine, since), time.Now()
 		switch found {
 		case engineGone:
-			d.registry.engineEnded(probedAt, engine, proofRefused)
+			d.engineRefused(engine)
 			return true
 		case engineReborn:
 			d.registry.engineEnded(probedAt, engine, proofReborn)
@@ -83,6 +85,28 @@
 	return false
 }
 
+// engineRefused records that an engine refused a connection.
+func (d *Dispatcher) engineRefused(engine *Engine) {
+	d.registry.engineEnded(time.Now(), engine, proofRefused)
+	time.AfterFunc(reprobeInterval, func() { d.reprobe(engine) })
+}
+
+// reprobe asks an engine whose known life seems to have ended for its start until that is decided: one that refuses connections for a while
+// would not get streams again otherwise.
+func (d *Dispatcher) reprobe(engine *Engine) {
+	d.registry.mutex.Lock()
+	decided := engine.replaced || !engine.removedAt.IsZero() || !engine.softwareUnknown(time.Now())
+	d.registry.mutex.Unlock()
+	if decided {
+		return
+	}
+	ctx, cancel := context.WithTimeout(context.Background(), probeTimeout)
+	defer cancel()
+	if d.probeOnce(ctx, engine, time.Now()) != engineReborn {
+		time.AfterFunc(reprobeInterval, func() { d.reprobe(engine) })
+	}
+}
+
 // probeResult is what one probe tells of an engine.
 type probeResult int
 
@@ -150,6 +174,10 @@
 	case known == 0 || startedMillis < known:
 		return earlierLife
 	case startedMillis == known:
+		if engine.specification.StartedMillis == known {
+			// The refusal that seemed to show its end was a passing one.
+			engine.lifeEndedAt = time.Time{}
+		}
 		return sameLife
 	}
 	engine.probedStart = startedMillis
--- a/internal/dispatch/registry.go
+++ b/internal/dispatch/registry.go
@@ -336,10 +336,11 @@
 func (r *Registry) acquire(engine *Engine, placement Placement, trace *Trace) presence {
 	r.mutex.Lock()
 	defer r.mutex.Unlock()
-	if !placement.allows(engine.specification.Software) {
+	now := time.Now()
+	if !placement.allowsEngine(now, engine) {
 		return absent
 	}
-	found := engine.presence(time.Now(), r.outage)
+	found := engine.presence(now, r.outage)
 	if found == present {
 		trace.Engine = engine.ID()
 		trace.Software = engine.specification.Software
--- a/internal/ingress/node.go
+++ b/internal/ingress/node.go
@@ -147,7 +147,7 @@
 		n.applySet(entry)
 	case catalog.EngineEndKind:
 		_, id := catalog.SplitKey(entry.Key)
-		n.registry.ApplyEnd(id)
+		n.registry.ApplyEnd(id, catalog.EndedLife(entry))
 	case catalog.FatalRequestKind:
 		n.applyReport(entry)
 	case catalog.ConfigurationKind:
@@ -186,7 +186,7 @@
 func (n *Node) shareEnds(news dispatch.EndNews) {
 	entries := n.encodeReports(news.Reports)
 	if news.Engine != "" {
-		entries = append(entries, n.catalog.EngineEnd(news.Engine))
+		entries = append(entries, n.catalog.EngineEnd(news.Engine, news.StartedMillis))
 	}
 	for _, name := range news.Withdrawn {
 		entries = append(entries, catalog.Withdrawn(name))
--- a/internal/ingress/server.go
+++ b/internal/ingress/server.go
@@ -329,6 +329,7 @@
 		call.Placement.Preferred = r.opened.Engine
 	}
 	if r.route.Kind() == routing.Stream {
+		call.Placement.SoftwareMatters = true
 		return r.relayStream(ctx, call)
 	}
 	return r.relayBuffered(ctx, call)
