Ends that are known before a run breaks count, and a gateway that starts asks most replicas for all ends

Traced: - gateways paused in turn: the record of the ended engine had gone before the gateway noticed that its run was cut, and an engine without a record was taken for one that leaves as planned. Only a draining one is now. - tries that follow each other: a run was given up at its deadline, long after the news that its engine had ended. Such news counts now. - all gateways killed after each try: the replica that a started gateway follows may lack what the others know. It asks most of them for all ends before it is ready. At load 20 two more cases: an end was dismissed because the dying engine still answered the first probe 5 ms later (two probes must agree now, 15 ms apart), and a fresh try came between the first and the second end, of which only the replicas knew: the first end under a content is shared with all gateways at once, and withdrawals are kept for 30 s so that they leave room for others.

--- a/internal/catalog/board.go
+++ b/internal/catalog/board.go
@@ -10,6 +10,8 @@
 	maxBoardContents = 2048
 	maxBoardEntries  = 32
 	maxBoardRuns     = 32
+	// maxAllEntries bounds the entries of all contents in one response.
+	maxAllEntries = 1024
 	// openRunTTL is how long a run that was begun and not finished is counted: the node that began it may have ended.
 	openRunTTL = time.Second
 	// lastingRunsTTL is how long a report of runs in progress is used.
@@ -118,6 +120,18 @@
 	return slices.Clone(known.entries), valid
 }
 
+// allEntries returns the entries of all contents that are not withdrawn, a bounded number of them.
+func (b *board) allEntries() (all []Entry) {
+	for _, known := range b.contents {
+		for _, entry := range known.entries {
+			if !entry.Removed() && len(all) < maxAllEntries {
+				all = append(all, entry)
+			}
+		}
+	}
+	return all
+}
+
 // begin records a run in progress.
 func (b *board) begin(now time.Time, key, run string) {
 	b.finish(key, run)
--- a/internal/catalog/catalog.go
+++ b/internal/catalog/catalog.go
@@ -155,7 +155,7 @@
 	for key, stored := range s.entries {
 		published := !stored.publishedAt.IsZero()
 		switch {
-		case published && now.Sub(stored.publishedAt) > publishedTTL:
+		case published && (now.Sub(stored.publishedAt) > publishedTTL || (stored.entry.Removed() && now.Sub(stored.removedAt) > withdrawnTTL)):
 			s.published--
 			delete(s.entries, key)
 		case !published && !stored.removedAt.IsZero() && now.Sub(stored.removedAt) > tombstoneTTL:
--- a/internal/catalog/exchange.go
+++ b/internal/catalog/exchange.go
@@ -44,7 +44,7 @@
 func (m *Manager) Exchange(ctx context.Context, replicas []transport.Peer, evidence Evidence) (found Findings) {
 	request := publishRequest{Entries: evidence.Entries, Content: evidence.Content, Begun: evidence.Begun, Finished: evidence.Finished, Lasting: evidence.Lasting}
 	own, news := m.recordPublished(m.network.NodeID(), request)
-	m.Apply(news.shared)
+	m.Apply(news)
 	found = Findings{Open: own.Open, Lasting: own.Lasting}
 	patience := replicaPatience
 	if m.replicasSilent() {
@@ -70,6 +70,17 @@
 	return found
 }
 
+// AdoptReports takes over what most replicas know of ends of engines, and reports whether they have answered. A node does so when it starts: the
+// replica that it follows may not have all of it.
+func (m *Manager) AdoptReports(ctx context.Context, replicas []transport.Peer) bool {
+	needed := len(replicas)/2 + 1
+	answers := m.askAll(ctx, replicas, publishRequest{All: true}, needed, publishTimeout)
+	for _, answer := range answers {
+		m.adopt(answer.Entries)
+	}
+	return len(answers) >= needed
+}
+
 // otherRuns returns the distinct names of runs, except those that the evidence is about.
 func otherRuns(names []string, evidence Evidence) []string {
 	slices.Sort(names)
@@ -114,7 +125,7 @@
 func (m *Manager) adopt(entries []Entry) {
 	valid := slices.DeleteFunc(entries, func(entry Entry) bool { return !entry.publishable() })
 	_, news := m.recordPublished(m.network.NodeID(), publishRequest{Entries: valid})
-	m.Apply(news.shared)
+	m.Apply(news)
 }
 
 // forward passes news on to the neighbours, except the one from which it came.
--- a/internal/catalog/exchange_test.go
+++ b/internal/catalog/exchange_test.go
@@ -32,20 +32,16 @@
 	assert.DeepEqual(t, found, Findings{})
 }
 
-// A replica shares an end with all nodes once a second one has come under the same content: most requests meet one only.
-func TestFirstEndUnderAContentIsNotSharedWithAllNodes(t *testing.T) {
+// A node that starts learns of all ends that most replicas know.
+func TestStartingNodeAdoptsReports(t *testing.T) {
 	replica := startReplica(t, true, nil, func() []transport.Peer { return nil })
-	replica.manager.options.ShareReportsFrom = 2
 	publisher := startNode(t, false, func() []transport.Peer { return nil })
-	first, second := FatalRequest("key/1", []byte("1")), FatalRequest("key/2", []byte("1"))
-	for number, published := range []Entry{first, FatalRequest("another key/1", []byte("1")), second} {
-		assert.NilError(t, publisher.manager.Publish(context.Background(), peersAt(replica.address), []Entry{published}))
-		assert.Equal(t, replica.revision(first.Key) > 0, number == 2)
-	}
-	assert.Equal(t, replica.revision(second.Key), int64(1))
-	// A withdrawal reaches those who were told.
-	assert.NilError(t, publisher.manager.Publish(context.Background(), peersAt(replica.address), []Entry{Withdrawn("key/1")}))
-	assert.Equal(t, replica.revision(first.Key), int64(withdrawnRevision))
+	first, second, withdrawn := FatalRequest("one/1", []byte("1")), FatalRequest("two/1", []byte("1")), FatalRequest("three/1", []byte("1"))
+	assert.NilError(t, publisher.manager.Publish(context.Background(), peersAt(replica.address), []Entry{first, second, withdrawn, Withdrawn("three/1")}))
+	starting := startNode(t, false, func() []transport.Peer { return nil })
+	assert.Assert(t, starting.manager.AdoptReports(context.Background(), peersAt(replica.address)))
+	assert.DeepEqual(t, []int64{starting.revision(first.Key), starting.revision(second.Key), starting.revision(withdrawn.Key)}, []int64{1, 1, 0})
+	assert.Assert(t, !starting.manager.AdoptReports(context.Background(), peersAt("127.0.0.1:1")))
 }
 
 // Without replicas, gateways tell each other, also those that only others reach.
--- a/internal/catalog/manager.go
+++ b/internal/catalog/manager.go
@@ -72,9 +72,6 @@
 	StaleAfter time.Duration
 	// Neighbours returns gateways that this node reaches without the replicas. Nil means none.
 	Neighbours func() []transport.Peer
-	// ShareReportsFrom is how many ends of engines under a content this node must know to share them with its followers: most
-	// requests that an end interrupts meet no other one.
-	ShareReportsFrom int
 	// OnChange is called with changed entries, one at a time. The revisions of an entry are strictly increasing and end
 	// with the newest; superseded ones may be skipped. It must not block or modify the Manager.
 	OnChange func(Entry)
--- a/internal/catalog/publish.go
+++ b/internal/catalog/publish.go
@@ -29,6 +29,8 @@
 	publishTimeout = 500 * time.Millisecond
 	// publishedTTL is how long a node keeps a published entry.
 	publishedTTL = 10 * time.Minute
+	// withdrawnTTL is how long it remembers that one was withdrawn.
+	withdrawnTTL = 30 * time.Second
 	// maxPublished bounds the published entries of a catalog, maxPublishedBytes the value of each.
 	maxPublished      = 4096
 	maxPublishedBytes = 512
@@ -57,6 +59,8 @@
 	Finished string `json:"d,omitempty"`
 	// Lasting are the runs of Content that are in progress at the sender.
 	Lasting LastingRuns `json:"l,omitzero"`
+	// All asks for the entries of all contents instead of one.
+	All bool `json:"a,omitempty"`
 	// Forward asks a gateway to pass entries on to its neighbours if they are new to it.
 	Forward bool `json:"w,omitempty"`
 }
@@ -101,7 +105,7 @@
 // have answered or publishTimeout has passed. The error is that of the last peer that failed, if all did.
 func (m *Manager) Publish(ctx context.Context, peers []transport.Peer, entries []Entry) error {
 	_, news := m.recordPublished(m.network.NodeID(), publishRequest{Entries: entries})
-	m.Apply(news.shared)
+	m.Apply(news)
 	publishContext, cancel := context.WithTimeout(ctx, publishTimeout)
 	defer cancel()
 	results := make(chan error, len(peers))
@@ -134,21 +138,15 @@
 		}
 	}
 	response, news := m.recordPublished(from.NodeID, request)
-	m.Apply(news.shared)
-	if request.Forward && len(news.changed) > 0 {
-		go m.forward(from, news.changed)
+	m.Apply(news)
+	if request.Forward && len(news) > 0 {
+		go m.forward(from, news)
 	}
 	return response, nil
 }
 
-// publishedNews are entries that were published to this node.
-type publishedNews struct {
-	// changed are those that were new, shared those that followers have to know.
-	changed, shared []Entry
-}
-
-// recordPublished puts entries and runs of a node on the board.
-func (m *Manager) recordPublished(from string, request publishRequest) (publishResponse, publishedNews) {
+// recordPublished puts entries and runs of a node on the board, and returns the entries that are new there.
+func (m *Manager) recordPublished(from string, request publishRequest) (publishResponse, []Entry) {
 	now := time.Now()
 	m.mutex.Lock()
 	defer m.mutex.Unlock()
@@ -158,19 +156,15 @@
 		response.Open = m.board.openRuns(now, request.Content)
 		response.Lasting = m.board.lastingElsewhere(now, request.Content, from)
 	}
-	var news publishedNews
+	if request.All {
+		response.Entries = m.board.allEntries()
+	}
+	var news []Entry
 	for _, entry := range request.Entries {
-		if kind, _ := SplitKey(entry.Key); kind != FatalRequestKind {
-			news.shared = append(news.shared, entry)
+		if kind, _ := SplitKey(entry.Key); kind == FatalRequestKind && !m.board.record(now, contentOf(entry.Key), entry) {
 			continue
 		}
-		content := contentOf(entry.Key)
-		if m.board.record(now, content, entry) {
-			news.changed = append(news.changed, entry)
-		}
-		if known, valid := m.board.entries(content); valid >= m.options.ShareReportsFrom || m.sharesAny(known) {
-			news.shared = append(news.shared, known...)
-		}
+		news = append(news, entry)
 	}
 	if request.Content != "" {
 		m.board.noteLasting(now, request.Content, from, request.Lasting)
@@ -191,16 +185,6 @@
 	return name
 }
 
-// sharesAny reports whether followers know any of the entries. The caller holds the mutex.
-func (m *Manager) sharesAny(entries []Entry) bool {
-	for _, entry := range entries {
-		if m.state.Revision(entry.Key) > 0 {
-			return true
-		}
-	}
-	return false
-}
-
 // publishable reports whether a node may publish the entry.
 func (e Entry) publishable() bool {
 	kind, name := SplitKey(e.Key)
--- a/internal/catalog/publish_test.go
+++ b/internal/catalog/publish_test.go
@@ -72,6 +72,10 @@
 	}
 	assert.Equal(t, len(state.entries), maxPublished)
 	assert.Assert(t, state.Merge(now, entry(Key(EngineKind, "e"), 1, "x")))
+	assert.Assert(t, state.Merge(now, Withdrawn("k/1")))
+	state.Expire(now.Add(withdrawnTTL + time.Second))
+	assert.Equal(t, len(state.entries), maxPublished)
+	assert.Assert(t, state.Merge(now, FatalRequest("one/more", []byte("1"))), "withdrawn entries leave room for others")
 	state.Expire(now.Add(publishedTTL + time.Second))
 	assert.Equal(t, len(state.entries), 1)
 	assert.Assert(t, state.Merge(now, FatalRequest("k/1", []byte("1"))))
--- a/internal/dispatch/ends.go
+++ b/internal/dispatch/ends.go
@@ -175,7 +175,7 @@
 func (r *Registry) leaving(engine *Engine) bool {
 	r.mutex.Lock()
 	defer r.mutex.Unlock()
-	return engine.specification.Draining || !engine.removedAt.IsZero()
+	return engine.specification.Draining
 }
 
 // interruption is how a run was interrupted.
--- a/internal/dispatch/probe.go
+++ b/internal/dispatch/probe.go
@@ -17,10 +17,11 @@
 	// probeDelay is how long after an interruption the engine is probed. A process that ends may close its connections shortly
 	// before its listener.
 	probeDelay = 5 * time.Millisecond
-	// probeInterval is the time until the next probe, and how much longer another connection must stay open to show that the engine has
-	// not ended. maxProbes bounds the probes after an interruption.
-	probeInterval = 15 * time.Millisecond
-	maxProbes     = 4
+	// probeInterval is the time between two probes, maxProbes bounds those after an interruption. minConfirmations of them must show that
+	// the engine lives: a process that ends closes its connections and its listener one after the other.
+	probeInterval    = 15 * time.Millisecond
+	maxProbes        = 4
+	minConfirmations = 2
 	// probeTimeout bounds a probe, proveTimeout how long a call waits for it.
 	probeTimeout = 250 * time.Millisecond
 	proveTimeout = 80 * time.Millisecond
@@ -60,11 +61,8 @@
 	probeContext, cancel := context.WithTimeout(ctx, probeTimeout)
 	defer cancel()
 	clock.Sleep(probeContext, probeDelay)
+	confirmed := 0
 	for range maxProbes {
-		if engine.pool.Survives(since) {
-			// A process that ends closes its connections one after the other.
-			clock.Sleep(probeContext, probeInterval)
-		}
 		found, probedAt := d.probeOnce(probeContext, engine, since), time.Now()
 		switch found {
 		case engineGone:
@@ -73,10 +71,14 @@
 		case engineReborn:
 			d.registry.engineEnded(probedAt, engine, proofReborn)
 			return true
-		case engineSame:
+		case engineSame, engineAnswers:
+			confirmed++
+		}
+		if confirmed == minConfirmations && found == engineSame {
 			d.registry.ends.EngineAlive(probedAt, engine.ID())
 			return false
-		case engineAnswers:
+		}
+		if confirmed == minConfirmations {
 			d.registry.engineAccepted(probedAt, engine)
 			return false
 		}
--- a/internal/fatal/fatal_test.go
+++ b/internal/fatal/fatal_test.go
@@ -358,6 +358,18 @@
 	assert.Assert(t, !sound.has(now.Add(2*soundRetention), last))
 }
 
+// An engine whose end is known before its run is given up ended under it, also if that is long before.
+func TestEndIsKnownBeforeARunIsGivenUp(t *testing.T) {
+	s := newScene()
+	call := s.begin("k", "r1")
+	s.pass(10 * time.Millisecond)
+	s.EngineEnded(s.now, "e", "models", true)
+	s.pass(proofWindow / 2)
+	s.Abandoned(call, Run{Engine: "e", Service: "models", Software: "v1", SentAt: call.BeganAt, BrokenAt: s.now})
+	ended, _ := s.Ends(s.now, call)
+	assert.Equal(t, ended, 1)
+}
+
 // Interruptions that nothing explains are forgotten.
 func TestUnexplainedInterruptionsAreForgotten(t *testing.T) {
 	s := newScene()
--- a/internal/fatal/tracker.go
+++ b/internal/fatal/tracker.go
@@ -193,11 +193,17 @@
 	if first && !t.sound.has(now, soundKey{call.Key, interrupted.Software}) {
 		t.request(now, call.Key).calls++
 	}
-	end, found := t.ends[interrupted.Engine]
-	ended := found && !end.at.Before(interrupted.SentAt) && now.Sub(end.at) <= proofWindow
+	ended := t.endedSince(now, interrupted)
 	t.addRun(now, call.Key, run{Run: interrupted, request: call.Request, call: callHash(call.Request), beganAt: call.BeganAt, ended: ended})
 }
 
+// endedSince reports whether the engine of a run is known to have ended since the run was sent: news of that may come before the gateway notices
+// the interruption. The caller holds the mutex.
+func (t *Tracker) endedSince(now time.Time, interrupted Run) bool {
+	end, found := t.ends[interrupted.Engine]
+	return found && !end.at.Before(interrupted.SentAt) && now.Sub(end.at) <= proofWindow
+}
+
 // Sound records that a run of a request was completed by an engine with a version of the software: engines of that version that end under other
 // runs of the request don't end because of it.
 func (t *Tracker) Sound(now time.Time, key Key, software string) {
@@ -211,6 +217,10 @@
 func (t *Tracker) Abandoned(call Call, left Run) {
 	t.mutex.Lock()
 	defer t.mutex.Unlock()
+	if t.endedSince(left.BrokenAt, left) {
+		t.addRun(left.BrokenAt, call.Key, run{Run: left, request: call.Request, call: callHash(call.Request), beganAt: call.BeganAt, callFailed: true, ended: true})
+		return
+	}
 	if len(t.abandoned) >= maxAbandoned {
 		t.abandoned = slices.Delete(t.abandoned, 0, 1)
 	}
--- a/internal/ingress/node.go
+++ b/internal/ingress/node.go
@@ -285,7 +285,12 @@
 	}
 	readyContext, cancel := context.WithTimeout(ctx, time.Second)
 	defer cancel()
-	return n.turns.Ready(readyContext)
+	if !n.turns.Ready(readyContext) {
+		return false
+	}
+	// Replicas that don't answer now are asked again when an engine ends under a request.
+	n.catalog.AdoptReports(readyContext, n.endReplicas())
+	return true
 }
 
 // Ready reports whether the gateway should get connections. Without contact with the replicas it
--- a/internal/turnstore/node.go
+++ b/internal/turnstore/node.go
@@ -23,9 +23,6 @@
 	Logger  *events.Logger
 }
 
-// sharedReports is from how many ends of engines under one content on all nodes are told of it.
-const sharedReports = 2
-
 // Node is a replica that also serves the catalog to gateways.
 type Node struct {
 	options NodeOptions
@@ -48,7 +45,7 @@
 	node.catalog = catalog.NewManager(catalog.Options{
 		Peers: node.peers, FollowAll: true, ReadsStore: node.readsStore, Source: options.Source, StaleAfter: options.StaleAfter,
 		Self:     catalog.Endpoint{Address: options.Replica.Self.Address, Zone: options.Replica.Self.Zone},
-		IsMirror: node.servesGateways, OnChange: node.apply, ShareReportsFrom: sharedReports,
+		IsMirror: node.servesGateways, OnChange: node.apply,
 	}, options.Network, options.Logger)
 	return node, nil
 }
