fatal, catalog: package comment of what counts, a distinct name, bounds of names in publish requests

The package comment still said that overlapping calls don't add up. certainEnds was maxEnds, which dispatch uses for another limit. A node refuses publish requests with longer names than entries may have.

--- a/internal/catalog/publish.go
+++ b/internal/catalog/publish.go
@@ -137,6 +137,9 @@
 			return publishResponse{}, errors.WithStack(&ErrNotPublishable{Key: entry.Key})
 		}
 	}
+	if max(len(request.Content), len(request.Begun), len(request.Finished)) > maxPublishedBytes {
+		return publishResponse{}, errors.WithStack(&ErrNotPublishable{Key: request.Content[:min(len(request.Content), maxPublishedBytes)]})
+	}
 	response, news := m.recordPublished(from.NodeID, request)
 	m.Apply(news)
 	if request.Forward && len(news) > 0 {
--- a/internal/fatal/evidence.go
+++ b/internal/fatal/evidence.go
@@ -8,10 +8,10 @@
 
 const (
 	// minEnds is how many engines must have ended under a fatal request, minUnexplained how many of these not under another one that
-	// is known to be fatal. maxEnds is how many of the latter are enough whatever else happened.
+	// is known to be fatal. certainEnds is how many of the latter are enough whatever else happened.
 	minEnds        = 3
 	minUnexplained = 2
-	maxEnds        = 8
+	certainEnds    = 8
 	// The geometric mean of the probabilities that the engines ended by themselves decides: a request is fatal below certainChance.
 	// Below doubtfulChance it is so if no other engine ends until withholdTime after its last run, nor has ended since shortly before
 	// that run, which is withholdTime below likelyChance and rateWindow above. If others have ended, it is judged again after each
@@ -79,7 +79,7 @@
 	withheld := now.Sub(lastOf(sequence).BrokenAt)
 	switch {
 	case !known.fatal && t.isShared(now, call, known, sequence):
-	case mean < certainChance, len(unexplained) >= maxEnds:
+	case mean < certainChance, len(unexplained) >= certainEnds:
 		verdict.Fatal = true
 	case mean >= doubtfulChance:
 	case known.fatal:
--- a/internal/fatal/fatal.go
+++ b/internal/fatal/fatal.go
@@ -8,16 +8,19 @@
 // not fatal.
 //
 // Requests are identified by a hash of their content, since each attempt of a caller has an ID of its own and may reach another
-// gateway. Attempts with the same content count together only if one began after the other had ended: at the same time they belong
-// to several callers. Gateways share the ends of engines under requests that failed.
+// gateway. All ends under a content count, whichever calls and gateways ran it and whether these overlapped; an end that interrupted
+// several runs of it counts once. Popular content meets the ends of many engines: it is told by its other runs, which go on for longer, and by
+// those that engines have completed. Gateways share the ends as soon as they are proved.
 //
 // Tracker is a state machine: it has no clock and does no I/O.
 //
 // Usage:
 //
 //	tracker := fatal.NewTracker(fleet)
+//	tracker.ObserveRuns(runsInProgress)
 //	tracker.Interrupted(now, call, fatal.Run{Engine: "e1", SentAt: sentAt, BrokenAt: now, ...}, true)
 //	tracker.EngineEnded(now, "e1", "models", false)
+//	ended, possible := tracker.Risk(now, call.Key, proofTime) // wait while these may become too many
 //	if tracker.Judge(now, call).Fatal { ... don't send it again ... }
 //	tracker.Completed(call.Key) // a run completed: the request is not fatal
 package fatal
