--- a/internal/dispatch/probe.go
+++ b/internal/dispatch/probe.go
@@ -62,8 +62,9 @@
 	defer cancel()
 	clock.Sleep(probeContext, probeDelay)
 	confirmed := 0
-	for range maxProbes {
-		found, probedAt := d.probeOnce(probeContext, engine, since), time.Now()
+	for number := range maxProbes {
+		probedAt := time.Now()
+		found := d.probeOnce(probeContext, engine, since)
 		switch found {
 		case engineGone:
 			d.engineRefused(engine)
@@ -73,6 +74,11 @@
 			return true
 		case engineSame, engineAnswers:
 			confirmed++
+		case engineCuts:
+			if number == maxProbes-1 || probeContext.Err() != nil {
+				// A process that ends has closed its listener by now.
+				d.registry.engineAccepted(probedAt, engine)
+			}
 		}
 		if confirmed == minConfirmations && found == engineSame {
 			d.registry.ends.EngineAlive(probedAt, engine.ID())
@@ -113,8 +119,10 @@
 type probeResult int
 
 const (
-	// probeFailed tells nothing: the connection was cut, as by a process that ends, or there is no response.
+	// probeFailed tells nothing. engineCuts means that the connection was accepted and then cut, as by a process that ends or a faulty link, or
+	// that there is no response.
 	probeFailed probeResult = iota
+	engineCuts
 	// engineGone means that nothing listens, engineReborn that the engine has started again.
 	engineGone
 	engineReborn
@@ -142,7 +150,7 @@
 	case errors.Is(err, syscall.ECONNREFUSED):
 		return engineGone
 	case err != nil:
-		return probeFailed
+		return engineCuts
 	case started == 0:
 		return engineAnswers
 	}
--- a/internal/engine/application.go
+++ b/internal/engine/application.go
@@ -83,7 +83,7 @@
 	}
 	defer func() { _ = response.Body.Close() }()
 	if isUnframed(response) {
-		return nil, &ErrInterrupted{Cause: errUnframed}
+		return nil, &ErrInterrupted{Cause: errors.WithStack(&ErrUnframed{})}
 	}
 	body, err := io.ReadAll(io.LimitReader(response.Body, MaxResponseBytes+1))
 	if err != nil {
@@ -96,8 +96,11 @@
 	return &ApplicationResponse{Status: response.StatusCode, Header: response.Header, Trailer: response.Trailer, Body: body}, nil
 }
 
-// errUnframed means that the end of a response can't be told from its truncation.
-var errUnframed = errors.New("the response has neither a length nor chunks")
+// ErrUnframed means that the end of a response can't be told from its truncation.
+type ErrUnframed struct{}
+
+// Error implements error.
+func (*ErrUnframed) Error() string { return "the response has neither a length nor chunks" }
 
 // isUnframed reports whether only the end of its connection ends a response.
 func isUnframed(response *http.Response) bool {
