A stream that waits for its version waits for the record of an engine that ended, too

Since an engine whose known life has ended gets no streams until its record tells of the next one, and while all engines of a version were in that state, a pinned call was refused without a wait. It waits now, up to the 500 ms that it has for engines of its version.

--- a/internal/dispatch/life_test.go
+++ b/internal/dispatch/life_test.go
@@ -132,6 +132,8 @@
 	// Other calls go to either.
 	assert.DeepEqual(t, chosen(Placement{Service: "s"}), []string{"e0", "e1"})
 	assert.Equal(t, registry.acquire(earlier, pinned, &Trace{}), absent)
+	pinned.Excluded = map[string]bool{"e1": true}
+	assert.Assert(t, registry.hasEngineFor(time.Now(), pinned), "a stream does not wait for the record")
 	assert.Equal(t, registry.noteStart(earlier, 1000), sameLife)
 	// A probe has shown that the same life goes on.
 	assert.DeepEqual(t, chosen(stream), []string{"e0", "e1"})
--- a/internal/dispatch/placement.go
+++ b/internal/dispatch/placement.go
@@ -210,12 +210,13 @@
 	return present
 }
 
-// hasEngineFor reports whether any engine that the placement allows is present, so that waiting for one may help.
+// hasEngineFor reports whether any engine that the placement allows is present, so that waiting for one may help. One whose software is not
+// known may turn out to have the same as before.
 func (r *Registry) hasEngineFor(now time.Time, placement Placement) bool {
 	r.mutex.Lock()
 	defer r.mutex.Unlock()
 	for id, engine := range r.services[placement.Service] {
-		if !placement.Excluded[id] && placement.allowsEngine(now, engine) && engine.presence(now, r.outage) == present {
+		if !placement.Excluded[id] && placement.allows(engine.specification.Software) && engine.presence(now, r.outage) == present {
 			return true
 		}
 	}
