turnstore: register the handler of an earlier build before the test cluster starts

TestEvictionWithMemberOfEarlierBuild replaced a handler of a running transport, against what transport.New asks for. The race detector reported it once, in this test and eleven beside it. The cluster of the tests now serves or refuses syncKind by a flag that is set before. What the test asserts is unchanged.

--- a/internal/turnstore/cluster_test.go
+++ b/internal/turnstore/cluster_test.go
@@ -17,6 +17,7 @@
 	"gotest.tools/v3/assert"
 	"gotest.tools/v3/poll"
 
+	"github.com/mountstile/mountstile/internal/apierr"
 	"github.com/mountstile/mountstile/internal/clock"
 	"github.com/mountstile/mountstile/internal/configstore"
 	"github.com/mountstile/mountstile/internal/conversation"
@@ -196,7 +197,9 @@
 	folder   string
 	retiring atomic.Bool
 	retired  atomic.Bool
-	process  *process
+	// earlierBuild is set if the replica does not serve syncKind.
+	earlierBuild atomic.Bool
+	process      *process
 }
 
 // links tracks the connections between nodes. Cutting off a node closes its connections and prevents new ones.
@@ -348,6 +351,12 @@
 		c.served.Add(int64(len(response.Records)))
 		return response, err
 	})
+	transport.Handle(network, syncKind, func(ctx context.Context, from transport.Peer, request syncRequest) (syncResponse, error) {
+		if m.earlierBuild.Load() {
+			return syncResponse{}, apierr.New(apierr.NotFound, apierr.NotRun, "this node does not serve %q", syncKind)
+		}
+		return replica.serveSync(ctx, from, request)
+	})
 	c.store.listen(replica.ApplySet)
 	c.store.listenForCandidates(replica.ApplyCandidate)
 	var listener net.Listener
--- a/internal/turnstore/eviction_test.go
+++ b/internal/turnstore/eviction_test.go
@@ -9,7 +9,6 @@
 	"gotest.tools/v3/assert"
 
 	"github.com/mountstile/mountstile/internal/apierr"
-	"github.com/mountstile/mountstile/internal/transport"
 )
 
 // A machine is replaced, and another one loses its disk while the new one still fetches records: the new one, the empty
@@ -182,10 +181,7 @@
 	c := newCluster(t, 3)
 	c.putMany(2000)
 	c.fetchDelay.Store(int64(time.Second))
-	older := c.machines[1]
-	transport.Handle(older.process.network, syncKind, func(context.Context, transport.Peer, syncRequest) (syncResponse, error) {
-		return syncResponse{}, apierr.New(apierr.NotFound, apierr.NotRun, "this node does not serve %q", syncKind)
-	})
+	c.machines[1].earlierBuild.Store(true)
 	lost := c.machines[0]
 	epoch := c.store.set().Epoch
 	c.kill(lost)
