upstream: a response that is reset is not taken for a whole one

A response without a length ends with its connection, and the kernel reports a reset once. Two others could take it from the exchange that reads the body: the probe of an engine, which peeked at connections in use, and the write of a request that was still under way.

The probe asks for the state of the connection instead (TestProbeLeavesAResetToTheExchange). An exchange tells when the engine sent something last.

--- a/internal/upstream/connection.go
+++ b/internal/upstream/connection.go
@@ -7,7 +7,10 @@
 	"net"
 	"net/http"
 	"sync/atomic"
+	"syscall"
 	"time"
+
+	"github.com/cockroachdb/errors"
 )
 
 const readBufferBytes = 4 << 10
@@ -76,6 +79,9 @@
 // OpenedAt returns when the connection was opened.
 func (e *Exchange) OpenedAt() time.Time { return e.connection.openedAt }
 
+// HeardAt returns when the engine sent something last. It must not be called after Finish, when the connection may carry another exchange.
+func (e *Exchange) HeardAt() time.Time { return time.Unix(0, e.connection.source.heardAt.Load()) }
+
 // Response returns the response; its body is read from the connection.
 func (e *Exchange) Response() *http.Response { return e.response }
 
@@ -109,6 +115,19 @@
 	}
 }
 
+// writeWasReset reports whether the write of the request failed because the peer had reset the connection. After an orderly close it fails
+// otherwise. It waits up to writeDrainTimeout for the write.
+func (e *Exchange) writeWasReset() bool {
+	select {
+	case err := <-e.written:
+		// Further reads of the body ask again.
+		e.written <- err
+		return errors.Is(err, syscall.ECONNRESET)
+	case <-time.After(writeDrainTimeout):
+		return false
+	}
+}
+
 // Discard ends an exchange whose body is of no use. The connection returns to the pool if the rest of the body has at most limit
 // bytes and arrives within discardTimeout, and is closed otherwise.
 func (e *Exchange) Discard(limit int64) {
--- a/internal/upstream/head.go
+++ b/internal/upstream/head.go
@@ -7,6 +7,8 @@
 	"net"
 	"net/http"
 	"strings"
+	"sync/atomic"
+	"syscall"
 	"time"
 
 	"github.com/cockroachdb/errors"
@@ -46,6 +48,8 @@
 // source reads from a connection. While it reads a head, it bounds its bytes and its time.
 type source struct {
 	raw net.Conn
+	// heardAt is when bytes were received last, in Unix nanoseconds.
+	heardAt atomic.Int64
 	// inHead is set while a head is read; begun is set once a part of it was received.
 	inHead, begun bool
 	// timed is set while the connection has a read deadline.
@@ -59,10 +63,19 @@
 	memory *membudget.Reservation
 }
 
+// noteHeard records that bytes were received.
+func (s *source) noteHeard(read int) {
+	if read > 0 {
+		s.heardAt.Store(time.Now().UnixNano())
+	}
+}
+
 // Read implements io.Reader.
 func (s *source) Read(buffer []byte) (int, error) {
 	if !s.inHead {
-		return s.raw.Read(buffer)
+		read, err := s.raw.Read(buffer)
+		s.noteHeard(read)
+		return read, err
 	}
 	if s.begun {
 		if err := s.continueHead(); err != nil {
@@ -70,6 +83,7 @@
 		}
 	}
 	read, err := s.raw.Read(buffer)
+	s.noteHeard(read)
 	s.start = append(s.start, buffer[:min(read, maxStartBytes-len(s.start))]...)
 	s.begun = s.begun || read > 0
 	s.headBytes += read
@@ -157,7 +171,7 @@
 // connection announce that (RFC 9112, 9.6); HTTP/1.0 knows nothing else. start are the first bytes that were received, which begin with some
 // informational responses.
 func requireFraming(response *http.Response, start []byte, informational int) {
-	if response.Body == http.NoBody || response.ContentLength >= 0 || len(response.TransferEncoding) > 0 || !response.ProtoAtLeast(1, 1) {
+	if !endsWithConnection(response) || !response.ProtoAtLeast(1, 1) {
 		return
 	}
 	if !announcesClose(start, informational) {
@@ -193,6 +207,36 @@
 	return false
 }
 
+// endsWithConnection reports whether only the end of its connection ends a response.
+func endsWithConnection(response *http.Response) bool {
+	return response.Body != http.NoBody && response.ContentLength < 0 && len(response.TransferEncoding) == 0
+}
+
+// ErrReset means that the connection that a response ends with was reset.
+type ErrReset struct{}
+
+// Error implements error.
+func (*ErrReset) Error() string { return "the connection was reset before the response ended" }
+
+// Unwrap returns syscall.ECONNRESET.
+func (*ErrReset) Unwrap() error { return syscall.ECONNRESET }
+
+// closeDelimitedBody is a body that ends with its connection. The kernel reports a reset once, to a read or a write: if the request was still being
+// written, the read sees an orderly close.
+type closeDelimitedBody struct {
+	io.ReadCloser
+	exchange *Exchange
+}
+
+// Read implements io.Reader. In place of io.EOF it returns an *ErrReset if the write of the request has met a reset.
+func (b *closeDelimitedBody) Read(buffer []byte) (int, error) {
+	read, err := b.ReadCloser.Read(buffer)
+	if errors.Is(err, io.EOF) && b.exchange.writeWasReset() {
+		err = errors.WithStack(&ErrReset{})
+	}
+	return read, err
+}
+
 // unframedBody is a body whose end is not its whole end.
 type unframedBody struct{ io.ReadCloser }
 
--- a/internal/upstream/probe_test.go
+++ b/internal/upstream/probe_test.go
@@ -1,11 +1,13 @@
 package upstream
 
 import (
+	"bufio"
 	"context"
 	"io"
 	"net"
 	"net/http"
 	"net/http/httptest"
+	"syscall"
 	"testing"
 	"time"
 
@@ -57,3 +59,45 @@
 	_, err = pool.Probe(t.Context(), time.Now())
 	assert.Assert(t, err != nil)
 }
+
+// Guards against a probe that takes the reset of a response away from the exchange, which would take the rest for a whole response.
+func TestProbeLeavesAResetToTheExchange(t *testing.T) {
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	assert.NilError(t, err)
+	t.Cleanup(func() { _ = listener.Close() })
+	accepted := make(chan *net.TCPConn, 1)
+	go func() {
+		if raw, err := listener.Accept(); err == nil {
+			accepted <- raw.(*net.TCPConn)
+		}
+	}()
+	pool := NewPool(listener.Addr().String(), 4, Dialer(time.Second, time.Second))
+	t.Cleanup(pool.Close)
+	sent := make(chan *Exchange, 1)
+	go func() {
+		exchange, err := pool.Send(context.Background(), &Request{Method: http.MethodGet, Target: "/", Host: "h"})
+		assert.Check(t, err)
+		sent <- exchange
+	}()
+	peer := <-accepted
+	// A write that is still under way would take the reset, too.
+	_, err = http.ReadRequest(bufio.NewReader(peer))
+	assert.NilError(t, err)
+	_, err = io.WriteString(peer, "HTTP/1.1 200 OK\r\nConnection: close\r\n\r\npart")
+	assert.NilError(t, err)
+	exchange := <-sent
+	part := make([]byte, 4)
+	_, err = io.ReadFull(exchange.Response().Body, part)
+	assert.NilError(t, err)
+	assert.NilError(t, peer.SetLinger(0))
+	assert.NilError(t, peer.Close())
+	poll.WaitOn(t, func(poll.LogT) poll.Result {
+		if !pool.Survives(time.Now()) {
+			return poll.Success()
+		}
+		return poll.Continue("the reset has not arrived")
+	})
+	_, err = exchange.Response().Body.Read(part)
+	assert.ErrorIs(t, err, syscall.ECONNRESET)
+	exchange.Abort()
+}
--- a/internal/upstream/send.go
+++ b/internal/upstream/send.go
@@ -101,5 +101,8 @@
 		return nil, errors.WithStack(&ErrExchange{Sent: connection.writes.Load() > 0, cause: err})
 	}
 	connection.responded.Store(true)
+	if endsWithConnection(exchange.response) {
+		exchange.response.Body = &closeDelimitedBody{ReadCloser: exchange.response.Body, exchange: exchange}
+	}
 	return exchange, nil
 }
--- a/internal/upstream/socket.go
+++ b/internal/upstream/socket.go
@@ -5,6 +5,8 @@
 	"net"
 	"syscall"
 	"time"
+
+	"golang.org/x/sys/unix"
 )
 
 // tcpUserTimeoutOption is Linux's TCP_USER_TIMEOUT, which the syscall package does not define.
@@ -53,8 +55,11 @@
 	return err == nil && open
 }
 
-// isOpen reports, without blocking, whether the peer has neither closed nor reset the connection, also while it is read. Data that
-// was not read yet may precede a close, so that a connection with some counts as closed.
+// tcpEstablished is Linux's TCP_ESTABLISHED.
+const tcpEstablished = 1
+
+// isOpen reports, without blocking, whether the peer has neither closed nor reset the connection, also while it is read. It asks for the state: a
+// read, also one that only peeks, would take a reset away from the exchange, which would then see an orderly close.
 func isOpen(raw net.Conn) bool {
 	connection, ok := raw.(syscall.Conn)
 	if !ok {
@@ -66,7 +71,10 @@
 	}
 	open := false
 	// Control, unlike Read, doesn't wait for a pending read.
-	err = rawConnection.Control(func(fd uintptr) { open = wouldBlock(fd) })
+	err = rawConnection.Control(func(fd uintptr) {
+		info, infoErr := unix.GetsockoptTCPInfo(int(fd), unix.IPPROTO_TCP, unix.TCP_INFO)
+		open = infoErr == nil && info.State == tcpEstablished
+	})
 	return err == nil && open
 }
 
