platform: entries of other writers that name no usable engine are left out

Operators reported that odd entries among the engines (deeply nested, a number too large, a port out of range) ended the machines that read the list, or stopped them from following it. Here no process ended and the list was followed, but an entry with an address that can't be dialled, an unknown state or no service was taken for an engine, and streams were refused with 503.

Each record is checked when it is read (EngineSpecification.Validate, typed errors); what can't be used is logged and left out.

--- a/internal/dispatch/engine.go
+++ b/internal/dispatch/engine.go
@@ -1,8 +1,14 @@
 package dispatch
 
 import (
+	"fmt"
+	"net"
+	"strconv"
+	"strings"
 	"time"
 
+	"github.com/cockroachdb/errors"
+
 	"github.com/mountstile/mountstile/internal/load"
 	"github.com/mountstile/mountstile/internal/upstream"
 )
@@ -30,6 +36,43 @@
 	StartedMillis int64 `json:"started_ms,omitempty"`
 }
 
+const (
+	// maxSlots and maxZoneBytes bound what a specification may state.
+	maxSlots     = 1 << 16
+	maxZoneBytes = 256
+	maxPort      = 1<<16 - 1
+)
+
+// ErrSpecification means that a specification names no engine that can be used.
+type ErrSpecification struct{ ID, Reason string }
+
+// Error implements error.
+func (e *ErrSpecification) Error() string {
+	return fmt.Sprintf("engine %.128q: %.256s", e.ID, e.Reason)
+}
+
+// Validate checks that calls can be sent to the engine. The error is an *ErrSpecification.
+func (s EngineSpecification) Validate() error {
+	invalid := func(format string, args ...any) error {
+		return errors.WithStack(&ErrSpecification{ID: s.ID, Reason: fmt.Sprintf(format, args...)})
+	}
+	host, port, err := net.SplitHostPort(s.Address)
+	number, portErr := strconv.Atoi(port)
+	switch {
+	case s.Service == "":
+		return invalid("it belongs to no service")
+	case err != nil || host == "" || strings.ContainsAny(host, " \t\r\n"):
+		return invalid("address %q is not a host and a port", s.Address)
+	case portErr != nil || number < 1 || number > maxPort:
+		return invalid("port %q is not between 1 and %d", port, maxPort)
+	case s.Slots < 0 || s.Slots > maxSlots:
+		return invalid("%d slots are not between 0 and %d", s.Slots, maxSlots)
+	case len(s.Zone) > maxZoneBytes:
+		return invalid("the zone has %d bytes, more than %d", len(s.Zone), maxZoneBytes)
+	}
+	return nil
+}
+
 // life tells how the life of an engine that a record describes relates to the known one.
 type life int
 
