ingress: a gateway out of step doesn't infer the version of a stream

It happened here: a read quorum without a record was taken for a proof that the stream was begun at the only known version, though a stream without a budget that begins while no replica answers has no record, and the catalog counted as in sync for a while after its last contact.

Such a stream goes on only at a gateway that has seen all engines come and go for as long as the stream may exist, and that has been in sync with the store since the call came; it waits for that for 0.6 s. The price: for 30 s after its start a gateway refuses unrecorded streams, if engines state versions.

TestStreamOfUnknownOrigin and TestStreamIsNotJoinedAfterARestartWithoutReplicas asserted that streams that may have no record go on at once; they require a gateway in sync now, and the second one a refusal before.

--- a/internal/ingress/resumption.go
+++ b/internal/ingress/resumption.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"github.com/mountstile/mountstile/internal/apierr"
+	"github.com/mountstile/mountstile/internal/clock"
 	"github.com/mountstile/mountstile/internal/conversation"
 	"github.com/mountstile/mountstile/internal/dispatch"
 	"github.com/mountstile/mountstile/internal/turnstore"
@@ -78,19 +79,29 @@
 
 // resolveResumption finds out which service and version began the stream that the caller resumes, and restricts the call to
 // them. The error says that no engine may run it.
-func (r *request) resolveResumption() error {
+func (r *request) resolveResumption(ctx context.Context) error {
 	if !r.resumesStream() {
 		return nil
 	}
 	if r.opened != nil && r.opened.Writer != 0 {
 		return r.pinToWriter(r.candidates())
 	}
-	now := time.Now()
-	candidates := r.candidatesSince(now.Add(-r.originHorizon()))
-	if len(candidates) == 1 && r.mayInferOrigin(now) {
+	candidates := r.candidatesSince(time.Now().Add(-r.originHorizon()))
+	if len(candidates) == 1 && !r.isAlwaysRecorded(candidates[0]) {
+		if !r.awaitSync(ctx) {
+			return r.unknownOrigin(candidates)
+		}
+		candidates = r.candidatesSince(time.Now().Add(-r.originHorizon()))
+	}
+	if len(candidates) == 1 && r.mayInferOrigin(time.Now(), candidates[0]) {
 		r.pin(candidates[0], originOnlyVersion)
 		return nil
 	}
+	return r.unknownOrigin(candidates)
+}
+
+// unknownOrigin returns the error of a stream that any of these candidates, or one that this gateway does not know, may have begun.
+func (r *request) unknownOrigin(candidates []candidate) error {
 	r.resumption.origin = originUnknown
 	if r.originErr != nil {
 		return r.originErr
@@ -98,13 +109,19 @@
 	return apierr.New(apierr.OriginUnknown, apierr.NotRun, "it is not known which of %d software versions began the stream %q", len(candidates), r.caller.Resumes).WithRetryAfter(goneRetryAfter)
 }
 
-// mayInferOrigin reports whether a stream without a known origin was begun by one of the versions that this gateway knows. If
-// the records could not be read, that takes a gateway that has seen all engines come and go for as long as the stream may exist.
-func (r *request) mayInferOrigin(now time.Time) bool {
+// isAlwaysRecorded reports whether a stream that the only known version began has a record, or none is needed: streams with a budget don't begin
+// without one, and engines that state no versions can't be told apart.
+func (r *request) isAlwaysRecorded(only candidate) bool {
+	return r.needsTurnStore() || only.software == ""
+}
+
+// mayInferOrigin reports whether a stream without a known origin was begun by the only version that this gateway knows. If it may have no record,
+// or that can't be read, that takes a gateway that has seen all engines come and go for as long as the stream may exist.
+func (r *request) mayInferOrigin(now time.Time, only candidate) bool {
 	if r.opened != nil && r.opened.WriterUnclear {
 		return false
 	}
-	if r.originErr == nil {
+	if r.originErr == nil && r.isAlwaysRecorded(only) {
 		return true
 	}
 	horizon := r.originHorizon()
@@ -115,6 +132,26 @@
 	return !r.server.options.Registry.UnknownEngineLeft(now.Add(-horizon))
 }
 
+const (
+	// syncTimeout is how long a call whose origin has to be inferred waits until the gateway knows of all engines that existed when it came,
+	// syncInterval the time between two looks.
+	syncTimeout  = 600 * time.Millisecond
+	syncInterval = 10 * time.Millisecond
+)
+
+// awaitSync waits until the gateway knows of all engines that existed when the call came.
+func (r *request) awaitSync(ctx context.Context) (inSync bool) {
+	for deadline := time.Now().Add(syncTimeout); ; clock.Sleep(ctx, syncInterval) {
+		now := time.Now()
+		if !now.Add(-r.server.options.CatalogAge()).Before(r.arrivedAt) {
+			return true
+		}
+		if ctx.Err() != nil || now.After(deadline) {
+			return false
+		}
+	}
+}
+
 // minOriginHorizon is the least age of a stream that is reckoned with.
 const minOriginHorizon = 30 * time.Second
 
--- a/internal/ingress/server.go
+++ b/internal/ingress/server.go
@@ -191,7 +191,7 @@
 	if err := r.openTurn(ctx, cancelCause); err != nil {
 		return err
 	}
-	if err := r.resolveResumption(); err != nil {
+	if err := r.resolveResumption(ctx); err != nil {
 		r.settle(0)
 		return err
 	}
--- a/internal/ingress/softwareversion_test.go
+++ b/internal/ingress/softwareversion_test.go
@@ -298,7 +298,7 @@
 	}
 }
 
-// A stream whose origin nobody recorded may have been begun by any version. It goes on only if there is just one.
+// A stream whose origin nobody recorded may have been begun by any version. It goes on only if there was just one since it can have begun.
 func TestStreamOfUnknownOrigin(t *testing.T) {
 	t.Parallel()
 	for _, headers := range [][]string{
@@ -306,6 +306,7 @@
 	} {
 		cluster := newTestCluster(t)
 		cluster.withReplica()
+		cluster.inSyncFor(2 * minOriginHorizon)
 		cluster.engineOf("old", "v1", versionedStream("v1"))
 		rest := cluster.send("/resume/", "c1", "in", headers...)
 		assert.Equal(t, rest.status, http.StatusOK, rest.body)
@@ -540,6 +541,16 @@
 	return other
 }
 
+// inSyncFor makes the gateway know all engines that existed for some time; 0 if it is not in sync.
+func (c *testCluster) inSyncFor(duration time.Duration) {
+	since := time.Now().Add(-duration)
+	if duration == 0 {
+		since = time.Time{}
+	}
+	c.node.server.options.CatalogInSyncSince = func() time.Time { return since }
+	c.node.server.options.CatalogAge = func() time.Duration { return 0 }
+}
+
 // programHeaders are the headers of a turn with a budget.
 var programHeaders = []string{"Program", "p", "Budget", "1000", "Most", "36"}
 
@@ -558,8 +569,15 @@
 			assert.Assert(t, got.header.Get("Retry-After") != "")
 			assert.Equal(t, other.engines["new"].runs.Load(), int64(0))
 			start()
+			if headers == nil {
+				// It may have begun without a record.
+				eventually(t, "the replicas answer", func() bool { return other.send("/kept/", "new", "in").status == http.StatusOK })
+				got = other.send("/resume/", "third", "in", "After", "2", "Resumes", "first")
+				assert.Equal(t, got.status, http.StatusServiceUnavailable, got.body)
+				other.inSyncFor(2 * minOriginHorizon)
+			}
 			eventually(t, "a stream that nobody recorded goes on once the replicas say so", func() bool {
-				return other.send("/resume/", "third", "in", append(headers, "After", "2", "Resumes", "first")...).status == http.StatusOK
+				return other.send("/resume/", "fourth", "in", append(headers, "After", "2", "Resumes", "first")...).status == http.StatusOK
 			})
 		})
 	}
@@ -663,13 +681,7 @@
 			t.Parallel()
 			cluster := newTestCluster(t)
 			_ = cluster.withLateReplica()
-			startedAt := time.Now()
-			cluster.node.server.options.CatalogInSyncSince = func() time.Time {
-				if row.inSyncFor == 0 {
-					return time.Time{}
-				}
-				return startedAt.Add(-row.inSyncFor)
-			}
+			cluster.inSyncFor(row.inSyncFor)
 			engine := cluster.engineOf("engine", "v1", versionedStream("v2"))
 			if row.replaced {
 				engine.specification.Software = "v2"
@@ -704,6 +716,35 @@
 	assert.Equal(t, other.engines["new"].runs.Load(), int64(0))
 }
 
+// Guards against a gateway out of step, which has not heard of engines that joined shortly before the stream began there without a record.
+func TestStreamIsNotJoinedByAGatewayOutOfStep(t *testing.T) {
+	t.Parallel()
+	for _, row := range []struct {
+		replicaAnswers bool
+		age            time.Duration
+	}{{true, 0}, {true, time.Second}, {false, 0}, {false, time.Second}} {
+		cluster := newTestCluster(t)
+		if row.replicaAnswers {
+			cluster.withReplica()
+		} else {
+			_ = cluster.withLateReplica()
+		}
+		cluster.engineOf("old", "v1", versionedStream("v1"))
+		cluster.inSyncFor(2 * minOriginHorizon)
+		askedAt := time.Now()
+		cluster.node.server.options.CatalogAge = func() time.Duration {
+			if time.Since(askedAt) > syncTimeout/4 {
+				cluster.apply(catalog.EngineKind, "new", dispatch.EngineSpecification{ID: "new", Service: "models", Address: "127.0.0.1:1", Zone: "a", Software: "v2", Slots: 4})
+				return row.age
+			}
+			return time.Second
+		}
+		got := cluster.send("/resume/", "second", "in", "After", "2", "Resumes", "first")
+		assert.Equal(t, got.status, http.StatusServiceUnavailable, got.body)
+		assert.Equal(t, cluster.engines["old"].runs.Load(), int64(0))
+	}
+}
+
 // Guards against a stream whose record was never written, which a gateway that has just started joins with the only version it knows.
 func TestUnrecordedStreamIsNotJoinedAfterARestart(t *testing.T) {
 	first := newTestCluster(t)
