--- a/internal/gateway/pause.go
+++ b/internal/clock/pause.go
@@ -1,4 +1,4 @@
-package gateway
+package clock
 
 import (
 	"context"
@@ -6,16 +6,13 @@
 	"time"
 )
 
-const (
-	pauseCheckInterval = 100 * time.Millisecond
-	// pauseThreshold is the time between checks that counts as a pause of the process. It is far below the time after which other
-	// nodes take over from an unresponsive one.
-	pauseThreshold = time.Second
-)
+const pauseCheckInterval = 100 * time.Millisecond
 
-// PauseDetector detects pauses of the process, so that an attempt is not sent after a pause on the basis of a response that
-// was received before the pause. It is safe for concurrent use.
+// PauseDetector detects pauses of the process, so that it does not act after a pause on the basis of what it has heard before.
+// It is safe for concurrent use.
 type PauseDetector struct {
+	// threshold is the time between checks that counts as a pause.
+	threshold time.Duration
 	// lastCheck is when the latest check ran, in nanoseconds since start.
 	lastCheck atomic.Int64
 	// resumedAt is when the latest pause ended, in nanoseconds since start.
@@ -23,8 +20,11 @@
 	start     time.Time
 }
 
-// NewPauseDetector returns a PauseDetector. It detects pauses only while Run runs.
-func NewPauseDetector() *PauseDetector { return &PauseDetector{start: time.Now()} }
+// NewPauseDetector returns a PauseDetector. It detects pauses only while Run runs. threshold is the time without a check that counts as a
+// pause, and must exceed the 100 ms between two checks.
+func NewPauseDetector(threshold time.Duration) *PauseDetector {
+	return &PauseDetector{threshold: threshold, start: time.Now()}
+}
 
 // Run checks for pauses every pauseCheckInterval until the context ends.
 func (p *PauseDetector) Run(ctx context.Context) {
@@ -41,11 +41,11 @@
 	}
 }
 
-// check records a pause if the time since the previous check exceeds pauseThreshold.
+// check records a pause if the time since the previous check exceeds the threshold.
 func (p *PauseDetector) check() {
 	now := time.Since(p.start)
 	previous := time.Duration(p.lastCheck.Swap(int64(now)))
-	if now-previous > pauseThreshold {
+	if now-previous > p.threshold {
 		p.resumedAt.Store(int64(now))
 	}
 }
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -18,6 +18,7 @@
 	"github.com/google/uuid"
 
 	"github.com/mountstile/mountstile/internal/apierr"
+	"github.com/mountstile/mountstile/internal/clock"
 	"github.com/mountstile/mountstile/internal/configuration"
 	"github.com/mountstile/mountstile/internal/coordinator"
 	"github.com/mountstile/mountstile/internal/engine"
@@ -59,7 +60,7 @@
 	Models       engine.ModelEngine
 	Applications *engine.Application
 	Release      ReleaseFunc
-	Pauses       *PauseDetector
+	Pauses       *clock.PauseDetector
 	AnswerRelay  *AnswerRelay
 	Executions   *coordinator.Executions
 	// Ends knows the engines that ended under calls; nil to send calls on whatever ended.
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -51,6 +51,8 @@
 	pollInterval      = 20 * time.Millisecond
 	leadershipTimeout = 5 * time.Second
 	announceDelay     = 300 * time.Millisecond
+	// pauseThreshold is far below the time after which other nodes take over from an unresponsive one.
+	pauseThreshold = time.Second
 )
 
 // Node is a node of the cluster. Start runs it; Drain and Stop end it gracefully.
@@ -61,7 +63,7 @@
 	server   *coordinator.Server
 	gateway  *gateway.Gateway
 	models   *modelload.Manager
-	pauses   *gateway.PauseDetector
+	pauses   *clock.PauseDetector
 	admin    *admin.Server
 	registry *prometheus.Registry
 
@@ -106,7 +108,7 @@
 
 // New opens the listeners and the storage and assembles a node. Start runs it.
 func New(config settings.Settings, logger *events.Logger) (*Node, error) {
-	node := &Node{settings: config, logger: logger, registry: prometheus.NewRegistry(), pauses: gateway.NewPauseDetector(), drainRequested: make(chan struct{})}
+	node := &Node{settings: config, logger: logger, registry: prometheus.NewRegistry(), pauses: clock.NewPauseDetector(pauseThreshold), drainRequested: make(chan struct{})}
 	if err := node.listeners.open(&node.settings); err != nil {
 		return nil, err
 	}
