--- a/internal/catalog/exchange.go
+++ b/internal/catalog/exchange.go
@@ -1,22 +1,29 @@
 package catalog
 
 import (
+	"cmp"
 	"context"
 	"slices"
 	"time"
 
+	"github.com/cespare/xxhash/v2"
+
 	"github.com/mountstile/mountstile/internal/transport"
 )
 
 const (
 	// replicaPatience is how long an exchange waits for most of the replicas before it asks the neighbours, too, and
-	// neighbourPatience how long it waits for these.
-	replicaPatience   = 40 * time.Millisecond
-	neighbourPatience = 40 * time.Millisecond
+	// neighbourPatience how long it waits for these. lateReplicaPatience is how long it goes on waiting for the replicas if no neighbour has been
+	// there for long: those that have just started know nothing.
+	replicaPatience     = 40 * time.Millisecond
+	neighbourPatience   = 40 * time.Millisecond
+	lateReplicaPatience = 400 * time.Millisecond
 	// silentReplicasTTL is how long neighbours are asked at once after too few replicas have answered.
 	silentReplicasTTL = time.Second
-	// maxNeighbours bounds the gateways that are asked, or to which news is passed on.
+	// maxNeighbours bounds the gateways that are asked, or to which news is passed on. runNeighbours of them are told of the runs of a content
+	// of which no end is known.
 	maxNeighbours = 16
+	runNeighbours = 3
 )
 
 // Evidence is what a node tells others of the runs of a content.
@@ -24,91 +31,144 @@
 	Content string
 	// Entries are those of FatalRequestKind that the node knows.
 	Entries []Entry
-	// Begun and Finished are the names of runs that the node begins and has finished; empty if there is none.
-	Begun    string
-	Finished string
-	// Lasting are the runs in progress at this node.
-	Lasting LastingRuns
-}
-
-// Findings are what other nodes tell of the runs of a content: the names of those that they have begun and not finished, and those that
-// are in progress.
-type Findings struct {
-	Open    []string
-	Lasting LastingRuns
-}
-
-// Exchange tells the replicas of the runs of a content and applies what they know of it. It returns what they tell of runs at other nodes,
-// once most replicas have answered. If these are silent, it asks the neighbours, which pass the entries on to
-// theirs: gateways also learn of each other's ends without replicas.
-func (m *Manager) Exchange(ctx context.Context, replicas []transport.Peer, evidence Evidence) (found Findings) {
-	request := publishRequest{Entries: evidence.Entries, Content: evidence.Content, Begun: evidence.Begun, Finished: evidence.Finished, Lasting: evidence.Lasting}
-	own, news := m.recordPublished(m.network.NodeID(), request)
+	// Begun and Finished are the names of runs that the node begins and has finished; empty if there is none. Completed is set if the engine
+	// has completed the latter.
+	Begun     string
+	Finished  string
+	Completed bool
+}
+
+func (e Evidence) finishedRun() finishedRun {
+	return finishedRun{Content: e.Content, Name: e.Finished, Completed: e.Completed}
+}
+
+// Known is what other nodes know of the runs of a content.
+type Known struct {
+	// Open are the names of other runs that were begun and have not finished. They name the nodes, too.
+	Open []string
+	// Heard is false if there are other nodes and too few have answered.
+	Heard bool
+	// Completed is set if a run was completed lately.
+	Completed bool
+}
+
+// Exchange tells the replicas of the runs of a content, applies the entries that they have of it, and returns what they know of its runs once most
+// replicas have answered. If these are silent, it asks neighbours, which pass the entries on to theirs: gateways also learn of each other's ends
+// without replicas.
+func (m *Manager) Exchange(ctx context.Context, replicas []transport.Peer, evidence Evidence) Known {
+	evidence.Begun, evidence.Finished = m.owned(evidence.Begun), m.owned(evidence.Finished)
+	request := publishRequest{Entries: evidence.Entries, Content: evidence.Content, Begun: evidence.Begun}
+	if evidence.Finished != "" {
+		request.Done = []finishedRun{evidence.finishedRun()}
+		// Builds that don't know Done read this.
+		request.Finished = evidence.Finished
+	}
+	own, news := m.recordPublished(request)
 	m.Apply(news)
-	found = Findings{Open: own.Open, Lasting: own.Lasting}
-	patience := replicaPatience
+	answers, heard := m.askForRuns(ctx, replicas, request, evidence)
+	known := Known{Heard: heard, Completed: own.Completed}
+	open, closed := own.Open, own.Closed
+	for _, answer := range answers {
+		open = append(open, answer.Open...)
+		closed = append(closed, answer.Closed...)
+		known.Completed = known.Completed || answer.Completed
+		m.adopt(answer.Entries)
+	}
+	m.notifyOf(evidence.Content)
+	known.Open = openRuns(open, closed, evidence)
+	return known
+}
+
+// askForRuns tells the replicas of the runs of a content, and the neighbours if too few replicas answer soon. heard is false if there are others and too
+// few have answered.
+func (m *Manager) askForRuns(ctx context.Context, replicas []transport.Peer, request publishRequest, evidence Evidence) (answers []publishResponse, heard bool) {
+	patience, latePatience := replicaPatience, lateReplicaPatience
 	if m.replicasSilent() {
-		patience = 0
+		patience, latePatience = 0, 0
 	}
 	needed := len(replicas)/2 + 1
-	answers := m.askAll(ctx, replicas, request, needed, patience)
-	if len(answers) < needed {
-		m.noteSilence()
-		request.Forward = true
-		neighbours := m.neighbours()
-		answers = append(answers, m.askAll(ctx, neighbours, request, len(neighbours), neighbourPatience)...)
+	fromReplicas := m.send(ctx, replicas, request)
+	if answers = fromReplicas.await(ctx, needed, patience); len(answers) >= needed {
+		return answers, true
 	}
-	for _, answer := range answers {
-		found.Open = append(found.Open, answer.Open...)
-		// Each node reports to all: the largest sum is the most complete one.
-		if answer.Lasting.Count > found.Lasting.Count {
-			found.Lasting = answer.Lasting
+	request.Forward = true
+	neighbours := m.neighboursOf(evidence)
+	fromNeighbours := m.ask(ctx, neighbours, request, len(neighbours), neighbourPatience)
+	if !slices.ContainsFunc(fromNeighbours, func(answer publishResponse) bool { return !answer.Young }) {
+		late := fromReplicas.await(ctx, needed-len(answers), latePatience)
+		if answers = append(answers, late...); len(answers) >= needed {
+			return append(answers, fromNeighbours...), true
 		}
-		m.adopt(answer.Entries)
 	}
-	found.Open = otherRuns(found.Open, evidence)
-	return found
+	m.noteSilence()
+	return append(answers, fromNeighbours...), len(fromNeighbours) > 0 || len(neighbours) == 0
 }
 
-// AdoptReports takes over what most replicas know of ends of engines, and reports whether they have answered. A node does so when it starts: the
-// replica that it follows may not have all of it.
-func (m *Manager) AdoptReports(ctx context.Context, replicas []transport.Peer) bool {
+// AdoptReports takes over what most replicas know of ends of engines, and reports whether they have answered; otherwise it asks the neighbours. A
+// node does so when it starts, since the replica that it follows may not have all of it, and after a pause. It waits for patience for each of the
+// two.
+func (m *Manager) AdoptReports(ctx context.Context, replicas []transport.Peer, patience time.Duration) bool {
 	needed := len(replicas)/2 + 1
-	answers := m.askAll(ctx, replicas, publishRequest{All: true}, needed, publishTimeout)
+	answers := m.ask(ctx, replicas, publishRequest{All: true}, needed, patience)
+	sufficient := len(answers) >= needed
+	if !sufficient {
+		neighbours := m.neighbours()
+		answers = append(answers, m.ask(ctx, neighbours, publishRequest{All: true}, len(neighbours), patience)...)
+	}
 	for _, answer := range answers {
 		m.adopt(answer.Entries)
 	}
-	return len(answers) >= needed
+	return sufficient
 }
 
-// otherRuns returns the distinct names of runs, except those that the evidence is about.
-func otherRuns(names []string, evidence Evidence) []string {
+// openRuns returns the distinct names of runs that no node knows to be finished, except those that the evidence is about.
+func openRuns(names, closed []string, evidence Evidence) []string {
 	slices.Sort(names)
-	return slices.DeleteFunc(slices.Compact(names), func(name string) bool { return name == evidence.Begun || name == evidence.Finished })
+	return slices.DeleteFunc(slices.Compact(names), func(name string) bool {
+		return name == evidence.Begun || name == evidence.Finished || slices.Contains(closed, name)
+	})
+}
+
+// ask sends a request to peers, and returns the responses once as many as needed have come, none is pending, or the time is over.
+func (m *Manager) ask(ctx context.Context, peers []transport.Peer, request publishRequest, needed int, patience time.Duration) (responses []publishResponse) {
+	return m.send(ctx, peers, request).await(ctx, needed, patience)
+}
+
+// inquiry is a request that was sent to some peers.
+type inquiry struct {
+	// answers has a response of each peer, nil if it failed; pending is how many have not been taken yet.
+	answers chan *publishResponse
+	pending int
 }
 
-// askAll sends a request to peers and returns the responses once as many as needed have come, none is pending, or the time is over.
-func (m *Manager) askAll(ctx context.Context, peers []transport.Peer, request publishRequest, needed int, patience time.Duration) (responses []publishResponse) {
+// send sends a request to peers, each with the finished runs of which it has to be told.
+func (m *Manager) send(ctx context.Context, peers []transport.Peer, request publishRequest) *inquiry {
 	// Peers that answer late still take the entries.
 	sendContext, cancel := context.WithTimeout(context.WithoutCancel(ctx), publishTimeout)
-	answers := make(chan *publishResponse, len(peers))
-	pending := len(peers)
+	sent := &inquiry{answers: make(chan *publishResponse, len(peers)), pending: len(peers)}
 	for _, peer := range peers {
+		request := request
+		request.Done = append(slices.Clip(request.Done), m.takeFinishes(peer)...)
 		go func() {
 			response, err := transport.CallWithRelays[publishResponse](sendContext, m.network, peer, publishKind, request, publishTimeout/2)
 			if err != nil {
-				answers <- nil
+				sent.answers <- nil
 				return
 			}
-			answers <- &response
+			sent.answers <- &response
 		}()
 	}
 	time.AfterFunc(publishTimeout, cancel)
+	return sent
+}
+
+// await returns further responses once as many as needed have come, none is pending, or the time is over.
+func (i *inquiry) await(ctx context.Context, needed int, patience time.Duration) (responses []publishResponse) {
 	timer := time.NewTimer(patience)
 	defer timer.Stop()
-	for ; pending > 0 && len(responses) < needed; pending-- {
+	for ; i.pending > 0 && len(responses) < needed; i.pending-- {
 		select {
-		case answer := <-answers:
+		case answer := <-i.answers:
 			if answer != nil {
 				responses = append(responses, *answer)
 			}
@@ -124,14 +184,26 @@
 // adopt takes over entries that another node holds, if they are valid.
 func (m *Manager) adopt(entries []Entry) {
 	valid := slices.DeleteFunc(entries, func(entry Entry) bool { return !entry.publishable() })
-	_, news := m.recordPublished(m.network.NodeID(), publishRequest{Entries: valid})
+	_, news := m.recordPublished(publishRequest{Entries: valid})
 	m.Apply(news)
 }
 
+// notifyOf calls OnChange for all entries of a content, so that none is missing that another goroutine has recorded and not passed on yet.
+func (m *Manager) notifyOf(content string) {
+	m.notifyMutex.Lock()
+	defer m.notifyMutex.Unlock()
+	m.mutex.Lock()
+	entries, _ := m.board.entries(content)
+	m.mutex.Unlock()
+	for _, entry := range entries {
+		m.options.OnChange(entry)
+	}
+}
+
 // forward passes news on to the neighbours, except the one from which it came.
 func (m *Manager) forward(from transport.Peer, entries []Entry) {
 	peers := slices.DeleteFunc(m.neighbours(), func(peer transport.Peer) bool { return peer.Address == from.Address })
-	m.askAll(context.Background(), peers, publishRequest{Entries: entries, Forward: true}, len(peers), neighbourPatience)
+	m.ask(context.Background(), peers, publishRequest{Entries: entries, Forward: true}, len(peers), neighbourPatience)
 }
 
 // neighbours returns up to maxNeighbours gateways.
@@ -143,6 +215,21 @@
 	return known[:min(len(known), maxNeighbours)]
 }
 
+// neighboursOf returns the gateways that are told of the runs of a content, the same ones at each gateway as far as it knows them.
+func (m *Manager) neighboursOf(evidence Evidence) []transport.Peer {
+	if m.options.Neighbours == nil {
+		return nil
+	}
+	known := slices.Clone(m.options.Neighbours())
+	rank := func(peer transport.Peer) uint64 { return xxhash.Sum64String(evidence.Content + peer.Address) }
+	slices.SortFunc(known, func(a, b transport.Peer) int { return cmp.Compare(rank(a), rank(b)) })
+	count := maxNeighbours
+	if len(evidence.Entries) == 0 {
+		count = runNeighbours
+	}
+	return known[:min(len(known), count)]
+}
+
 func (m *Manager) replicasSilent() bool {
 	m.mutex.Lock()
 	defer m.mutex.Unlock()
--- a/internal/catalog/manager.go
+++ b/internal/catalog/manager.go
@@ -72,8 +72,10 @@
 	StaleAfter time.Duration
 	// Neighbours returns gateways that this node reaches without the replicas. Nil means none.
 	Neighbours func() []transport.Peer
+	// RunLives reports whether this node has begun a run of a content and has heard of its engine lately. Nil means never.
+	RunLives func(content, name string) bool
 	// OnChange is called with changed entries, one at a time. The revisions of an entry are strictly increasing and end
-	// with the newest; superseded ones may be skipped. It must not block or modify the Manager.
+	// with the newest; superseded ones may be skipped, and those of FatalRequestKind may be repeated. It must not block or modify the Manager.
 	OnChange func(Entry)
 	// OnOutageEnd is called when the catalog is in sync with the store again after it was not for longer than
 	// StaleAfter; since is the last sync before. It is called with the Manager locked: it must not block or call the
@@ -88,6 +90,7 @@
 	logger  *events.Logger
 	// identity is random, so that followers notice a restart, which resets sequence numbers.
 	identity uint64
+	ledger   *ledger
 
 	// notifyMutex is held while OnChange is called. Lock order: notifyMutex before mutex.
 	notifyMutex sync.Mutex
@@ -95,6 +98,9 @@
 	mutex sync.Mutex
 	state *State
 	board *board
+	// finishes are the finished runs of which peers have to be told, by their addresses.
+	finishes  map[string]*finishQueue
+	startedAt time.Time
 	// silentUntil is until when replicas are taken for silent.
 	silentUntil time.Time
 	// changed is closed at the next change, synced at the next sync with the store.
@@ -137,8 +143,11 @@
 		network:   network,
 		logger:    logger,
 		identity:  rand.Uint64() >> 1,
+		startedAt: time.Now(),
 		state:     NewState(),
 		board:     newBoard(),
+		ledger:    newLedger(),
+		finishes:  make(map[string]*finishQueue),
 		changed:   make(chan struct{}),
 		synced:    make(chan struct{}),
 		followers: make(map[string]*follower),
@@ -152,6 +161,7 @@
 	transport.Handle(network, followKind, manager.serveFollow)
 	transport.Handle(network, fetchKind, manager.serveFetch)
 	transport.Handle(network, publishKind, manager.servePublish)
+	transport.Handle(network, vouchKind, manager.serveVouch)
 	return manager
 }
 
@@ -170,6 +180,7 @@
 	defer started.Stop()
 	for {
 		m.reconcile(ctx)
+		m.flushFinishes(ctx, time.Now())
 		select {
 		case <-started.C:
 		case <-ctx.Done():
--- a/internal/catalog/publish.go
+++ b/internal/catalog/publish.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"encoding/json"
+	"slices"
 	"strconv"
 	"strings"
 	"time"
@@ -57,8 +58,8 @@
 	Content  string `json:"c,omitempty"`
 	Begun    string `json:"b,omitempty"`
 	Finished string `json:"d,omitempty"`
-	// Lasting are the runs of Content that are in progress at the sender.
-	Lasting LastingRuns `json:"l,omitzero"`
+	// Done are further runs that the sender has finished, also of other contents.
+	Done []finishedRun `json:"f,omitempty"`
 	// All asks for the entries of all contents instead of one.
 	All bool `json:"a,omitempty"`
 	// Forward asks a gateway to pass entries on to its neighbours if they are new to it.
@@ -67,10 +68,15 @@
 
 // publishResponse has what the node knew of a content before the request.
 type publishResponse struct {
-	Entries []Entry  `json:"e,omitempty"`
-	Open    []string `json:"o,omitempty"`
-	// Lasting are the runs in progress at other nodes than the sender of the request.
-	Lasting LastingRuns `json:"l,omitzero"`
+	Entries []Entry `json:"e,omitempty"`
+	// Open are the names of runs that have begun and not finished, Closed those of runs that have finished lately.
+	Open   []string `json:"o,omitempty"`
+	Closed []string `json:"z,omitempty"`
+	// Completed is set if a run was completed lately.
+	Completed bool `json:"s,omitempty"`
+	// Young is set if the node has started less than runTTL ago: there may be runs that it would know of otherwise. Builds that don't know it leave it
+	// out.
+	Young bool `json:"y,omitempty"`
 }
 
 // FatalRequest returns an entry of FatalRequestKind.
@@ -101,11 +107,13 @@
 	return Entry{Key: Key(FatalRequestKind, name), Revision: withdrawnRevision}
 }
 
-// Publish adds entries to this catalog and to those of some peers, from which all other nodes get them. It returns once the peers
-// have answered or publishTimeout has passed. The error is that of the last peer that failed, if all did.
+// Publish adds entries to this catalog and to those of some peers, from which all other nodes get them, and tells the neighbours. It returns
+// once the peers have answered or publishTimeout has passed. The error is that of the last peer that failed, if all did.
 func (m *Manager) Publish(ctx context.Context, peers []transport.Peer, entries []Entry) error {
-	_, news := m.recordPublished(m.network.NodeID(), publishRequest{Entries: entries})
+	_, news := m.recordPublished(publishRequest{Entries: entries})
 	m.Apply(news)
+	neighbours := m.neighbours()
+	go m.ask(ctx, neighbours, publishRequest{Entries: entries}, len(neighbours), publishTimeout)
 	publishContext, cancel := context.WithTimeout(ctx, publishTimeout)
 	defer cancel()
 	results := make(chan error, len(peers))
@@ -137,10 +145,10 @@
 			return publishResponse{}, errors.WithStack(&ErrNotPublishable{Key: entry.Key})
 		}
 	}
-	if max(len(request.Content), len(request.Begun), len(request.Finished)) > maxPublishedBytes {
+	if max(len(request.Content), len(request.Begun), len(request.Finished)) > maxPublishedBytes || !validFinishes(request.Done) {
 		return publishResponse{}, errors.WithStack(&ErrNotPublishable{Key: request.Content[:min(len(request.Content), maxPublishedBytes)]})
 	}
-	response, news := m.recordPublished(from.NodeID, request)
+	response, news := m.recordPublished(request)
 	m.Apply(news)
 	if request.Forward && len(news) > 0 {
 		go m.forward(from, news)
@@ -148,16 +156,27 @@
 	return response, nil
 }
 
-// recordPublished puts entries and runs of a node on the board, and returns the entries that are new there.
-func (m *Manager) recordPublished(from string, request publishRequest) (publishResponse, []Entry) {
+// validFinishes reports whether a node may tell of these finished runs.
+func validFinishes(runs []finishedRun) bool {
+	return len(runs) <= maxToldFinishes && !slices.ContainsFunc(runs, func(run finishedRun) bool {
+		return max(len(run.Content), len(run.Name)) > maxPublishedBytes
+	})
+}
+
+// recordPublished records entries and runs of a node, and returns the entries that are new here.
+func (m *Manager) recordPublished(request publishRequest) (publishResponse, []Entry) {
 	now := time.Now()
+	response := publishResponse{Young: now.Sub(m.startedAt) < runTTL}
+	for _, run := range request.Done {
+		m.ledger.finish(now, run)
+	}
+	if request.Content != "" {
+		response.Open, response.Closed, response.Completed = m.ledger.exchange(now, request.Content, request.Finished, request.Begun)
+	}
 	m.mutex.Lock()
 	defer m.mutex.Unlock()
-	var response publishResponse
 	if request.Content != "" {
 		response.Entries, _ = m.board.entries(request.Content)
-		response.Open = m.board.openRuns(now, request.Content)
-		response.Lasting = m.board.lastingElsewhere(now, request.Content, from)
 	}
 	if request.All {
 		response.Entries = m.board.allEntries()
@@ -169,13 +188,6 @@
 		}
 		news = append(news, entry)
 	}
-	if request.Content != "" {
-		m.board.noteLasting(now, request.Content, from, request.Lasting)
-		m.board.finish(request.Content, request.Finished)
-		if request.Begun != "" {
-			m.board.begin(now, request.Content, request.Begun)
-		}
-	}
 	return response, news
 }
 
--- a/internal/dispatch/admission.go
+++ b/internal/dispatch/admission.go
@@ -13,160 +13,206 @@
 )
 
 const (
-	// maxEnds is how many engines may end under a request before it must be judged: further runs are admitted only while the ends that are
-	// known, those that are likely and the runs in progress at other nodes are fewer.
-	maxEnds = 3
 	// newsDelay is how long after an interruption a call waits for other nodes' news of ends that came at the same time.
 	newsDelay = 30 * time.Millisecond
-	// proofTime is how long a call waits, in total, until it is known whether the engines of its interruptions have ended.
-	proofTime = 500 * time.Millisecond
-	// turnTimeout bounds the wait for runs of the same content at other nodes, turnInterval is the mean time between two looks.
-	turnTimeout  = 300 * time.Millisecond
-	turnInterval = 20 * time.Millisecond
-	// calmTime is for how long no other engine must have ended before the run that decides whether a request ends its engines. A random
-	// time of up to calmJitter is added, so that several such requests don't decide at once. calmTimeout bounds the wait.
+	// holdTimeout bounds the wait until it is known whether the next run of a call may begin. minHoldPause and maxHoldPause bound the mean
+	// time between two looks, which doubles with each.
+	holdTimeout  = time.Second
+	minHoldPause = 20 * time.Millisecond
+	maxHoldPause = 160 * time.Millisecond
+	// calmTime is for how long no other engine must have ended before the last run that a request may have, and before its second one in a
+	// storm: stormEnds other engines have ended within stormTime. A random time of up to calmJitter is added, so that requests that met the same
+	// ends don't go on at once. calmTimeout bounds the wait.
 	calmTime    = 100 * time.Millisecond
 	calmJitter  = 100 * time.Millisecond
-	calmTimeout = 600 * time.Millisecond
+	calmTimeout = time.Second
+	stormEnds   = 3
+	stormTime   = 500 * time.Millisecond
 )
 
-// admit decides whether a call may be sent to an engine, and reports whether it ends the engines that run it. A call with whose content no
-// run was interrupted is admitted at once. All others tell the other nodes that a run begins and hear what these know, so that the order in
-// which calls come, and the gateways that they reach, make no difference.
-func (d *Dispatcher) admit(ctx context.Context, call *Call) (isFatal bool) {
-	ends := d.registry.ends
-	if ends.Empty() || !ends.Known(call.fingerprint()) {
-		return false
-	}
-	if call.interrupted {
-		clock.Sleep(ctx, time.Until(call.brokenAt.Add(newsDelay)))
-	}
+// admit waits until the next run of a call may begin. The error tells why it may not. Each call announces its run to other nodes before it begins
+// and hears what these know, so that the order in which calls come, the gateways that they reach, and those that end make no difference.
+func (d *Dispatcher) admit(ctx context.Context, call *Call, progress *progress) error {
+	d.registry.catchUp(ctx)
+	ends, key := d.registry.ends, call.fingerprint()
 	startedAt := time.Now()
-	d.awaitCalm(ctx, call)
-	for ctx.Err() == nil {
-		open := d.tell(ctx, call, newRunName())
-		ended, possible := ends.Risk(time.Now(), call.fingerprint(), proofTime)
-		decision := d.decide(call, ended, possible, len(open), time.Since(startedAt))
-		if decision.admitted {
-			return false
+	switch {
+	case ends.Known(key):
+		if call.interrupted {
+			clock.Sleep(ctx, time.Until(call.brokenAt.Add(newsDelay)))
+			startedAt = time.Now()
 		}
-		// Other nodes must not wait for a run that is not sent.
-		d.finishRun(ctx, call)
-		if decision.isFatal {
-			return true
+		d.awaitCalm(ctx, call)
+	case call.openRun.Load() != nil:
+		// The last run was not interrupted, and its announcement holds for the next one.
+		return nil
+	}
+	for pause := minHoldPause; !expired(ctx); pause = min(2*pause, maxHoldPause) {
+		open, heard := d.tell(ctx, call, newRunName())
+		count := ends.Count(time.Now(), key)
+		if count.Ended+count.Undecided >= fatal.MaxEnds {
+			d.decideInterruptions(ctx, key)
+			count = ends.Count(time.Now(), key)
+		}
+		call.contended = call.contended || len(open) > 0 || count.Ended+count.Undecided > 0
+		if count.Ended+count.Undecided == 0 && fatal.Decide(count, len(open)) == fatal.Wait {
+			// Many callers may send this content at once.
+			open = d.registry.unvouched(ctx, key, open)
+		}
+		decision := fatal.Decide(count, len(open))
+		if decision == fatal.Admit && !heard && count.Ended+count.Undecided > 0 {
+			// Others may know of more.
+			decision = fatal.Wait
 		}
-		d.logger.Emit(events.RunHeld, events.F("request", call.ID), events.F("content", string(call.fingerprint())), events.F("ended", ended),
-			events.F("possible", possible), events.F("open", len(open)), events.F("millis", decision.wait.Milliseconds()))
-		if possible > 0 {
-			call.awaitedProof += decision.wait
+		held := time.Since(startedAt)
+		if decision != fatal.Admit || count.Ended+count.Undecided > 0 {
+			d.logDecision(call, decision, count, len(open), held)
+		}
+		if decision == fatal.Admit {
+			call.untold.Store(!heard)
+			return nil
+		}
+		// Other nodes must not wait for a run that is not sent.
+		d.finishRun(ctx, call, false)
+		switch {
+		case decision == fatal.Refuse, held >= holdTimeout && fatal.Decide(count, 0) == fatal.Refuse:
+			return d.refuse(call, progress)
+		case held >= holdTimeout:
+			return progress.undecidedError()
 		}
-		clock.Sleep(ctx, decision.wait)
+		clock.Sleep(ctx, pause/2+rand.N(pause))
 	}
-	return false
+	return progress.noEngineError(ctx)
+}
+
+// logDecision logs a decision about the next run of a call.
+func (d *Dispatcher) logDecision(call *Call, decision fatal.Decision, count fatal.Count, open int, held time.Duration) {
+	event := events.RunHeld
+	if decision == fatal.Admit {
+		event = events.RunAdmitted
+	}
+	d.logger.Emit(event, events.F("request", call.ID), events.F("content", string(call.fingerprint())), events.F("ended", count.Ended),
+		events.F("possible", count.Undecided), events.F("open", open), events.F("held_millis", held.Milliseconds()))
+}
+
+// refuse returns the error of a call whose request is not sent again.
+func (d *Dispatcher) refuse(call *Call, progress *progress) error {
+	if engines, isNew := d.registry.ends.Refused(time.Now(), call.fingerprint()); isNew {
+		d.logger.Emit(events.RequestFatal, events.F("request", call.ID), events.F("content", string(call.fingerprint())), events.F("engines", engines))
+	}
+	return progress.endsEnginesError(call)
 }
 
-// awaitCalm waits until other engines have stopped ending, if the next end would decide whether the request of a call ends its engines: a
-// request that meets many ends would be taken for one that causes them. Content that others run at the same time is not held up.
+// awaitCalm waits until other engines have stopped ending, if the request of a call may have one more run only, or met a storm of ends.
 func (d *Dispatcher) awaitCalm(ctx context.Context, call *Call) {
-	ends, key := d.registry.ends, call.fingerprint()
+	ends, key, service := d.registry.ends, call.fingerprint(), call.Placement.Service
 	needed := calmTime + rand.N(calmJitter)
 	for deadline := time.Now().Add(calmTimeout); time.Now().Before(deadline) && ctx.Err() == nil; {
 		now := time.Now()
-		ended, possible := ends.Risk(now, key, proofTime)
-		calm := ends.Calm(now, key, call.Placement.Service)
-		if ended+possible != maxEnds-1 || calm >= needed || ends.Shared(now, call.tracked()) {
+		count := ends.Count(now, key)
+		isLast := count.Ended+count.Undecided == fatal.MaxEnds-1
+		calm := ends.Calm(now, key, service)
+		if calm >= needed || !(isLast || ends.Storm(now, key, service, stormTime) >= stormEnds) {
 			return
 		}
-		clock.Sleep(ctx, min(needed-calm, turnInterval))
+		clock.Sleep(ctx, min(needed-calm, minHoldPause))
 	}
 }
 
-// admission is a decision about the next run of a call: it is admitted, fatal, or has to wait.
-type admission struct {
-	admitted, isFatal bool
-	wait              time.Duration
+// mayBegin reports whether a run that was admitted may still begin, by what is known here.
+func (d *Dispatcher) mayBegin(call *Call) bool {
+	ends := d.registry.ends
+	if ends.Empty() || !ends.Known(call.fingerprint()) {
+		return true
+	}
+	return call.openRun.Load() != nil && fatal.Decide(ends.Count(time.Now(), call.fingerprint()), 0) == fatal.Admit
 }
 
-// decide decides from the ends that are known, those that are likely, and the runs in progress at other nodes.
-func (d *Dispatcher) decide(call *Call, ended, possible, open int, waited time.Duration) admission {
-	pause := turnInterval/2 + rand.N(turnInterval)
-	switch {
-	case ended >= maxEnds:
-		isFatal, withhold := d.judge(time.Now(), call.tracked())
-		judged := ended <= call.judgedEnds
-		if withhold == 0 {
-			call.judgedEnds = ended
-		}
-		return admission{isFatal: isFatal, admitted: !isFatal && (withhold == 0 || judged), wait: withhold}
-	case ended+possible == 0, ended+possible+open < maxEnds:
-		return admission{admitted: true}
-	case ended+possible >= maxEnds && call.awaitedProof < proofTime:
-		return admission{wait: pause}
-	case ended+possible < maxEnds && waited < turnTimeout && !d.registry.ends.Shared(time.Now(), call.tracked()):
-		return admission{wait: pause}
+// tell tells other nodes of the runs of the call's content and returns the names of those that they have begun, and whether others were heard.
+// begun is the name of the run that the call begins; empty if none.
+func (d *Dispatcher) tell(ctx context.Context, call *Call, begun string) (open []string, heard bool) {
+	key, now := call.fingerprint(), time.Now()
+	d.registry.shareEnds(now, EndNews{})
+	finished := call.takeOpenRun()
+	if begun != "" {
+		call.openRun.Store(&begun)
 	}
-	return admission{admitted: true}
+	return d.registry.exchange(ctx, RunNews{Content: key, Reports: d.registry.ends.Reports(now, key), Begun: begun, Finished: finished})
 }
 
-// tell tells other nodes of the runs of the call's content and returns the names of those that they have begun. begun is the name of the
-// run that the call begins; empty if none.
-func (d *Dispatcher) tell(ctx context.Context, call *Call, begun string) (open []string) {
-	ends, key, now := d.registry.ends, call.fingerprint(), time.Now()
-	d.registry.shareEnds(now, EndNews{})
-	found := d.registry.exchange(ctx, RunNews{
-		Content: key, Reports: ends.Reports(now, key), Begun: begun, Finished: call.openRun, Lasting: ends.Lasting(now, key),
-	})
-	call.openRun = begun
-	ends.LastingElsewhere(time.Now(), key, found.Lasting)
-	return found.Open
-}
-
-// announceRun tells other nodes, without a wait, that a run of the call was interrupted of which it is not known yet whether it ended its engine,
-// unless they know of the run.
-func (d *Dispatcher) announceRun(ctx context.Context, call *Call) {
-	if call.openRun != "" || !d.registry.ends.Known(call.fingerprint()) {
-		return
+// applyNews follows news of a run that was interrupted, here or at another gateway: it tells other nodes of the runs of the content that are in progress
+// here, unless they know of them. If too many engines have ended, it cancels those that no engine has answered yet, since they may not have begun.
+func (d *Dispatcher) applyNews(key fatal.Key) {
+	d.recall(key)
+	if fatal.Decide(d.registry.ends.Count(time.Now(), key), 0) == fatal.Refuse {
+		d.running.cancelUnanswered(key)
+	}
+	for _, name := range d.running.nameRuns(key) {
+		go d.registry.exchange(context.Background(), RunNews{Content: key, Begun: name})
 	}
-	call.openRun = newRunName()
-	go d.registry.exchange(context.WithoutCancel(ctx), RunNews{Content: call.fingerprint(), Begun: call.openRun})
 }
 
-// finishRun tells other nodes, without a wait, that the run that the call has begun is not in progress any more.
-func (d *Dispatcher) finishRun(ctx context.Context, call *Call) {
-	if call.openRun == "" {
+// finishRun tells other nodes, without a wait, that the run that the call has begun is not in progress any more, and how it was interrupted.
+func (d *Dispatcher) finishRun(ctx context.Context, call *Call, completed bool) {
+	finished := call.takeOpenRun()
+	if finished == "" {
 		return
 	}
-	now := time.Now()
-	news := RunNews{Content: call.fingerprint(), Finished: call.openRun, Lasting: d.registry.ends.Lasting(now, call.fingerprint())}
-	call.openRun = ""
+	key := call.fingerprint()
+	reports := d.registry.ends.Reports(time.Now(), key)
+	news := RunNews{Content: key, Reports: reports, Finished: finished, Completed: completed, MayBeLate: !call.contended && len(reports) == 0}
 	go d.registry.exchange(context.WithoutCancel(ctx), news)
 }
 
+// takeOpenRun returns the name under which other nodes know the run in progress, and clears it; empty if they don't.
+func (c *Call) takeOpenRun() string {
+	if name := c.openRun.Swap(nil); name != nil {
+		return *name
+	}
+	return ""
+}
+
 // newRunName returns a unique name.
 func newRunName() string { return strconv.FormatUint(rand.Uint64(), 36) }
 
-// knownFatal reports whether the request of a call is known to end its engines, without a wait.
-func (d *Dispatcher) knownFatal(call *Call) bool {
-	if !call.interrupted {
-		return false
+const (
+	// youngRunTime is the age up to which a run is taken to live whose engine has not answered, heardTime how lately an engine that has answered must
+	// have sent something.
+	youngRunTime = 50 * time.Millisecond
+	heardTime    = 200 * time.Millisecond
+)
+
+// RunLives reports whether the run of a content with a name has not been sent yet, or is in progress and its engine has shown lately that it lives.
+func (d *Dispatcher) RunLives(key fatal.Key, name string) bool {
+	now := time.Now()
+	for _, call := range d.announced.withContent(key) {
+		known, sentAt, exchange := call.openRun.Load(), call.sentAt.Load(), call.exchange.Load()
+		switch {
+		case known == nil || *known != name:
+		case sentAt == 0:
+			return true
+		case exchange != nil:
+			return now.Sub(exchange.HeardAt()) < heardTime
+		default:
+			return now.Sub(time.Unix(0, sentAt)) < youngRunTime
+		}
 	}
-	isFatal, _ := d.judge(time.Now(), call.tracked())
-	return isFatal
+	return false
 }
 
-// runningCalls are the calls that an engine runs. The zero value is ready for use.
+// runningCalls are calls in progress. The zero value is ready for use.
 type runningCalls struct {
 	mutex sync.Mutex
-	calls map[*Call]time.Time
+	calls map[*Call]struct{}
 }
 
-func (r *runningCalls) add(call *Call, sentAt time.Time) {
+func (r *runningCalls) add(call *Call) {
 	r.mutex.Lock()
 	defer r.mutex.Unlock()
 	if r.calls == nil {
-		r.calls = make(map[*Call]time.Time)
+		r.calls = make(map[*Call]struct{})
 	}
-	r.calls[call] = sentAt
+	r.calls[call] = struct{}{}
 }
 
 func (r *runningCalls) remove(call *Call) {
@@ -175,14 +221,43 @@
 	delete(r.calls, call)
 }
 
-// sentAt returns when the runs of a request were sent, without those of one call.
-func (r *runningCalls) sentAt(key fatal.Key, except string) (times []time.Time) {
+// withContent returns the calls with a content.
+func (r *runningCalls) withContent(key fatal.Key) (calls []*Call) {
 	r.mutex.Lock()
 	defer r.mutex.Unlock()
-	for call, sentAt := range r.calls {
-		if call.ID != except && call.fingerprint() == key {
-			times = append(times, sentAt)
+	for call := range r.calls {
+		if call.fingerprint() == key {
+			calls = append(calls, call)
+		}
+	}
+	return calls
+}
+
+// cancelUnanswered cancels the attempts at a content whose engines have not answered yet.
+func (r *runningCalls) cancelUnanswered(key fatal.Key) {
+	r.mutex.Lock()
+	defer r.mutex.Unlock()
+	for call := range r.calls {
+		if !call.answered.Load() && call.fingerprint() == key {
+			call.cancel()
+		}
+	}
+}
+
+// nameRuns returns the names of the runs of a content of which other nodes may not know. It names those that have no name yet.
+func (r *runningCalls) nameRuns(key fatal.Key) (names []string) {
+	r.mutex.Lock()
+	defer r.mutex.Unlock()
+	for call := range r.calls {
+		if call.fingerprint() != key {
+			continue
+		}
+		name := newRunName()
+		if call.openRun.CompareAndSwap(nil, &name) {
+			names = append(names, name)
+		} else if known := call.openRun.Load(); known != nil && call.untold.CompareAndSwap(true, false) {
+			names = append(names, *known)
 		}
 	}
-	return times
+	return names
 }
--- a/internal/dispatch/admission_test.go
+++ b/internal/dispatch/admission_test.go
@@ -3,12 +3,15 @@
 import (
 	"context"
 	"fmt"
+	"net/http"
 	"syscall"
 	"testing"
 	"time"
 
+	"github.com/cockroachdb/errors"
 	"gotest.tools/v3/assert"
 
+	"github.com/mountstile/mountstile/internal/apierr"
 	"github.com/mountstile/mountstile/internal/events"
 	"github.com/mountstile/mountstile/internal/fatal"
 )
@@ -25,22 +28,100 @@
 func endedCall(t *testing.T, registry *Registry, engine string) (*Dispatcher, *Call) {
 	t.Helper()
 	dispatcher, call := interruptedCall(t, registry, engine)
-	call.beganAt = time.Now().Add(-20 * time.Millisecond)
-	dispatcher.recordEnd(call, registry.byID[engine], gone)
+	dispatcher.recordEnd(call, registry.byID[engine], time.Now(), gone)
 	return dispatcher, call
 }
 
-// A call with whose content no run was interrupted waits for nothing and tells nobody.
-func TestOrdinaryCallsAreAdmittedWithoutMessages(t *testing.T) {
+// admitted waits until the next run of a call may begin, and returns the code of the error if it may not.
+func admitted(t *testing.T, dispatcher *Dispatcher, call *Call) (refusal apierr.Code) {
+	t.Helper()
+	err := dispatcher.admit(t.Context(), call, &progress{call: call, ran: call.interrupted})
+	if err == nil {
+		return ""
+	}
+	var failure *apierr.Error
+	assert.Assert(t, errors.As(err, &failure), "%v", err)
+	return failure.Code
+}
+
+// Each call announces its first run, before it begins. Attempts that did not run need no further message.
+func TestFirstRunIsAnnounced(t *testing.T) {
 	registry := registryOf(t, "a", "a", "a")
-	registry.ExchangeRuns(func(context.Context, RunNews) RunFindings {
-		t.Error("a message was sent")
-		return RunFindings{}
+	var told []RunNews
+	finished := make(chan RunNews, 1)
+	registry.ExchangeRuns(func(_ context.Context, news RunNews) ([]string, bool) {
+		if news.Begun == "" {
+			finished <- news
+			return nil, true
+		}
+		told = append(told, news)
+		return nil, true
 	})
 	dispatcher := New(registry, nil, events.Discard())
-	assert.Assert(t, !dispatcher.admit(t.Context(), &Call{ID: "c", Placement: Placement{Service: "s"}}))
-	registry.engineEnded(time.Now(), registry.byID["e0"], proofRefused)
-	assert.Assert(t, !dispatcher.admit(t.Context(), &Call{ID: "c", Placement: Placement{Service: "s"}}))
+	call := &Call{ID: "c", Placement: Placement{Service: "s"}, status: http.StatusOK}
+	for range 2 {
+		assert.Equal(t, admitted(t, dispatcher, call), apierr.Code(""))
+		assert.Assert(t, dispatcher.mayBegin(call))
+		registry.engineEnded(time.Now(), registry.byID["e0"], proofRefused)
+	}
+	assert.Equal(t, len(told), 1)
+	dispatcher.finishCall(t.Context(), call, nil)
+	assert.DeepEqual(t, <-finished, RunNews{Content: call.fingerprint(), Finished: told[0].Begun, Completed: true, MayBeLate: true})
+}
+
+// The first run of a call waits while other nodes have as many in progress as may end engines, unless its content was completed lately.
+func TestFirstRunWaitsForOthersInProgress(t *testing.T) {
+	for _, sound := range []bool{true, false} {
+		registry := registryOf(t, "a", "a", "a")
+		registry.ExchangeRuns(func(context.Context, RunNews) ([]string, bool) { return []string{"r1", "r2", "r3"}, true })
+		dispatcher := New(registry, nil, events.Discard())
+		call := &Call{ID: "c", Placement: Placement{Service: "s"}}
+		if sound {
+			registry.ends.Sound(time.Now(), call.fingerprint())
+		}
+		assert.Equal(t, admitted(t, dispatcher, call), map[bool]apierr.Code{true: "", false: apierr.NoEngine}[sound])
+	}
+}
+
+// Runs for which their nodes vouch are not waited for, unless an engine has ended under the content.
+func TestRunsOfLivingEnginesAreNotWaitedFor(t *testing.T) {
+	for _, ended := range []bool{true, false} {
+		registry := registryOf(t, "a", "a", "a", "a")
+		registry.ExchangeRuns(func(context.Context, RunNews) ([]string, bool) { return []string{"r1", "r2", "r3"}, true })
+		registry.VouchRuns(func(_ context.Context, _ fatal.Key, open []string) []string { return open[:2] })
+		dispatcher := New(registry, nil, events.Discard())
+		call := &Call{ID: "c", Placement: Placement{Service: "s"}}
+		if ended {
+			registry.ApplyReport(reportOfEnd(t, call.fingerprint(), "e0"))
+		}
+		assert.Equal(t, admitted(t, dispatcher, call), map[bool]apierr.Code{true: apierr.NoEngine, false: ""}[ended])
+	}
+}
+
+// A gateway vouches for runs that it has not sent yet, or not long ago.
+func TestRunLivesUntilItsEngineIsSilent(t *testing.T) {
+	dispatcher := New(registryOf(t, "a"), nil, events.Discard())
+	call, name := &Call{}, "run"
+	call.openRun.Store(&name)
+	assert.Assert(t, !dispatcher.RunLives(call.fingerprint(), name))
+	dispatcher.announced.add(call)
+	assert.Assert(t, dispatcher.RunLives(call.fingerprint(), name))
+	assert.Assert(t, !dispatcher.RunLives(call.fingerprint(), "another"))
+	assert.Assert(t, !dispatcher.RunLives("another", name))
+	call.sentAt.Store(time.Now().UnixNano())
+	assert.Assert(t, dispatcher.RunLives(call.fingerprint(), name))
+	call.sentAt.Store(time.Now().Add(-youngRunTime).UnixNano())
+	assert.Assert(t, !dispatcher.RunLives(call.fingerprint(), name))
+}
+
+// A call runs although no other node is heard while no interruption of its content is known.
+func TestFirstRunBeginsWhileNoOtherNodeIsHeard(t *testing.T) {
+	registry := registryOf(t, "a", "a", "a")
+	registry.ExchangeRuns(func(context.Context, RunNews) ([]string, bool) { return nil, false })
+	dispatcher := New(registry, nil, events.Discard())
+	startedAt := time.Now()
+	assert.Equal(t, admitted(t, dispatcher, &Call{ID: "c", Placement: Placement{Service: "s"}}), apierr.Code(""))
+	assert.Assert(t, time.Since(startedAt) < minHoldPause)
 }
 
 // A call that met one end is stopped if other gateways tell of two more under its content, which came at the same time.
@@ -48,14 +129,14 @@
 	registry := registryOf(t, "a", "a", "a", "a")
 	dispatcher, call := endedCall(t, registry, "e0")
 	told := make(chan RunNews, 10)
-	registry.ExchangeRuns(func(_ context.Context, news RunNews) RunFindings {
+	registry.ExchangeRuns(func(_ context.Context, news RunNews) ([]string, bool) {
 		told <- news
 		for _, engine := range []string{"e1", "e02"} {
 			registry.ApplyReport(reportOfEnd(t, news.Content, engine))
 		}
-		return RunFindings{}
+		return nil, true
 	})
-	assert.Assert(t, dispatcher.admit(t.Context(), call))
+	assert.Equal(t, admitted(t, dispatcher, call), apierr.EndsEngines)
 	begun := <-told
 	assert.Equal(t, len(begun.Reports), 1)
 	assert.Equal(t, begun.Reports[0].Engine(), "e0")
@@ -63,56 +144,157 @@
 	assert.Equal(t, (<-told).Finished, begun.Begun, "other nodes wait for a run that is not sent")
 }
 
-// A run that another node has begun and that may bring the third end is waited for, for a while.
+// A run that another node has begun and that may bring the third end is waited for. If it takes too long, the call is refused.
 func TestCallWaitsForRunsAtOtherNodes(t *testing.T) {
 	for _, finishes := range []bool{true, false} {
 		registry := registryOf(t, "a", "a", "a", "a")
 		dispatcher, call := endedCall(t, registry, "e0")
 		registry.ApplyReport(reportOfEnd(t, call.fingerprint(), "e1"))
 		startedAt := time.Now()
-		registry.ExchangeRuns(func(_ context.Context, news RunNews) RunFindings {
-			if finishes && time.Since(startedAt) > turnTimeout/2 {
-				return RunFindings{}
+		registry.ExchangeRuns(func(_ context.Context, news RunNews) ([]string, bool) {
+			if finishes && time.Since(startedAt) > holdTimeout/4 {
+				return nil, true
 			}
-			return RunFindings{Open: []string{"elsewhere"}}
+			return []string{"elsewhere"}, true
 		})
-		assert.Assert(t, !dispatcher.admit(t.Context(), call))
+		assert.Equal(t, admitted(t, dispatcher, call), map[bool]apierr.Code{true: "", false: apierr.ExecutionUnknown}[finishes])
 		waited := time.Since(startedAt)
-		assert.Assert(t, waited > turnTimeout/2, "%s", waited)
-		assert.Assert(t, finishes || waited >= turnTimeout, "%s", waited)
-		assert.Assert(t, waited < turnTimeout+calmTimeout, "%s", waited)
+		assert.Assert(t, waited > holdTimeout/4, "%s", waited)
+		assert.Assert(t, finishes || waited >= holdTimeout, "%s", waited)
+		assert.Assert(t, waited < holdTimeout+calmTimeout, "%s", waited)
 	}
 }
 
-// While an interruption may turn out to be the third end, a call waits for the proof, and goes on if none comes.
+// While no other node is heard, a call of whose content an interruption is known waits: others may know of more. Then it is refused.
+func TestCallWaitsUntilOtherNodesAreHeard(t *testing.T) {
+	for _, answers := range []bool{true, false} {
+		registry := registryOf(t, "a", "a", "a", "a")
+		dispatcher, call := endedCall(t, registry, "e0")
+		startedAt := time.Now()
+		registry.ExchangeRuns(func(context.Context, RunNews) ([]string, bool) {
+			return nil, answers && time.Since(startedAt) > holdTimeout/4
+		})
+		assert.Equal(t, admitted(t, dispatcher, call), map[bool]apierr.Code{true: "", false: apierr.ExecutionUnknown}[answers])
+		assert.Assert(t, time.Since(startedAt) > holdTimeout/4)
+	}
+}
+
+// While an interruption may turn out to be the third end, no run begins. If nothing shows that the engine has survived, the call is refused.
 func TestCallWaitsForTheProofOfAnEnd(t *testing.T) {
-	for _, proved := range []bool{true, false} {
+	for _, row := range []struct {
+		decide   func(registry *Registry)
+		expected apierr.Code
+	}{
+		{func(registry *Registry) { registry.engineEnded(time.Now(), registry.byID["e2"], proofRefused) }, apierr.EndsEngines},
+		{func(registry *Registry) { registry.ends.EngineAlive(time.Now(), "e2") }, ""},
+		{func(*Registry) {}, apierr.ExecutionUnknown},
+	} {
 		registry := registryOf(t, "a", "a", "a", "a")
 		dispatcher, call := endedCall(t, registry, "e0")
 		registry.ApplyReport(reportOfEnd(t, call.fingerprint(), "e1"))
 		dispatcher.recordInterruption(t.Context(), call, registry.byID["e2"], time.Now().Add(-20*time.Millisecond), unknown, ResponseError(false, syscall.ECONNRESET))
 		startedAt := time.Now()
-		time.AfterFunc(proofTime/4, func() {
-			if proved {
-				registry.engineEnded(time.Now(), registry.byID["e2"], proofRefused)
-			}
-		})
-		assert.Equal(t, dispatcher.admit(t.Context(), call), proved)
-		assert.Assert(t, time.Since(startedAt) >= proofTime/4)
-		assert.Assert(t, proved || time.Since(startedAt) < proofTime+calmTimeout)
+		time.AfterFunc(holdTimeout/4, func() { row.decide(registry) })
+		assert.Equal(t, admitted(t, dispatcher, call), row.expected)
+		assert.Assert(t, time.Since(startedAt) >= holdTimeout/4)
 	}
 }
 
-// A call that may decide whether its request is fatal waits until other engines have stopped ending, for a while.
-func TestDecidingRunWaitsUntilOtherEnginesHaveStoppedEnding(t *testing.T) {
+// A refusal while it is not known whether engines have ended says that the call has not run only if that is true.
+func TestRefusalOfAnUndecidedCall(t *testing.T) {
+	for _, ran := range []bool{true, false} {
+		var failure *apierr.Error
+		assert.Assert(t, errors.As((&progress{ran: ran}).undecidedError(), &failure))
+		assert.Equal(t, failure.Outcome == apierr.NotRun, !ran)
+	}
+}
+
+// A call that may have one more run only waits until other engines have stopped ending, for a while; so does any in a storm of ends.
+func TestRunsWaitUntilOtherEnginesHaveStoppedEnding(t *testing.T) {
+	for _, row := range []struct {
+		ownEnds, others int
+		waits           bool
+	}{{1, 1, false}, {1, stormEnds, true}, {2, 1, true}} {
+		registry := registryOf(t, "a", "a", "a", "a", "a", "a")
+		dispatcher, call := endedCall(t, registry, "e0")
+		if row.ownEnds == 2 {
+			registry.ApplyReport(reportOfEnd(t, call.fingerprint(), "e1"))
+		}
+		for number := range row.others {
+			registry.engineEnded(time.Now(), registry.byID[fmt.Sprint("e", 2+number)], proofRefused)
+		}
+		startedAt := time.Now()
+		assert.Equal(t, admitted(t, dispatcher, call), apierr.Code(""))
+		waited := time.Since(startedAt)
+		assert.Equal(t, waited >= calmTime, row.waits, "%s", waited)
+		assert.Assert(t, waited < calmTimeout, "%s", waited)
+	}
+}
+
+// Runs in progress are told to other nodes once an engine has ended under their content, and canceled if too many have and no engine has
+// answered them.
+func TestRunsInProgressFollowNewsOfEnds(t *testing.T) {
 	registry := registryOf(t, "a", "a", "a", "a")
-	dispatcher, call := endedCall(t, registry, "e0")
-	registry.ApplyReport(reportOfEnd(t, call.fingerprint(), "e1"))
-	registry.engineEnded(time.Now(), registry.byID["e2"], proofRefused)
-	startedAt := time.Now()
-	assert.Assert(t, !dispatcher.admit(t.Context(), call))
-	waited := time.Since(startedAt)
-	assert.Assert(t, waited >= calmTime && waited < calmTimeout, "%s", waited)
+	told := make(chan RunNews, 10)
+	registry.ExchangeRuns(func(_ context.Context, news RunNews) ([]string, bool) {
+		told <- news
+		return nil, true
+	})
+	dispatcher := New(registry, nil, events.Discard())
+	canceled := make(map[string]bool)
+	for _, id := range []string{"waiting", "answered"} {
+		call := &Call{ID: id, cancel: func() { canceled[id] = true }}
+		call.answered.Store(id == "answered")
+		dispatcher.running.add(call)
+	}
+	key := (&Call{}).fingerprint()
+	registry.ApplyReport(reportOfEnd(t, "another", "e0"))
+	for number, engine := range []string{"e0", "e01", "e002"} {
+		assert.Equal(t, len(canceled), 0)
+		registry.ApplyReport(reportOfEnd(t, key, engine))
+		if number == 0 {
+			first, second := <-told, <-told
+			assert.Assert(t, first.Begun != second.Begun)
+		}
+	}
+	assert.DeepEqual(t, canceled, map[string]bool{"waiting": true})
+	assert.Equal(t, len(told), 0, "a run is announced twice")
+}
+
+// A run that began while no other node answered is told again once an engine has ended under its content.
+func TestRunThatNobodyHeardOfIsToldAgain(t *testing.T) {
+	for _, heard := range []bool{true, false} {
+		registry := registryOf(t, "a", "a", "a")
+		told := make(chan RunNews, 10)
+		registry.ExchangeRuns(func(_ context.Context, news RunNews) ([]string, bool) {
+			told <- news
+			return nil, heard
+		})
+		dispatcher := New(registry, nil, events.Discard())
+		call := &Call{ID: "c", Placement: Placement{Service: "s"}}
+		assert.Equal(t, admitted(t, dispatcher, call), apierr.Code(""))
+		dispatcher.running.add(call)
+		begun := (<-told).Begun
+		registry.ApplyReport(reportOfEnd(t, call.fingerprint(), "e0"))
+		if heard {
+			assert.Equal(t, len(dispatcher.running.nameRuns(call.fingerprint())), 0)
+			continue
+		}
+		assert.Equal(t, (<-told).Begun, begun)
+	}
+}
+
+// A call that waited while the process was paused hears of the ends meanwhile before it runs.
+func TestCallAfterAPauseHearsOfEnds(t *testing.T) {
+	registry := registryOf(t, "a", "a", "a")
+	dispatcher := New(registry, nil, events.Discard())
+	call := &Call{ID: "c", Placement: Placement{Service: "s"}}
+	registry.CatchUp(func(context.Context) {
+		for _, engine := range []string{"e0", "e01", "e002"} {
+			registry.ApplyReport(reportOfEnd(t, call.fingerprint(), engine))
+		}
+	})
+	assert.Equal(t, admitted(t, dispatcher, call), apierr.EndsEngines)
 }
 
 // Ends under a call that fails are told before its caller hears of the failure.
@@ -120,11 +302,12 @@
 	registry := registryOf(t, "a", "a", "a")
 	dispatcher, call := endedCall(t, registry, "e0")
 	var told RunNews
-	registry.ExchangeRuns(func(_ context.Context, news RunNews) RunFindings {
+	registry.ExchangeRuns(func(_ context.Context, news RunNews) ([]string, bool) {
 		told = news
-		return RunFindings{}
+		return nil, true
 	})
-	call.openRun = "run"
+	name := "run"
+	call.openRun.Store(&name)
 	dispatcher.finishCall(t.Context(), call, errInvalid)
 	assert.Equal(t, len(told.Reports), 1)
 	assert.Equal(t, told.Finished, "run")
--- a/internal/dispatch/dispatch.go
+++ b/internal/dispatch/dispatch.go
@@ -14,6 +14,7 @@
 	"context"
 	"net/http"
 	"sync"
+	"sync/atomic"
 	"syscall"
 	"time"
 
@@ -106,17 +107,29 @@
 
 	contentOnce sync.Once
 	contentKey  fatal.Key
-	beganAt     time.Time
-	// interrupted is set once a run was interrupted, the last one at brokenAt; unprobed is its engine until that was probed.
-	interrupted bool
-	brokenAt    time.Time
-	unprobed    *Engine
-	// judgedEnds is how many engines had ended under the call when it was judged last.
-	judgedEnds int
-	// openRun is the name under which other nodes know the run in progress; empty if they don't.
-	openRun string
-	// awaitedProof is how long the call has waited for proofs of ends.
-	awaitedProof time.Duration
+	// interrupted is set once a run was interrupted, the last one at brokenAt, which was sent at brokenSentAt; unprobed is its engine until that was
+	// probed.
+	interrupted  bool
+	brokenSentAt time.Time
+	brokenAt     time.Time
+	unprobed     *Engine
+	// left is set once the caller has left a run.
+	left bool
+	// openRun is the name under which other nodes know the run in progress; nil if they don't. untold is set if none answered when they were told.
+	openRun atomic.Pointer[string]
+	untold  atomic.Bool
+	// contended is set once another run of the content was in progress, or interrupted.
+	contended bool
+	// startedMillis is when the engine of the last attempt had started, as far as it was known then; see EngineSpecification.
+	startedMillis int64
+	// cancel cancels the attempt in progress, and answered is set once its response has begun.
+	cancel   context.CancelFunc
+	answered atomic.Bool
+	// sentAt is when the attempt in progress was sent, in Unix nanoseconds; 0 if there is none. exchange is its response; nil until that begins.
+	sentAt   atomic.Int64
+	exchange atomic.Pointer[upstream.Exchange]
+	// heardAt is when the engine of the last attempt sent something last; zero if it did not.
+	heardAt time.Time
 	// connectedAt is when the connection of the last attempt was opened; zero if there was no response.
 	connectedAt time.Time
 	// status is that of the last response; 0 if there was none.
@@ -220,19 +233,23 @@
 	protocol Protocol
 	logger   *events.Logger
 	retries  *retryBudget
-	running  runningCalls
+	// announced are the calls that may have told other nodes of a run, running those that an engine runs.
+	announced runningCalls
+	running   runningCalls
 }
 
 // New returns a Dispatcher that chooses among the registry's engines.
 func New(registry *Registry, protocol Protocol, logger *events.Logger) *Dispatcher {
 	dispatcher := &Dispatcher{registry: registry, protocol: protocol, logger: logger, retries: newRetryBudget()}
-	registry.ends.ObserveRuns(dispatcher.running.sentAt)
+	registry.onReport = dispatcher.applyNews
 	return dispatcher
 }
 
 // Run runs a call on an engine and passes the response to consume, once for each attempt that gets one. The error is an
 // apierr.Error that tells whether the call ran, or the error of consume if no other attempt may follow.
 func (d *Dispatcher) Run(ctx context.Context, call *Call, consume func(*Attempt) error) error {
+	d.announced.add(call)
+	defer d.announced.remove(call)
 	err := d.run(ctx, call, consume)
 	d.finishCall(ctx, call, err)
 	return err
@@ -240,38 +257,54 @@
 
 func (d *Dispatcher) run(ctx context.Context, call *Call, consume func(*Attempt) error) error {
 	d.retries.earn()
-	call.beganAt = time.Now()
 	progress := &progress{call: call}
 	call.Placement.Excluded = make(map[string]bool)
 	for {
-		if d.admit(ctx, call) {
-			return progress.endsEnginesError(call)
+		if err := d.admit(ctx, call, progress); err != nil {
+			return err
 		}
 		d.isolate(call)
+		resumeOn := progress.resumeOn
 		engine, err := d.nextEngine(ctx, call, progress)
 		if err != nil {
 			return err
 		}
+		attemptContext, cancel := context.WithCancel(ctx)
+		call.cancel = cancel
+		call.startedMillis = d.registry.knownStart(engine)
+		call.answered.Store(false)
+		call.exchange.Store(nil)
+		call.sentAt.Store(time.Now().UnixNano())
+		d.running.add(call)
+		if !d.mayBegin(call) {
+			d.running.remove(call)
+			call.sentAt.Store(0)
+			cancel()
+			d.registry.release(engine, call.Placement.Isolated)
+			progress.resumeOn = resumeOn
+			continue
+		}
 		call.Trace.Sends++
 		if call.Stream != nil {
 			call.Stream.Placed(ctx, call.Trace.Software)
 		}
 		resumption := newResumption(call, engine, progress.ran)
 		sentAt := time.Now()
-		d.running.add(call, sentAt)
-		outcome, err := d.attemptWithTimeout(ctx, call, engine, progress, resumption, consume)
+		outcome, err := d.attemptWithTimeout(attemptContext, call, engine, progress, resumption, consume)
 		d.running.remove(call)
+		call.sentAt.Store(0)
+		cancel()
 		d.registry.release(engine, call.Placement.Isolated)
 		d.recordInterruption(ctx, call, engine, sentAt, outcome, err)
-		d.recordEnd(call, engine, outcome)
+		d.recordEnd(call, engine, sentAt, outcome)
 		resumption.report(call, outcome, err)
 		if outcome == succeeded {
 			return nil
 		}
 		ended := d.prove(ctx, call, outcome)
 		if !progress.mayRetry(ctx, outcome, engine, d.retries) {
-			if outcome != delivered && d.knownFatal(call) {
-				return progress.endsEnginesError(call)
+			if outcome != delivered && d.endedEnough(call) {
+				return d.refuse(call, progress)
 			}
 			return progress.finalError(ctx, outcome, err)
 		}
@@ -344,7 +377,7 @@
 
 // attempt sends a call once and sets resumption.Status.
 func (d *Dispatcher) attempt(ctx context.Context, call *Call, engine *Engine, resumption *Resumption, consume func(*Attempt) error) (attemptOutcome, error) {
-	call.connectedAt, call.status = time.Time{}, 0
+	call.connectedAt, call.heardAt, call.status = time.Time{}, time.Time{}, 0
 	request := call.Request
 	request.Header = call.Request.Header.Clone()
 	sentAt := time.Now()
@@ -359,6 +392,9 @@
 		return d.sendFailed(ctx, engine, err)
 	}
 	defer exchange.Abort()
+	call.heardAt = exchange.HeardAt()
+	call.answered.Store(true)
+	call.exchange.Store(exchange)
 	call.connectedAt, call.status = exchange.OpenedAt(), exchange.Response().StatusCode
 	resumption.Status = exchange.Response().StatusCode
 	switch d.protocol.Classify(exchange.Response(), call.ID) {
@@ -374,6 +410,7 @@
 		return unknown, errInvalid
 	}
 	if err := consume(&Attempt{exchange: exchange, engine: engine, sentAt: sentAt}); err != nil {
+		call.heardAt = exchange.HeardAt()
 		return d.consumeFailed(ctx, engine, err)
 	}
 	exchange.Finish()
--- a/internal/dispatch/ends.go
+++ b/internal/dispatch/ends.go
@@ -39,25 +39,6 @@
 // Ends returns the tracker of the engines that ended.
 func (r *Registry) Ends() *fatal.Tracker { return r.ends }
 
-// Engines implements fatal.Fleet.
-func (r *Registry) Engines(service string) int {
-	r.mutex.Lock()
-	defer r.mutex.Unlock()
-	return len(r.services[service])
-}
-
-// Serves implements fatal.Fleet.
-func (r *Registry) Serves(service, software string) bool {
-	r.mutex.Lock()
-	defer r.mutex.Unlock()
-	for _, engine := range r.services[service] {
-		if engine.specification.Software == software {
-			return true
-		}
-	}
-	return false
-}
-
 // engineEnded records that an engine has ended.
 func (r *Registry) engineEnded(now time.Time, engine *Engine, proof endProof) {
 	r.mutex.Lock()
@@ -66,7 +47,7 @@
 		engine.lifeEndedAt = now
 	}
 	r.mutex.Unlock()
-	requests, isNew := r.proveEnd(now, id, service, proof)
+	requests, isNew := r.ends.EngineEnded(now, id, service, proof == proofRemoved || proof == proofRestarted)
 	if isNew {
 		r.logger.Emit(events.EngineEnded, events.F("engine", id), events.F("service", service), events.F("proof", string(proof)),
 			events.F("requests", requests))
@@ -78,27 +59,15 @@
 	r.shareEnds(now, news)
 }
 
-func (r *Registry) proveEnd(now time.Time, id, service string, proof endProof) (requests []string, isNew bool) {
-	switch proof {
-	case proofRestarted:
-		return r.ends.EngineRestarted(now, id, service, false)
-	case proofReborn:
-		return r.ends.EngineRestarted(now, id, service, true)
-	}
-	return r.ends.EngineEnded(now, id, service, proof == proofRemoved)
-}
-
 // engineAccepted records that an engine accepted a connection at a time. Where records don't state starts, that counts as a sign of life:
 // nothing would ever show that the engine has started again.
 func (r *Registry) engineAccepted(at time.Time, engine *Engine) {
 	r.mutex.Lock()
 	statesStart := engine.format >= startFormat
 	r.mutex.Unlock()
-	if statesStart {
-		r.ends.EngineAccepted(at, engine.ID())
-		return
+	if !statesStart {
+		r.ends.EngineAlive(at, engine.ID())
 	}
-	r.ends.EngineAlive(at, engine.ID())
 }
 
 // EndNews is what other gateways have to know of ends of engines.
@@ -107,7 +76,7 @@
 	// EngineSpecification.
 	Engine        string
 	StartedMillis int64
-	// Reports are ends of engines under requests, Withdrawn the names of earlier reports that don't count any more.
+	// Reports are interrupted runs, Withdrawn the names of earlier reports that don't count any more.
 	Reports   []fatal.Report
 	Withdrawn []string
 }
@@ -115,44 +84,62 @@
 // RunNews is what other nodes have to know of the runs of a request.
 type RunNews struct {
 	Content fatal.Key
-	// Reports are all known ends of engines under it.
+	// Reports are all known interrupted runs of it.
 	Reports []fatal.Report
-	// Begun and Finished are the names of runs that begin and that have finished; empty if there is none.
-	Begun    string
-	Finished string
-	// Lasting are the runs in progress at this node.
-	Lasting fatal.Lasting
-}
-
-// RunFindings are what other nodes tell of the runs of a request: the names of those that they have begun and not finished, and those
-// that are in progress.
-type RunFindings struct {
-	Open    []string
-	Lasting fatal.Lasting
+	// Begun and Finished are the names of runs that begin and that have finished; empty if there is none. Completed is set if the engine has
+	// completed the latter.
+	Begun     string
+	Finished  string
+	Completed bool
+	// MayBeLate is set if no other call waits for the news, as far as it is known.
+	MayBeLate bool
 }
 
 // shareEnds sends news, with all reports that are due.
 func (r *Registry) shareEnds(now time.Time, news EndNews) {
-	reports, replaced := r.ends.Unshared(now)
+	reports, withdrawn := r.ends.Unshared(now)
 	news.Reports = reports
-	news.Withdrawn = append(news.Withdrawn, replaced...)
+	news.Withdrawn = append(news.Withdrawn, withdrawn...)
 	if news.Engine != "" || len(news.Reports) > 0 || len(news.Withdrawn) > 0 {
 		r.share(news)
 	}
 }
 
+// engine returns the engine with an ID; nil if it is not known.
+func (r *Registry) engine(id string) *Engine {
+	r.mutex.Lock()
+	defer r.mutex.Unlock()
+	return r.byID[id]
+}
+
 // ShareEnds sets the function that sends news of ends to other gateways. It must not block, and must be set before any call is
 // dispatched.
 func (r *Registry) ShareEnds(share func(EndNews)) { r.share = share }
 
-// ExchangeRuns sets the function that tells other nodes of the runs of a request, applies the ends that they report of it, and returns what
-// else they tell. It must return soon, and must be set before any call is dispatched.
-func (r *Registry) ExchangeRuns(exchange func(context.Context, RunNews) RunFindings) {
+// ExchangeRuns sets the function that tells other nodes of the runs of a request, applies the reports that they have of it and whether it was
+// completed, and returns the names of the runs that they have begun and not finished. heard is false if there are others and none has answered. It must
+// return soon, and must be set before any call is dispatched.
+func (r *Registry) ExchangeRuns(exchange func(context.Context, RunNews) (open []string, heard bool)) {
 	r.exchange = exchange
 }
 
-// ApplyReport records that an engine ended under a request at another gateway.
-func (r *Registry) ApplyReport(report fatal.Report) { r.ends.Apply(time.Now(), report) }
+// VouchRuns sets the function that asks the nodes which have begun runs of a content, and returns the names of those that have not finished and whose
+// engines were not heard lately. It must return soon, and must be set before any call is dispatched.
+func (r *Registry) VouchRuns(unvouched func(ctx context.Context, content fatal.Key, open []string) []string) {
+	r.unvouched = unvouched
+}
+
+// CatchUp sets the function that is called before each run, and hears of ends that this gateway has missed while its process was paused. It must
+// be set before any call is dispatched.
+func (r *Registry) CatchUp(catchUp func(context.Context)) { r.catchUp = catchUp }
+
+// ApplyReport records a run that was interrupted at another gateway.
+func (r *Registry) ApplyReport(report fatal.Report) {
+	r.ends.Apply(time.Now(), report)
+	if r.onReport != nil {
+		r.onReport(report.Key())
+	}
+}
 
 // ApplyEnd records that a life of an engine has ended, as another gateway found out. startedMillis is 0 if that is a build that does not
 // tell which.
@@ -171,13 +158,6 @@
 	r.engineEnded(time.Now(), engine, proof)
 }
 
-// leaving reports whether an engine ends as planned.
-func (r *Registry) leaving(engine *Engine) bool {
-	r.mutex.Lock()
-	defer r.mutex.Unlock()
-	return engine.specification.Draining
-}
-
 // interruption is how a run was interrupted.
 type interruption int
 
@@ -198,56 +178,81 @@
 		return notInterrupted
 	case errors.Is(err, io.EOF), errors.Is(err, io.ErrUnexpectedEOF), errors.Is(err, syscall.ECONNRESET), errors.Is(err, syscall.EPIPE):
 		return disconnection
-	case errors.Is(err, net.ErrClosed), errors.Is(err, context.DeadlineExceeded):
+	case errors.Is(err, net.ErrClosed), errors.Is(err, context.DeadlineExceeded), errors.Is(err, context.Canceled):
 		return silence
 	}
 	return notInterrupted
 }
 
-// recordInterruption records that a run of the call was interrupted, if it was. An engine that leaves as planned tells nothing of
-// the requests that it runs.
+// quietTime is how long an engine may have sent nothing when its caller leaves to be taken for alive.
+const quietTime = 400 * time.Millisecond
+
+// recordInterruption records that a run of the call was interrupted or left, if it was.
 func (d *Dispatcher) recordInterruption(ctx context.Context, call *Call, engine *Engine, sentAt time.Time, outcome attemptOutcome, err error) {
-	if outcome == succeeded || outcome == refused {
-		return
-	}
-	if d.registry.leaving(engine) {
+	found := interruptionOf(ctx, outcome, err)
+	abandoned := wasAbandoned(ctx, outcome, err)
+	if found == notInterrupted && !abandoned {
 		return
 	}
 	now := time.Now()
-	interrupted := fatal.Run{Engine: engine.ID(), Service: call.Placement.Service, Software: call.Trace.Software, SentAt: sentAt, BrokenAt: now}
-	found := interruptionOf(ctx, outcome, err)
-	if found == notInterrupted {
-		if wasAbandoned(ctx, outcome, err) {
-			d.registry.ends.Abandoned(call.tracked(), interrupted)
+	broken := fatal.Run{
+		Engine: engine.ID(), Service: call.Placement.Service, Software: call.Trace.Software, StartedMillis: call.startedMillis,
+		SentAt: sentAt, BrokenAt: now, Silent: call.heardAt.Before(sentAt),
+	}
+	if found != disconnection {
+		broken.MayRunUntil = mayRunUntil(ctx, now)
+	}
+	var withdrawn *ErrWithdrawn
+	if abandoned && !errors.As(err, &withdrawn) {
+		call.left = true
+		if now.Sub(call.heardAt) < quietTime || now.Sub(sentAt) < quietTime {
+			d.registry.ends.Left(now, call.tracked(), broken)
+			return
 		}
-		return
 	}
-	first := !call.interrupted
-	call.interrupted, call.brokenAt = true, now
-	d.registry.ends.Interrupted(now, call.tracked(), interrupted, first)
-	time.AfterFunc(sweepDelay, func() { d.registry.ends.Sweep(time.Now()) })
+	call.interrupted, call.brokenSentAt, call.brokenAt, call.unprobed = true, sentAt, now, engine
+	d.registry.ends.Interrupted(now, call.tracked(), broken)
+	d.applyNews(call.fingerprint())
 	if found == disconnection {
-		call.unprobed = engine
-		d.announceRun(ctx, call)
+		d.registry.shareEnds(now, EndNews{})
+		d.finishRun(ctx, call, false)
 	}
 }
 
-// sweepDelay is how long after an interruption those are forgotten that no end explains.
-const sweepDelay = 3 * time.Second
+// recall finds out whether engines have ended under runs of a request that this gateway has left.
+func (d *Dispatcher) recall(key fatal.Key) {
+	now := time.Now()
+	for _, id := range d.registry.ends.Recall(now, key) {
+		if engine := d.registry.engine(id); engine != nil {
+			go d.probeUntilDecided(engine, interruptedRun{brokenAt: now})
+		}
+	}
+}
+
+// mayRunUntil returns until when an engine may go on with a run that its gateway has left.
+func mayRunUntil(ctx context.Context, now time.Time) time.Time {
+	if deadline, limited := ctx.Deadline(); limited && deadline.After(now) {
+		return deadline
+	}
+	return now.Add(engineWaitTimeout)
+}
 
-// wasAbandoned reports whether the caller left, or its time was over, while an engine ran the call.
+// wasAbandoned reports whether the caller left, its time was over, or the gateway canceled the call while an engine ran it.
 func wasAbandoned(ctx context.Context, outcome attemptOutcome, err error) bool {
 	var callerGone *ErrCallerGone
-	return (outcome == unknown || outcome == delivered) && (ctx.Err() != nil || errors.As(err, &callerGone))
+	var withdrawn *ErrWithdrawn
+	return (outcome == unknown || outcome == delivered) && (ctx.Err() != nil || errors.As(err, &callerGone) || errors.As(err, &withdrawn))
 }
 
-// recordEnd records that the engine of an attempt has ended, or that it was alive, if the attempt's outcome shows that.
-func (d *Dispatcher) recordEnd(call *Call, engine *Engine, outcome attemptOutcome) {
+// recordEnd records that the engine of an attempt has ended, or that it was alive, if the attempt's outcome shows that. An engine that responds was
+// alive when the request was sent; the response may have been under way when it ended.
+func (d *Dispatcher) recordEnd(call *Call, engine *Engine, sentAt time.Time, outcome attemptOutcome) {
 	switch outcome {
 	case succeeded, refused:
 		if !call.connectedAt.IsZero() && !d.registry.ends.Empty() {
-			d.registry.ends.EngineLived(call.connectedAt, time.Now(), engine.ID())
+			d.registry.ends.EngineLived(call.connectedAt, sentAt, engine.ID())
 			d.registry.engineAccepted(call.connectedAt, engine)
+			d.registry.shareEnds(time.Now(), EndNews{})
 		}
 		return
 	case gone:
@@ -262,26 +267,9 @@
 	}
 }
 
-// EndsEngines reports whether the request of a call ends the engines that run it. content is called only if there may be any such
-// request.
-func (d *Dispatcher) EndsEngines(callID string, content func() fatal.Key) bool {
-	if d.registry.ends.Empty() {
-		return false
-	}
-	now := time.Now()
-	isFatal, _ := d.judge(now, fatal.Call{Key: content(), Request: callID, BeganAt: now})
-	return isFatal
-}
-
-// judge reports whether the request of a call ends the engines that run it. If that can't be told yet, it returns how long to withhold
-// the call before it is judged again.
-func (d *Dispatcher) judge(now time.Time, call fatal.Call) (isFatal bool, withhold time.Duration) {
-	verdict := d.registry.ends.Judge(now, call)
-	if verdict.New {
-		d.logger.Emit(events.RequestFatal, events.F("request", call.Request), events.F("content", string(call.Key)), events.F("engines", verdict.Engines),
-			events.F("chance", verdict.Chance))
-	}
-	return verdict.Fatal, verdict.Withhold
+// endedEnough reports whether so many engines have ended under the request of a call that it is not sent again.
+func (d *Dispatcher) endedEnough(call *Call) bool {
+	return call.interrupted && fatal.Decide(d.registry.ends.Count(time.Now(), call.fingerprint()), 0) == fatal.Refuse
 }
 
 // isolatedEnds is from how many ends of engines under a call on it is isolated: the next one may show that the request is fatal.
@@ -292,34 +280,30 @@
 	if call.Placement.Isolated || d.registry.ends.Empty() {
 		return
 	}
-	ends, _ := d.registry.ends.Ends(time.Now(), call.tracked())
-	call.Placement.Isolated = ends >= isolatedEnds
+	count := d.registry.ends.Count(time.Now(), call.fingerprint())
+	call.Placement.Isolated = count.Ended+count.Undecided >= isolatedEnds
 }
 
-// finishCall records the end of a call that was interrupted, or whose content other calls with an interruption had. Other nodes know of
-// the ends under a call that failed before its caller does.
+// finishCall records the end of a call. Other nodes know of the ends under a call that failed before its caller does.
 func (d *Dispatcher) finishCall(ctx context.Context, call *Call, err error) {
 	now := time.Now()
-	if err == nil && call.status < http.StatusInternalServerError {
-		d.registry.ends.Sound(now, call.fingerprint(), call.Trace.Software)
-	}
-	if !call.interrupted && d.registry.ends.Empty() {
-		return
-	}
-	call.Trace.Ends, _ = d.registry.ends.Ends(now, call.tracked())
 	var withdrawn []string
-	switch {
-	case err == nil:
+	if call.interrupted || !d.registry.ends.Empty() {
+		call.Trace.Ends = d.registry.ends.Count(now, call.fingerprint()).Ended
+	}
+	if err == nil {
 		withdrawn = d.registry.ends.Completed(call.fingerprint())
-	case call.interrupted:
-		d.registry.ends.Failed(call.tracked())
 	}
-	d.registry.shareEnds(now, EndNews{Withdrawn: withdrawn})
-	if err != nil && call.interrupted {
+	completed := err == nil && call.status < http.StatusInternalServerError
+	if completed {
+		d.registry.ends.Sound(now, call.fingerprint())
+	}
+	if err != nil && call.interrupted && !call.left {
 		d.tell(ctx, call, "")
 		return
 	}
-	d.finishRun(ctx, call)
+	d.registry.shareEnds(now, EndNews{Withdrawn: withdrawn})
+	d.finishRun(ctx, call, completed)
 }
 
 // fingerprint returns the key of the call's content. It may be called concurrently.
@@ -336,7 +320,7 @@
 
 // tracked returns what the tracker of engines' ends needs to know of the call.
 func (c *Call) tracked() fatal.Call {
-	return fatal.Call{Key: c.fingerprint(), Request: c.ID, BeganAt: c.beganAt}
+	return fatal.Call{Key: c.fingerprint(), Request: c.ID}
 }
 
 // Interrupted reports whether a run of the call was interrupted, and if so returns the key of its content.
--- a/internal/dispatch/engine.go
+++ b/internal/dispatch/engine.go
@@ -103,6 +103,8 @@
 	loadKey       load.Key
 	// revision is the revision of the last applied record; records may arrive out of order.
 	revision int64
+	// decidedAt is when the engine was last asked for its start by a call that waits for a decision.
+	decidedAt time.Time
 	// format is the catalog.Entry.Format of that record.
 	format   int
 	pool     *upstream.Pool
--- a/internal/dispatch/probe.go
+++ b/internal/dispatch/probe.go
@@ -4,12 +4,14 @@
 	"context"
 	"io"
 	"net/http"
+	"sync"
 	"syscall"
 	"time"
 
 	"github.com/cockroachdb/errors"
 
 	"github.com/mountstile/mountstile/internal/clock"
+	"github.com/mountstile/mountstile/internal/fatal"
 	"github.com/mountstile/mountstile/internal/upstream"
 )
 
@@ -25,8 +27,12 @@
 	// probeTimeout bounds a probe, proveTimeout how long a call waits for it.
 	probeTimeout = 250 * time.Millisecond
 	proveTimeout = 80 * time.Millisecond
-	// reprobeInterval is the time between probes of an engine whose known life seems to have ended.
+	// reprobeInterval is the time between later probes of an engine of which it is not decided which life goes on. maxReprobes bounds those
+	// after an interruption.
 	reprobeInterval = time.Second
+	maxReprobes     = 10
+	// decideInterval is the least time between two probes of an engine for calls that wait for a decision.
+	decideInterval = 200 * time.Millisecond
 	// maxStartBytes bounds a response that tells when an engine started.
 	maxStartBytes = 64 << 10
 )
@@ -39,8 +45,12 @@
 	}
 	call.unprobed = nil
 	result := make(chan bool, 1)
-	brokenAt := call.brokenAt
-	go func() { result <- d.probe(context.WithoutCancel(ctx), engine, brokenAt) }()
+	broken := interruptedRun{sentAt: call.brokenSentAt, brokenAt: call.brokenAt}
+	go func() {
+		result <- d.probe(context.WithoutCancel(ctx), engine, broken)
+		d.registry.shareEnds(time.Now(), EndNews{})
+		d.probeAgain(engine, broken, maxReprobes)
+	}()
 	if outcome == delivered {
 		return false
 	}
@@ -54,17 +64,24 @@
 	return ended
 }
 
-// probe finds out whether an engine has ended since a time, and reports whether it has. A connection that is refused proves that; one over which
-// the engine had responded, and that is still open, proves that it has not. Otherwise the engine's start decides, for a listening socket may
-// outlive its process.
-func (d *Dispatcher) probe(ctx context.Context, engine *Engine, since time.Time) (ended bool) {
+// interruptedRun tells when a run that is not in progress any more was sent, zero if that is not known, and when its end was noticed, which may be
+// long after an end of its engine.
+type interruptedRun struct{ sentAt, brokenAt time.Time }
+
+// probe finds out whether an engine has ended under a run, and reports whether it has. A connection that is refused proves that; one over which the
+// engine had responded, that was opened before the run was sent and is still open, proves that it has not. Otherwise the engine's start decides, for a
+// listening socket may outlive its process.
+func (d *Dispatcher) probe(ctx context.Context, engine *Engine, broken interruptedRun) (ended bool) {
 	probeContext, cancel := context.WithTimeout(ctx, probeTimeout)
 	defer cancel()
 	clock.Sleep(probeContext, probeDelay)
 	confirmed := 0
 	for number := range maxProbes {
+		if !d.registry.ends.Undecided(engine.ID()) {
+			return d.registry.ends.EndedSince(engine.ID(), broken.brokenAt)
+		}
 		probedAt := time.Now()
-		found := d.probeOnce(probeContext, engine, since)
+		found := d.probeOnce(probeContext, engine, broken.sentAt)
 		switch found {
 		case engineGone:
 			d.engineRefused(engine)
@@ -72,7 +89,7 @@
 		case engineReborn:
 			d.registry.engineEnded(probedAt, engine, proofReborn)
 			return true
-		case engineSame, engineAnswers:
+		case engineSurvives, engineSame, engineAnswers:
 			confirmed++
 		case engineCuts:
 			if number == maxProbes-1 || probeContext.Err() != nil {
@@ -80,12 +97,8 @@
 				d.registry.engineAccepted(probedAt, engine)
 			}
 		}
-		if confirmed == minConfirmations && found == engineSame {
-			d.registry.ends.EngineAlive(probedAt, engine.ID())
-			return false
-		}
 		if confirmed == minConfirmations {
-			d.registry.engineAccepted(probedAt, engine)
+			d.noteAlive(engine, found, broken, probedAt)
 			return false
 		}
 		clock.Sleep(probeContext, probeInterval)
@@ -93,6 +106,73 @@
 	return false
 }
 
+// noteAlive records that an engine was found alive by a probe.
+func (d *Dispatcher) noteAlive(engine *Engine, found probeResult, broken interruptedRun, probedAt time.Time) {
+	switch found {
+	case engineSurvives:
+		d.registry.ends.EngineLived(broken.sentAt.Add(-time.Nanosecond), probedAt, engine.ID())
+	case engineAnswers:
+		d.registry.engineAccepted(probedAt, engine)
+	case engineSame:
+		// askStart has recorded which life lasts.
+	}
+}
+
+// probeUntilDecided probes an engine at once, and then as probeAgain does.
+func (d *Dispatcher) probeUntilDecided(engine *Engine, broken interruptedRun) {
+	d.probe(context.Background(), engine, broken)
+	d.registry.shareEnds(time.Now(), EndNews{})
+	d.probeAgain(engine, broken, maxReprobes)
+}
+
+// probeAgain probes an engine now and then until it is decided whether it has ended under the runs that were interrupted there.
+func (d *Dispatcher) probeAgain(engine *Engine, broken interruptedRun, times int) {
+	if times == 0 || !d.registry.ends.Undecided(engine.ID()) {
+		return
+	}
+	time.AfterFunc(reprobeInterval, func() {
+		d.probe(context.Background(), engine, broken)
+		d.registry.shareEnds(time.Now(), EndNews{})
+		d.probeAgain(engine, broken, times-1)
+	})
+}
+
+// decideInterruptions finds out whether engines have survived the interrupted runs of a request, at whichever gateway these were: that one may have
+// ended. Each engine is asked once in decideInterval.
+func (d *Dispatcher) decideInterruptions(ctx context.Context, key fatal.Key) {
+	probeContext, cancel := context.WithTimeout(ctx, proveTimeout)
+	defer cancel()
+	var probes sync.WaitGroup
+	now := time.Now()
+	for _, id := range d.registry.ends.UndecidedEngines(key) {
+		engine := d.registry.engine(id)
+		if engine == nil || !d.registry.mayDecide(now, engine) {
+			continue
+		}
+		probes.Go(func() {
+			switch d.askStart(probeContext, engine) {
+			case engineGone:
+				d.engineRefused(engine)
+			case engineReborn:
+				d.registry.engineEnded(now, engine, proofReborn)
+			}
+		})
+	}
+	probes.Wait()
+	d.registry.shareEnds(time.Now(), EndNews{})
+}
+
+// mayDecide reports whether an engine has not been asked for its start in decideInterval, and notes that it is.
+func (r *Registry) mayDecide(now time.Time, engine *Engine) bool {
+	r.mutex.Lock()
+	defer r.mutex.Unlock()
+	if now.Sub(engine.decidedAt) < decideInterval {
+		return false
+	}
+	engine.decidedAt = now
+	return true
+}
+
 // engineRefused records that an engine refused a connection.
 func (d *Dispatcher) engineRefused(engine *Engine) {
 	d.registry.engineEnded(time.Now(), engine, proofRefused)
@@ -126,7 +206,9 @@
 	// engineGone means that nothing listens, engineReborn that the engine has started again.
 	engineGone
 	engineReborn
-	// engineSame means that the same life goes on, engineAnswers that some life does.
+	// engineSurvives means that a connection is open that was before the time in question, engineSame that the engine tells the start that is known, and engineAnswers
+	// that some life goes on.
+	engineSurvives
 	engineSame
 	engineAnswers
 )
@@ -137,14 +219,20 @@
 	case errors.Is(err, syscall.ECONNREFUSED):
 		return engineGone
 	case liveness == upstream.Surviving:
-		return engineSame
+		return engineSurvives
 	case liveness != upstream.Accepting:
 		return probeFailed
 	}
+	return d.askStart(ctx, engine)
+}
+
+// askStart asks an engine for its start.
+func (d *Dispatcher) askStart(ctx context.Context, engine *Engine) probeResult {
 	reporter, ok := d.protocol.(StartReporter)
 	if !ok {
 		return engineAnswers
 	}
+	askedAt := time.Now()
 	started, err := requestStart(ctx, reporter, engine)
 	switch {
 	case errors.Is(err, syscall.ECONNREFUSED):
@@ -154,6 +242,7 @@
 	case started == 0:
 		return engineAnswers
 	}
+	d.registry.ends.LifeLasts(askedAt, engine.ID(), started)
 	return map[life]probeResult{sameLife: engineSame, newerLife: engineReborn, earlierLife: engineAnswers}[d.registry.noteStart(engine, started)]
 }
 
@@ -174,6 +263,13 @@
 	return reporter.StartedMillis(exchange.Response().StatusCode, body), nil
 }
 
+// knownStart returns the newest start that is known of an engine; 0 if none is.
+func (r *Registry) knownStart(engine *Engine) (startedMillis int64) {
+	r.mutex.Lock()
+	defer r.mutex.Unlock()
+	return max(engine.specification.StartedMillis, engine.probedStart)
+}
+
 // noteStart compares a start that an engine tells with the newest one that is known of it, and remembers it. An engine whose record states no
 // start is taken for one of an unknown life.
 func (r *Registry) noteStart(engine *Engine, startedMillis int64) life {
--- a/internal/dispatch/progress.go
+++ b/internal/dispatch/progress.go
@@ -240,6 +240,15 @@
 	return apierr.New(apierr.EndsEngines, apierr.Ran, "engines end when they run this request; it was sent %d times", call.Trace.Sends)
 }
 
+// undecidedError returns the error of a call of which it is not known in time how many engines have ended under its request.
+func (p *progress) undecidedError() error {
+	const reason = "engines that ran this request may have ended"
+	if p.ran {
+		return apierr.New(apierr.ExecutionUnknown, apierr.OutcomeUnknown, reason)
+	}
+	return withRetryAfter(apierr.New(apierr.NoEngine, apierr.NotRun, reason))
+}
+
 // noEngineError returns the error of a call for which no engine is available.
 func (p *progress) noEngineError(ctx context.Context) error {
 	reason := "no engine is available for the call"
--- a/internal/dispatch/registry.go
+++ b/internal/dispatch/registry.go
@@ -70,8 +70,14 @@
 	ends *fatal.Tracker
 	// share sends news of ends to other gateways. It must not block.
 	share func(EndNews)
-	// exchange tells other nodes of the runs of a request and returns what they tell.
-	exchange func(context.Context, RunNews) RunFindings
+	// exchange tells other nodes of the runs of a request; see ExchangeRuns.
+	exchange func(context.Context, RunNews) (open []string, heard bool)
+	// unvouched returns the runs for which nobody vouches; see VouchRuns.
+	unvouched func(ctx context.Context, content fatal.Key, open []string) []string
+	// catchUp hears of ends that this gateway has missed while its process was paused, if it was.
+	catchUp func(context.Context)
+	// onReport is called with the request of a run that was interrupted at another gateway; nil for none.
+	onReport func(fatal.Key)
 }
 
 // NewRegistry returns an empty Registry for a gateway in zone.
@@ -88,9 +94,11 @@
 		left:      make(map[softwareKey]time.Time),
 		others:    load.NewView(),
 		share:     func(EndNews) {},
-		exchange:  func(context.Context, RunNews) RunFindings { return RunFindings{} },
+		exchange:  func(context.Context, RunNews) ([]string, bool) { return nil, true },
+		unvouched: func(_ context.Context, _ fatal.Key, open []string) []string { return open },
+		catchUp:   func(context.Context) {},
 	}
-	registry.ends = fatal.NewTracker(registry)
+	registry.ends = fatal.NewTracker()
 	return registry
 }
 
@@ -106,7 +114,8 @@
 		return
 	}
 	var specification EngineSpecification
-	if json.Unmarshal(entry.Value, &specification) != nil || specification.ID != id {
+	// The build before passes records on that it did not check.
+	if json.Unmarshal(entry.Value, &specification) != nil || specification.ID != id || specification.Validate() != nil {
 		return
 	}
 	if ended := r.applyRecord(now, id, specification, entry); ended != nil {
--- a/internal/events/events.go
+++ b/internal/events/events.go
@@ -95,6 +95,7 @@
 	RequestFatal           ID = 520
 	EngineRestarted        ID = 521
 	RunHeld                ID = 522
+	RunAdmitted            ID = 523
 	CallFailed             ID = 601
 	CallRefused            ID = 602
 	RequestPanicked        ID = 603
@@ -199,9 +200,10 @@
 	{ModelRefuted, "model_refuted", logrus.WarnLevel, "an engine had not the model that its record tells; it gets no calls of that model for a while"},
 	{EngineEnded, "engine_ended", logrus.InfoLevel, "an engine has ended; requests are those that this node ran there, a bounded number of them"},
 	{ReportInvalid, "report_invalid", logrus.WarnLevel, "a report of an engine's end could not be read or written"},
-	{RequestFatal, "request_fatal", logrus.WarnLevel, "a request ends the engines that run it and is not sent again; chance is the probability that they ended by themselves"},
+	{RequestFatal, "request_fatal", logrus.WarnLevel, "so many engines have ended under a request that it is not sent again"},
 	{EngineRestarted, "engine_restarted", logrus.InfoLevel, "an engine started again under its ID; what was known of its earlier life does not apply"},
-	{RunHeld, "run_held", logrus.InfoLevel, "a call is held before its next run because engines have ended under its content; ended are proved, possible not yet, open are runs of it at other nodes"},
+	{RunHeld, "run_held", logrus.InfoLevel, "a call is held before its next run because engines have ended under its content, or may have; ended are proved, possible not yet, open are runs of it at other nodes"},
+	{RunAdmitted, "run_admitted", logrus.InfoLevel, "a run begins though engines have ended under its content, or may have; the counts are those of run_held, held_millis is how long the call was held"},
 	{CallFailed, "call_failed", logrus.WarnLevel, "a call ended with a failure"},
 	{CallRefused, "call_refused", logrus.DebugLevel, "a call was refused as not run"},
 	{RequestPanicked, "request_panicked", logrus.ErrorLevel, "a request handler panicked; the request was failed"},
--- a/internal/fatal/fatal_test.go
+++ b/internal/fatal/fatal_test.go
@@ -1,8 +1,8 @@
 package fatal
 
 import (
+	"encoding/json"
 	"fmt"
-	"slices"
 	"testing"
 	"time"
 
@@ -10,392 +10,391 @@
 	"gotest.tools/v3/assert"
 )
 
-// testFleet has a fixed number of engines of some software versions.
-type testFleet struct {
-	engines  int
-	versions []string
-}
-
-func (f *testFleet) Engines(string) int { return f.engines }
-
-func (f *testFleet) Serves(_, software string) bool {
-	for _, version := range f.versions {
-		if version == software {
-			return true
-		}
-	}
-	return false
-}
-
 // scene is a gateway's tracker with a clock.
 type scene struct {
 	*Tracker
-	fleet *testFleet
-	now   time.Time
+	now time.Time
 }
 
 func newScene() *scene {
-	fleet := &testFleet{engines: 16, versions: []string{"v1"}}
-	return &scene{Tracker: NewTracker(fleet), fleet: fleet, now: time.Date(2026, 1, 1, 0, 0, 0, 0, time.UTC)}
+	return &scene{Tracker: NewTracker(), now: time.Date(2026, 1, 1, 0, 0, 0, 0, time.UTC)}
 }
 
 func (s *scene) pass(duration time.Duration) { s.now = s.now.Add(duration) }
 
-// begin returns a call that begins now.
-func (s *scene) begin(key Key, request string) Call {
-	return Call{Key: key, Request: request, BeganAt: s.now}
+// run returns a run that took some time.
+func (s *scene) run(engine string, took time.Duration) Run {
+	return Run{Engine: engine, Service: "models", Software: "v1", SentAt: s.now.Add(-took), BrokenAt: s.now}
 }
 
 // interrupt interrupts a run of a call that took some time.
-func (s *scene) interrupt(call Call, engine string, took time.Duration, first bool) {
-	s.Interrupted(s.now, call, Run{Engine: engine, Service: "models", Software: "v1", SentAt: s.now.Add(-took), BrokenAt: s.now}, first)
+func (s *scene) interrupt(call Call, engine string, took time.Duration) {
+	s.Interrupted(s.now, call, s.run(engine, took))
+}
+
+// interruptInLife interrupts a run of one call at engine e, in the life that began at startedMillis as far as that was known.
+func (s *scene) interruptInLife(startedMillis int64, answered bool) {
+	s.pass(minLife + time.Millisecond)
+	broken := s.run("e", time.Millisecond)
+	broken.StartedMillis, broken.Silent = startedMillis, !answered
+	s.Interrupted(s.now, Call{Key: "k", Request: "r"}, broken)
+}
+
+// leave leaves a run that its engine may go on with.
+func (s *scene) leave(call Call, engine string, took, mayRun time.Duration) {
+	left := s.run(engine, took)
+	left.MayRunUntil = s.now.Add(mayRun)
+	s.Left(s.now, call, left)
 }
 
 // end ends the engine of a run of a call that takes some time.
-func (s *scene) end(call Call, engine string, took time.Duration, first bool) {
+func (s *scene) end(call Call, engine string, took time.Duration) {
 	s.pass(took)
-	s.interrupt(call, engine, took, first)
+	s.interrupt(call, engine, took)
 	s.EngineEnded(s.now, engine, "models", false)
 }
 
 // endThree ends three engines under one call.
-func (s *scene) endThree(call Call, took time.Duration) {
-	for number := range 3 {
-		s.end(call, fmt.Sprint(call.Request, "-engine-", number), took, number == 0)
+func (s *scene) endThree(call Call) {
+	for number := range MaxEnds {
+		s.end(call, fmt.Sprint(call.Request, "-engine-", number), 50*time.Millisecond)
 	}
 }
 
-// judgeWithheld judges a call, again each time it was withheld for as long as is asked for.
-func (s *scene) judgeWithheld(call Call) bool {
-	verdict := s.Judge(s.now, call)
-	for verdict.Withhold > 0 {
-		s.pass(verdict.Withhold)
-		verdict = s.Judge(s.now, call)
+// decide decides on the next run of a request that has no other in progress.
+func (s *scene) decide(key Key) Decision { return Decide(s.Count(s.now, key), 0) }
+
+func (s *scene) assertCount(t *testing.T, key Key, ended, undecided int) {
+	t.Helper()
+	assert.DeepEqual(t, s.Count(s.now, key), Count{Ended: ended, Undecided: undecided})
+}
+
+func TestRequestIsRefusedAfterEndingThreeEngines(t *testing.T) {
+	s := newScene()
+	call := Call{Key: "k", Request: "r1"}
+	for number := range MaxEnds {
+		assert.Equal(t, s.decide("k"), Admit, "after %d ends", number)
+		s.end(call, fmt.Sprint("e", number), 50*time.Millisecond)
+	}
+	assert.Equal(t, s.decide("k"), Refuse)
+	assert.Equal(t, s.decide("other"), Admit)
+	engines, isNew := s.Refused(s.now, "k")
+	assert.DeepEqual(t, engines, []string{"e0", "e1", "e2"})
+	assert.Assert(t, isNew)
+	_, isNew = s.Refused(s.now, "k")
+	assert.Assert(t, !isNew)
+}
+
+// Neither long runs nor engines that end for other reasons make an end count for less.
+func TestEndsBesideManyOthersCount(t *testing.T) {
+	s := newScene()
+	call := Call{Key: "k", Request: "r1"}
+	for number := range MaxEnds {
+		for other := range 5 {
+			s.pass(20 * time.Millisecond)
+			s.EngineEnded(s.now, fmt.Sprint("other-", number, "-", other), "models", false)
+		}
+		s.end(call, fmt.Sprint("e", number), 2*time.Second)
 	}
-	return verdict.Fatal
+	assert.Equal(t, s.decide("k"), Refuse)
 }
 
-func TestRequestIsFatalAfterEndingThreeEngines(t *testing.T) {
+// A request under which engines of each software version end is refused, too.
+func TestEndsOfSeveralSoftwareVersionsAddUp(t *testing.T) {
 	s := newScene()
-	call := s.begin("k", "r1")
-	for number := range 3 {
-		assert.Assert(t, !s.Judge(s.now, call).Fatal, "after %d ends", number)
-		s.end(call, fmt.Sprint("e", number), 50*time.Millisecond, number == 0)
+	for number := range MaxEnds {
+		broken := s.run(fmt.Sprint("e", number), time.Millisecond)
+		broken.Software = fmt.Sprint("v", number)
+		s.Interrupted(s.now, Call{Key: "k"}, broken)
+		s.EngineEnded(s.now, broken.Engine, "models", false)
 	}
-	verdict := s.Judge(s.now, call)
-	assert.Assert(t, verdict.Fatal && verdict.New)
-	assert.DeepEqual(t, verdict.Engines, []string{"e0", "e1", "e2"})
-	assert.Assert(t, !s.Judge(s.now, call).New)
-	s.Failed(call)
-	assert.Assert(t, s.Judge(s.now, s.begin("k", "r2")).Fatal, "a later attempt is not refused")
-	assert.Assert(t, !s.Judge(s.now, s.begin("other", "r3")).Fatal)
+	assert.Equal(t, s.decide("k"), Refuse)
 }
 
 // An engine that restarts under its ID and ends again counts twice.
 func TestEndsOfARestartedEngineCount(t *testing.T) {
 	s := newScene()
-	call := s.begin("k", "r1")
-	for number := range 3 {
-		s.end(call, "e", 20*time.Millisecond, number == 0)
+	call := Call{Key: "k", Request: "r1"}
+	for range MaxEnds {
+		s.end(call, "e", 20*time.Millisecond)
 		s.pass(60 * time.Millisecond)
 	}
-	assert.Assert(t, s.Judge(s.now, call).Fatal)
+	assert.Equal(t, s.decide("k"), Refuse)
 }
 
-// Interruptions whose engines did not end, or ended much later, don't count.
-func TestBrokenConnectionsAreNoEnds(t *testing.T) {
-	s := newScene()
-	call := s.begin("k", "r1")
-	for number := range 8 {
+// Runs that overlap at one engine are interrupted by one end, unless they ran in different lives of it.
+func TestEndsOfDifferentLivesAddUp(t *testing.T) {
+	for _, differ := range []bool{false, true} {
+		s := newScene()
 		s.pass(20 * time.Millisecond)
-		s.interrupt(call, fmt.Sprint("e", number), 20*time.Millisecond, number == 0)
+		first := s.run("e", 20*time.Millisecond)
+		first.StartedMillis = 5
+		s.Interrupted(s.now, Call{Key: "k", Request: "r1"}, first)
+		s.pass(100 * time.Millisecond)
+		second := s.run("e", 115*time.Millisecond)
+		second.StartedMillis = 5
+		if differ {
+			second.StartedMillis = 6
+		}
+		s.Interrupted(s.now, Call{Key: "k", Request: "r2"}, second)
+		s.assertCount(t, "k", 0, map[bool]int{false: 1, true: 2}[differ])
 	}
-	assert.Assert(t, !s.Judge(s.now, call).Fatal)
-	s.pass(proofWindow + time.Millisecond)
-	for number := range 8 {
-		s.EngineEnded(s.now, fmt.Sprint("e", number), "models", false)
+}
+
+// Runs that a faulty link cuts before anything is answered tell of one end, also if the engine ends later. Once it is known to have ended, a further run
+// tells of another one.
+func TestUnansweredRunsTellOfOneEnd(t *testing.T) {
+	s := newScene()
+	for number := range 2 * MaxEnds {
+		if number == MaxEnds {
+			s.EngineEnded(s.now, "e", "models", false)
+			s.assertCount(t, "k", 1, 0)
+		}
+		s.interruptInLife(5, number == 0)
+	}
+	s.assertCount(t, "k", 1, 1)
+}
+
+// An engine may start again before the gateways know: a later run that it answered counts, whatever start was known, until the life that names it is
+// shown to last.
+func TestAnsweredRunsCountThoughTheyNameOneLife(t *testing.T) {
+	for _, lasts := range []bool{false, true} {
+		s := newScene()
+		for range MaxEnds {
+			s.interruptInLife(5, true)
+		}
+		s.assertCount(t, "k", 0, MaxEnds)
+		s.pass(time.Millisecond)
+		if lasts {
+			s.LifeLasts(s.now, "e", 5)
+		}
+		s.EngineEnded(s.now, "e", "models", false)
+		s.assertCount(t, "k", map[bool]int{false: MaxEnds, true: 0}[lasts], 0)
+	}
+}
+
+// Gateways that hear of ends of engines at different times count alike.
+func TestGatewaysCountAlikeWheneverTheyHear(t *testing.T) {
+	s, other := newScene(), newScene()
+	for range MaxEnds {
+		s.interruptInLife(5, true)
+		s.EngineEnded(s.now, "e", "models", false)
+	}
+	other.now = s.now.Add(time.Second)
+	reports, _ := s.Unshared(s.now)
+	for _, report := range reports {
+		other.Apply(other.now, report)
+	}
+	s.assertCount(t, "k", MaxEnds, 0)
+	other.assertCount(t, "k", MaxEnds, 0)
+}
+
+// A run that was interrupted counts until it is shown that its engine survived. If that is never shown, it counts as an end.
+func TestInterruptionsCountUntilTheEngineIsSeenAlive(t *testing.T) {
+	for _, alive := range []bool{false, true} {
+		s := newScene()
+		for number := range MaxEnds {
+			s.interrupt(Call{Key: "k", Request: "r1"}, fmt.Sprint("e", number), 20*time.Millisecond)
+			assert.Assert(t, s.Undecided(fmt.Sprint("e", number)))
+		}
+		s.pass(time.Millisecond)
+		s.assertCount(t, "k", 0, MaxEnds)
+		assert.Equal(t, s.decide("k"), Wait)
+		if alive {
+			s.EngineAlive(s.now, "e0")
+			assert.Equal(t, s.decide("k"), Admit)
+			assert.Assert(t, !s.Undecided("e0"))
+		}
+		s.pass(decisionTime)
+		assert.Equal(t, s.decide("k"), map[bool]Decision{false: Refuse, true: Admit}[alive])
 	}
-	assert.Assert(t, !s.Judge(s.now, call).Fatal)
 }
 
 // A run that was cut off by an engine that lived does not count when the engine ends soon afterwards, under whatever request.
 func TestEngineThatLivedIsNotHeldAgainstTheRequest(t *testing.T) {
 	for _, seenAlive := range []bool{false, true} {
 		s := newScene()
-		call := s.begin("k", "r1")
-		for number := range 3 {
+		call := Call{Key: "k", Request: "r1"}
+		for number := range MaxEnds {
 			engine := fmt.Sprint("e", number)
 			s.pass(20 * time.Millisecond)
-			s.interrupt(call, engine, 20*time.Millisecond, number == 0)
+			s.interrupt(call, engine, 20*time.Millisecond)
 			s.pass(20 * time.Millisecond)
 			if seenAlive {
 				s.EngineAlive(s.now, engine)
-			} else {
-				s.interrupt(call, engine, 10*time.Millisecond, false)
 			}
 			s.EngineEnded(s.now, engine, "models", false)
 		}
-		ended, _ := s.Ends(s.now, call)
-		assert.Equal(t, ended, map[bool]int{false: 3, true: 0}[seenAlive])
+		s.assertCount(t, "k", map[bool]int{false: 3, true: 0}[seenAlive], 0)
 	}
 }
 
-// An engine that ends while it runs several calls with the same content ends under each of them.
-func TestEngineEndsUnderAllCallsThatItRuns(t *testing.T) {
+// Interruptions during a life of an engine that outlasted them are no ends.
+func TestInterruptionsWithinALifeAreNoEnds(t *testing.T) {
 	s := newScene()
-	one, other := s.begin("k", "r1"), s.begin("k", "r2")
+	before := s.now
 	s.pass(20 * time.Millisecond)
-	s.interrupt(one, "e", 20*time.Millisecond, true)
-	s.pass(time.Millisecond)
-	s.interrupt(other, "e", 15*time.Millisecond, true)
-	requests, isNew := s.EngineEnded(s.now, "e", "models", false)
-	assert.DeepEqual(t, requests, []string{"r1", "r2"})
-	assert.Assert(t, isNew)
-	for _, call := range []Call{one, other} {
-		ended, _ := s.Ends(s.now, call)
-		assert.Equal(t, ended, 1)
+	s.interrupt(Call{Key: "k"}, "e", 10*time.Millisecond)
+	s.EngineLived(s.now.Add(time.Millisecond), s.now.Add(time.Second), "e")
+	s.assertCount(t, "k", 0, 1)
+	s.EngineLived(before, s.now.Add(time.Millisecond), "e")
+	assert.Assert(t, s.Empty())
+}
+
+// The end of a run may be noticed after the engine has ended and started again: a life that began after the run was sent shows nothing of it.
+func TestLaterLivesDoNotShowThatARunSurvived(t *testing.T) {
+	s := newScene()
+	s.pass(time.Second)
+	s.interrupt(Call{Key: "k"}, "e", 500*time.Millisecond)
+	s.EngineLived(s.now.Add(-100*time.Millisecond), s.now.Add(time.Second), "e")
+	s.assertCount(t, "k", 0, 1)
+	s.EngineLived(s.now.Add(-600*time.Millisecond), s.now.Add(time.Second), "e")
+	assert.Assert(t, s.Empty())
+}
+
+// Runs at an engine that stays silent tell of one end; once it is known to have ended, a later silent run tells of another one.
+func TestSilentEngineEndsOnce(t *testing.T) {
+	for _, ended := range []bool{false, true} {
+		s := newScene()
+		for range MaxEnds {
+			s.pass(time.Second)
+			silent := s.run("e", 200*time.Millisecond)
+			silent.Silent, silent.MayRunUntil = true, s.now
+			s.Interrupted(s.now, Call{Key: "k"}, silent)
+			if ended {
+				s.pass(time.Millisecond)
+				s.EngineEnded(s.now, "e", "models", false)
+			}
+		}
+		count := s.Count(s.now, "k")
+		assert.Equal(t, count.Ended+count.Undecided, map[bool]int{false: 1, true: MaxEnds}[ended])
 	}
 }
 
-// Interruptions that turn out to be no ends leave nothing behind.
-func TestRequestsWithoutEndsAreForgotten(t *testing.T) {
+// An engine that ends while it runs several calls with the same content ends once under it.
+func TestEngineEndsOnceUnderAllCallsThatItRuns(t *testing.T) {
 	s := newScene()
-	call := s.begin("k", "r1")
-	s.interrupt(call, "e", time.Millisecond, true)
-	s.Failed(call)
+	s.pass(20 * time.Millisecond)
+	s.interrupt(Call{Key: "k", Request: "r1"}, "e", 20*time.Millisecond)
 	s.pass(time.Millisecond)
-	s.EngineAlive(s.now, "e")
-	assert.Assert(t, s.Empty())
+	s.interrupt(Call{Key: "k", Request: "r2"}, "e", 15*time.Millisecond)
+	requests, isNew := s.EngineEnded(s.now, "e", "models", false)
+	assert.DeepEqual(t, requests, []string{"r1", "r2"})
+	assert.Assert(t, isNew)
+	s.assertCount(t, "k", 1, 0)
+	_, isNew = s.EngineEnded(s.now, "e", "models", false)
+	assert.Assert(t, !isNew)
 }
 
 // A run that begins at an engine after it has restarted does not inherit its earlier end.
 func TestEarlierEndOfAnEngineIsNoProof(t *testing.T) {
 	s := newScene()
 	s.EngineEnded(s.now, "e", "models", false)
-	s.pass(100 * time.Millisecond)
-	call := s.begin("k", "r1")
-	s.pass(20 * time.Millisecond)
-	s.interrupt(call, "e", 20*time.Millisecond, true)
-	ended, unexplained := s.Ends(s.now, call)
-	assert.DeepEqual(t, []int{ended, unexplained}, []int{0, 1})
+	s.pass(120 * time.Millisecond)
+	s.interrupt(Call{Key: "k"}, "e", 20*time.Millisecond)
+	s.assertCount(t, "k", 0, 1)
 }
 
-// An end that is proved before the interruption is noticed counts.
+// An end that is proved before the interruption is noticed counts, also long before.
 func TestEndMayBeProvedBeforeTheInterruption(t *testing.T) {
 	s := newScene()
-	call := s.begin("k", "r1")
 	s.pass(20 * time.Millisecond)
 	s.EngineEnded(s.now, "e", "models", false)
-	s.pass(time.Millisecond)
-	s.interrupt(call, "e", 21*time.Millisecond, true)
-	ended, _ := s.Ends(s.now, call)
-	assert.Equal(t, ended, 1)
+	s.pass(time.Second)
+	s.interrupt(Call{Key: "k"}, "e", time.Second+time.Millisecond)
+	s.leave(Call{Key: "other"}, "e", time.Second+time.Millisecond, 0)
+	s.assertCount(t, "k", 1, 0)
+	s.assertCount(t, "other", 1, 0)
 }
 
-// concurrentEnds lets six engines end under six calls with the same content that began at once, and returns one more call with it.
-func (s *scene) concurrentEnds(meanwhile func()) Call {
-	var calls []Call
-	for number := range 6 {
-		calls = append(calls, s.begin("k", fmt.Sprint("r", number)))
-	}
+// Calls with the same content add up, also if they come from several callers or overlap.
+func TestCallsWithTheSameContentAddUp(t *testing.T) {
+	s := newScene()
 	s.pass(50 * time.Millisecond)
-	meanwhile()
-	for number, call := range calls {
-		s.interrupt(call, fmt.Sprint("e", number), 50*time.Millisecond, true)
+	for number := range MaxEnds {
+		s.interrupt(Call{Key: "k", Request: fmt.Sprint("r", number)}, fmt.Sprint("e", number), 50*time.Millisecond)
 		s.EngineEnded(s.now, fmt.Sprint("e", number), "models", false)
-		s.Failed(call)
-	}
-	s.pass(200 * time.Millisecond)
-	return s.begin("k", "later")
-}
-
-// Calls with the same content add up, also if they come from several callers or overlap: only the content can be fatal.
-func TestConcurrentCallsWithTheSameContentAddUp(t *testing.T) {
-	s := newScene()
-	call := s.concurrentEnds(func() {})
-	assert.Assert(t, s.judgeWithheld(call))
-}
-
-// When a rack fails, engines end under several calls with the same content at once, and others end without it.
-func TestSharedContentOfAFailedRackIsNotFatal(t *testing.T) {
-	s := newScene()
-	call := s.concurrentEnds(func() {
-		for number := range 6 {
-			s.EngineEnded(s.now, fmt.Sprint("other", number), "models", false)
-		}
-	})
-	assert.Assert(t, !s.judgeWithheld(call))
-}
-
-// Content that runs at most engines meets each end. It is not fatal while its other runs go on, and is if only engines that ran it end.
-func TestSharedContentThatOutlivesEndsIsNotFatal(t *testing.T) {
-	for _, lasting := range []int{0, 1, 20} {
-		s := newScene()
-		sentAt := s.now
-		s.ObserveRuns(func(key Key, _ string) []time.Time {
-			assert.Equal(t, key, Key("k"))
-			return slices.Repeat([]time.Time{sentAt}, lasting)
-		})
-		call := s.concurrentEnds(func() {})
-		assert.Equal(t, s.judgeWithheld(call), lasting < 20, "%d others", lasting)
-	}
-}
-
-// Ends under calls that follow each other add up whether or not another call overlapped.
-func TestOverlappingCallsAddUp(t *testing.T) {
-	s := newScene()
-	for number := range 3 {
-		call := s.begin("k", fmt.Sprint("r", number))
-		overlapping := s.begin("k", fmt.Sprint("overlapping", number))
-		s.end(call, fmt.Sprint("e", number), 50*time.Millisecond, true)
-		s.interrupt(overlapping, fmt.Sprint("e", number), 50*time.Millisecond, true)
-		ended, _ := s.Ends(s.now, call)
-		assert.Equal(t, ended, number+1, "an end under two calls counts once")
-		s.Failed(overlapping)
-		s.Failed(call)
-		s.pass(100 * time.Millisecond)
 	}
-	assert.Assert(t, s.Judge(s.now, s.begin("k", "next")).Fatal)
+	assert.Equal(t, s.decide("k"), Refuse)
 }
 
-// Runs after which the engine accepted connections count if it has started again, and only then: one for each new life that its record
-// tells of, all if a probe has followed each of them.
-func TestRestartedEngineEndedUnderRunsThatWereFollowedByConnections(t *testing.T) {
+// Runs in progress count: each may end its engine, or complete.
+func TestRunsInProgressAreWaitedFor(t *testing.T) {
 	for _, row := range []struct {
-		prove    func(s *scene)
-		expected int
+		count    Count
+		open     int
+		expected Decision
 	}{
-		{func(s *scene) { s.EngineEnded(s.now, "e", "models", false) }, 0},
-		{func(s *scene) { s.EngineRestarted(s.now, "e", "models", true) }, 3},
-		{func(s *scene) { s.EngineRestarted(s.now, "e", "models", false) }, 1},
-		{func(s *scene) {
-			for range 3 {
-				s.EngineRestarted(s.now, "e", "models", false)
-			}
-		}, 3},
+		{Count{}, 2, Admit}, {Count{}, 3, Wait}, {Count{Sound: true}, 30, Admit}, {Count{Ended: 1, Sound: true}, 2, Wait}, {Count{Ended: 1}, 1, Admit}, {Count{Ended: 1}, 2, Wait}, {Count{Ended: 1, Undecided: 1}, 1, Wait},
+		{Count{Undecided: 3}, 0, Wait}, {Count{Ended: 2}, 0, Admit}, {Count{Ended: 3}, 1, Wait}, {Count{Ended: 3}, 0, Refuse}, {Count{Ended: 3, Undecided: 1}, 0, Refuse},
 	} {
-		s := newScene()
-		call := s.begin("k", "r1")
-		for number := range 3 {
-			s.pass(minLife)
-			s.interrupt(call, "e", 10*time.Millisecond, number == 0)
-			s.pass(time.Millisecond)
-			s.EngineAccepted(s.now, "e")
-		}
-		ended, possible := s.Risk(s.now, "k", proofWindow)
-		assert.DeepEqual(t, []int{ended, possible}, []int{0, 3})
-		row.prove(s)
-		ended, _ = s.Risk(s.now, "k", proofWindow)
-		assert.Equal(t, ended, row.expected)
-		assert.Equal(t, s.Judge(s.now, call).Fatal, row.expected == 3)
+		assert.Equal(t, Decide(row.count, row.open), row.expected, "%+v %d", row.count, row.open)
 	}
 }
 
-// Interruptions during a life of an engine that outlasted them are no ends.
-func TestInterruptionsWithinALifeAreNoEnds(t *testing.T) {
+// An engine that ends while it may go on with a run that was left has ended under it.
+func TestEngineEndsUnderARunThatWasLeft(t *testing.T) {
 	s := newScene()
-	call := s.begin("k", "r1")
-	before := s.now
-	s.pass(20 * time.Millisecond)
-	s.interrupt(call, "e", 10*time.Millisecond, true)
-	s.EngineLived(s.now.Add(time.Millisecond), s.now.Add(time.Second), "e")
-	_, possible := s.Risk(s.now, "k", proofWindow)
-	assert.Equal(t, possible, 1, "the life began after the interruption")
-	s.EngineLived(before, s.now.Add(time.Millisecond), "e")
-	_, possible = s.Risk(s.now, "k", proofWindow)
-	assert.Equal(t, possible, 0)
-}
-
-// An engine that ends shortly after a caller has left a run ended under it.
-func TestEngineEndsUnderARunThatItsCallerHasLeft(t *testing.T) {
-	s := newScene()
-	for number := range 3 {
-		call := s.begin("k", fmt.Sprint("r", number))
-		s.pass(20 * time.Millisecond)
-		s.Abandoned(call, Run{Engine: fmt.Sprint("e", number), Service: "models", Software: "v1", SentAt: s.now.Add(-10 * time.Millisecond), BrokenAt: s.now})
-		s.Abandoned(call, Run{Engine: "sound", Service: "models", Software: "v1", SentAt: s.now.Add(-10 * time.Millisecond), BrokenAt: s.now})
-		s.pass(abandonWindow / 2)
+	for number := range MaxEnds {
+		call := Call{Key: "k", Request: fmt.Sprint("r", number)}
+		s.leave(call, fmt.Sprint("e", number), 10*time.Millisecond, time.Second)
+		s.leave(call, "sound", 10*time.Millisecond, time.Second)
+		s.pass(900 * time.Millisecond)
 		s.EngineEnded(s.now, fmt.Sprint("e", number), "models", false)
 	}
-	s.pass(abandonWindow)
+	s.pass(time.Second)
 	s.EngineEnded(s.now, "sound", "models", false)
-	verdict := s.Judge(s.now, s.begin("k", "next"))
-	assert.Assert(t, verdict.Fatal)
-	assert.DeepEqual(t, verdict.Engines, []string{"e0", "e1", "e2"})
+	engines, _ := s.Refused(s.now, "k")
+	assert.DeepEqual(t, engines, []string{"e0", "e1", "e2"})
 }
 
-// Popular content that engines of a version complete all the time is not fatal for them, however often it meets their ends, and may be for
-// another version.
-func TestContentThatWasCompletedIsNotFatalForThatSoftware(t *testing.T) {
-	s := newScene()
-	s.fleet.versions = []string{"v1", "v2"}
-	s.Sound(s.now, "k", "v1")
-	call := s.begin("k", "r1")
-	s.endThree(call, 50*time.Millisecond)
-	assert.Assert(t, !s.Known("k"))
-	assert.Assert(t, !s.judgeWithheld(call))
-	s.Failed(call)
-	for number := range 3 {
-		s.pass(50 * time.Millisecond)
-		engine := fmt.Sprint("other version ", number)
-		s.Interrupted(s.now, call, Run{Engine: engine, Service: "models", Software: "v2", SentAt: s.now.Add(-20 * time.Millisecond), BrokenAt: s.now}, number == 0)
-		s.EngineEnded(s.now, engine, "models", false)
-	}
-	assert.Assert(t, s.judgeWithheld(call))
-}
-
-// What is known of completed requests is bounded and expires.
-func TestSoundRequestsAreForgotten(t *testing.T) {
-	var sound soundRequests
-	now := time.Date(2026, 1, 1, 0, 0, 0, 0, time.UTC)
-	for number := range 3 * maxSound {
-		sound.add(now, soundKey{Key(fmt.Sprint("k", number)), "v"})
+// The end of an engine that is seen late may have come while it went on with a run.
+func TestLateProofCountsForARunThatWasLeft(t *testing.T) {
+	for _, late := range []bool{false, true} {
+		s := newScene()
+		s.leave(Call{Key: "k"}, "e", time.Millisecond, time.Second)
+		s.pass(time.Second + maxLapse/2)
+		s.EngineEnded(s.now, "e", "models", late)
+		s.assertCount(t, "k", map[bool]int{false: 0, true: 1}[late], 0)
 	}
-	assert.Assert(t, len(sound.young)+len(sound.old) <= 2*maxSound)
-	last := soundKey{Key(fmt.Sprint("k", 3*maxSound-1)), "v"}
-	assert.Assert(t, sound.has(now.Add(soundRetention/2), last))
-	assert.Assert(t, sound.has(now.Add(soundRetention), last))
-	assert.Assert(t, !sound.has(now.Add(2*soundRetention), last))
-}
-
-// An engine whose end is known before its run is given up ended under it, also if that is long before.
-func TestEndIsKnownBeforeARunIsGivenUp(t *testing.T) {
-	s := newScene()
-	call := s.begin("k", "r1")
-	s.pass(10 * time.Millisecond)
-	s.EngineEnded(s.now, "e", "models", true)
-	s.pass(proofWindow / 2)
-	s.Abandoned(call, Run{Engine: "e", Service: "models", Software: "v1", SentAt: call.BeganAt, BrokenAt: s.now})
-	ended, _ := s.Ends(s.now, call)
-	assert.Equal(t, ended, 1)
 }
 
-// Interruptions that nothing explains are forgotten.
-func TestUnexplainedInterruptionsAreForgotten(t *testing.T) {
+// A run that was left because its engine was slow does not count once the engine answers. If another run ends an engine, it counts while the
+// engine may go on with it.
+func TestRunsThatWereLeftAreRecalled(t *testing.T) {
 	s := newScene()
-	call := s.begin("k", "r1")
-	s.interrupt(call, "e", time.Millisecond, true)
-	s.Failed(call)
-	s.Sweep(s.now.Add(proofWindow / 2))
-	assert.Assert(t, !s.Empty())
-	s.Sweep(s.now.Add(2 * proofWindow))
-	assert.Assert(t, s.Empty())
+	slow := s.run("slow", 10*time.Millisecond)
+	slow.MayRunUntil = s.now.Add(time.Second)
+	s.Interrupted(s.now, Call{Key: "k"}, slow)
+	s.pass(time.Millisecond)
+	s.EngineAlive(s.now, "slow")
+	assert.Assert(t, s.Empty() && len(s.left) == 1)
+	assert.Equal(t, len(s.Recall(s.now, "k")), 0)
+	s.end(Call{Key: "k"}, "e", 10*time.Millisecond)
+	assert.DeepEqual(t, s.Recall(s.now, "k"), []string{"slow"})
+	s.assertCount(t, "k", 1, 1)
+	s.EngineAlive(s.now, "slow")
+	s.assertCount(t, "k", 1, 1)
+	s.pass(2 * time.Second)
+	s.EngineAlive(s.now, "slow")
+	s.assertCount(t, "k", 1, 0)
 }
 
 // share passes all news of a tracker to another one, after encoding.
-func (s *scene) share(t *testing.T, other *scene) {
+func (s *scene) share(t *testing.T, others ...*scene) {
 	t.Helper()
-	reports, replaced := s.Unshared(s.now)
-	for _, name := range replaced {
-		other.Withdraw(name)
-	}
-	for _, report := range reports {
-		encoded, err := report.Encode()
-		assert.NilError(t, err)
-		decoded, err := DecodeReport(report.Name(), encoded)
-		assert.NilError(t, err)
-		s.Apply(s.now, decoded)
-		other.Apply(s.now, decoded)
+	reports, withdrawn := s.Unshared(s.now)
+	for _, other := range append(others, s) {
+		for _, name := range withdrawn {
+			other.Withdraw(name)
+		}
+		for _, report := range reports {
+			encoded, err := report.Encode()
+			assert.NilError(t, err)
+			decoded, err := DecodeReport(report.Name(), encoded)
+			assert.NilError(t, err)
+			other.Apply(other.now, decoded)
+		}
 	}
 }
 
@@ -403,239 +402,148 @@
 // one of them.
 func TestEndsCountOverGateways(t *testing.T) {
 	var gateways []*scene
-	for range 4 {
+	for range MaxEnds + 1 {
 		gateways = append(gateways, newScene())
 	}
-	now := gateways[0].now
 	for number, gateway := range gateways {
-		gateway.now = now
-		call := gateway.begin("k", fmt.Sprint("r", number))
-		assert.Equal(t, gateway.Judge(gateway.now, call).Fatal, number == 3, "attempt %d", number)
-		if number == 3 {
-			break
-		}
-		gateway.end(call, fmt.Sprint("e", number), 30*time.Millisecond, true)
-		gateway.Failed(call)
+		assert.Equal(t, gateway.decide("k") == Refuse, number == MaxEnds, "attempt %d", number)
+		gateway.end(Call{Key: "k", Request: fmt.Sprint("r", number)}, fmt.Sprint("e", number), 30*time.Millisecond)
 		for _, other := range gateways {
-			if other != gateway {
-				gateway.share(t, other)
-			}
-		}
-		// The first of these shares has marked the reports as sent; the others get copies.
-		for _, other := range gateways {
-			copyReports(gateway, other)
+			other.now = gateway.now
 		}
-		now = gateway.now.Add(200 * time.Millisecond)
+		gateway.share(t, gateways...)
 	}
 }
 
-// copyReports passes on reports that were shared before.
-func copyReports(from, to *scene) {
-	if from == to {
-		return
-	}
-	for key, known := range from.requests {
-		for _, ended := range known.runs {
-			if ended.report != "" {
-				to.Apply(from.now, Report{key: key, name: ended.report, body: reportBody{
-					Engine: ended.Engine, Service: ended.Service, Software: ended.Software, Call: ended.call, Chance: ended.chance, Fatal: known.fatal,
-					AgeMicros: from.now.Sub(ended.BrokenAt).Microseconds(), ExposureMicros: ended.BrokenAt.Sub(ended.SentAt).Microseconds(),
-					CallMicros: ended.BrokenAt.Sub(ended.beganAt).Microseconds(),
-				}})
-			}
-		}
-	}
+// Other gateways hear of an interruption at once, and again if its engine has survived.
+func TestInterruptionsAreSharedBeforeTheyAreDecided(t *testing.T) {
+	s, other := newScene(), newScene()
+	s.interrupt(Call{Key: "k", Request: "r"}, "e", time.Millisecond)
+	s.share(t, other)
+	other.assertCount(t, "k", 0, 1)
+	other.pass(time.Millisecond)
+	other.EngineAlive(other.now, "e")
+	other.assertCount(t, "k", 0, 1)
+	requests, _ := other.EngineEnded(other.now, "e", "models", false)
+	assert.Equal(t, len(requests), 0)
+	other.assertCount(t, "k", 1, 0)
+	s.pass(time.Millisecond)
+	s.EngineAlive(s.now, "e")
+	s.share(t, other)
+	assert.Assert(t, s.Empty() && other.Empty())
 }
 
-// A verdict holds at a gateway that learns of it later, whatever it knows of other ends.
-func TestVerdictHoldsAtOtherGateways(t *testing.T) {
+// A gateway that finds an engine in the life that another one's run had is sure that it has survived, also if that gateway is gone.
+func TestAnyGatewayProvesThatALifeLasts(t *testing.T) {
 	s, other := newScene(), newScene()
-	call := s.begin("k", "r1")
-	s.endThree(call, 50*time.Millisecond)
-	assert.Assert(t, s.Judge(s.now, call).Fatal)
-	s.Failed(call)
-	other.now = s.now
-	for number := range 6 {
-		other.EngineEnded(other.now, fmt.Sprint("elsewhere", number), "models", false)
+	for number := range int64(2) {
+		broken := s.run("e", time.Millisecond)
+		broken.StartedMillis = 7 + number
+		s.Interrupted(s.now, Call{Key: "k", Request: "r"}, broken)
+		s.pass(time.Second)
 	}
 	s.share(t, other)
-	assert.Assert(t, other.Judge(other.now, other.begin("k", "r2")).Fatal)
+	other.assertCount(t, "k", 0, 2)
+	assert.DeepEqual(t, other.UndecidedEngines("k"), []string{"e"})
+	other.LifeLasts(other.now, "e", 0)
+	other.LifeLasts(other.now, "e", 9)
+	other.assertCount(t, "k", 0, 2)
+	other.LifeLasts(other.now, "e", 8)
+	other.assertCount(t, "k", 0, 1)
+	other.share(t, s)
+	assert.Equal(t, len(s.requests["k"].runs), 1)
+}
+
+// Reports that arrive late keep the time between the ends that they tell of.
+func TestLateReportsTellDistinctEnds(t *testing.T) {
+	s, other := newScene(), newScene()
+	for range MaxEnds {
+		s.end(Call{Key: "k", Request: "r"}, "e", 10*time.Millisecond)
+		s.Unshared(s.now)
+		s.pass(time.Second)
+	}
+	other.now = s.now.Add(time.Minute)
+	for _, report := range s.Reports(s.now, "k") {
+		report.body.AgeMicros = 0
+		other.Apply(other.now, report)
+	}
+	other.assertCount(t, "k", MaxEnds, 0)
 }
 
 // A completed run shows that the request is not fatal, also to gateways that were told of its ends.
 func TestCompletedRequestIsForgiven(t *testing.T) {
 	s, other := newScene(), newScene()
-	call := s.begin("k", "r1")
-	s.endThree(call, 50*time.Millisecond)
-	s.Failed(call)
+	s.endThree(Call{Key: "k", Request: "r1"})
 	other.now = s.now
 	s.share(t, other)
 	for _, name := range s.Completed("k") {
 		other.Withdraw(name)
 	}
-	assert.Assert(t, !s.Judge(s.now, s.begin("k", "r2")).Fatal)
-	assert.Assert(t, !other.Judge(other.now, other.begin("k", "r3")).Fatal)
 	assert.Assert(t, s.Empty() && other.Empty())
 }
 
-// A request is tried again once all engines have another version of their software, and when its ends are old.
-func TestFatalRequestIsForgiven(t *testing.T) {
-	s := newScene()
-	call := s.begin("k", "r1")
-	s.endThree(call, 50*time.Millisecond)
-	s.Failed(call)
-	assert.Assert(t, s.Judge(s.now, s.begin("k", "r2")).Fatal)
-	s.fleet.versions = []string{"v2"}
-	assert.Assert(t, !s.Judge(s.now, s.begin("k", "r3")).Fatal)
-	s.fleet.versions = []string{"v1", "v2"}
-	assert.Assert(t, s.Judge(s.now, s.begin("k", "r4")).Fatal)
-	s.pass(retention + time.Second)
-	assert.Assert(t, !s.Judge(s.now, s.begin("k", "r5")).Fatal)
-}
-
-// Ends that other engines share at about the same rate are put down to chance; without them the same ends are not.
-func TestEndsBesideManyOthersAreNotFatal(t *testing.T) {
-	s := newScene()
-	call := s.begin("k", "r1")
-	for number := range 3 {
-		for other := range 3 {
-			s.EngineEnded(s.now, fmt.Sprint("other", number, other), "models", false)
-		}
-		s.end(call, fmt.Sprint("e", number), 150*time.Millisecond, number == 0)
+// Content that was completed lately is run one call at a time when it has met too many ends, also at gateways that were told of them.
+func TestSoundContentIsRunOneCallAtATime(t *testing.T) {
+	s, other := newScene(), newScene()
+	s.Sound(s.now, "k")
+	s.endThree(Call{Key: "k", Request: "r"})
+	other.now = s.now
+	s.share(t, other)
+	for _, gateway := range []*scene{s, other} {
+		assert.DeepEqual(t, gateway.Count(gateway.now, "k"), Count{Ended: MaxEnds, Sound: true})
+		assert.Equal(t, gateway.decide("k"), Admit)
+		assert.Equal(t, Decide(gateway.Count(gateway.now, "k"), 1), Wait)
 	}
-	s.EngineEnded(s.now, "other", "models", false)
-	verdict := s.Judge(s.now, call)
-	assert.Assert(t, !verdict.Fatal, "chance %g", verdict.Chance)
-	s.pass(verdict.Withhold)
-	assert.Assert(t, !s.Judge(s.now, call).Fatal)
+	late := newScene()
+	late.Sound(late.now, "k")
+	late.pass(2*retention + time.Second)
+	late.sound.has(late.now.Add(-retention), "k")
+	late.endThree(Call{Key: "k", Request: "r"})
+	assert.Equal(t, late.decide("k"), Refuse)
 }
 
-// Engines of other services tell nothing.
-func TestEndsOfOtherServicesAreIgnored(t *testing.T) {
+// A run that was left before the request was completed does not count later.
+func TestCompletedRequestForgetsRunsThatWereLeft(t *testing.T) {
 	s := newScene()
-	for number := range 12 {
-		s.EngineEnded(s.now, fmt.Sprint("app", number), "apps", false)
-	}
-	call := s.begin("k", "r1")
-	s.endThree(call, 50*time.Millisecond)
-	assert.Assert(t, s.Judge(s.now, call).Fatal)
-}
-
-// While ends of other engines leave it open, the request is withheld; it is fatal if they stop meanwhile.
-func TestRequestIsFatalIfNoEngineEndsWhileItIsWithheld(t *testing.T) {
-	for _, othersGoOn := range []bool{false, true} {
-		s := newScene()
-		call := s.begin("k", "r1")
-		for number := range 3 {
-			s.EngineEnded(s.now, fmt.Sprint("other", number), "models", false)
-			s.pass(withholdTime)
-			s.end(call, fmt.Sprint("e", number), 100*time.Millisecond, number == 0)
-			s.pass(15 * time.Millisecond)
-		}
-		verdict := s.Judge(s.now, call)
-		assert.Assert(t, !verdict.Fatal && verdict.Withhold > 0, "%+v", verdict)
-		s.pass(verdict.Withhold / 2)
-		if othersGoOn {
-			s.EngineEnded(s.now, "one more", "models", false)
-		}
-		s.pass(verdict.Withhold)
-		assert.Equal(t, s.Judge(s.now, call).Fatal, !othersGoOn)
-	}
-}
-
-// A request that was interrupted by fatal ones each time is not fatal, whether these are known to be or may be.
-func TestRequestThatMetFatalOnesIsNotFatal(t *testing.T) {
-	for _, judged := range []bool{false, true} {
-		s := newScene()
-		victim := s.begin("victim", "v")
-		for number, name := range []string{"a", "b", "c"} {
-			culprit := s.begin(Key(name), name)
-			s.pass(40 * time.Millisecond)
-			shared := fmt.Sprint("shared", number)
-			s.interrupt(culprit, shared, 40*time.Millisecond, true)
-			s.interrupt(victim, shared, 40*time.Millisecond, number == 0)
-			s.EngineEnded(s.now, shared, "models", false)
-			for further := range 2 {
-				s.end(culprit, fmt.Sprint(name, further), 40*time.Millisecond, false)
-			}
-			if judged {
-				assert.Assert(t, s.judgeWithheld(culprit))
-			}
-		}
-		assert.Assert(t, !s.judgeWithheld(victim))
-		for _, name := range []string{"a", "b", "c"} {
-			assert.Assert(t, s.judgeWithheld(Call{Key: Key(name), Request: name}), name)
-		}
-	}
+	s.leave(Call{Key: "k"}, "e", time.Millisecond, time.Second)
+	s.Completed("k")
+	s.EngineEnded(s.now, "e", "models", false)
+	assert.Assert(t, s.Empty())
 }
 
-// Of two requests that ran at the same engines, the one that ended them sooner is fatal; which is judged first makes no difference.
-func TestRequestThatRanLongerAtTheSameEnginesIsNotFatal(t *testing.T) {
-	for _, victimFirst := range []bool{false, true} {
-		s := newScene()
-		culprit, victim := s.begin("culprit", "c"), s.begin("victim", "v")
-		for number := range 3 {
-			s.pass(40 * time.Millisecond)
-			shared := fmt.Sprint("shared", number)
-			s.interrupt(culprit, shared, 10*time.Millisecond, number == 0)
-			s.interrupt(victim, shared, 30*time.Millisecond, number == 0)
-			s.EngineEnded(s.now, shared, "models", false)
-		}
-		if victimFirst {
-			assert.Assert(t, !s.judgeWithheld(victim))
-		}
-		assert.Assert(t, s.judgeWithheld(culprit))
-		assert.Assert(t, !s.judgeWithheld(victim))
-		s.pass(40 * time.Millisecond)
-		s.end(victim, "one more", 30*time.Millisecond, false)
-		assert.Assert(t, !s.judgeWithheld(victim))
+func TestSoundRequestsAreForgotten(t *testing.T) {
+	now := time.Date(2026, 1, 1, 0, 0, 0, 0, time.UTC)
+	var sound soundRequests
+	sound.add(now, "k")
+	assert.Assert(t, sound.has(now.Add(retention), "k"))
+	assert.Assert(t, !sound.has(now.Add(2*retention), "k"))
+	for number := range 3 * maxSound {
+		sound.add(now, Key(fmt.Sprint(number)))
 	}
+	assert.Assert(t, len(sound.young)+len(sound.old) <= 2*maxSound)
 }
 
-// While other engines end, a request is judged again until it shows whether these end under fatal requests, too.
-func TestRequestIsJudgedAgainUntilOtherEndsAreExplained(t *testing.T) {
-	for _, explained := range []bool{true, false} {
-		s := newScene()
-		call, other := s.begin("k", "r1"), s.begin("other", "r2")
-		for number := range 3 {
-			s.pass(60 * time.Millisecond)
-			s.interrupt(call, fmt.Sprint("e", number), 60*time.Millisecond, number == 0)
-			s.EngineEnded(s.now, fmt.Sprint("e", number), "models", false)
-			s.EngineEnded(s.now, fmt.Sprint("f", number), "models", false)
-			if explained && number < 2 {
-				s.interrupt(other, fmt.Sprint("f", number), 60*time.Millisecond, number == 0)
-			}
-		}
-		brokenAt := s.now
-		verdict := s.Judge(s.now, call)
-		assert.Assert(t, !verdict.Fatal && verdict.Withhold == withholdTime, "%+v", verdict)
-		s.pass(verdict.Withhold)
-		verdict = s.Judge(s.now, call)
-		assert.Assert(t, !verdict.Fatal && verdict.Withhold == withholdTime, "%+v", verdict)
-		if explained {
-			s.Interrupted(s.now, other, Run{Engine: "f2", Service: "models", Software: "v1", SentAt: brokenAt.Add(-60 * time.Millisecond), BrokenAt: brokenAt}, false)
-		}
-		s.pass(verdict.Withhold)
-		assert.Equal(t, s.judgeWithheld(call), explained)
-		assert.Equal(t, s.Judge(s.now, call).Withhold, time.Duration(0))
-	}
+// A request is tried again when its ends are old.
+func TestRefusedRequestIsForgiven(t *testing.T) {
+	s := newScene()
+	s.endThree(Call{Key: "k", Request: "r1"})
+	assert.Equal(t, s.decide("k"), Refuse)
+	s.pass(retention + time.Second)
+	assert.Equal(t, s.decide("k"), Admit)
 }
 
-// Ends under fatal requests don't make it more likely that engines end by themselves.
-func TestEndsUnderFatalRequestsDoNotRaiseTheRate(t *testing.T) {
+func TestOtherEndsOfAServiceAreKnown(t *testing.T) {
 	s := newScene()
-	call := s.begin("k", "r1")
-	s.endThree(call, 60*time.Millisecond)
-	alone := s.Judge(s.now, call).Chance
-	s = newScene()
-	for name := range 3 {
-		culprit := s.begin(Key(fmt.Sprint("c", name)), fmt.Sprint("c", name))
-		s.endThree(culprit, 10*time.Millisecond)
-		assert.Assert(t, s.judgeWithheld(culprit))
-	}
-	call = s.begin("k", "r1")
-	s.endThree(call, 60*time.Millisecond)
-	assert.Equal(t, s.Judge(s.now, call).Chance, alone)
+	s.end(Call{Key: "k"}, "own", time.Millisecond)
+	s.EngineEnded(s.now, "other service", "apps", false)
+	assert.Equal(t, s.Calm(s.now, "k", "models"), endRetention)
+	s.EngineEnded(s.now, "e1", "models", false)
+	s.pass(100 * time.Millisecond)
+	s.EngineEnded(s.now, "e2", "models", false)
+	s.pass(50 * time.Millisecond)
+	assert.Equal(t, s.Calm(s.now, "k", "models"), 50*time.Millisecond)
+	assert.Equal(t, s.Storm(s.now, "k", "models", 100*time.Millisecond), 1)
+	assert.Equal(t, s.Storm(s.now, "k", "models", time.Second), 2)
 }
 
 func TestInvalidReportsAreRejected(t *testing.T) {
@@ -653,23 +561,53 @@
 	}
 }
 
+// Reports of the build before tell of ends that are proved; that build reads the fields that it knows, and takes each report for an end.
+func TestReportsOfTheBuildBefore(t *testing.T) {
+	s := newScene()
+	for number := range MaxEnds {
+		report, err := DecodeReport(fmt.Sprint("k/", number), fmt.Appendf(nil, `{"e":"e%d","s":"models","v":"v1","c":7,"a":1000,"d":5000,"b":6000,"p":0.3,"o":true}`, number))
+		assert.NilError(t, err)
+		s.Apply(s.now, report)
+	}
+	assert.Equal(t, s.decide("k"), Refuse)
+	s.interrupt(Call{Key: "own", Request: "r"}, "e", time.Millisecond)
+	reports, _ := s.Unshared(s.now)
+	encoded, err := reports[0].Encode()
+	assert.NilError(t, err)
+	var fields struct {
+		Engine   string  `json:"e"`
+		Service  string  `json:"s"`
+		Call     uint32  `json:"c"`
+		Age      int64   `json:"a"`
+		Exposure int64   `json:"d"`
+		Since    int64   `json:"b"`
+		Chance   float64 `json:"p"`
+		Fatal    bool    `json:"f"`
+	}
+	assert.NilError(t, json.Unmarshal(encoded, &fields))
+	assert.Equal(t, fields.Engine+fields.Service, "emodels")
+	assert.Equal(t, fields.Exposure, time.Millisecond.Microseconds())
+	assert.Assert(t, fields.Call != 0 && !fields.Fatal)
+}
+
 // The memory is bounded, and the oldest requests are forgotten first.
 func TestTrackerIsBounded(t *testing.T) {
 	s := newScene()
 	for number := range 2 * maxRequests {
-		call := s.begin(Key(fmt.Sprint("k", number)), fmt.Sprint("r", number))
-		s.interrupt(call, "e", time.Millisecond, true)
-		s.Failed(call)
+		call := Call{Key: Key(fmt.Sprint("k", number)), Request: fmt.Sprint("r", number)}
+		s.interrupt(call, "e", time.Millisecond)
+		s.leave(call, "e2", time.Millisecond, time.Hour)
 		s.pass(time.Millisecond)
 	}
 	assert.Assert(t, len(s.requests) <= maxRequests)
+	assert.Assert(t, len(s.left) <= maxLeft)
 	_, known := s.requests[Key(fmt.Sprint("k", 2*maxRequests-1))]
 	assert.Assert(t, known)
-	call := s.begin("many", "r")
 	for number := range 3 * maxRunsPerRequest {
-		s.interrupt(call, "e", time.Millisecond, number == 0)
+		s.interrupt(Call{Key: "many", Request: "r"}, fmt.Sprint("e", number), time.Millisecond)
 	}
 	assert.Equal(t, len(s.requests["many"].runs), maxRunsPerRequest)
+	assertIndexed(t, s.Tracker)
 }
 
 func TestKeysDifferByEachPart(t *testing.T) {
--- a/internal/fatal/index_test.go
+++ b/internal/fatal/index_test.go
@@ -42,21 +42,23 @@
 // step changes a tracker at random.
 func step(random *rand.Rand, s *scene) {
 	pick := func(prefix string, count int) string { return fmt.Sprint(prefix, random.IntN(count)) }
-	call := s.begin(Key(pick("k", 6)), pick("r", 12))
-	switch random.IntN(7) {
+	call := Call{Key: Key(pick("k", 6)), Request: pick("r", 12)}
+	switch random.IntN(8) {
 	case 0, 1, 2:
-		s.interrupt(call, pick("e", 5), time.Duration(random.IntN(100))*time.Millisecond, random.IntN(2) == 0)
+		s.interrupt(call, pick("e", 5), time.Duration(random.IntN(100))*time.Millisecond)
 	case 3:
 		s.EngineEnded(s.now, pick("e", 5), "models", random.IntN(2) == 0)
 	case 4:
 		s.EngineAlive(s.now, pick("e", 5))
 	case 5:
-		s.Failed(call)
+		s.leave(call, pick("e", 5), time.Millisecond, time.Duration(random.IntN(2000))*time.Millisecond)
 	case 6:
 		if random.IntN(3) == 0 {
 			s.Completed(call.Key)
 		}
-		s.Judge(s.now, call)
+		s.Count(s.now, call.Key)
+	case 7:
+		s.Recall(s.now, call.Key)
 	}
 }
 
@@ -64,7 +66,7 @@
 	t.Helper()
 	for key, known := range tracker.requests {
 		for _, interrupted := range known.runs {
-			if _, found := tracker.pending[interrupted.Engine][key]; interrupted.pendingAt(interrupted.Engine) {
+			if _, found := tracker.pending[interrupted.Engine][key]; interrupted.undecidedAt(interrupted.Engine) {
 				assert.Assert(t, found, "%s at %s", key, interrupted.Engine)
 			}
 		}
@@ -95,16 +97,13 @@
 		b.Run(fmt.Sprint(remembered), func(b *testing.B) {
 			s := newScene()
 			for number := range remembered {
-				call := s.begin(Key(fmt.Sprint("k", number)), fmt.Sprint("r", number))
-				s.end(call, fmt.Sprint("e", number%16), time.Millisecond, true)
-				s.Failed(call)
+				s.end(Call{Key: Key(fmt.Sprint("k", number)), Request: fmt.Sprint("r", number)}, fmt.Sprint("e", number%16), time.Millisecond)
 			}
-			call := s.begin("other", "other")
 			b.ResetTimer()
 			for range b.N {
 				s.EngineAlive(s.now, "e1")
-				s.Ends(s.now, call)
-				s.Completed(call.Key)
+				s.Count(s.now, "other")
+				s.Completed("other")
 				s.Unshared(s.now)
 			}
 		})
--- a/internal/fatal/report.go
+++ b/internal/fatal/report.go
@@ -3,6 +3,7 @@
 import (
 	"encoding/json"
 	"math/rand/v2"
+	"slices"
 	"strconv"
 	"strings"
 	"time"
@@ -10,7 +11,7 @@
 	"github.com/cockroachdb/errors"
 )
 
-// Report tells other gateways of an engine that ended under a request. Reports never change; each end has one.
+// Report tells other gateways of a run that was interrupted. Reports never change, and are withdrawn if the engine has survived.
 type Report struct {
 	key  Key
 	name string
@@ -24,17 +25,21 @@
 	Software string `json:"v,omitempty"`
 	// Call is a hash of the call's ID.
 	Call uint32 `json:"c"`
-	// The run was interrupted AgeMicros before the report, ExposureMicros after it was sent to the engine and CallMicros after the
-	// call began.
+	// The run was interrupted AgeMicros before the report, ExposureMicros after it was sent to the engine, and at BrokenMillis, a Unix time
+	// by the clock of the gateway that reports it; 0 if a build reports it that does not tell.
 	AgeMicros      int64 `json:"a,omitempty"`
 	ExposureMicros int64 `json:"d"`
-	CallMicros     int64 `json:"b"`
-	// Chance is the probability that the engine ended by itself meanwhile.
-	Chance float64 `json:"p"`
-	// Fatal is set if the request was found to be fatal.
+	BrokenMillis   int64 `json:"t,omitempty"`
+	// StartedMillis tells which life of the engine it was; see Run.
+	StartedMillis int64 `json:"n,omitempty"`
+	// Undecided is set if it was not known yet whether the engine ended. Builds that don't know it take the run for an end.
+	Undecided bool `json:"u,omitempty"`
+	// Silent is set if nothing came from the engine during the run.
+	Silent bool `json:"q,omitempty"`
+	// Sound is set if the request was completed lately.
+	Sound bool `json:"k,omitempty"`
+	// Fatal is set if the request is not sent again. Only builds that judge by chance read it.
 	Fatal bool `json:"f,omitempty"`
-	// Open is set if the call was still in progress.
-	Open bool `json:"o,omitempty"`
 }
 
 // ErrReport means that Name or the value under it is not a valid report.
@@ -52,6 +57,8 @@
 	// maxNameBytes and maxBodyBytes bound a report.
 	maxNameBytes = 64
 	maxBodyBytes = 512
+	// maxClockError bounds how far ahead of this gateway's clock that of another one may be.
+	maxClockError = time.Minute
 	// maxDuration is longer than any call.
 	maxDuration = 24 * time.Hour
 )
@@ -59,6 +66,15 @@
 // Name returns the report's name, which is unique.
 func (r Report) Name() string { return r.name }
 
+// Key returns the key of the request's content.
+func (r Report) Key() Key { return r.key }
+
+// KeyOfReport returns the key of the request's content from the name of a report.
+func KeyOfReport(name string) Key {
+	key, _, _ := strings.Cut(name, nameSeparator)
+	return Key(key)
+}
+
 // Engine returns the ID of the engine, Service its service.
 func (r Report) Engine() string { return r.body.Engine }
 
@@ -85,7 +101,7 @@
 }
 
 func (b reportBody) valid() bool {
-	for _, micros := range []int64{b.AgeMicros, b.ExposureMicros, b.CallMicros} {
+	for _, micros := range []int64{b.AgeMicros, b.ExposureMicros} {
 		if micros < 0 || micros > maxDuration.Microseconds() {
 			return false
 		}
@@ -93,32 +109,27 @@
 	return b.Engine != ""
 }
 
-// Unshared returns reports of the ends that other gateways were not told yet. It also returns the names of earlier reports that these
-// replace: builds that count an end only once its call has failed read Open.
-func (t *Tracker) Unshared(now time.Time) (reports []Report, replaced []string) {
+// Unshared returns reports of the interrupted runs that other gateways were not told yet, and the names of reports that have to be withdrawn.
+func (t *Tracker) Unshared(now time.Time) (reports []Report, withdrawn []string) {
 	t.mutex.Lock()
 	defer t.mutex.Unlock()
 	for key := range t.changed {
 		known := t.requests[key]
 		for index := range known.runs {
-			ended := &known.runs[index]
-			if ended.open && ended.callFailed {
-				replaced = append(replaced, ended.report)
-				ended.report, ended.open = "", false
-			}
-			if !ended.ended || ended.report != "" {
+			interrupted := &known.runs[index]
+			if interrupted.report != "" {
 				continue
 			}
-			ended.open = !ended.callFailed
-			ended.report = string(key) + nameSeparator + strconv.FormatUint(rand.Uint64()>>(64-nonceBits), 36)
-			reports = append(reports, t.report(now, key, known, *ended))
+			interrupted.report = string(key) + nameSeparator + strconv.FormatUint(rand.Uint64()>>(64-nonceBits), 36)
+			reports = append(reports, reportOf(now, key, known, *interrupted))
 		}
 	}
 	clear(t.changed)
-	return reports, replaced
+	withdrawn, t.retracted = t.retracted, nil
+	return reports, withdrawn
 }
 
-// Reports returns reports of all ends under a request that were shared, here or by other gateways: those who were told may have forgotten.
+// Reports returns reports of all runs of a request that were shared, here or by other gateways: those who were told may have forgotten.
 func (t *Tracker) Reports(now time.Time, key Key) (reports []Report) {
 	t.mutex.Lock()
 	defer t.mutex.Unlock()
@@ -126,70 +137,71 @@
 	if known == nil {
 		return nil
 	}
-	for _, ended := range known.runs {
-		if ended.ended && ended.report != "" {
-			reports = append(reports, t.report(now, key, known, ended))
+	for _, interrupted := range known.runs {
+		if interrupted.report != "" {
+			reports = append(reports, reportOf(now, key, known, interrupted))
 		}
 	}
 	return reports
 }
 
-// report returns the report of an end. The caller holds the mutex.
-func (t *Tracker) report(now time.Time, key Key, known *request, ended run) Report {
-	return Report{key: key, name: ended.report, body: reportBody{
-		Engine: ended.Engine, Service: ended.Service, Software: ended.Software,
-		Call: ended.call, AgeMicros: max(now.Sub(ended.BrokenAt).Microseconds(), 0), ExposureMicros: ended.BrokenAt.Sub(ended.SentAt).Microseconds(),
-		CallMicros: ended.BrokenAt.Sub(ended.beganAt).Microseconds(), Chance: t.chance(now, ended, known.runs), Fatal: known.fatal, Open: ended.open,
+func reportOf(now time.Time, key Key, known *request, interrupted run) Report {
+	return Report{key: key, name: interrupted.report, body: reportBody{
+		Engine: interrupted.Engine, Service: interrupted.Service, Software: interrupted.Software, StartedMillis: interrupted.StartedMillis, Call: interrupted.call,
+		AgeMicros: max(now.Sub(interrupted.BrokenAt), 0).Microseconds(), ExposureMicros: max(interrupted.BrokenAt.Sub(interrupted.SentAt), 0).Microseconds(),
+		BrokenMillis: interrupted.BrokenAt.UnixMilli(), Undecided: !interrupted.ended(), Silent: interrupted.Silent, Sound: known.sound, Fatal: known.refused,
 	}}
 }
 
-// Apply records a report of another gateway. Reports that are known already, such as this gateway's own, are ignored.
+// Apply records a run that another gateway reported.
 func (t *Tracker) Apply(now time.Time, report Report) {
 	t.mutex.Lock()
 	defer t.mutex.Unlock()
-	if known := t.requests[report.key]; known != nil && known.shares(report.name) {
+	body := report.body
+	if known := t.requests[report.key]; known != nil && known.decideReported(now, report) {
 		return
 	}
-	body := report.body
-	brokenAt := now.Add(-time.Duration(body.AgeMicros) * time.Microsecond)
-	t.addRun(now, report.key, run{
+	brokenAt := body.brokenAt(now)
+	reported := run{
 		Run: Run{
-			Engine: body.Engine, Service: body.Service, Software: body.Software,
+			Engine: body.Engine, Service: body.Service, Software: body.Software, StartedMillis: body.StartedMillis, Silent: body.Silent,
 			SentAt: brokenAt.Add(-time.Duration(body.ExposureMicros) * time.Microsecond), BrokenAt: brokenAt,
 		},
-		call: body.Call, beganAt: brokenAt.Add(-time.Duration(body.CallMicros) * time.Microsecond),
-		callFailed: !body.Open, ended: true, report: report.name, chance: body.Chance,
-	})
-	if known := t.requests[report.key]; known != nil {
-		known.fatal = known.fatal || body.Fatal
+		call: body.Call, report: report.name, foreign: true,
+	}
+	if !body.Undecided || t.endedSince(reported.Run) {
+		reported.endedAt = now
 	}
+	t.addRun(now, report.key, reported)
+	t.requests[report.key].sound = t.requests[report.key].sound || body.Sound
 }
 
-// Withdraw forgets an end that was shared by the report with this name, since a run of the request was completed.
-func (t *Tracker) Withdraw(name string) {
-	key, _, _ := strings.Cut(name, nameSeparator)
-	t.mutex.Lock()
-	defer t.mutex.Unlock()
-	known := t.requests[Key(key)]
-	if known == nil {
-		return
+// brokenAt returns when the run of a report was interrupted. Reports may arrive long after they were made, and clocks may differ.
+func (b reportBody) brokenAt(now time.Time) time.Time {
+	if at := time.UnixMilli(b.BrokenMillis); now.Sub(at) < retention && at.Sub(now) < maxClockError {
+		return at
 	}
-	kept := known.runs[:0]
-	for _, interrupted := range known.runs {
-		if interrupted.report != name {
-			kept = append(kept, interrupted)
-		}
+	return now.Add(-time.Duration(b.AgeMicros) * time.Microsecond)
+}
+
+// decideReported updates the run with a report's name, and reports whether it is known.
+func (r *request) decideReported(now time.Time, report Report) bool {
+	index := slices.IndexFunc(r.runs, func(known run) bool { return known.report == report.name })
+	if index < 0 {
+		return false
+	}
+	if !report.body.Undecided && !r.runs[index].ended() {
+		r.runs[index].endedAt = now
 	}
-	known.runs = kept
-	t.dropIfIdle(Key(key), known)
+	return true
 }
 
-// shares reports whether the end with this report's name is known.
-func (r *request) shares(name string) bool {
-	for _, interrupted := range r.runs {
-		if interrupted.report == name {
-			return true
-		}
+// Withdraw forgets the run that was shared by the report with this name: its engine has survived, or another run of the request was completed.
+func (t *Tracker) Withdraw(name string) {
+	key := KeyOfReport(name)
+	t.mutex.Lock()
+	defer t.mutex.Unlock()
+	if t.requests[key] != nil {
+		t.dropRuns(key, func(interrupted run) bool { return interrupted.report == name })
 	}
-	return false
 }
--- a/internal/fatal/tracker.go
+++ b/internal/fatal/tracker.go
@@ -9,10 +9,7 @@
 )
 
 const (
-	// proofWindow is how long after an interruption a proof of the engine's end counts for it. Engines that end silently lose
-	// their records about a second later.
-	proofWindow = 2 * time.Second
-	// retention is how long ends under a request are remembered.
+	// retention is how long interrupted runs of a request are remembered.
 	retention = 10 * time.Minute
 	// endRetention is how long ends of engines are remembered.
 	endRetention = time.Minute
@@ -21,9 +18,14 @@
 	maxRunsPerRequest = 16
 	// maxLoggedRequests bounds the request IDs that EngineEnded returns.
 	maxLoggedRequests = 16
-	// maxAbandoned bounds the runs that callers have left, abandonWindow is how long after that their engine may end under them.
-	maxAbandoned  = 256
-	abandonWindow = 300 * time.Millisecond
+	// decisionTime is how long it may take to find out whether an engine survived. A run that is undecided for longer counts as an end.
+	decisionTime = 2 * time.Second
+	// minLife is the least time between two ends of an engine that starts again.
+	minLife = 40 * time.Millisecond
+	// sameEndTolerance is how far apart calls may notice the same end of an engine that ran them at the same time. endNewsTolerance is how long before
+	// the interruption of a run the end of its engine may have become known.
+	sameEndTolerance = 150 * time.Millisecond
+	endNewsTolerance = 500 * time.Millisecond
 )
 
 // Call is a caller's attempt at a request.
@@ -31,18 +33,24 @@
 	// Key is that of the request's content, Request the ID of the attempt.
 	Key     Key
 	Request string
-	BeganAt time.Time
 }
 
-// Run is a run of a request that was interrupted.
+// Run is a run of a request that was interrupted, or that was left.
 type Run struct {
 	// Engine is the engine's ID, Service its service, Software the version of its software.
 	Engine   string
 	Service  string
 	Software string
-	// SentAt is when the request was sent to the engine, BrokenAt when the run was interrupted.
+	// StartedMillis is when the engine had started, as a Unix time by its own clock and as far as it was known when the request was sent; 0 if
+	// it was not. Two of them differ if the engine has started again.
+	StartedMillis int64
+	// SentAt is when the request was sent to the engine, BrokenAt when the run was interrupted or left.
 	SentAt   time.Time
 	BrokenAt time.Time
+	// Silent is set if nothing came from the engine during the run.
+	Silent bool
+	// MayRunUntil is until when the engine may go on with a run that was left; zero if the engine has interrupted it.
+	MayRunUntil time.Time
 }
 
 // run is a Run of a call at this gateway or another one.
@@ -51,188 +59,126 @@
 	// request is the ID of the call; empty if the call ran at another gateway. call is a hash of that ID.
 	request string
 	call    uint32
-	beganAt time.Time
-	// callFailed is set once the call has ended without an answer.
-	callFailed bool
-	// ended is set once it is proved that the engine ended.
-	ended bool
-	// accepted is set if the engine accepted a connection after the interruption: either it lives or it has started again.
-	accepted bool
-	// report is the name of the report that shares this end; empty while it isn't shared. open is set if it was shared while the
-	// call was in progress.
-	report string
-	open   bool
-	// chance is the probability of the end that another gateway reported; 0 for runs of this gateway.
-	chance float64
-}
-
-// Fleet is what is known of the engines.
-type Fleet interface {
-	// Engines returns the number of engines of a service that are present or recently were.
-	Engines(service string) int
-	// Serves reports whether any of them has this version of its software.
-	Serves(service, software string) bool
+	// endedAt is when it was proved that the engine ended; zero while it is undecided.
+	endedAt time.Time
+	// report is the name of the report that shares this run; empty while it isn't shared. foreign is set if another gateway reported it.
+	report  string
+	foreign bool
 }
 
 // request holds the interrupted runs of one request, oldest first.
 type request struct {
-	runs []run
-	// calls counts the calls with this content that were interrupted and are still in progress at this gateway.
-	calls  int
+	runs   []run
 	seenAt time.Time
-	// fatal is set once the request was found to be fatal, here or at another gateway.
-	fatal bool
-	// elsewhere are the runs in progress at other gateways, as they were reported at elsewhereAt.
-	elsewhere   Lasting
-	elsewhereAt time.Time
+	// refused is set once Refused was called for it, sound if it was completed lately, here or at a gateway that reported a run of it.
+	refused, sound bool
 }
 
-// engineEnd is the end of one engine.
+// engineEnd is the last end of one engine.
 type engineEnd struct {
 	service string
 	at      time.Time
-	// late is set if only the removal of the engine's record shows the end, which happened up to maxLapse before.
-	late bool
 }
 
 // Tracker records the ends of engines and the requests that they interrupted. All methods may be called concurrently.
 type Tracker struct {
-	fleet Fleet
-	// observe returns when the runs of a request that are in progress at this gateway were sent, without those of one call.
-	observe  func(key Key, except string) []time.Time
 	mutex    sync.Mutex
 	requests map[Key]*request
 	// ends are the last ends of engines, by the engine's ID.
 	ends map[string]engineEnd
-	// pending are the requests with runs at an engine that may be pending (see pendingAt), by the engine's ID.
+	// pending are the requests with undecided runs at an engine, by the engine's ID.
 	pending map[string]keySet
-	// changed are the requests that Unshared has to look at.
-	changed keySet
-	// abandoned are the last runs that callers have left, oldest first.
-	abandoned []abandonedRun
-	sound     soundRequests
-}
-
-// abandonedRun is a run that its caller has left.
-type abandonedRun struct {
-	run
-	key Key
+	// changed are the requests that Unshared has to look at, retracted the names of reports whose engines turned out to have survived.
+	changed   keySet
+	retracted []string
+	// left are the last runs that engines may go on with, oldest first.
+	left  []leftRun
+	sound soundRequests
 }
 
 type keySet map[Key]struct{}
 
 // NewTracker returns an empty Tracker.
-func NewTracker(fleet Fleet) *Tracker {
-	return &Tracker{
-		fleet: fleet, requests: make(map[Key]*request), ends: make(map[string]engineEnd),
-		pending: make(map[string]keySet), changed: make(keySet),
-		observe: func(Key, string) []time.Time { return nil },
-	}
-}
-
-// ObserveRuns sets the function that returns when the runs of a request that are in progress at this gateway were sent, without those of
-// one call. It is called with the Tracker locked, and must be set before any other method is called.
-func (t *Tracker) ObserveRuns(observe func(key Key, except string) []time.Time) { t.observe = observe }
-
-// Lasting are runs of a request that are in progress: their number, for how long in total, and the longest.
-type Lasting struct {
-	Count          int
-	Total, Longest time.Duration
-}
-
-func (l Lasting) add(other Lasting) Lasting {
-	return Lasting{Count: l.Count + other.Count, Total: l.Total + other.Total, Longest: max(l.Longest, other.Longest)}
+func NewTracker() *Tracker {
+	return &Tracker{requests: make(map[Key]*request), ends: make(map[string]engineEnd), pending: make(map[string]keySet), changed: make(keySet)}
 }
 
-// Lasting returns the runs of a request that are in progress at this gateway.
-func (t *Tracker) Lasting(now time.Time, key Key) Lasting {
+// Empty reports whether no interrupted run is known.
+func (t *Tracker) Empty() bool {
 	t.mutex.Lock()
 	defer t.mutex.Unlock()
-	return t.lasting(now, key, "")
-}
-
-// lasting returns the runs of a request that are in progress at this gateway, without those of one call.
-func (t *Tracker) lasting(now time.Time, key Key, except string) Lasting {
-	var sum Lasting
-	for _, sentAt := range t.observe(key, except) {
-		duration := max(now.Sub(sentAt), 0)
-		sum = sum.add(Lasting{Count: 1, Total: duration, Longest: duration})
-	}
-	return sum
+	return len(t.requests) == 0
 }
 
-// LastingElsewhere records the runs of a request that are in progress at other gateways.
-func (t *Tracker) LastingElsewhere(now time.Time, key Key, runs Lasting) {
+// Known reports whether any run of a request is known that may have ended its engine.
+func (t *Tracker) Known(key Key) bool {
 	t.mutex.Lock()
 	defer t.mutex.Unlock()
-	if known := t.requests[key]; known != nil {
-		known.elsewhere, known.elsewhereAt = runs, now
-	}
+	return t.requests[key] != nil
 }
 
-// Empty reports whether no request is known, so that no request can be fatal.
-func (t *Tracker) Empty() bool {
+// Undecided reports whether it is not known whether an engine has ended under a run of this gateway.
+func (t *Tracker) Undecided(engine string) bool {
 	t.mutex.Lock()
 	defer t.mutex.Unlock()
-	return len(t.requests) == 0
+	for key := range t.pending[engine] {
+		for _, interrupted := range t.requests[key].runs {
+			if interrupted.undecidedAt(engine) && !interrupted.foreign {
+				return true
+			}
+		}
+	}
+	return false
 }
 
-// Known reports whether any run of a request is known that may have ended its engine.
-func (t *Tracker) Known(key Key) bool {
+// UndecidedEngines returns the engines of which it is not known whether they have ended under a request.
+func (t *Tracker) UndecidedEngines(key Key) (engines []string) {
 	t.mutex.Lock()
 	defer t.mutex.Unlock()
 	known := t.requests[key]
-	return known != nil && len(known.runs) > 0
+	if known == nil {
+		return nil
+	}
+	for _, interrupted := range known.runs {
+		if !interrupted.ended() && !slices.Contains(engines, interrupted.Engine) {
+			engines = append(engines, interrupted.Engine)
+		}
+	}
+	return engines
 }
 
-// Interrupted records a run that was interrupted. first is set for the first one of a call, which must be followed by a call of
-// Completed or Failed when the call ends.
-func (t *Tracker) Interrupted(now time.Time, call Call, interrupted Run, first bool) {
+// Interrupted records a run that was interrupted. It counts as an end of its engine until it is shown that the engine survived.
+func (t *Tracker) Interrupted(now time.Time, call Call, interrupted Run) {
 	t.mutex.Lock()
 	defer t.mutex.Unlock()
-	if first && !t.sound.has(now, soundKey{call.Key, interrupted.Software}) {
-		t.request(now, call.Key).calls++
+	added := run{Run: interrupted, request: call.Request, call: callHash(call.Request)}
+	if t.endedSince(interrupted) {
+		added.endedAt = now
 	}
-	ended := t.endedSince(now, interrupted)
-	t.addRun(now, call.Key, run{Run: interrupted, request: call.Request, call: callHash(call.Request), beganAt: call.BeganAt, ended: ended})
-}
-
-// endedSince reports whether the engine of a run is known to have ended since the run was sent: news of that may come before the gateway notices
-// the interruption. The caller holds the mutex.
-func (t *Tracker) endedSince(now time.Time, interrupted Run) bool {
-	end, found := t.ends[interrupted.Engine]
-	return found && !end.at.Before(interrupted.SentAt) && now.Sub(end.at) <= proofWindow
+	t.addRun(now, call.Key, added)
 }
 
-// Sound records that a run of a request was completed by an engine with a version of the software: engines of that version that end under other
-// runs of the request don't end because of it.
-func (t *Tracker) Sound(now time.Time, key Key, software string) {
+// EndedSince reports whether an engine is known to have ended after a time, or shortly before.
+func (t *Tracker) EndedSince(engine string, since time.Time) bool {
 	t.mutex.Lock()
 	defer t.mutex.Unlock()
-	t.sound.add(now, soundKey{key, software})
+	end, found := t.ends[engine]
+	return found && end.at.After(since.Add(-endNewsTolerance))
 }
 
-// Sweep forgets interruptions that are too old to be explained by an end of their engine.
-func (t *Tracker) Sweep(now time.Time) {
-	t.mutex.Lock()
-	defer t.mutex.Unlock()
-	for engine, keys := range t.pending {
-		for key := range keys {
-			known := t.requests[key]
-			known.dropPending(engine, now.Add(-proofWindow))
-			if !known.isPendingAt(engine) {
-				t.removePending(engine, key)
-			}
-			t.dropIfIdle(key, known)
-		}
-	}
+// endedSince reports whether the engine of a run is known to have ended since the run was sent: news of that may come before the gateway notices
+// the interruption. The caller holds the mutex.
+func (t *Tracker) endedSince(interrupted Run) bool {
+	end, found := t.ends[interrupted.Engine]
+	return found && !end.at.Before(interrupted.SentAt)
 }
 
-// Completed records that a run of the request was completed by its engine. It returns the names of the reports that share its ends
+// Completed records that a run of the request was completed by its engine. It returns the names of the reports that share its runs
 // and have to be withdrawn.
 func (t *Tracker) Completed(key Key) (withdrawn []string) {
 	t.mutex.Lock()
 	defer t.mutex.Unlock()
+	t.left = slices.DeleteFunc(t.left, func(left leftRun) bool { return left.key == key })
 	known := t.requests[key]
 	if known == nil {
 		return nil
@@ -246,36 +192,100 @@
 	return withdrawn
 }
 
-// Failed records that a call that was interrupted has ended and was not completed.
-func (t *Tracker) Failed(call Call) {
+// Sound records that a run of the request was completed without a failure of its engine.
+func (t *Tracker) Sound(now time.Time, key Key) {
 	t.mutex.Lock()
 	defer t.mutex.Unlock()
-	known := t.requests[call.Key]
+	t.sound.add(now, key)
+}
+
+// Count returns how many engines have ended under a request, over all its calls, and how many may have.
+func (t *Tracker) Count(now time.Time, key Key) (count Count) {
+	t.mutex.Lock()
+	defer t.mutex.Unlock()
+	known := t.requests[key]
 	if known == nil {
-		return
+		return Count{Sound: t.sound.has(now, key)}
+	}
+	count.Sound = known.sound
+	for _, end := range t.distinctEnds(now, key) {
+		if end.ended() || now.Sub(end.BrokenAt) > decisionTime {
+			count.Ended++
+		} else {
+			count.Undecided++
+		}
+	}
+	return count
+}
+
+// Refused records that a request is not sent again, and returns the engines that ended under it, oldest first. isNew is set if it was not
+// recorded before.
+func (t *Tracker) Refused(now time.Time, key Key) (engines []string, isNew bool) {
+	t.mutex.Lock()
+	defer t.mutex.Unlock()
+	for _, end := range t.distinctEnds(now, key) {
+		if end.ended() {
+			engines = append(engines, end.Engine)
+		}
+	}
+	if known := t.requests[key]; known != nil {
+		isNew = !known.refused
+		known.refused = true
+	}
+	return engines, isNew
+}
+
+// distinctEnds returns one run of a request for each end of an engine that is proved or possible. The caller holds the mutex.
+func (t *Tracker) distinctEnds(now time.Time, key Key) (distinct []run) {
+	known := t.requests[key]
+	if known == nil {
+		return nil
 	}
-	known.calls = max(known.calls-1, 0)
-	for index := range known.runs {
-		if known.runs[index].call == callHash(call.Request) {
-			known.runs[index].callFailed = true
+	sorted := slices.Clone(known.runs)
+	slices.SortStableFunc(sorted, func(a, b run) int { return a.BrokenAt.Compare(b.BrokenAt) })
+	for _, candidate := range sorted {
+		index := slices.IndexFunc(distinct, candidate.sharesEnd)
+		switch {
+		case now.Sub(candidate.BrokenAt) > retention:
+		case index < 0:
+			distinct = append(distinct, candidate)
+		case !distinct[index].ended():
+			distinct[index].endedAt = candidate.endedAt
 		}
 	}
-	t.changed[call.Key] = struct{}{}
-	t.dropIfIdle(call.Key, known)
+	return distinct
+}
+
+// sharesEnd reports whether one end of an engine interrupted both this run and an earlier one. That is so for runs at the same time, unless they were
+// in different lives of the engine. The start that was known when a run was sent does not show that it shared the life of an earlier one, which may have
+// ended unnoticed. A run to which nothing was answered tells of no other end than the one that an earlier run tells of.
+func (r run) sharesEnd(earlier run) bool {
+	bothStarts := min(r.StartedMillis, earlier.StartedMillis) > 0
+	if r.Engine != earlier.Engine || (bothStarts && r.StartedMillis != earlier.StartedMillis) {
+		return false
+	}
+	apart := r.BrokenAt.Sub(earlier.BrokenAt).Abs()
+	overlap := r.call != earlier.call && r.SentAt.Before(earlier.BrokenAt) && earlier.SentAt.Before(r.BrokenAt)
+	if apart < minLife || (overlap && apart < sameEndTolerance) {
+		return true
+	}
+	endedBetween := earlier.ended() && !earlier.endedAt.After(r.SentAt)
+	return r.Silent && !endedBetween
 }
 
 // addRun adds a run to a request. The caller holds the mutex.
 func (t *Tracker) addRun(now time.Time, key Key, added run) {
-	if t.sound.has(now, soundKey{key, added.Software}) {
-		return
-	}
 	known := t.request(now, key)
 	known.runs = append(known.runs, added)
 	if len(known.runs) > maxRunsPerRequest {
+		oldest := known.runs[0]
 		known.runs = slices.Delete(known.runs, 0, 1)
+		if !known.isUndecidedAt(oldest.Engine) {
+			t.removePending(oldest.Engine, key)
+		}
 	}
-	if added.ended {
-		t.changed[key] = struct{}{}
+	t.changed[key] = struct{}{}
+	if added.ended() {
 		return
 	}
 	if t.pending[added.Engine] == nil {
@@ -289,7 +299,7 @@
 	known := t.requests[key]
 	if known == nil {
 		t.expire(now)
-		known = &request{}
+		known = &request{sound: t.sound.has(now, key)}
 		t.requests[key] = known
 	}
 	known.seenAt = now
@@ -301,7 +311,6 @@
 	var oldest Key
 	for key, known := range t.requests {
 		switch {
-		case known.calls > 0:
 		case now.Sub(known.seenAt) > retention:
 			t.forget(key)
 		case oldest == "" || known.seenAt.Before(t.requests[oldest].seenAt):
@@ -318,23 +327,20 @@
 	}
 }
 
-// dropIfIdle forgets a request without interrupted runs and calls in progress. The caller holds the mutex.
-func (t *Tracker) dropIfIdle(key Key, known *request) {
-	if len(known.runs) == 0 && known.calls == 0 {
-		t.forget(key)
-	}
-}
-
 // forget drops a request. The caller holds the mutex.
 func (t *Tracker) forget(key Key) {
+	known := t.requests[key]
+	if known == nil {
+		return
+	}
 	delete(t.requests, key)
 	delete(t.changed, key)
-	for engine := range t.pending {
-		t.removePending(engine, key)
+	for _, interrupted := range known.runs {
+		t.removePending(interrupted.Engine, key)
 	}
 }
 
-// removePending removes a request from those with pending runs at an engine. The caller holds the mutex.
+// removePending removes a request from those with undecided runs at an engine. The caller holds the mutex.
 func (t *Tracker) removePending(engine string, key Key) {
 	delete(t.pending[engine], key)
 	if len(t.pending[engine]) == 0 {
@@ -342,57 +348,75 @@
 	}
 }
 
-// pendingAt reports whether the run was interrupted at an engine of which it is not known yet whether it ended.
-func (r run) pendingAt(engine string) bool { return r.Engine == engine && !r.ended }
+// ended reports whether it is proved that the engine ended.
+func (r run) ended() bool { return !r.endedAt.IsZero() }
 
-// isPendingAt reports whether a run of the request is pending at an engine.
-func (r *request) isPendingAt(engine string) bool {
-	return slices.ContainsFunc(r.runs, func(interrupted run) bool { return interrupted.pendingAt(engine) })
+// undecidedAt reports whether the run was interrupted at an engine of which it is not known yet whether it ended.
+func (r run) undecidedAt(engine string) bool { return r.Engine == engine && !r.ended() }
+
+// isUndecidedAt reports whether a run of the request is undecided at an engine.
+func (r *request) isUndecidedAt(engine string) bool {
+	return slices.ContainsFunc(r.runs, func(interrupted run) bool { return interrupted.undecidedAt(engine) })
 }
 
-// dropPending forgets the runs at an engine that were interrupted before a time and not proved to have ended it.
-func (r *request) dropPending(engine string, before time.Time) {
-	r.runs = slices.DeleteFunc(r.runs, func(interrupted run) bool {
-		return interrupted.pendingAt(engine) && interrupted.BrokenAt.Before(before)
+// dropRuns forgets some runs of a request, and the request if it has no others. It returns the names of their reports. The caller holds the
+// mutex.
+func (t *Tracker) dropRuns(key Key, drop func(run) bool) (reports []string) {
+	known := t.requests[key]
+	var dropped []run
+	known.runs = slices.DeleteFunc(known.runs, func(interrupted run) bool {
+		if drop(interrupted) {
+			dropped = append(dropped, interrupted)
+			return true
+		}
+		return false
 	})
+	for _, interrupted := range dropped {
+		if !known.isUndecidedAt(interrupted.Engine) {
+			t.removePending(interrupted.Engine, key)
+		}
+		if interrupted.report != "" {
+			reports = append(reports, interrupted.report)
+		}
+	}
+	if len(known.runs) == 0 {
+		t.forget(key)
+	}
+	return reports
 }
 
-// Ends returns how many engines have ended under the request of a call, over all its calls, and how many interruptions of the call may
-// turn out to be such ends.
-func (t *Tracker) Ends(now time.Time, call Call) (ended, unexplained int) {
-	t.mutex.Lock()
-	defer t.mutex.Unlock()
-	known := t.requests[call.Key]
-	if known == nil {
-		return 0, 0
-	}
-	own := callHash(call.Request)
-	unexplained = known.countPending(now.Add(-proofWindow), func(interrupted run) bool { return interrupted.call == own })
-	return len(t.endedRuns(now, known.runs)), unexplained
+// Calm returns how long ago the last engine of a service ended other than under a request.
+func (t *Tracker) Calm(now time.Time, key Key, service string) time.Duration {
+	calm := endRetention
+	t.eachOtherEnd(key, service, func(at time.Time) { calm = min(calm, now.Sub(at)) })
+	return calm
+}
+
+// Storm returns how many engines of a service have ended within a time other than under a request.
+func (t *Tracker) Storm(now time.Time, key Key, service string, within time.Duration) (ends int) {
+	t.eachOtherEnd(key, service, func(at time.Time) {
+		if now.Sub(at) <= within {
+			ends++
+		}
+	})
+	return ends
 }
 
-// Risk returns how many engines have ended under a request, and how many may have: those whose runs were interrupted at this gateway not
-// longer ago than a time, and that were not seen alive.
-func (t *Tracker) Risk(now time.Time, key Key, proofTime time.Duration) (ended, possible int) {
+// eachOtherEnd calls visit with the last end of each engine of a service that did not run a request.
+func (t *Tracker) eachOtherEnd(key Key, service string, visit func(at time.Time)) {
 	t.mutex.Lock()
 	defer t.mutex.Unlock()
 	known := t.requests[key]
-	if known == nil {
-		return 0, 0
+	for engine, end := range t.ends {
+		if end.service == service && (known == nil || !known.ranOn(engine)) {
+			visit(end.at)
+		}
 	}
-	possible = known.countPending(now.Add(-proofTime), func(run) bool { return true })
-	return len(t.endedRuns(now, known.runs)), possible
 }
 
-// countPending counts the runs that were interrupted after a time and may have ended their engines.
-func (r *request) countPending(after time.Time, counts func(run) bool) int {
-	count := 0
-	for _, interrupted := range r.runs {
-		if !interrupted.ended && interrupted.BrokenAt.After(after) && counts(interrupted) {
-			count++
-		}
-	}
-	return count
+// ranOn reports whether any run of the request was at an engine.
+func (r *request) ranOn(engine string) bool {
+	return slices.ContainsFunc(r.runs, func(candidate run) bool { return candidate.Engine == engine })
 }
 
 // callHash returns a hash of a call's ID, which only has to differ between calls with the same content.
--- a/internal/gateway/ends.go
+++ b/internal/gateway/ends.go
@@ -17,7 +17,6 @@
 
 	"github.com/mountstile/mountstile/internal/apierr"
 	"github.com/mountstile/mountstile/internal/clock"
-	"github.com/mountstile/mountstile/internal/configuration"
 	"github.com/mountstile/mountstile/internal/coordinator"
 	"github.com/mountstile/mountstile/internal/engine"
 	"github.com/mountstile/mountstile/internal/events"
@@ -29,20 +28,16 @@
 
 const (
 	endsKind = "engine_ends"
-	// maxEngineEnds is how many engines may end under a call before it must be judged.
-	maxEngineEnds = 3
 	// endsTimeout bounds a round of messages to all nodes.
 	endsTimeout = 60 * time.Millisecond
 	// endsNewsDelay is how long after an interruption a call waits for other nodes' news of ends that came at the same time,
-	// endsTurnTimeout how long for runs of its content there, and endsTurnInterval the mean time between two looks.
+	// endsHoldTimeout how long until it is known whether it may be sent, and endsTurnInterval the mean time between two looks.
 	endsNewsDelay    = 30 * time.Millisecond
-	endsTurnTimeout  = 300 * time.Millisecond
+	endsHoldTimeout  = time.Second
 	endsTurnInterval = 20 * time.Millisecond
 	// endProbeDelay is how long after an interruption an engine is probed, endProbeTimeout bounds the probe.
 	endProbeDelay   = 5 * time.Millisecond
 	endProbeTimeout = 100 * time.Millisecond
-	// endProofTime is how long an interruption may turn out to be an end.
-	endProofTime = 500 * time.Millisecond
 )
 
 // EngineEnds knows the engines that ended under calls, and tells other nodes of them. It is safe for concurrent use.
@@ -70,24 +65,9 @@
 	Open    []string                   `json:"open,omitempty"`
 }
 
-// pools implements fatal.Fleet with the configured pools.
-type pools struct{ config *configuration.Manager }
-
-// Engines implements fatal.Fleet.
-func (p pools) Engines(pool string) int {
-	found, known := p.config.Current().Set.Pool(pool)
-	if !known {
-		return 0
-	}
-	return len(found.Engines)
-}
-
-// Serves implements fatal.Fleet. A pool does not tell the versions that its engines had.
-func (p pools) Serves(string, string) bool { return true }
-
 // NewEngineEnds returns an EngineEnds and registers its message handler.
-func NewEngineEnds(network *transport.Transport, members *membership.Manager, config *configuration.Manager, logger *events.Logger) *EngineEnds {
-	ends := &EngineEnds{network: network, membership: members, tracker: fatal.NewTracker(pools{config}), logger: logger, open: make(map[fatal.Key]map[string]struct{})}
+func NewEngineEnds(network *transport.Transport, members *membership.Manager, logger *events.Logger) *EngineEnds {
+	ends := &EngineEnds{network: network, membership: members, tracker: fatal.NewTracker(), logger: logger, open: make(map[fatal.Key]map[string]struct{})}
 	transport.Handle(network, endsKind, func(_ context.Context, _ transport.Peer, message endsMessage) (endsReply, error) {
 		return ends.serve(message), nil
 	})
@@ -127,7 +107,9 @@
 func (n *EngineEnds) reports(key fatal.Key) map[string]json.RawMessage {
 	now := time.Now()
 	// The names of reports are given by Unshared.
-	n.tracker.Unshared(now)
+	if _, withdrawn := n.tracker.Unshared(now); len(withdrawn) > 0 {
+		go n.tell(context.Background(), endsMessage{Withdrawn: withdrawn})
+	}
 	encoded := make(map[string]json.RawMessage)
 	for _, report := range n.tracker.Reports(now, key) {
 		value, err := report.Encode()
@@ -140,8 +122,9 @@
 	return encoded
 }
 
-// tell tells all other nodes and applies what they know. It returns how many runs of the content are in progress there.
-func (n *EngineEnds) tell(ctx context.Context, message endsMessage) (open int) {
+// tell tells all other nodes and applies what they know. It returns how many runs of the content are in progress there. heard is false if there are
+// others and none has answered.
+func (n *EngineEnds) tell(ctx context.Context, message endsMessage) (open int, heard bool) {
 	tellContext, cancel := context.WithTimeout(ctx, endsTimeout)
 	defer cancel()
 	var peers []transport.Peer
@@ -150,39 +133,44 @@
 			peers = append(peers, transport.Peer{NodeID: member.ID, Address: member.Address})
 		}
 	}
-	replies := make(chan endsReply, len(peers))
+	replies := make(chan *endsReply, len(peers))
 	for _, peer := range peers {
 		go func() {
-			// A node that can't be reached knows nothing that this one could wait for.
-			reply, _ := transport.Call[endsReply](tellContext, n.network, peer, endsKind, message)
-			replies <- reply
+			reply, err := transport.Call[endsReply](tellContext, n.network, peer, endsKind, message)
+			if err != nil {
+				replies <- nil
+				return
+			}
+			replies <- &reply
 		}()
 	}
+	heard = len(peers) == 0
 	for range peers {
-		reply := <-replies
-		n.apply(reply.Reports)
-		open += len(reply.Open)
+		if reply := <-replies; reply != nil {
+			n.apply(reply.Reports)
+			open += len(reply.Open)
+			heard = true
+		}
 	}
-	return open
+	return open, heard
 }
 
 // callEnds follows one call.
 type callEnds struct {
 	ends *EngineEnds
 	call fatal.Call
-	// interrupted is set once a run was interrupted, the last one at brokenAt. judged is how many ends it was judged for.
+	// interrupted is set once a run was interrupted, the last one at brokenAt. run is the name of its runs.
 	interrupted bool
 	brokenAt    time.Time
-	judged      int
 	run         string
 }
 
 func (n *EngineEnds) follow(callID string, key fatal.Key) *callEnds {
-	return &callEnds{ends: n, call: fatal.Call{Key: key, Request: callID, BeganAt: time.Now()}, run: strconv.FormatUint(rand.Uint64(), 36)}
+	return &callEnds{ends: n, call: fatal.Call{Key: key, Request: callID}, run: strconv.FormatUint(rand.Uint64(), 36)}
 }
 
-// admit decides whether the call may be sent to an engine, and reports whether it ends the engines that run it. It waits only if a run of its
-// content was interrupted.
+// admit waits until the call may be sent to an engine, and reports whether it may not be sent again. It waits only if a run of its content was
+// interrupted.
 func (c *callEnds) admit(ctx context.Context) (isFatal bool) {
 	tracker, key := c.ends.tracker, c.call.Key
 	if tracker.Empty() || !tracker.Known(key) {
@@ -191,32 +179,28 @@
 	clock.Sleep(ctx, time.Until(c.brokenAt.Add(endsNewsDelay)))
 	for startedAt := time.Now(); ctx.Err() == nil; {
 		c.begin()
-		open := c.ends.tell(ctx, endsMessage{Content: key, Reports: c.ends.reports(key)})
-		ended, possible := tracker.Risk(time.Now(), key, endProofTime)
-		pause := endsTurnInterval/2 + rand.N(endsTurnInterval)
-		switch {
-		case ended >= maxEngineEnds:
-			verdict := tracker.Judge(time.Now(), c.call)
-			if verdict.New {
-				c.ends.logger.Emit(events.RequestFatal, events.F("request", c.call.Request), events.F("content", string(key)), events.F("engines", verdict.Engines), events.F("chance", verdict.Chance))
-			}
-			if verdict.Fatal || verdict.Withhold == 0 || ended <= c.judged {
-				c.finish(verdict.Fatal)
-				return verdict.Fatal
-			}
-			pause = verdict.Withhold
-		case ended+possible+open < maxEngineEnds, time.Since(startedAt) > endsTurnTimeout:
+		open, heard := c.ends.tell(ctx, endsMessage{Content: key, Reports: c.ends.reports(key)})
+		switch decision := fatal.Decide(tracker.Count(time.Now(), key), open); {
+		case decision == fatal.Admit && heard:
 			return false
+		case decision == fatal.Refuse, time.Since(startedAt) > endsHoldTimeout:
+			c.finish()
+			c.logRefusal()
+			return true
 		}
-		c.finish(true)
-		clock.Sleep(ctx, pause)
-		if ended >= maxEngineEnds {
-			c.judged = ended
-		}
+		c.finish()
+		clock.Sleep(ctx, endsTurnInterval/2+rand.N(endsTurnInterval))
 	}
 	return false
 }
 
+// logRefusal logs that the call is not sent again, once for its content.
+func (c *callEnds) logRefusal() {
+	if engines, isNew := c.ends.tracker.Refused(time.Now(), c.call.Key); isNew {
+		c.ends.logger.Emit(events.RequestFatal, events.F("request", c.call.Request), events.F("content", string(c.call.Key)), events.F("engines", engines))
+	}
+}
+
 // begin notes that a run is in progress, which other nodes hear of when they ask.
 func (c *callEnds) begin() {
 	c.ends.mutex.Lock()
@@ -229,11 +213,8 @@
 	runs[c.run] = struct{}{}
 }
 
-// finish undoes begin if finished is set.
-func (c *callEnds) finish(finished bool) {
-	if !finished {
-		return
-	}
+// finish undoes begin.
+func (c *callEnds) finish() {
 	c.ends.mutex.Lock()
 	defer c.ends.mutex.Unlock()
 	delete(c.ends.open[c.call.Key], c.run)
@@ -245,14 +226,13 @@
 // attempted records the result of an attempt at an engine. After a broken connection it finds out whether the engine has ended.
 func (c *callEnds) attempted(ctx context.Context, target engine.Target, sentAt time.Time, err error) {
 	if !isDisconnection(err) || ctx.Err() != nil {
-		c.finish(true)
+		c.finish()
 		return
 	}
 	now := time.Now()
-	first := !c.interrupted
 	c.interrupted, c.brokenAt = true, now
 	id := target.Pool + "/" + target.Name
-	c.ends.tracker.Interrupted(now, c.call, fatal.Run{Engine: id, Service: target.Pool, Software: target.Software, SentAt: sentAt, BrokenAt: now}, first)
+	c.ends.tracker.Interrupted(now, c.call, fatal.Run{Engine: id, Service: target.Pool, Software: target.Software, SentAt: sentAt, BrokenAt: now})
 	c.begin()
 	clock.Sleep(ctx, endProbeDelay)
 	probedAt := time.Now()
@@ -264,26 +244,21 @@
 	case err == nil:
 		c.ends.tracker.EngineAlive(probedAt, id)
 	}
-	c.finish(true)
+	c.finish()
 }
 
 // ended records the end of the call. Other nodes know of the ends under a call that failed before its caller does.
-func (c *callEnds) ended(ctx context.Context, software string, completed bool) {
-	c.finish(true)
-	now := time.Now()
-	tracker := c.ends.tracker
+func (c *callEnds) ended(ctx context.Context, completed bool) {
+	c.finish()
 	var withdrawn []string
 	if completed {
-		tracker.Sound(now, c.call.Key, software)
-		if !tracker.Empty() {
-			withdrawn = tracker.Completed(c.call.Key)
-		}
+		c.ends.tracker.Sound(time.Now(), c.call.Key)
+		withdrawn = c.ends.tracker.Completed(c.call.Key)
 	}
 	switch {
 	case len(withdrawn) > 0:
 		go c.ends.tell(context.WithoutCancel(ctx), endsMessage{Withdrawn: withdrawn})
 	case c.interrupted && !completed:
-		tracker.Failed(c.call)
 		c.ends.tell(context.WithoutCancel(ctx), endsMessage{Content: c.call.Key, Reports: c.ends.reports(c.call.Key)})
 	}
 }
--- a/internal/gateway/execution.go
+++ b/internal/gateway/execution.go
@@ -33,8 +33,6 @@
 	// contentKey returns the key of the call's content. ends follows the ends of engines under the call, from the first attempt on.
 	contentKey func() fatal.Key
 	ends       *callEnds
-	// lastSoftware is the software version of the last engine.
-	lastSoftware string
 	// refusals counts the attempts that were refused because the engine had not loaded the model.
 	refusals int
 }
@@ -53,7 +51,7 @@
 	defer e.holdExecution()()
 	answer, err := e.attemptUntilDone(ctx, w, admit, try)
 	if e.ends != nil {
-		e.ends.ended(ctx, e.lastSoftware, err == nil && !e.joined)
+		e.ends.ended(ctx, err == nil && !e.joined)
 	}
 	return answer, err
 }
@@ -107,7 +105,6 @@
 	if e.ends == nil {
 		e.ends = e.gateway.options.Ends.follow(response.CallID, e.contentKey())
 	}
-	e.lastSoftware = response.Engine.Software
 	return e.ends.admit(ctx)
 }
 
--- a/internal/ingress/node.go
+++ b/internal/ingress/node.go
@@ -10,6 +10,7 @@
 	"time"
 
 	"github.com/mountstile/mountstile/internal/catalog"
+	"github.com/mountstile/mountstile/internal/clock"
 	"github.com/mountstile/mountstile/internal/dispatch"
 	"github.com/mountstile/mountstile/internal/events"
 	"github.com/mountstile/mountstile/internal/fatal"
@@ -27,6 +28,11 @@
 	minConnections = 4
 	// readinessPollInterval is how often a starting gateway checks whether it is ready.
 	readinessPollInterval = 30 * time.Millisecond
+	// adoptPatience is how long a starting gateway waits for what replicas, or other gateways, know of ends of engines, catchUpPatience how long
+	// one does that was paused for pauseThreshold or longer.
+	adoptPatience   = 500 * time.Millisecond
+	catchUpPatience = 60 * time.Millisecond
+	pauseThreshold  = 300 * time.Millisecond
 	// drainDelay is how long a stopping gateway accepts new connections, until the platform has
 	// seen that it is not ready.
 	drainDelay = 3200 * time.Millisecond
@@ -78,6 +84,10 @@
 	routesWereReady   atomic.Bool
 	ready             atomic.Bool
 	stopping          atomic.Bool
+	// pauses detects pauses of the process. caughtUpAt is since when the gateway has heard of all ends of engines, guarded by catchUpMutex.
+	pauses       *clock.PauseDetector
+	catchUpMutex sync.Mutex
+	caughtUpAt   time.Time
 	// applyMutex is held while a configuration is installed, so that a concurrent older one can't replace it.
 	applyMutex sync.Mutex
 }
@@ -86,21 +96,28 @@
 func NewNode(options NodeOptions) *Node {
 	registry := dispatch.NewRegistry(options.Zone, options.Dial, options.Logger)
 	registry.SetMemory(options.Memory)
+	dispatcher := dispatch.New(registry, options.Protocol, options.Logger)
 	node := &Node{
 		options:  options,
 		registry: registry,
+		pauses:   clock.NewPauseDetector(pauseThreshold), caughtUpAt: time.Now(),
 		turns: turnstore.NewClient(turnstore.ClientOptions{Zone: options.Zone, CacheBytes: options.CacheBytes, Memory: options.Memory, Load: registry},
 			options.Network, options.Logger),
 	}
 	node.catalog = catalog.NewManager(catalog.Options{
 		Peers: node.peers, MinFreshPeers: node.turns.Copies, Self: catalog.Endpoint{Zone: options.Zone}, Source: options.Source, StaleAfter: options.StaleAfter, OnChange: node.apply,
 		FirstStart: options.FirstStart, OnOutageEnd: registry.RecordOutage, Neighbours: options.Network.Neighbours,
+		RunLives: func(content, name string) bool { return dispatcher.RunLives(fatal.Key(content), name) },
 	}, options.Network, options.Logger)
 	registry.ShareEnds(node.shareEnds)
 	registry.ExchangeRuns(node.exchangeRuns)
+	registry.VouchRuns(func(ctx context.Context, content fatal.Key, open []string) []string {
+		return node.catalog.Unvouched(ctx, string(content), open)
+	})
+	registry.CatchUp(node.catchUp)
 	node.server = New(Options{
 		Table: node.table.Load, RoutesReady: node.routesReady, CallerProtocol: options.CallerProtocol, Registry: node.registry, Turns: node.turns,
-		Dispatcher: dispatch.New(node.registry, options.Protocol, options.Logger), Logger: options.Logger, Metrics: options.Metrics,
+		Dispatcher: dispatcher, Logger: options.Logger, Metrics: options.Metrics,
 		CatalogAge: node.catalog.Age, CatalogInSyncSince: node.catalog.InSyncSince,
 		Memory: options.Memory, MaxConnections: options.MaxConnections,
 	})
@@ -182,7 +199,8 @@
 	n.registry.ApplyReport(report)
 }
 
-// shareEnds publishes news of ends of engines. Each replica of the first shard gets them: all nodes follow these, directly or not.
+// shareEnds publishes news of ends of engines. Each replica of the first shard gets them, since all nodes follow these, directly or not, and those of
+// the shards of their contents, which are asked before further runs.
 func (n *Node) shareEnds(news dispatch.EndNews) {
 	entries := n.encodeReports(news.Reports)
 	if news.Engine != "" {
@@ -191,30 +209,57 @@
 	for _, name := range news.Withdrawn {
 		entries = append(entries, catalog.Withdrawn(name))
 	}
+	replicas := n.endReplicas()
+	for _, report := range news.Reports {
+		replicas = append(replicas, n.peersOf(n.turns.ReplicaSetOf(string(report.Key())))...)
+	}
+	for _, name := range news.Withdrawn {
+		replicas = append(replicas, n.peersOf(n.turns.ReplicaSetOf(string(fatal.KeyOfReport(name))))...)
+	}
 	go func() {
-		if err := n.catalog.Publish(context.Background(), n.endReplicas(), entries); err != nil {
+		if err := n.catalog.Publish(context.Background(), deduplicate(replicas), entries); err != nil {
 			n.options.Logger.Emit(events.PublishFailed, events.F("entries", len(entries)), events.F("error", err))
 		}
 	}()
 }
 
-// exchangeRuns tells the replicas of the first shard, or other gateways, of the runs of a request.
-func (n *Node) exchangeRuns(ctx context.Context, news dispatch.RunNews) dispatch.RunFindings {
-	found := n.catalog.Exchange(ctx, n.endReplicas(), catalog.Evidence{
-		Content: string(news.Content), Entries: n.encodeReports(news.Reports), Begun: news.Begun, Finished: news.Finished,
-		Lasting: catalog.LastingRuns{Count: news.Lasting.Count, TotalMillis: news.Lasting.Total.Milliseconds(), LongestMillis: news.Lasting.Longest.Milliseconds()},
-	})
-	return dispatch.RunFindings{Open: found.Open, Lasting: fatal.Lasting{
-		Count: found.Lasting.Count, Total: time.Duration(found.Lasting.TotalMillis) * time.Millisecond, Longest: time.Duration(found.Lasting.LongestMillis) * time.Millisecond,
-	}}
+// exchangeRuns tells the replicas of a content's shard, or other gateways, of the runs of a request.
+func (n *Node) exchangeRuns(ctx context.Context, news dispatch.RunNews) (open []string, heard bool) {
+	replicas := n.peersOf(n.turns.ReplicaSetOf(string(news.Content)))
+	evidence := catalog.Evidence{
+		Content: string(news.Content), Entries: n.encodeReports(news.Reports), Begun: news.Begun, Finished: news.Finished, Completed: news.Completed,
+	}
+	if news.MayBeLate {
+		n.catalog.Finish(replicas, evidence)
+		return nil, true
+	}
+	known := n.catalog.Exchange(ctx, replicas, evidence)
+	if known.Completed {
+		n.registry.Ends().Sound(time.Now(), news.Content)
+	}
+	return known.Open, known.Heard
+}
+
+// catchUp hears of the ends of engines that other gateways told while this process was paused, if it was: calls that waited for it to go on come
+// before that news.
+func (n *Node) catchUp(ctx context.Context) {
+	n.catchUpMutex.Lock()
+	defer n.catchUpMutex.Unlock()
+	if !n.pauses.PausedSince(n.caughtUpAt) {
+		return
+	}
+	n.caughtUpAt = time.Now()
+	n.catalog.AdoptReports(ctx, n.endReplicas(), catchUpPatience)
 }
 
 // endReplicas returns the replicas that are told of ends of engines.
-func (n *Node) endReplicas() (replicas []transport.Peer) {
-	for _, member := range n.turns.ReplicaSet().All() {
-		replicas = append(replicas, member.Peer())
+func (n *Node) endReplicas() []transport.Peer { return n.peersOf(n.turns.ReplicaSet()) }
+
+func (n *Node) peersOf(set turnstore.ReplicaSet) (peers []transport.Peer) {
+	for _, member := range set.All() {
+		peers = append(peers, member.Peer())
 	}
-	return replicas
+	return peers
 }
 
 func (n *Node) encodeReports(reports []fatal.Report) (entries []catalog.Entry) {
@@ -258,6 +303,7 @@
 
 // Run keeps the catalog up to date until the context ends.
 func (n *Node) Run(ctx context.Context) {
+	go n.pauses.Run(ctx)
 	go n.awaitReadiness(ctx)
 	go n.turns.ProbeLostShards(ctx)
 	go n.options.Network.RefreshRelays(ctx, n.peers)
@@ -289,7 +335,7 @@
 		return false
 	}
 	// Replicas that don't answer now are asked again when an engine ends under a request.
-	n.catalog.AdoptReports(readyContext, n.endReplicas())
+	n.catalog.AdoptReports(readyContext, n.endReplicas(), adoptPatience)
 	return true
 }
 
--- a/internal/ingress/server.go
+++ b/internal/ingress/server.go
@@ -181,9 +181,6 @@
 	if err := r.prepare(); err != nil {
 		return err
 	}
-	if r.server.options.Dispatcher.EndsEngines(r.caller.ID, r.content) {
-		return apierr.New(apierr.EndsEngines, apierr.Ran, "engines ended when they ran this request in earlier attempts")
-	}
 	deadlineContext, cancel := context.WithDeadline(r.incoming.Context(), r.deadline())
 	defer cancel()
 	ctx, cancelCause := context.WithCancelCause(deadlineContext)
--- a/internal/ingress/slow_event_test.go
+++ b/internal/ingress/slow_event_test.go
@@ -49,7 +49,7 @@
 	var ended sync.WaitGroup
 	for index := range streams {
 		ended.Go(func() {
-			got := cluster.send("/resume/x", fmt.Sprint("r", index), "x")
+			got := cluster.send("/resume/x", fmt.Sprint("r", index), fmt.Sprint(index))
 			assert.Check(t, got.err == nil && got.status == http.StatusOK, "%v %d", got.err, got.status)
 		})
 	}
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -179,7 +179,7 @@
 		Pauses:       n.pauses,
 		AnswerRelay:  gateway.NewAnswerRelay(n.plane.Transport, n.plane.Membership),
 		Executions:   coordinator.NewExecutions(n.plane.Transport),
-		Ends:         gateway.NewEngineEnds(n.plane.Transport, n.plane.Membership, n.plane.Config, n.logger),
+		Ends:         gateway.NewEngineEnds(n.plane.Transport, n.plane.Membership, n.logger),
 		Metrics:      gateway.NewMetrics(n.registry),
 		Logger:       n.logger,
 		MaxBodyBytes: n.settings.MaxBodyBytes,
--- a/internal/transport/transport.go
+++ b/internal/transport/transport.go
@@ -152,6 +152,9 @@
 // NodeID returns the ID that this node sends to its peers.
 func (t *Transport) NodeID() string { return t.options.NodeID }
 
+// Address returns the address at which other nodes reach this one.
+func (t *Transport) Address() string { return t.options.Address }
+
 // Traffic returns the message and byte counters.
 func (t *Transport) Traffic() *Traffic { return t.traffic }
 
--- a/internal/turnstore/client.go
+++ b/internal/turnstore/client.go
@@ -142,6 +142,15 @@
 // for all nodes.
 func (c *Client) ReplicaSet() ReplicaSet { return c.setOf(0) }
 
+// ReplicaSetOf returns the newest known replica set of the shard that a key belongs to, as programs do.
+func (c *Client) ReplicaSetOf(key string) ReplicaSet {
+	shard, known := c.shardOf(key)
+	if !known {
+		return c.ReplicaSet()
+	}
+	return c.setOf(shard)
+}
+
 func (c *Client) setOf(shard int) ReplicaSet {
 	c.mutex.Lock()
 	defer c.mutex.Unlock()
