catalog: replicas that have just started don't vouch that no run is in progress

One that has started again answers with an empty list, and a majority of such answers was taken for complete. The age of an answer was looked at only for neighbours, and there a build that doesn't state it counted as old.

A response tells now that its node has run for runTTL (Settled); whatever doesn't say so has only what it was told since. Unless most replicas are settled, the neighbours are asked as well. Nothing is waited for longer if most replicas have answered: at a cold start all are new.

TestRunsAreKnownAfterTheReplicasRestarted fails without the change.

--- a/internal/catalog/exchange.go
+++ b/internal/catalog/exchange.go
@@ -13,8 +13,8 @@
 
 const (
 	// replicaPatience is how long an exchange waits for most of the replicas before it asks the neighbours, too, and
-	// neighbourPatience how long it waits for these. lateReplicaPatience is how long it goes on waiting for the replicas if no neighbour has been
-	// there for long: those that have just started know nothing.
+	// neighbourPatience how long it waits for these. lateReplicaPatience is how long it goes on waiting for most of them if no neighbour
+	// has run for long.
 	replicaPatience     = 40 * time.Millisecond
 	neighbourPatience   = 40 * time.Millisecond
 	lateReplicaPatience = 400 * time.Millisecond
@@ -79,8 +79,8 @@
 	return known
 }
 
-// askForRuns tells the replicas of the runs of a content, and the neighbours if too few replicas answer soon. heard is false if there are others and too
-// few have answered.
+// askForRuns tells the replicas of the runs of a content, and the neighbours unless most of the replicas answer soon and have known of runs for long:
+// those that have just started know nothing. heard is false if there are others and too few have answered.
 func (m *Manager) askForRuns(ctx context.Context, replicas []transport.Peer, request publishRequest, evidence Evidence) (answers []publishResponse, heard bool) {
 	patience, latePatience := replicaPatience, lateReplicaPatience
 	if m.replicasSilent() {
@@ -88,20 +88,36 @@
 	}
 	needed := len(replicas)/2 + 1
 	fromReplicas := m.send(ctx, replicas, request)
-	if answers = fromReplicas.await(ctx, needed, patience); len(answers) >= needed {
+	answers = fromReplicas.await(ctx, patience, func(answers []publishResponse) bool { return countSettled(answers) >= needed })
+	if countSettled(answers) >= needed {
 		return answers, true
 	}
 	request.Forward = true
 	neighbours := m.neighboursOf(evidence)
 	fromNeighbours := m.ask(ctx, neighbours, request, len(neighbours), neighbourPatience)
-	if !slices.ContainsFunc(fromNeighbours, func(answer publishResponse) bool { return !answer.Young }) {
-		late := fromReplicas.await(ctx, needed-len(answers), latePatience)
-		if answers = append(answers, late...); len(answers) >= needed {
-			return append(answers, fromNeighbours...), true
+	if missing := needed - len(answers); missing > 0 && countSettled(fromNeighbours) == 0 {
+		answers = append(answers, fromReplicas.await(ctx, latePatience, atLeast(missing))...)
+	}
+	heard = len(answers) >= needed
+	if !heard {
+		m.noteSilence()
+	}
+	return append(answers, fromNeighbours...), heard || len(fromNeighbours) > 0 || len(neighbours) == 0
+}
+
+// countSettled returns how many of the responses are from nodes that have run for long.
+func countSettled(responses []publishResponse) (settled int) {
+	for _, response := range responses {
+		if response.Settled {
+			settled++
 		}
 	}
-	m.noteSilence()
-	return append(answers, fromNeighbours...), len(fromNeighbours) > 0 || len(neighbours) == 0
+	return settled
+}
+
+// atLeast returns a condition on a number of responses.
+func atLeast(needed int) func([]publishResponse) bool {
+	return func(responses []publishResponse) bool { return len(responses) >= needed }
 }
 
 // AdoptReports takes over what most replicas know of ends of engines, and reports whether they have answered; otherwise it asks the neighbours. A
@@ -131,7 +147,7 @@
 
 // ask sends a request to peers, and returns the responses once as many as needed have come, none is pending, or the time is over.
 func (m *Manager) ask(ctx context.Context, peers []transport.Peer, request publishRequest, needed int, patience time.Duration) (responses []publishResponse) {
-	return m.send(ctx, peers, request).await(ctx, needed, patience)
+	return m.send(ctx, peers, request).await(ctx, patience, atLeast(needed))
 }
 
 // inquiry is a request that was sent to some peers.
@@ -162,11 +178,11 @@
 	return sent
 }
 
-// await returns further responses once as many as needed have come, none is pending, or the time is over.
-func (i *inquiry) await(ctx context.Context, needed int, patience time.Duration) (responses []publishResponse) {
+// await returns further responses once these are enough, none is pending, or the time is over.
+func (i *inquiry) await(ctx context.Context, patience time.Duration, enough func([]publishResponse) bool) (responses []publishResponse) {
 	timer := time.NewTimer(patience)
 	defer timer.Stop()
-	for ; i.pending > 0 && len(responses) < needed; i.pending-- {
+	for ; i.pending > 0 && !enough(responses); i.pending-- {
 		select {
 		case answer := <-i.answers:
 			if answer != nil {
--- a/internal/catalog/exchange_test.go
+++ b/internal/catalog/exchange_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"encoding/json"
 	"fmt"
 	"slices"
 	"sync"
@@ -241,6 +242,40 @@
 	}
 }
 
+// Replicas that have started again have forgotten the runs that they were told of: the neighbours are asked, too. If these don't know more, nothing is
+// waited for.
+func TestRunsAreKnownAfterTheReplicasRestarted(t *testing.T) {
+	for _, row := range []struct {
+		settled int
+		open    []string
+	}{{0, []string{"a"}}, {1, []string{"a"}}, {2, nil}, {3, nil}} {
+		var replicas []string
+		for index := range 3 {
+			replica := startReplica(t, true, nil, func() []transport.Peer { return nil })
+			if index < row.settled {
+				replica.manager.startedAt = time.Now().Add(-runTTL)
+			}
+			replicas = append(replicas, replica.address)
+		}
+		neighbour := startNode(t, false, func() []transport.Peer { return nil })
+		neighbour.manager.ledger.exchange(time.Now(), "key", "", "a")
+		one := startNode(t, false, func() []transport.Peer { return nil })
+		one.manager.options.Neighbours = func() []transport.Peer { return peersAt(neighbour.address) }
+		startedAt := time.Now()
+		known := one.manager.Exchange(t.Context(), peersAt(replicas...), Evidence{Content: "key"})
+		assert.Assert(t, known.Heard)
+		assert.Assert(t, time.Since(startedAt) < lateReplicaPatience)
+		assert.DeepEqual(t, known.Open, row.open)
+	}
+}
+
+// A neighbour of a build that doesn't tell how long it has run doesn't stand in for replicas.
+func TestNeighbourOfEarlierBuildIsNotSettled(t *testing.T) {
+	var response publishResponse
+	assert.NilError(t, json.Unmarshal([]byte(`{"e":[],"o":["a"]}`), &response))
+	assert.Equal(t, countSettled([]publishResponse{response}), 0)
+}
+
 // The memory of a board is bounded, and what is old is forgotten.
 func TestBoardIsBounded(t *testing.T) {
 	board := newBoard()
