--- a/review/platform/large.go
+++ b/review/platform/large.go
@@ -64,6 +64,11 @@
 	return checkRecover(tries, engines.log.all(), faultAt, recoveredAt, seen), nil
 }
 
+// errFewServed means that fewer than leastLarge turns were served.
+type errFewServed struct{ turns int64 }
+
+func (e *errFewServed) Error() string { return fmt.Sprintf("only %d large turns were served", e.turns) }
+
 // storeLargeTurns asks for the large turns and waits until they are answered.
 func storeLargeTurns(deployment *system, seen *record) error {
 	text := make([]byte, largeBytes)
@@ -90,7 +95,7 @@
 	}
 	tasks.Wait()
 	if served.Load() < leastLarge {
-		return fmt.Errorf("only %d large turns were served", served.Load())
+		return &errFewServed{turns: served.Load()}
 	}
 	return nil
 }
--- a/review/platform/main.go
+++ b/review/platform/main.go
@@ -82,6 +82,16 @@
 	"route":   {runRoute, 3, 3},
 }
 
+// errInterrupted means that a signal ended a case, errNotOver that it took too long.
+type (
+	errInterrupted struct{}
+	errNotOver     struct{ limit time.Duration }
+)
+
+func (*errInterrupted) Error() string { return "interrupted" }
+
+func (e *errNotOver) Error() string { return fmt.Sprintf("not over after %s", e.limit) }
+
 func main() {
 	if len(os.Args) != 3 {
 		fmt.Fprintln(os.Stderr, "usage: review CASE RECORD")
@@ -118,9 +128,9 @@
 	select {
 	case last = <-ended:
 	case <-interrupted:
-		last.err = fmt.Errorf("interrupted")
+		last.err = &errInterrupted{}
 	case <-time.After(caseLimit):
-		last.err = fmt.Errorf("not over after %s", caseLimit)
+		last.err = &errNotOver{limit: caseLimit}
 	}
 	for _, line := range last.broken {
 		seen.add("BROKEN %s", line)
--- a/review/platform/system.go
+++ b/review/platform/system.go
@@ -176,12 +176,22 @@
 	return s.awaitReady(30 * time.Second)
 }
 
+// errNotReady means that a process was not ready in time.
+type errNotReady struct {
+	process string
+	limit   time.Duration
+}
+
+func (e *errNotReady) Error() string {
+	return fmt.Sprintf("%s isn't ready after %s", e.process, e.limit)
+}
+
 func (s *system) awaitReady(limit time.Duration) error {
 	deadline := time.Now().Add(limit)
 	for _, gateway := range s.gateways {
 		for !gateway.ready() {
 			if time.Now().After(deadline) {
-				return fmt.Errorf("%s isn't ready after %s", gateway.name, limit)
+				return &errNotReady{process: gateway.name, limit: limit}
 			}
 			time.Sleep(50 * time.Millisecond)
 		}
