dispatch: three runs of a content at most are in progress until one completes

A further run was admitted if the gateways of the three others vouched that these lived. A run that lives may end its engine the next moment.

The gateways tell now only whether waiting is of use. A call waits while three others are in progress, looks again without announcing its run, for which others would wait, and is refused as not run after 1 s, or after 5 s if the others are still in progress. When a run has completes, all calls begin. What an engine sent last, and when a run was sent, are not needed for it any more.

TestRunsOfLivingEnginesAreNotWaitedFor asserted the window and gives way to TestLivingRunsAreWaitedFor, which asserts the opposite, that the wait is bounded, and how it ends. TestRunLivesUntilItsEngineIsSilent gives way to TestRunLivesWhileItIsAnnounced. TestWaitingCallsAreNotAnnounced is new.

--- a/internal/catalog/exchange_test.go
+++ b/internal/catalog/exchange_test.go
@@ -111,7 +111,7 @@
 	}
 }
 
-// Nodes vouch for the runs that they have begun if these have finished, or if their engines were heard lately. Nobody vouches for those of nodes that
+// Nodes vouch for the runs that they have begun if these have finished, or are in progress. Nobody vouches for those of nodes that
 // have gone, have started again, or are of builds that don't name themselves.
 func TestNodesVouchForTheirRuns(t *testing.T) {
 	names := []string{"lives", "silent", "finished", "forgotten"}
--- a/internal/catalog/vouch.go
+++ b/internal/catalog/vouch.go
@@ -24,7 +24,7 @@
 	Names   []string `json:"n"`
 }
 
-// vouchResponse names the runs that have finished, or whose engines were heard lately.
+// vouchResponse names the runs that have finished, or are in progress.
 type vouchResponse struct {
 	Names []string `json:"n,omitempty"`
 }
@@ -37,8 +37,8 @@
 	return name + ownerSeparator + m.network.Address()
 }
 
-// Unvouched asks the nodes that have begun runs of a content, and returns the names of those that may have ended their engines: their nodes don't
-// answer, have started again, or have not heard of the engines lately.
+// Unvouched asks the nodes that have begun runs of a content, and returns the names of those that are not known to be in progress or finished: their
+// nodes don't answer, or have started again.
 func (m *Manager) Unvouched(ctx context.Context, content string, names []string) []string {
 	byOwner := make(map[string][]string)
 	for _, name := range names {
@@ -79,7 +79,7 @@
 	return vouchResponse{Names: m.vouch(request)}, nil
 }
 
-// vouch returns the runs of this node that have finished, or whose engines were heard lately.
+// vouch returns the runs of this node that have finished or are in progress.
 func (m *Manager) vouch(request vouchRequest) (vouched []string) {
 	_, closed, _ := m.ledger.runs(time.Now(), request.Content)
 	for _, name := range request.Names {
--- a/internal/dispatch/admission.go
+++ b/internal/dispatch/admission.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"math/rand/v2"
+	"slices"
 	"strconv"
 	"sync"
 	"time"
@@ -17,9 +18,11 @@
 	newsDelay = 30 * time.Millisecond
 	// holdTimeout bounds the wait until it is known whether the next run of a call may begin. minHoldPause and maxHoldPause bound the mean
 	// time between two looks, which doubles with each.
-	holdTimeout  = time.Second
-	minHoldPause = 20 * time.Millisecond
-	maxHoldPause = 160 * time.Millisecond
+	holdTimeout = time.Second
+	// livingTimeout bounds the wait for other runs of the same content that are in progress.
+	livingTimeout = 5 * time.Second
+	minHoldPause  = 20 * time.Millisecond
+	maxHoldPause  = 160 * time.Millisecond
 	// calmTime is for how long no other engine must have ended before the last run that a request may have, and before its second one in a
 	// storm: stormEnds other engines have ended within stormTime. A random time of up to calmJitter is added, so that requests that met the same
 	// ends don't go on at once. calmTimeout bounds the wait.
@@ -47,18 +50,16 @@
 		// The last run was not interrupted, and its announcement holds for the next one.
 		return nil
 	}
+	// A call that waits announces its run again once there may be room for it: others must not wait for runs that are not sent.
+	announces := true
 	for pause := minHoldPause; !expired(ctx); pause = min(2*pause, maxHoldPause) {
-		open, heard := d.tell(ctx, call, newRunName())
+		open, heard := d.tell(ctx, call, announcedName(announces))
 		count := ends.Count(time.Now(), key)
 		if count.Ended+count.Undecided >= fatal.MaxEnds {
 			d.decideInterruptions(ctx, key)
 			count = ends.Count(time.Now(), key)
 		}
 		call.contended = call.contended || len(open) > 0 || count.Ended+count.Undecided > 0
-		if count.Ended+count.Undecided == 0 && fatal.Decide(count, len(open)) == fatal.Wait {
-			// Many callers may send this content at once.
-			open = d.registry.unvouched(ctx, key, open)
-		}
 		decision := fatal.Decide(count, len(open))
 		if decision == fatal.Admit && !heard && count.Ended+count.Undecided > 0 {
 			// Others may know of more.
@@ -68,16 +69,18 @@
 		if decision != fatal.Admit || count.Ended+count.Undecided > 0 {
 			d.logDecision(call, decision, count, len(open), held)
 		}
-		if decision == fatal.Admit {
+		if decision == fatal.Admit && announces {
 			call.untold.Store(!heard)
 			return nil
 		}
-		// Other nodes must not wait for a run that is not sent.
 		d.finishRun(ctx, call, false)
+		if announces = decision == fatal.Admit; announces {
+			continue
+		}
 		switch {
 		case decision == fatal.Refuse, held >= holdTimeout && fatal.Decide(count, 0) == fatal.Refuse:
 			return d.refuse(call, progress)
-		case held >= holdTimeout:
+		case held >= holdTimeout && !d.mayWaitOn(ctx, key, count, open, held):
 			return progress.undecidedError()
 		}
 		clock.Sleep(ctx, pause/2+rand.N(pause))
@@ -85,6 +88,15 @@
 	return progress.noEngineError(ctx)
 }
 
+// mayWaitOn reports whether a call may wait on for other runs of its content: few enough engines have ended under it, and the gateways that have begun
+// these runs still have them in progress. One that completes lets all other calls begin.
+func (d *Dispatcher) mayWaitOn(ctx context.Context, key fatal.Key, count fatal.Count, open []string, held time.Duration) bool {
+	if held >= livingTimeout || fatal.Decide(count, 0) != fatal.Admit {
+		return false
+	}
+	return fatal.Decide(count, len(d.registry.unvouched(ctx, key, open))) == fatal.Admit
+}
+
 // logDecision logs a decision about the next run of a call.
 func (d *Dispatcher) logDecision(call *Call, decision fatal.Decision, count fatal.Count, open int, held time.Duration) {
 	event := events.RunHeld
@@ -172,32 +184,23 @@
 	return ""
 }
 
+// announcedName returns the name of a run that is announced; empty if it is not.
+func announcedName(announces bool) string {
+	if !announces {
+		return ""
+	}
+	return newRunName()
+}
+
 // newRunName returns a unique name.
 func newRunName() string { return strconv.FormatUint(rand.Uint64(), 36) }
 
-const (
-	// youngRunTime is the age up to which a run is taken to live whose engine has not answered, heardTime how lately an engine that has answered must
-	// have sent something.
-	youngRunTime = 50 * time.Millisecond
-	heardTime    = 200 * time.Millisecond
-)
-
-// RunLives reports whether the run of a content with a name has not been sent yet, or is in progress and its engine has shown lately that it lives.
+// RunLives reports whether the run of a content with a name is in progress here, or about to be sent.
 func (d *Dispatcher) RunLives(key fatal.Key, name string) bool {
-	now := time.Now()
-	for _, call := range d.announced.withContent(key) {
-		known, sentAt, exchange := call.openRun.Load(), call.sentAt.Load(), call.exchange.Load()
-		switch {
-		case known == nil || *known != name:
-		case sentAt == 0:
-			return true
-		case exchange != nil:
-			return now.Sub(exchange.HeardAt()) < heardTime
-		default:
-			return now.Sub(time.Unix(0, sentAt)) < youngRunTime
-		}
-	}
-	return false
+	return slices.ContainsFunc(d.announced.withContent(key), func(call *Call) bool {
+		known := call.openRun.Load()
+		return known != nil && *known == name
+	})
 }
 
 // runningCalls are calls in progress. The zero value is ready for use.
--- a/internal/dispatch/admission_test.go
+++ b/internal/dispatch/admission_test.go
@@ -83,23 +83,55 @@
 	}
 }
 
-// Runs for which their nodes vouch are not waited for, unless an engine has ended under the content.
-func TestRunsOfLivingEnginesAreNotWaitedFor(t *testing.T) {
-	for _, ended := range []bool{true, false} {
+// Guards against first runs that begin beside three others because these live: each may end its engine at any time. They are waited for as long as their
+// nodes have them in progress.
+func TestLivingRunsAreWaitedFor(t *testing.T) {
+	for _, row := range []struct {
+		unvouched, ended int
+		refusal          apierr.Code
+	}{{0, 0, ""}, {2, 0, ""}, {3, 0, apierr.NoEngine}, {0, 1, ""}, {2, 1, apierr.NoEngine}, {0, 3, apierr.EndsEngines}} {
 		registry := registryOf(t, "a", "a", "a", "a")
-		registry.ExchangeRuns(func(context.Context, RunNews) ([]string, bool) { return []string{"r1", "r2", "r3"}, true })
-		registry.VouchRuns(func(_ context.Context, _ fatal.Key, open []string) []string { return open[:2] })
+		startedAt := time.Now()
+		registry.ExchangeRuns(func(context.Context, RunNews) ([]string, bool) {
+			if time.Since(startedAt) < holdTimeout+4*maxHoldPause {
+				return []string{"r1", "r2", "r3"}, true
+			}
+			return nil, true
+		})
+		registry.VouchRuns(func(_ context.Context, _ fatal.Key, open []string) []string {
+			return open[:min(row.unvouched, len(open))]
+		})
 		dispatcher := New(registry, nil, events.Discard())
 		call := &Call{ID: "c", Placement: Placement{Service: "s"}}
-		if ended {
-			registry.ApplyReport(reportOfEnd(t, call.fingerprint(), "e0"))
+		for index := range row.ended {
+			registry.ApplyReport(reportOfEnd(t, call.fingerprint(), fmt.Sprint("e", index)))
 		}
-		assert.Equal(t, admitted(t, dispatcher, call), map[bool]apierr.Code{true: apierr.NoEngine, false: ""}[ended])
+		assert.Equal(t, admitted(t, dispatcher, call), row.refusal)
+		assert.Equal(t, time.Since(startedAt) > holdTimeout+4*maxHoldPause, row.refusal == "", "%+v", row)
 	}
 }
 
-// A gateway vouches for runs that it has not sent yet, or not long ago.
-func TestRunLivesUntilItsEngineIsSilent(t *testing.T) {
+// A call that waits doesn't announce its run: others would wait for it.
+func TestWaitingCallsAreNotAnnounced(t *testing.T) {
+	registry := registryOf(t, "a", "a", "a")
+	var begun []bool
+	registry.ExchangeRuns(func(_ context.Context, news RunNews) ([]string, bool) {
+		if news.Finished != "" {
+			return nil, true
+		}
+		begun = append(begun, news.Begun != "")
+		if len(begun) < 3 {
+			return []string{"r1", "r2", "r3"}, true
+		}
+		return nil, true
+	})
+	dispatcher := New(registry, nil, events.Discard())
+	assert.Equal(t, admitted(t, dispatcher, &Call{ID: "c", Placement: Placement{Service: "s"}}), apierr.Code(""))
+	assert.DeepEqual(t, begun, []bool{true, false, false, true})
+}
+
+// A gateway tells that a run is in progress from its announcement on.
+func TestRunLivesWhileItIsAnnounced(t *testing.T) {
 	dispatcher := New(registryOf(t, "a"), nil, events.Discard())
 	call, name := &Call{}, "run"
 	call.openRun.Store(&name)
@@ -108,9 +140,7 @@
 	assert.Assert(t, dispatcher.RunLives(call.fingerprint(), name))
 	assert.Assert(t, !dispatcher.RunLives(call.fingerprint(), "another"))
 	assert.Assert(t, !dispatcher.RunLives("another", name))
-	call.sentAt.Store(time.Now().UnixNano())
-	assert.Assert(t, dispatcher.RunLives(call.fingerprint(), name))
-	call.sentAt.Store(time.Now().Add(-youngRunTime).UnixNano())
+	call.takeOpenRun()
 	assert.Assert(t, !dispatcher.RunLives(call.fingerprint(), name))
 }
 
--- a/internal/dispatch/dispatch.go
+++ b/internal/dispatch/dispatch.go
@@ -125,9 +125,6 @@
 	// cancel cancels the attempt in progress, and answered is set once its response has begun.
 	cancel   context.CancelFunc
 	answered atomic.Bool
-	// sentAt is when the attempt in progress was sent, in Unix nanoseconds; 0 if there is none. exchange is its response; nil until that begins.
-	sentAt   atomic.Int64
-	exchange atomic.Pointer[upstream.Exchange]
 	// heardAt is when the engine of the last attempt sent something last; zero if it did not.
 	heardAt time.Time
 	// connectedAt is when the connection of the last attempt was opened; zero if there was no response.
@@ -273,12 +270,9 @@
 		call.cancel = cancel
 		call.startedMillis = d.registry.knownStart(engine)
 		call.answered.Store(false)
-		call.exchange.Store(nil)
-		call.sentAt.Store(time.Now().UnixNano())
 		d.running.add(call)
 		if !d.mayBegin(call) {
 			d.running.remove(call)
-			call.sentAt.Store(0)
 			cancel()
 			d.registry.release(engine, call.Placement.Isolated)
 			progress.resumeOn = resumeOn
@@ -292,7 +286,6 @@
 		sentAt := time.Now()
 		outcome, err := d.attemptWithTimeout(attemptContext, call, engine, progress, resumption, consume)
 		d.running.remove(call)
-		call.sentAt.Store(0)
 		cancel()
 		d.registry.release(engine, call.Placement.Isolated)
 		d.recordInterruption(ctx, call, engine, sentAt, outcome, err)
@@ -394,7 +387,6 @@
 	defer exchange.Abort()
 	call.heardAt = exchange.HeardAt()
 	call.answered.Store(true)
-	call.exchange.Store(exchange)
 	call.connectedAt, call.status = exchange.OpenedAt(), exchange.Response().StatusCode
 	resumption.Status = exchange.Response().StatusCode
 	switch d.protocol.Classify(exchange.Response(), call.ID) {
--- a/internal/dispatch/ends.go
+++ b/internal/dispatch/ends.go
@@ -123,8 +123,8 @@
 	r.exchange = exchange
 }
 
-// VouchRuns sets the function that asks the nodes which have begun runs of a content, and returns the names of those that have not finished and whose
-// engines were not heard lately. It must return soon, and must be set before any call is dispatched.
+// VouchRuns sets the function that asks the nodes which have begun runs of a content, and returns the names of those that are not known to be in
+// progress or finished. It must return soon, and must be set before any call is dispatched.
 func (r *Registry) VouchRuns(unvouched func(ctx context.Context, content fatal.Key, open []string) []string) {
 	r.unvouched = unvouched
 }
