fatal: an unanswered run counts by itself until it is decided

While it is undecided why such a run broke, the engine may as well have started again, so it counts as a possible end of its own; once it is decided, the rule holds as before. Runs at an engine that is silent, which has not broken them off, go on telling of one end.

TestUnansweredRunsTellOfOneEnd asserted that undecided ones merge with each other; it asserts now that they count until the end is proved, and are one then. TestUnansweredRunsThatStayUndecidedTellOfOneEnd is new, TestSilentEngineEndsOnce is unchanged.

--- a/internal/fatal/fatal_test.go
+++ b/internal/fatal/fatal_test.go
@@ -152,7 +152,21 @@
 		}
 		s.interruptInLife(5, number == 0)
 	}
-	s.assertCount(t, "k", 1, 1)
+	// While they are undecided, the engine may have started again between them.
+	s.assertCount(t, "k", 1, MaxEnds)
+	s.EngineEnded(s.now, "e", "models", false)
+	s.assertCount(t, "k", 2, 0)
+}
+
+// Unanswered runs that nobody has refuted tell of one end as well.
+func TestUnansweredRunsThatStayUndecidedTellOfOneEnd(t *testing.T) {
+	s := newScene()
+	for number := range MaxEnds {
+		s.interruptInLife(5, number == 0)
+	}
+	s.assertCount(t, "k", 0, MaxEnds)
+	s.pass(2 * decisionTime)
+	s.assertCount(t, "k", 1, 0)
 }
 
 // An engine may start again before the gateways know: a later run that it answered counts, whatever start was known, until the life that names it is
--- a/internal/fatal/tracker.go
+++ b/internal/fatal/tracker.go
@@ -209,7 +209,7 @@
 	}
 	count.Sound = known.sound
 	for _, end := range t.distinctEnds(now, key) {
-		if end.ended() || now.Sub(end.BrokenAt) > decisionTime {
+		if end.decidedAt(now) {
 			count.Ended++
 		} else {
 			count.Undecided++
@@ -244,7 +244,9 @@
 	sorted := slices.Clone(known.runs)
 	slices.SortStableFunc(sorted, func(a, b run) int { return a.BrokenAt.Compare(b.BrokenAt) })
 	for _, candidate := range sorted {
-		index := slices.IndexFunc(distinct, candidate.sharesEnd)
+		index := slices.IndexFunc(distinct, func(earlier run) bool {
+			return candidate.sharesEnd(earlier) || candidate.repeatsEnd(now, earlier)
+		})
 		switch {
 		case now.Sub(candidate.BrokenAt) > retention:
 		case index < 0:
@@ -256,21 +258,30 @@
 	return distinct
 }
 
+// decidedAt reports whether a run counts as an end of its engine: that is proved, or nothing has refuted it for decisionTime.
+func (r run) decidedAt(now time.Time) bool { return r.ended() || now.Sub(r.BrokenAt) > decisionTime }
+
 // sharesEnd reports whether one end of an engine interrupted both this run and an earlier one. That is so for runs at the same time, unless they were
 // in different lives of the engine. The start that was known when a run was sent does not show that it shared the life of an earlier one, which may have
-// ended unnoticed. A run to which nothing was answered tells of no other end than the one that an earlier run tells of.
+// ended unnoticed.
 func (r run) sharesEnd(earlier run) bool {
-	bothStarts := min(r.StartedMillis, earlier.StartedMillis) > 0
-	if r.Engine != earlier.Engine || (bothStarts && r.StartedMillis != earlier.StartedMillis) {
-		return false
-	}
 	apart := r.BrokenAt.Sub(earlier.BrokenAt).Abs()
 	overlap := r.call != earlier.call && r.SentAt.Before(earlier.BrokenAt) && earlier.SentAt.Before(r.BrokenAt)
-	if apart < minLife || (overlap && apart < sameEndTolerance) {
-		return true
-	}
+	return r.mayShareLife(earlier) && (apart < minLife || (overlap && apart < sameEndTolerance))
+}
+
+// repeatsEnd reports whether this run tells of no other end than an earlier one, since nothing was answered to it: its engine may have been
+// unreachable. While it is undecided why the engine, or the link, broke the run off, the engine may as well have started in between.
+func (r run) repeatsEnd(now time.Time, earlier run) bool {
+	mayBeNewLife := r.MayRunUntil.IsZero() && !r.decidedAt(now)
 	endedBetween := earlier.ended() && !earlier.endedAt.After(r.SentAt)
-	return r.Silent && !endedBetween
+	return r.mayShareLife(earlier) && r.Silent && !mayBeNewLife && !endedBetween
+}
+
+// mayShareLife reports whether two runs may have been in the same life of an engine.
+func (r run) mayShareLife(other run) bool {
+	bothStarts := min(r.StartedMillis, other.StartedMillis) > 0
+	return r.Engine == other.Engine && (!bothStarts || r.StartedMillis == other.StartedMillis)
 }
 
 // addRun adds a run to a request. The caller holds the mutex.
