dispatch: a call that waits for equal ones is refused while time is left

A call that waited behind three runs of its content got deadline_exceeded if these took longer than its own time, after having been held all of it. It waits on now only while as much of its time is left as it has waited, and is refused as not run with Retry-After then, so that its caller can still send it again.

TestCallsAreNotHeldUntilTheirDeadline failed without the change (deadline_exceeded after 3 s of 3 s).

--- a/internal/dispatch/admission.go
+++ b/internal/dispatch/admission.go
@@ -88,10 +88,11 @@
 	return progress.noEngineError(ctx)
 }
 
-// mayWaitOn reports whether a call may wait on for other runs of its content: few enough engines have ended under it, and the gateways that have begun
-// these runs still have them in progress. One that completes lets all other calls begin.
+// mayWaitOn reports whether a call may wait on for other runs of its content: as much of its time is left as it has waited, few enough engines have
+// ended under it, and the gateways that have begun these runs still have them in progress. One that completes lets all other calls begin.
 func (d *Dispatcher) mayWaitOn(ctx context.Context, key fatal.Key, count fatal.Count, open []string, held time.Duration) bool {
-	if held >= livingTimeout || fatal.Decide(count, 0) != fatal.Admit {
+	deadline, limited := ctx.Deadline()
+	if held >= livingTimeout || (limited && time.Until(deadline) < held) || fatal.Decide(count, 0) != fatal.Admit {
 		return false
 	}
 	return fatal.Decide(count, len(d.registry.unvouched(ctx, key, open))) == fatal.Admit
--- a/internal/dispatch/admission_test.go
+++ b/internal/dispatch/admission_test.go
@@ -111,6 +111,21 @@
 	}
 }
 
+// Calls that have waited for half of their time are refused while their callers can still send them again.
+func TestCallsAreNotHeldUntilTheirDeadline(t *testing.T) {
+	registry := registryOf(t, "a", "a", "a")
+	registry.ExchangeRuns(func(context.Context, RunNews) ([]string, bool) { return []string{"r1", "r2", "r3"}, true })
+	registry.VouchRuns(func(context.Context, fatal.Key, []string) []string { return nil })
+	call := &Call{ID: "c", Placement: Placement{Service: "s"}}
+	ctx, cancel := context.WithTimeout(t.Context(), 3*holdTimeout)
+	defer cancel()
+	err := New(registry, nil, events.Discard()).admit(ctx, call, &progress{call: call})
+	var failure *apierr.Error
+	assert.Assert(t, errors.As(err, &failure) && failure.Code == apierr.NoEngine, "%v", err)
+	deadline, _ := ctx.Deadline()
+	assert.Assert(t, time.Until(deadline) > holdTimeout)
+}
+
 // A call that waits doesn't announce its run: others would wait for it.
 func TestWaitingCallsAreNotAnnounced(t *testing.T) {
 	registry := registryOf(t, "a", "a", "a")
