--- a/internal/catalog/manager.go
+++ b/internal/catalog/manager.go
@@ -72,7 +72,7 @@
 	StaleAfter time.Duration
 	// Neighbours returns gateways that this node reaches without the replicas. Nil means none.
 	Neighbours func() []transport.Peer
-	// RunLives reports whether this node has begun a run of a content and has heard of its engine lately. Nil means never.
+	// RunLives reports whether a run of a content that this node has begun is in progress. Nil means never.
 	RunLives func(content, name string) bool
 	// OnChange is called with changed entries, one at a time. The revisions of an entry are strictly increasing and end
 	// with the newest; superseded ones may be skipped, and those of FatalRequestKind may be repeated. It must not block or modify the Manager.
