dispatch: of equal calls that come at the same time some begin at once

Runs have names, and all calls see the same order of them. A call whose name is among the first that fit stays announced and looks again soon; the others withdraw and make room for it. When a run may begin is as before: only once fewer than three others are seen. A gateway waits 250 ms in place of 40 for those that tell whether waiting is of use, which nothing else waits for.

--- a/internal/catalog/vouch.go
+++ b/internal/catalog/vouch.go
@@ -12,7 +12,7 @@
 const (
 	vouchKind = "catalog.vouch"
 	// vouchPatience is how long a node waits for the nodes that have begun runs. maxVouchPeers bounds these.
-	vouchPatience = 40 * time.Millisecond
+	vouchPatience = 250 * time.Millisecond
 	maxVouchPeers = 16
 	// ownerSeparator separates a run's name from the address of the node that has begun it.
 	ownerSeparator = "@"
--- a/internal/dispatch/admission.go
+++ b/internal/dispatch/admission.go
@@ -35,7 +35,7 @@
 
 // admit waits until the next run of a call may begin. The error tells why it may not. Each call announces its run to other nodes before it begins
 // and hears what these know, so that the order in which calls come, the gateways that they reach, and those that end make no difference.
-func (d *Dispatcher) admit(ctx context.Context, call *Call, progress *progress) error {
+func (d *Dispatcher) admit(ctx context.Context, call *Call, progress *progress) (err error) {
 	d.registry.catchUp(ctx)
 	ends, key := d.registry.ends, call.fingerprint()
 	startedAt := time.Now()
@@ -50,10 +50,15 @@
 		// The last run was not interrupted, and its announcement holds for the next one.
 		return nil
 	}
-	// A call that waits announces its run again once there may be room for it: others must not wait for runs that are not sent.
-	announces := true
+	// Others must not wait for runs that are not sent, so that most calls that wait announce theirs again only once there may be room.
+	defer func() {
+		if err != nil {
+			d.finishRun(ctx, call, false)
+		}
+	}()
+	name := newRunName()
 	for pause := minHoldPause; !expired(ctx); pause = min(2*pause, maxHoldPause) {
-		open, heard := d.tell(ctx, call, announcedName(announces))
+		open, heard := d.tell(ctx, call, name)
 		count := ends.Count(time.Now(), key)
 		if count.Ended+count.Undecided >= fatal.MaxEnds {
 			d.decideInterruptions(ctx, key)
@@ -69,13 +74,19 @@
 		if decision != fatal.Admit || count.Ended+count.Undecided > 0 {
 			d.logDecision(call, decision, count, len(open), held)
 		}
-		if decision == fatal.Admit && announces {
+		switch {
+		case decision == fatal.Admit && name != "":
 			call.untold.Store(!heard)
 			return nil
-		}
-		d.finishRun(ctx, call, false)
-		if announces = decision == fatal.Admit; announces {
+		case decision == fatal.Admit:
+			name = newRunName()
 			continue
+		case name != "" && heard && fatal.Decide(count, countBefore(open, name)) == fatal.Admit:
+			// Of calls that come at the same time, the others make room for this one.
+			pause = minHoldPause
+		default:
+			d.finishRun(ctx, call, false)
+			name = ""
 		}
 		switch {
 		case decision == fatal.Refuse, held >= holdTimeout && fatal.Decide(count, 0) == fatal.Refuse:
@@ -147,6 +158,9 @@
 	key, now := call.fingerprint(), time.Now()
 	d.registry.shareEnds(now, EndNews{})
 	finished := call.takeOpenRun()
+	if finished == begun {
+		finished = ""
+	}
 	if begun != "" {
 		call.openRun.Store(&begun)
 	}
@@ -185,12 +199,14 @@
 	return ""
 }
 
-// announcedName returns the name of a run that is announced; empty if it is not.
-func announcedName(announces bool) string {
-	if !announces {
-		return ""
+// countBefore returns how many of the names of open runs precede a name. All calls that announce runs at the same time see the same order.
+func countBefore(open []string, name string) (count int) {
+	for _, other := range open {
+		if other < name {
+			count++
+		}
 	}
-	return newRunName()
+	return count
 }
 
 // newRunName returns a unique name.
--- a/internal/dispatch/admission_test.go
+++ b/internal/dispatch/admission_test.go
@@ -3,15 +3,20 @@
 import (
 	"context"
 	"fmt"
+	"maps"
 	"net/http"
+	"slices"
+	"sync"
 	"syscall"
 	"testing"
 	"time"
 
 	"github.com/cockroachdb/errors"
 	"gotest.tools/v3/assert"
+	"gotest.tools/v3/poll"
 
 	"github.com/mountstile/mountstile/internal/apierr"
+	"github.com/mountstile/mountstile/internal/clock"
 	"github.com/mountstile/mountstile/internal/events"
 	"github.com/mountstile/mountstile/internal/fatal"
 )
@@ -136,7 +141,8 @@
 		}
 		begun = append(begun, news.Begun != "")
 		if len(begun) < 3 {
-			return []string{"r1", "r2", "r3"}, true
+			// No random name precedes these.
+			return []string{"01", "02", "03"}, true
 		}
 		return nil, true
 	})
@@ -145,6 +151,53 @@
 	assert.DeepEqual(t, begun, []bool{true, false, false, true})
 }
 
+// Guards against many equal calls that come at the same time, see each other and wait, all of them.
+func TestSomeOfManyEqualCallsBeginAtOnce(t *testing.T) {
+	const callers = 24
+	var mutex sync.Mutex
+	open := make(map[string]bool)
+	begun := 0
+	var calls sync.WaitGroup
+	startedAt := time.Now()
+	for range callers {
+		registry := registryOf(t, "a", "a", "a")
+		registry.ExchangeRuns(func(ctx context.Context, news RunNews) ([]string, bool) {
+			mutex.Lock()
+			delete(open, news.Finished)
+			if news.Begun != "" {
+				open[news.Begun] = true
+			}
+			mutex.Unlock()
+			// All announce theirs before any hears of the others, and the answers take longer than the calls wait.
+			clock.Sleep(ctx, 20*time.Millisecond)
+			mutex.Lock()
+			others := slices.Collect(maps.Keys(open))
+			mutex.Unlock()
+			clock.Sleep(ctx, 100*time.Millisecond)
+			return slices.DeleteFunc(others, func(name string) bool { return name == news.Begun }), true
+		})
+		call := &Call{ID: "c", Placement: Placement{Service: "s"}}
+		calls.Go(func() {
+			if New(registry, nil, events.Discard()).admit(t.Context(), call, &progress{call: call}) == nil {
+				mutex.Lock()
+				begun++
+				mutex.Unlock()
+			}
+		})
+	}
+	poll.WaitOn(t, func(poll.LogT) poll.Result {
+		mutex.Lock()
+		defer mutex.Unlock()
+		if begun == fatal.MaxEnds {
+			return poll.Success()
+		}
+		return poll.Continue("%d calls have begun", begun)
+	}, poll.WithDelay(time.Millisecond))
+	assert.Assert(t, time.Since(startedAt) < holdTimeout/2)
+	calls.Wait()
+	assert.Equal(t, begun, fatal.MaxEnds)
+}
+
 // A gateway tells that a run is in progress from its announcement on.
 func TestRunLivesWhileItIsAnnounced(t *testing.T) {
 	dispatcher := New(registryOf(t, "a"), nil, events.Discard())
