catalog: count messages about runs by purpose, and time the way of configurations

Messages were counted by kind only, so that announced runs, passed-on entries and looks of held calls couldn't be told apart, and nothing told when a gateway had a confirmed configuration. New: mountstile_run_messages_total, mountstile_configuration_delay_seconds, delay_millis in routes_installed (a field of the entry that other builds ignore), heard in run_held and run_admitted.

--- a/internal/catalog/catalog.go
+++ b/internal/catalog/catalog.go
@@ -51,6 +51,9 @@
 	Format int `json:"t,omitempty"`
 	// Value is empty if the entry is a tombstone.
 	Value json.RawMessage `json:"v,omitempty"`
+	// DelayMillis is the time between when a node read a configuration in the store and when the entry was sent, as far as it is known; 0 for
+	// other kinds. Builds that don't know the field leave it out.
+	DelayMillis int64 `json:"d,omitempty"`
 }
 
 // newerThan reports whether the entry replaces another one of the same key. A node that got the value of an earlier build takes
@@ -76,6 +79,7 @@
 type record struct {
 	entry     Entry
 	sequence  uint64
+	mergedAt  time.Time
 	removedAt time.Time
 	// publishedAt is when an entry that a node published was merged; zero for entries from the store.
 	publishedAt time.Time
@@ -123,6 +127,7 @@
 	s.sequence++
 	stored.entry = entry
 	stored.sequence = s.sequence
+	stored.mergedAt = now
 	s.changes = append(s.changes, change{sequence: s.sequence, key: entry.Key})
 	if len(s.changes) > 2*len(s.entries)+maxStaleChanges {
 		s.compactChanges()
@@ -215,6 +220,15 @@
 	return stored.entry, true
 }
 
+// Delayed returns the entry as it is sent at a time: with the delay of a configuration.
+func (s *State) Delayed(now time.Time, entry Entry) Entry {
+	stored := s.entries[entry.Key]
+	if kind, _ := SplitKey(entry.Key); kind == ConfigurationKind && stored != nil {
+		entry.DelayMillis = stored.entry.DelayMillis + now.Sub(stored.mergedAt).Milliseconds()
+	}
+	return entry
+}
+
 // Revision returns the revision of the newest version of an entry, including tombstones, or 0 if there is none.
 func (s *State) Revision(key string) int64 {
 	latest, _ := s.Latest(key)
--- a/internal/catalog/exchange.go
+++ b/internal/catalog/exchange.go
@@ -42,6 +42,16 @@
 	return finishedRun{Content: e.Content, Name: e.Finished, Completed: e.Completed}
 }
 
+func (e Evidence) purpose() purpose {
+	switch {
+	case e.Begun != "":
+		return purposeBegin
+	case e.Finished != "":
+		return purposeFinish
+	}
+	return purposeLook
+}
+
 // Known is what other nodes know of the runs of a content.
 type Known struct {
 	// Open are the names of other runs that were begun and have not finished. They name the nodes, too.
@@ -88,12 +98,14 @@
 	}
 	needed := len(replicas)/2 + 1
 	fromReplicas := m.send(ctx, replicas, request)
+	m.options.Metrics.countMessages(evidence.purpose(), toReplica, len(replicas))
 	answers = fromReplicas.await(ctx, patience, func(answers []publishResponse) bool { return countSettled(answers) >= needed })
 	if countSettled(answers) >= needed {
 		return answers, true
 	}
 	request.Forward = true
 	neighbours := m.neighboursOf(evidence)
+	m.options.Metrics.countMessages(evidence.purpose(), toNeighbour, len(neighbours))
 	fromNeighbours := m.ask(ctx, neighbours, request, len(neighbours), neighbourPatience)
 	if missing := needed - len(answers); missing > 0 && countSettled(fromNeighbours) == 0 {
 		answers = append(answers, fromReplicas.await(ctx, latePatience, atLeast(missing))...)
@@ -126,9 +138,11 @@
 func (m *Manager) AdoptReports(ctx context.Context, replicas []transport.Peer, patience time.Duration) bool {
 	needed := len(replicas)/2 + 1
 	answers := m.ask(ctx, replicas, publishRequest{All: true}, needed, patience)
+	m.options.Metrics.countMessages(purposeAdopt, toReplica, len(replicas))
 	sufficient := len(answers) >= needed
 	if !sufficient {
 		neighbours := m.neighbours()
+		m.options.Metrics.countMessages(purposeAdopt, toNeighbour, len(neighbours))
 		answers = append(answers, m.ask(ctx, neighbours, publishRequest{All: true}, len(neighbours), patience)...)
 	}
 	for _, answer := range answers {
@@ -219,6 +233,7 @@
 // forward passes news on to the neighbours, except the one from which it came.
 func (m *Manager) forward(from transport.Peer, entries []Entry) {
 	peers := slices.DeleteFunc(m.neighbours(), func(peer transport.Peer) bool { return peer.Address == from.Address })
+	m.options.Metrics.countMessages(purposeForward, toNeighbour, len(peers))
 	m.ask(context.Background(), peers, publishRequest{Entries: entries, Forward: true}, len(peers), neighbourPatience)
 }
 
--- a/internal/catalog/finish.go
+++ b/internal/catalog/finish.go
@@ -65,6 +65,7 @@
 		}
 	}
 	m.mutex.Unlock()
+	m.options.Metrics.countMessages(purposeFinish, toReplica, len(due))
 	for _, peer := range due {
 		// A peer that is not reached forgets the runs after runTTL.
 		go m.ask(ctx, []transport.Peer{peer}, publishRequest{}, 0, 0)
--- a/internal/catalog/follow.go
+++ b/internal/catalog/follow.go
@@ -241,6 +241,9 @@
 	response = followResponse{Identity: m.identity, AgeMillis: age.Milliseconds(), More: m.inInitialTransfer(now)}
 	var changes []Entry
 	changes, response.Sequence = m.state.Since(after, maxResponseEntries)
+	for index, entry := range changes {
+		changes[index] = m.state.Delayed(now, entry)
+	}
 	response.Entries, response.Announced = splitBySize(changes)
 	if response.Sequence < m.state.Sequence() {
 		// The follower is not in sync before it has the remaining entries.
--- a/internal/catalog/large.go
+++ b/internal/catalog/large.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"strconv"
+	"time"
 
 	"github.com/mountstile/mountstile/internal/apierr"
 	"github.com/mountstile/mountstile/internal/transport"
@@ -95,5 +96,5 @@
 	m.mutex.Lock()
 	defer m.mutex.Unlock()
 	entry, _ := m.state.Latest(request.Key)
-	return fetchResponse{Entry: entry}, nil
+	return fetchResponse{Entry: m.state.Delayed(time.Now(), entry)}, nil
 }
--- a/internal/catalog/manager.go
+++ b/internal/catalog/manager.go
@@ -72,6 +72,8 @@
 	StaleAfter time.Duration
 	// Neighbours returns gateways that this node reaches without the replicas. Nil means none.
 	Neighbours func() []transport.Peer
+	// Metrics may be nil.
+	Metrics *Metrics
 	// RunLives reports whether a run of a content that this node has begun is in progress. Nil means never.
 	RunLives func(content, name string) bool
 	// OnChange is called with changed entries, one at a time. The revisions of an entry are strictly increasing and end
@@ -310,8 +312,12 @@
 	var changed []Entry
 	m.mutex.Lock()
 	for _, entry := range entries {
-		if m.state.Merge(now, entry) {
-			changed = append(changed, entry)
+		if !m.state.Merge(now, entry) {
+			continue
+		}
+		changed = append(changed, entry)
+		if kind, _ := SplitKey(entry.Key); kind == ConfigurationKind {
+			m.options.Metrics.observeConfiguration(time.Duration(entry.DelayMillis) * time.Millisecond)
 		}
 	}
 	m.unlockAndNotify(changed)
--- a/internal/catalog/publish.go
+++ b/internal/catalog/publish.go
@@ -113,6 +113,8 @@
 	_, news := m.recordPublished(publishRequest{Entries: entries})
 	m.Apply(news)
 	neighbours := m.neighbours()
+	m.options.Metrics.countMessages(purposeReport, toNeighbour, len(neighbours))
+	m.options.Metrics.countMessages(purposeReport, toReplica, len(peers))
 	go m.ask(ctx, neighbours, publishRequest{Entries: entries}, len(neighbours), publishTimeout)
 	publishContext, cancel := context.WithTimeout(ctx, publishTimeout)
 	defer cancel()
--- a/internal/dispatch/admission.go
+++ b/internal/dispatch/admission.go
@@ -72,7 +72,7 @@
 		}
 		held := time.Since(startedAt)
 		if decision != fatal.Admit || count.Ended+count.Undecided > 0 {
-			d.logDecision(call, decision, count, len(open), held)
+			d.logDecision(call, decision, count, len(open), heard, held)
 		}
 		switch {
 		case decision == fatal.Admit && name != "":
@@ -110,13 +110,13 @@
 }
 
 // logDecision logs a decision about the next run of a call.
-func (d *Dispatcher) logDecision(call *Call, decision fatal.Decision, count fatal.Count, open int, held time.Duration) {
+func (d *Dispatcher) logDecision(call *Call, decision fatal.Decision, count fatal.Count, open int, heard bool, held time.Duration) {
 	event := events.RunHeld
 	if decision == fatal.Admit {
 		event = events.RunAdmitted
 	}
 	d.logger.Emit(event, events.F("request", call.ID), events.F("content", string(call.fingerprint())), events.F("ended", count.Ended),
-		events.F("possible", count.Undecided), events.F("open", open), events.F("held_millis", held.Milliseconds()))
+		events.F("possible", count.Undecided), events.F("open", open), events.F("heard", heard), events.F("held_millis", held.Milliseconds()))
 }
 
 // refuse returns the error of a call whose request is not sent again.
--- a/internal/ingress/node.go
+++ b/internal/ingress/node.go
@@ -64,6 +64,8 @@
 	Network *transport.Transport
 	Logger  *events.Logger
 	Metrics *Metrics
+	// CatalogMetrics may be nil.
+	CatalogMetrics *catalog.Metrics
 	// Memory bounds what callers and engines make the gateway hold; nil for no bound.
 	Memory *membudget.Budget
 	// MaxConnections is the maximum number of callers' connections; 0 for no limit.
@@ -106,7 +108,7 @@
 	}
 	node.catalog = catalog.NewManager(catalog.Options{
 		Peers: node.peers, MinFreshPeers: node.turns.Copies, Self: catalog.Endpoint{Zone: options.Zone}, Source: options.Source, StaleAfter: options.StaleAfter, OnChange: node.apply,
-		FirstStart: options.FirstStart, OnOutageEnd: registry.RecordOutage, Neighbours: options.Network.Neighbours,
+		FirstStart: options.FirstStart, OnOutageEnd: registry.RecordOutage, Neighbours: options.Network.Neighbours, Metrics: options.CatalogMetrics,
 		RunLives: func(content, name string) bool { return dispatcher.RunLives(fatal.Key(content), name) },
 	}, options.Network, options.Logger)
 	registry.ShareEnds(node.shareEnds)
@@ -298,7 +300,7 @@
 		n.routesInstalledAt.Store(&now)
 	}
 	n.options.Logger.Emit(events.RoutesInstalled, events.F("version", table.Version()), events.F("revision", entry.Revision),
-		events.F("routes", len(specification.Routes)), events.F("store_age_millis", n.catalog.Age().Milliseconds()))
+		events.F("routes", len(specification.Routes)), events.F("store_age_millis", n.catalog.Age().Milliseconds()), events.F("delay_millis", entry.DelayMillis))
 }
 
 // Run keeps the catalog up to date until the context ends.
