transport, catalog: a dead replica costs no relayed messages

Callers met slow answers and late routes at gateways whose processor was full. Each message to a replica that was down was sent through up to eight relays, one after the other, though most of the replicas had answered; each relay dialled the dead replica, and turns are retried five times. Now relays are spare for messages about runs: they are used once too few replicas have answered directly, or if the peer was last reached through one. A peer that neither the node nor any relay has reached is not relayed to for a second, whatever the message.

--- /dev/null
+++ b/internal/catalog/cost_test.go
@@ -0,0 +1,134 @@
+package catalog
+
+import (
+	"context"
+	"fmt"
+	"net"
+	"slices"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"github.com/mountstile/mountstile/internal/events"
+	"github.com/mountstile/mountstile/internal/transport"
+)
+
+const costReplicas = 5
+
+// costCluster is a set of gateways and replicas, whose messages are counted.
+type costCluster struct {
+	replicas, gateways []*testNode
+}
+
+// startCostCluster starts replicas and gateways. Each gateway knows some of the others as relays, and as neighbours.
+func startCostCluster(t *testing.T, gateways, neighbours int) *costCluster {
+	t.Helper()
+	cluster := &costCluster{}
+	for range costReplicas {
+		cluster.replicas = append(cluster.replicas, startCostNode(t, true, nil, nil))
+	}
+	var addresses []string
+	for range gateways {
+		index := len(cluster.gateways)
+		known := func() []transport.Peer {
+			var others []transport.Peer
+			for step := 1; step <= min(neighbours, gateways-1); step++ {
+				others = append(others, transport.Peer{Address: addresses[(index+step*step)%gateways]})
+			}
+			return others
+		}
+		gateway := startCostNode(t, false, cluster.replicas[:3], known)
+		cluster.gateways = append(cluster.gateways, gateway)
+		addresses = append(addresses, gateway.address)
+	}
+	for _, gateway := range cluster.gateways {
+		eventually(t, "the gateway is in sync", func() bool { return gateway.manager.Age() < time.Second })
+	}
+	return cluster
+}
+
+func startCostNode(t *testing.T, isReplica bool, follows []*testNode, neighbours func() []transport.Peer) *testNode {
+	t.Helper()
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	assert.NilError(t, err)
+	node := &testNode{address: listener.Addr().String(), source: &fakeSource{}, revisions: make(map[string]int64)}
+	node.network = transport.New(transport.Options{Cluster: "test", NodeID: node.address, Address: node.address, Logger: events.Discard(), Relays: !isReplica})
+	node.manager = NewManager(Options{
+		Self: Endpoint{Address: node.address}, Source: node.source, StaleAfter: time.Second, OnChange: node.onChange,
+		ReadsStore: func() bool { return isReplica }, MinFreshPeers: func() int { return len(follows) }, Neighbours: neighbours,
+		Peers: func() []transport.Peer { return peersOf(follows) },
+	}, node.network, events.Discard())
+	ctx, stop := context.WithCancel(context.Background())
+	node.stop = stop
+	go func() { _ = node.network.Serve(listener) }()
+	go node.manager.Run(ctx)
+	t.Cleanup(func() {
+		stop()
+		node.network.Close()
+	})
+	return node
+}
+
+func peersOf(nodes []*testNode) []transport.Peer {
+	var peers []transport.Peer
+	for _, node := range nodes {
+		peers = append(peers, transport.Peer{Address: node.address})
+	}
+	return peers
+}
+
+// settle makes replicas count as having run for long.
+func (c *costCluster) settle() {
+	for _, replica := range c.replicas {
+		replica.manager.mutex.Lock()
+		replica.manager.startedAt = time.Now().Add(-runTTL)
+		replica.manager.mutex.Unlock()
+	}
+}
+
+// sent returns the number of messages of a kind that all nodes have sent.
+func (c *costCluster) sent(kind string) (messages int64) {
+	for _, node := range slices.Concat(c.replicas, c.gateways) {
+		messages += node.network.Traffic().ByKind()[kind].SentMessages
+	}
+	return messages
+}
+
+// awaitQuiet waits until no messages of a kind are sent any more.
+func (c *costCluster) awaitQuiet(t *testing.T, kind string) {
+	t.Helper()
+	last, since := int64(-1), time.Now()
+	eventually(t, "messages stop", func() bool {
+		if sent := c.sent(kind); sent != last {
+			last, since = sent, time.Now()
+		}
+		return time.Since(since) > publishTimeout
+	})
+}
+
+// Runs are told to a replica that is down without the help of relays, as long as most replicas answer.
+func TestDeadReplicaCostsNoRelayedMessages(t *testing.T) {
+	const runs = 40
+	cluster := startCostCluster(t, 12, 8)
+	cluster.settle()
+	gateway := cluster.gateways[0]
+	refreshContext, stop := context.WithCancel(t.Context())
+	defer stop()
+	for _, other := range cluster.gateways[1:] {
+		_, err := transport.Call[vouchResponse](t.Context(), other.network, peersOf(cluster.replicas)[0], vouchKind, vouchRequest{})
+		assert.NilError(t, err)
+	}
+	go gateway.network.RefreshRelays(refreshContext, func() []transport.Peer { return peersOf(cluster.replicas[:1]) })
+	eventually(t, "the gateway knows relays", func() bool { return gateway.network.Relays() >= 8 })
+
+	replicas := peersOf(cluster.replicas)
+	cluster.replicas[4].stop()
+	cluster.replicas[4].network.Close()
+	for run := range runs {
+		known := gateway.manager.Exchange(t.Context(), replicas, Evidence{Content: fmt.Sprint("key ", run), Begun: "a"})
+		assert.Assert(t, known.Heard)
+	}
+	cluster.awaitQuiet(t, "relay")
+	assert.Equal(t, cluster.sent("relay"), int64(0))
+}
--- a/internal/catalog/exchange.go
+++ b/internal/catalog/exchange.go
@@ -103,10 +103,12 @@
 	if countSettled(answers) >= needed {
 		return answers, true
 	}
+	fromReplicas.useRelays()
 	request.Forward = true
 	neighbours := m.neighboursOf(evidence)
 	m.options.Metrics.countMessages(evidence.purpose(), toNeighbour, len(neighbours))
 	fromNeighbours := m.ask(ctx, neighbours, request, len(neighbours), neighbourPatience)
+	answers = append(answers, fromReplicas.await(ctx, 0, atLeast(len(replicas)))...)
 	if missing := needed - len(answers); missing > 0 && countSettled(fromNeighbours) == 0 {
 		answers = append(answers, fromReplicas.await(ctx, latePatience, atLeast(missing))...)
 	}
@@ -137,8 +139,13 @@
 // two.
 func (m *Manager) AdoptReports(ctx context.Context, replicas []transport.Peer, patience time.Duration) bool {
 	needed := len(replicas)/2 + 1
-	answers := m.ask(ctx, replicas, publishRequest{All: true}, needed, patience)
 	m.options.Metrics.countMessages(purposeAdopt, toReplica, len(replicas))
+	asked := m.send(ctx, replicas, publishRequest{All: true})
+	answers := asked.await(ctx, patience/2, atLeast(needed))
+	if missing := needed - len(answers); missing > 0 {
+		asked.useRelays()
+		answers = append(answers, asked.await(ctx, patience/2, atLeast(missing))...)
+	}
 	sufficient := len(answers) >= needed
 	if !sufficient {
 		neighbours := m.neighbours()
@@ -164,28 +171,36 @@
 	return m.send(ctx, peers, request).await(ctx, patience, atLeast(needed))
 }
 
+// peerAnswer is the response of a peer, or the error.
+type peerAnswer struct {
+	response publishResponse
+	err      error
+}
+
 // inquiry is a request that was sent to some peers.
 type inquiry struct {
-	// answers has a response of each peer, nil if it failed; pending is how many have not been taken yet.
-	answers chan *publishResponse
+	answers chan peerAnswer
+	// pending is how many answers have not been taken yet, lastErr the error of the last peer that failed.
 	pending int
+	lastErr error
+	// relaysNeeded is closed once too few peers have answered directly.
+	relaysNeeded chan struct{}
 }
 
+// useRelays sends the request through relays to the peers that don't answer. It must be called once at most.
+func (i *inquiry) useRelays() { close(i.relaysNeeded) }
+
 // send sends a request to peers, each with the finished runs of which it has to be told.
 func (m *Manager) send(ctx context.Context, peers []transport.Peer, request publishRequest) *inquiry {
 	// Peers that answer late still take the entries.
 	sendContext, cancel := context.WithTimeout(context.WithoutCancel(ctx), publishTimeout)
-	sent := &inquiry{answers: make(chan *publishResponse, len(peers)), pending: len(peers)}
+	sent := &inquiry{answers: make(chan peerAnswer, len(peers)), pending: len(peers), relaysNeeded: make(chan struct{})}
 	for _, peer := range peers {
 		request := request
 		request.Done = append(slices.Clip(request.Done), m.takeFinishes(peer)...)
 		go func() {
-			response, err := transport.CallWithRelays[publishResponse](sendContext, m.network, peer, publishKind, request, publishTimeout/2)
-			if err != nil {
-				sent.answers <- nil
-				return
-			}
-			sent.answers <- &response
+			response, err := transport.CallWithSpareRelays[publishResponse](sendContext, m.network, peer, publishKind, request, sent.relaysNeeded)
+			sent.answers <- peerAnswer{response: response, err: err}
 		}()
 	}
 	time.AfterFunc(publishTimeout, cancel)
@@ -196,12 +211,16 @@
 func (i *inquiry) await(ctx context.Context, patience time.Duration, enough func([]publishResponse) bool) (responses []publishResponse) {
 	timer := time.NewTimer(patience)
 	defer timer.Stop()
-	for ; i.pending > 0 && !enough(responses); i.pending-- {
+	for i.pending > 0 && !enough(responses) {
+		select {
+		case answer := <-i.answers:
+			responses = i.take(answer, responses)
+			continue
+		default:
+		}
 		select {
 		case answer := <-i.answers:
-			if answer != nil {
-				responses = append(responses, *answer)
-			}
+			responses = i.take(answer, responses)
 		case <-timer.C:
 			return responses
 		case <-ctx.Done():
@@ -211,6 +230,16 @@
 	return responses
 }
 
+// take adds an answer to the responses unless its peer failed.
+func (i *inquiry) take(answer peerAnswer, responses []publishResponse) []publishResponse {
+	i.pending--
+	if answer.err != nil {
+		i.lastErr = answer.err
+		return responses
+	}
+	return append(responses, answer.response)
+}
+
 // adopt takes over entries that another node holds, if they are valid.
 func (m *Manager) adopt(entries []Entry) {
 	valid := slices.DeleteFunc(entries, func(entry Entry) bool { return !entry.publishable() })
--- a/internal/catalog/publish.go
+++ b/internal/catalog/publish.go
@@ -116,27 +116,20 @@
 	m.options.Metrics.countMessages(purposeReport, toNeighbour, len(neighbours))
 	m.options.Metrics.countMessages(purposeReport, toReplica, len(peers))
 	go m.ask(ctx, neighbours, publishRequest{Entries: entries}, len(neighbours), publishTimeout)
-	publishContext, cancel := context.WithTimeout(ctx, publishTimeout)
-	defer cancel()
-	results := make(chan error, len(peers))
-	for _, peer := range peers {
-		go func() {
-			_, err := transport.CallWithRelays[publishResponse](publishContext, m.network, peer, publishKind, publishRequest{Entries: entries}, publishTimeout/2)
-			results <- err
-		}()
+	all := atLeast(len(peers))
+	sent := m.send(ctx, peers, publishRequest{Entries: entries})
+	taken := len(sent.await(ctx, publishTimeout/2, all))
+	if taken == 0 {
+		sent.useRelays()
+		taken = len(sent.await(ctx, publishTimeout, all))
 	}
-	var lastErr error
-	failed := 0
-	for range peers {
-		if err := <-results; err != nil {
-			lastErr = err
-			failed++
-		}
-	}
-	if failed < len(peers) {
+	switch {
+	case taken > 0:
 		return nil
+	case sent.lastErr == nil:
+		return ctx.Err()
 	}
-	return lastErr
+	return sent.lastErr
 }
 
 // servePublish adds entries that another node publishes, and returns what is known of the content that it asks for.
--- a/internal/transport/relay_client.go
+++ b/internal/transport/relay_client.go
@@ -33,6 +33,9 @@
 	// minRelayDelay is the minimum time before the next relay is tried. It covers opening a connection and a relayed
 	// request over slow links.
 	minRelayDelay = 250 * time.Millisecond
+	// lostPeerTTL is for how long no relay is tried for a peer that neither this node nor any relay has reached: a peer that is down would cost a
+	// message of each relay for each request.
+	lostPeerTTL = time.Second
 )
 
 type relaysRequest struct {
@@ -51,6 +54,8 @@
 	preferred string
 	// viaRelay holds the peers that were last reached through a relay rather than directly.
 	viaRelay map[string]bool
+	// lostUntil holds until when no relay is tried for peers that none has reached.
+	lostUntil map[string]time.Time
 }
 
 // listRelays returns a random selection of the connected peers that forward requests.
@@ -147,6 +152,63 @@
 	return decodeReply[Response](result, kind)
 }
 
+// CallWithSpareRelays is like CallWithRelays, but uses relays only from when needed is closed, unless the peer was last reached through one. Callers
+// that need the answers of some peers only close it if too few have come.
+func CallWithSpareRelays[Response any](ctx context.Context, t *Transport, to Peer, kind string, request any, needed <-chan struct{}) (Response, error) {
+	var response Response
+	payload, err := json.Marshal(request)
+	if err != nil {
+		return response, errors.Wrapf(err, "encoding %s", kind)
+	}
+	relays, viaRelay := t.relayRoutes.routesTo(to.Address)
+	if len(relays) == 0 {
+		return Call[Response](ctx, t, to, kind, json.RawMessage(payload))
+	}
+	if viaRelay {
+		needed = closedChannel
+	}
+	result, err := t.callHeld(ctx, to, kind, payload, relays, needed)
+	if err != nil {
+		return response, err
+	}
+	return decodeReply[Response](result, kind)
+}
+
+var closedChannel = func() <-chan struct{} {
+	closed := make(chan struct{})
+	close(closed)
+	return closed
+}()
+
+// callHeld sends a request directly, and through relays from when needed is closed.
+func (t *Transport) callHeld(ctx context.Context, to Peer, kind string, payload json.RawMessage, relays []string, needed <-chan struct{}) (frame, error) {
+	callContext, stop := context.WithCancel(ctx)
+	defer stop()
+	relayed := newRelayedCall(callContext, t, to, kind, payload, relays)
+	defer relayed.drop()
+	relayed.sendDirect()
+	var failure error
+	for held := true; held; {
+		select {
+		case result := <-relayed.results:
+			relayed.pending--
+			if result.fromPeer() {
+				t.recordRoute(to.Address, "", kind)
+				return result.reply, result.err
+			}
+			failure = result.err
+		case <-needed:
+			held = false
+		case <-ctx.Done():
+			return frame{}, unreachable(to.Address, apierr.OutcomeUnknown, ctx.Err())
+		}
+	}
+	if failure != nil || t.silentSince(to.Address, relayed.startedAt) {
+		relayed.startRelays()
+	}
+	return relayed.wait(minRelayDelay)
+}
+
 // routeResult is the result of a request over one route.
 type routeResult struct {
 	// relay is empty for the direct route.
@@ -168,10 +230,7 @@
 	}
 	callContext, stop := context.WithCancel(ctx)
 	defer stop()
-	relayed := &relayedCall{
-		transport: t, ctx: callContext, to: to, kind: kind, payload: payload, relays: relays,
-		startedAt: time.Now(), results: make(chan routeResult, len(relays)+1),
-	}
+	relayed := newRelayedCall(callContext, t, to, kind, payload, relays)
 	defer relayed.drop()
 	relayed.sendDirect()
 	if viaRelay {
@@ -196,6 +255,13 @@
 	pending int
 }
 
+func newRelayedCall(ctx context.Context, t *Transport, to Peer, kind string, payload json.RawMessage, relays []string) *relayedCall {
+	return &relayedCall{
+		transport: t, ctx: ctx, to: to, kind: kind, payload: payload, relays: relays,
+		startedAt: time.Now(), results: make(chan routeResult, len(relays)+1),
+	}
+}
+
 // wait returns the first result from the peer, or the last error once all routes have failed.
 func (c *relayedCall) wait(relayDelay time.Duration) (frame, error) {
 	timer := time.NewTimer(relayDelay)
@@ -219,6 +285,7 @@
 		}
 	}
 	if c.usingRelays {
+		c.transport.relayRoutes.recordLoss(time.Now(), c.to.Address)
 		return frame{}, unreachable(c.to.Address, apierr.OutcomeUnknown, last)
 	}
 	return frame{}, last
@@ -313,10 +380,14 @@
 	}
 }
 
-// routesTo returns the relays in the order in which to try them, and whether the peer was last reached through one.
+// routesTo returns the relays in the order in which to try them, and whether the peer was last reached through one. There are none for a peer that
+// no relay has reached lately.
 func (r *relayRoutes) routesTo(address string) (relays []string, viaRelay bool) {
 	r.mutex.Lock()
 	defer r.mutex.Unlock()
+	if time.Now().Before(r.lostUntil[address]) {
+		return nil, false
+	}
 	for _, relay := range r.relays {
 		switch relay {
 		case address:
@@ -347,6 +418,22 @@
 	}
 }
 
+// recordLoss records that a peer was reached neither directly nor through any relay.
+func (r *relayRoutes) recordLoss(now time.Time, address string) {
+	r.mutex.Lock()
+	defer r.mutex.Unlock()
+	for other, until := range r.lostUntil {
+		if now.After(until) {
+			delete(r.lostUntil, other)
+		}
+	}
+	if r.lostUntil == nil {
+		r.lostUntil = make(map[string]time.Time)
+	}
+	r.lostUntil[address] = now.Add(lostPeerTTL)
+	delete(r.viaRelay, address)
+}
+
 // record stores the relay over which a peer was reached, empty for the direct route, and reports whether the route
 // changed between direct and relayed.
 func (r *relayRoutes) record(address, relay string) bool {
--- a/internal/transport/relay_client_test.go
+++ b/internal/transport/relay_client_test.go
@@ -64,12 +64,13 @@
 	server  string
 	relays  []string
 	running []*Transport
+	serving *Transport
 }
 
 func newRelayFixture(t *testing.T) *relayFixture {
 	t.Helper()
 	fixture := &relayFixture{network: &lossyNetwork{cut: make(map[string]bool)}}
-	_, fixture.server = serve(t, Options{Cluster: "c", NodeID: "server"})
+	fixture.serving, fixture.server = serve(t, Options{Cluster: "c", NodeID: "server"})
 	for _, name := range []string{"relay-1", "relay-2"} {
 		relay, address := serve(t, Options{Cluster: "c", NodeID: name, Relays: true})
 		_, err := Call[echo](t.Context(), relay, Peer{Address: fixture.server}, "echo", echo{})
--- /dev/null
+++ b/internal/transport/spare_relay_test.go
@@ -0,0 +1,61 @@
+package transport
+
+import (
+	"context"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+	"gotest.tools/v3/poll"
+)
+
+// stopServer closes the server of a fixture for good, with all connections to it.
+func (f *relayFixture) stopServer(t *testing.T) {
+	t.Helper()
+	f.serving.Close()
+	poll.WaitOn(t, func(poll.LogT) poll.Result {
+		if f.client.connectionTo(f.server) != nil {
+			return poll.Continue("still connected")
+		}
+		return poll.Success()
+	}, poll.WithTimeout(10*time.Second), poll.WithDelay(time.Millisecond))
+}
+
+// A peer that neither the node nor any relay reaches costs no message of a relay for a while.
+func TestLostPeerIsNotRelayedForAWhile(t *testing.T) {
+	fixture := newRelayFixture(t)
+	fixture.stopServer(t)
+	_, err := fixture.call(t, "echo")
+	assert.Assert(t, err != nil)
+	relayed := fixture.client.Traffic().ByKind()[relayKind].SentMessages
+	assert.Equal(t, relayed, int64(len(fixture.relays)))
+	for range 20 {
+		_, err := fixture.call(t, "echo")
+		assert.Assert(t, err != nil)
+	}
+	assert.Equal(t, fixture.client.Traffic().ByKind()[relayKind].SentMessages, relayed)
+	poll.WaitOn(t, func(poll.LogT) poll.Result {
+		if _, _ = fixture.call(t, "echo"); fixture.client.Traffic().ByKind()[relayKind].SentMessages == relayed {
+			return poll.Continue("no relay is tried again")
+		}
+		return poll.Success()
+	}, poll.WithTimeout(10*lostPeerTTL))
+}
+
+// Spare relays are used once they are needed: for a peer that can't be reached, and for one that is silent.
+func TestSpareRelaysAreUsedWhenNeeded(t *testing.T) {
+	for _, isNeeded := range []bool{false, true} {
+		fixture := newRelayFixture(t)
+		fixture.network.set(fixture.server, true)
+		ctx, cancel := context.WithTimeout(t.Context(), time.Second)
+		needed := make(chan struct{})
+		if isNeeded {
+			close(needed)
+		}
+		response, err := CallWithSpareRelays[echo](ctx, fixture.client, Peer{Address: fixture.server}, "echo", echo{"hello"}, needed)
+		cancel()
+		assert.Equal(t, err == nil, isNeeded)
+		assert.Equal(t, response.Text == "hello", isNeeded)
+		assert.Equal(t, fixture.client.Traffic().ByKind()[relayKind].SentMessages > 0, isNeeded)
+	}
+}
