catalog: news of an interrupted run is not passed on by all gateways

An entry told to neighbours was passed on by each gateway to sixteen others as long as it was news there, and neighbours were told whenever most replicas had run for less than 30 s, though they had answered. Now entries are passed on only if too few replicas have answered, to the gateways that rank first for the content, where others ask for it.

--- a/internal/catalog/cost_test.go
+++ b/internal/catalog/cost_test.go
@@ -132,3 +132,51 @@
 	cluster.awaitQuiet(t, "relay")
 	assert.Equal(t, cluster.sent("relay"), int64(0))
 }
+
+// maxInterruptionMessages bounds the messages that an interrupted run costs all nodes together: of 4,800 requests a second one in a hundred is
+// interrupted, and each of 420 nodes may spend 6 KB a second on messages of 250 bytes, each of which is sent and received.
+const maxInterruptionMessages = 420 * 6000 / (48 * 250 * 2)
+
+// interrupt tells of a run that is interrupted, and turns out to have left its engine alive.
+func (c *costCluster) interrupt(t *testing.T, gateway *testNode, content string) {
+	t.Helper()
+	replicas, end := peersOf(c.replicas), FatalRequest(content+"/1", []byte(`{"e":"e1"}`))
+	gateway.manager.Exchange(t.Context(), replicas, Evidence{Content: content, Finished: "a", Entries: []Entry{end}})
+	// Without replicas there is nobody to publish to but neighbours.
+	_ = gateway.manager.Publish(t.Context(), replicas, []Entry{Withdrawn(content + "/1")})
+}
+
+// News of an interrupted run is not passed on by all gateways, whether or not replicas answer.
+func TestNewsOfInterruptionsIsNotPassedOnByAll(t *testing.T) {
+	const gateways = 60
+	for _, row := range []struct {
+		name    string
+		prepare func(*costCluster)
+	}{
+		{"replicas that have just started", func(*costCluster) {}},
+		{"settled replicas", (*costCluster).settle},
+		{"no replicas", (*costCluster).stopReplicas},
+	} {
+		t.Run(row.name, func(t *testing.T) {
+			cluster := startCostCluster(t, gateways, maxNeighbours)
+			row.prepare(cluster)
+			cluster.awaitQuiet(t, publishKind)
+			gateway := cluster.gateways[gateways/2]
+			gateway.manager.Exchange(t.Context(), peersOf(cluster.replicas), Evidence{Content: "key", Begun: "a"})
+			cluster.awaitQuiet(t, publishKind)
+			before := cluster.sent(publishKind)
+			cluster.interrupt(t, gateway, "key")
+			cluster.awaitQuiet(t, publishKind)
+			messages := cluster.sent(publishKind) - before
+			assert.Assert(t, messages <= maxInterruptionMessages, "%d messages", messages)
+		})
+	}
+}
+
+// stopReplicas ends all replicas.
+func (c *costCluster) stopReplicas() {
+	for _, replica := range c.replicas {
+		replica.stop()
+		replica.network.Close()
+	}
+}
--- a/internal/catalog/exchange.go
+++ b/internal/catalog/exchange.go
@@ -20,10 +20,12 @@
 	lateReplicaPatience = 400 * time.Millisecond
 	// silentReplicasTTL is how long neighbours are asked at once after too few replicas have answered.
 	silentReplicasTTL = time.Second
-	// maxNeighbours bounds the gateways that are asked, or to which news is passed on. runNeighbours of them are told of the runs of a content
-	// of which no end is known.
-	maxNeighbours = 16
-	runNeighbours = 3
+	// maxNeighbours bounds the gateways that are asked for all that they know. In place of replicas, endNeighbours are told of a content with interrupted
+	// runs, runNeighbours of another one, and forwardNeighbours by each gateway that passes news on.
+	maxNeighbours     = 16
+	endNeighbours     = 8
+	runNeighbours     = 3
+	forwardNeighbours = 2
 )
 
 // Evidence is what a node tells others of the runs of a content.
@@ -42,6 +44,14 @@
 	return finishedRun{Content: e.Content, Name: e.Finished, Completed: e.Completed}
 }
 
+// neighbours returns how many gateways are told if too few replicas answer.
+func (e Evidence) neighbours() int {
+	if len(e.Entries) == 0 {
+		return runNeighbours
+	}
+	return endNeighbours
+}
+
 func (e Evidence) purpose() purpose {
 	switch {
 	case e.Begun != "":
@@ -104,10 +114,9 @@
 		return answers, true
 	}
 	fromReplicas.useRelays()
-	request.Forward = true
-	neighbours := m.neighboursOf(evidence)
+	neighbours := m.neighboursOf(evidence.Content, evidence.neighbours())
 	m.options.Metrics.countMessages(evidence.purpose(), toNeighbour, len(neighbours))
-	fromNeighbours := m.ask(ctx, neighbours, request, len(neighbours), neighbourPatience)
+	fromNeighbours := m.askNeighbours(ctx, neighbours, request, len(answers) < needed)
 	answers = append(answers, fromReplicas.await(ctx, 0, atLeast(len(replicas)))...)
 	if missing := needed - len(answers); missing > 0 && countSettled(fromNeighbours) == 0 {
 		answers = append(answers, fromReplicas.await(ctx, latePatience, atLeast(missing))...)
@@ -119,6 +128,18 @@
 	return append(answers, fromNeighbours...), heard || len(fromNeighbours) > 0 || len(neighbours) == 0
 }
 
+// askNeighbours tells neighbours of the runs of a content, best ones first, and returns their responses. If passOn is set, the first ones pass entries on.
+func (m *Manager) askNeighbours(ctx context.Context, neighbours []transport.Peer, request publishRequest, passOn bool) []publishResponse {
+	best := min(len(neighbours), runNeighbours)
+	forwarded := request
+	forwarded.Forward = passOn
+	asked := m.send(ctx, neighbours[:best], forwarded)
+	others := m.send(ctx, neighbours[best:], request)
+	deadline := time.Now().Add(neighbourPatience)
+	responses := asked.await(ctx, neighbourPatience, atLeast(best))
+	return append(responses, others.await(ctx, time.Until(deadline), atLeast(len(neighbours)-best))...)
+}
+
 // countSettled returns how many of the responses are from nodes that have run for long.
 func countSettled(responses []publishResponse) (settled int) {
 	for _, response := range responses {
@@ -259,9 +280,10 @@
 	}
 }
 
-// forward passes news on to the neighbours, except the one from which it came.
+// forward passes news of a content on to the neighbours that are told of it, except the one from which it came. Each node passes it on to the same few as far
+// as it knows them, so that the cost does not grow with the deployment.
 func (m *Manager) forward(from transport.Peer, entries []Entry) {
-	peers := slices.DeleteFunc(m.neighbours(), func(peer transport.Peer) bool { return peer.Address == from.Address })
+	peers := slices.DeleteFunc(m.neighboursOf(contentOf(entries[0].Key), forwardNeighbours), func(peer transport.Peer) bool { return peer.Address == from.Address })
 	m.options.Metrics.countMessages(purposeForward, toNeighbour, len(peers))
 	m.ask(context.Background(), peers, publishRequest{Entries: entries, Forward: true}, len(peers), neighbourPatience)
 }
@@ -276,17 +298,13 @@
 }
 
 // neighboursOf returns the gateways that are told of the runs of a content, the same ones at each gateway as far as it knows them.
-func (m *Manager) neighboursOf(evidence Evidence) []transport.Peer {
+func (m *Manager) neighboursOf(content string, count int) []transport.Peer {
 	if m.options.Neighbours == nil {
 		return nil
 	}
 	known := slices.Clone(m.options.Neighbours())
-	rank := func(peer transport.Peer) uint64 { return xxhash.Sum64String(evidence.Content + peer.Address) }
+	rank := func(peer transport.Peer) uint64 { return xxhash.Sum64String(content + peer.Address) }
 	slices.SortFunc(known, func(a, b transport.Peer) int { return cmp.Compare(rank(a), rank(b)) })
-	count := maxNeighbours
-	if len(evidence.Entries) == 0 {
-		count = runNeighbours
-	}
 	return known[:min(len(known), count)]
 }
 
--- a/internal/catalog/publish.go
+++ b/internal/catalog/publish.go
@@ -112,7 +112,7 @@
 func (m *Manager) Publish(ctx context.Context, peers []transport.Peer, entries []Entry) error {
 	_, news := m.recordPublished(publishRequest{Entries: entries})
 	m.Apply(news)
-	neighbours := m.neighbours()
+	neighbours := m.neighboursOfAll(entries)
 	m.options.Metrics.countMessages(purposeReport, toNeighbour, len(neighbours))
 	m.options.Metrics.countMessages(purposeReport, toReplica, len(peers))
 	go m.ask(ctx, neighbours, publishRequest{Entries: entries}, len(neighbours), publishTimeout)
@@ -132,6 +132,18 @@
 	return sent.lastErr
 }
 
+// neighboursOfAll returns the gateways that are told of entries, a bounded number.
+func (m *Manager) neighboursOfAll(entries []Entry) (told []transport.Peer) {
+	for _, entry := range entries {
+		for _, peer := range m.neighboursOf(contentOf(entry.Key), runNeighbours) {
+			if len(told) < maxNeighbours && !slices.Contains(told, peer) {
+				told = append(told, peer)
+			}
+		}
+	}
+	return told
+}
+
 // servePublish adds entries that another node publishes, and returns what is known of the content that it asks for.
 func (m *Manager) servePublish(_ context.Context, from transport.Peer, request publishRequest) (publishResponse, error) {
 	for _, entry := range request.Entries {
