catalog, turnstore: replicas of a first start know all runs

For the first 30 s after all machines had started, each run was told to three neighbours beside the replicas, and waited for the slowest of them: replicas that have run for less than that don't count as knowing all runs in progress. At the first start of the whole system there are none before, so a replica with a new disk counts at once. One that restarts finds its disk, and waits as before.

--- a/internal/catalog/cost_test.go
+++ b/internal/catalog/cost_test.go
@@ -180,3 +180,18 @@
 		replica.network.Close()
 	}
 }
+
+// At the first start of the whole system replicas know all runs: gateways aren't asked.
+func TestNewReplicasKnowAllRuns(t *testing.T) {
+	for _, isFirst := range []bool{true, false} {
+		cluster := startCostCluster(t, 4, 3)
+		for _, replica := range cluster.replicas {
+			replica.manager.options.KnowsAllRuns = isFirst
+		}
+		gateway := cluster.gateways[0]
+		known := gateway.manager.Exchange(t.Context(), peersOf(cluster.replicas), Evidence{Content: "key", Begun: "a"})
+		assert.Assert(t, known.Heard)
+		cluster.awaitQuiet(t, publishKind)
+		assert.Equal(t, gateway.network.Traffic().ByKind()[publishKind].SentMessages == costReplicas, isFirst)
+	}
+}
--- a/internal/catalog/manager.go
+++ b/internal/catalog/manager.go
@@ -67,6 +67,8 @@
 	Source     Source
 	// FirstStart is set only at the first start of the whole system.
 	FirstStart bool
+	// KnowsAllRuns is set if no node can have begun a run before this one started.
+	KnowsAllRuns bool
 	// StaleAfter is the age from which a catalog is not fresh any more. It must cover the time for which the store
 	// holds a watch, and network delays.
 	StaleAfter time.Duration
--- a/internal/catalog/publish.go
+++ b/internal/catalog/publish.go
@@ -74,8 +74,8 @@
 	Closed []string `json:"z,omitempty"`
 	// Completed is set if a run was completed lately.
 	Completed bool `json:"s,omitempty"`
-	// Settled is set if the node has run for runTTL: it knows all runs that it was told of and that may be in progress. Builds that don't
-	// remember runs for that long leave it out.
+	// Settled is set if the node has run for runTTL, or since before the first run: it knows all runs that it was told of and that may be in
+	// progress. Builds that don't remember runs for that long leave it out.
 	Settled bool `json:"t,omitempty"`
 }
 
@@ -173,7 +173,7 @@
 // recordPublished records entries and runs of a node, and returns the entries that are new here.
 func (m *Manager) recordPublished(request publishRequest) (publishResponse, []Entry) {
 	now := time.Now()
-	response := publishResponse{Settled: now.Sub(m.startedAt) >= runTTL}
+	response := publishResponse{Settled: m.options.KnowsAllRuns || now.Sub(m.startedAt) >= runTTL}
 	for _, run := range request.Done {
 		m.ledger.finish(now, run)
 	}
--- a/internal/turnstore/folder.go
+++ b/internal/turnstore/folder.go
@@ -33,6 +33,8 @@
 // folder is a replica's data folder.
 type folder struct {
 	path string
+	// isNew is set if the folder was empty at the first start of the whole system.
+	isNew bool
 
 	mutex  sync.Mutex
 	stored folderRecord
@@ -52,9 +54,10 @@
 		return nil, errors.Wrapf(err, "reading the replica record in data folder %s", path)
 	}
 	opened.stored = folderRecord{Identity: uuid.NewString(), Complete: firstStart}
+	opened.isNew = firstStart
 	if err := opened.save(); err != nil {
 		// A full disk must not stop the replica from serving reads, but it does not count as complete.
-		opened.stored.Complete = false
+		opened.stored.Complete, opened.isNew = false, false
 	}
 	return opened, nil
 }
--- a/internal/turnstore/node.go
+++ b/internal/turnstore/node.go
@@ -45,7 +45,7 @@
 	node.catalog = catalog.NewManager(catalog.Options{
 		Peers: node.peers, FollowAll: true, ReadsStore: node.readsStore, Source: options.Source, StaleAfter: options.StaleAfter,
 		Self:     catalog.Endpoint{Address: options.Replica.Self.Address, Zone: options.Replica.Self.Zone},
-		IsMirror: node.servesGateways, OnChange: node.apply,
+		IsMirror: node.servesGateways, OnChange: node.apply, KnowsAllRuns: node.replica.folder.isNew,
 	}, options.Network, options.Logger)
 	return node, nil
 }
