transport: a slow node doesn't relay what it only reads late

A peer that can't be reached is relayed to at once, as before, one that is silent only after 250 ms of silence, as it was before spare relays. The tests of both packages pass unchanged.

--- a/internal/transport/relay_client.go
+++ b/internal/transport/relay_client.go
@@ -160,35 +160,26 @@
 	if err != nil {
 		return response, errors.Wrapf(err, "encoding %s", kind)
 	}
-	relays, viaRelay := t.relayRoutes.routesTo(to.Address)
-	if len(relays) == 0 {
-		return Call[Response](ctx, t, to, kind, json.RawMessage(payload))
-	}
-	if viaRelay {
-		needed = closedChannel
-	}
-	result, err := t.callHeld(ctx, to, kind, payload, relays, needed)
+	result, err := t.callHeld(ctx, to, kind, payload, needed)
 	if err != nil {
 		return response, err
 	}
 	return decodeReply[Response](result, kind)
 }
 
-var closedChannel = func() <-chan struct{} {
-	closed := make(chan struct{})
-	close(closed)
-	return closed
-}()
-
 // callHeld sends a request directly, and through relays from when needed is closed.
-func (t *Transport) callHeld(ctx context.Context, to Peer, kind string, payload json.RawMessage, relays []string, needed <-chan struct{}) (frame, error) {
+func (t *Transport) callHeld(ctx context.Context, to Peer, kind string, payload json.RawMessage, needed <-chan struct{}) (frame, error) {
+	relays, viaRelay := t.relayRoutes.routesTo(to.Address)
+	if len(relays) == 0 {
+		return t.call(ctx, to, kind, payload)
+	}
 	callContext, stop := context.WithCancel(ctx)
 	defer stop()
 	relayed := newRelayedCall(callContext, t, to, kind, payload, relays)
 	defer relayed.drop()
 	relayed.sendDirect()
 	var failure error
-	for held := true; held; {
+	for held := !viaRelay; held; {
 		select {
 		case result := <-relayed.results:
 			relayed.pending--
@@ -203,7 +194,7 @@
 			return frame{}, unreachable(to.Address, apierr.OutcomeUnknown, ctx.Err())
 		}
 	}
-	if failure != nil || t.silentSince(to.Address, relayed.startedAt) {
+	if failure != nil || viaRelay {
 		relayed.startRelays()
 	}
 	return relayed.wait(minRelayDelay)
