catalog: interrupted runs are not told to gateways that don't run the same content

Each interrupted run, and its withdrawal, went over the feed to every gateway, from each of the replicas that it follows: the cost of an interruption grew with the deployment, at gateways that had nothing to do with the request. A gateway asks the replicas of the content before it begins a run, so only those need the news that have a run of the content, or have left one: they may have to cancel it, or to count it. The replicas know them by the names of the runs, and the gateway that publishes tells them directly. Ends of engines go over the feed as before.

--- a/internal/catalog/board.go
+++ b/internal/catalog/board.go
@@ -9,6 +9,8 @@
 	// maxBoardContents bounds the contents of a board, maxBoardEntries the entries of each. The oldest are dropped.
 	maxBoardContents = 2048
 	maxBoardEntries  = 32
+	// maxOwners bounds the nodes that are told of the entries of a content.
+	maxOwners = 16
 	// maxAllEntries bounds the entries of all contents in one response.
 	maxAllEntries = 1024
 )
@@ -20,8 +22,18 @@
 // boardContent is what a board holds of one content.
 type boardContent struct {
 	// entries has the oldest first.
-	entries []Entry
-	seenAt  time.Time
+	entries []boardEntry
+	// owners are the addresses of the nodes that have begun runs of the content lately, as far as this node has heard of them.
+	owners []string
+	seenAt time.Time
+}
+
+// boardEntry is an entry of one content.
+type boardEntry struct {
+	Entry
+	// own is set if this node has published the entry, told are the owners of runs that it has told of it.
+	own  bool
+	told []string
 }
 
 func newBoard() *board { return &board{contents: make(map[string]*boardContent)} }
@@ -54,18 +66,19 @@
 	}
 }
 
-// record stores an entry if it is newer than the stored one, and reports whether it did.
-func (b *board) record(now time.Time, key string, entry Entry) bool {
+// record stores an entry if it is newer than the stored one, and reports whether it did. own is set if this node publishes it.
+func (b *board) record(now time.Time, key string, entry Entry, own bool) bool {
 	known := b.content(now, key)
-	index := slices.IndexFunc(known.entries, func(stored Entry) bool { return stored.Key == entry.Key })
+	added := boardEntry{Entry: entry, own: own}
+	index := slices.IndexFunc(known.entries, func(stored boardEntry) bool { return stored.Key == entry.Key })
 	if index >= 0 {
-		if !entry.newerThan(known.entries[index]) {
+		if !entry.newerThan(known.entries[index].Entry) {
 			return false
 		}
-		known.entries[index] = entry
+		known.entries[index] = added
 		return true
 	}
-	known.entries = append(known.entries, entry)
+	known.entries = append(known.entries, added)
 	if len(known.entries) > maxBoardEntries {
 		known.entries = slices.Delete(known.entries, 0, 1)
 	}
@@ -78,20 +91,49 @@
 	if known == nil {
 		return nil, 0
 	}
-	for _, entry := range known.entries {
-		if !entry.Removed() {
+	for _, stored := range known.entries {
+		entries = append(entries, stored.Entry)
+		if !stored.Removed() {
 			valid++
 		}
 	}
-	return slices.Clone(known.entries), valid
+	return entries, valid
+}
+
+// untold returns the entries of a content that this node has published and not told the owners of its runs yet, by owner. Further owners, if there are
+// any, are remembered.
+func (b *board) untold(key string, owners []string) map[string][]Entry {
+	known := b.contents[key]
+	if known == nil {
+		return nil
+	}
+	for _, owner := range owners {
+		if len(known.owners) < maxOwners && !slices.Contains(known.owners, owner) {
+			known.owners = append(known.owners, owner)
+		}
+	}
+	untold := make(map[string][]Entry)
+	for index := range known.entries {
+		stored := &known.entries[index]
+		if !stored.own {
+			continue
+		}
+		for _, owner := range known.owners {
+			if !slices.Contains(stored.told, owner) {
+				stored.told = append(stored.told, owner)
+				untold[owner] = append(untold[owner], stored.Entry)
+			}
+		}
+	}
+	return untold
 }
 
 // allEntries returns the entries of all contents that are not withdrawn, a bounded number of them.
 func (b *board) allEntries() (all []Entry) {
 	for _, known := range b.contents {
-		for _, entry := range known.entries {
-			if !entry.Removed() && len(all) < maxAllEntries {
-				all = append(all, entry)
+		for _, stored := range known.entries {
+			if !stored.Removed() && len(all) < maxAllEntries {
+				all = append(all, stored.Entry)
 			}
 		}
 	}
--- a/internal/catalog/cost_test.go
+++ b/internal/catalog/cost_test.go
@@ -173,6 +173,25 @@
 	}
 }
 
+// News of interrupted runs does not go to gateways that don't run the same content, other than those that stand in for replicas.
+func TestInterruptionsDoNotReachAllGatewaysByTheFeed(t *testing.T) {
+	const gateways, interruptions = 60, 20
+	cluster := startCostCluster(t, gateways, maxNeighbours)
+	cluster.settle()
+	cluster.awaitQuiet(t, publishKind)
+	startedAt, before := time.Now(), cluster.sent(followKind)
+	cluster.awaitQuiet(t, publishKind)
+	idle := float64(cluster.sent(followKind)-before) / time.Since(startedAt).Seconds()
+
+	startedAt, before = time.Now(), cluster.sent(followKind)
+	for number := range interruptions {
+		cluster.interrupt(t, cluster.gateways[number], fmt.Sprint("key ", number))
+	}
+	cluster.awaitQuiet(t, publishKind)
+	fed := float64(cluster.sent(followKind)-before) - idle*time.Since(startedAt).Seconds()
+	assert.Assert(t, fed <= interruptions*maxInterruptionMessages, "%.0f messages of the feed", fed)
+}
+
 // stopReplicas ends all replicas.
 func (c *costCluster) stopReplicas() {
 	for _, replica := range c.replicas {
--- a/internal/catalog/exchange.go
+++ b/internal/catalog/exchange.go
@@ -4,6 +4,7 @@
 	"cmp"
 	"context"
 	"slices"
+	"strings"
 	"time"
 
 	"github.com/cespare/xxhash/v2"
@@ -83,8 +84,8 @@
 		// Builds that don't know Done read this.
 		request.Finished = evidence.Finished
 	}
-	own, news := m.recordPublished(request)
-	m.Apply(news)
+	own, news := m.recordPublished(request, true)
+	m.take(news)
 	answers, heard := m.askForRuns(ctx, replicas, request, evidence)
 	known := Known{Heard: heard, Completed: own.Completed}
 	open, closed := own.Open, own.Closed
@@ -95,6 +96,7 @@
 		m.adopt(answer.Entries)
 	}
 	m.notifyOf(evidence.Content)
+	m.tellOwners(evidence.Content, slices.Concat(open, closed))
 	known.Open = openRuns(open, closed, evidence)
 	return known
 }
@@ -264,8 +266,43 @@
 // adopt takes over entries that another node holds, if they are valid.
 func (m *Manager) adopt(entries []Entry) {
 	valid := slices.DeleteFunc(entries, func(entry Entry) bool { return !entry.publishable() })
-	_, news := m.recordPublished(publishRequest{Entries: valid})
-	m.Apply(news)
+	_, news := m.recordPublished(publishRequest{Entries: valid}, false)
+	m.take(news)
+}
+
+// take passes new entries on: those of interrupted runs to OnChange only, since nodes ask for them before they begin runs, others to all followers, too.
+func (m *Manager) take(news []Entry) {
+	var followed []Entry
+	var contents []string
+	for _, entry := range news {
+		if kind, _ := SplitKey(entry.Key); kind != FatalRequestKind {
+			followed = append(followed, entry)
+		} else if content := contentOf(entry.Key); !slices.Contains(contents, content) {
+			contents = append(contents, content)
+		}
+	}
+	m.Apply(followed)
+	for _, content := range contents {
+		m.notifyOf(content)
+	}
+}
+
+// tellOwners tells the nodes that have begun runs with these names of what this node has published of their content: they may have to cancel a run, or
+// have left one. Others hear of it when they are about to begin one.
+func (m *Manager) tellOwners(content string, names []string) {
+	var owners []string
+	for _, name := range names {
+		if _, owner, found := strings.Cut(name, ownerSeparator); found && owner != "" && owner != m.network.Address() {
+			owners = append(owners, owner)
+		}
+	}
+	m.mutex.Lock()
+	untold := m.board.untold(content, owners)
+	m.mutex.Unlock()
+	m.options.Metrics.countMessages(purposeReport, toOwner, len(untold))
+	for owner, entries := range untold {
+		m.send(context.Background(), []transport.Peer{{Address: owner}}, publishRequest{Entries: entries})
+	}
 }
 
 // notifyOf calls OnChange for all entries of a content, so that none is missing that another goroutine has recorded and not passed on yet.
--- a/internal/catalog/metrics.go
+++ b/internal/catalog/metrics.go
@@ -24,6 +24,7 @@
 const (
 	toReplica   = "replica"
 	toNeighbour = "neighbour"
+	toOwner     = "owner"
 )
 
 // maxInstallation bounds the delays that are observed: changes that a node has missed while it was down or cut off are older.
--- a/internal/catalog/publish.go
+++ b/internal/catalog/publish.go
@@ -107,11 +107,15 @@
 	return Entry{Key: Key(FatalRequestKind, name), Revision: withdrawnRevision}
 }
 
-// Publish adds entries to this catalog and to those of some peers, from which all other nodes get them, and tells the neighbours. It returns
-// once the peers have answered or publishTimeout has passed. The error is that of the last peer that failed, if all did.
+// Publish adds entries to this catalog and tells some peers, the neighbours, and the nodes that are known to have begun runs of the same contents. All other
+// nodes get those of EngineEndKind from the peers. It returns once the peers have answered or publishTimeout has passed. The error is that of the last peer
+// that failed, if all did.
 func (m *Manager) Publish(ctx context.Context, peers []transport.Peer, entries []Entry) error {
-	_, news := m.recordPublished(publishRequest{Entries: entries})
-	m.Apply(news)
+	_, news := m.recordPublished(publishRequest{Entries: entries}, true)
+	m.take(news)
+	for _, entry := range news {
+		m.tellOwners(contentOf(entry.Key), nil)
+	}
 	neighbours := m.neighboursOfAll(entries)
 	m.options.Metrics.countMessages(purposeReport, toNeighbour, len(neighbours))
 	m.options.Metrics.countMessages(purposeReport, toReplica, len(peers))
@@ -155,8 +159,8 @@
 	if max(len(request.Content), len(request.Begun), len(request.Finished)) > maxPublishedBytes || !validFinishes(request.Done) {
 		return publishResponse{}, errors.WithStack(&ErrNotPublishable{Key: request.Content[:min(len(request.Content), maxPublishedBytes)]})
 	}
-	response, news := m.recordPublished(request)
-	m.Apply(news)
+	response, news := m.recordPublished(request, false)
+	m.take(news)
 	if request.Forward && len(news) > 0 {
 		go m.forward(from, news)
 	}
@@ -170,8 +174,8 @@
 	})
 }
 
-// recordPublished records entries and runs of a node, and returns the entries that are new here.
-func (m *Manager) recordPublished(request publishRequest) (publishResponse, []Entry) {
+// recordPublished records entries and runs of a node, and returns the entries that are new here. own is set if this node publishes them.
+func (m *Manager) recordPublished(request publishRequest, own bool) (publishResponse, []Entry) {
 	now := time.Now()
 	response := publishResponse{Settled: m.options.KnowsAllRuns || now.Sub(m.startedAt) >= runTTL}
 	for _, run := range request.Done {
@@ -190,7 +194,7 @@
 	}
 	var news []Entry
 	for _, entry := range request.Entries {
-		if kind, _ := SplitKey(entry.Key); kind == FatalRequestKind && !m.board.record(now, contentOf(entry.Key), entry) {
+		if kind, _ := SplitKey(entry.Key); kind == FatalRequestKind && !m.board.record(now, contentOf(entry.Key), entry, own) {
 			continue
 		}
 		news = append(news, entry)
