ingress: a request that may outlast a planned stop is refused as not run

Callers whose request came late in the grace of a planned stop, on a connection that had sent its head or a part of its body before, lost it: it was passed on, and cut with no answer when the gateway abandoned what still ran. The time limit is checked again once the body is there.

--- a/internal/apierr/apierr.go
+++ b/internal/apierr/apierr.go
@@ -57,6 +57,7 @@
 	TurnsUnavailable     Code = "turns_unavailable"
 	OriginUnknown        Code = "origin_unknown"
 	EndsEngines          Code = "ends_engines"
+	Stopping             Code = "stopping"
 	Internal             Code = "internal"
 )
 
@@ -92,6 +93,7 @@
 	TurnsUnavailable:     http.StatusServiceUnavailable,
 	OriginUnknown:        http.StatusServiceUnavailable,
 	EndsEngines:          http.StatusBadGateway,
+	Stopping:             http.StatusServiceUnavailable,
 	Internal:             http.StatusInternalServerError,
 }
 
--- a/internal/explain/meaning.go
+++ b/internal/explain/meaning.go
@@ -12,6 +12,7 @@
 	apierr.BudgetExceeded:   "the program's turns, those under way at their most, leave no room for this one",
 	apierr.NoSuchTurn:       "so many complete replicas do not know the previous turn that it was never kept, or has expired",
 	apierr.OriginUnknown:    "the caller resumes a stream, and no replica holds a clear record of the software version that began it, nor has this gateway seen only one version since: look at the first attempt (resumes) and its origin_error",
+	apierr.Stopping:         "the gateway was stopping, and the request might not have ended in the rest of the grace period: it was not run, other gateways serve it",
 	apierr.EndsEngines:      "three engines ended while they ran this request, over all its attempts: request_fatal names them, engine_ended the proof of each",
 	apierr.TurnsUnavailable: "too few replicas answered in time: look for replica events and lost peers above",
 	apierr.NoEngine:         "no engine could take the call within the wait: look for breakers, gone and draining engines above",
--- a/internal/ingress/node.go
+++ b/internal/ingress/node.go
@@ -33,12 +33,6 @@
 	adoptPatience   = 500 * time.Millisecond
 	catchUpPatience = 60 * time.Millisecond
 	pauseThreshold  = 300 * time.Millisecond
-	// drainDelay is how long a stopping gateway accepts new connections, until the platform has
-	// seen that it is not ready.
-	drainDelay = 3200 * time.Millisecond
-	// drainMargin is the part of the grace period that is left when remaining requests are
-	// abandoned.
-	drainMargin = 700 * time.Millisecond
 	// headerTimeout and idleTimeout exceed the limits promised to callers, so that a caller's own
 	// limits apply first.
 	headerTimeout = 10 * time.Second
@@ -367,11 +361,11 @@
 // abandoned shortly before the end of grace.
 func (n *Node) Stop(server *http.Server, grace time.Duration) {
 	n.stopping.Store(true)
-	n.server.Drain()
+	schedule := newDrain(time.Now(), grace)
+	n.server.Drain(schedule)
 	n.options.Logger.Emit(events.NodeStopping, events.F("active", n.server.Active()))
-	startedAt := time.Now()
-	time.Sleep(min(drainDelay, grace/2))
-	ctx, cancel := context.WithDeadline(context.Background(), startedAt.Add(grace-drainMargin))
+	time.Sleep(time.Until(schedule.closeAt))
+	ctx, cancel := context.WithDeadline(context.Background(), schedule.abandonAt)
 	defer cancel()
 	err := server.Shutdown(ctx)
 	n.options.Logger.Emit(events.NodeStopped, events.F("active", n.server.Active()), events.F("error", err))
--- a/internal/ingress/server.go
+++ b/internal/ingress/server.go
@@ -10,7 +10,7 @@
 //	server := ingress.New(ingress.Options{...})
 //	httpServer := &http.Server{Handler: server}
 //	...
-//	server.Drain()   // responses have "Connection: close" from now on
+//	server.Drain(newDrain(time.Now(), grace)) // responses have "Connection: close" from now on
 package ingress
 
 import (
@@ -99,8 +99,9 @@
 
 // Server is an http.Handler for callers' requests.
 type Server struct {
-	options  Options
-	draining atomic.Bool
+	options Options
+	// draining is the schedule of the stop in progress; nil without one.
+	draining atomic.Pointer[drain]
 	active   atomic.Int64
 	logLimit *logLimiter
 	// connections are those of Listener.
@@ -112,8 +113,8 @@
 	return &Server{options: options, logLimit: newLogLimiter(), connections: &connections{limit: options.MaxConnections}}
 }
 
-// Drain makes each further response close its connection.
-func (s *Server) Drain() { s.draining.Store(true) }
+// Drain makes each further response close its connection, and refuses late requests that may outlast the stop.
+func (s *Server) Drain(schedule drain) { s.draining.Store(&schedule) }
 
 // Active returns the number of requests in progress.
 func (s *Server) Active() int64 { return s.active.Load() }
@@ -163,7 +164,7 @@
 	current := &request{server: s, writer: writer, incoming: req, arrivedAt: time.Now(), memory: s.options.Memory.Open("request body"), response: s.options.Memory.Open("response")}
 	defer current.memory.Release()
 	defer current.response.Release()
-	if s.draining.Load() {
+	if s.draining.Load() != nil {
 		writer.Header().Set("Connection", "close")
 	}
 	err := current.serve()
@@ -225,7 +226,14 @@
 	r.caller = caller
 	name := route.Pick(rand.Float64())
 	r.service, _ = table.Service(name)
-	return r.readBody(table.Limits())
+	if err := r.checkDrain(); err != nil {
+		return err
+	}
+	if err := r.readBody(table.Limits()); err != nil {
+		return err
+	}
+	// The body may have taken long.
+	return r.checkDrain()
 }
 
 // startupRetryAfter is the Retry-After of a node that has no routes yet.
