catalog: tests and benchmarks of what runs cost as deployments grow

TestConfirmedChangesAreInForceDuringInterruptions bounds the way of a confirmed change to 60 gateways while these begin 750 runs a second, one in 20 is interrupted, and a replica is down.

--- a/internal/catalog/cost_test.go
+++ b/internal/catalog/cost_test.go
@@ -5,11 +5,13 @@
 	"fmt"
 	"net"
 	"slices"
+	"sync"
 	"testing"
 	"time"
 
 	"gotest.tools/v3/assert"
 
+	"github.com/mountstile/mountstile/internal/clock"
 	"github.com/mountstile/mountstile/internal/events"
 	"github.com/mountstile/mountstile/internal/transport"
 )
@@ -96,7 +98,7 @@
 }
 
 // awaitQuiet waits until no messages of a kind are sent any more.
-func (c *costCluster) awaitQuiet(t *testing.T, kind string) {
+func (c *costCluster) awaitQuiet(t testing.TB, kind string) {
 	t.Helper()
 	last, since := int64(-1), time.Now()
 	eventually(t, "messages stop", func() bool {
@@ -138,7 +140,7 @@
 const maxInterruptionMessages = 420 * 6000 / (48 * 250 * 2)
 
 // interrupt tells of a run that is interrupted, and turns out to have left its engine alive.
-func (c *costCluster) interrupt(t *testing.T, gateway *testNode, content string) {
+func (c *costCluster) interrupt(t testing.TB, gateway *testNode, content string) {
 	t.Helper()
 	replicas, end := peersOf(c.replicas), FatalRequest(content+"/1", []byte(`{"e":"e1"}`))
 	gateway.manager.Exchange(t.Context(), replicas, Evidence{Content: content, Finished: "a", Entries: []Entry{end}})
@@ -215,6 +217,59 @@
 	}
 }
 
+// A confirmed change is in force at each gateway in time while runs are announced and interrupted and a replica is down.
+func TestConfirmedChangesAreInForceDuringInterruptions(t *testing.T) {
+	const (
+		gateways = 60
+		// Each gateway begins a run each runInterval, as with 4,800 requests a second at 420 nodes; one in interruptedRuns is interrupted.
+		runInterval     = 80 * time.Millisecond
+		interruptedRuns = 20
+		changes         = 6
+		changeInterval  = 500 * time.Millisecond
+	)
+	cluster := startCostCluster(t, gateways, maxNeighbours)
+	ctx, stop := context.WithCancel(t.Context())
+	var running sync.WaitGroup
+	defer running.Wait()
+	defer stop()
+	for index, gateway := range cluster.gateways {
+		running.Go(func() { cluster.run(ctx, index, gateway, runInterval, interruptedRuns) })
+	}
+	down := cluster.replicas[costReplicas-1]
+	down.stop()
+	down.network.Close()
+	for change := range changes {
+		wanted := entry(Key(ConfigurationKind, "current"), int64(change+1), "x")
+		confirmedAt := time.Now()
+		for _, replica := range cluster.replicas[:costReplicas-1] {
+			replica.source.change(wanted)
+		}
+		for index, gateway := range cluster.gateways {
+			eventually(t, "the change arrives", func() bool { return gateway.revision(wanted.Key) >= wanted.Revision })
+			took := time.Since(confirmedAt)
+			assert.Assert(t, took <= defaultPropagationBound, "change %d, gateway %d: %v", change, index, took)
+		}
+		clock.Sleep(ctx, changeInterval)
+	}
+}
+
+// run announces runs at a gateway until the context ends.
+func (c *costCluster) run(ctx context.Context, index int, gateway *testNode, interval time.Duration, interruptedRuns int) {
+	replicas := peersOf(c.replicas)
+	for number := 0; ctx.Err() == nil; number++ {
+		content := fmt.Sprintf("%d-%d", index, number)
+		gateway.manager.Exchange(ctx, replicas, Evidence{Content: content, Begun: "a"})
+		if number%interruptedRuns == 0 {
+			end := FatalRequest(content+"/1", []byte(`{"e":"e1"}`))
+			gateway.manager.Exchange(ctx, replicas, Evidence{Content: content, Finished: "a", Entries: []Entry{end}})
+			_ = gateway.manager.Publish(ctx, replicas, []Entry{Withdrawn(content + "/1")})
+		} else {
+			gateway.manager.Finish(replicas, Evidence{Content: content, Finished: "a", Completed: true})
+		}
+		clock.Sleep(ctx, interval)
+	}
+}
+
 // BenchmarkAnnouncedRun measures what it costs, over all nodes, to announce a run of a content under which nothing has ended, and to finish it.
 func BenchmarkAnnouncedRun(b *testing.B) {
 	cluster := startCostCluster(b, 1, 0)
@@ -230,3 +285,20 @@
 	}
 	b.ReportMetric(float64(cluster.sent(publishKind)-before)/float64(b.N), "messages/op")
 }
+
+// BenchmarkInterruptedRun measures the messages of an interrupted run, over all nodes, as deployments grow. Those of the feed include the ones that
+// followers send without changes.
+func BenchmarkInterruptedRun(b *testing.B) {
+	for _, gateways := range []int{50, 260} {
+		b.Run(fmt.Sprint(gateways), func(b *testing.B) {
+			cluster := startCostCluster(b, gateways, maxNeighbours)
+			published, fed := cluster.sent(publishKind), cluster.sent(followKind)
+			for number := range b.N {
+				cluster.interrupt(b, cluster.gateways[number%gateways], fmt.Sprint("key ", number))
+			}
+			cluster.awaitQuiet(b, publishKind)
+			b.ReportMetric(float64(cluster.sent(publishKind)-published)/float64(b.N), "messages/op")
+			b.ReportMetric(float64(cluster.sent(followKind)-fed)/float64(b.N), "feed/op")
+		})
+	}
+}
