dispatch: calls of the same content that wait at one gateway share their looks

Each call that waits for others asked all replicas of the content by itself, 20 to 160 ms apart, so that many equal callers cost the replicas a message each, the more the slower these were. Looks without a run of their own ask nothing of a single call: those of one content share the answer. A call that is about to begin tells of its own run, as before, so that what may begin is decided as before.

TestWaitingCallsShareTheirLooks: 315 looks of 40 calls before, one call makes 8; the bound is half of what 40 separate calls would make.

--- a/internal/dispatch/admission.go
+++ b/internal/dispatch/admission.go
@@ -58,7 +58,7 @@
 	}()
 	name := newRunName()
 	for pause := minHoldPause; !expired(ctx); pause = min(2*pause, maxHoldPause) {
-		open, heard := d.tell(ctx, call, name)
+		open, heard := d.announce(ctx, call, name)
 		count := ends.Count(time.Now(), key)
 		if count.Ended+count.Undecided >= fatal.MaxEnds {
 			d.decideInterruptions(ctx, key)
@@ -152,6 +152,25 @@
 	return call.openRun.Load() != nil && fatal.Decide(ends.Count(time.Now(), call.fingerprint()), 0) == fatal.Admit
 }
 
+// announce tells other nodes of the run that a call begins, as tell does. Without a name it only looks whether one may begin; calls of the same content
+// that look at the same time share the answer.
+func (d *Dispatcher) announce(ctx context.Context, call *Call, name string) (open []string, heard bool) {
+	if name != "" || call.openRun.Load() != nil {
+		return d.tell(ctx, call, name)
+	}
+	type look struct {
+		open  []string
+		heard bool
+	}
+	// The first one may be canceled. The function returns no error.
+	shared, _, _ := d.looks.Do(string(call.fingerprint()), func() (any, error) {
+		open, heard := d.tell(context.WithoutCancel(ctx), call, "")
+		return look{open, heard}, nil
+	})
+	found := shared.(look)
+	return slices.Clone(found.open), found.heard
+}
+
 // tell tells other nodes of the runs of the call's content and returns the names of those that they have begun, and whether others were heard.
 // begun is the name of the run that the call begins; empty if none.
 func (d *Dispatcher) tell(ctx context.Context, call *Call, begun string) (open []string, heard bool) {
--- a/internal/dispatch/admission_test.go
+++ b/internal/dispatch/admission_test.go
@@ -7,6 +7,7 @@
 	"net/http"
 	"slices"
 	"sync"
+	"sync/atomic"
 	"syscall"
 	"testing"
 	"time"
@@ -198,6 +199,33 @@
 	assert.Equal(t, begun, fatal.MaxEnds)
 }
 
+// Calls of the same content that wait at one gateway cost about as many messages as one.
+func TestWaitingCallsShareTheirLooks(t *testing.T) {
+	const calls = 40
+	looks := func(calls int) int64 {
+		registry := registryOf(t, "a", "a", "a", "a")
+		var looks atomic.Int64
+		registry.ExchangeRuns(func(_ context.Context, news RunNews) ([]string, bool) {
+			if news.Begun == "" && news.Finished == "" {
+				looks.Add(1)
+			}
+			// As long as an exchange with replicas takes that are slow.
+			clock.Sleep(t.Context(), minHoldPause)
+			return []string{"0", "00", "000"}, true
+		})
+		dispatcher := New(registry, nil, events.Discard())
+		var waiting sync.WaitGroup
+		for range calls {
+			waiting.Go(func() { admitted(t, dispatcher, &Call{ID: "c", Placement: Placement{Service: "s"}}) })
+		}
+		waiting.Wait()
+		return looks.Load()
+	}
+	alone, together := looks(1), looks(calls)
+	assert.Assert(t, alone > 0)
+	assert.Assert(t, together <= calls/2*alone, "%d looks of one call, %d of %d", alone, together, calls)
+}
+
 // A gateway tells that a run is in progress from its announcement on.
 func TestRunLivesWhileItIsAnnounced(t *testing.T) {
 	dispatcher := New(registryOf(t, "a"), nil, events.Discard())
--- a/internal/dispatch/dispatch.go
+++ b/internal/dispatch/dispatch.go
@@ -19,6 +19,7 @@
 	"time"
 
 	"github.com/cockroachdb/errors"
+	"golang.org/x/sync/singleflight"
 
 	"github.com/mountstile/mountstile/internal/apierr"
 	"github.com/mountstile/mountstile/internal/clock"
@@ -233,6 +234,8 @@
 	// announced are the calls that may have told other nodes of a run, running those that an engine runs.
 	announced runningCalls
 	running   runningCalls
+	// looks deduplicates the looks of waiting calls, by their content.
+	looks singleflight.Group
 }
 
 // New returns a Dispatcher that chooses among the registry's engines.
