dispatch: a run that is announced beside others is confirmed by a second look

A call that sees others looks once more before it begins: of those that do, the last one to be heard by most replicas sees all others, and a run that saw none is seen by each of them. A run that sees no other begins after one look, as before, and content that was completed lately does, too.

TestSimultaneousRunsAreConfirmed fails without it.

--- a/internal/dispatch/admission.go
+++ b/internal/dispatch/admission.go
@@ -56,9 +56,12 @@
 			d.finishRun(ctx, call, false)
 		}
 	}()
-	name := newRunName()
+	name, told := newRunName(), ""
 	for pause := minHoldPause; !expired(ctx); pause = min(2*pause, maxHoldPause) {
 		open, heard := d.announce(ctx, call, name)
+		// Of calls that announce runs at the same time, the last one to be heard sees all others only if it looks once more.
+		confirmed := told == name || len(open) == 0
+		told = name
 		count := ends.Count(time.Now(), key)
 		if count.Ended+count.Undecided >= fatal.MaxEnds {
 			d.decideInterruptions(ctx, key)
@@ -75,9 +78,11 @@
 			d.logDecision(call, decision, count, len(open), heard, held)
 		}
 		switch {
-		case decision == fatal.Admit && name != "":
+		case decision == fatal.Admit && name != "" && (confirmed || count.Sound):
 			call.untold.Store(!heard)
 			return nil
+		case decision == fatal.Admit && name != "":
+			continue
 		case decision == fatal.Admit:
 			name = newRunName()
 			continue
--- a/internal/dispatch/admission_test.go
+++ b/internal/dispatch/admission_test.go
@@ -199,6 +199,28 @@
 	assert.Equal(t, begun, fatal.MaxEnds)
 }
 
+// Guards against four runs that are announced at the same time and all begin, since each is heard by other replicas first and sees two of the others.
+func TestSimultaneousRunsAreConfirmed(t *testing.T) {
+	for _, row := range []struct {
+		first, then []string
+		refusal     apierr.Code
+	}{
+		{[]string{"r1", "r2"}, []string{"0", "00", "000"}, apierr.NoEngine}, {[]string{"r1", "r2"}, []string{"r1", "r2"}, ""},
+		{nil, []string{"0", "00", "000"}, ""},
+	} {
+		registry := registryOf(t, "a", "a", "a", "a")
+		told := 0
+		registry.ExchangeRuns(func(_ context.Context, news RunNews) ([]string, bool) {
+			if told++; told == 1 {
+				return row.first, true
+			}
+			return row.then, true
+		})
+		dispatcher := New(registry, nil, events.Discard())
+		assert.Equal(t, admitted(t, dispatcher, &Call{ID: "c", Placement: Placement{Service: "s"}}), row.refusal)
+	}
+}
+
 // Calls of the same content that wait at one gateway cost about as many messages as one.
 func TestWaitingCallsShareTheirLooks(t *testing.T) {
 	const calls = 40
