fatal: a run that waits behind a socket for the next life counts by itself

A fourth run began after three engines had ended. Two runs at one engine counted as one end: the second had been sent before the end under the first was proved, waited behind the listening socket, which outlives the process here, ran in the next life and ended it 1.2 s later. As nothing was answered to it, it was taken for another notice of the first end. A run that is broken off long after that end was proved was in the next life. When it was proved is in the reports now, so that gateways that hear of both later count the same; other builds ignore the field, and theirs count as proved when they arrive, as before.

--- a/internal/fatal/report.go
+++ b/internal/fatal/report.go
@@ -30,6 +30,8 @@
 	AgeMicros      int64 `json:"a,omitempty"`
 	ExposureMicros int64 `json:"d"`
 	BrokenMillis   int64 `json:"t,omitempty"`
+	// EndedMillis is when the end of the engine was proved, by the same clock; 0 if it was not, or if a build reports it that does not tell.
+	EndedMillis int64 `json:"x,omitempty"`
 	// StartedMillis tells which life of the engine it was; see Run.
 	StartedMillis int64 `json:"n,omitempty"`
 	// Undecided is set if it was not known yet whether the engine ended. Builds that don't know it take the run for an end.
@@ -146,8 +148,13 @@
 }
 
 func reportOf(now time.Time, key Key, known *request, interrupted run) Report {
+	endedMillis := int64(0)
+	if interrupted.ended() {
+		endedMillis = interrupted.endedAt.UnixMilli()
+	}
 	return Report{key: key, name: interrupted.report, body: reportBody{
-		Engine: interrupted.Engine, Service: interrupted.Service, Software: interrupted.Software, StartedMillis: interrupted.StartedMillis, Call: interrupted.call,
+		EndedMillis: endedMillis,
+		Engine:      interrupted.Engine, Service: interrupted.Service, Software: interrupted.Software, StartedMillis: interrupted.StartedMillis, Call: interrupted.call,
 		AgeMicros: max(now.Sub(interrupted.BrokenAt), 0).Microseconds(), ExposureMicros: max(interrupted.BrokenAt.Sub(interrupted.SentAt), 0).Microseconds(),
 		BrokenMillis: interrupted.BrokenAt.UnixMilli(), Undecided: !interrupted.ended(), Silent: interrupted.Silent, Sound: known.sound, Fatal: known.refused,
 	}}
@@ -170,7 +177,7 @@
 		call: body.Call, report: report.name, foreign: true,
 	}
 	if !body.Undecided || t.endedSince(reported.Run) {
-		reported.endedAt = now
+		reported.endedAt = body.endedAt(now)
 	}
 	t.addRun(now, report.key, reported)
 	t.requests[report.key].sound = t.requests[report.key].sound || body.Sound
@@ -184,6 +191,14 @@
 	return now.Add(-time.Duration(b.AgeMicros) * time.Microsecond)
 }
 
+// endedAt returns when the end of the engine was proved, as far as it is known.
+func (b reportBody) endedAt(now time.Time) time.Time {
+	if at := time.UnixMilli(b.EndedMillis); now.Sub(at) < retention && at.Sub(now) < maxClockError {
+		return at
+	}
+	return now
+}
+
 // decideReported updates the run with a report's name, and reports whether it is known.
 func (r *request) decideReported(now time.Time, report Report) bool {
 	index := slices.IndexFunc(r.runs, func(known run) bool { return known.report == report.name })
@@ -191,7 +206,7 @@
 		return false
 	}
 	if !report.body.Undecided && !r.runs[index].ended() {
-		r.runs[index].endedAt = now
+		r.runs[index].endedAt = report.body.endedAt(now)
 	}
 	return true
 }
--- a/internal/fatal/tracker.go
+++ b/internal/fatal/tracker.go
@@ -275,7 +275,13 @@
 func (r run) repeatsEnd(now time.Time, earlier run) bool {
 	mayBeNewLife := r.MayRunUntil.IsZero() && !r.decidedAt(now)
 	endedBetween := earlier.ended() && !earlier.endedAt.After(r.SentAt)
-	return r.mayShareLife(earlier) && r.Silent && !mayBeNewLife && !endedBetween
+	return r.mayShareLife(earlier) && r.Silent && !mayBeNewLife && !endedBetween && !r.outlasts(earlier)
+}
+
+// outlasts reports whether this run was broken off long after the end of an earlier one was proved: a request that waits behind a listening socket that
+// outlives its process runs in the next life.
+func (r run) outlasts(earlier run) bool {
+	return r.MayRunUntil.IsZero() && earlier.ended() && r.BrokenAt.Sub(earlier.endedAt) > sameEndTolerance
 }
 
 // mayShareLife reports whether two runs may have been in the same life of an engine.
