coordinator: a call that is cancelled while its dispatch is committed is checked at once

A cancellation that arrives while the dispatch is being committed stops nothing; the gateway has gone, its response is lost, and the slot stays reserved until the regular check 30 s after admission. Coordinators now ask the gateway at their next maintenance, within 500 ms.

TestCallCancelledDuringDispatchIsCheckedSoon fails without the change.

--- a/internal/coordinator/server.go
+++ b/internal/coordinator/server.go
@@ -374,8 +374,10 @@
 	})
 }
 
-// cancel stops the placement of a call whose caller has disconnected.
+// cancel stops the placement of a call whose caller has disconnected. Its dispatch may have been committed already, or may still be: the gateway is
+// asked soon whether it executes the call, so that the slot does not stay reserved.
 func (s *Server) cancel(callID string) {
+	s.checks.request(callID)
 	s.mutex.Lock()
 	defer s.mutex.Unlock()
 	if stop := s.placements[callID]; stop != nil {
