catalog: a first run is told to a majority of the replicas

A run of a content of which nothing else is known is told to a majority now, in the order of a hash of the content, slow replicas last, and to the others within 0.5 s along with other messages, unless it has finished by then; any two majorities share a replica. If the majority is not heard within 20 ms, or a part of it has forgotten runs, all are asked as before. Contents with interruptions or other runs are told to all. Builds before this one ignore the new field and learn of such runs as other replicas do.

--- a/internal/catalog/exchange.go
+++ b/internal/catalog/exchange.go
@@ -86,7 +86,7 @@
 	}
 	own, news := m.recordPublished(request, true)
 	m.take(news)
-	answers, heard := m.askForRuns(ctx, replicas, request, evidence)
+	answers, heard := m.askForRuns(ctx, replicas, request, evidence, request.isFirstRun(own))
 	known := Known{Heard: heard, Completed: own.Completed}
 	open, closed := own.Open, own.Closed
 	for _, answer := range answers {
@@ -103,15 +103,22 @@
 
 // askForRuns tells the replicas of the runs of a content, and the neighbours unless most of the replicas answer soon and have known of runs for long:
 // those that have just started know nothing. heard is false if there are others and too few have answered.
-func (m *Manager) askForRuns(ctx context.Context, replicas []transport.Peer, request publishRequest, evidence Evidence) (answers []publishResponse, heard bool) {
+func (m *Manager) askForRuns(ctx context.Context, replicas []transport.Peer, request publishRequest, evidence Evidence, first bool) (answers []publishResponse, heard bool) {
 	patience, latePatience := replicaPatience, lateReplicaPatience
-	if m.replicasSilent() {
+	silent := m.replicasSilent()
+	if silent {
 		patience, latePatience = 0, 0
 	}
 	needed := len(replicas)/2 + 1
-	fromReplicas := m.send(ctx, replicas, request)
-	m.options.Metrics.countMessages(evidence.purpose(), toReplica, len(replicas))
-	answers = fromReplicas.await(ctx, patience, func(answers []publishResponse) bool { return countSettled(answers) >= needed })
+	var fromReplicas *inquiry
+	if first && !silent {
+		fromReplicas, answers = m.askForFirstRun(ctx, replicas, request)
+	} else {
+		fromReplicas = m.send(ctx, replicas, request)
+		m.options.Metrics.countMessages(evidence.purpose(), toReplica, len(replicas))
+	}
+	settled := countSettled(answers)
+	answers = append(answers, fromReplicas.await(ctx, patience, func(answers []publishResponse) bool { return settled+countSettled(answers) >= needed })...)
 	if countSettled(answers) >= needed {
 		return answers, true
 	}
@@ -196,6 +203,7 @@
 
 // peerAnswer is the response of a peer, or the error.
 type peerAnswer struct {
+	address  string
 	response publishResponse
 	err      error
 }
@@ -206,6 +214,8 @@
 	// pending is how many answers have not been taken yet, lastErr the error of the last peer that failed.
 	pending int
 	lastErr error
+	// settled are the addresses of the peers whose answers have been taken and that have run for long.
+	settled []string
 	// relaysNeeded is closed once too few peers have answered directly.
 	relaysNeeded chan struct{}
 }
@@ -213,21 +223,36 @@
 // useRelays sends the request through relays to the peers that don't answer. It must be called once at most.
 func (i *inquiry) useRelays() { close(i.relaysNeeded) }
 
-// send sends a request to peers, each with the finished runs of which it has to be told.
+// send sends a request to peers, each with the runs of which it has to be told.
 func (m *Manager) send(ctx context.Context, peers []transport.Peer, request publishRequest) *inquiry {
+	sent := newInquiry(len(peers))
+	m.sendMore(ctx, sent, peers, request)
+	return sent
+}
+
+// newInquiry returns an inquiry that can be sent to a number of peers.
+func newInquiry(peers int) *inquiry {
+	return &inquiry{answers: make(chan peerAnswer, peers), relaysNeeded: make(chan struct{})}
+}
+
+// sendMore sends the request to more peers.
+func (m *Manager) sendMore(ctx context.Context, sent *inquiry, peers []transport.Peer, request publishRequest) {
 	// Peers that answer late still take the entries.
 	sendContext, cancel := context.WithTimeout(context.WithoutCancel(ctx), publishTimeout)
-	sent := &inquiry{answers: make(chan peerAnswer, len(peers)), pending: len(peers), relaysNeeded: make(chan struct{})}
 	for _, peer := range peers {
-		request := request
-		request.Done = append(slices.Clip(request.Done), m.takeFinishes(peer)...)
+		request := m.addQueued(peer, request)
 		go func() {
 			response, err := transport.CallWithSpareRelays[publishResponse](sendContext, m.network, peer, publishKind, request, sent.relaysNeeded)
-			sent.answers <- peerAnswer{response: response, err: err}
+			sent.answers <- peerAnswer{address: peer.Address, response: response, err: err}
 		}()
 	}
+	sent.pending += len(peers)
 	time.AfterFunc(publishTimeout, cancel)
-	return sent
+}
+
+// unsettled returns the peers that have not answered, or have not run for long.
+func (i *inquiry) unsettled(peers []transport.Peer) []transport.Peer {
+	return slices.DeleteFunc(slices.Clone(peers), func(peer transport.Peer) bool { return slices.Contains(i.settled, peer.Address) })
 }
 
 // await returns further responses once these are enough, none is pending, or the time is over.
@@ -260,6 +285,9 @@
 		i.lastErr = answer.err
 		return responses
 	}
+	if answer.response.Settled {
+		i.settled = append(i.settled, answer.address)
+	}
 	return append(responses, answer.response)
 }
 
--- a/internal/catalog/manager.go
+++ b/internal/catalog/manager.go
@@ -95,6 +95,7 @@
 	// identity is random, so that followers notice a restart, which resets sequence numbers.
 	identity uint64
 	ledger   *ledger
+	slow     *slowReplicas
 
 	// notifyMutex is held while OnChange is called. Lock order: notifyMutex before mutex.
 	notifyMutex sync.Mutex
@@ -102,8 +103,8 @@
 	mutex sync.Mutex
 	state *State
 	board *board
-	// finishes are the finished runs of which peers have to be told, by their addresses.
-	finishes  map[string]*finishQueue
+	// queues are the runs of which peers have to be told, by their addresses.
+	queues    map[string]*runQueue
 	startedAt time.Time
 	// silentUntil is until when replicas are taken for silent.
 	silentUntil time.Time
@@ -151,7 +152,8 @@
 		state:     NewState(),
 		board:     newBoard(),
 		ledger:    newLedger(),
-		finishes:  make(map[string]*finishQueue),
+		queues:    make(map[string]*runQueue),
+		slow:      &slowReplicas{until: make(map[string]time.Time)},
 		changed:   make(chan struct{}),
 		synced:    make(chan struct{}),
 		followers: make(map[string]*follower),
@@ -184,7 +186,7 @@
 	defer started.Stop()
 	for {
 		m.reconcile(ctx)
-		m.flushFinishes(ctx, time.Now())
+		m.flushQueues(ctx, time.Now())
 		select {
 		case <-started.C:
 		case <-ctx.Done():
--- a/internal/catalog/metrics.go
+++ b/internal/catalog/metrics.go
@@ -10,7 +10,8 @@
 type purpose string
 
 const (
-	// purposeBegin announces a run, purposeLook asks whether one may begin, and purposeFinish tells of one that has finished.
+	// purposeBegin announces a run, purposeLook asks whether one may begin, and purposeFinish tells of one that has finished,
+	// or of runs for which nobody waits.
 	purposeBegin  purpose = "begin"
 	purposeLook   purpose = "look"
 	purposeFinish purpose = "finish"
--- a/internal/catalog/publish.go
+++ b/internal/catalog/publish.go
@@ -60,6 +60,8 @@
 	Finished string `json:"d,omitempty"`
 	// Done are further runs that the sender has finished, also of other contents.
 	Done []finishedRun `json:"f,omitempty"`
+	// BegunBefore are runs that the sender has begun before, also of other contents.
+	BegunBefore []begunRun `json:"g,omitempty"`
 	// All asks for the entries of all contents instead of one.
 	All bool `json:"a,omitempty"`
 	// Forward asks a gateway to pass entries on to its neighbours if they are new to it.
@@ -156,7 +158,7 @@
 			return publishResponse{}, errors.WithStack(&ErrNotPublishable{Key: entry.Key})
 		}
 	}
-	if max(len(request.Content), len(request.Begun), len(request.Finished)) > maxPublishedBytes || !validFinishes(request.Done) {
+	if max(len(request.Content), len(request.Begun), len(request.Finished)) > maxPublishedBytes || !validFinishes(request.Done) || !validBegun(request.BegunBefore) {
 		return publishResponse{}, errors.WithStack(&ErrNotPublishable{Key: request.Content[:min(len(request.Content), maxPublishedBytes)]})
 	}
 	response, news := m.recordPublished(request, false)
@@ -174,10 +176,20 @@
 	})
 }
 
+// validBegun reports whether a node may tell of these runs that it has begun.
+func validBegun(runs []begunRun) bool {
+	return len(runs) <= maxQueuedRuns && !slices.ContainsFunc(runs, func(run begunRun) bool {
+		return max(len(run.Content), len(run.Name)) > maxPublishedBytes
+	})
+}
+
 // recordPublished records entries and runs of a node, and returns the entries that are new here. own is set if this node publishes them.
 func (m *Manager) recordPublished(request publishRequest, own bool) (publishResponse, []Entry) {
 	now := time.Now()
 	response := publishResponse{Settled: m.options.KnowsAllRuns || now.Sub(m.startedAt) >= runTTL}
+	for _, run := range request.BegunBefore {
+		m.ledger.begin(now, run)
+	}
 	for _, run := range request.Done {
 		m.ledger.finish(now, run)
 	}
--- a/internal/catalog/runs.go
+++ b/internal/catalog/runs.go
@@ -40,6 +40,12 @@
 	finished bool
 }
 
+// begunRun is a run that a node has begun.
+type begunRun struct {
+	Content string `json:"c"`
+	Name    string `json:"n"`
+}
+
 // finishedRun is a run that is not in progress any more.
 type finishedRun struct {
 	Content string `json:"c"`
@@ -72,6 +78,16 @@
 	return l.exchange(now, key, "", "")
 }
 
+// begin records that a run has begun.
+func (l *ledger) begin(now time.Time, begun begunRun) {
+	if begun.Name == "" {
+		return
+	}
+	l.mutex.Lock()
+	defer l.mutex.Unlock()
+	l.content(now, begun.Content).begin(now, begun.Name)
+}
+
 // finish records that a run is not in progress any more.
 func (l *ledger) finish(now time.Time, finished finishedRun) {
 	if finished.Name == "" {
--- a/internal/catalog/tell_later.go
+++ b/internal/catalog/tell_later.go
@@ -2,29 +2,42 @@
 
 import (
 	"context"
+	"slices"
 	"time"
 
 	"github.com/mountstile/mountstile/internal/transport"
 )
 
 const (
-	// finishDelay is how long a peer may not hear of a finished run for which nobody waits. Most are told along with runs that begin.
-	finishDelay = 500 * time.Millisecond
-	// maxQueuedFinishes bounds the finished runs that a peer has to be told of; it forgets those that are dropped after runTTL.
-	maxQueuedFinishes = 256
+	// tellDelay is how long a peer may not hear of a run for which nobody waits. Most are told along with other runs.
+	tellDelay = 500 * time.Millisecond
+	// maxQueuedRuns bounds the begun and the finished runs that a peer has to be told of, each. It forgets finished runs that are dropped after
+	// runTTL.
+	maxQueuedRuns = 256
 	// maxToldFinishes bounds the finished runs in one message: those that were queued and one more.
-	maxToldFinishes = maxQueuedFinishes + 1
+	maxToldFinishes = maxQueuedRuns + 1
 )
 
-// finishQueue holds the finished runs of which one peer has to be told. It is guarded by the Manager's mutex.
-type finishQueue struct {
-	peer transport.Peer
-	runs []finishedRun
+// runQueue holds the runs of which one peer has to be told. It is guarded by the Manager's mutex.
+type runQueue struct {
+	peer     transport.Peer
+	begun    []begunRun
+	finished []finishedRun
 	// since is when the first of them was queued.
 	since time.Time
 }
 
-// Finish tells the replicas, within finishDelay, that the run of the evidence has finished.
+// finish queues a finished run, unless the peer has not been told yet that it has begun.
+func (q *runQueue) finish(run finishedRun) {
+	isRun := func(begun begunRun) bool { return begun == begunRun{Content: run.Content, Name: run.Name} }
+	if index := slices.IndexFunc(q.begun, isRun); index >= 0 {
+		q.begun = slices.Delete(q.begun, index, index+1)
+	} else if len(q.finished) < maxQueuedRuns {
+		q.finished = append(q.finished, run)
+	}
+}
+
+// Finish tells the replicas, within tellDelay, that the run of the evidence has finished.
 func (m *Manager) Finish(replicas []transport.Peer, evidence Evidence) {
 	evidence.Finished = m.owned(evidence.Finished)
 	finished, now := evidence.finishedRun(), time.Now()
@@ -32,35 +45,52 @@
 	m.mutex.Lock()
 	defer m.mutex.Unlock()
 	for _, peer := range replicas {
-		queue := m.finishes[peer.Address]
-		if queue == nil {
-			queue = &finishQueue{peer: peer, since: now}
-			m.finishes[peer.Address] = queue
-		}
-		if len(queue.runs) < maxQueuedFinishes {
-			queue.runs = append(queue.runs, finished)
-		}
+		m.queueFor(now, peer).finish(finished)
 	}
 }
 
-// takeFinishes returns the finished runs of which a peer has to be told.
-func (m *Manager) takeFinishes(peer transport.Peer) []finishedRun {
+// tellLater tells peers, within tellDelay, that a run has begun, unless it finishes before.
+func (m *Manager) tellLater(peers []transport.Peer, run begunRun) {
+	now := time.Now()
 	m.mutex.Lock()
 	defer m.mutex.Unlock()
-	queue := m.finishes[peer.Address]
+	for _, peer := range peers {
+		if queue := m.queueFor(now, peer); len(queue.begun) < maxQueuedRuns {
+			queue.begun = append(queue.begun, run)
+		}
+	}
+}
+
+// queueFor returns the queue of a peer. The caller holds the mutex.
+func (m *Manager) queueFor(now time.Time, peer transport.Peer) *runQueue {
+	queue := m.queues[peer.Address]
 	if queue == nil {
-		return nil
+		queue = &runQueue{peer: peer, since: now}
+		m.queues[peer.Address] = queue
+	}
+	return queue
+}
+
+// addQueued adds the runs of which a peer has to be told to a request.
+func (m *Manager) addQueued(peer transport.Peer, request publishRequest) publishRequest {
+	m.mutex.Lock()
+	defer m.mutex.Unlock()
+	if queue := m.queues[peer.Address]; queue != nil {
+		delete(m.queues, peer.Address)
+		request.BegunBefore = queue.begun
+		request.Done = append(slices.Clip(request.Done), queue.finished...)
 	}
-	delete(m.finishes, peer.Address)
-	return queue.runs
+	return request
 }
 
-// flushFinishes tells the peers that have waited for finishDelay.
-func (m *Manager) flushFinishes(ctx context.Context, now time.Time) {
+// flushQueues tells the peers that have waited for tellDelay.
+func (m *Manager) flushQueues(ctx context.Context, now time.Time) {
 	var due []transport.Peer
 	m.mutex.Lock()
-	for _, queue := range m.finishes {
-		if now.Sub(queue.since) >= finishDelay {
+	for address, queue := range m.queues {
+		if len(queue.begun)+len(queue.finished) == 0 {
+			delete(m.queues, address)
+		} else if now.Sub(queue.since) >= tellDelay {
 			due = append(due, queue.peer)
 		}
 	}
