catalog: a first run waits for the first majority as long as for all replicas

A gateway whose replicas are reached through relays, or whose processor is busy, hears them after more than 20 ms: it would take all of them for slow and ask the others each time.

--- a/internal/catalog/first_run.go
+++ b/internal/catalog/first_run.go
@@ -15,7 +15,7 @@
 
 const (
 	// firstPatience is how long a first run waits for as many replicas as it needs before the others are asked, too.
-	firstPatience = 20 * time.Millisecond
+	firstPatience = 40 * time.Millisecond
 	// slowReplicaTTL is for how long a replica that did not answer in time is asked after others.
 	slowReplicaTTL = 5 * time.Second
 )
--- a/test/path/queue_test.go
+++ b/test/path/queue_test.go
@@ -5,6 +5,7 @@
 	"fmt"
 	"sync"
 	"testing"
+	"time"
 
 	"gotest.tools/v3/assert"
 	"gotest.tools/v3/poll"
@@ -67,3 +68,44 @@
 	remaining.Wait()
 	waitForLoad(0, 0)
 }
+
+// TestCallsCancelledWhileTheyGetSlots cancels calls at the moment at which slots become free. Calls whose slots come too late must free them soon.
+func TestCallsCancelledWhileTheyGetSlots(t *testing.T) {
+	const slots, cancellations, rounds, freed = 4, 4, 12, 10 * time.Second
+	system := startCluster(t, 1)
+	client := runner.NewClient(apiKey)
+	defer client.Close()
+	waitForLoad := func(round, running, waiting int, limit time.Duration) {
+		t.Helper()
+		poll.WaitOn(t, func(poll.LogT) poll.Result {
+			if load := engineLoad(system, "m1"); load.Running != running || load.Waiting != waiting {
+				return poll.Continue("round %d: %d calls run and %d are queued", round, load.Running, load.Waiting)
+			}
+			return poll.Success()
+		}, poll.WithTimeout(limit))
+	}
+	for round := range rounds {
+		system.Engines["m1"].SetFaults(emulator.Faults{Hang: true})
+		var calls sync.WaitGroup
+		send := func(ctx context.Context, number int) {
+			calls.Go(func() {
+				_, err := client.Chat(ctx, system.APIURLs()[number%3], newCall("", 0, userMessage(fmt.Sprintf("round %d, call %d", round, number))))
+				assert.Check(t, err == nil || ctx.Err() != nil, "%v", err)
+			})
+		}
+		for number := range slots {
+			send(t.Context(), number)
+		}
+		waitForLoad(round, slots, 0, waitTimeout)
+		ctx, cancel := context.WithCancel(t.Context())
+		for number := range cancellations {
+			send(ctx, slots+number)
+		}
+		waitForLoad(round, slots, cancellations, waitTimeout)
+		system.Engines["m1"].SetFaults(emulator.Faults{})
+		time.Sleep(time.Duration(round) * time.Millisecond)
+		cancel()
+		calls.Wait()
+		waitForLoad(round, 0, 0, freed)
+	}
+}
