--- a/test/path/queue_test.go
+++ b/test/path/queue_test.go
@@ -10,6 +10,7 @@
 	"gotest.tools/v3/assert"
 	"gotest.tools/v3/poll"
 
+	"github.com/mountstile/mountstile/internal/clock"
 	"github.com/mountstile/mountstile/internal/emulator"
 	"github.com/mountstile/mountstile/internal/lab/cluster"
 	"github.com/mountstile/mountstile/internal/lab/runner"
@@ -103,7 +104,7 @@
 		}
 		waitForLoad(round, slots, cancellations, waitTimeout)
 		system.Engines["m1"].SetFaults(emulator.Faults{})
-		time.Sleep(time.Duration(round) * time.Millisecond)
+		clock.Sleep(t.Context(), time.Duration(round)*time.Millisecond)
 		cancel()
 		calls.Wait()
 		waitForLoad(round, 0, 0, freed)
