catalog: a large value is fetched from another peer if the first one does not respond

A configuration of hundreds of routes is announced by several peers and fetched from the first. After 400 ms one of the other followers fetches it, too. While peers respond each value is transferred once, as before.

--- a/internal/catalog/large.go
+++ b/internal/catalog/large.go
@@ -2,7 +2,8 @@
 
 import (
 	"context"
-	"strconv"
+	"fmt"
+	"sync/atomic"
 	"time"
 
 	"github.com/mountstile/mountstile/internal/apierr"
@@ -16,6 +17,8 @@
 	// maxConcurrentFetches bounds the large values that are encoded at once, since all followers fetch a change at
 	// the same time.
 	maxConcurrentFetches = 4
+	// fetchPatience is how long the followers of other peers wait for a fetch before one of them fetches the value, too.
+	fetchPatience = 400 * time.Millisecond
 )
 
 // A node follows several peers and receives each change from each of them. If large values, such as configurations
@@ -50,21 +53,40 @@
 }
 
 // fetchAnnounced fetches the announced versions that this node lacks. If several peers announce a version at the same
-// time, it is fetched from the first one, and the followers of the other peers wait for it.
+// time, it is fetched from the first one, and the followers of the other peers wait for it. A peer that does not respond
+// is not waited for longer than fetchPatience.
 func (m *Manager) fetchAnnounced(ctx context.Context, peer transport.Peer, announced []announcement) error {
 	for _, wanted := range announced {
-		if m.has(wanted) {
-			continue
-		}
-		name := wanted.Key + "@" + strconv.FormatInt(wanted.Revision, 10)
-		_, err, _ := m.fetches.Do(name, func() (any, error) { return nil, m.fetch(ctx, peer, wanted) })
-		if err != nil && !m.has(wanted) {
+		if err := m.fetchShared(ctx, peer, wanted); err != nil && !m.has(wanted) {
 			return err
 		}
 	}
 	return nil
 }
 
+// fetchShared fetches a version from a peer unless another follower's fetch of it succeeds in time.
+func (m *Manager) fetchShared(ctx context.Context, peer transport.Peer, wanted announcement) error {
+	for turn := 0; !m.has(wanted); turn++ {
+		name := fmt.Sprintf("%s@%d#%d", wanted.Key, wanted.Revision, turn)
+		var own atomic.Bool
+		result := m.fetches.DoChan(name, func() (any, error) {
+			own.Store(true)
+			return nil, m.fetch(ctx, peer, wanted)
+		})
+		patience := time.NewTimer(fetchPatience)
+		select {
+		case fetched := <-result:
+			patience.Stop()
+			return fetched.Err
+		case <-patience.C:
+		}
+		if own.Load() {
+			return (<-result).Err
+		}
+	}
+	return nil
+}
+
 // has reports whether this node has the announced version of an entry or a newer one.
 func (m *Manager) has(wanted announcement) bool {
 	m.mutex.Lock()
--- a/internal/catalog/large_test.go
+++ b/internal/catalog/large_test.go
@@ -4,6 +4,7 @@
 	"fmt"
 	"strings"
 	"testing"
+	"time"
 
 	"gotest.tools/v3/assert"
 
@@ -63,3 +64,35 @@
 	}
 	eventually(t, "the value arrives", func() bool { return follower.revision("configuration/current") == 5 })
 }
+
+// A peer that announces a large value and then does not serve it, since it was paused or is gone, does not delay it beyond the bound.
+func TestLargeValueIsFetchedFromAnotherPeer(t *testing.T) {
+	none := func() []transport.Peer { return nil }
+	first := startNode(t, true, none)
+	second := startNode(t, true, func() []transport.Peer { return peersAt(first.address) })
+	eventually(t, "the second peer follows", func() bool { return first.source.active() && second.follows(first.address) })
+	const key = "configuration/current"
+	follower := startNodeWith(t, func(options *Options) {
+		options.Peers = func() []transport.Peer { return peersAt(first.address, second.address) }
+		options.MinFreshPeers = func() int { return 2 }
+	})
+	eventually(t, "both are followed", func() bool { return follower.follows(first.address) && follower.follows(second.address) })
+	first.source.change(entry(key, 1, strings.Repeat("r", 2*largeValueBytes)))
+	eventually(t, "the version arrives", func() bool { return follower.revision(key) == 1 && second.revision(key) == 1 })
+
+	// The follower has begun to fetch the value from a peer that does not respond when the other one announces it.
+	wanted := announcement{Key: key, Revision: 2}
+	silent := startNode(t, false, none)
+	for range maxConcurrentFetches {
+		silent.manager.fetchSlots <- struct{}{}
+	}
+	go func() {
+		_ = follower.manager.fetchAnnounced(t.Context(), peersAt(silent.address)[0], []announcement{wanted})
+	}()
+	eventually(t, "the fetch is in progress", func() bool { return silent.receivedBytes(fetchKind) > 0 })
+	changedAt := time.Now()
+	first.source.change(entry(key, 2, strings.Repeat("s", 2*largeValueBytes)))
+	eventually(t, "the next version arrives", func() bool { return follower.revision(key) == 2 })
+	took := time.Since(changedAt)
+	assert.Assert(t, took < defaultPropagationBound/2, "%v", took)
+}
