catalog: a replica that has started again learns the runs in progress from others

Replicas that have started again don't count for a run during 30 s, since they have forgotten what they were told. They ask the other members of their set for the open runs five seconds after their start and count once three of four have answered: each run is known to a majority, so that one of these was told of each run that they were told of. Builds before this one don't list runs; then replicas wait for 30 s as before.

--- a/internal/catalog/first_run_test.go
+++ b/internal/catalog/first_run_test.go
@@ -117,7 +117,7 @@
 
 // A node that tells of too many or too long runs is refused.
 func TestInvalidBegunRuns(t *testing.T) {
-	assert.Assert(t, validBegun(make([]begunRun, maxQueuedRuns)))
-	assert.Assert(t, !validBegun(make([]begunRun, maxQueuedRuns+1)))
-	assert.Assert(t, !validBegun([]begunRun{{Content: string(make([]byte, maxPublishedBytes+1))}}))
+	assert.Assert(t, validBegun(make([]begunRun, maxQueuedRuns), maxQueuedRuns))
+	assert.Assert(t, !validBegun(make([]begunRun, maxQueuedRuns+1), maxQueuedRuns))
+	assert.Assert(t, !validBegun([]begunRun{{Content: string(make([]byte, maxPublishedBytes+1))}}, maxQueuedRuns))
 }
--- a/internal/catalog/manager.go
+++ b/internal/catalog/manager.go
@@ -69,6 +69,9 @@
 	FirstStart bool
 	// KnowsAllRuns is set if no node can have begun a run before this one started.
 	KnowsAllRuns bool
+	// SetMembers returns the other members of the replica set of this node, whose runs it learns after a restart. Nil means none, or that it is
+	// no member.
+	SetMembers func() []transport.Peer
 	// StaleAfter is the age from which a catalog is not fresh any more. It must cover the time for which the store
 	// holds a watch, and network delays.
 	StaleAfter time.Duration
@@ -106,6 +109,8 @@
 	// queues are the runs of which peers have to be told, by their addresses.
 	queues    map[string]*runQueue
 	startedAt time.Time
+	// recoveredRuns is set once the runs are known that this node was told of before it started.
+	recoveredRuns bool
 	// silentUntil is until when replicas are taken for silent.
 	silentUntil time.Time
 	// changed is closed at the next change, synced at the next sync with the store.
@@ -180,6 +185,9 @@
 	m.mutex.Lock()
 	m.lastFreshAt = time.Now().Add(delay)
 	m.mutex.Unlock()
+	if m.options.SetMembers != nil && !m.options.KnowsAllRuns {
+		go m.recoverRuns(ctx)
+	}
 	ticker := time.NewTicker(reconcileInterval)
 	defer ticker.Stop()
 	started := time.NewTimer(delay)
--- a/internal/catalog/publish.go
+++ b/internal/catalog/publish.go
@@ -64,6 +64,8 @@
 	BegunBefore []begunRun `json:"g,omitempty"`
 	// All asks for the entries of all contents instead of one.
 	All bool `json:"a,omitempty"`
+	// OpenRuns asks for the runs of all contents that are in progress.
+	OpenRuns bool `json:"r,omitempty"`
 	// Forward asks a gateway to pass entries on to its neighbours if they are new to it.
 	Forward bool `json:"w,omitempty"`
 }
@@ -76,9 +78,12 @@
 	Closed []string `json:"z,omitempty"`
 	// Completed is set if a run was completed lately.
 	Completed bool `json:"s,omitempty"`
-	// Settled is set if the node has run for runTTL, or since before the first run: it knows all runs that it was told of and that may be in
-	// progress. Builds that don't remember runs for that long leave it out.
+	// Settled is set if the node has run for runTTL, or since before the first run, or has learned the runs again from others: it knows all runs that
+	// it was told of and that may be in progress. Builds that don't remember runs for that long leave it out.
 	Settled bool `json:"t,omitempty"`
+	// OpenRuns are the runs of all contents that are in progress; HasOpenRuns is set if they are complete.
+	OpenRuns    []begunRun `json:"r,omitempty"`
+	HasOpenRuns bool       `json:"l,omitempty"`
 }
 
 // FatalRequest returns an entry of FatalRequestKind.
@@ -158,7 +163,7 @@
 			return publishResponse{}, errors.WithStack(&ErrNotPublishable{Key: entry.Key})
 		}
 	}
-	if max(len(request.Content), len(request.Begun), len(request.Finished)) > maxPublishedBytes || !validFinishes(request.Done) || !validBegun(request.BegunBefore) {
+	if max(len(request.Content), len(request.Begun), len(request.Finished)) > maxPublishedBytes || !validFinishes(request.Done) || !validBegun(request.BegunBefore, maxQueuedRuns) {
 		return publishResponse{}, errors.WithStack(&ErrNotPublishable{Key: request.Content[:min(len(request.Content), maxPublishedBytes)]})
 	}
 	response, news := m.recordPublished(request, false)
@@ -176,9 +181,9 @@
 	})
 }
 
-// validBegun reports whether a node may tell of these runs that it has begun.
-func validBegun(runs []begunRun) bool {
-	return len(runs) <= maxQueuedRuns && !slices.ContainsFunc(runs, func(run begunRun) bool {
+// validBegun reports whether a node may tell of these runs, of which one message has a limited number.
+func validBegun(runs []begunRun, limit int) bool {
+	return len(runs) <= limit && !slices.ContainsFunc(runs, func(run begunRun) bool {
 		return max(len(run.Content), len(run.Name)) > maxPublishedBytes
 	})
 }
@@ -186,7 +191,7 @@
 // recordPublished records entries and runs of a node, and returns the entries that are new here. own is set if this node publishes them.
 func (m *Manager) recordPublished(request publishRequest, own bool) (publishResponse, []Entry) {
 	now := time.Now()
-	response := publishResponse{Settled: m.options.KnowsAllRuns || now.Sub(m.startedAt) >= runTTL}
+	response := publishResponse{Settled: m.settled(now)}
 	for _, run := range request.BegunBefore {
 		m.ledger.begin(now, run)
 	}
@@ -196,6 +201,9 @@
 	if request.Content != "" {
 		response.Open, response.Closed, response.Completed = m.ledger.exchange(now, request.Content, request.Finished, request.Begun)
 	}
+	if request.OpenRuns {
+		response.OpenRuns, response.HasOpenRuns = m.ledger.allOpen(now)
+	}
 	m.mutex.Lock()
 	defer m.mutex.Unlock()
 	if request.Content != "" {
--- a/internal/catalog/runs.go
+++ b/internal/catalog/runs.go
@@ -13,6 +13,8 @@
 	// maxLedgerContents bounds the contents in a generation of a ledger, maxLedgerRuns the runs of each content. The oldest are dropped.
 	maxLedgerContents = 8192
 	maxLedgerRuns     = 32
+	// maxListedRuns bounds the runs in one message.
+	maxListedRuns = 16384
 )
 
 // ledger holds the runs that nodes have begun, by content. Each node announces a run before it begins, and learns of those that others have
@@ -88,6 +90,22 @@
 	l.content(now, begun.Content).begin(now, begun.Name)
 }
 
+// allOpen returns the runs of all contents that are in progress. complete is false if there are too many.
+func (l *ledger) allOpen(now time.Time) (open []begunRun, complete bool) {
+	l.mutex.Lock()
+	defer l.mutex.Unlock()
+	for _, generation := range []map[string]*ledgerContent{l.young, l.old} {
+		for key, content := range generation {
+			for _, run := range content.runs {
+				if !run.finished && now.Sub(run.at) <= runTTL {
+					open = append(open, begunRun{Content: key, Name: run.name})
+				}
+			}
+		}
+	}
+	return open[:min(len(open), maxListedRuns)], len(open) <= maxListedRuns
+}
+
 // finish records that a run is not in progress any more.
 func (l *ledger) finish(now time.Time, finished finishedRun) {
 	if finished.Name == "" {
--- a/internal/turnstore/node.go
+++ b/internal/turnstore/node.go
@@ -45,7 +45,7 @@
 	node.catalog = catalog.NewManager(catalog.Options{
 		Peers: node.peers, FollowAll: true, ReadsStore: node.readsStore, Source: options.Source, StaleAfter: options.StaleAfter,
 		Self:     catalog.Endpoint{Address: options.Replica.Self.Address, Zone: options.Replica.Self.Zone},
-		IsMirror: node.servesGateways, OnChange: node.apply, KnowsAllRuns: node.replica.folder.isNew,
+		IsMirror: node.servesGateways, OnChange: node.apply, KnowsAllRuns: node.replica.folder.isNew, SetMembers: node.setMembers,
 	}, options.Network, options.Logger)
 	return node, nil
 }
@@ -62,6 +62,18 @@
 	return node, err
 }
 
+// setMembers returns the other members of the replica set; none if this node is not a member.
+func (n *Node) setMembers() (peers []transport.Peer) {
+	set := n.replica.ReplicaSet()
+	if !contains(set.All(), n.options.Replica.Self.Name) {
+		return nil
+	}
+	for _, member := range n.replica.others() {
+		peers = append(peers, member.Peer())
+	}
+	return peers
+}
+
 // readsStore reports whether this replica reads the configuration store. Calls to the store are expensive, so only a
 // few members read it: one more than may be lost at once. While the set is unknown, all replicas read it.
 func (n *Node) readsStore() bool {
