transport: one search for a relay serves all requests to a peer

Now a request goes through the one relay that is known to reach the peer. If none is, or it has failed, a search asks the relays with empty requests, one search for a peer at a time, which goes on when the requests that wait for it have ended. What a dead peer costs depends neither on the number of requests nor on whether they are canceled.

--- a/internal/transport/relay_client.go
+++ b/internal/transport/relay_client.go
@@ -28,14 +28,9 @@
 	// relayRefreshInterval.
 	firstRelayRefresh   = 100 * time.Millisecond
 	relayRefreshTimeout = time.Second
-	// initialRelays is how many relays are tried in parallel while none is known to work.
-	initialRelays = 2
 	// minRelayDelay is the minimum time before the next relay is tried. It covers opening a connection and a relayed
 	// request over slow links.
 	minRelayDelay = 250 * time.Millisecond
-	// lostPeerTTL is for how long no relay is tried for a peer that neither this node nor any relay has reached: a peer that is down would cost a
-	// message of each relay for each request.
-	lostPeerTTL = time.Second
 )
 
 type relaysRequest struct {
@@ -56,6 +51,8 @@
 	viaRelay map[string]bool
 	// lostUntil holds until when no relay is tried for peers that none has reached.
 	lostUntil map[string]time.Time
+	// searches are the searches in progress for a relay, by the address of the peer.
+	searches map[string]*relaySearch
 }
 
 // listRelays returns a random selection of the connected peers that forward requests.
@@ -175,7 +172,7 @@
 	}
 	callContext, stop := context.WithCancel(ctx)
 	defer stop()
-	relayed := newRelayedCall(callContext, t, to, kind, payload, relays)
+	relayed := newRelayedCall(callContext, t, to, kind, payload)
 	defer relayed.drop()
 	relayed.sendDirect()
 	var failure error
@@ -195,7 +192,7 @@
 		}
 	}
 	if failure != nil || viaRelay {
-		relayed.startRelays()
+		relayed.useRelay()
 	}
 	return relayed.wait(minRelayDelay)
 }
@@ -221,11 +218,11 @@
 	}
 	callContext, stop := context.WithCancel(ctx)
 	defer stop()
-	relayed := newRelayedCall(callContext, t, to, kind, payload, relays)
+	relayed := newRelayedCall(callContext, t, to, kind, payload)
 	defer relayed.drop()
 	relayed.sendDirect()
 	if viaRelay {
-		relayed.startRelays()
+		relayed.useRelay()
 	}
 	return relayed.wait(relayDelay)
 }
@@ -238,18 +235,19 @@
 	kind      string
 	payload   json.RawMessage
 	startedAt time.Time
-	// relays holds the relays that have not been tried yet; usingRelays is true once relays are in use.
-	relays      []string
+	// tried are the relays through which the request was sent; usingRelays is true once relays are in use.
+	tried       []string
 	usingRelays bool
+	// searched is closed when the search for a relay that the call waits for has ended; nil if it waits for none.
+	searched <-chan struct{}
 	// results has room for one result per route, so that senders never block; pending counts the outstanding results.
 	results chan routeResult
 	pending int
 }
 
-func newRelayedCall(ctx context.Context, t *Transport, to Peer, kind string, payload json.RawMessage, relays []string) *relayedCall {
+func newRelayedCall(ctx context.Context, t *Transport, to Peer, kind string, payload json.RawMessage) *relayedCall {
 	return &relayedCall{
-		transport: t, ctx: ctx, to: to, kind: kind, payload: payload, relays: relays,
-		startedAt: time.Now(), results: make(chan routeResult, len(relays)+1),
+		transport: t, ctx: ctx, to: to, kind: kind, payload: payload, startedAt: time.Now(), results: make(chan routeResult, maxRelays+1),
 	}
 }
 
@@ -258,7 +256,7 @@
 	timer := time.NewTimer(relayDelay)
 	defer timer.Stop()
 	var last error
-	for c.pending > 0 {
+	for c.pending > 0 || c.searched != nil {
 		select {
 		case result := <-c.results:
 			c.pending--
@@ -267,7 +265,11 @@
 				return result.reply, result.err
 			}
 			last = result.err
-			c.handleFailure(result)
+			c.transport.relayRoutes.handleFailure(result.relay)
+			c.useRelay()
+		case <-c.searched:
+			c.searched = nil
+			c.sendViaRelay()
 		case <-timer.C:
 			c.handleDelay()
 			timer.Reset(max(relayDelay, minRelayDelay))
@@ -276,55 +278,56 @@
 		}
 	}
 	if c.usingRelays {
-		c.transport.relayRoutes.recordLoss(time.Now(), c.to.Address)
 		return frame{}, unreachable(c.to.Address, apierr.OutcomeUnknown, last)
 	}
 	return frame{}, last
 }
 
 // drop releases the memory of the replies that are not needed.
-func (c *relayedCall) drop() {
-	pending := c.pending
+func (c *relayedCall) drop() { releaseReplies(c.results, c.pending) }
+
+// releaseReplies releases the memory of pending replies.
+func releaseReplies(results <-chan routeResult, pending int) {
 	if pending == 0 {
 		return
 	}
 	go func() {
 		for range pending {
-			result := <-c.results
+			result := <-results
 			result.reply.reservation.Release()
 		}
 	}()
 }
 
-// handleFailure tries the next route after one has failed.
-func (c *relayedCall) handleFailure(result routeResult) {
-	switch {
-	case result.relay != "":
-		c.transport.relayRoutes.handleFailure(result.relay)
-		c.sendViaNextRelay()
-	case !c.usingRelays:
-		c.startRelays()
-	}
-}
-
-// handleDelay tries relays if there was no result within the delay. A peer from which anything has arrived since the
+// handleDelay tries a relay if there was no result within the delay. A peer from which anything has arrived since the
 // request was sent is reachable and only slow, so it is not sent the request again.
 func (c *relayedCall) handleDelay() {
-	switch {
-	case c.usingRelays:
-		c.sendViaNextRelay()
-	case c.transport.silentSince(c.to.Address, c.startedAt):
-		c.startRelays()
+	if c.usingRelays || c.transport.silentSince(c.to.Address, c.startedAt) {
+		c.useRelay()
 	}
 }
 
-func (c *relayedCall) startRelays() {
+// useRelay sends the request through the relay that is known to reach the peer. If none is, or the request went through it before, the call waits for
+// a search.
+func (c *relayedCall) useRelay() {
 	c.usingRelays = true
-	for range c.transport.relayRoutes.parallelRelays() {
-		c.sendViaNextRelay()
+	if !c.sendViaRelay() && c.searched == nil {
+		c.searched = c.transport.searchRelay(c.to)
 	}
 }
 
+// sendViaRelay sends the request through the relay that is known to reach the peer, and reports whether there is one that has not been tried.
+func (c *relayedCall) sendViaRelay() bool {
+	relay := c.transport.relayRoutes.relayTo(c.to.Address)
+	if relay == "" || slices.Contains(c.tried, relay) || len(c.tried) == maxRelays {
+		return false
+	}
+	c.tried = append(c.tried, relay)
+	c.pending++
+	go func() { c.results <- c.transport.callViaRelay(c.ctx, relay, c.to, c.kind, c.payload) }()
+	return true
+}
+
 func (c *relayedCall) sendDirect() {
 	c.pending++
 	go func() {
@@ -333,17 +336,6 @@
 	}()
 }
 
-// sendViaNextRelay sends the request through the next untried relay, if any.
-func (c *relayedCall) sendViaNextRelay() {
-	if len(c.relays) == 0 {
-		return
-	}
-	relay := c.relays[0]
-	c.relays = c.relays[1:]
-	c.pending++
-	go func() { c.results <- c.transport.callViaRelay(c.ctx, relay, c.to, c.kind, c.payload) }()
-}
-
 // callViaRelay sends a request through a relay and passes the remaining time on.
 func (t *Transport) callViaRelay(ctx context.Context, relay string, to Peer, kind string, payload json.RawMessage) routeResult {
 	request := relayRequest{Address: to.Address, Node: to.NodeID, Kind: kind, Payload: payload}
@@ -391,20 +383,21 @@
 	return relays, r.viaRelay[address]
 }
 
-// parallelRelays returns how many relays to try in parallel.
-func (r *relayRoutes) parallelRelays() int {
+// relayTo returns the relay through which a peer is to be reached; empty if it was last reached directly, or the relay has failed since.
+func (r *relayRoutes) relayTo(address string) string {
 	r.mutex.Lock()
 	defer r.mutex.Unlock()
-	if r.preferred != "" {
-		return 1
+	if !r.viaRelay[address] || r.preferred == address {
+		return ""
 	}
-	return initialRelays
+	return r.preferred
 }
 
+// handleFailure records that a relay, empty for the direct route, has failed.
 func (r *relayRoutes) handleFailure(relay string) {
 	r.mutex.Lock()
 	defer r.mutex.Unlock()
-	if r.preferred == relay {
+	if relay != "" && r.preferred == relay {
 		r.preferred = ""
 	}
 }
--- a/internal/transport/spare_relay_test.go
+++ b/internal/transport/spare_relay_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"sync"
 	"testing"
 	"time"
 
@@ -59,3 +60,55 @@
 		assert.Equal(t, fixture.client.Traffic().ByKind()[relayKind].SentMessages > 0, isNeeded)
 	}
 }
+
+// What a peer that is down costs in messages to relays does not depend on the number of requests to it.
+func TestDeadPeerCostsOneSearch(t *testing.T) {
+	fixture := newRelayFixture(t)
+	fixture.stopServer(t)
+	var calls sync.WaitGroup
+	for range 200 {
+		calls.Go(func() {
+			ctx, cancel := context.WithTimeout(t.Context(), 5*time.Second)
+			defer cancel()
+			_, err := CallWithRelays[echo](ctx, fixture.client, Peer{Address: fixture.server}, "echo", echo{"hello"}, testRelayDelay)
+			assert.Check(t, err != nil)
+		})
+	}
+	calls.Wait()
+	relayed := fixture.client.Traffic().ByKind()[relayKind].SentMessages
+	assert.Assert(t, relayed > 0)
+	assert.Assert(t, relayed <= int64(len(fixture.relays)), "%d messages to relays", relayed)
+}
+
+// Requests to a peer that is cut off from this node only all reach it through the relay that one search has found.
+func TestCutOffPeerIsReachedByAllCalls(t *testing.T) {
+	const count = 200
+	fixture := newRelayFixture(t)
+	fixture.network.set(fixture.server, true)
+	var calls sync.WaitGroup
+	for range count {
+		calls.Go(func() {
+			_, err := fixture.call(t, "echo")
+			assert.Check(t, err)
+		})
+	}
+	calls.Wait()
+	relayed := fixture.client.Traffic().ByKind()[relayKind].SentMessages
+	assert.Assert(t, relayed <= int64(count+len(fixture.relays)), "%d messages to relays", relayed)
+}
+
+// A relay that becomes slow, or loses its own path to the peer, is replaced.
+func TestRelayThatLosesThePeerIsReplaced(t *testing.T) {
+	fixture := newRelayFixture(t)
+	fixture.network.set(fixture.server, true)
+	_, err := fixture.call(t, "echo")
+	assert.NilError(t, err)
+	for range 2 {
+		relay := fixture.client.relayRoutes.relayTo(fixture.server)
+		fixture.network.set(relay, true)
+		_, err := fixture.call(t, "echo")
+		assert.NilError(t, err)
+		assert.Assert(t, fixture.client.relayRoutes.relayTo(fixture.server) != relay)
+		fixture.network.set(relay, false)
+	}
+}
