catalog: a node that hears replicas late waits longer before it sends more

The patience is now three times the mean response time, at least 40 ms as before and at most 200 ms. What is asked after it, and the limit itself, are as they were.

--- a/internal/catalog/exchange.go
+++ b/internal/catalog/exchange.go
@@ -13,10 +13,8 @@
 )
 
 const (
-	// replicaPatience is how long an exchange waits for most of the replicas before it asks the neighbours, too, and
-	// neighbourPatience how long it waits for these. lateReplicaPatience is how long it goes on waiting for most of them if no neighbour
-	// has run for long.
-	replicaPatience     = 40 * time.Millisecond
+	// neighbourPatience is how long an exchange waits for neighbours. lateReplicaPatience is how long it goes on waiting for most of the replicas if no
+	// neighbour has run for long.
 	neighbourPatience   = 40 * time.Millisecond
 	lateReplicaPatience = 400 * time.Millisecond
 	// silentReplicasTTL is how long neighbours are asked at once after too few replicas have answered.
@@ -104,7 +102,7 @@
 // askForRuns tells the replicas of the runs of a content, and the neighbours unless most of the replicas answer soon and have known of runs for long:
 // those that have just started know nothing. heard is false if there are others and too few have answered.
 func (m *Manager) askForRuns(ctx context.Context, replicas []transport.Peer, request publishRequest, evidence Evidence, first bool) (answers []publishResponse, heard bool) {
-	patience, latePatience := replicaPatience, lateReplicaPatience
+	patience, latePatience := m.responses.patience(), lateReplicaPatience
 	silent := m.replicasSilent()
 	if silent {
 		patience, latePatience = 0, 0
@@ -241,10 +239,14 @@
 	sendContext, cancel := context.WithTimeout(context.WithoutCancel(ctx), publishTimeout)
 	for _, peer := range peers {
 		request := m.addQueued(peer, request)
-		go func() {
+		m.network.Go(func() {
+			sentAt := time.Now()
 			response, err := transport.CallWithSpareRelays[publishResponse](sendContext, m.network, peer, publishKind, request, sent.relaysNeeded)
+			if err == nil {
+				m.responses.note(time.Since(sentAt))
+			}
 			sent.answers <- peerAnswer{address: peer.Address, response: response, err: err}
-		}()
+		})
 	}
 	sent.pending += len(peers)
 	time.AfterFunc(publishTimeout, cancel)
--- a/internal/catalog/first_run.go
+++ b/internal/catalog/first_run.go
@@ -13,12 +13,8 @@
 	"github.com/mountstile/mountstile/internal/transport"
 )
 
-const (
-	// firstPatience is how long a first run waits for as many replicas as it needs before the others are asked, too.
-	firstPatience = 40 * time.Millisecond
-	// slowReplicaTTL is for how long a replica that did not answer in time is asked after others.
-	slowReplicaTTL = 5 * time.Second
-)
+// slowReplicaTTL is for how long a replica that did not answer in time is asked after others.
+const slowReplicaTTL = 5 * time.Second
 
 // isFirstRun reports whether the request announces a run of a content of which nothing else is known here. Most runs are such.
 func (r publishRequest) isFirstRun(own publishResponse) bool {
@@ -35,7 +31,7 @@
 	m.options.Metrics.countMessages(purposeBegin, toReplica, len(first))
 	asked = newInquiry(len(replicas))
 	m.sendMore(ctx, asked, first, request)
-	answers = asked.await(ctx, firstPatience, func(answers []publishResponse) bool { return countSettled(answers) >= needed })
+	answers = asked.await(ctx, m.responses.patience(), func(answers []publishResponse) bool { return countSettled(answers) >= needed })
 	if countSettled(answers) >= needed {
 		m.tellLater(others, begunRun{Content: request.Content, Name: request.Begun})
 		return asked, answers
--- a/internal/catalog/manager.go
+++ b/internal/catalog/manager.go
@@ -99,6 +99,8 @@
 	identity uint64
 	ledger   *ledger
 	slow     *slowReplicas
+	// responses are those to messages about runs.
+	responses responseTimes
 
 	// notifyMutex is held while OnChange is called. Lock order: notifyMutex before mutex.
 	notifyMutex sync.Mutex
