ingress: an engine whose responses use up the memory fails its calls

Callers got 502 again and again from an engine that sent bodies without end, until its breaker opened for another reason: where the memory budget ended such a body before its limit of 16 MiB did, the failure did not count against the engine, since usually others hold the memory. The engine was free again at once and got the next call.

A response that doesn't announce its size and holds an eighth of the budget when it can't grow now counts as its engine's failure. Announced and smaller ones are treated as before.

--- a/internal/ingress/memory_test.go
+++ b/internal/ingress/memory_test.go
@@ -9,6 +9,7 @@
 	"net/http/httptest"
 	"os"
 	"strings"
+	"sync"
 	"testing"
 	"time"
 
@@ -130,6 +131,33 @@
 	}
 }
 
+// An engine whose responses don't end gets no further calls soon, also if it is the memory that ends them.
+func TestEngineThatUsesUpMemoryIsAvoided(t *testing.T) {
+	const callers, calls, maxFailed = 4, 25, 8
+	cluster, budget := newTestClusterWithMemory(t, 8*testBodyBytes)
+	endless := cluster.engine("endless", func(call *engineCall) {
+		call.write("HTTP/1.1 200 OK\r\nCall: %s\r\nSeal: s\r\nTransfer-Encoding: chunked\r\n\r\n", call.id)
+		for sendUntilClosed(call, strings.Repeat("x", 16<<10), false) {
+		}
+	})
+	cluster.engine("sound", func(call *engineCall) {
+		time.Sleep(5 * time.Millisecond)
+		call.reply(http.StatusOK, "done")
+	})
+	var wait sync.WaitGroup
+	for caller := range callers {
+		wait.Go(func() {
+			for index := range calls {
+				cluster.send("/safe/x", fmt.Sprint("call-", caller, "-", index), fmt.Sprint("input ", caller, index))
+			}
+		})
+	}
+	wait.Wait()
+	assert.Assert(t, endless.runs.Load() > 0)
+	assert.Assert(t, endless.runs.Load() <= maxFailed, "%d calls", endless.runs.Load())
+	eventually(t, "nothing is reserved any more", func() bool { return budget.Used() == 0 })
+}
+
 // Guards against a stream that never ends an event or never begins one: it is continued at an engine that does.
 func TestStreamOfBytesWithoutEventsIsResumed(t *testing.T) {
 	for name, part := range map[string]string{"comments": ": x\n\n", "comment lines": ": x\n", "one line": "x", "retry fields": "retry: 1\n\n", "blank lines": "\n"} {
--- a/internal/ingress/relay.go
+++ b/internal/ingress/relay.go
@@ -13,8 +13,12 @@
 	"github.com/mountstile/mountstile/internal/upstream"
 )
 
-// maxBufferedResponseBytes bounds a response that is buffered until it is complete.
-const maxBufferedResponseBytes = 16 << 20
+const (
+	// maxBufferedResponseBytes bounds a response that is buffered until it is complete.
+	maxBufferedResponseBytes = 16 << 20
+	// A response is large if it holds 1/largeResponseDivisor of the budget.
+	largeResponseDivisor = 8
+)
 
 // relayBuffered reads the complete response before the caller gets any of it, so that the call can
 // be retried if it ends early.
@@ -47,7 +51,7 @@
 		return nil, responseMemoryError(false, err)
 	}
 	body, err := membudget.ReadAll(response.Body, maxBufferedResponseBytes, r.response)
-	if exhausted := responseMemoryError(false, err); exhausted != nil {
+	if exhausted := responseMemoryError(false, err); exhausted != nil && !r.usesUpMemory(response, err) {
 		return nil, exhausted
 	}
 	if err != nil {
@@ -56,6 +60,13 @@
 	return body, nil
 }
 
+// usesUpMemory reports whether a response that doesn't announce its size holds so much of the budget that it is its engine's fault that it can't be held:
+// otherwise an engine whose responses don't end would go on getting calls.
+func (r *request) usesUpMemory(response *http.Response, err error) bool {
+	var exhausted *membudget.ErrExhausted
+	return errors.As(err, &exhausted) && response.ContentLength < 0 && largeResponseDivisor*r.response.Held() >= exhausted.Limit
+}
+
 // bodyBytes returns the announced size of a response's body; 0 if it is unknown or has none.
 func (r *request) bodyBytes(response *http.Response) int64 {
 	if r.incoming.Method == http.MethodHead {
