catalog: a large value is not fetched again by a follower that comes late

A follower that found a large configuration missing just before another one's fetch of it ended began a second fetch, since nothing was shared any more.

--- a/internal/catalog/large.go
+++ b/internal/catalog/large.go
@@ -71,6 +71,10 @@
 		var own atomic.Bool
 		result := m.fetches.DoChan(name, func() (any, error) {
 			own.Store(true)
+			if m.has(wanted) {
+				// Another follower's fetch has just ended.
+				return nil, nil
+			}
 			return nil, m.fetch(ctx, peer, wanted)
 		})
 		patience := time.NewTimer(fetchPatience)
