gateway: a call that is canceled while it gets a slot is always told to the coordinator

Cause: the function that tells the coordinator of the cancellation was stopped when the request to it returned. The request returns at the end of the context, too, and may do so after the context's channel is closed and before its functions are started, so that the cancellation was never sent.

--- a/internal/gateway/execution.go
+++ b/internal/gateway/execution.go
@@ -135,9 +135,14 @@
 // admit admits the call and waits for an engine. If the context ends meanwhile, the coordinator is notified.
 func (e *execution) admit(ctx context.Context) (coordinator.BeginResponse, error) {
 	client := e.gateway.options.Coordinator
-	stop := context.AfterFunc(ctx, func() { client.Cancel(e.begin.Partition, e.begin.Admit.CallID) })
-	defer stop()
-	return client.Begin(ctx, e.begin)
+	cancel := func() { client.Cancel(e.begin.Partition, e.begin.Admit.CallID) }
+	stop := context.AfterFunc(ctx, cancel)
+	response, err := client.Begin(ctx, e.begin)
+	if stop() && ctx.Err() != nil {
+		// Begin returned at the end of the context before the function was started.
+		go cancel()
+	}
+	return response, err
 }
 
 // release frees the slot on the engine, and reports to the engine's owner whether the attempt failed and how long its steps took.
