--- a/internal/transport/relay_client.go
+++ b/internal/transport/relay_client.go
@@ -368,8 +368,14 @@
 func (r *relayRoutes) routesTo(address string) (relays []string, viaRelay bool) {
 	r.mutex.Lock()
 	defer r.mutex.Unlock()
+	relays = r.relaysFor(address)
+	return relays, r.viaRelay[address] && len(relays) > 0
+}
+
+// relaysFor is routesTo for a caller that holds the mutex.
+func (r *relayRoutes) relaysFor(address string) (relays []string) {
 	if time.Now().Before(r.lostUntil[address]) {
-		return nil, false
+		return nil
 	}
 	for _, relay := range r.relays {
 		switch relay {
@@ -380,13 +386,18 @@
 			relays = append(relays, relay)
 		}
 	}
-	return relays, r.viaRelay[address]
+	return relays
 }
 
 // relayTo returns the relay through which a peer is to be reached; empty if it was last reached directly, or the relay has failed since.
 func (r *relayRoutes) relayTo(address string) string {
 	r.mutex.Lock()
 	defer r.mutex.Unlock()
+	return r.knownRelay(address)
+}
+
+// knownRelay is relayTo for a caller that holds the mutex.
+func (r *relayRoutes) knownRelay(address string) string {
 	if !r.viaRelay[address] || r.preferred == address {
 		return ""
 	}
--- a/internal/transport/relay_search.go
+++ b/internal/transport/relay_search.go
@@ -103,10 +103,9 @@
 
 // beginSearch returns the search for a relay to a peer and whether it is a new one; nil if there is no relay to try, or one has just been found.
 func (r *relayRoutes) beginSearch(address string) (search *relaySearch, begun bool) {
-	relays, _ := r.routesTo(address)
-	found := r.relayTo(address) != ""
 	r.mutex.Lock()
 	defer r.mutex.Unlock()
+	relays, found := r.relaysFor(address), r.knownRelay(address) != ""
 	last := r.searches[address]
 	switch {
 	case len(relays) == 0:
