upstream, engine: a status outside 100 to 599 is no response

Callers got responses whose status HTTP doesn't define, such as 000.

Cause: http.ReadResponse and http.Transport accept any three digits as a status, and nothing behind them checked it. In upstream, a status below 100 was skipped as if it were informational: a whole response after it, on the same connection, was passed on; without one, the caller was held until its deadline. 600 to 999 were passed on with their status. In the node program, the gateway handed the status on to net/http, which panics below 100: the caller's connection ended without a byte, and the response had been stored for repeats. An order to load a model was taken for accepted. 101, for which no request asks, was returned as a final response there.

Change: package responsecheck checks the head of a response. upstream does so for each head, informational ones included; engine sends its requests through a Transport that does, and that closes the connection of such a response, which net/http may keep. The attempt counts as one without a response: the engine as failing, the outcome as unknown. Repeatable calls go to another engine; others fail with 502, at once.

Handled before, now with a test: a status below 100 that no response follows, on safe and unsafe calls of the platform's path (served elsewhere or 502), and on streams if it has a body.

--- a/internal/engine/roundtrip.go
+++ b/internal/engine/roundtrip.go
@@ -8,6 +8,8 @@
 	"net/http/httptrace"
 	"sync/atomic"
 	"time"
+
+	"github.com/mountstile/mountstile/internal/responsecheck"
 )
 
 // Request headers that identify the call to the engine.
@@ -24,14 +26,14 @@
 	responseHeaderLimit = 64 << 10
 )
 
-func newHTTPTransport() *http.Transport {
-	return &http.Transport{
+func newHTTPTransport() http.RoundTripper {
+	return responsecheck.NewTransport(&http.Transport{
 		DialContext:            (&net.Dialer{Timeout: dialTimeout}).DialContext,
 		MaxIdleConnsPerHost:    maxIdlePerEngine,
 		IdleConnTimeout:        idleTimeout,
 		MaxResponseHeaderBytes: responseHeaderLimit,
 		DisableCompression:     true,
-	}
+	})
 }
 
 // unreplayableBody keeps net/http from resending a request. On a broken reused connection, net/http automatically replays
--- /dev/null
+++ b/internal/ingress/malformed_response_test.go
@@ -0,0 +1,104 @@
+package ingress
+
+import (
+	"net/http"
+	"testing"
+
+	"gotest.tools/v3/assert"
+
+	"github.com/mountstile/mountstile/internal/catalog"
+	"github.com/mountstile/mountstile/internal/standin/rawserver"
+)
+
+// malformedResponses returns malformed responses to a call by name. Their heads have all fields that make them valid responses to it.
+func (c *engineCall) malformedResponses(fields, body string) map[string]string {
+	return rawserver.MalformedStatuses("Call: "+c.id+"\r\nSeal: s\r\n"+fields, body)
+}
+
+// malformedNames returns the names of the malformed responses.
+func malformedNames() []string {
+	var names []string
+	for name := range (&engineCall{}).malformedResponses("", "") {
+		names = append(names, name)
+	}
+	return names
+}
+
+// writeMalformed sends a malformed response. Its connection stays open.
+func (c *engineCall) writeMalformed(name, body string) {
+	c.write("%s", c.malformedResponses(eventStreamHeader+"\r\n", body)[name])
+}
+
+// Guards against malformed responses of engines that callers get, on each kind of route.
+func TestMalformedResponseIsNotForwarded(t *testing.T) {
+	t.Parallel()
+	for _, name := range malformedNames() {
+		for _, path := range []string{"/safe/", "/unsafe/", "/stream/", "/resume/", "/kept/"} {
+			t.Run(name+path, func(t *testing.T) {
+				t.Parallel()
+				cluster := newTestCluster(t)
+				if path == "/kept/" {
+					cluster.withReplica()
+				}
+				engine := cluster.engine("e", func(call *engineCall) { call.writeMalformed(name, "id: 1\ndata: e1\n\n") })
+				got := cluster.send(path, "c1", "")
+				assert.NilError(t, got.err)
+				assert.Equal(t, got.status, http.StatusBadGateway, "%q", got.body)
+				assert.Assert(t, engine.runs.Load() > 0)
+			})
+		}
+	}
+}
+
+// A safe call is served by another engine, and the one with malformed responses gets few calls.
+func TestCallsLeaveEngineWithMalformedResponses(t *testing.T) {
+	t.Parallel()
+	const calls = 100
+	for _, name := range malformedNames() {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			cluster := newTestCluster(t)
+			broken := cluster.engine("broken", func(call *engineCall) { call.writeMalformed(name, "broken") })
+			sound := cluster.engine("sound", func(call *engineCall) { call.reply(http.StatusOK, "sound") }).specification
+			// The gateway prefers engines of its own zone, so that the first call is sent to the other one.
+			sound.Zone = "b"
+			cluster.apply(catalog.EngineKind, sound.ID, sound)
+			for range calls {
+				got := cluster.send("/safe/", "c1", "")
+				assert.NilError(t, got.err)
+				assert.Equal(t, got.status, http.StatusOK)
+				assert.Equal(t, got.body, "sound")
+			}
+			assert.Assert(t, broken.runs.Load() > 0)
+			assert.Assert(t, broken.runs.Load() < calls/4, "the engine got %d of %d calls", broken.runs.Load(), calls)
+		})
+	}
+}
+
+// An interrupted stream goes on after a malformed response to its resumption.
+func TestStreamResumesAfterMalformedResponse(t *testing.T) {
+	t.Parallel()
+	for _, name := range malformedNames() {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			cluster := newTestCluster(t)
+			cluster.engine("e", func(call *engineCall) {
+				switch call.number {
+				case 1:
+					call.beginStream()
+					call.event(1)
+					call.reset()
+				case 2:
+					call.writeMalformed(name, "id: 2\ndata: malformed\n\n")
+				default:
+					call.beginStream()
+					call.event(2)
+					call.endStream()
+				}
+			})
+			got := cluster.send("/resume/", "c1", "")
+			assert.NilError(t, got.err)
+			assert.Equal(t, got.body, "id: 1\ndata: e1\n\nid: 2\ndata: e2\n\n")
+		})
+	}
+}
--- /dev/null
+++ b/internal/responsecheck/responsecheck_test.go
@@ -0,0 +1,52 @@
+package responsecheck
+
+import (
+	"io"
+	"net/http"
+	"testing"
+
+	"github.com/cockroachdb/errors"
+	"gotest.tools/v3/assert"
+
+	"github.com/mountstile/mountstile/internal/standin/rawserver"
+)
+
+// startRaw starts a server that sends the given bytes in response to each request, and returns a client of it.
+func startRaw(t *testing.T, response string) (*rawserver.Server, *http.Client) {
+	t.Helper()
+	server, err := rawserver.Start(func(*http.Request) string { return response })
+	assert.NilError(t, err)
+	t.Cleanup(server.Close)
+	return server, &http.Client{Transport: NewTransport(&http.Transport{})}
+}
+
+// Guards against malformed responses that reach the client of a Transport, or whose connection carries another request.
+func TestTransportRejectsMalformedHeads(t *testing.T) {
+	for name, raw := range rawserver.MalformedStatuses("", "ok") {
+		t.Run(name, func(t *testing.T) {
+			server, client := startRaw(t, raw)
+			for range 2 {
+				_, err := client.Get(server.URL())
+				var status *ErrStatus
+				assert.Assert(t, errors.As(err, &status), "%v", err)
+			}
+			assert.Equal(t, server.Requests(), 2)
+			assert.Equal(t, server.Connections(), 2)
+		})
+	}
+}
+
+// Guards against a Transport that changes well-formed responses, or doesn't use their connections again.
+func TestTransportPassesWellFormedResponses(t *testing.T) {
+	server, client := startRaw(t, rawserver.Whole("X-Mark: m\r\n", "ok"))
+	for range 3 {
+		response, err := client.Get(server.URL())
+		assert.NilError(t, err)
+		body, err := io.ReadAll(response.Body)
+		assert.NilError(t, err)
+		assert.NilError(t, response.Body.Close())
+		assert.Equal(t, string(body), "ok")
+		assert.Equal(t, response.Header.Get("X-Mark"), "m")
+	}
+	assert.Equal(t, server.Connections(), 1)
+}
--- /dev/null
+++ b/internal/responsecheck/transport.go
@@ -0,0 +1,42 @@
+package responsecheck
+
+import (
+	"net"
+	"net/http"
+	"net/http/httptrace"
+
+	"github.com/cockroachdb/errors"
+)
+
+// Transport is an http.RoundTripper that returns an error in place of a malformed response, and closes its connection.
+type Transport struct{ base http.RoundTripper }
+
+// NewTransport returns a Transport that sends requests with base.
+func NewTransport(base http.RoundTripper) *Transport { return &Transport{base: base} }
+
+// RoundTrip implements http.RoundTripper. The error for a malformed response is that of Head.
+func (t *Transport) RoundTrip(request *http.Request) (*http.Response, error) {
+	var connection net.Conn
+	trace := &httptrace.ClientTrace{GotConn: func(info httptrace.GotConnInfo) { connection = info.Conn }}
+	response, err := t.base.RoundTrip(request.WithContext(httptrace.WithClientTrace(request.Context(), trace)))
+	if err != nil {
+		return nil, err
+	}
+	if err := finalHead(response); err != nil {
+		_ = response.Body.Close()
+		// Closing the body is not enough: net/http keeps the connection of a response without one.
+		if connection != nil {
+			_ = connection.Close()
+		}
+		return nil, err
+	}
+	return response, nil
+}
+
+// finalHead checks the head of a final response. net/http also returns 101 Switching Protocols as one, for which no request here asks.
+func finalHead(response *http.Response) error {
+	if response.StatusCode < http.StatusOK {
+		return errors.WithStack(&ErrStatus{Status: response.StatusCode})
+	}
+	return Head(response)
+}
--- a/internal/upstream/head.go
+++ b/internal/upstream/head.go
@@ -14,6 +14,7 @@
 	"github.com/cockroachdb/errors"
 
 	"github.com/mountstile/mountstile/internal/membudget"
+	"github.com/mountstile/mountstile/internal/responsecheck"
 )
 
 const (
@@ -143,6 +144,9 @@
 		if err != nil {
 			return nil, err
 		}
+		if err := responsecheck.Head(response); err != nil {
+			return nil, err
+		}
 		if response.StatusCode == http.StatusSwitchingProtocols {
 			// The request had no Upgrade header, and what follows is not HTTP.
 			return nil, errors.WithStack(&ErrProtocolSwitched{})
--- /dev/null
+++ b/internal/upstream/malformed_test.go
@@ -0,0 +1,77 @@
+package upstream
+
+import (
+	"bufio"
+	"context"
+	"io"
+	"net"
+	"testing"
+	"time"
+
+	"github.com/cockroachdb/errors"
+	"gotest.tools/v3/assert"
+
+	"github.com/mountstile/mountstile/internal/responsecheck"
+	"github.com/mountstile/mountstile/internal/standin/rawserver"
+)
+
+// sendRaw sends a request to an engine that responds with raw bytes, and keeps the connection open until the pool closes it.
+func sendRaw(t *testing.T, raw string) (pool *Pool, exchange *Exchange, err error) {
+	t.Helper()
+	server := startEngine(t, func(connection net.Conn, reader *bufio.Reader, _ int64) {
+		if _, _, err := readRequest(reader); err == nil {
+			_, _ = io.WriteString(connection, raw)
+			_, _ = reader.ReadByte()
+		}
+	})
+	pool = server.pool(1)
+	ctx, cancel := context.WithTimeout(t.Context(), 2*time.Second)
+	t.Cleanup(cancel)
+	exchange, err = pool.Send(ctx, post("x"))
+	return pool, exchange, err
+}
+
+// Guards against malformed heads that are passed on as responses, or whose connection carries another request.
+func TestMalformedHeadIsNoResponse(t *testing.T) {
+	for name, raw := range rawserver.MalformedStatuses("X-Mark: m\r\n", "ok") {
+		t.Run(name, func(t *testing.T) {
+			pool, exchange, err := sendRaw(t, raw)
+			if err == nil {
+				t.Fatalf("taken for a response with status %d and header %v", exchange.Response().StatusCode, exchange.Response().Header)
+			}
+			var failed *ErrExchange
+			assert.Assert(t, errors.As(err, &failed) && failed.Sent, "%v", err)
+			var malformed *responsecheck.ErrStatus
+			assert.Assert(t, errors.As(err, &malformed), "%v", err)
+			assert.Equal(t, pool.openCount, 0)
+		})
+	}
+}
+
+// Guards against a check that rejects the responses of sound engines.
+func TestUnusualHeadIsAResponse(t *testing.T) {
+	const rest = "Content-Length: 2\r\n\r\nok"
+	for name, test := range map[string]struct {
+		raw    string
+		status int
+	}{
+		"status 599":               {"HTTP/1.1 599 Last\r\n" + rest, 599},
+		"undefined status":         {"HTTP/1.1 299 Other\r\n" + rest, 299},
+		"empty reason":             {"HTTP/1.1 200 \r\n" + rest, 200},
+		"no reason":                {"HTTP/1.1 200\r\n" + rest, 200},
+		"undefined interim status": {"HTTP/1.1 199 Other\r\n\r\nHTTP/1.1 200 OK\r\n" + rest, 200},
+	} {
+		t.Run(name, func(t *testing.T) {
+			pool, exchange, err := sendRaw(t, test.raw)
+			assert.NilError(t, err)
+			assert.Equal(t, exchange.Response().StatusCode, test.status)
+			body, err := io.ReadAll(exchange.Response().Body)
+			assert.NilError(t, err)
+			assert.Equal(t, string(body), "ok")
+			exchange.Finish()
+			_, err = pool.get(t.Context())
+			assert.NilError(t, err)
+			assert.Equal(t, pool.Opened(), int64(1))
+		})
+	}
+}
--- /dev/null
+++ b/test/path/malformed_test.go
@@ -0,0 +1,106 @@
+package path_test
+
+import (
+	"net/http"
+	"strings"
+	"testing"
+
+	"gotest.tools/v3/assert"
+
+	"github.com/mountstile/mountstile/internal/adminclient"
+	"github.com/mountstile/mountstile/internal/apierr"
+	"github.com/mountstile/mountstile/internal/gateway"
+	"github.com/mountstile/mountstile/internal/lab/cluster"
+	"github.com/mountstile/mountstile/internal/lab/runner"
+	"github.com/mountstile/mountstile/internal/resource"
+	"github.com/mountstile/mountstile/internal/standin/rawserver"
+)
+
+const (
+	soundBody = "sound"
+	// malformedStream is a whole answer of a model engine.
+	malformedStream = `data: {"choices":[{"delta":{"content":"malformed"},"finish_reason":"stop"}]}` + "\n\ndata: [DONE]\n\n"
+)
+
+// malformedResponses are responses by name that callers must not get.
+func malformedResponses() map[string]string {
+	statuses := rawserver.MalformedStatuses("Content-Type: text/event-stream\r\n", malformedStream)
+	return map[string]string{
+		"status 000":                   statuses["status 000"],
+		"status 000 before a response": statuses["status 000 before a response"],
+		"status 999":                   statuses["status 999"],
+	}
+}
+
+func startRaw(t *testing.T, response string) *rawserver.Server {
+	t.Helper()
+	server, err := rawserver.Start(func(*http.Request) string { return response })
+	assert.NilError(t, err)
+	t.Cleanup(server.Close)
+	return server
+}
+
+// publishEngines replaces the engines of pools and waits until all nodes use them. The engines' names are those of the pools with a number.
+func publishEngines(t *testing.T, system *cluster.Cluster, pools map[string][]string) {
+	t.Helper()
+	var resources []resource.Resource
+	for name, urls := range pools {
+		pool := &resource.Pool{}
+		for index, url := range urls {
+			pool.Engines = append(pool.Engines, resource.Engine{Name: name + string(rune('1'+index)), URL: url, Slots: 4})
+		}
+		resources = append(resources, resource.Resource{Kind: resource.KindPool, Name: name, Pool: pool})
+	}
+	content, err := resource.Encode(resources)
+	assert.NilError(t, err)
+	result, err := system.Admin.Apply(t.Context(), content, adminclient.Change{})
+	assert.NilError(t, err)
+	assert.NilError(t, system.Admin.WaitInForce(t.Context(), result.Revision))
+}
+
+// TestMalformedResponseOfOnlyEngine sends a non-repeatable call to an engine that answers with a malformed response. It must not run again, and
+// the caller and its repeats must learn that the outcome is unknown.
+func TestMalformedResponseOfOnlyEngine(t *testing.T) {
+	for name, response := range malformedResponses() {
+		t.Run(name, func(t *testing.T) {
+			system := startCluster(t, 1)
+			malformed := startRaw(t, response)
+			publishEngines(t, system, map[string][]string{"books": {malformed.URL()}})
+			header := map[string]string{gateway.HeaderIdempotency: "mark-7"}
+			for range 2 {
+				got, text := post(t, system, "/apps/book/marks/7", "A", header)
+				assert.Equal(t, got.StatusCode, http.StatusBadGateway, text)
+				assert.Equal(t, got.Header.Get(gateway.HeaderOutcome), string(apierr.OutcomeUnknown), text)
+			}
+			assert.Equal(t, malformed.Requests(), 1)
+		})
+	}
+}
+
+// TestMalformedResponseMovesCall sends repeatable calls to engines of which one answers with malformed responses. Callers must get whole answers of
+// another one.
+func TestMalformedResponseMovesCall(t *testing.T) {
+	for name, response := range malformedResponses() {
+		t.Run(name, func(t *testing.T) {
+			system := startCluster(t, 1)
+			malformed := startRaw(t, response)
+			sound := startRaw(t, rawserver.Whole("", soundBody))
+			malformedModel := startRaw(t, response)
+			publishEngines(t, system, map[string][]string{
+				"books":  {malformed.URL(), sound.URL()},
+				"models": {malformedModel.URL(), system.EngineURL("m1")},
+			})
+			client := runner.NewClient(apiKey)
+			defer client.Close()
+			for range 20 {
+				got, text := post(t, system, "/apps/book/marks/7", "A", map[string]string{gateway.HeaderRepeatable: "true"})
+				assert.Equal(t, got.StatusCode, http.StatusOK, text)
+				assert.Equal(t, text, soundBody)
+				reply := mustChat(t, client, system.APIURLs()[0], newCall("", 0, userMessage("one")))
+				assert.Assert(t, strings.HasPrefix(reply.Content, " 1:"), reply.Content)
+			}
+			assert.Assert(t, malformed.Requests() > 0)
+			assert.Assert(t, malformedModel.Requests() > 0)
+		})
+	}
+}
