upstream, engine, stores: a field name with spaces is no part of a response

Callers got responses in whose head the name of a field held a space: with status 200 and without that line or, if it was "Transfer-Encoding :", with the raw chunks as the body.

Cause: textproto, on which http.ReadResponse and http.Transport are built, keeps names with spaces, inside or before the colon, as names of unknown fields. RFC 9112 (5.1) lets nobody use such a line; a coding that is hidden in it changes where the body begins and ends.

Change: responsecheck.Head requires that each name is a token. All readers of responses use it: upstream (calls, streams, resumptions, probes), engine (applications, chats, orders, states), and the clients of the stores, of the machine list and of the administration, whose Transport is that of package responsecheck now. It checks informational heads too, and bounds their number as upstream does: net/http has no bound for requests with that hook. A connection with such a head is closed.

Handled before, now with a test: tabs, control bytes, carriage returns, null bytes and bytes above ASCII in a name, empty names, lines without a colon, a space before the first name, control bytes in values. A folded value goes on as one line, as RFC 9112 (5.2) lets a gateway do.

--- a/internal/adminclient/adminclient.go
+++ b/internal/adminclient/adminclient.go
@@ -16,6 +16,7 @@
 	"github.com/mountstile/mountstile/internal/admin"
 	"github.com/mountstile/mountstile/internal/apierr"
 	"github.com/mountstile/mountstile/internal/resource"
+	"github.com/mountstile/mountstile/internal/responsecheck"
 	"github.com/mountstile/mountstile/internal/scheduler"
 )
 
@@ -34,7 +35,8 @@
 
 // New returns a Client for the administration endpoint of a node, such as http://127.0.0.1:7490.
 func New(endpoint, key string) *Client {
-	return &Client{endpoint: endpoint, key: key, client: &http.Client{Timeout: requestTimeout}}
+	client := &http.Client{Timeout: requestTimeout, Transport: responsecheck.NewTransport(http.DefaultTransport)}
+	return &Client{endpoint: endpoint, key: key, client: client}
 }
 
 type errorBody struct {
--- a/internal/configstore/etcdgateway/etcdgateway.go
+++ b/internal/configstore/etcdgateway/etcdgateway.go
@@ -14,6 +14,7 @@
 	"github.com/cockroachdb/errors"
 
 	"github.com/mountstile/mountstile/internal/configstore"
+	"github.com/mountstile/mountstile/internal/responsecheck"
 )
 
 // Paths of the gateway.
@@ -152,7 +153,8 @@
 
 // New returns a Client for the gateway at endpoint, such as http://127.0.0.1:2379.
 func New(endpoint string, timeout time.Duration) *Client {
-	return &Client{endpoint: endpoint, client: &http.Client{Transport: &http.Transport{MaxIdleConnsPerHost: 2, IdleConnTimeout: idleTimeout}}, timeout: timeout}
+	transport := responsecheck.NewTransport(&http.Transport{MaxIdleConnsPerHost: 2, IdleConnTimeout: idleTimeout})
+	return &Client{endpoint: endpoint, client: &http.Client{Transport: transport}, timeout: timeout}
 }
 
 // Get implements configstore.Store.
--- a/internal/engine/malformed_test.go
+++ b/internal/engine/malformed_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"maps"
 	"net/http"
 	"testing"
 	"time"
@@ -48,7 +49,8 @@
 
 // malformedResponses returns malformed responses by name.
 func malformedResponses(body string) map[string]string {
-	responses := rawserver.MalformedStatuses("", body)
+	responses := rawserver.MalformedHeads("", body)
+	maps.Copy(responses, rawserver.UnreadableHeads("", body))
 	responses["status 101"] = "HTTP/1.1 101 Switching Protocols\r\nConnection: Upgrade\r\nUpgrade: x\r\n\r\n" + body
 	return responses
 }
--- a/internal/ingress/malformed_response_test.go
+++ b/internal/ingress/malformed_response_test.go
@@ -1,6 +1,7 @@
 package ingress
 
 import (
+	"maps"
 	"net/http"
 	"testing"
 
@@ -12,7 +13,10 @@
 
 // malformedResponses returns malformed responses to a call by name. Their heads have all fields that make them valid responses to it.
 func (c *engineCall) malformedResponses(fields, body string) map[string]string {
-	return rawserver.MalformedStatuses("Call: "+c.id+"\r\nSeal: s\r\n"+fields, body)
+	fields = "Call: " + c.id + "\r\nSeal: s\r\n" + fields
+	responses := rawserver.MalformedHeads(fields, body)
+	maps.Copy(responses, rawserver.UnreadableHeads(fields, body))
+	return responses
 }
 
 // malformedNames returns the names of the malformed responses.
--- a/internal/machinelist/machinelist.go
+++ b/internal/machinelist/machinelist.go
@@ -10,6 +10,8 @@
 	"time"
 
 	"github.com/cockroachdb/errors"
+
+	"github.com/mountstile/mountstile/internal/responsecheck"
 )
 
 // State is the state of a machine in the platform's list.
@@ -54,7 +56,7 @@
 
 // NewClient returns a Client for the list at a URL.
 func NewClient(url string) *Client {
-	return &Client{url: url, client: &http.Client{Timeout: requestTimeout}}
+	return &Client{url: url, client: &http.Client{Timeout: requestTimeout, Transport: responsecheck.NewTransport(http.DefaultTransport)}}
 }
 
 // List implements Lister.
--- a/internal/responsecheck/responsecheck.go
+++ b/internal/responsecheck/responsecheck.go
@@ -1,4 +1,5 @@
-// Package responsecheck rejects HTTP responses that net/http accepts although they are malformed: it takes any status from 000 to 999.
+// Package responsecheck rejects HTTP responses that net/http accepts although they are malformed: it takes any status from 000 to
+// 999, and field names that hold spaces.
 //
 // Usage:
 //
@@ -12,12 +13,17 @@
 import (
 	"fmt"
 	"net/http"
+	"strings"
 
 	"github.com/cockroachdb/errors"
 )
 
-// maxStatus is the highest status (RFC 9110, 15).
-const maxStatus = 599
+const (
+	// MaxInformationalResponses bounds the number of informational responses before a final one.
+	MaxInformationalResponses = 16
+	// maxStatus is the highest status (RFC 9110, 15).
+	maxStatus = 599
+)
 
 // ErrStatus means that a response has a status that HTTP doesn't define, or that its request doesn't allow.
 type ErrStatus struct{ Status int }
@@ -25,10 +31,54 @@
 // Error implements error.
 func (e *ErrStatus) Error() string { return fmt.Sprintf("invalid response status %03d", e.Status) }
 
-// Head checks the head of a response, which may be an informational one. The error is an *ErrStatus.
+// ErrFieldName means that the name of a header field is not a token (RFC 9110, 5.1). A space before its colon may hide how the body is framed: such a
+// Transfer-Encoding field is not taken for one (RFC 9112, 5.1).
+type ErrFieldName struct{ Name string }
+
+// Error implements error.
+func (e *ErrFieldName) Error() string { return fmt.Sprintf("invalid field name %.128q", e.Name) }
+
+// ErrInformationalResponses means that a response follows too many informational ones.
+type ErrInformationalResponses struct{}
+
+// Error implements error.
+func (*ErrInformationalResponses) Error() string {
+	return fmt.Sprintf("more than %d informational responses", MaxInformationalResponses)
+}
+
+// Head checks the head of a response, which may be an informational one. Errors: *ErrStatus, *ErrFieldName.
 func Head(response *http.Response) error {
 	if response.StatusCode < http.StatusContinue || response.StatusCode > maxStatus {
 		return errors.WithStack(&ErrStatus{Status: response.StatusCode})
 	}
+	return checkNames(response.Header)
+}
+
+func checkNames(fields http.Header) error {
+	for name := range fields {
+		if !isToken(name) {
+			return errors.WithStack(&ErrFieldName{Name: name})
+		}
+	}
 	return nil
 }
+
+// tokenPunctuation are the characters of tokens other than letters and digits (RFC 9110, 5.6.2).
+const tokenPunctuation = "!#$%&'*+-.^_`|~"
+
+func isToken(name string) bool {
+	for _, char := range []byte(name) {
+		if !isTokenChar(char) {
+			return false
+		}
+	}
+	return name != ""
+}
+
+func isTokenChar(char byte) bool {
+	switch {
+	case 'a' <= char && char <= 'z', 'A' <= char && char <= 'Z', '0' <= char && char <= '9':
+		return true
+	}
+	return strings.IndexByte(tokenPunctuation, char) >= 0
+}
--- a/internal/responsecheck/responsecheck_test.go
+++ b/internal/responsecheck/responsecheck_test.go
@@ -3,6 +3,7 @@
 import (
 	"io"
 	"net/http"
+	"strings"
 	"testing"
 
 	"github.com/cockroachdb/errors"
@@ -22,13 +23,14 @@
 
 // Guards against malformed responses that reach the client of a Transport, or whose connection carries another request.
 func TestTransportRejectsMalformedHeads(t *testing.T) {
-	for name, raw := range rawserver.MalformedStatuses("", "ok") {
+	for name, raw := range rawserver.MalformedHeads("", "ok") {
 		t.Run(name, func(t *testing.T) {
 			server, client := startRaw(t, raw)
 			for range 2 {
 				_, err := client.Get(server.URL())
 				var status *ErrStatus
-				assert.Assert(t, errors.As(err, &status), "%v", err)
+				var fieldName *ErrFieldName
+				assert.Assert(t, errors.As(err, &status) || errors.As(err, &fieldName), "%v", err)
 			}
 			assert.Equal(t, server.Requests(), 2)
 			assert.Equal(t, server.Connections(), 2)
@@ -36,6 +38,22 @@
 	}
 }
 
+// Guards against informational responses without end.
+func TestTransportBoundsInformationalResponses(t *testing.T) {
+	const informational = "HTTP/1.1 103 Early Hints\r\n\r\n"
+	for count, want := range map[int]bool{MaxInformationalResponses: true, MaxInformationalResponses + 1: false} {
+		server, client := startRaw(t, strings.Repeat(informational, count)+rawserver.Whole("", "ok"))
+		response, err := client.Get(server.URL())
+		if want {
+			assert.NilError(t, err)
+			assert.NilError(t, response.Body.Close())
+			continue
+		}
+		var tooMany *ErrInformationalResponses
+		assert.Assert(t, errors.As(err, &tooMany), "%v", err)
+	}
+}
+
 // Guards against a Transport that changes well-formed responses, or doesn't use their connections again.
 func TestTransportPassesWellFormedResponses(t *testing.T) {
 	server, client := startRaw(t, rawserver.Whole("X-Mark: m\r\n", "ok"))
--- a/internal/responsecheck/transport.go
+++ b/internal/responsecheck/transport.go
@@ -4,6 +4,8 @@
 	"net"
 	"net/http"
 	"net/http/httptrace"
+	"net/textproto"
+	"sync/atomic"
 
 	"github.com/cockroachdb/errors"
 )
@@ -14,10 +16,13 @@
 // NewTransport returns a Transport that sends requests with base.
 func NewTransport(base http.RoundTripper) *Transport { return &Transport{base: base} }
 
-// RoundTrip implements http.RoundTripper. The error for a malformed response is that of Head.
+// RoundTrip implements http.RoundTripper. Errors for malformed responses: those of Head, *ErrInformationalResponses.
 func (t *Transport) RoundTrip(request *http.Request) (*http.Response, error) {
 	var connection net.Conn
-	trace := &httptrace.ClientTrace{GotConn: func(info httptrace.GotConnInfo) { connection = info.Conn }}
+	trace := &httptrace.ClientTrace{
+		GotConn:        func(info httptrace.GotConnInfo) { connection = info.Conn },
+		Got1xxResponse: informationalCheck(),
+	}
 	response, err := t.base.RoundTrip(request.WithContext(httptrace.WithClientTrace(request.Context(), trace)))
 	if err != nil {
 		return nil, err
@@ -33,6 +38,18 @@
 	return response, nil
 }
 
+// informationalCheck returns a hook that checks the heads of informational responses. It bounds their number, since net/http doesn't for requests
+// with such a hook.
+func informationalCheck() func(status int, header textproto.MIMEHeader) error {
+	var responses atomic.Int64
+	return func(_ int, header textproto.MIMEHeader) error {
+		if responses.Add(1) > MaxInformationalResponses {
+			return errors.WithStack(&ErrInformationalResponses{})
+		}
+		return checkNames(http.Header(header))
+	}
+}
+
 // finalHead checks the head of a final response. net/http also returns 101 Switching Protocols as one, for which no request here asks.
 func finalHead(response *http.Response) error {
 	if response.StatusCode < http.StatusOK {
--- a/internal/standin/rawserver/malformed.go
+++ b/internal/standin/rawserver/malformed.go
@@ -9,8 +9,13 @@
 	return fmt.Sprintf("HTTP/1.1 %s\r\n%sContent-Length: %d\r\n\r\n%s", status, fields, len(body), body)
 }
 
-// MalformedStatuses returns responses by name that have a status which HTTP doesn't define. fields are as for Whole.
-func MalformedStatuses(fields, body string) map[string]string {
+// chunked returns a body in one chunk, with trailer fields.
+func chunked(body, trailer string) string {
+	return fmt.Sprintf("%x\r\n%s\r\n0\r\n%s\r\n", len(body), body, trailer)
+}
+
+// MalformedHeads returns responses by name whose head is malformed, although net/http accepts it. fields are as for Whole.
+func MalformedHeads(fields, body string) map[string]string {
 	return map[string]string{
 		"status 000":                           withStatus("000 None", fields, body),
 		"status 000 without a body":            withStatus("000 None", fields, ""),
@@ -22,5 +27,34 @@
 		"status 600":                           withStatus("600 None", fields, body),
 		"status 999":                           withStatus("999 None", fields, body),
 		"signed status":                        withStatus("+20 OK", fields, body),
+
+		"space in a name":                   Whole(fields+"X Mark: m\r\n", body),
+		"space in the first name":           Whole("X Mark: m\r\n"+fields, body),
+		"space before a colon":              Whole(fields+"X-Mark : m\r\n", body),
+		"space in a name, no body":          Whole(fields+"X Mark: m\r\n", ""),
+		"space in a name, interim response": "HTTP/1.1 103 Early Hints\r\nX Mark: m\r\n\r\n" + Whole(fields, body),
+		"space before the coding's colon":   Whole(fields+"Transfer-Encoding : chunked\r\n", chunked(body, "")),
+		"space before the coding's colon, ended by the connection": "HTTP/1.1 200 OK\r\n" + fields + "Connection: close\r\nTransfer-Encoding : chunked\r\n\r\n" +
+			chunked(body, ""),
+		"space before the length's colon": Whole(fields+"Content-Length : 3\r\n", body),
+	}
+}
+
+// UnreadableHeads returns responses by name whose head net/http rejects. fields are as for Whole.
+func UnreadableHeads(fields, body string) map[string]string {
+	return map[string]string{
+		"tab in a name":               Whole(fields+"X\tMark: m\r\n", body),
+		"tab before a colon":          Whole(fields+"X-Mark\t: m\r\n", body),
+		"control byte in a name":      Whole(fields+"X\x01Mark: m\r\n", body),
+		"null byte before a name":     Whole(fields+"\x00X-Mark: m\r\n", body),
+		"return in a name":            Whole(fields+"X\rMark: m\r\n", body),
+		"delete in a name":            Whole(fields+"X\x7fMark: m\r\n", body),
+		"byte above ASCII in a name":  Whole(fields+"X\x80Mark: m\r\n", body),
+		"empty name":                  Whole(fields+": m\r\n", body),
+		"no colon":                    Whole(fields+"X-Mark\r\n", body),
+		"space before the first name": Whole(" X-Mark: m\r\n"+fields, body),
+		"control byte in a value":     Whole(fields+"X-Mark: a\x01b\r\n", body),
+		"null byte in a value":        Whole(fields+"X-Mark: a\x00b\r\n", body),
+		"return in a value":           Whole(fields+"X-Mark: a\rb\r\n", body),
 	}
 }
--- a/internal/upstream/head.go
+++ b/internal/upstream/head.go
@@ -20,8 +20,6 @@
 const (
 	// maxHeadBytes bounds the status line and headers of a response together with its informational responses.
 	maxHeadBytes = 64 << 10
-	// maxInformationalResponses bounds the number of informational responses.
-	maxInformationalResponses = 16
 	// headTimeout is how long a head may take from its first byte to its end.
 	headTimeout = time.Second
 	// maxStartBytes is the number of bytes in which the announcement is looked for that a response ends with its connection.
@@ -38,14 +36,6 @@
 	return fmt.Sprintf("the head of the response exceeds %d bytes", maxHeadBytes)
 }
 
-// ErrInformationalResponses means that a response follows too many informational ones.
-type ErrInformationalResponses struct{}
-
-// Error implements error.
-func (*ErrInformationalResponses) Error() string {
-	return fmt.Sprintf("more than %d informational responses", maxInformationalResponses)
-}
-
 // source reads from a connection. While it reads a head, it bounds its bytes and its time.
 type source struct {
 	raw net.Conn
@@ -138,7 +128,7 @@
 func readHead(connection *Connection, method string) (*http.Response, error) {
 	source := &connection.source
 	defer source.endHead()
-	for informational := 0; informational <= maxInformationalResponses; informational++ {
+	for informational := 0; informational <= responsecheck.MaxInformationalResponses; informational++ {
 		source.beginHead(connection.reader.Buffered())
 		response, err := http.ReadResponse(connection.reader, &http.Request{Method: method})
 		if err != nil {
@@ -156,7 +146,7 @@
 			return response, nil
 		}
 	}
-	return nil, errors.WithStack(&ErrInformationalResponses{})
+	return nil, errors.WithStack(&responsecheck.ErrInformationalResponses{})
 }
 
 // ErrUnframed means that the end of a response can't be told from its truncation: it states no length and has no chunks, and does not say that
--- a/internal/upstream/malformed_test.go
+++ b/internal/upstream/malformed_test.go
@@ -5,6 +5,7 @@
 	"context"
 	"io"
 	"net"
+	"net/textproto"
 	"testing"
 	"time"
 
@@ -33,7 +34,7 @@
 
 // Guards against malformed heads that are passed on as responses, or whose connection carries another request.
 func TestMalformedHeadIsNoResponse(t *testing.T) {
-	for name, raw := range rawserver.MalformedStatuses("X-Mark: m\r\n", "ok") {
+	for name, raw := range rawserver.MalformedHeads("X-Mark: m\r\n", "ok") {
 		t.Run(name, func(t *testing.T) {
 			pool, exchange, err := sendRaw(t, raw)
 			if err == nil {
@@ -41,8 +42,19 @@
 			}
 			var failed *ErrExchange
 			assert.Assert(t, errors.As(err, &failed) && failed.Sent, "%v", err)
-			var malformed *responsecheck.ErrStatus
-			assert.Assert(t, errors.As(err, &malformed), "%v", err)
+			var status *responsecheck.ErrStatus
+			var fieldName *responsecheck.ErrFieldName
+			assert.Assert(t, errors.As(err, &status) || errors.As(err, &fieldName), "%v", err)
+			assert.Equal(t, pool.openCount, 0)
+		})
+	}
+	for name, raw := range rawserver.UnreadableHeads("X-Mark: m\r\n", "ok") {
+		t.Run(name, func(t *testing.T) {
+			pool, _, err := sendRaw(t, raw)
+			var failed *ErrExchange
+			assert.Assert(t, errors.As(err, &failed) && failed.Sent, "%v", err)
+			var protocol textproto.ProtocolError
+			assert.Assert(t, errors.As(err, &protocol), "%v", err)
 			assert.Equal(t, pool.openCount, 0)
 		})
 	}
@@ -59,6 +71,8 @@
 		"undefined status":         {"HTTP/1.1 299 Other\r\n" + rest, 299},
 		"empty reason":             {"HTTP/1.1 200 \r\n" + rest, 200},
 		"no reason":                {"HTTP/1.1 200\r\n" + rest, 200},
+		"folded value":             {"HTTP/1.1 200 OK\r\nX-Mark: m\r\n n\r\n" + rest, 200},
+		"all characters of names":  {"HTTP/1.1 200 OK\r\n!#$%&'*+-.^_`|~09azAZ: m\r\n" + rest, 200},
 		"undefined interim status": {"HTTP/1.1 199 Other\r\n\r\nHTTP/1.1 200 OK\r\n" + rest, 200},
 	} {
 		t.Run(name, func(t *testing.T) {
--- a/test/path/malformed_test.go
+++ b/test/path/malformed_test.go
@@ -24,12 +24,12 @@
 
 // malformedResponses are responses by name that callers must not get.
 func malformedResponses() map[string]string {
-	statuses := rawserver.MalformedStatuses("Content-Type: text/event-stream\r\n", malformedStream)
-	return map[string]string{
-		"status 000":                   statuses["status 000"],
-		"status 000 before a response": statuses["status 000 before a response"],
-		"status 999":                   statuses["status 999"],
+	responses := rawserver.MalformedHeads("Content-Type: text/event-stream\r\n", malformedStream)
+	chosen := make(map[string]string)
+	for _, name := range []string{"status 000", "status 000 before a response", "status 999", "space in a name", "space before the coding's colon"} {
+		chosen[name] = responses[name]
 	}
+	return chosen
 }
 
 func startRaw(t *testing.T, response string) *rawserver.Server {
