--- a/internal/routing/routing.go
+++ b/internal/routing/routing.go
@@ -12,6 +12,8 @@
 	"net"
 	"strings"
 	"time"
+
+	"github.com/mountstile/mountstile/internal/clock"
 )
 
 // defaultAttempts is the maximum number of engines that run a request if the route does not set it.
@@ -85,7 +87,7 @@
 }
 
 func milliseconds(value float64) time.Duration {
-	return time.Duration(value * float64(time.Millisecond))
+	return clock.Duration(value, time.Millisecond)
 }
 
 // Table holds the routes, services and limits of one version of the configuration.
