gateway: a malformed answer that an earlier build stored is reported as a failure

Cause: earlier builds stored whatever status and names net/http had accepted, and store them still while builds run side by side. A repeat of such a call got the stored answer: writing it panics for a status below 100 ("invalid WriteHeader code 0"), so that the connection ends without a byte, and leaves out names with spaces.

Change: the answer of an application is checked before it is written. The caller gets 502, engine_failed, and that the call ran. What is stored and its format stay as they are; the build before reads it as before.

Not tested with the processes of two builds.

--- a/internal/gateway/application.go
+++ b/internal/gateway/application.go
@@ -14,6 +14,7 @@
 	"github.com/mountstile/mountstile/internal/fatal"
 	"github.com/mountstile/mountstile/internal/program"
 	"github.com/mountstile/mountstile/internal/resource"
+	"github.com/mountstile/mountstile/internal/responsecheck"
 )
 
 // repeatableMethods are idempotent by their definition (RFC 9110, section 9.2.2).
@@ -39,6 +40,9 @@
 	ctx, cancel := executionContext(r, call.identity.idempotencyKey, call.timeout())
 	defer cancel()
 	answer, err := call.runAttempts(ctx, w, call.admit, call.send)
+	if err == nil {
+		err = checkApplicationAnswer(answer)
+	}
 	g.options.Metrics.duration.WithLabelValues(call.service).Observe(time.Since(call.started).Seconds())
 	if err != nil {
 		w.Header().Set(HeaderCall, call.begin.Admit.CallID)
@@ -118,6 +122,15 @@
 	}
 }
 
+// checkApplicationAnswer returns an *apierr.Error for a malformed answer, which an earlier build may have stored.
+func checkApplicationAnswer(answer *program.Answer) error {
+	err := responsecheck.FinalHead(&http.Response{StatusCode: answer.Status, Header: answer.Header, Trailer: answer.Trailer})
+	if err != nil {
+		return apierr.New(apierr.EngineFailed, apierr.Ran, "the engine's response is malformed: %s", err)
+	}
+	return nil
+}
+
 func writeApplicationAnswer(w http.ResponseWriter, answer *program.Answer) {
 	header := w.Header()
 	for name, values := range answer.Header {
--- a/internal/responsecheck/responsecheck.go
+++ b/internal/responsecheck/responsecheck.go
@@ -60,6 +60,15 @@
 	return checkNames(response.Trailer)
 }
 
+// FinalHead checks the head of a response that is not informational. net/http returns 101 Switching Protocols as one, for which no request here asks.
+// Errors: *ErrStatus, *ErrFieldName.
+func FinalHead(response *http.Response) error {
+	if response.StatusCode < http.StatusOK {
+		return errors.WithStack(&ErrStatus{Status: response.StatusCode})
+	}
+	return Head(response)
+}
+
 func checkNames(fields http.Header) error {
 	for name := range fields {
 		if !isToken(name) {
--- a/internal/responsecheck/transport.go
+++ b/internal/responsecheck/transport.go
@@ -28,7 +28,7 @@
 	if err != nil {
 		return nil, err
 	}
-	if err := finalHead(response); err != nil {
+	if err := FinalHead(response); err != nil {
 		_ = response.Body.Close()
 		// net/http keeps the connection of a response without a body. What follows a malformed head may belong to it.
 		if connection != nil {
@@ -51,11 +51,3 @@
 		return checkNames(http.Header(header))
 	}
 }
-
-// finalHead checks the head of a final response. net/http also returns 101 Switching Protocols as one, for which no request here asks.
-func finalHead(response *http.Response) error {
-	if response.StatusCode < http.StatusOK {
-		return errors.WithStack(&ErrStatus{Status: response.StatusCode})
-	}
-	return Head(response)
-}
