--- a/internal/responsecheck/responsecheck.go
+++ b/internal/responsecheck/responsecheck.go
@@ -33,8 +33,8 @@
 // Error implements error.
 func (e *ErrStatus) Error() string { return fmt.Sprintf("invalid response status %03d", e.Status) }
 
-// ErrFieldName means that the name of a header or trailer field is not a token (RFC 9110, 5.1). A space before its colon may hide how the body is framed: such a
-// Transfer-Encoding field is not taken for one (RFC 9112, 5.1).
+// ErrFieldName means that the name of a header or trailer field is not a token (RFC 9110, 5.1). A space in it may hide how the body is framed, since
+// "Transfer-Encoding " is the name of an unknown field to net/http.
 type ErrFieldName struct{ Name string }
 
 // Error implements error.
@@ -56,7 +56,7 @@
 	if err := checkNames(response.Header); err != nil {
 		return err
 	}
-	// The names that the head announces.
+	// Before the body is read, Trailer holds the names that the head announces.
 	return checkNames(response.Trailer)
 }
 
--- a/internal/responsecheck/responsecheck_test.go
+++ b/internal/responsecheck/responsecheck_test.go
@@ -21,6 +21,17 @@
 	return server, &http.Client{Transport: NewTransport(&http.Transport{})}
 }
 
+// mustGet returns a response and its body.
+func mustGet(t *testing.T, client *http.Client, url string) (*http.Response, string) {
+	t.Helper()
+	response, err := client.Get(url)
+	assert.NilError(t, err)
+	body, err := io.ReadAll(response.Body)
+	assert.NilError(t, err)
+	assert.NilError(t, response.Body.Close())
+	return response, string(body)
+}
+
 // Guards against malformed responses that reach the client of a Transport, or whose connection carries another request.
 func TestTransportRejectsMalformedHeads(t *testing.T) {
 	for name, raw := range rawserver.MalformedHeads("", "ok") {
@@ -57,12 +68,8 @@
 func TestTransportPassesWellFormedResponses(t *testing.T) {
 	server, client := startRaw(t, rawserver.Whole("X-Mark: m\r\n", "ok"))
 	for range 3 {
-		response, err := client.Get(server.URL())
-		assert.NilError(t, err)
-		body, err := io.ReadAll(response.Body)
-		assert.NilError(t, err)
-		assert.NilError(t, response.Body.Close())
-		assert.Equal(t, string(body), "ok")
+		response, body := mustGet(t, client, server.URL())
+		assert.Equal(t, body, "ok")
 		assert.Equal(t, response.Header.Get("X-Mark"), "m")
 	}
 	assert.Equal(t, server.Reuses(), 2)
@@ -84,12 +91,8 @@
 	}
 	server, client := startRaw(t, "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n2\r\nok\r\n0\r\nX-Mark: m\r\n\r\n")
 	for range 2 {
-		response, err := client.Get(server.URL())
-		assert.NilError(t, err)
-		body, err := io.ReadAll(response.Body)
-		assert.NilError(t, err)
-		assert.NilError(t, response.Body.Close())
-		assert.Equal(t, string(body), "ok")
+		response, body := mustGet(t, client, server.URL())
+		assert.Equal(t, body, "ok")
 		assert.Equal(t, response.Trailer.Get("X-Mark"), "m")
 	}
 	assert.Equal(t, server.Reuses(), 1)
