dispatch, ingress, gateway: further tests of malformed responses

Cause: reading the issue again, four things had no test at the place where they count: that a malformed refusal is no proof that a call was not run, what a probe takes from a malformed report, that unusual but well-formed responses reach callers, and what a repeat gets of an answer that was stored before the fix.

--- a/internal/ingress/malformed_response_test.go
+++ b/internal/ingress/malformed_response_test.go
@@ -3,6 +3,7 @@
 import (
 	"maps"
 	"net/http"
+	"strconv"
 	"testing"
 
 	"gotest.tools/v3/assert"
@@ -115,6 +116,46 @@
 	}
 }
 
+// A malformed response proves nothing, even if it says that the call was not run.
+func TestMalformedRefusalIsNoProof(t *testing.T) {
+	t.Parallel()
+	for _, name := range malformedNames() {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			cluster := newTestCluster(t)
+			engine := cluster.engine("e", func(call *engineCall) {
+				call.write("%s", call.malformedResponses("Untouched: 1\r\n", "")[name])
+			})
+			got := cluster.send("/unsafe/", "c1", "")
+			assert.NilError(t, got.err)
+			// 503 would tell that the call was not run.
+			assert.Equal(t, got.status, http.StatusBadGateway)
+			assert.Equal(t, engine.runs.Load(), int64(1))
+		})
+	}
+}
+
+// Guards against a check that withholds well-formed responses from callers.
+func TestUnusualResponseIsForwarded(t *testing.T) {
+	t.Parallel()
+	for name, statusLine := range map[string]string{"status 599": "599 Last", "undefined status": "299 Other", "empty reason": "200 ", "no reason": "200"} {
+		for _, path := range []string{"/safe/", "/unsafe/"} {
+			t.Run(name+path, func(t *testing.T) {
+				t.Parallel()
+				cluster := newTestCluster(t)
+				cluster.engine("e", func(call *engineCall) {
+					call.write("HTTP/1.1 %s\r\nCall: %s\r\nSeal: s\r\nX-Empty:\r\nContent-Length: 2\r\n\r\nok", statusLine, call.id)
+				})
+				got := cluster.send(path, "c1", "")
+				assert.NilError(t, got.err)
+				assert.Equal(t, strconv.Itoa(got.status), statusLine[:3])
+				assert.Equal(t, got.body, "ok")
+				assert.DeepEqual(t, got.header["X-Empty"], []string{""})
+			})
+		}
+	}
+}
+
 // Guards against responses with malformed trailers that are forwarded as whole ones. Of a stream, callers have got the events by then.
 func TestMalformedTrailerIsNotForwardedAsWhole(t *testing.T) {
 	t.Parallel()
--- a/internal/upstream/malformed_test.go
+++ b/internal/upstream/malformed_test.go
@@ -73,6 +73,7 @@
 		"undefined status":         {"HTTP/1.1 299 Other\r\n" + rest, 299},
 		"empty reason":             {"HTTP/1.1 200 \r\n" + rest, 200},
 		"no reason":                {"HTTP/1.1 200\r\n" + rest, 200},
+		"empty value":              {"HTTP/1.1 200 OK\r\nX-Mark:\r\n" + rest, 200},
 		"folded value":             {"HTTP/1.1 200 OK\r\nX-Mark: m\r\n n\r\n" + rest, 200},
 		"all characters of names":  {"HTTP/1.1 200 OK\r\n!#$%&'*+-.^_`|~09azAZ: m\r\n" + rest, 200},
 		"undefined interim status": {"HTTP/1.1 199 Other\r\n\r\nHTTP/1.1 200 OK\r\n" + rest, 200},
--- a/test/path/malformed_test.go
+++ b/test/path/malformed_test.go
@@ -1,6 +1,9 @@
 package path_test
 
 import (
+	"context"
+	"crypto/sha256"
+	"encoding/hex"
 	"net/http"
 	"strings"
 	"testing"
@@ -9,9 +12,11 @@
 
 	"github.com/mountstile/mountstile/internal/adminclient"
 	"github.com/mountstile/mountstile/internal/apierr"
+	"github.com/mountstile/mountstile/internal/coordinator"
 	"github.com/mountstile/mountstile/internal/gateway"
 	"github.com/mountstile/mountstile/internal/lab/cluster"
 	"github.com/mountstile/mountstile/internal/lab/runner"
+	"github.com/mountstile/mountstile/internal/program"
 	"github.com/mountstile/mountstile/internal/resource"
 	"github.com/mountstile/mountstile/internal/standin/rawserver"
 )
@@ -104,3 +109,48 @@
 		})
 	}
 }
+
+// hashOfRequest is the hash by which coordinators tell whether a repeat has the same request.
+func hashOfRequest(method, uri, body string) string {
+	digest := sha256.Sum256([]byte(method + "\x00" + uri + "\x00" + body + "\x00"))
+	return hex.EncodeToString(digest[:])
+}
+
+// TestMalformedStoredAnswer stores answers as earlier builds did. A repeat of their call must learn that it ran and failed.
+func TestMalformedStoredAnswer(t *testing.T) {
+	const uri, body = "/apps/book/marks/7", "A"
+	for name, answer := range map[string]program.Answer{
+		"status 000":      {Status: 0, Body: []byte("stored body")},
+		"status 999":      {Status: 999, Body: []byte("stored body")},
+		"space in a name": {Status: http.StatusOK, Header: http.Header{"Transfer-Encoding ": {"chunked"}}, Body: []byte("b\r\nstored body\r\n0\r\n\r\n")},
+	} {
+		t.Run(name, func(t *testing.T) {
+			system := startCluster(t, 1)
+			node := system.Nodes[0]
+			plane := node.Plane()
+			client := coordinator.NewClient(plane.Transport, plane.Membership, plane.Partitions)
+			partition, err := client.Locate("r", "school", "pupil")
+			assert.NilError(t, err)
+			ctx, cancel := context.WithTimeout(t.Context(), waitTimeout)
+			defer cancel()
+			key := program.Key{Tenant: "school", Path: "pupil"}
+			begun, err := client.Begin(ctx, coordinator.BeginRequest{
+				Partition: partition, Execution: "earlier",
+				Admit: program.Admit{
+					CallID: "call-1", Program: key, Service: "book", Gateway: node.Status().ID, IdempotencyKey: "mark-7",
+					BodyHash: hashOfRequest(http.MethodPost, uri, body), Limits: program.Limits{TokenBudget: 1000, CallBudget: 10},
+				},
+			})
+			assert.NilError(t, err)
+			_, err = client.Finish(ctx, coordinator.FinishRequest{
+				Partition: partition, Complete: program.Complete{CallID: begun.CallID, Program: key, Attempt: begun.Attempt, Answer: answer},
+			})
+			assert.NilError(t, err)
+			header := map[string]string{gateway.HeaderProgram: "pupil", gateway.HeaderIdempotency: "mark-7"}
+			got, text := post(t, system, uri, body, header)
+			assert.Equal(t, got.StatusCode, http.StatusBadGateway, text)
+			assert.Equal(t, got.Header.Get(gateway.HeaderOutcome), string(apierr.Ran), text)
+			assert.Assert(t, !strings.Contains(text, "stored body"), text)
+		})
+	}
+}
