test/path: the stalled engine is the one that sends first

It assumed that one of four calls goes to m1 of two equal engines with four slots each. The product did what it should.

Change: the test hangs the engine that sends the first token. What callers must get, the times and the calls are as they were.

--- a/test/path/stall_test.go
+++ b/test/path/stall_test.go
@@ -46,13 +46,18 @@
 	for number := range calls / 2 {
 		send(number)
 	}
+	// All of these calls may be placed on one engine.
+	var hanging *emulator.Server
 	poll.WaitOn(t, func(poll.LogT) poll.Result {
-		if system.Engines["m1"].Stats().Tokens > 0 {
-			return poll.Success()
+		for _, engine := range system.Engines {
+			if engine.Stats().Tokens > 0 {
+				hanging = engine
+				return poll.Success()
+			}
 		}
-		return poll.Continue("m1 has sent no token yet")
+		return poll.Continue("no engine has sent a token yet")
 	}, poll.WithTimeout(waitTimeout))
-	system.Engines["m1"].SetFaults(emulator.Faults{Hang: true})
+	hanging.SetFaults(emulator.Faults{Hang: true})
 	for number := calls / 2; number < calls; number++ {
 		send(number)
 	}
